Lay out the workspace with the inner protocol and first decisions

Packages by concern, the inner protocol in its own. The protocol carries requests over HTTP as frames with offsets, control exchanges over nng.

--- /dev/null
+++ b/bulrushward/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of the fleet: router and agent.
+
+fn main() {}
--- /dev/null
+++ b/bulrushward_claims/src/lib.rs
@@ -0,0 +1,46 @@
+//! Claims of non-idempotent actions, committed in groups to the key-value service.
+
+use std::fmt::Debug;
+
+use async_trait::async_trait;
+use bulrushward_protocol::{ActionKey, AttemptId};
+
+/// Answer to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// This attempt alone may start the action.
+    Won,
+    /// Another attempt holds the claim and is not known to have ended.
+    Held {
+        /// The holder.
+        holder: AttemptId,
+    },
+    /// The action ran.
+    Ran {
+        /// The attempt that ran it.
+        holder: AttemptId,
+    },
+    /// The action was given up and may not start any more under this attempt.
+    Barred,
+    /// The record of claims is at its size limit; nothing was claimed.
+    Full,
+    /// The key-value service does not answer; this attempt will not start, whatever was written.
+    Unavailable,
+}
+
+/// The place where non-idempotent actions are claimed.
+#[async_trait]
+pub trait Claims: Debug + Send + Sync {
+    /// Claims an action for an attempt.
+    async fn claim(&self, action: ActionKey, attempt: AttemptId) -> Verdict;
+
+    /// Records that the attempt ran the action; returns at once and commits in the background.
+    fn finished(&self, action: ActionKey, attempt: AttemptId);
+
+    /// Records that the winner of a claim did not start it, so that another attempt may.
+    fn released(&self, action: ActionKey, attempt: AttemptId);
+
+    /// Bars an attempt from ever winning; `true` if it is now certain that it did not and will not
+    /// start.
+    async fn bar(&self, action: ActionKey, attempt: AttemptId) -> bool;
+}
--- /dev/null
+++ b/bulrushward_ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command-line tool.
+
+fn main() {}
--- /dev/null
+++ b/bulrushward_fakes/src/main.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for the outside systems, for tests and the demo only.
+
+fn main() {}
--- /dev/null
+++ b/bulrushward_policy/src/load_bound.rs
@@ -0,0 +1,27 @@
+//! The bound on the load of a backend server relative to the mean.
+
+use bulrushward_protocol::WorkUnits;
+
+/// Admits work while the load stays within a multiple of the mean.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadBound {
+    /// Allowed load as a multiple of the mean load.
+    pub multiple: f64,
+    /// Load that is always allowed, in work units.
+    pub floor: WorkUnits,
+}
+
+impl LoadBound {
+    /// Returns the largest allowed load for a mean load.
+    #[must_use]
+    pub fn limit(&self, mean: f64) -> WorkUnits {
+        let multiple = (self.multiple * mean).ceil();
+        self.floor.max(multiple as WorkUnits)
+    }
+
+    /// Returns whether `work` may be added to `load`.
+    #[must_use]
+    pub fn admits(&self, load: WorkUnits, work: WorkUnits, mean: f64) -> bool {
+        load.saturating_add(work) <= self.limit(mean)
+    }
+}
--- /dev/null
+++ b/bulrushward_protocol/src/exchange.rs
@@ -0,0 +1,91 @@
+//! What two processes tell each other in one control exchange.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+use crate::{
+    BackendId, FailureDomain, Fingerprint, Incarnation, NodeId, Revision, ServiceId, WorkUnits,
+};
+
+/// What a process does in the fleet.
+#[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Role {
+    /// Takes callers' requests and places them.
+    Router,
+    /// Stands before one backend server.
+    Agent,
+}
+
+/// Whether a process takes new work; it only ever moves down this list within one incarnation.
+#[derive(
+    Clone, Copy, Debug, Display, EnumString, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum MemberState {
+    /// Takes new work.
+    Live,
+    /// Finishes what it has and takes nothing new.
+    Leaving,
+    /// Gone.
+    Left,
+}
+
+/// What the fleet knows about one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// The process.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Grows with every change and heartbeat within the incarnation.
+    pub version: u64,
+    /// What it does.
+    pub role: Role,
+    /// Whether it takes new work.
+    pub state: MemberState,
+    /// Where it answers control exchanges.
+    pub control_address: SocketAddr,
+    /// Where it answers requests: an agent's inner listener, a router's admin listener.
+    pub data_address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// The service of its backend server; agents only.
+    pub service: Option<ServiceId>,
+    /// Its backend server; agents only.
+    pub backend: Option<BackendId>,
+    /// Outstanding work; agents only.
+    pub load: WorkUnits,
+    /// Requests that wait; agents only.
+    pub queued: u32,
+    /// The configuration that it has in force.
+    pub revision: Revision,
+}
+
+/// A request content that is not run any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineRecord {
+    /// The content.
+    pub fingerprint: Fingerprint,
+    /// Crashes of backend servers that it caused.
+    pub crashes: u8,
+    /// Seconds until the record may be forgotten.
+    pub ttl_seconds: u32,
+}
+
+/// One side of a control exchange; both sides send the same shape.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The sender's own record, always the newest.
+    pub own: MemberRecord,
+    /// Records of others that the sender heard about lately.
+    pub members: Vec<MemberRecord>,
+    /// Quarantined contents that the sender heard about lately.
+    pub quarantine: Vec<QuarantineRecord>,
+    /// Newest revision that the sender has.
+    pub revision: Revision,
+    /// The encoded configuration record, sent to a peer whose revision is older.
+    pub configuration: Option<Vec<u8>>,
+}
--- /dev/null
+++ b/bulrushward_protocol/src/lib.rs
@@ -0,0 +1,24 @@
+//! The inner protocol of the fleet: ids, messages, codec and transport.
+//!
+//! Routers and agents speak two channels. Requests and their answers travel over HTTP as a
+//! [`RunRequest`] and a stream of [`Frame`]s, because token streams need flow control and
+//! cancellation. Membership, load, revisions and quarantine travel over nng as an [`Exchange`].
+
+pub mod codec;
+mod exchange;
+mod frame;
+pub mod headers;
+mod ids;
+mod outcome;
+mod run;
+pub mod transport;
+
+pub use codec::{CodecError, decode, encode};
+pub use exchange::{Exchange, MemberRecord, MemberState, QuarantineRecord, Role};
+pub use frame::{Frame, FrameDecoder, encode_frame};
+pub use ids::{
+    ActionKey, AttemptId, BackendId, ChatKey, FailureDomain, Fingerprint, Incarnation, KindId,
+    NodeId, OrganisationId, RequestId, Revision, ServiceId, WorkUnits, format_id,
+};
+pub use outcome::{Outcome, RefusalReason};
+pub use run::{Header, Refusal, RunRequest};
--- /dev/null
+++ b/bulrushward_protocol/src/transport.rs
@@ -0,0 +1,140 @@
+//! Control exchanges over nng request and reply sockets.
+
+use std::{net::SocketAddr, time::Duration};
+
+use nng::{
+    Protocol, Socket,
+    options::{Options, RecvMaxSize, RecvTimeout, SendTimeout},
+};
+use snafu::{ResultExt, Snafu};
+
+use crate::{CodecError, Exchange, decode, encode};
+
+/// Largest accepted control message in bytes: one configuration record and a few deltas.
+pub const MAX_MESSAGE_BYTES: usize = (1 << 20) + (64 << 10);
+
+/// A control exchange that failed.
+#[derive(Debug, Snafu)]
+pub enum TransportError {
+    /// The socket could not be set up.
+    #[snafu(display("the control socket at {address} failed: {source}"))]
+    Open {
+        /// Address of the listener or peer.
+        address: SocketAddr,
+        /// Error of nng.
+        source: nng::Error,
+    },
+    /// The message could not be sent.
+    #[snafu(display("the message to {address} was not sent: {source}"))]
+    Send {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// Error of nng.
+        source: nng::Error,
+    },
+    /// No answer arrived in time.
+    #[snafu(display("no answer from {address}: {source}"))]
+    Receive {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// Error of nng.
+        source: nng::Error,
+    },
+    /// The message could not be encoded or decoded.
+    #[snafu(display("a control message with {address} is not valid: {source}"))]
+    Codec {
+        /// Address of the peer.
+        address: SocketAddr,
+        /// Error of the codec.
+        source: CodecError,
+    },
+}
+
+/// Sends one exchange to a peer over a new connection and returns the peer's side of it.
+///
+/// A new connection for each exchange means that one which went silent is never used twice.
+/// Blocks for at most twice `timeout`. The second value is the number of bytes sent and received.
+///
+/// # Errors
+///
+/// Returns [`TransportError`] if the peer does not answer in time or answers with a bad message.
+pub fn call(
+    address: SocketAddr,
+    exchange: &Exchange,
+    timeout: Duration,
+) -> Result<(Exchange, usize), TransportError> {
+    let open = OpenSnafu { address };
+    let request = encode(exchange).context(CodecSnafu { address })?;
+    let sent = request.len();
+    let socket = Socket::new(Protocol::Req0).context(open)?;
+    socket.set_opt::<SendTimeout>(Some(timeout)).context(open)?;
+    socket.set_opt::<RecvTimeout>(Some(timeout)).context(open)?;
+    socket
+        .set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)
+        .context(open)?;
+    socket
+        .dial_async(&format!("tcp://{address}"))
+        .context(open)?;
+    socket
+        .send(request.as_slice())
+        .map_err(|(_, source)| source)
+        .context(SendSnafu { address })?;
+    let reply = socket.recv().context(ReceiveSnafu { address })?;
+    let answer = decode(&reply).context(CodecSnafu { address })?;
+    Ok((answer, sent + reply.len()))
+}
+
+/// Answers control exchanges of peers.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    socket: Socket,
+}
+
+impl Listener {
+    /// Starts to listen at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TransportError::Open`] if the address is taken or not local.
+    pub fn bind(address: SocketAddr) -> Result<Self, TransportError> {
+        let open = OpenSnafu { address };
+        let socket = Socket::new(Protocol::Rep0).context(open)?;
+        socket
+            .set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)
+            .context(open)?;
+        socket.listen(&format!("tcp://{address}")).context(open)?;
+        Ok(Self { address, socket })
+    }
+
+    /// Answers one exchange, waiting at most `timeout` for it.
+    ///
+    /// Returns the bytes received and sent, or `None` if nothing arrived in time. A message that
+    /// cannot be decoded is dropped without an answer, and the listener goes on.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`TransportError`] for a bad message or a failed answer; the listener stays usable.
+    pub fn serve_one(
+        &self,
+        timeout: Duration,
+        answer: &mut dyn FnMut(Exchange) -> Exchange,
+    ) -> Result<Option<usize>, TransportError> {
+        let address = self.address;
+        self.socket
+            .set_opt::<RecvTimeout>(Some(timeout))
+            .context(OpenSnafu { address })?;
+        let request = match self.socket.recv() {
+            Ok(request) => request,
+            Err(nng::Error::TimedOut) => return Ok(None),
+            Err(source) => return Err(TransportError::Receive { address, source }),
+        };
+        let exchange = decode(&request).context(CodecSnafu { address })?;
+        let reply = encode(&answer(exchange)).context(CodecSnafu { address })?;
+        self.socket
+            .send(reply.as_slice())
+            .map_err(|(_, source)| source)
+            .context(SendSnafu { address })?;
+        Ok(Some(request.len() + reply.len()))
+    }
+}
--- /dev/null
+++ b/bulrushward_protocol/tests/frame.rs
@@ -0,0 +1,57 @@
+//! Frames survive any split of the connection's bytes, and bad frames are errors.
+
+use bulrushward_protocol::{CodecError, Frame, FrameDecoder, encode_frame};
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(23),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn frames_survive_any_split(body: Vec<u8>, chunk in 1_usize..64) {
+        let frames = [
+            Frame::Admitted { attempt: 7, load: 3 },
+            Frame::Data { offset: 0, bytes: body.clone().into() },
+            Frame::End { length: body.len() as u64 },
+        ];
+        let bytes: Vec<u8> =
+            frames.iter().flat_map(|frame| encode_frame(frame).expect("encodes")).collect();
+        let mut decoder = FrameDecoder::default();
+        let mut decoded = Vec::new();
+        for piece in bytes.chunks(chunk) {
+            decoder.push(piece);
+            while let Some(frame) = decoder.next_frame().expect("decodes") {
+                decoded.push(frame);
+            }
+        }
+        prop_assert_eq!(decoded, frames);
+    }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes: Vec<u8>) {
+        let mut decoder = FrameDecoder::default();
+        decoder.push(&bytes);
+        while let Ok(Some(_)) = decoder.next_frame() {}
+    }
+}
+
+#[test]
+fn an_oversized_frame_is_refused_before_it_is_buffered() {
+    let mut decoder = FrameDecoder::default();
+    decoder.push(&u32::MAX.to_be_bytes());
+    assert!(matches!(
+        decoder.next_frame(),
+        Err(CodecError::TooLarge { .. })
+    ));
+}
+
+#[test]
+fn another_version_is_named() {
+    let error = bulrushward_protocol::decode::<u8>(&[9, 0]).expect_err("version 9 is refused");
+    assert_eq!(
+        error.to_string(),
+        "the message has protocol version 9, expected 1"
+    );
+}
