--- /dev/null
+++ b/bulrushward_platform/src/gateway.rs
@@ -0,0 +1,287 @@
+//! Messages of the etcd v3 JSON gateway, as far as the fleet uses them.
+//!
+//! Keys and values travel as base64 and 64-bit numbers as strings. The gateway leaves out fields
+//! that hold their default, and takes both spellings of a field's name.
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use serde_with::{DeserializeAs, DisplayFromStr, SerializeAs, serde_as};
+
+/// Adapter that carries bytes as base64 text.
+#[derive(Debug)]
+pub struct Base64;
+
+impl SerializeAs<Bytes> for Base64 {
+    fn serialize_as<S: Serializer>(source: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(source))
+    }
+}
+
+impl<'de> DeserializeAs<'de, Bytes> for Base64 {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<Bytes, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        STANDARD
+            .decode(text)
+            .map(Bytes::from)
+            .map_err(D::Error::custom)
+    }
+}
+
+/// Header of every answer.
+#[serde_as]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Header {
+    /// Revision of the whole store when the call was answered.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(default)]
+    pub revision: i64,
+}
+
+/// A stored key.
+#[serde_as]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StoredKey {
+    /// The key.
+    #[serde_as(as = "Base64")]
+    pub key: Bytes,
+    /// Revision at which the key was created.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(alias = "createRevision")]
+    pub create_revision: i64,
+    /// Revision of the key's last write.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(alias = "modRevision")]
+    pub mod_revision: i64,
+    /// Number of writes since the key was created.
+    #[serde_as(as = "DisplayFromStr")]
+    pub version: i64,
+    /// The value.
+    #[serde_as(as = "Base64")]
+    pub value: Bytes,
+    /// Lease that the key is attached to, or 0.
+    #[serde_as(as = "DisplayFromStr")]
+    pub lease: i64,
+}
+
+/// Read of one key: `POST /v3/kv/range`.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RangeRequest {
+    /// The key.
+    #[serde_as(as = "Base64")]
+    pub key: Bytes,
+}
+
+/// Answer to a [`RangeRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RangeAnswer {
+    /// Header of the answer.
+    pub header: Header,
+    /// The key, if it is present.
+    #[serde(default)]
+    pub kvs: Vec<StoredKey>,
+}
+
+/// Write of one key within a [`TxnRequest`].
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PutRequest {
+    /// The key.
+    #[serde_as(as = "Base64")]
+    pub key: Bytes,
+    /// The value.
+    #[serde_as(as = "Base64")]
+    pub value: Bytes,
+    /// Lease to attach the key to, or 0.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub lease: i64,
+}
+
+/// Condition of a [`TxnRequest`]: the key's last write has a revision, 0 for an absent key.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Compare {
+    /// The key.
+    #[serde_as(as = "Base64")]
+    pub key: Bytes,
+    /// What is compared.
+    pub target: CompareTarget,
+    /// How it is compared.
+    #[serde(default)]
+    pub result: CompareResult,
+    /// The expected revision.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(alias = "mod_revision")]
+    pub mod_revision: i64,
+}
+
+/// What a [`Compare`] looks at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum CompareTarget {
+    /// Revision of the last write.
+    Mod,
+}
+
+/// How a [`Compare`] holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum CompareResult {
+    /// Both are equal.
+    #[default]
+    Equal,
+}
+
+/// One operation of a [`TxnRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum TxnOperation {
+    /// Reads a key.
+    #[serde(alias = "request_range")]
+    RequestRange(RangeRequest),
+    /// Writes a key.
+    #[serde(alias = "request_put")]
+    RequestPut(PutRequest),
+}
+
+/// Conditional write: `POST /v3/kv/txn`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TxnRequest {
+    /// Conditions that must all hold.
+    #[serde(default)]
+    pub compare: Vec<Compare>,
+    /// Operations if they hold.
+    #[serde(default)]
+    pub success: Vec<TxnOperation>,
+    /// Operations if one does not hold.
+    #[serde(default)]
+    pub failure: Vec<TxnOperation>,
+}
+
+/// Answer to one operation of a [`TxnRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TxnOperationAnswer {
+    /// What was read.
+    #[serde(alias = "responseRange")]
+    ResponseRange(RangeAnswer),
+    /// What was written.
+    #[serde(alias = "responsePut")]
+    ResponsePut(PutAnswer),
+}
+
+/// Answer to a write.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PutAnswer {
+    /// Header of the answer.
+    #[serde(default)]
+    pub header: Header,
+}
+
+/// Answer to a [`TxnRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TxnAnswer {
+    /// Header of the answer.
+    pub header: Header,
+    /// Whether the conditions held.
+    #[serde(default)]
+    pub succeeded: bool,
+    /// Answers to the operations that were carried out.
+    #[serde(default)]
+    pub responses: Vec<TxnOperationAnswer>,
+}
+
+/// Start of a watch: `POST /v3/watch`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// What to watch.
+    #[serde(alias = "createRequest")]
+    pub create_request: WatchCreateRequest,
+}
+
+/// What to watch, and from where.
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct WatchCreateRequest {
+    /// The key.
+    #[serde_as(as = "Base64")]
+    pub key: Bytes,
+    /// First revision of interest.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(alias = "start_revision")]
+    pub start_revision: i64,
+}
+
+/// One line of a watch's stream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WatchLine {
+    /// News.
+    Result(WatchResult),
+    /// The watch failed.
+    Error(GatewayError),
+}
+
+/// News of a watch.
+#[serde_as]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WatchResult {
+    /// Header of the news.
+    pub header: Header,
+    /// Whether this line confirms the start of the watch.
+    pub created: bool,
+    /// Whether the watch ended.
+    pub canceled: bool,
+    /// Oldest revision that the service still has, if the watch asked for an older one.
+    #[serde_as(as = "DisplayFromStr")]
+    pub compact_revision: i64,
+    /// Changes, oldest first.
+    pub events: Vec<WatchEvent>,
+}
+
+/// One change of a watched key.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct WatchEvent {
+    /// What happened.
+    #[serde(rename = "type")]
+    pub kind: WatchEventKind,
+    /// The key after the change.
+    pub kv: StoredKey,
+}
+
+/// Kind of a [`WatchEvent`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum WatchEventKind {
+    /// The key was written.
+    #[default]
+    Put,
+    /// The key was deleted.
+    Delete,
+}
+
+/// Error answer of the gateway.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct GatewayError {
+    /// gRPC status code.
+    #[serde(alias = "grpc_code")]
+    pub code: i32,
+    /// What went wrong.
+    pub message: String,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(number: &i64) -> bool {
+    *number == 0
+}
--- a/bulrushward_platform/src/lib.rs
+++ b/bulrushward_platform/src/lib.rs
@@ -1,7 +1,14 @@
 //! Clients of the platform: the key-value service and the VM list.
 
+mod answer;
+mod etcd;
+pub mod gateway;
+mod http_sd;
 mod key_value;
 mod vm_list;
+mod watch;
 
+pub use etcd::EtcdKeyValue;
+pub use http_sd::{HttpVmList, TargetGroup, TargetLabels};
 pub use key_value::{CasOutcome, Entry, KeyValue, KvError, Version};
 pub use vm_list::{Vm, VmList, VmListError, VmState};
--- a/bulrushward_platform/src/vm_list.rs
+++ b/bulrushward_platform/src/vm_list.rs
@@ -3,10 +3,12 @@
 use std::{fmt::Debug, net::SocketAddr};
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 /// What the platform says about a VM.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum VmState {
     /// In use.
     Live,
