Keep accepted revisions of the text in the key-value service

One head record is compared and swapped; the text stands in content-defined chunks and each change in a linked audit entry, both written before the head. A lost answer is settled by looking for the submission id right after its base.

--- /dev/null
+++ b/bulrushward_config/src/text_diff.rs
@@ -0,0 +1,21 @@
+//! The difference between two versions of the operators' text.
+
+use std::time::Duration;
+
+use similar::TextDiff;
+
+/// Unchanged lines shown around each change.
+const CONTEXT_LINES: usize = 3;
+/// Time after which the diff becomes coarser instead of slower.
+const DIFF_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Returns a unified diff by lines; empty if the texts are equal.
+#[must_use]
+pub fn text_diff(old: &str, new: &str) -> String {
+    TextDiff::configure()
+        .timeout(DIFF_TIMEOUT)
+        .diff_lines(old, new)
+        .unified_diff()
+        .context_radius(CONTEXT_LINES)
+        .to_string()
+}
--- /dev/null
+++ b/bulrushward_revisions/src/accepted.rs
@@ -0,0 +1,198 @@
+//! An accepted revision and how processes hand it to each other.
+
+use std::{ops::Range, sync::Arc, time::SystemTime};
+
+use bulrushward_protocol::{CodecError, Revision, decode, encode};
+use serde::{Deserialize, Serialize};
+use serde_with::{TimestampMilliSeconds, serde_as};
+use snafu::Snafu;
+
+use crate::chunks::{ChunkRef, Digest, chunk_refs, digest, format_digest};
+
+/// A manifest whose text cannot be put together.
+#[derive(Debug, Snafu)]
+pub enum AssembleError {
+    /// Some chunks are not at hand.
+    #[snafu(display("{} chunks of revision {revision} are missing", missing.len()))]
+    Missing {
+        /// The revision.
+        revision: Revision,
+        /// Digests of the missing chunks.
+        missing: Vec<Digest>,
+    },
+    /// A chunk does not have the content that its digest names.
+    #[snafu(display(
+        "chunk {} of revision {revision} has other content",
+        format_digest(digest)
+    ))]
+    Mismatch {
+        /// The revision.
+        revision: Revision,
+        /// Digest in the manifest.
+        digest: Digest,
+    },
+}
+
+/// Names the parts of a revision without holding its text.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// Number of the revision.
+    pub revision: Revision,
+    /// Who submitted it.
+    pub author: String,
+    /// Why it was submitted.
+    pub why: String,
+    /// When it was submitted, to the millisecond.
+    #[serde_as(as = "TimestampMilliSeconds<i64>")]
+    pub at: SystemTime,
+    /// Id of the submission.
+    pub submission: u128,
+    /// Chunks of the text in order.
+    pub chunks: Vec<ChunkRef>,
+}
+
+impl Manifest {
+    /// Encodes the manifest for another process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError`] if it cannot be serialised.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        encode(self)
+    }
+
+    /// Decodes a manifest of another process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError`] if the bytes are not a whole manifest of this protocol version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        decode(bytes)
+    }
+
+    /// Digests of the chunks that another revision does not have.
+    #[must_use]
+    pub fn chunks_missing_from(&self, known: Option<&Accepted>) -> Vec<Digest> {
+        self.chunks
+            .iter()
+            .filter(|chunk| known.is_none_or(|known| known.chunk(&chunk.digest).is_none()))
+            .map(|chunk| chunk.digest)
+            .collect()
+    }
+}
+
+/// An accepted revision of the operators' text.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Number of the revision, from 1.
+    pub revision: Revision,
+    /// The whole text.
+    pub text: Arc<str>,
+    /// Who submitted it.
+    pub author: String,
+    /// Why it was submitted.
+    pub why: String,
+    /// When it was submitted, to the millisecond.
+    #[serde_as(as = "TimestampMilliSeconds<i64>")]
+    pub at: SystemTime,
+    /// Id of the submission.
+    pub submission: u128,
+    /// Chunks of the text in order.
+    #[serde(skip)]
+    chunks: Arc<[ChunkRef]>,
+}
+
+impl Accepted {
+    /// Encodes the revision with its whole text for another process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError`] if it cannot be serialised.
+    pub fn encode(&self) -> Result<Vec<u8>, CodecError> {
+        encode(self)
+    }
+
+    /// Decodes a revision of another process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CodecError`] if the bytes are not a whole revision of this protocol version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CodecError> {
+        let mut accepted: Self = decode(bytes)?;
+        accepted.chunks = chunk_refs(&accepted.text).into();
+        Ok(accepted)
+    }
+
+    /// Names the parts of the revision.
+    #[must_use]
+    pub fn manifest(&self) -> Manifest {
+        Manifest {
+            revision: self.revision,
+            author: self.author.clone(),
+            why: self.why.clone(),
+            at: self.at,
+            submission: self.submission,
+            chunks: self.chunks.to_vec(),
+        }
+    }
+
+    /// Returns the chunk with a digest if the text has it.
+    #[must_use]
+    pub fn chunk(&self, digest: &Digest) -> Option<&str> {
+        let (_, range) = self.ranges().find(|(chunk, _)| chunk.digest == *digest)?;
+        Some(&self.text[range])
+    }
+
+    /// Puts a revision together from its manifest and its chunks.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AssembleError`] if `chunk` does not know a digest or returns other content.
+    pub fn assemble(
+        manifest: &Manifest,
+        chunk: &dyn Fn(&Digest) -> Option<Arc<str>>,
+    ) -> Result<Self, AssembleError> {
+        let revision = manifest.revision;
+        let mut text = String::new();
+        let mut missing = Vec::new();
+        for part in &manifest.chunks {
+            let Some(content) = chunk(&part.digest) else {
+                missing.push(part.digest);
+                continue;
+            };
+            if content.len() != part.bytes as usize || digest(content.as_bytes()) != part.digest {
+                let digest = part.digest;
+                return Err(AssembleError::Mismatch { revision, digest });
+            }
+            text.push_str(&content);
+        }
+        if !missing.is_empty() {
+            return Err(AssembleError::Missing { revision, missing });
+        }
+        Ok(Self::with_text(manifest, text.into()))
+    }
+
+    /// Joins a manifest and the text that it was made of.
+    pub(crate) fn with_text(manifest: &Manifest, text: Arc<str>) -> Self {
+        Self {
+            revision: manifest.revision,
+            text,
+            author: manifest.author.clone(),
+            why: manifest.why.clone(),
+            at: manifest.at,
+            submission: manifest.submission,
+            chunks: manifest.chunks.clone().into(),
+        }
+    }
+
+    /// The chunks and where they stand in the text.
+    fn ranges(&self) -> impl Iterator<Item = (&ChunkRef, Range<usize>)> {
+        self.chunks.iter().scan(0, |start, chunk| {
+            let range = *start..*start + chunk.bytes as usize;
+            *start = range.end;
+            Some((chunk, range))
+        })
+    }
+}
--- /dev/null
+++ b/bulrushward_revisions/src/lib.rs
@@ -0,0 +1,19 @@
+//! Accepted revisions of the operators' text in the key-value service.
+//!
+//! A revision is one small head record that names immutable chunks of the text and an audit
+//! entry. Chunks and audit entry are written first, and one compare-and-swap of the head makes
+//! all of them visible together.
+
+mod accepted;
+mod audit;
+mod blobs;
+mod chunks;
+mod error;
+mod head;
+mod store;
+
+pub use accepted::{Accepted, AssembleError, Manifest};
+pub use audit::AuditEntry;
+pub use chunks::{ChunkRef, Digest, MAX_TEXT_BYTES};
+pub use error::RevisionsError;
+pub use store::{RevisionStore, Submission, SubmitOutcome};
