--- /dev/null
+++ b/bulrushward_policy/src/claim.rs
@@ -0,0 +1,336 @@
+//! The record of claims that keeps a non-idempotent action from running twice.
+//!
+//! A record is one value of the key-value service and is only changed by compare-and-swap, so all
+//! changes of a record have one order. The functions here decide what a change does; they are
+//! idempotent, so a change whose write had no answer can be applied again to what is read back.
+
+mod action_key;
+mod record_clock;
+mod retention;
+
+use bulrushward_protocol::{ActionKey, AttemptId};
+
+pub use action_key::{ActionClass, action_class, action_from_content, action_from_key};
+pub use record_clock::RecordClock;
+pub use retention::Retention;
+
+/// Identifies one call that claims, so that two copies of one attempt cannot both win.
+pub type ClaimNonce = u64;
+/// Counts seconds of a record's own clock.
+pub type RecordSecond = u32;
+
+/// Bytes of an encoded record without entries: format, clock and number of entries.
+pub const RECORD_HEADER_SIZE: usize = 1 + size_of::<u64>() + size_of::<u32>();
+/// Bytes of an encoded entry: action, attempt, state and second.
+pub const ENTRY_SIZE: usize = 16 + 16 + 1 + size_of::<RecordSecond>();
+/// Bytes that an entry needs besides while it is claimed.
+pub const NONCE_SIZE: usize = size_of::<ClaimNonce>();
+/// Share of a record, as a divisor, that claims leave free for tombstones.
+const TOMBSTONE_RESERVE_DIVISOR: usize = 16;
+
+/// What is known about one attempt of an action.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimState {
+    /// The attempt may start, may be running, or may have ended unseen.
+    Claimed {
+        /// The call that claimed.
+        nonce: ClaimNonce,
+    },
+    /// The attempt ran the action.
+    Finished,
+    /// The attempt did not start and never will.
+    Barred,
+}
+
+/// One attempt of an action in a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimEntry {
+    /// The action.
+    pub action: ActionKey,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// What is known about the attempt.
+    pub state: ClaimState,
+    /// Second of the record's clock in which the state was entered.
+    pub changed: RecordSecond,
+}
+
+/// A wish to change a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimChange {
+    /// Claims the action for the attempt.
+    Claim {
+        /// The call that claims.
+        nonce: ClaimNonce,
+    },
+    /// Records that the attempt ran the action.
+    Finish,
+    /// Gives up a claim that was not started and never will be.
+    Release {
+        /// The call that claimed; a claim by another call is left alone.
+        nonce: ClaimNonce,
+    },
+    /// Bars the attempt unless it holds a claim.
+    Bar,
+}
+
+/// What a change came to, valid once the record is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimDecision {
+    /// The claiming call alone may start the action.
+    Won,
+    /// An attempt holds the claim and is not known to have ended.
+    Held {
+        /// The holder, which may be the attempt itself.
+        holder: AttemptId,
+    },
+    /// The action ran.
+    Ran {
+        /// The attempt that ran it.
+        holder: AttemptId,
+    },
+    /// The attempt did not start and never will.
+    Barred,
+    /// The record has no room; nothing changed.
+    Full,
+    /// The change is recorded.
+    Recorded,
+}
+
+/// All entries of one record, sorted by action and attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ClaimRecord {
+    /// Milliseconds of the record's own clock.
+    clock_ms: u64,
+    entries: Vec<ClaimEntry>,
+    size: usize,
+    changed: bool,
+}
+
+impl ClaimRecord {
+    /// Builds a record from its stored parts; `None` if the entries are not in strict order.
+    #[must_use]
+    pub fn from_parts(clock_ms: u64, entries: Vec<ClaimEntry>) -> Option<Self> {
+        let sorted = entries
+            .windows(2)
+            .all(|pair| key_of(&pair[0]) < key_of(&pair[1]));
+        if !sorted {
+            return None;
+        }
+        let size = entries.iter().map(|entry| size_of_state(entry.state)).sum();
+        Some(Self {
+            clock_ms,
+            entries,
+            size,
+            changed: false,
+        })
+    }
+
+    /// Returns the record's own clock in milliseconds.
+    #[must_use]
+    pub fn clock_ms(&self) -> u64 {
+        self.clock_ms
+    }
+
+    /// Returns the entries, sorted by action and attempt.
+    #[must_use]
+    pub fn entries(&self) -> &[ClaimEntry] {
+        &self.entries
+    }
+
+    /// Returns the bytes that the encoded record takes.
+    #[must_use]
+    pub fn encoded_size(&self) -> usize {
+        RECORD_HEADER_SIZE + self.size
+    }
+
+    /// Returns whether a change since the last call has to be written.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// Moves the record's clock forward; an earlier time is ignored.
+    pub fn advance_clock(&mut self, clock_ms: u64) {
+        self.clock_ms = self.clock_ms.max(clock_ms);
+    }
+
+    /// Drops the entries whose retention is over by the record's clock.
+    pub fn prune(&mut self, retention: &Retention) {
+        let now = self.second();
+        let size = &mut self.size;
+        self.entries.retain(|entry| {
+            let kept = !retention.is_over(entry, now);
+            if !kept {
+                *size -= size_of_state(entry.state);
+            }
+            kept
+        });
+    }
+
+    /// Applies a change to a record that may grow to `limit` bytes.
+    pub fn apply(
+        &mut self,
+        action: ActionKey,
+        attempt: AttemptId,
+        change: ClaimChange,
+        limit: usize,
+    ) -> ClaimDecision {
+        match change {
+            ClaimChange::Claim { nonce } => self.claim(action, attempt, nonce, limit),
+            ClaimChange::Finish => self.enter(action, attempt, ClaimState::Finished, limit),
+            ClaimChange::Release { nonce } => self.release(action, attempt, nonce, limit),
+            ClaimChange::Bar => self.bar(action, attempt, limit),
+        }
+    }
+
+    fn claim(
+        &mut self,
+        action: ActionKey,
+        attempt: AttemptId,
+        nonce: ClaimNonce,
+        limit: usize,
+    ) -> ClaimDecision {
+        if let Some(decision) = self.claim_taken(action, attempt, nonce) {
+            return decision;
+        }
+        let limit = limit - limit / TOMBSTONE_RESERVE_DIVISOR;
+        match self.enter(action, attempt, ClaimState::Claimed { nonce }, limit) {
+            ClaimDecision::Recorded => ClaimDecision::Won,
+            other => other,
+        }
+    }
+
+    /// Returns why the action cannot be claimed anew, `Won` if this very call claimed it before.
+    fn claim_taken(
+        &self,
+        action: ActionKey,
+        attempt: AttemptId,
+        nonce: ClaimNonce,
+    ) -> Option<ClaimDecision> {
+        let own = self.state(action, attempt);
+        if own == Some(ClaimState::Claimed { nonce }) {
+            return Some(ClaimDecision::Won);
+        }
+        let holder = self.entries_of(action).iter().find_map(hold_of);
+        let barred = (own == Some(ClaimState::Barred)).then_some(ClaimDecision::Barred);
+        barred.or(holder)
+    }
+
+    fn release(
+        &mut self,
+        action: ActionKey,
+        attempt: AttemptId,
+        nonce: ClaimNonce,
+        limit: usize,
+    ) -> ClaimDecision {
+        match self.state(action, attempt) {
+            Some(ClaimState::Claimed { nonce: stored }) if stored != nonce => {
+                ClaimDecision::Held { holder: attempt }
+            }
+            Some(ClaimState::Finished) => ClaimDecision::Ran { holder: attempt },
+            _ => self.enter_barred(action, attempt, limit),
+        }
+    }
+
+    fn bar(&mut self, action: ActionKey, attempt: AttemptId, limit: usize) -> ClaimDecision {
+        match self.state(action, attempt) {
+            Some(ClaimState::Claimed { .. }) => ClaimDecision::Held { holder: attempt },
+            Some(ClaimState::Finished) => ClaimDecision::Ran { holder: attempt },
+            Some(ClaimState::Barred) | None => self.enter_barred(action, attempt, limit),
+        }
+    }
+
+    fn enter_barred(
+        &mut self,
+        action: ActionKey,
+        attempt: AttemptId,
+        limit: usize,
+    ) -> ClaimDecision {
+        match self.enter(action, attempt, ClaimState::Barred, limit) {
+            ClaimDecision::Recorded => ClaimDecision::Barred,
+            other => other,
+        }
+    }
+
+    /// Writes the state of an attempt; a known attempt always fits, since its entry never grows.
+    fn enter(
+        &mut self,
+        action: ActionKey,
+        attempt: AttemptId,
+        state: ClaimState,
+        limit: usize,
+    ) -> ClaimDecision {
+        let entry = ClaimEntry {
+            action,
+            attempt,
+            state,
+            changed: self.second(),
+        };
+        match self.position(action, attempt) {
+            Ok(index) => self.replace(index, entry),
+            Err(_) if self.encoded_size() + size_of_state(state) > limit => {
+                return ClaimDecision::Full;
+            }
+            Err(index) => self.insert(index, entry),
+        }
+        ClaimDecision::Recorded
+    }
+
+    fn replace(&mut self, index: usize, entry: ClaimEntry) {
+        let stored = &mut self.entries[index];
+        if stored.state == entry.state {
+            return;
+        }
+        self.size = self.size + size_of_state(entry.state) - size_of_state(stored.state);
+        *stored = entry;
+        self.changed = true;
+    }
+
+    fn insert(&mut self, index: usize, entry: ClaimEntry) {
+        self.size += size_of_state(entry.state);
+        self.entries.insert(index, entry);
+        self.changed = true;
+    }
+
+    fn second(&self) -> RecordSecond {
+        RecordSecond::try_from(self.clock_ms / 1_000).unwrap_or(RecordSecond::MAX)
+    }
+
+    fn state(&self, action: ActionKey, attempt: AttemptId) -> Option<ClaimState> {
+        let index = self.position(action, attempt).ok()?;
+        Some(self.entries[index].state)
+    }
+
+    fn position(&self, action: ActionKey, attempt: AttemptId) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by_key(&(action, attempt), key_of)
+    }
+
+    fn entries_of(&self, action: ActionKey) -> &[ClaimEntry] {
+        let start = self.entries.partition_point(|entry| entry.action < action);
+        let rest = &self.entries[start..];
+        let len = rest.partition_point(|entry| entry.action == action);
+        &rest[..len]
+    }
+}
+
+/// Returns the hold that an entry has on its action, if any.
+fn hold_of(entry: &ClaimEntry) -> Option<ClaimDecision> {
+    let holder = entry.attempt;
+    match entry.state {
+        ClaimState::Claimed { .. } => Some(ClaimDecision::Held { holder }),
+        ClaimState::Finished => Some(ClaimDecision::Ran { holder }),
+        ClaimState::Barred => None,
+    }
+}
+
+fn key_of(entry: &ClaimEntry) -> (ActionKey, AttemptId) {
+    (entry.action, entry.attempt)
+}
+
+fn size_of_state(state: ClaimState) -> usize {
+    match state {
+        ClaimState::Claimed { .. } => ENTRY_SIZE + NONCE_SIZE,
+        ClaimState::Finished | ClaimState::Barred => ENTRY_SIZE,
+    }
+}
