--- /dev/null
+++ b/bulrushward/src/http.rs
@@ -0,0 +1,65 @@
+//! Small helpers around the HTTP libraries.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use salvo::{
+    Listener, Router, Server,
+    conn::{TcpListener, tcp::TcpAcceptor},
+    server::ServerHandle,
+};
+
+use crate::error::DaemonError;
+
+/// Time after which a new connection inside the fleet is given up.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Builds a client that keeps connections for reuse.
+pub(crate) fn pooled_client() -> Result<reqwest::Client, DaemonError> {
+    client(usize::MAX)
+}
+
+/// Builds a client that opens a new connection for each request, for use after silence.
+pub(crate) fn fresh_client() -> Result<reqwest::Client, DaemonError> {
+    client(0)
+}
+
+fn client(idle_connections: usize) -> Result<reqwest::Client, DaemonError> {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_max_idle_per_host(idle_connections)
+        .tcp_nodelay(true)
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .build()
+        .map_err(|source| DaemonError::Client { source })
+}
+
+/// A listener that serves until its handle stops it.
+pub(crate) struct HttpListener {
+    /// Bound address.
+    pub(crate) address: SocketAddr,
+    /// Stops the listener.
+    pub(crate) handle: ServerHandle,
+    /// Ends when the listener has stopped and its last request has ended.
+    pub(crate) task: tokio::task::JoinHandle<()>,
+}
+
+/// Binds an address and serves the routes on it.
+pub(crate) async fn listen(
+    listener: &'static str,
+    address: SocketAddr,
+    routes: Router,
+) -> Result<HttpListener, DaemonError> {
+    let acceptor: TcpAcceptor = TcpListener::new(address)
+        .try_bind()
+        .await
+        .map_err(|error| DaemonError::Listen { listener, address, detail: error.to_string() })?;
+    let address = acceptor
+        .local_addr()
+        .map_err(|error| DaemonError::Listen { listener, address, detail: error.to_string() })?;
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let task = tokio::spawn(server.serve(Arc::new(routes)));
+    Ok(HttpListener { address, handle, task })
+}
--- /dev/null
+++ b/bulrushward/src/lib.rs
@@ -0,0 +1,20 @@
+//! The daemon of the fleet as a library: router, agent and the control thread that both share.
+
+mod agent;
+mod cli;
+mod control;
+mod daemon;
+mod error;
+mod http;
+mod logging;
+mod metrics;
+mod router;
+mod settings;
+
+pub use agent::Agent;
+pub use cli::{Command, parse_arguments};
+pub use daemon::{run, run_agent, run_router};
+pub use error::{DaemonError, SettingError};
+pub use logging::start_logging;
+pub use router::Router;
+pub use settings::{AgentSettings, CommonSettings, RouterSettings};
--- a/bulrushward_protocol/src/lib.rs
+++ b/bulrushward_protocol/src/lib.rs
@@ -21,4 +21,4 @@
     NodeId, OrganisationId, RequestId, Revision, ServiceId, WorkUnits, format_id,
 };
 pub use outcome::{Outcome, RefusalReason};
-pub use run::{Header, Refusal, RunRequest};
+pub use run::{BarRequest, Header, Refusal, RunRequest};
--- a/bulrushward_protocol/src/outcome.rs
+++ b/bulrushward_protocol/src/outcome.rs
@@ -45,6 +45,14 @@
     BackendDown,
     /// The backend server failed while it ran the request.
     BackendFailed,
+    /// The backend server crashed while it ran the request, which is now suspect.
+    BackendCrashed,
+    /// The caller or the router gave the request up.
+    Cancelled,
+    /// The attempt was meant for an earlier start of this agent.
+    Restarted,
+    /// The key of the action was used for a request with other content.
+    KeyReused,
     /// No live backend server serves the request.
     NoBackend,
     /// A service that this one depends on has no live backend server.
--- a/bulrushward_protocol/src/run.rs
+++ b/bulrushward_protocol/src/run.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ActionKey, AttemptId, ChatKey, Fingerprint, KindId, OrganisationId, Outcome, RefusalReason,
-    RequestId, Revision, ServiceId, WorkUnits,
+    ActionKey, AttemptId, ChatKey, Fingerprint, Incarnation, KindId, OrganisationId, Outcome,
+    RefusalReason, RequestId, Revision, ServiceId, WorkUnits,
 };
 
 /// One HTTP header as sent.
@@ -24,6 +24,9 @@
     pub request: RequestId,
     /// This attempt.
     pub attempt: AttemptId,
+    /// Start of the agent that the attempt is meant for; a restarted agent refuses it, because it
+    /// no longer knows which attempts it barred.
+    pub agent: Incarnation,
     /// The service that the request is for.
     pub service: ServiceId,
     /// The organisation that sent it.
@@ -66,3 +69,12 @@
     /// One sentence for the caller.
     pub message: String,
 }
+
+/// Asks an agent to make sure that an attempt, meant for it or for another agent, never starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BarRequest {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The action of the attempt if it is not idempotent.
+    pub action: Option<ActionKey>,
+}
