Admit, queue and refuse attempts at one backend server

The load bound is checked over running and waiting work at the offer. Kinds go by priority with kept places, organisations inside a kind by weighted deficit round robin, and no organisation may take more waiting places or work than it leaves to others. What cannot make its deadline by the running average of service time is refused at once.

--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -2,6 +2,9 @@
 //!
 //! Time and randomness are arguments everywhere, so every decision can be replayed.
 
+pub mod admission;
 pub mod chat_key;
+mod fair_queue;
 pub mod load_bound;
 pub mod placement;
+mod service_rate;
--- /dev/null
+++ b/bulrushward_policy/tests/admission.rs
@@ -0,0 +1,333 @@
+//! Admission keeps the load bound, the reserved places and the shares of organisations.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::{
+    admission::{AdmissionQueue, AdmissionSettings, Decision, KindSettings, Ticket},
+    load_bound::LoadBound,
+};
+use bulrushward_protocol::{AttemptId, RefusalReason, WorkUnits};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const LONG: Duration = Duration::from_hours(1);
+
+fn kind(name: &str, priority: u8, reserved_share: f64) -> KindSettings {
+    KindSettings {
+        name: name.to_owned(),
+        priority,
+        reserved_share,
+        deadline: LONG,
+    }
+}
+
+fn settings(concurrency: usize, queue: usize, floor: WorkUnits) -> AdmissionSettings {
+    AdmissionSettings {
+        concurrency,
+        queue,
+        bound: LoadBound {
+            multiple: 1.25,
+            floor,
+        },
+        kinds: vec![kind("quick", 9, 0.0), kind("long", 1, 0.25)],
+        weights: HashMap::new(),
+    }
+}
+
+fn ticket(
+    attempt: AttemptId,
+    organisation: &str,
+    kind: &str,
+    work: WorkUnits,
+    now: Instant,
+) -> Ticket {
+    Ticket {
+        attempt,
+        organisation: organisation.to_owned(),
+        kind: kind.to_owned(),
+        work,
+        deadline: now + LONG,
+    }
+}
+
+fn reason(decision: Decision) -> Option<RefusalReason> {
+    match decision {
+        Decision::Refuse { reason, .. } => Some(reason),
+        Decision::Start | Decision::Queue => None,
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Offer {
+        organisation: u8,
+        kind: u8,
+        work: WorkUnits,
+        mean: u64,
+    },
+    Finish(usize),
+    Cancel(usize),
+    Progress(usize, WorkUnits),
+    Expire,
+    Pass(u64),
+    Concurrency(usize),
+    Drain,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        8 => (0..4_u8, 0..3_u8, 1..900_u64, 0..4_000_u64).prop_map(
+            |(organisation, kind, work, mean)| Event::Offer { organisation, kind, work, mean }
+        ),
+        4 => any::<usize>().prop_map(Event::Finish),
+        1 => any::<usize>().prop_map(Event::Cancel),
+        2 => (any::<usize>(), 1..500_u64).prop_map(|(at, units)| Event::Progress(at, units)),
+        1 => Just(Event::Expire),
+        3 => (1..30_000_u64).prop_map(Event::Pass),
+        1 => (1..9_usize).prop_map(Event::Concurrency),
+        1 => prop_oneof![30 => Just(Event::Expire), 1 => Just(Event::Drain)],
+    ]
+}
+
+/// What an observer of the queue knows about each admitted attempt.
+#[derive(Debug)]
+struct Seen {
+    kind: &'static str,
+    left: WorkUnits,
+    started: bool,
+}
+
+#[derive(Debug, Default)]
+struct Observer {
+    attempts: BTreeMap<AttemptId, Seen>,
+}
+
+impl Observer {
+    fn start(&mut self, attempts: Vec<AttemptId>) {
+        for attempt in attempts {
+            let seen = self
+                .attempts
+                .get_mut(&attempt)
+                .expect("an admitted attempt");
+            assert!(!seen.started, "attempt {attempt} started twice");
+            seen.started = true;
+        }
+    }
+
+    fn pick(&self, at: usize, started: bool) -> Option<AttemptId> {
+        let all: Vec<_> = self
+            .attempts
+            .iter()
+            .filter(|(_, seen)| seen.started || !started)
+            .collect();
+        (!all.is_empty()).then(|| *all[at % all.len()].0)
+    }
+
+    fn running(&self, of: impl Fn(&Seen) -> bool) -> usize {
+        self.attempts
+            .values()
+            .filter(|seen| seen.started && of(seen))
+            .count()
+    }
+
+    fn load(&self) -> WorkUnits {
+        self.attempts.values().map(|seen| seen.left).sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(41),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn bound_places_and_accounts_hold_under_any_interleaving(
+        events in proptest::collection::vec(event(), 1..120),
+    ) {
+        let mut now = Instant::now();
+        let mut settings = settings(4, 8, 1_000);
+        let mut queue = AdmissionQueue::new(settings.clone());
+        let mut seen = Observer::default();
+        let mut drained = false;
+        for (number, event) in events.into_iter().enumerate() {
+            let id = number as AttemptId;
+            match event {
+                Event::Offer { organisation, kind, work, mean } => {
+                    let kind = ["quick", "long", "other"][usize::from(kind)];
+                    let ticket = ticket(id, &format!("org-{organisation}"), kind, work, now);
+                    let decision = queue.offer(&ticket, mean as f64, now);
+                    if reason(decision).is_none() {
+                        prop_assert!(!drained, "admitted while draining");
+                        let limit = 1_000.max((1.25 * mean as f64).ceil() as u64);
+                        prop_assert!(queue.load() <= limit, "{} above {limit}", queue.load());
+                        let started = decision == Decision::Start;
+                        seen.attempts.insert(id, Seen { kind, left: work, started });
+                        if started {
+                            let places = settings.concurrency;
+                            prop_assert!(seen.running(|_| true) <= places);
+                            let kept = places / 4;
+                            prop_assert!(
+                                seen.running(|one| one.kind != "long") <= places - kept,
+                                "a reserved place was taken"
+                            );
+                        }
+                    }
+                }
+                Event::Finish(at) | Event::Cancel(at) => {
+                    if let Some(attempt) = seen.pick(at, matches!(event, Event::Finish(_))) {
+                        seen.attempts.remove(&attempt);
+                        seen.start(queue.finish(attempt, now));
+                    }
+                }
+                Event::Progress(at, units) => {
+                    if let Some(attempt) = seen.pick(at, true) {
+                        queue.progress(attempt, units);
+                        let one = seen.attempts.get_mut(&attempt).expect("picked");
+                        one.left = one.left.saturating_sub(units);
+                    }
+                }
+                Event::Expire => {}
+                Event::Pass(ms) => now += Duration::from_millis(ms),
+                Event::Concurrency(places) => {
+                    settings.concurrency = places;
+                    seen.start(queue.reconfigure(settings.clone(), now));
+                }
+                Event::Drain => {
+                    drained = true;
+                    queue.drain();
+                }
+            }
+            for attempt in queue.expire(now) {
+                let one = seen.attempts.remove(&attempt).expect("an admitted attempt");
+                prop_assert!(!one.started, "a running attempt expired");
+            }
+            prop_assert_eq!(queue.load(), seen.load());
+            prop_assert_eq!(queue.running(), seen.running(|_| true));
+            prop_assert_eq!(queue.queued(), seen.attempts.len() - queue.running());
+            prop_assert!(queue.queued() <= settings.queue);
+        }
+        // Nothing admitted is lost: finishing what runs starts everything that waits.
+        while let Some(attempt) = seen.attempts.iter().find(|(_, one)| one.started).map(|(id, _)| *id) {
+            seen.attempts.remove(&attempt);
+            seen.start(queue.cancel(attempt, now));
+        }
+        for attempt in queue.expire(now) {
+            seen.attempts.remove(&attempt);
+        }
+        prop_assert!(seen.attempts.is_empty(), "left waiting: {:?}", seen.attempts);
+    }
+}
+
+#[test]
+fn a_surge_of_one_organisation_delays_only_itself() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(settings(2, 16, 1_000_000));
+    let mut running = Vec::new();
+    let mut refused = 0;
+    for id in 0..100 {
+        match queue.offer(&ticket(id, "surging", "quick", 100, now), 0.0, now) {
+            Decision::Start => running.push(id),
+            Decision::Queue => {}
+            Decision::Refuse { reason, .. } => {
+                assert_eq!(reason, RefusalReason::QueueFull);
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused >= 90, "only {refused} of the surge refused");
+    let calm = ticket(1_000, "calm", "quick", 100, now);
+    assert_eq!(queue.offer(&calm, 0.0, now), Decision::Queue);
+    let first = queue.finish(running[0], now);
+    let second = queue.finish(running[1], now);
+    let next: Vec<AttemptId> = first.into_iter().chain(second).collect();
+    assert!(
+        next.contains(&1_000),
+        "started {next:?} before the calm one"
+    );
+}
+
+#[test]
+fn weights_set_the_shares_of_contending_organisations() {
+    let now = Instant::now();
+    let mut settings = settings(1, 4_000, 10_000_000);
+    settings.weights.insert("heavy".to_owned(), 3.0);
+    let mut queue = AdmissionQueue::new(settings);
+    queue.offer(&ticket(0, "light", "quick", 1, now), 0.0, now);
+    for id in 0..800 {
+        let work = 50 + (id * 37 % 400) as WorkUnits;
+        queue.offer(&ticket(1 + 2 * id, "heavy", "quick", work, now), 0.0, now);
+        queue.offer(&ticket(2 + 2 * id, "light", "quick", work, now), 0.0, now);
+    }
+    let mut last = 0;
+    let mut heavy = 0;
+    for _ in 0..400 {
+        last = queue.finish(last, now)[0];
+        heavy += u32::from(last % 2 == 1);
+    }
+    assert!(
+        (285..=315).contains(&heavy),
+        "heavy got {heavy} of 400 starts"
+    );
+}
+
+#[test]
+fn the_higher_priority_starts_first_and_a_reserved_place_is_kept() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(settings(4, 16, 1_000_000));
+    let offer = |queue: &mut AdmissionQueue, id, kind| {
+        queue.offer(&ticket(id, "one", kind, 10, now), 0.0, now)
+    };
+    for id in 0..3 {
+        assert_eq!(offer(&mut queue, id, "quick"), Decision::Start);
+    }
+    assert_eq!(offer(&mut queue, 3, "quick"), Decision::Queue);
+    assert_eq!(offer(&mut queue, 4, "long"), Decision::Start);
+    assert_eq!(offer(&mut queue, 5, "long"), Decision::Queue);
+    assert_eq!(queue.finish(0, now), vec![3]);
+    assert_eq!(queue.finish(4, now), vec![5]);
+}
+
+#[test]
+fn what_cannot_make_its_deadline_is_refused_at_once() {
+    let start = Instant::now();
+    let mut queue = AdmissionQueue::new(settings(4, 16, 1_000_000));
+    queue.offer(&ticket(0, "one", "quick", 100, start), 0.0, start);
+    // One unit takes 10 ms.
+    let now = start + Duration::from_secs(1);
+    queue.finish(0, now);
+    let within = |id, ms| Ticket {
+        deadline: now + Duration::from_millis(ms),
+        ..ticket(id, "one", "quick", 100, now)
+    };
+    let refused = queue.offer(&within(1, 900), 0.0, now);
+    assert_eq!(reason(refused), Some(RefusalReason::Deadline));
+    for id in 2..5 {
+        assert_eq!(queue.offer(&within(id, 1_100), 0.0, now), Decision::Start);
+    }
+    // It would start after 1 s and end after 2 s.
+    let refused = queue.offer(&within(5, 1_900), 0.0, now);
+    assert_eq!(reason(refused), Some(RefusalReason::Deadline));
+    assert_eq!(queue.offer(&within(6, 2_100), 0.0, now), Decision::Queue);
+    assert_eq!(
+        queue.expire(now + Duration::from_secs(1)),
+        Vec::<AttemptId>::new()
+    );
+    assert_eq!(queue.expire(now + Duration::from_millis(1_200)), vec![6]);
+    assert_eq!(queue.queued(), 0);
+}
+
+#[test]
+fn a_draining_queue_refuses_the_new_and_keeps_the_old() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(settings(1, 4, 1_000));
+    queue.offer(&ticket(0, "one", "quick", 10, now), 0.0, now);
+    queue.offer(&ticket(1, "one", "quick", 10, now), 0.0, now);
+    queue.drain();
+    let refused = queue.offer(&ticket(2, "one", "quick", 10, now), 0.0, now);
+    assert_eq!(reason(refused), Some(RefusalReason::Draining));
+    assert_eq!(queue.finish(0, now), vec![1]);
+}
