--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -2,7 +2,10 @@
 //!
 //! Time and randomness are arguments everywhere, so every decision can be replayed.
 
+pub mod admission;
 pub mod chat_key;
 pub mod claim;
+mod fair_queue;
 pub mod load_bound;
 pub mod placement;
+mod service_rate;
