--- a/bulrushward_protocol/src/lib.rs
+++ b/bulrushward_protocol/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`RunRequest`] and a stream of [`Frame`]s, because token streams need flow control and
 //! cancellation. Membership, load, revisions and quarantine travel over nng as an [`Exchange`].
 
+pub mod admin;
 pub mod codec;
 mod exchange;
 mod frame;
