--- /dev/null
+++ b/bulrushward_fakes/src/store.rs
@@ -0,0 +1,132 @@
+//! Keys, revisions and history of the key-value stand-ins.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bulrushward_platform::gateway::{
+    Compare, Header, PutAnswer, PutRequest, RangeAnswer, StoredKey, TxnAnswer, TxnOperation,
+    TxnOperationAnswer, TxnRequest, WatchEvent, WatchEventKind,
+};
+use bytes::Bytes;
+
+/// Number of past changes that a watch can still ask for.
+const HISTORY_CHANGES: usize = 256;
+
+/// The keys and their past.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    revision: i64,
+    keys: BTreeMap<Bytes, StoredKey>,
+    history: VecDeque<WatchEvent>,
+    /// Newest revision that is no longer in the history.
+    compacted: i64,
+}
+
+impl Store {
+    pub(crate) fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    pub(crate) fn header(&self) -> Header {
+        Header {
+            revision: self.revision,
+        }
+    }
+
+    pub(crate) fn range(&self, key: &Bytes) -> RangeAnswer {
+        let kvs = self.keys.get(key).cloned().into_iter().collect();
+        RangeAnswer {
+            header: self.header(),
+            kvs,
+        }
+    }
+
+    pub(crate) fn txn(&mut self, request: &TxnRequest) -> TxnAnswer {
+        let succeeded = request.compare.iter().all(|compare| self.holds(compare));
+        let operations = if succeeded {
+            &request.success
+        } else {
+            &request.failure
+        };
+        if operations
+            .iter()
+            .any(|operation| matches!(operation, TxnOperation::RequestPut(_)))
+        {
+            self.revision += 1;
+        }
+        let responses = operations
+            .iter()
+            .map(|operation| self.apply(operation))
+            .collect();
+        TxnAnswer {
+            header: self.header(),
+            succeeded,
+            responses,
+        }
+    }
+
+    /// Returns the changes of a key from a revision on.
+    ///
+    /// # Errors
+    ///
+    /// Returns the oldest revision that is left if an older one is asked for.
+    pub(crate) fn changes(&self, key: &Bytes, from: i64) -> Result<Vec<WatchEvent>, i64> {
+        if from <= self.compacted {
+            return Err(self.compacted + 1);
+        }
+        let changes = self
+            .history
+            .iter()
+            .filter(|event| event.kv.key == *key && event.kv.mod_revision >= from)
+            .cloned()
+            .collect();
+        Ok(changes)
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let mod_revision = self
+            .keys
+            .get(&compare.key)
+            .map_or(0, |stored| stored.mod_revision);
+        mod_revision == compare.mod_revision
+    }
+
+    fn apply(&mut self, operation: &TxnOperation) -> TxnOperationAnswer {
+        match operation {
+            TxnOperation::RequestRange(range) => {
+                TxnOperationAnswer::ResponseRange(self.range(&range.key))
+            }
+            TxnOperation::RequestPut(put) => {
+                self.put(put);
+                TxnOperationAnswer::ResponsePut(PutAnswer {
+                    header: self.header(),
+                })
+            }
+        }
+    }
+
+    fn put(&mut self, put: &PutRequest) {
+        let old = self.keys.get(&put.key);
+        let stored = StoredKey {
+            key: put.key.clone(),
+            create_revision: old.map_or(self.revision, |old| old.create_revision),
+            mod_revision: self.revision,
+            version: old.map_or(1, |old| old.version + 1),
+            value: put.value.clone(),
+            lease: put.lease,
+        };
+        self.keys.insert(put.key.clone(), stored.clone());
+        self.remember(WatchEvent {
+            kind: WatchEventKind::Put,
+            kv: stored,
+        });
+    }
+
+    fn remember(&mut self, event: WatchEvent) {
+        self.history.push_back(event);
+        if self.history.len() > HISTORY_CHANGES
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.compacted = oldest.kv.mod_revision;
+        }
+    }
+}
