--- /dev/null
+++ b/bulrushward/src/control/mod.rs
@@ -0,0 +1,181 @@
+//! The control state of a process: members, configuration, quarantine.
+//!
+//! One thread owns it and publishes immutable snapshots; traffic threads read the newest one.
+
+mod configuration;
+mod exchange;
+mod members;
+mod thread;
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use arc_swap::ArcSwap;
+use bulrushward_config::Config;
+use bulrushward_policy::quarantine::{Quarantine, Verdict};
+use bulrushward_protocol::{
+    Fingerprint, Incarnation, MemberRecord, MemberState, Revision, Role, WorkUnits,
+};
+use bulrushward_revisions::Accepted;
+use tokio::sync::{mpsc, watch};
+
+pub(crate) use self::thread::{ControlThread, start};
+
+/// Quarantined contents that a process remembers.
+const QUARANTINE_CAPACITY: usize = 4_096;
+
+/// What the traffic threads know about the fleet.
+#[derive(Debug, Default)]
+pub(crate) struct Snapshot {
+    /// Revision in force, 0 before the first.
+    pub(crate) revision: Revision,
+    /// The text of that revision.
+    pub(crate) accepted: Option<Accepted>,
+    /// Its parsed form.
+    pub(crate) config: Arc<Config>,
+    /// Known processes without this one.
+    pub(crate) members: Vec<Member>,
+}
+
+/// A known process.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    /// Its newest record.
+    pub(crate) record: MemberRecord,
+    /// When the record arrived.
+    pub(crate) heard: Instant,
+}
+
+/// What the control thread is told by the traffic threads.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Something that peers should know at once has changed.
+    Spread,
+    /// A submission was accepted through this process.
+    Adopt(Accepted),
+}
+
+/// The part of the control state that traffic threads see.
+#[derive(Debug)]
+pub(crate) struct Control {
+    /// The record of this process as it was at the start.
+    identity: MemberRecord,
+    snapshot: ArcSwap<Snapshot>,
+    revisions: watch::Sender<Revision>,
+    load: AtomicU64,
+    queued: AtomicU32,
+    leaving: AtomicBool,
+    quarantine: Mutex<Quarantine>,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
+impl Control {
+    fn new(identity: MemberRecord, commands: mpsc::UnboundedSender<Command>) -> Self {
+        let fleet = bulrushward_config::Fleet::default();
+        let quarantine =
+            Quarantine::new(fleet.quarantine_crashes, fleet.quarantine, QUARANTINE_CAPACITY);
+        Self {
+            identity,
+            snapshot: ArcSwap::default(),
+            revisions: watch::Sender::new(0),
+            load: AtomicU64::new(0),
+            queued: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
+            quarantine: Mutex::new(quarantine),
+            commands,
+        }
+    }
+
+    /// Returns the newest snapshot.
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.snapshot.load_full()
+    }
+
+    /// Tells about new revisions in force.
+    pub(crate) fn revisions(&self) -> watch::Receiver<Revision> {
+        self.revisions.subscribe()
+    }
+
+    /// Returns the start of this process.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.identity.incarnation
+    }
+
+    /// Returns this process's record as it is now.
+    pub(crate) fn own_record(&self) -> MemberRecord {
+        let mut own = self.identity.clone();
+        own.load = self.load.load(Ordering::Relaxed);
+        own.queued = self.queued.load(Ordering::Relaxed);
+        own.revision = self.snapshot().revision;
+        if self.is_leaving() {
+            own.state = MemberState::Leaving;
+        }
+        own
+    }
+
+    /// Takes the load of this agent for the next exchange.
+    pub(crate) fn publish_load(&self, load: WorkUnits, queued: u32) {
+        self.load.store(load, Ordering::Relaxed);
+        self.queued.store(queued, Ordering::Relaxed);
+    }
+
+    /// Returns the mean load of the backend servers of this agent's service.
+    pub(crate) fn mean_load(&self) -> f64 {
+        let own = self.load.load(Ordering::Relaxed);
+        members::mean_load(&self.snapshot().members, self.identity.service.as_deref(), own)
+    }
+
+    /// Announces that this process takes nothing new; there is no way back.
+    pub(crate) fn leave(&self) {
+        if !self.leaving.swap(true, Ordering::Relaxed) {
+            self.send(Command::Spread);
+        }
+    }
+
+    /// Returns whether this process takes nothing new.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Notes that a request content was to blame for a crash of a backend server.
+    pub(crate) fn crashed(&self, fingerprint: Fingerprint) {
+        self.lock_quarantine().crashed(fingerprint, Instant::now());
+        self.send(Command::Spread);
+    }
+
+    /// Returns what is known about a request content.
+    pub(crate) fn quarantine_verdict(&self, fingerprint: Fingerprint) -> Verdict {
+        self.lock_quarantine().verdict(fingerprint, Instant::now())
+    }
+
+    /// Puts an accepted submission in force here and tells the peers.
+    pub(crate) fn adopt(&self, accepted: Accepted) {
+        self.send(Command::Adopt(accepted));
+    }
+
+    /// Returns the agents of a service that were heard of within `period`.
+    pub(crate) fn agents_of(&self, service: &str, period: Duration) -> Vec<MemberRecord> {
+        let snapshot = self.snapshot();
+        let fresh = snapshot.members.iter().filter(|member| member.heard.elapsed() < period);
+        fresh
+            .map(|member| &member.record)
+            .filter(|record| record.role == Role::Agent)
+            .filter(|record| record.service.as_deref() == Some(service))
+            .cloned()
+            .collect()
+    }
+
+    fn send(&self, command: Command) {
+        // The control thread ends only after the traffic threads.
+        let _ended = self.commands.send(command);
+    }
+
+    fn lock_quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
