--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -7,4 +7,6 @@
 mod fair_queue;
 pub mod load_bound;
 pub mod placement;
+pub mod quarantine;
+pub mod retry_budget;
 mod service_rate;
--- /dev/null
+++ b/bulrushward_policy/src/quarantine.rs
@@ -0,0 +1,193 @@
+//! Request contents that crash backend servers.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use bulrushward_protocol::{Fingerprint, QuarantineRecord};
+
+/// Shortest time to live of a peer's record that is taken in.
+///
+/// Longer than a record is on its way, so that a content is not learned again from a peer that
+/// forgets it a little later.
+const MIN_TTL: Duration = Duration::from_secs(5);
+
+/// What is known about a request content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is not known to crash backend servers.
+    Clear,
+    /// It was running on a backend server that crashed; it is tried again away from other work.
+    Suspect,
+    /// It crashed too many backend servers and is not run any more.
+    Quarantined,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    crashes: u8,
+    expires: Instant,
+    /// Exchanges that have carried the entry since it last changed.
+    sent: u32,
+}
+
+/// Counts the crashes of each request content.
+#[derive(Debug)]
+pub struct Quarantine {
+    threshold: u8,
+    ttl: Duration,
+    capacity: usize,
+    entries: HashMap<Fingerprint, Entry>,
+}
+
+impl Quarantine {
+    /// Creates an empty quarantine.
+    ///
+    /// A content is quarantined from `threshold` crashes on, is forgotten `ttl` after its last
+    /// crash, and at most `capacity` contents are kept.
+    #[must_use]
+    pub fn new(threshold: u8, ttl: Duration, capacity: usize) -> Self {
+        Self {
+            threshold: threshold.max(1),
+            ttl,
+            capacity: capacity.max(1),
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Replaces the threshold and the time to live of later crashes.
+    pub fn reconfigure(&mut self, threshold: u8, ttl: Duration) {
+        self.threshold = threshold.max(1);
+        self.ttl = ttl;
+    }
+
+    /// Counts a crash of a backend server that ran the content; returns the crashes so far.
+    pub fn crashed(&mut self, fingerprint: Fingerprint, now: Instant) -> u8 {
+        let known = self.crashes(fingerprint, now);
+        self.crashed_after(fingerprint, known, now)
+    }
+
+    /// Counts a crash of a content that had crashed `known` backend servers when it was sent.
+    ///
+    /// An agent that is told that a request is suspect counts right even if the record of the
+    /// first crash has not reached it. Returns the crashes so far.
+    pub fn crashed_after(&mut self, fingerprint: Fingerprint, known: u8, now: Instant) -> u8 {
+        let crashes = self.crashes(fingerprint, now).max(known).saturating_add(1);
+        let expires = now + self.ttl;
+        self.insert(fingerprint, crashes, expires, now);
+        crashes
+    }
+
+    /// Returns what is known about a content.
+    #[must_use]
+    pub fn verdict(&self, fingerprint: Fingerprint, now: Instant) -> Verdict {
+        match self.crashes(fingerprint, now) {
+            0 => Verdict::Clear,
+            crashes if crashes < self.threshold => Verdict::Suspect,
+            _ => Verdict::Quarantined,
+        }
+    }
+
+    /// Returns the time until a content is forgotten; zero if it is not known.
+    #[must_use]
+    pub fn remaining(&self, fingerprint: Fingerprint, now: Instant) -> Duration {
+        self.entries
+            .get(&fingerprint)
+            .map_or(Duration::ZERO, |entry| {
+                entry.expires.saturating_duration_since(now)
+            })
+    }
+
+    /// Takes in the records of a peer; the higher count of crashes wins.
+    ///
+    /// An equal count keeps its own expiry, so that peers cannot prolong a record by passing it
+    /// back and forth.
+    pub fn merge(&mut self, records: &[QuarantineRecord], now: Instant) {
+        for record in records {
+            let ttl = Duration::from_secs(record.ttl_seconds.into()).min(self.ttl);
+            let newer = record.crashes > self.crashes(record.fingerprint, now);
+            if newer && ttl >= MIN_TTL {
+                self.insert(record.fingerprint, record.crashes, now + ttl, now);
+            }
+        }
+    }
+
+    /// Returns up to `limit` records for a peer, the least sent first.
+    pub fn records(&mut self, now: Instant, limit: usize) -> Vec<QuarantineRecord> {
+        self.forget(now);
+        let mut order: Vec<_> = self
+            .entries
+            .iter()
+            .map(|(fingerprint, entry)| (entry.sent, u8::MAX - entry.crashes, *fingerprint))
+            .collect();
+        order.sort_unstable();
+        order
+            .into_iter()
+            .take(limit)
+            .filter_map(|(_, _, fingerprint)| self.record(fingerprint, now))
+            .collect()
+    }
+
+    /// Returns the number of contents that are kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no content is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn crashes(&self, fingerprint: Fingerprint, now: Instant) -> u8 {
+        self.entries
+            .get(&fingerprint)
+            .filter(|entry| entry.expires > now)
+            .map_or(0, |entry| entry.crashes)
+    }
+
+    fn record(&mut self, fingerprint: Fingerprint, now: Instant) -> Option<QuarantineRecord> {
+        let entry = self.entries.get_mut(&fingerprint)?;
+        entry.sent += 1;
+        let ttl = entry.expires.saturating_duration_since(now);
+        Some(QuarantineRecord {
+            fingerprint,
+            crashes: entry.crashes,
+            ttl_seconds: ttl.as_secs().try_into().unwrap_or(u32::MAX),
+        })
+    }
+
+    fn insert(&mut self, fingerprint: Fingerprint, crashes: u8, expires: Instant, now: Instant) {
+        let entry = Entry {
+            crashes,
+            expires,
+            sent: 0,
+        };
+        self.entries.insert(fingerprint, entry);
+        if self.entries.len() > self.capacity {
+            self.forget(now);
+        }
+        if self.entries.len() > self.capacity {
+            self.evict(fingerprint);
+        }
+    }
+
+    fn forget(&mut self, now: Instant) {
+        self.entries.retain(|_, entry| entry.expires > now);
+    }
+
+    /// Drops the content with the fewest crashes, of these the one that expires first.
+    fn evict(&mut self, newest: Fingerprint) {
+        let victim = self
+            .entries
+            .iter()
+            .filter(|(fingerprint, _)| **fingerprint != newest)
+            .min_by_key(|(fingerprint, entry)| (entry.crashes, entry.expires, **fingerprint))
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(victim) = victim {
+            self.entries.remove(&victim);
+        }
+    }
+}
