--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -8,4 +8,6 @@
 mod fair_queue;
 pub mod load_bound;
 pub mod placement;
+pub mod quarantine;
+pub mod retry_budget;
 mod service_rate;
