Commit claims in groups to sharded records

A claim is won only by a compare-and-swap that carries the nonce of the claiming call; a write without an answer is settled by reading the nonce back. What was given up after it may have been written is released in the background. Waiting claims are refused at once while reads go unanswered.

--- a/bulrushward_claims/src/lib.rs
+++ b/bulrushward_claims/src/lib.rs
@@ -1,10 +1,25 @@
 //! Claims of non-idempotent actions, committed in groups to the key-value service.
 
+mod availability;
+mod counters;
+mod gateway;
+mod layout;
+mod pending;
+mod record_codec;
+mod settings;
+mod shard;
+mod store;
+
 use std::fmt::Debug;
 
 use async_trait::async_trait;
 use bulrushward_protocol::{ActionKey, AttemptId};
 
+pub use counters::{ClaimCounters, KvCause};
+pub use record_codec::{RecordError, decode_record, encode_record};
+pub use settings::ClaimSettings;
+pub use store::ClaimStore;
+
 /// Answer to a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- /dev/null
+++ b/bulrushward_claims/src/store.rs
@@ -0,0 +1,256 @@
+//! The claim store: routes claims to the tasks of their shards.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bulrushward_platform::KeyValue;
+use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimNonce};
+use bulrushward_protocol::{ActionKey, AttemptId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::{Instant, sleep, timeout, timeout_at},
+};
+use tracing::warn;
+
+use crate::{
+    ClaimCounters, ClaimSettings, Claims, KvCause, Verdict,
+    gateway::Gateway,
+    layout::{agree_on_shards, layout_key, shard_key},
+    pending::{Pending, Reply, ShardMessage},
+    shard::Shard,
+};
+
+type ShardSender = mpsc::UnboundedSender<ShardMessage>;
+type Shards = Arc<[ShardSender]>;
+
+/// Claims that are committed in groups to records of the key-value service.
+#[derive(Debug)]
+pub struct ClaimStore {
+    settings: Arc<ClaimSettings>,
+    gateway: Arc<Gateway>,
+    /// Senders to the shards' tasks, once their number is agreed.
+    shards: watch::Receiver<Option<Shards>>,
+    rng: Mutex<Pcg64>,
+    /// Claims that were won and neither finished nor released yet.
+    won: Mutex<HashMap<(ActionKey, AttemptId), ClaimNonce>>,
+    upkeep: JoinHandle<()>,
+}
+
+impl ClaimStore {
+    /// Starts the tasks of a store.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    #[must_use]
+    pub fn start(kv: Arc<dyn KeyValue>, settings: ClaimSettings) -> Arc<Self> {
+        let settings = Arc::new(settings);
+        let gateway = Arc::new(Gateway::new(kv, settings.call_timeout));
+        let mut rng = Pcg64::seed_from_u64(settings.seed);
+        let (tx, shards) = watch::channel(None);
+        let upkeep = Upkeep {
+            settings: Arc::clone(&settings),
+            gateway: Arc::clone(&gateway),
+            rng: Pcg64::seed_from_u64(rng.next_u64()),
+        };
+        Arc::new(Self {
+            settings,
+            gateway,
+            shards,
+            rng: Mutex::new(rng),
+            won: Mutex::default(),
+            upkeep: tokio::spawn(upkeep.run(tx)),
+        })
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub fn counters(&self) -> ClaimCounters {
+        self.gateway.counters.snapshot()
+    }
+
+    /// Commits what waits in the background; `false` if that took longer than `limit`.
+    ///
+    /// A process that stops calls this after its last request ended.
+    pub async fn flush(&self, limit: Duration) -> bool {
+        let Some(shards) = self.shards.borrow().clone() else {
+            return true;
+        };
+        let flush_all = async {
+            let replies: Vec<_> = shards.iter().filter_map(send_flush).collect();
+            for rx in replies {
+                drop(rx.await);
+            }
+        };
+        timeout(limit, flush_all).await.is_ok()
+    }
+
+    /// Submits a change and waits for its decision.
+    async fn submit(&self, action: ActionKey, attempt: AttemptId, change: ClaimChange) -> Reply {
+        let deadline = Instant::now() + self.settings.claim_timeout;
+        let decided = async {
+            let shards = self.ready_shards().await?;
+            let (tx, rx) = oneshot::channel();
+            let pending = Pending {
+                reply: Some(tx),
+                ..Pending::without_reply(action, attempt, change, Instant::now())
+            };
+            send(&shards, pending);
+            rx.await.ok()
+        };
+        // Leaving early closes the reply, on which the shard's task gives the change up.
+        let reply = tokio::select! {
+            biased;
+            () = self.gateway.availability.wait_until(false) => None,
+            reply = timeout_at(deadline, decided) => reply.ok().flatten(),
+        };
+        reply.unwrap_or(Reply::Unavailable)
+    }
+
+    /// Waits for the senders to the shards.
+    async fn ready_shards(&self) -> Option<Shards> {
+        let mut shards = self.shards.clone();
+        let ready = shards.wait_for(Option::is_some).await.ok()?;
+        ready.clone()
+    }
+
+    fn submit_in_background(
+        &self,
+        action: ActionKey,
+        attempt: AttemptId,
+        change: ClaimChange,
+        delay: Duration,
+    ) {
+        let Some(shards) = self.shards.borrow().clone() else {
+            warn!(event = "claims_change_before_claim", ?change);
+            return;
+        };
+        let due = Instant::now() + delay;
+        send(
+            &shards,
+            Pending::without_reply(action, attempt, change, due),
+        );
+    }
+
+    fn next_nonce(&self) -> ClaimNonce {
+        let mut rng = self.rng.lock().unwrap_or_else(PoisonError::into_inner);
+        rng.next_u64()
+    }
+
+    fn remember_won(&self, action: ActionKey, attempt: AttemptId, nonce: ClaimNonce) {
+        let mut won = self.won.lock().unwrap_or_else(PoisonError::into_inner);
+        won.insert((action, attempt), nonce);
+    }
+
+    fn forget_won(&self, action: ActionKey, attempt: AttemptId) -> Option<ClaimNonce> {
+        let mut won = self.won.lock().unwrap_or_else(PoisonError::into_inner);
+        won.remove(&(action, attempt))
+    }
+}
+
+#[async_trait]
+impl Claims for ClaimStore {
+    async fn claim(&self, action: ActionKey, attempt: AttemptId) -> Verdict {
+        let nonce = self.next_nonce();
+        let change = ClaimChange::Claim { nonce };
+        match self.submit(action, attempt, change).await {
+            Reply::Won(won) => {
+                self.remember_won(action, attempt, won.accept());
+                Verdict::Won
+            }
+            Reply::Decided(ClaimDecision::Held { holder }) => Verdict::Held { holder },
+            Reply::Decided(ClaimDecision::Ran { holder }) => Verdict::Ran { holder },
+            Reply::Decided(ClaimDecision::Barred) => Verdict::Barred,
+            Reply::Decided(ClaimDecision::Full) => Verdict::Full,
+            Reply::Decided(ClaimDecision::Won | ClaimDecision::Recorded) | Reply::Unavailable => {
+                Verdict::Unavailable
+            }
+        }
+    }
+
+    fn finished(&self, action: ActionKey, attempt: AttemptId) {
+        self.forget_won(action, attempt);
+        let delay = self.settings.finish_delay;
+        self.submit_in_background(action, attempt, ClaimChange::Finish, delay);
+    }
+
+    fn released(&self, action: ActionKey, attempt: AttemptId) {
+        let Some(nonce) = self.forget_won(action, attempt) else {
+            warn!(event = "claims_release_without_claim", attempt);
+            return;
+        };
+        let change = ClaimChange::Release { nonce };
+        self.submit_in_background(action, attempt, change, Duration::ZERO);
+    }
+
+    async fn bar(&self, action: ActionKey, attempt: AttemptId) -> bool {
+        let reply = self.submit(action, attempt, ClaimChange::Bar).await;
+        matches!(reply, Reply::Decided(ClaimDecision::Barred))
+    }
+}
+
+impl Drop for ClaimStore {
+    fn drop(&mut self) {
+        self.upkeep.abort();
+    }
+}
+
+/// The task that agrees on the shards and probes a service that does not answer.
+struct Upkeep {
+    settings: Arc<ClaimSettings>,
+    gateway: Arc<Gateway>,
+    rng: Pcg64,
+}
+
+impl Upkeep {
+    async fn run(mut self, tx: watch::Sender<Option<Shards>>) {
+        let shards = loop {
+            match agree_on_shards(&self.gateway, &self.settings).await {
+                Some(shards) => break shards,
+                None => sleep(self.settings.probe_interval).await,
+            }
+        };
+        let senders = (0..shards.get())
+            .map(|shard| self.start_shard(shard))
+            .collect();
+        tx.send_replace(Some(senders));
+        let key = layout_key(&self.settings.service);
+        loop {
+            self.gateway.availability.wait_until(false).await;
+            sleep(self.settings.probe_interval).await;
+            // The answer itself sets the availability.
+            drop(self.gateway.get(&key, KvCause::Probe).await);
+        }
+    }
+
+    fn start_shard(&mut self, shard: u32) -> ShardSender {
+        let (tx, task) = Shard::new(
+            shard_key(&self.settings.service, shard),
+            Arc::clone(&self.settings),
+            Arc::clone(&self.gateway),
+            Pcg64::seed_from_u64(self.rng.next_u64()),
+        );
+        tokio::spawn(task.run());
+        tx
+    }
+}
+
+fn send(shards: &Shards, pending: Pending) {
+    let index = pending.action % shards.len() as u128;
+    let tx = &shards[index as usize];
+    // A shard's task only ends with the store or with the runtime.
+    drop(tx.send(ShardMessage::Change(pending)));
+}
+
+fn send_flush(tx: &ShardSender) -> Option<oneshot::Receiver<()>> {
+    let (reply, rx) = oneshot::channel();
+    tx.send(ShardMessage::Flush(reply)).ok()?;
+    Some(rx)
+}
--- /dev/null
+++ b/bulrushward_claims/tests/support/mod.rs
@@ -0,0 +1,166 @@
+//! In-memory key-value service with faults.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bytes::Bytes;
+use tokio::time::sleep;
+
+/// What befalls one write of a record.
+#[derive(Clone, Copy, Debug)]
+pub enum WriteFault {
+    /// The write takes effect, its answer is lost.
+    LoseAnswer,
+    /// The write never arrives.
+    LoseRequest,
+    /// The write has no answer and arrives after a delay.
+    ArriveLate(Duration),
+    /// Another writer writes the same value again just before.
+    Overtake,
+    /// The service says that it refuses.
+    Refuse,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: HashMap<String, Entry>,
+    faults: VecDeque<WriteFault>,
+    is_down: bool,
+    latency: Duration,
+    reads: u64,
+    writes: u64,
+}
+
+/// The stand-in; clones share one state.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryKv {
+    state: Arc<Mutex<State>>,
+}
+
+impl MemoryKv {
+    pub fn set_latency(&self, latency: Duration) {
+        self.state.lock().unwrap().latency = latency;
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.state.lock().unwrap().is_down = is_down;
+    }
+
+    /// Queues faults for the next writes of records.
+    pub fn push_faults(&self, faults: impl IntoIterator<Item = WriteFault>) {
+        self.state.lock().unwrap().faults.extend(faults);
+    }
+
+    pub fn entry(&self, key: &str) -> Option<Entry> {
+        self.state.lock().unwrap().entries.get(key).cloned()
+    }
+
+    /// Puts a value in place, as another program would.
+    pub fn put(&self, key: &str, value: Bytes) {
+        let version = self.entry(key).map_or(0, |entry| entry.version);
+        self.write(key, version, value);
+    }
+
+    pub fn reads(&self) -> u64 {
+        self.state.lock().unwrap().reads
+    }
+
+    pub fn writes(&self) -> u64 {
+        self.state.lock().unwrap().writes
+    }
+
+    fn write(&self, key: &str, expected: Version, value: Bytes) -> CasOutcome {
+        let mut state = self.state.lock().unwrap();
+        let current = state.entries.get(key).cloned();
+        let version = current.as_ref().map_or(0, |entry| entry.version);
+        if version != expected {
+            return CasOutcome::Conflict(current);
+        }
+        let version = version + 1;
+        state.entries.insert(key.into(), Entry { value, version });
+        CasOutcome::Written(version)
+    }
+
+    async fn arrive(&self, key: &str) -> Result<(), KvError> {
+        let (latency, is_down) = {
+            let state = self.state.lock().unwrap();
+            (state.latency, state.is_down)
+        };
+        if !latency.is_zero() {
+            sleep(latency).await;
+        }
+        if is_down {
+            return lost(key);
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl KeyValue for MemoryKv {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KvError> {
+        self.state.lock().unwrap().reads += 1;
+        self.arrive(key).await?;
+        Ok(self.entry(key))
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Bytes,
+    ) -> Result<CasOutcome, KvError> {
+        self.state.lock().unwrap().writes += 1;
+        self.arrive(key).await?;
+        if key.ends_with("layout") {
+            return Ok(self.write(key, expected, value));
+        }
+        let fault = self.state.lock().unwrap().faults.pop_front();
+        match fault {
+            None => Ok(self.write(key, expected, value)),
+            Some(WriteFault::LoseAnswer) => {
+                self.write(key, expected, value);
+                lost(key)
+            }
+            Some(WriteFault::LoseRequest) => lost(key),
+            Some(WriteFault::ArriveLate(delay)) => {
+                let (kv, key) = (self.clone(), key.to_owned());
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    kv.write(&key, expected, value);
+                });
+                std::future::pending().await
+            }
+            Some(WriteFault::Overtake) => {
+                let stored = self.entry(key).map_or(value.clone(), |entry| entry.value);
+                self.put(key, stored);
+                Ok(self.write(key, expected, value))
+            }
+            Some(WriteFault::Refuse) => Err(KvError::Refused {
+                key: key.into(),
+                detail: "refused by the test".into(),
+            }),
+        }
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        _after: Version,
+        _timeout: Duration,
+    ) -> Result<Option<Entry>, KvError> {
+        self.get(key).await
+    }
+}
+
+fn lost<T>(key: &str) -> Result<T, KvError> {
+    Err(KvError::Unavailable {
+        key: key.into(),
+        detail: "lost by the test".into(),
+    })
+}
