--- a/bulrushward_claims/tests/store.rs
+++ b/bulrushward_claims/tests/store.rs
@@ -141,7 +141,7 @@
     let wins = [one, two].iter().filter(|v| **v == Verdict::Won).count();
     assert_eq!(wins, 1, "{one:?} {two:?}");
 
-    kv.push_faults([WriteFault::Overtake; 10_000]);
+    kv.push_faults(vec![WriteFault::Overtake; 10_000]);
     let before = Instant::now();
     assert_eq!(first.claim(8, A).await, Verdict::Unavailable);
     assert!(before.elapsed() <= settings(1).claim_timeout);
