--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -148,18 +148,15 @@
             let Some(peer) = self.members.peer(own) else {
                 return;
             };
-            self.send(peer, 0);
+            self.send(peer, false);
         }
     }
 
-    /// Starts an exchange, with the configuration if the peer's revision is known to be older.
-    fn send(&mut self, peer: SocketAddr, peer_revision: Revision) {
+    /// Starts an exchange, with the configuration if the peer is known to be behind.
+    fn send(&mut self, peer: SocketAddr, with_configuration: bool) {
         let mut exchange = self.own_side();
-        if peer_revision > 0 || exchange.revision > 0 {
-            exchange.configuration = self.configuration_for(peer_revision);
-        }
-        if peer_revision == 0 {
-            exchange.configuration = None;
+        if with_configuration {
+            exchange.configuration = self.configuration_for(0);
         }
         let answers = self.answers.0.clone();
         let metrics = self.metrics.clone();
@@ -185,20 +182,10 @@
         let peer = answer.own.control_address;
         self.take(answer);
         if behind {
-            self.push_configuration(peer);
+            self.send(peer, true);
         }
     }
 
-    /// Sends the configuration to a peer that is behind.
-    fn push_configuration(&mut self, peer: SocketAddr) {
-        let mut exchange = self.own_side();
-        exchange.configuration = self.configuration_for(0);
-        let metrics = self.metrics.clone();
-        tokio::spawn(async move {
-            let _unanswered = exchange::send(peer, exchange, metrics).await;
-        });
-    }
-
     fn take(&mut self, exchange: Exchange) {
         let now = Instant::now();
         let own = self.control.identity.node.clone();
--- /dev/null
+++ b/bulrushward/src/router/candidates.rs
@@ -0,0 +1,44 @@
+//! Which agents a request may go to, in order of preference.
+
+use std::time::Duration;
+
+use bulrushward_policy::placement::{Candidate, rank};
+use bulrushward_protocol::{MemberRecord, MemberState};
+
+use super::{Router, job::Job};
+
+/// Time after which an agent that was not heard of is not tried.
+const SILENT_AFTER: Duration = Duration::from_secs(15);
+/// Agents that one request tries.
+const MAX_CANDIDATES: usize = 8;
+
+/// Returns the agents for a request, best first.
+pub(crate) fn for_job(router: &Router, job: &Job) -> Vec<MemberRecord> {
+    let agents = live_agents(router, job);
+    let names: Vec<Candidate<'_>> = agents
+        .iter()
+        .map(|agent| Candidate { name: agent.backend.as_deref().unwrap_or_default(), weight: 1.0 })
+        .collect();
+    let order = rank(job.chat, &names);
+    order.into_iter().take(MAX_CANDIDATES).map(|index| agents[index].clone()).collect()
+}
+
+/// Returns whether a service has an agent that takes new work.
+pub(crate) fn has_live_agent(router: &Router, service: &str) -> bool {
+    let agents = router.control.agents_of(service, SILENT_AFTER);
+    agents.iter().any(|agent| agent.state == MemberState::Live)
+}
+
+fn live_agents(router: &Router, job: &Job) -> Vec<MemberRecord> {
+    let service = &job.service;
+    let mut agents = router.control.agents_of(&service.name, SILENT_AFTER);
+    agents.retain(|agent| {
+        let Some(backend) = &agent.backend else {
+            return false;
+        };
+        agent.state == MemberState::Live
+            && (service.servers.is_empty() || service.servers.contains(backend))
+            && !service.draining.contains(backend)
+    });
+    agents
+}
--- /dev/null
+++ b/bulrushward/src/router/job.rs
@@ -0,0 +1,68 @@
+//! A caller's request after classification.
+
+use std::time::Instant;
+
+use bulrushward_config::Service;
+use bulrushward_protocol::{
+    ActionKey, AttemptId, ChatKey, Fingerprint, Header, Incarnation, KindId, OrganisationId,
+    RequestId, Revision, RunRequest, WorkUnits,
+};
+use bytes::Bytes;
+
+/// A caller's request with everything that placement and attempts need.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) request: RequestId,
+    pub(crate) received: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) service: Service,
+    pub(crate) organisation: OrganisationId,
+    pub(crate) kind: KindId,
+    pub(crate) chat: ChatKey,
+    pub(crate) work: WorkUnits,
+    pub(crate) action: Option<ActionKey>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) revision: Revision,
+    /// Whether the answer goes to the caller piece by piece.
+    pub(crate) streamed: bool,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+}
+
+impl Job {
+    /// Returns whether the request may run more than once.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.action.is_none()
+    }
+
+    /// Builds one attempt for an agent.
+    pub(crate) fn attempt(
+        &self,
+        attempt: AttemptId,
+        agent: Incarnation,
+        suspect: bool,
+    ) -> RunRequest {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        RunRequest {
+            request: self.request,
+            attempt,
+            agent,
+            service: self.service.name.clone(),
+            organisation: self.organisation.clone(),
+            kind: self.kind.clone(),
+            chat: self.chat,
+            work: self.work,
+            deadline_ms: left.as_millis() as u64,
+            action: self.action,
+            fingerprint: self.fingerprint,
+            suspect,
+            revision: self.revision,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            body: self.body.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/bulrushward/src/router/mod.rs
@@ -0,0 +1,89 @@
+//! The router: takes callers' requests, places them and answers for the outcome.
+
+mod admin;
+mod attempt_stream;
+mod candidates;
+mod chat_request;
+mod classify;
+mod forward;
+mod job;
+mod listener;
+mod refusal;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bulrushward_policy::retry_budget::RetryBudget;
+use bulrushward_revisions::RevisionStore;
+
+use crate::{
+    control::Control, error::DaemonError, http, metrics::RouterMetrics, settings::RouterSettings,
+};
+
+/// A router of the fleet.
+#[derive(Debug)]
+pub struct Router {
+    settings: RouterSettings,
+    control: Arc<Control>,
+    store: Arc<RevisionStore>,
+    /// Keeps connections to agents for reuse.
+    pooled: reqwest::Client,
+    /// Opens a new connection each time; used after a connection went silent.
+    fresh: reqwest::Client,
+    budget: Mutex<RetryBudget>,
+    metrics: RouterMetrics,
+}
+
+impl Router {
+    pub(crate) fn new(
+        settings: RouterSettings,
+        control: Arc<Control>,
+        store: Arc<RevisionStore>,
+        metrics: RouterMetrics,
+    ) -> Result<Arc<Self>, DaemonError> {
+        let fraction = bulrushward_config::Fleet::default().retry_fraction;
+        Ok(Arc::new(Self {
+            settings,
+            control,
+            store,
+            pooled: http::pooled_client()?,
+            fresh: http::fresh_client()?,
+            budget: Mutex::new(RetryBudget::new(fraction)),
+            metrics,
+        }))
+    }
+
+    /// Returns the routes for callers.
+    pub(crate) fn routes(self: &Arc<Self>) -> salvo::Router {
+        listener::routes(self)
+    }
+
+    /// Returns the routes for the operators' tool.
+    pub(crate) fn admin_routes(self: &Arc<Self>) -> salvo::Router {
+        admin::routes(self)
+    }
+
+    /// Starts the background work of the router.
+    pub(crate) fn start(self: &Arc<Self>) {
+        tokio::spawn(Arc::clone(self).follow_configuration());
+    }
+
+    async fn follow_configuration(self: Arc<Self>) {
+        let mut revisions = self.control.revisions();
+        while revisions.changed().await.is_ok() {
+            let fraction = self.control.snapshot().config.fleet.retry_fraction;
+            self.lock_budget().set_fraction(fraction);
+        }
+    }
+
+    /// Returns the time without a frame after which a connection to an agent counts as silent.
+    pub(crate) fn silence(&self) -> Duration {
+        self.settings.silence
+    }
+
+    fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
