--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time and randomness are arguments everywhere, so every decision can be replayed.
 
 pub mod admission;
+pub mod attempt;
 pub mod chat_key;
 mod fair_queue;
 pub mod load_bound;
