--- a/bulrushward/src/agent/attempts.rs
+++ b/bulrushward/src/agent/attempts.rs
@@ -82,7 +82,10 @@
         if let Some(known) = tables.attempts.get(&req.attempt) {
             return Entry::Known(Arc::clone(known));
         }
-        if let Some(known) = req.action.and_then(|action| tables.actions.get(&action)).cloned()
+        if let Some(known) = req
+            .action
+            .and_then(|action| tables.actions.get(&action))
+            .cloned()
             && !known.transcript.not_run()
         {
             if known.req.fingerprint != req.fingerprint {
@@ -93,7 +96,9 @@
             return Entry::Known(known);
         }
         let attempt = Arc::new(Attempt::new(req, now));
-        tables.attempts.insert(attempt.req.attempt, Arc::clone(&attempt));
+        tables
+            .attempts
+            .insert(attempt.req.attempt, Arc::clone(&attempt));
         if let Some(action) = attempt.req.action {
             tables.actions.insert(action, Arc::clone(&attempt));
         }
@@ -138,7 +143,12 @@
     /// Returns all attempts that have not ended.
     pub(crate) fn unfinished(&self) -> Vec<Arc<Attempt>> {
         let tables = self.lock();
-        tables.attempts.values().filter(|a| !a.transcript.ended()).cloned().collect()
+        tables
+            .attempts
+            .values()
+            .filter(|a| !a.transcript.ended())
+            .cloned()
+            .collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, Tables> {
@@ -164,7 +174,10 @@
         };
         if let Some(action) = attempt.req.action
             && attempt.req.attempt == id
-            && self.actions.get(&action).is_some_and(|known| Arc::ptr_eq(known, &attempt))
+            && self
+                .actions
+                .get(&action)
+                .is_some_and(|known| Arc::ptr_eq(known, &attempt))
         {
             self.actions.remove(&action);
         }
--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -1,11 +1,8 @@
 //! The backend server behind an agent: requests to it and its health.
 
 use std::{
-    sync::{
-        Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::{Duration, Instant},
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
 };
 
 use bulrushward_protocol::{Frame, Header, RunRequest};
@@ -18,8 +15,14 @@
 /// Time after which a health probe counts as failed.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Headers of one connection, which are not passed on.
-const HOP_HEADERS: [&str; 6] =
-    ["connection", "content-length", "host", "keep-alive", "te", "transfer-encoding"];
+const HOP_HEADERS: [&str; 6] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "transfer-encoding",
+];
 /// Last event of a streamed chat answer.
 const STREAM_END: &[u8] = b"[DONE]";
 /// Bytes of a streamed answer that are kept to find its last event.
@@ -51,7 +54,6 @@
     client: reqwest::Client,
     probe_client: reqwest::Client,
     well: AtomicBool,
-    last_crash: Mutex<Option<Instant>>,
 }
 
 impl Backend {
@@ -67,7 +69,6 @@
             client: http::pooled_client()?,
             probe_client: http::fresh_client()?,
             well: AtomicBool::new(true),
-            last_crash: Mutex::new(None),
         })
     }
 
@@ -79,7 +80,12 @@
     /// Probes the backend server on a new connection.
     pub(crate) async fn probe(&self) -> bool {
         let url = format!("{}{}", self.url, self.health_path);
-        let answer = self.probe_client.get(url).timeout(PROBE_TIMEOUT).send().await;
+        let answer = self
+            .probe_client
+            .get(url)
+            .timeout(PROBE_TIMEOUT)
+            .send()
+            .await;
         let well = answer.is_ok_and(|answer| answer.status().is_success());
         self.well.store(well, Ordering::Relaxed);
         well
@@ -88,21 +94,19 @@
     /// Returns whether a connection is refused, which tells a crash from a lost connection.
     pub(crate) async fn has_crashed(&self) -> bool {
         let url = format!("{}{}", self.url, self.health_path);
-        let answer = self.probe_client.get(url).timeout(PROBE_TIMEOUT).send().await;
+        let answer = self
+            .probe_client
+            .get(url)
+            .timeout(PROBE_TIMEOUT)
+            .send()
+            .await;
         let crashed = matches!(&answer, Err(error) if error.is_connect() && !error.is_timeout());
         if crashed {
             self.well.store(false, Ordering::Relaxed);
-            *self.last_crash.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
         }
         crashed
     }
 
-    /// Returns whether the backend server crashed within the last `period`.
-    pub(crate) fn crashed_within(&self, period: Duration) -> bool {
-        let last = *self.last_crash.lock().unwrap_or_else(PoisonError::into_inner);
-        last.is_some_and(|last| last.elapsed() < period)
-    }
-
     /// Sends a request and writes its answer to the transcript, except for the last frame.
     ///
     /// Calls `progress` for each piece of the answer.
@@ -124,7 +128,9 @@
             transcript.data(chunk).await;
             progress();
         }
-        let whole = tail.windows(STREAM_END.len()).any(|window| window == STREAM_END);
+        let whole = tail
+            .windows(STREAM_END.len())
+            .any(|window| window == STREAM_END);
         if streamed && !whole {
             return CutShortSnafu.fail();
         }
@@ -132,15 +138,23 @@
     }
 
     async fn send(&self, req: &RunRequest) -> Result<reqwest::Response, BackendError> {
-        let method = reqwest::Method::from_bytes(req.method.as_bytes())
-            .map_err(|error| BackendError::NotSent { detail: error.to_string() })?;
-        let mut builder = self.client.request(method, format!("{}{}", self.url, req.path));
+        let method = reqwest::Method::from_bytes(req.method.as_bytes()).map_err(|error| {
+            BackendError::NotSent {
+                detail: error.to_string(),
+            }
+        })?;
+        let mut builder = self
+            .client
+            .request(method, format!("{}{}", self.url, req.path));
         for header in &req.headers {
             builder = builder.header(&header.name, &header.value);
         }
         let sent = tokio::time::timeout(self.silence, builder.body(req.body.clone()).send()).await;
         let Ok(sent) = sent else {
-            return StuckSnafu { seconds: self.silence.as_secs() }.fail();
+            return StuckSnafu {
+                seconds: self.silence.as_secs(),
+            }
+            .fail();
         };
         sent.map_err(|error| {
             let detail = describe(&error);
@@ -158,8 +172,14 @@
     ) -> Result<Option<Bytes>, BackendError> {
         match tokio::time::timeout(self.silence, answer.chunk()).await {
             Ok(Ok(chunk)) => Ok(chunk),
-            Ok(Err(error)) => BrokenSnafu { detail: describe(&error) }.fail(),
-            Err(_elapsed) => StuckSnafu { seconds: self.silence.as_secs() }.fail(),
+            Ok(Err(error)) => BrokenSnafu {
+                detail: describe(&error),
+            }
+            .fail(),
+            Err(_elapsed) => StuckSnafu {
+                seconds: self.silence.as_secs(),
+            }
+            .fail(),
         }
     }
 }
@@ -170,9 +190,15 @@
 }
 
 fn kept_headers(answer: &reqwest::Response) -> Vec<Header> {
-    let kept = answer.headers().iter().filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
+    let kept = answer
+        .headers()
+        .iter()
+        .filter(|(name, _)| !HOP_HEADERS.contains(&name.as_str()));
     kept.filter_map(|(name, value)| {
-        Some(Header { name: name.as_str().to_owned(), value: value.to_str().ok()?.to_owned() })
+        Some(Header {
+            name: name.as_str().to_owned(),
+            value: value.to_str().ok()?.to_owned(),
+        })
     })
     .collect()
 }
--- a/bulrushward/src/agent/listener.rs
+++ b/bulrushward/src/agent/listener.rs
@@ -10,16 +10,9 @@
 };
 use bytes::Bytes;
 use futures_util::{Stream, stream};
-use salvo::{
-    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode,
-};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode};
 
-use super::{
-    ABANDONED_GRACE, Agent,
-    attempts::Attempt,
-    refusals,
-    transcript::Read,
-};
+use super::{ABANDONED_GRACE, Agent, attempts::Attempt, refusals, transcript::Read};
 
 /// Largest encoded request in bytes: a caller's body and its envelope.
 const MAX_REQUEST_BYTES: usize = 64 << 20;
@@ -35,9 +28,15 @@
 
 pub(crate) fn routes(agent: &Arc<Agent>) -> Router {
     Router::new()
-        .push(Router::with_path(RUN_PATH).post(RunHandler { agent: Arc::clone(agent) }))
-        .push(Router::with_path(ATTEMPT_PATH).get(ResumeHandler { agent: Arc::clone(agent) }))
-        .push(Router::with_path(BAR_PATH).post(BarHandler { agent: Arc::clone(agent) }))
+        .push(Router::with_path(RUN_PATH).post(RunHandler {
+            agent: Arc::clone(agent),
+        }))
+        .push(Router::with_path(ATTEMPT_PATH).get(ResumeHandler {
+            agent: Arc::clone(agent),
+        }))
+        .push(Router::with_path(BAR_PATH).post(BarHandler {
+            agent: Arc::clone(agent),
+        }))
 }
 
 struct RunHandler {
@@ -83,7 +82,9 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let id = req.param::<String>("attempt").and_then(|id| AttemptId::from_str_radix(&id, 16).ok());
+        let id = req
+            .param::<String>("attempt")
+            .and_then(|id| AttemptId::from_str_radix(&id, 16).ok());
         let Some(id) = id else {
             return bad_request(res, "the attempt id is not a hexadecimal number");
         };
@@ -143,7 +144,11 @@
             (None, Some(action)) => self.claims.bar(action, bar.attempt).await,
             _ => barred,
         };
-        if certain { Outcome::NotRun } else { Outcome::Unknown }
+        if certain {
+            Outcome::NotRun
+        } else {
+            Outcome::Unknown
+        }
     }
 }
 
@@ -207,7 +212,10 @@
                 }
                 Read::Wait => {
                     let change = self.written.changed();
-                    if tokio::time::timeout(HEARTBEAT_INTERVAL, change).await.is_err() {
+                    if tokio::time::timeout(HEARTBEAT_INTERVAL, change)
+                        .await
+                        .is_err()
+                    {
                         return Some(Frame::Heartbeat);
                     }
                 }
--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -20,6 +20,7 @@
 use bulrushward_policy::{
     admission::{AdmissionQueue, AdmissionSettings, Decision, KindSettings, Ticket},
     load_bound::LoadBound,
+    quarantine::Verdict,
 };
 use bulrushward_protocol::{AttemptId, Refusal, RefusalReason, RunRequest};
 use tokio::sync::Semaphore;
@@ -30,9 +31,7 @@
     attempts::{Attempt, Attempts, Entry},
     backend::Backend,
 };
-use crate::{
-    control::Control, error::DaemonError, metrics::AgentMetrics, settings::AgentSettings,
-};
+use crate::{control::Control, error::DaemonError, metrics::AgentMetrics, settings::AgentSettings};
 
 /// Time between two looks at waiting attempts that ran out of time.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(50);
@@ -110,9 +109,10 @@
     }
 
     /// Admits an attempt or says why not.
-    fn receive(self: &Arc<Self>, req: RunRequest) -> Result<Arc<Attempt>, Refusal> {
+    fn receive(self: &Arc<Self>, mut req: RunRequest) -> Result<Arc<Attempt>, Refusal> {
         let id = req.attempt;
         self.check(&req)?;
+        self.check_quarantine(&mut req)?;
         let attempt = match self.attempts.enter(req, Instant::now()) {
             Entry::New(attempt) => attempt,
             Entry::Known(known) => return Ok(known),
@@ -154,29 +154,23 @@
             let message = format!("backend server {:?} does not answer", self.settings.backend);
             return Err(refusals::not_run(RefusalReason::BackendDown, message));
         }
-        let verdict = self.control.quarantine_verdict(req.fingerprint);
-        self.check_quarantine(req, verdict)
+        Ok(())
     }
 
-    fn check_quarantine(
-        &self,
-        req: &RunRequest,
-        verdict: bulrushward_policy::quarantine::Verdict,
-    ) -> Result<(), Refusal> {
-        use bulrushward_policy::quarantine::Verdict;
-        match verdict {
+    /// Refuses a quarantined content and marks a suspect one, which its router may not know yet.
+    fn check_quarantine(&self, req: &mut RunRequest) -> Result<(), Refusal> {
+        match self.control.quarantine_verdict(req.fingerprint) {
+            Verdict::Clear => Ok(()),
+            Verdict::Suspect => {
+                req.suspect = true;
+                Ok(())
+            }
             Verdict::Quarantined => {
                 let message = "the request crashed backend servers and is not run any more";
                 let period = self.control.snapshot().config.fleet.quarantine;
                 let reason = RefusalReason::Quarantined;
                 Err(refusals::not_run_until(reason, period, message))
             }
-            // The router must know, so that it places the request as a suspect.
-            Verdict::Suspect if !req.suspect => {
-                let message = "the request was running when a backend server crashed";
-                Err(refusals::not_run(RefusalReason::BackendCrashed, message))
-            }
-            _ => Ok(()),
         }
     }
 
@@ -200,7 +194,10 @@
                 Ok(())
             }
             Decision::Queue => Ok(()),
-            Decision::Refuse { reason, retry_after } => {
+            Decision::Refuse {
+                reason,
+                retry_after,
+            } => {
                 self.metrics.refused(reason);
                 let message = format!("backend server {:?}: {reason}", self.settings.backend);
                 Err(refusals::not_run_until(reason, retry_after, message))
@@ -211,7 +208,11 @@
     /// Takes an attempt out of the queue and starts those that have a place now.
     fn leave_queue(&self, id: AttemptId, whole: bool, now: Instant) {
         let mut queue = self.lock_queue();
-        let started = if whole { queue.finish(id, now) } else { queue.cancel(id, now) };
+        let started = if whole {
+            queue.finish(id, now)
+        } else {
+            queue.cancel(id, now)
+        };
         self.publish_load(&queue);
         drop(queue);
         self.start_attempts(&started);
@@ -233,8 +234,10 @@
     }
 
     fn publish_load(&self, queue: &AdmissionQueue) {
-        self.control.publish_load(queue.load(), queue.queued() as u32);
-        self.metrics.load(queue.load(), queue.queued(), queue.running());
+        self.control
+            .publish_load(queue.load(), queue.queued() as u32);
+        self.metrics
+            .load(queue.load(), queue.queued(), queue.running());
     }
 
     async fn follow_configuration(self: Arc<Self>) {
@@ -244,7 +247,10 @@
             let settings = admission_settings(&config, &self.settings);
             let started = self.lock_queue().reconfigure(settings, Instant::now());
             self.start_attempts(&started);
-            info!(event = "configuration-in-force", revision = self.control.snapshot().revision);
+            info!(
+                event = "configuration-in-force",
+                revision = self.control.snapshot().revision
+            );
         }
     }
 
@@ -275,7 +281,11 @@
             interval.tick().await;
             let well = self.backend.probe().await;
             if well != was_well {
-                info!(event = "backend-health", backend = self.settings.backend, well);
+                info!(
+                    event = "backend-health",
+                    backend = self.settings.backend,
+                    well
+                );
             }
             was_well = well;
         }
@@ -290,7 +300,10 @@
 ///
 /// A service that the text does not declare gets no places, so nothing is admitted for it.
 fn admission_settings(config: &Config, settings: &AgentSettings) -> AdmissionSettings {
-    let service = config.services.iter().find(|service| service.name == settings.service);
+    let service = config
+        .services
+        .iter()
+        .find(|service| service.name == settings.service);
     let bound = LoadBound {
         multiple: config.fleet.load_multiple,
         floor: service.map_or(0, |service| service.load_floor),
--- a/bulrushward/src/agent/runner.rs
+++ b/bulrushward/src/agent/runner.rs
@@ -95,12 +95,14 @@
             RefusalReason::Duplicate,
             "another attempt of this action started; its outcome is not known here",
         ),
-        Verdict::Ran { .. } => {
-            refusals::ran(RefusalReason::Duplicate, "the action ran; its answer is not kept here")
-        }
-        Verdict::Barred => {
-            refusals::not_run(RefusalReason::Barred, "the attempt was given up before it started")
-        }
+        Verdict::Ran { .. } => refusals::ran(
+            RefusalReason::Duplicate,
+            "the action ran; its answer is not kept here",
+        ),
+        Verdict::Barred => refusals::not_run(
+            RefusalReason::Barred,
+            "the attempt was given up before it started",
+        ),
         Verdict::Full => refusals::not_run(
             RefusalReason::ClaimsFull,
             "the record of claims is full; older claims must expire first",
@@ -144,7 +146,9 @@
         }
         Err(error) => {
             let reason = attribute_crash(agent, attempt).await;
-            attempt.transcript.refuse(refusals::unknown(reason, error.to_string()));
+            attempt
+                .transcript
+                .refuse(refusals::unknown(reason, error.to_string()));
             Ending::Failed
         }
     }
--- a/bulrushward/src/agent/transcript.rs
+++ b/bulrushward/src/agent/transcript.rs
@@ -118,7 +118,10 @@
         if state.kept_bytes > 0 && state.kept_bytes + bytes.len() > WINDOW_BYTES {
             return false;
         }
-        let frame = Frame::Data { offset: state.length, bytes: bytes.clone() };
+        let frame = Frame::Data {
+            offset: state.length,
+            bytes: bytes.clone(),
+        };
         state.length += bytes.len() as u64;
         state.kept_bytes += bytes.len();
         self.append(&mut state, frame);
@@ -146,7 +149,8 @@
 
     fn append(&self, state: &mut State, frame: Frame) {
         state.frames.push_back(frame);
-        self.written.send_replace(state.dropped + state.frames.len());
+        self.written
+            .send_replace(state.dropped + state.frames.len());
     }
 
     /// Returns the frame at a position, counted from the first frame of the attempt.
@@ -156,7 +160,11 @@
             return Read::Lost;
         };
         let Some(frame) = state.frames.get(index).cloned() else {
-            return if state.phase == Phase::Ended { Read::End } else { Read::Wait };
+            return if state.phase == Phase::Ended {
+                Read::End
+            } else {
+                Read::Wait
+            };
         };
         if position >= state.read {
             state.read = position + 1;
--- a/bulrushward/src/cli.rs
+++ b/bulrushward/src/cli.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, process::ExitCode, time::Duration};
 
-use bpaf::{Bpaf, ParseFailure, Parser};
+use bpaf::{Bpaf, ParseFailure};
 
 use crate::{
     error::{SettingError, SettingSnafu},
@@ -190,7 +190,10 @@
     let arguments = match arguments().run_inner(bpaf::Args::current_args()) {
         Ok(arguments) => arguments,
         Err(ParseFailure::Stderr(message)) => {
-            eprintln!("bulrushwardd: {}", message.monochrome(false).replace('\n', " "));
+            eprintln!(
+                "bulrushwardd: {}",
+                message.monochrome(false).replace('\n', " ")
+            );
             return Err(ExitCode::from(BAD_SETTING));
         }
         Err(help) => {
@@ -294,7 +297,11 @@
                 &self.inner_address,
             )?,
             backend: name("--backend", "BULRUSHWARD_BACKEND", self.backend)?,
-            backend_url: url("--backend-url", "BULRUSHWARD_BACKEND_URL", &self.backend_url)?,
+            backend_url: url(
+                "--backend-url",
+                "BULRUSHWARD_BACKEND_URL",
+                &self.backend_url,
+            )?,
             service: name("--service", "BULRUSHWARD_SERVICE", self.service)?,
             health_path: self.health_path,
             health_interval: milliseconds(
@@ -316,17 +323,21 @@
     }
 }
 
-fn name(
-    name: &'static str,
-    variable: &'static str,
-    value: String,
-) -> Result<String, SettingError> {
+fn name(name: &'static str, variable: &'static str, value: String) -> Result<String, SettingError> {
     let valid = !value.is_empty()
-        && value.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
+        && value
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c));
     if valid {
         return Ok(value);
     }
-    SettingSnafu { name, variable, value, expected: "letters, digits, '-', '_' or '.'" }.fail()
+    SettingSnafu {
+        name,
+        variable,
+        value,
+        expected: "letters, digits, '-', '_' or '.'",
+    }
+    .fail()
 }
 
 fn address(
@@ -335,7 +346,13 @@
     value: &str,
 ) -> Result<SocketAddr, SettingError> {
     value.parse().or_else(|_not_an_address| {
-        SettingSnafu { name, variable, value, expected: "IP:PORT" }.fail()
+        SettingSnafu {
+            name,
+            variable,
+            value,
+            expected: "IP:PORT",
+        }
+        .fail()
     })
 }
 
@@ -344,13 +361,25 @@
     if parsed.is_ok_and(|url| url.scheme() == "http" && url.has_host()) {
         return Ok(value.trim_end_matches('/').to_owned());
     }
-    SettingSnafu { name, variable, value, expected: "http://HOST[:PORT][/PATH]" }.fail()
+    SettingSnafu {
+        name,
+        variable,
+        value,
+        expected: "http://HOST[:PORT][/PATH]",
+    }
+    .fail()
 }
 
 fn number(name: &'static str, variable: &'static str, value: &str) -> Result<u64, SettingError> {
     match value.parse() {
         Ok(number) if number > 0 => Ok(number),
-        _ => SettingSnafu { name, variable, value, expected: "a whole number above 0" }.fail(),
+        _ => SettingSnafu {
+            name,
+            variable,
+            value,
+            expected: "a whole number above 0",
+        }
+        .fail(),
     }
 }
 
--- a/bulrushward/src/control/configuration.rs
+++ b/bulrushward/src/control/configuration.rs
@@ -24,7 +24,11 @@
         let answer = store.watch(after, WATCH_TIMEOUT).await;
         if available != answer.is_ok() {
             available = answer.is_ok();
-            warn!(event = "configuration-watch", available, error = answer.as_ref().err().map(ToString::to_string));
+            warn!(
+                event = "configuration-watch",
+                available,
+                error = answer.as_ref().err().map(ToString::to_string)
+            );
         }
         match answer {
             Ok(Some(accepted)) => {
--- a/bulrushward/src/control/exchange.rs
+++ b/bulrushward/src/control/exchange.rs
@@ -57,7 +57,10 @@
 fn ask(questions: &mpsc::Sender<Question>, exchange: Exchange) -> Exchange {
     let (answer, answered) = oneshot::channel();
     let fallback = exchange.clone();
-    if questions.blocking_send(Question { exchange, answer }).is_err() {
+    if questions
+        .blocking_send(Question { exchange, answer })
+        .is_err()
+    {
         return fallback;
     }
     answered.blocking_recv().unwrap_or(fallback)
--- a/bulrushward/src/control/members.rs
+++ b/bulrushward/src/control/members.rs
@@ -58,19 +58,27 @@
 
     /// Forgets processes that were silent for long.
     pub(crate) fn forget_silent(&mut self, now: Instant) {
-        self.members.retain(|_, member| now.duration_since(member.heard) < FORGET_AFTER);
+        self.members
+            .retain(|_, member| now.duration_since(member.heard) < FORGET_AFTER);
     }
 
     /// Returns records for a peer, those heard of last first.
     pub(crate) fn freshest(&self) -> Vec<MemberRecord> {
         let mut members: Vec<&Member> = self.members.values().collect();
         members.sort_by_key(|member| std::cmp::Reverse(member.heard));
-        members.iter().take(RECORDS_IN_EXCHANGE).map(|member| member.record.clone()).collect()
+        members
+            .iter()
+            .take(RECORDS_IN_EXCHANGE)
+            .map(|member| member.record.clone())
+            .collect()
     }
 
     /// Chooses an address for the next exchange among members and contacts.
     pub(crate) fn peer(&self, own: SocketAddr) -> Option<SocketAddr> {
-        let members = self.members.values().map(|member| member.record.control_address);
+        let members = self
+            .members
+            .values()
+            .map(|member| member.record.control_address);
         members
             .chain(self.contacts.iter().copied())
             .filter(|address| *address != own)
@@ -87,11 +95,14 @@
 
 /// Averages the load over the live agents of a service, with the current load of this one.
 pub(crate) fn mean_load(members: &[Member], service: Option<&str>, own: u64) -> f64 {
-    let others = members.iter().map(|member| &member.record).filter(|record| {
-        record.role == Role::Agent
-            && record.state == MemberState::Live
-            && record.service.as_deref() == service
-    });
+    let others = members
+        .iter()
+        .map(|member| &member.record)
+        .filter(|record| {
+            record.role == Role::Agent
+                && record.state == MemberState::Live
+                && record.service.as_deref() == service
+        });
     let (sum, count) = others.fold((own, 1), |(sum, count), r| (sum + r.load, count + 1));
     sum as f64 / f64::from(count)
 }
--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -77,8 +77,11 @@
 impl Control {
     fn new(identity: MemberRecord, commands: mpsc::UnboundedSender<Command>) -> Self {
         let fleet = bulrushward_config::Fleet::default();
-        let quarantine =
-            Quarantine::new(fleet.quarantine_crashes, fleet.quarantine, QUARANTINE_CAPACITY);
+        let quarantine = Quarantine::new(
+            fleet.quarantine_crashes,
+            fleet.quarantine,
+            QUARANTINE_CAPACITY,
+        );
         Self {
             identity,
             snapshot: ArcSwap::default(),
@@ -127,7 +130,11 @@
     /// Returns the mean load of the backend servers of this agent's service.
     pub(crate) fn mean_load(&self) -> f64 {
         let own = self.load.load(Ordering::Relaxed);
-        members::mean_load(&self.snapshot().members, self.identity.service.as_deref(), own)
+        members::mean_load(
+            &self.snapshot().members,
+            self.identity.service.as_deref(),
+            own,
+        )
     }
 
     /// Announces that this process takes nothing new; there is no way back.
@@ -161,7 +168,10 @@
     /// Returns the agents of a service that were heard of within `period`.
     pub(crate) fn agents_of(&self, service: &str, period: Duration) -> Vec<MemberRecord> {
         let snapshot = self.snapshot();
-        let fresh = snapshot.members.iter().filter(|member| member.heard.elapsed() < period);
+        let fresh = snapshot
+            .members
+            .iter()
+            .filter(|member| member.heard.elapsed() < period);
         fresh
             .map(|member| &member.record)
             .filter(|record| record.role == Role::Agent)
@@ -176,6 +186,8 @@
     }
 
     fn lock_quarantine(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -11,18 +11,15 @@
 };
 
 use bulrushward_platform::{Vm, VmList, VmState};
-use bulrushward_protocol::{
-    Exchange, MemberRecord, Revision, transport::Listener,
-};
+use bulrushward_protocol::{Exchange, MemberRecord, Revision, transport::Listener};
 use bulrushward_revisions::{Accepted, RevisionStore};
 use rand::RngExt;
+use snafu::ResultExt;
 use tokio::sync::mpsc;
 use tracing::{info, warn};
 
 use super::{
-    Command, Control, Snapshot, configuration, exchange,
-    exchange::Question,
-    members::Members,
+    Command, Control, Snapshot, configuration, exchange, exchange::Question, members::Members,
 };
 use crate::{
     error::{ControlSnafu, DaemonError},
@@ -68,8 +65,7 @@
     vm_list: Box<dyn VmList>,
     metrics: ControlMetrics,
 ) -> Result<(Arc<Control>, ControlThread), DaemonError> {
-    let listener = Listener::bind(settings.control_address)
-        .map_err(|source| ControlSnafu.into_error(source))?;
+    let listener = Listener::bind(settings.control_address).context(ControlSnafu)?;
     let (commands_tx, commands) = mpsc::unbounded_channel();
     let control = Arc::new(Control::new(identity, commands_tx));
     let stop = Arc::new(AtomicBool::new(false));
@@ -93,7 +89,14 @@
     let thread = std::thread::spawn(move || {
         runtime.block_on(state.run(commands, questions, store, vm_list, stopped));
     });
-    Ok((control, ControlThread { stop, listener, thread }))
+    Ok((
+        control,
+        ControlThread {
+            stop,
+            listener,
+            thread,
+        },
+    ))
 }
 
 struct State {
@@ -117,7 +120,11 @@
     ) {
         let (accepted_tx, mut accepted) = mpsc::channel(1);
         let (vms_tx, mut vms) = mpsc::channel(1);
-        tokio::spawn(configuration::follow(store, self.control.revisions(), accepted_tx));
+        tokio::spawn(configuration::follow(
+            store,
+            self.control.revisions(),
+            accepted_tx,
+        ));
         tokio::spawn(follow_vm_list(vm_list, vms_tx));
         self.members.set_contacts(self.seeds.clone());
         let mut tick = tokio::time::interval(self.interval);
@@ -192,7 +199,9 @@
         let mut records = exchange.members;
         records.push(exchange.own);
         let changed = self.members.merge(&own, records, now);
-        self.control.lock_quarantine().merge(&exchange.quarantine, now);
+        self.control
+            .lock_quarantine()
+            .merge(&exchange.quarantine, now);
         if let Some(bytes) = exchange.configuration {
             match Accepted::decode(&bytes) {
                 Ok(accepted) => self.adopt(accepted, "peer"),
@@ -213,7 +222,10 @@
             revision: own.revision,
             own,
             members: self.members.freshest(),
-            quarantine: self.control.lock_quarantine().records(now, QUARANTINE_IN_EXCHANGE),
+            quarantine: self
+                .control
+                .lock_quarantine()
+                .records(now, QUARANTINE_IN_EXCHANGE),
             configuration: None,
         }
     }
@@ -223,7 +235,10 @@
         if revision >= snapshot.revision {
             return None;
         }
-        snapshot.accepted.as_ref().and_then(|accepted| accepted.encode().ok())
+        snapshot
+            .accepted
+            .as_ref()
+            .and_then(|accepted| accepted.encode().ok())
     }
 
     /// Puts a revision in force if it is newer than the one in force.
@@ -266,11 +281,15 @@
 
     fn take_vms(&mut self, vms: &[Vm]) {
         let own = &self.control.identity.node;
-        if vms.iter().any(|vm| vm.node == *own && vm.state == VmState::Leaving) {
+        if vms
+            .iter()
+            .any(|vm| vm.node == *own && vm.state == VmState::Leaving)
+        {
             self.control.leave();
         }
         let listed = vms.iter().map(|vm| vm.control_address);
-        self.members.set_contacts(listed.chain(self.seeds.iter().copied()).collect());
+        self.members
+            .set_contacts(listed.chain(self.seeds.iter().copied()).collect());
     }
 }
 
@@ -280,7 +299,11 @@
         let answer = vm_list.list().await;
         if available != answer.is_ok() {
             available = answer.is_ok();
-            warn!(event = "vm-list", available, error = answer.as_ref().err().map(ToString::to_string));
+            warn!(
+                event = "vm-list",
+                available,
+                error = answer.as_ref().err().map(ToString::to_string)
+            );
         }
         if let Ok(vms) = answer {
             let _receiver_gone = tx.send(vms).await;
--- /dev/null
+++ b/bulrushward/src/daemon.rs
@@ -0,0 +1,275 @@
+//! Starts a process, waits for its planned stop and stops it gracefully.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bulrushward_claims::{ClaimSettings, ClaimStore};
+use bulrushward_platform::{EtcdKeyValue, HttpVmList, KeyValue};
+use bulrushward_protocol::{MemberRecord, MemberState, Role};
+use bulrushward_revisions::RevisionStore;
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router as Routes, async_trait, http::StatusCode,
+};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+
+use crate::{
+    agent::Agent,
+    cli::Command,
+    control::{self, Control, ControlThread},
+    error::DaemonError,
+    http,
+    metrics::Metrics,
+    router::Router,
+    settings::{AgentSettings, CommonSettings, RouterSettings},
+};
+
+/// Longest time that the last claims may take to be recorded at a planned stop.
+const CLAIM_FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`DaemonError`] if the process cannot start.
+pub async fn run(command: Command) -> Result<(), DaemonError> {
+    let stop = CancellationToken::new();
+    stop_on_signal(&stop)?;
+    match command {
+        Command::Router(settings, _) => run_router(*settings, stop).await,
+        Command::Agent(settings, _) => run_agent(*settings, stop).await,
+    }
+}
+
+/// Runs a router until `stop` fires and its last request has ended.
+///
+/// # Errors
+///
+/// Returns [`DaemonError`] if the router cannot start.
+pub async fn run_router(
+    settings: RouterSettings,
+    stop: CancellationToken,
+) -> Result<(), DaemonError> {
+    let mut metrics = Metrics::new();
+    let common = settings.common.clone();
+    let platform = Platform::new(&common);
+    let identity = identity(&common, Role::Router);
+    let (control, thread) = platform.start_control(&common, identity, &mut metrics)?;
+    let router_metrics = metrics.router();
+    let listen = settings.listen;
+    let store = Arc::clone(&platform.store);
+    let router = Router::new(settings, Arc::clone(&control), store, router_metrics)?;
+    router.start();
+    let routes = admin_routes(&control, metrics).push(router.admin_routes());
+    let admin = http::listen("admin", common.admin_address, routes).await?;
+    let callers = http::listen("caller", listen, router.routes()).await?;
+    info!(event = "started", role = "router", node = common.node, listen = %callers.address);
+    stop.cancelled().await;
+    control.leave();
+    info!(event = "stopping", node = common.node);
+    // The platform's balancer sees the failing readiness before the listener closes.
+    tokio::time::sleep(common.drain_grace).await;
+    callers.handle.stop_graceful(None);
+    // A listener that panicked has logged why.
+    let _panicked = callers.task.await;
+    finish(&common, admin, thread).await;
+    Ok(())
+}
+
+/// Runs an agent until `stop` fires and its last attempt has ended.
+///
+/// # Errors
+///
+/// Returns [`DaemonError`] if the agent cannot start.
+pub async fn run_agent(
+    settings: AgentSettings,
+    stop: CancellationToken,
+) -> Result<(), DaemonError> {
+    let mut metrics = Metrics::new();
+    let common = settings.common.clone();
+    let platform = Platform::new(&common);
+    let mut identity = identity(&common, Role::Agent);
+    identity.data_address = settings.inner_address;
+    identity.service = Some(settings.service.clone());
+    identity.backend = Some(settings.backend.clone());
+    let (control, thread) = platform.start_control(&common, identity, &mut metrics)?;
+    let agent_metrics = metrics.agent();
+    let inner_address = settings.inner_address;
+    let claims = ClaimStore::start(platform.kv, ClaimSettings::new(settings.service.clone()));
+    let agent = Agent::new(
+        settings,
+        Arc::clone(&control),
+        Arc::clone(&claims) as _,
+        agent_metrics,
+    )?;
+    agent.start();
+    let admin = http::listen(
+        "admin",
+        common.admin_address,
+        admin_routes(&control, metrics),
+    )
+    .await?;
+    let inner = http::listen("inner", inner_address, agent.routes()).await?;
+    info!(event = "started", role = "agent", node = common.node, listen = %inner.address);
+    stop.cancelled().await;
+    info!(event = "stopping", node = common.node);
+    agent.drain().await;
+    // Routers that have not heard of the stop yet get a refusal instead of a closed port.
+    tokio::time::sleep(common.drain_grace).await;
+    inner.handle.stop_graceful(None);
+    // A listener that panicked has logged why.
+    let _panicked = inner.task.await;
+    let flushed = claims.flush(CLAIM_FLUSH_TIMEOUT).await;
+    info!(event = "claims-flushed", complete = flushed);
+    finish(&common, admin, thread).await;
+    Ok(())
+}
+
+async fn finish(common: &CommonSettings, admin: http::HttpListener, thread: ControlThread) {
+    admin.handle.stop_graceful(Duration::from_secs(1));
+    // A listener that panicked has logged why.
+    let _panicked = admin.task.await;
+    // Joining blocks, which traffic threads must not.
+    let _cancelled = tokio::task::spawn_blocking(|| thread.stop()).await;
+    info!(event = "stopped", node = common.node);
+}
+
+/// Clients of the platform.
+struct Platform {
+    kv: Arc<dyn KeyValue>,
+    store: Arc<RevisionStore>,
+}
+
+impl Platform {
+    fn new(common: &CommonSettings) -> Self {
+        let kv: Arc<dyn KeyValue> = Arc::new(EtcdKeyValue::new(
+            &common.key_value,
+            common.platform_timeout,
+        ));
+        let store = Arc::new(RevisionStore::new(Arc::clone(&kv)));
+        Self { kv, store }
+    }
+
+    fn start_control(
+        &self,
+        common: &CommonSettings,
+        identity: MemberRecord,
+        metrics: &mut Metrics,
+    ) -> Result<(Arc<Control>, ControlThread), DaemonError> {
+        let vm_list = HttpVmList::new(&common.vm_list, common.platform_timeout);
+        let store = Arc::clone(&self.store);
+        control::start(
+            common,
+            identity,
+            store,
+            Box::new(vm_list),
+            metrics.control(),
+        )
+    }
+}
+
+fn identity(common: &CommonSettings, role: Role) -> MemberRecord {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    MemberRecord {
+        node: common.node.clone(),
+        incarnation: now.as_millis() as u64,
+        version: 0,
+        role,
+        state: MemberState::Live,
+        control_address: common.control_address,
+        data_address: common.admin_address,
+        failure_domain: common.failure_domain.clone(),
+        service: None,
+        backend: None,
+        load: 0,
+        queued: 0,
+        revision: 0,
+    }
+}
+
+fn stop_on_signal(stop: &CancellationToken) -> Result<(), DaemonError> {
+    let stop = stop.clone();
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(|source| DaemonError::Runtime { source })?;
+    let mut interrupt =
+        signal(SignalKind::interrupt()).map_err(|source| DaemonError::Runtime { source })?;
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        stop.cancel();
+    });
+    Ok(())
+}
+
+/// Returns the routes that every process offers: metrics and health.
+fn admin_routes(control: &Arc<Control>, metrics: Metrics) -> Routes {
+    Routes::new()
+        .push(Routes::with_path("metrics").get(MetricsHandler { metrics }))
+        .push(Routes::with_path("health/live").get(LiveHandler))
+        .push(Routes::with_path("health/ready").get(ReadyHandler {
+            control: Arc::clone(control),
+        }))
+}
+
+struct MetricsHandler {
+    metrics: Metrics,
+}
+
+#[async_trait]
+impl Handler for MetricsHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        let _valid = res.add_header("content-type", content_type, true);
+        res.body(self.metrics.text());
+    }
+}
+
+struct LiveHandler;
+
+#[async_trait]
+impl Handler for LiveHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.body("live\n");
+    }
+}
+
+/// Answers whether the process takes new work: it has a configuration and is not leaving.
+struct ReadyHandler {
+    control: Arc<Control>,
+}
+
+#[async_trait]
+impl Handler for ReadyHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let ready = self.control.snapshot().revision > 0 && !self.control.is_leaving();
+        if !ready {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        res.body(if ready { "ready\n" } else { "not ready\n" });
+    }
+}
--- a/bulrushward/src/http.rs
+++ b/bulrushward/src/http.rs
@@ -54,12 +54,22 @@
     let acceptor: TcpAcceptor = TcpListener::new(address)
         .try_bind()
         .await
-        .map_err(|error| DaemonError::Listen { listener, address, detail: error.to_string() })?;
-    let address = acceptor
-        .local_addr()
-        .map_err(|error| DaemonError::Listen { listener, address, detail: error.to_string() })?;
+        .map_err(|error| DaemonError::Listen {
+            listener,
+            address,
+            detail: error.to_string(),
+        })?;
+    let address = acceptor.local_addr().map_err(|error| DaemonError::Listen {
+        listener,
+        address,
+        detail: error.to_string(),
+    })?;
     let server = Server::new(acceptor);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(Arc::new(routes)));
-    Ok(HttpListener { address, handle, task })
+    Ok(HttpListener {
+        address,
+        handle,
+        task,
+    })
 }
--- a/bulrushward/src/metrics.rs
+++ b/bulrushward/src/metrics.rs
@@ -12,8 +12,9 @@
 use crate::agent::Ending;
 
 /// Upper bounds of the histogram of first-byte times, in seconds.
-const FIRST_BYTE_BOUNDS: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 3.0, 10.0];
+const FIRST_BYTE_BOUNDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 3.0, 10.0,
+];
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ReasonLabel {
@@ -38,7 +39,9 @@
 
 impl Metrics {
     pub(crate) fn new() -> Self {
-        Self { registry: Registry::with_prefix("bulrushward") }
+        Self {
+            registry: Registry::with_prefix("bulrushward"),
+        }
     }
 
     /// Writes all metrics as text.
@@ -52,10 +55,26 @@
     pub(crate) fn control(&mut self) -> ControlMetrics {
         let metrics = ControlMetrics::default();
         let r = &mut self.registry;
-        r.register("control_exchanges_sent", "Exchanges sent and answered", metrics.sent.clone());
-        r.register("control_exchanges_answered", "Exchanges answered", metrics.answered.clone());
-        r.register("control_exchanges_failed", "Exchanges without answer", metrics.failed.clone());
-        r.register("control_bad_messages", "Control messages refused", metrics.bad.clone());
+        r.register(
+            "control_exchanges_sent",
+            "Exchanges sent and answered",
+            metrics.sent.clone(),
+        );
+        r.register(
+            "control_exchanges_answered",
+            "Exchanges answered",
+            metrics.answered.clone(),
+        );
+        r.register(
+            "control_exchanges_failed",
+            "Exchanges without answer",
+            metrics.failed.clone(),
+        );
+        r.register(
+            "control_bad_messages",
+            "Control messages refused",
+            metrics.bad.clone(),
+        );
         let help = "Bytes of control messages sent and received";
         r.register_with_unit("control_traffic", help, Unit::Bytes, metrics.bytes.clone());
         metrics
@@ -64,8 +83,16 @@
     pub(crate) fn agent(&mut self) -> AgentMetrics {
         let metrics = AgentMetrics::default();
         let r = &mut self.registry;
-        r.register("agent_attempts", "Attempts by ending", metrics.attempts.clone());
-        r.register("agent_refusals", "Refusals at admission by reason", metrics.refusals.clone());
+        r.register(
+            "agent_attempts",
+            "Attempts by ending",
+            metrics.attempts.clone(),
+        );
+        r.register(
+            "agent_refusals",
+            "Refusals at admission by reason",
+            metrics.refusals.clone(),
+        );
         r.register("agent_load", "Outstanding work units", metrics.load.clone());
         r.register("agent_queued", "Waiting attempts", metrics.queued.clone());
         r.register("agent_running", "Running attempts", metrics.running.clone());
@@ -75,12 +102,33 @@
     pub(crate) fn router(&mut self) -> RouterMetrics {
         let metrics = RouterMetrics::default();
         let r = &mut self.registry;
-        r.register("router_requests", "Requests by kind of work", metrics.requests.clone());
-        r.register("router_refusals", "Final refusals by reason", metrics.refusals.clone());
-        r.register("router_retries", "Attempts after the first", metrics.retries.clone());
-        r.register("router_resumes", "Answers resumed on a new connection", metrics.resumes.clone());
+        r.register(
+            "router_requests",
+            "Requests by kind of work",
+            metrics.requests.clone(),
+        );
+        r.register(
+            "router_refusals",
+            "Final refusals by reason",
+            metrics.refusals.clone(),
+        );
+        r.register(
+            "router_retries",
+            "Attempts after the first",
+            metrics.retries.clone(),
+        );
+        r.register(
+            "router_resumes",
+            "Answers resumed on a new connection",
+            metrics.resumes.clone(),
+        );
         let help = "Time until the first byte of the answer, by kind of work";
-        r.register_with_unit("router_first_byte", help, Unit::Seconds, metrics.first_byte.clone());
+        r.register_with_unit(
+            "router_first_byte",
+            help,
+            Unit::Seconds,
+            metrics.first_byte.clone(),
+        );
         metrics
     }
 }
@@ -127,11 +175,19 @@
 
 impl AgentMetrics {
     pub(crate) fn attempt_ended(&self, ending: Ending) {
-        self.attempts.get_or_create(&EndingLabel { ending: ending.to_string() }).inc();
+        self.attempts
+            .get_or_create(&EndingLabel {
+                ending: ending.to_string(),
+            })
+            .inc();
     }
 
     pub(crate) fn refused(&self, reason: RefusalReason) {
-        self.refusals.get_or_create(&ReasonLabel { reason: reason.to_string() }).inc();
+        self.refusals
+            .get_or_create(&ReasonLabel {
+                reason: reason.to_string(),
+            })
+            .inc();
     }
 
     pub(crate) fn load(&self, load: WorkUnits, queued: usize, running: usize) {
@@ -165,11 +221,19 @@
 
 impl RouterMetrics {
     pub(crate) fn request(&self, kind: &str) {
-        self.requests.get_or_create(&KindLabel { kind: kind.to_owned() }).inc();
+        self.requests
+            .get_or_create(&KindLabel {
+                kind: kind.to_owned(),
+            })
+            .inc();
     }
 
     pub(crate) fn refused(&self, reason: RefusalReason) {
-        self.refusals.get_or_create(&ReasonLabel { reason: reason.to_string() }).inc();
+        self.refusals
+            .get_or_create(&ReasonLabel {
+                reason: reason.to_string(),
+            })
+            .inc();
     }
 
     pub(crate) fn retried(&self) {
@@ -181,6 +245,10 @@
     }
 
     pub(crate) fn first_byte(&self, kind: &str, seconds: f64) {
-        self.first_byte.get_or_create(&KindLabel { kind: kind.to_owned() }).observe(seconds);
+        self.first_byte
+            .get_or_create(&KindLabel {
+                kind: kind.to_owned(),
+            })
+            .observe(seconds);
     }
 }
--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -28,13 +28,22 @@
     Silent { agent: SocketAddr, detail: String },
     /// The agent no longer knows the attempt.
     #[snafu(display("agent {agent} does not know attempt {}", format_id(*attempt)))]
-    Forgotten { agent: SocketAddr, attempt: AttemptId },
+    Forgotten {
+        agent: SocketAddr,
+        attempt: AttemptId,
+    },
     /// A frame belongs to another attempt or is out of order.
     #[snafu(display("agent {agent} sent an answer that does not fit: {detail}"))]
-    Mismatch { agent: SocketAddr, detail: &'static str },
+    Mismatch {
+        agent: SocketAddr,
+        detail: &'static str,
+    },
     /// A frame cannot be decoded.
     #[snafu(display("agent {agent} sent a bad frame: {source}"))]
-    BadFrame { agent: SocketAddr, source: CodecError },
+    BadFrame {
+        agent: SocketAddr,
+        source: CodecError,
+    },
 }
 
 /// One attempt as its router sees it.
@@ -107,13 +116,18 @@
     fn accept(&mut self, frame: Frame) -> Result<Option<Frame>, Broken> {
         let agent = self.agent;
         if !self.admitted && !matches!(frame, Frame::Admitted { .. } | Frame::Refused(_)) {
-            return MismatchSnafu { agent, detail: "the first frame does not name the attempt" }
-                .fail();
+            return MismatchSnafu {
+                agent,
+                detail: "the first frame does not name the attempt",
+            }
+            .fail();
         }
         match frame {
-            Frame::Admitted { attempt, .. } if attempt != self.attempt => {
-                MismatchSnafu { agent, detail: "it belongs to another attempt" }.fail()
+            Frame::Admitted { attempt, .. } if attempt != self.attempt => MismatchSnafu {
+                agent,
+                detail: "it belongs to another attempt",
             }
+            .fail(),
             Frame::Admitted { .. } => {
                 self.admitted = true;
                 Ok(None)
@@ -129,9 +143,11 @@
                 Ok(Some(frame))
             }
             Frame::Data { offset, bytes } => self.accept_data(offset, bytes),
-            Frame::End { length } if length != self.received => {
-                MismatchSnafu { agent, detail: "it ended before its length" }.fail()
+            Frame::End { length } if length != self.received => MismatchSnafu {
+                agent,
+                detail: "it ended before its length",
             }
+            .fail(),
             Frame::End { .. } | Frame::Refused(_) => {
                 self.done = true;
                 Ok(Some(frame))
@@ -142,7 +158,11 @@
     fn accept_data(&mut self, offset: u64, mut bytes: Bytes) -> Result<Option<Frame>, Broken> {
         let Some(known) = self.received.checked_sub(offset) else {
             let detail = "a piece is missing";
-            return MismatchSnafu { agent: self.agent, detail }.fail();
+            return MismatchSnafu {
+                agent: self.agent,
+                detail,
+            }
+            .fail();
         };
         if known >= bytes.len() as u64 {
             return Ok(None);
@@ -211,13 +231,21 @@
                 }
                 Ok(None) => {
                     let attempt = self.attempt;
-                    return ForgottenSnafu { agent: self.agent, attempt }.fail();
+                    return ForgottenSnafu {
+                        agent: self.agent,
+                        attempt,
+                    }
+                    .fail();
                 }
                 Err(error) => detail = error,
             }
             tokio::time::sleep(RESUME_PAUSE).await;
         }
-        SilentSnafu { agent: self.agent, detail }.fail()
+        SilentSnafu {
+            agent: self.agent,
+            detail,
+        }
+        .fail()
     }
 
     /// Opens a new connection; `None` if the agent forgot an attempt that it had admitted.
@@ -240,6 +268,19 @@
         self.post(&self.router.fresh).await.map(Some)
     }
 
+    /// Describes a frame that may not stand at this place.
+    pub(crate) fn out_of_order(&self) -> Broken {
+        Broken::Mismatch {
+            agent: self.agent,
+            detail: "a frame is out of order",
+        }
+    }
+
+    /// Gives the attempt up without a word to its agent.
+    pub(crate) fn abandon(&mut self) {
+        self.done = true;
+    }
+
     /// Makes sure, if possible, that the attempt never starts.
     pub(crate) async fn bar(&mut self) -> Outcome {
         self.done = true;
@@ -270,7 +311,13 @@
         return Outcome::Unknown;
     };
     let url = format!("http://{agent}/inner/bar");
-    let sent = router.fresh.post(url).timeout(BAR_TIMEOUT).body(body).send().await;
+    let sent = router
+        .fresh
+        .post(url)
+        .timeout(BAR_TIMEOUT)
+        .body(body)
+        .send()
+        .await;
     let Ok(answer) = sent else {
         return Outcome::Unknown;
     };
--- a/bulrushward/src/router/candidates.rs
+++ b/bulrushward/src/router/candidates.rs
@@ -17,10 +17,17 @@
     let agents = live_agents(router, job);
     let names: Vec<Candidate<'_>> = agents
         .iter()
-        .map(|agent| Candidate { name: agent.backend.as_deref().unwrap_or_default(), weight: 1.0 })
+        .map(|agent| Candidate {
+            name: agent.backend.as_deref().unwrap_or_default(),
+            weight: 1.0,
+        })
         .collect();
     let order = rank(job.chat, &names);
-    order.into_iter().take(MAX_CANDIDATES).map(|index| agents[index].clone()).collect()
+    order
+        .into_iter()
+        .take(MAX_CANDIDATES)
+        .map(|index| agents[index].clone())
+        .collect()
 }
 
 /// Returns whether a service has an agent that takes new work.
--- a/bulrushward/src/router/chat_request.rs
+++ b/bulrushward/src/router/chat_request.rs
@@ -46,8 +46,14 @@
     ///
     /// Later turns of the same chat begin with the same messages.
     pub(crate) fn opening(&self) -> Vec<String> {
-        let first_user = self.messages.iter().position(|message| message.role == "user");
+        let first_user = self
+            .messages
+            .iter()
+            .position(|message| message.role == "user");
         let end = first_user.map_or(self.messages.len(), |index| index + 1);
-        self.messages[..end].iter().map(|m| format!("{}\u{0}{}", m.role, m.content)).collect()
+        self.messages[..end]
+            .iter()
+            .map(|m| format!("{}\u{0}{}", m.role, m.content))
+            .collect()
     }
 }
--- a/bulrushward_policy/src/attempt.rs
+++ b/bulrushward_policy/src/attempt.rs
@@ -158,7 +158,7 @@
             return;
         }
         self.last_reason = reason;
-        if reason == RefusalReason::BackendFailed && outcome != Outcome::NotRun {
+        if reason == RefusalReason::BackendCrashed && outcome != Outcome::NotRun {
             self.crashes += 1;
         }
         if reason == RefusalReason::Barred && outcome == Outcome::NotRun && !self.facts.idempotent {
@@ -207,9 +207,9 @@
     }
 
     /// Takes in that the backend server crashed while it ran the request.
-    pub fn backend_failed(&mut self) {
+    pub fn backend_crashed(&mut self) {
         self.refused(
-            RefusalReason::BackendFailed,
+            RefusalReason::BackendCrashed,
             Outcome::Unknown,
             DEFAULT_RETRY_AFTER,
         );
@@ -334,7 +334,11 @@
     is_full(reason)
         || matches!(
             reason,
-            RefusalReason::BackendDown | RefusalReason::BackendFailed | RefusalReason::NoBackend
+            RefusalReason::BackendCrashed
+                | RefusalReason::BackendDown
+                | RefusalReason::BackendFailed
+                | RefusalReason::NoBackend
+                | RefusalReason::Restarted
         )
 }
 
--- a/bulrushward_policy/tests/attempt.rs
+++ b/bulrushward_policy/tests/attempt.rs
@@ -114,7 +114,7 @@
                 self.runs += 1;
                 self.crashes += 1;
                 self.start(heard_started, head, progress);
-                progress.backend_failed();
+                progress.backend_crashed();
             }
             Fate::Answers => {
                 self.runs += 1;
@@ -256,7 +256,7 @@
     let mut budget = rich();
     progress.next(now, &mut budget);
     progress.started();
-    progress.backend_failed();
+    progress.backend_crashed();
     let step = progress.next(now, &mut budget);
     assert!(
         matches!(
@@ -288,9 +288,9 @@
     let mut budget = rich();
     progress.next(now, &mut budget);
     progress.started();
-    progress.backend_failed();
+    progress.backend_crashed();
     assert_eq!(progress.next(now, &mut budget), send(1, true));
-    progress.backend_failed();
+    progress.backend_crashed();
     let step = progress.next(now, &mut budget);
     assert!(
         matches!(
