Report all errors of the operators' text at once

Walks the spanned table of the toml crate instead of deserialising it, so that syntax errors, unknown keys, wrong types, ranges, duplicates, unknown names and dependency cycles are all found in one pass, with line, column, what was found and what was expected.

Memory for a text of 32,000 organisations (3.8 MB), by tests/size.rs: parsed in one go, 74 MiB at the peak, above the 32 MiB that a node has for control; the parser's events and tables for the whole text were the cause, not the model (10 MiB kept). Texts with syntax errors are still read in one go.

--- a/bulrushward_config/src/lib.rs
+++ b/bulrushward_config/src/lib.rs
@@ -1,9 +1,24 @@
 //! The operators' text: model, parsing and checks.
 
+mod calls;
+mod changes;
+mod cycles;
+mod key_index;
+mod links;
 mod model;
 mod parse;
+mod parts;
+mod queries;
+mod report;
+mod rule;
+mod sections;
+mod table_reader;
 mod text_diff;
 
+use key_index::KeyIndex;
+
+pub use changes::{Change, ChangeKind, Section};
 pub use model::{Config, Fleet, Kind, Organisation, Protocol, Service};
-pub use parse::{TextError, TextErrors, parse};
+pub use parse::{MAX_TEXT_BYTES, parse};
+pub use report::{TextError, TextErrors};
 pub use text_diff::text_diff;
--- /dev/null
+++ b/bulrushward_config/tests/parts.rs
@@ -0,0 +1,90 @@
+//! Large texts are parsed in parts and mean the same as in one go.
+
+use std::fmt::Write;
+
+use bulrushward_config::parse;
+
+/// Enough organisations for several parts.
+const ORGANISATIONS: usize = 3_000;
+
+fn organisations(from: usize) -> String {
+    let mut text = String::new();
+    for index in from..from + ORGANISATIONS {
+        writeln!(text, "[[organisation]]\nname = \"org-{index}\"").expect("a string takes all");
+        writeln!(text, "key_sha256 = [\"{index:064x}\"]").expect("a string takes all");
+    }
+    text
+}
+
+fn errors(text: &str) -> Vec<String> {
+    let errors = parse(text).expect_err("the text is not acceptable");
+    errors.0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn sections_may_stand_anywhere() {
+    let service = "[[service]]\nname = \"s\"\nprotocol = \"plain\"\n";
+    let text = [
+        &organisations(0),
+        service,
+        &organisations(10_000),
+        "[fleet]\n",
+    ]
+    .concat();
+    let config = parse(&text).expect("the text is good");
+    assert_eq!(config.organisations.len(), 2 * ORGANISATIONS);
+    assert_eq!(config.services.len(), 1);
+    let again = [
+        service,
+        &organisations(0),
+        &service.replace("\"s\"", "\"t\""),
+    ]
+    .concat();
+    let config = parse(&again).expect("services in two places are good");
+    assert_eq!(config.services.len(), 2);
+}
+
+#[test]
+fn errors_in_later_parts_have_their_place() {
+    let text = organisations(0) + "[[organisation]]\nname = \"org-5\"\nkey_sha256 = [3]\nx = 1\n";
+    let expected = [
+        "line 9002, column 8: organisation \"org-5\" is declared twice, first on line 17",
+        "line 9003, column 15: key_sha256: found 3, expected a SHA-256 hash of 64 hex digits",
+        "line 9004, column 1: unknown key \"x\" in [[organisation]], expected one of name, \
+         key_sha256, weight, requests_per_second",
+    ];
+    assert_eq!(errors(&text), expected);
+}
+
+#[test]
+fn tables_declared_in_two_parts_are_errors() {
+    let text = ["[fleet]\n", &organisations(0), "[fleet]\n"].concat();
+    assert_eq!(
+        errors(&text),
+        ["line 9002, column 2: found \"fleet\": duplicate key"]
+    );
+    let text = "organisation = []\n".to_owned() + &organisations(0);
+    assert!(errors(&text)[0].starts_with("line 2, column 3: "));
+}
+
+#[test]
+fn strings_that_look_like_tables_are_not_cut() {
+    let text = [
+        &organisations(0),
+        "[[service]]\nname = \"s\"\nprotocol = \"plain\"\nmodels = ['''\n",
+        &organisations(10_000),
+        "''']\n",
+    ]
+    .concat();
+    let errors = errors(&text);
+    assert_eq!(errors.len(), 1);
+    assert!(errors[0].starts_with("line 9004, column 11: models: found the string \"[[org"));
+}
+
+#[test]
+fn syntax_errors_in_later_parts_have_their_place() {
+    let text = organisations(0) + "[[organisation]]\nname = \nkey_sha256 = []\n";
+    let errors = errors(&text);
+    assert_eq!(errors.len(), 1, "{errors:?}");
+    assert!(errors[0].starts_with("line 9002, column 8: found the end of the line: "));
+}
--- /dev/null
+++ b/bulrushward_config/tests/size.rs
@@ -0,0 +1,50 @@
+//! The text of 32,000 organisations is parsed within a node's memory for control.
+
+use std::{fmt::Write, fs, time::Instant};
+
+use bulrushward_config::parse;
+
+/// Organisations in two years.
+const ORGANISATIONS: usize = 32_000;
+/// Memory that a node may spend on control, in KiB.
+const CONTROL_MEMORY_KIB: u64 = 32 << 10;
+
+fn text() -> String {
+    let mut text = String::new();
+    for index in 0..ORGANISATIONS {
+        writeln!(text, "[[organisation]]\nname = \"org-{index}\"").expect("a string takes all");
+        writeln!(text, "key_sha256 = [\"{index:064x}\"]\n").expect("a string takes all");
+    }
+    text
+}
+
+/// Reads a line such as `VmRSS:` of this process in KiB.
+fn memory_kib(field: &str) -> u64 {
+    let status = fs::read_to_string("/proc/self/status").expect("Linux has it");
+    let line = status.lines().find(|line| line.starts_with(field));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number
+        .and_then(|number| number.parse().ok())
+        .expect("the field is a number")
+}
+
+#[test]
+fn a_text_of_full_size_fits_the_memory_for_control() {
+    let text = text();
+    let before = memory_kib("VmRSS:");
+    let start = Instant::now();
+    let config = parse(&text).expect("the text is good");
+    let elapsed = start.elapsed();
+    let kept = memory_kib("VmRSS:").saturating_sub(before);
+    let peak = memory_kib("VmHWM:").saturating_sub(before);
+    println!(
+        "bytes={} parse_ms={} kept_kib={kept} peak_kib={peak}",
+        text.len(),
+        elapsed.as_millis()
+    );
+    assert_eq!(config.organisations.len(), ORGANISATIONS);
+    assert!(
+        peak < CONTROL_MEMORY_KIB,
+        "parsing took {peak} KiB at its peak"
+    );
+}
