--- a/bulrushward_revisions/src/lib.rs
+++ b/bulrushward_revisions/src/lib.rs
@@ -11,9 +11,11 @@
 mod error;
 mod head;
 mod store;
+mod submit;
 
 pub use accepted::{Accepted, AssembleError, Manifest};
 pub use audit::AuditEntry;
 pub use chunks::{ChunkRef, Digest, MAX_TEXT_BYTES};
 pub use error::RevisionsError;
-pub use store::{RevisionStore, Submission, SubmitOutcome};
+pub use store::RevisionStore;
+pub use submit::{Submission, SubmitOutcome};
