--- /dev/null
+++ b/bulrushward_policy/tests/claim/world.rs
@@ -0,0 +1,322 @@
+//! Agents that share one record over compare-and-swap, taken apart into single steps.
+
+use std::collections::{HashMap, HashSet};
+
+use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimRecord};
+use bulrushward_protocol::{ActionKey, AttemptId};
+
+const LIMIT: usize = 100_000;
+
+/// One step of the world; a number picks among what fits, if anything does.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// A request reaches an agent; a second time for one attempt is a late copy.
+    Arrive {
+        agent: usize,
+        action: ActionKey,
+        attempt: AttemptId,
+    },
+    /// A router asks an agent to bar an attempt.
+    Bar {
+        agent: usize,
+        action: ActionKey,
+        attempt: AttemptId,
+    },
+    /// An agent reads the record.
+    Read(usize),
+    /// An agent decides on its cached record and sends the write.
+    Send(usize),
+    /// A write reaches the service, and its answer the agent if that still waits.
+    DeliverWrite(usize),
+    /// An agent stops waiting for an answer; the write may still arrive.
+    LoseAnswer(usize),
+    /// An agent reads back what became of a write.
+    ReadBack(usize),
+    /// An agent gives a claim up.
+    GiveUp(usize),
+    /// The winner starts, however long it was paused.
+    Start(usize),
+    /// The winner gives its claim back without a start.
+    Release(usize),
+    /// The action ended.
+    Finish(usize),
+    /// An agent is replaced and forgets everything; its writes under way remain.
+    Restart(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting,
+    InFlight,
+    Unknown,
+    Won,
+    Started,
+    Done,
+}
+
+#[derive(Clone, Debug)]
+struct Operation {
+    agent: usize,
+    action: ActionKey,
+    attempt: AttemptId,
+    change: ClaimChange,
+    stage: Stage,
+}
+
+#[derive(Debug)]
+struct Write {
+    operation: usize,
+    expected: u64,
+    record: ClaimRecord,
+    decision: ClaimDecision,
+}
+
+/// How often the cases got somewhere.
+#[derive(Clone, Debug, Default)]
+pub struct Reached {
+    counts: HashMap<&'static str, u32>,
+}
+
+impl Reached {
+    const ALL: [&str; 8] = [
+        "started",
+        "finished",
+        "released",
+        "barred",
+        "conflict",
+        "read-back won",
+        "late copy held",
+        "given up",
+    ];
+
+    fn count(&mut self, name: &'static str) {
+        *self.counts.entry(name).or_default() += 1;
+    }
+
+    pub fn add(&mut self, other: &Self) {
+        for (name, n) in &other.counts {
+            *self.counts.entry(name).or_default() += n;
+        }
+    }
+
+    pub fn all_above(&self, least: u32) -> bool {
+        Self::ALL
+            .iter()
+            .all(|name| self.counts.get(name).is_some_and(|n| *n > least))
+    }
+}
+
+#[derive(Debug)]
+pub struct World {
+    stored: ClaimRecord,
+    version: u64,
+    caches: Vec<(ClaimRecord, u64)>,
+    operations: Vec<Operation>,
+    writes: Vec<Write>,
+    starts: Vec<(ActionKey, AttemptId)>,
+    not_run: HashSet<(ActionKey, AttemptId)>,
+    next_nonce: u64,
+    pub reached: Reached,
+}
+
+impl World {
+    pub fn new(agents: usize) -> Self {
+        Self {
+            stored: ClaimRecord::default(),
+            version: 0,
+            caches: vec![(ClaimRecord::default(), 0); agents],
+            operations: Vec::new(),
+            writes: Vec::new(),
+            starts: Vec::new(),
+            not_run: HashSet::new(),
+            next_nonce: 0,
+            reached: Reached::default(),
+        }
+    }
+
+    /// Names the first promise that is broken.
+    pub fn violation(&self) -> Option<String> {
+        let mut started = HashSet::new();
+        for (action, attempt) in &self.starts {
+            if !started.insert(action) {
+                return Some(format!("action {action} started twice"));
+            }
+            if self.not_run.contains(&(*action, *attempt)) {
+                return Some(format!("attempt {attempt} of {action} was said not to run"));
+            }
+        }
+        None
+    }
+
+    pub fn take(&mut self, step: &Step) {
+        match *step {
+            Step::Arrive {
+                agent,
+                action,
+                attempt,
+            } => {
+                let nonce = self.next_nonce;
+                self.next_nonce += 1;
+                self.operate(agent, action, attempt, ClaimChange::Claim { nonce });
+            }
+            Step::Bar {
+                agent,
+                action,
+                attempt,
+            } => {
+                self.operate(agent, action, attempt, ClaimChange::Bar);
+            }
+            Step::Read(agent) => self.read(agent),
+            Step::Send(index) => self
+                .pick(index, &[Stage::Waiting])
+                .map_or((), |i| self.send(i)),
+            Step::DeliverWrite(index) => self.deliver(index),
+            Step::LoseAnswer(index) => self.move_on(index, Stage::InFlight, Stage::Unknown),
+            Step::ReadBack(index) => {
+                if let Some(i) = self.pick(index, &[Stage::Unknown]) {
+                    self.read(self.operations[i].agent);
+                    self.operations[i].stage = Stage::Waiting;
+                    self.send(i);
+                    if self.operations[i].stage == Stage::Won {
+                        self.reached.count("read-back won");
+                    }
+                }
+            }
+            Step::GiveUp(index) => {
+                if let Some(i) = self.pick(index, &[Stage::Unknown]) {
+                    self.release(i);
+                    self.reached.count("given up");
+                }
+            }
+            Step::Start(index) => {
+                if let Some(i) = self.pick(index, &[Stage::Won]) {
+                    let operation = &mut self.operations[i];
+                    operation.stage = Stage::Started;
+                    self.starts.push((operation.action, operation.attempt));
+                    self.reached.count("started");
+                }
+            }
+            Step::Release(index) => {
+                if let Some(i) = self.pick(index, &[Stage::Won]) {
+                    self.release(i);
+                }
+            }
+            Step::Finish(index) => {
+                if let Some(i) = self.pick(index, &[Stage::Started]) {
+                    self.operations[i].change = ClaimChange::Finish;
+                    self.operations[i].stage = Stage::Waiting;
+                }
+            }
+            Step::Restart(agent) => {
+                self.caches[agent] = (ClaimRecord::default(), 0);
+                for operation in self.operations.iter_mut().filter(|o| o.agent == agent) {
+                    operation.stage = Stage::Done;
+                }
+            }
+        }
+    }
+
+    fn operate(
+        &mut self,
+        agent: usize,
+        action: ActionKey,
+        attempt: AttemptId,
+        change: ClaimChange,
+    ) {
+        let stage = Stage::Waiting;
+        self.operations.push(Operation {
+            agent,
+            action,
+            attempt,
+            change,
+            stage,
+        });
+    }
+
+    fn pick(&self, index: usize, stages: &[Stage]) -> Option<usize> {
+        let fits = |i: &usize| stages.contains(&self.operations[*i].stage);
+        let all: Vec<usize> = (0..self.operations.len()).filter(fits).collect();
+        (!all.is_empty()).then(|| all[index % all.len()])
+    }
+
+    fn move_on(&mut self, index: usize, from: Stage, to: Stage) {
+        if let Some(i) = self.pick(index, &[from]) {
+            self.operations[i].stage = to;
+        }
+    }
+
+    fn read(&mut self, agent: usize) {
+        self.caches[agent] = (self.stored.clone(), self.version);
+    }
+
+    fn release(&mut self, i: usize) {
+        let operation = &mut self.operations[i];
+        if let ClaimChange::Claim { nonce } = operation.change {
+            operation.change = ClaimChange::Release { nonce };
+        }
+        operation.stage = Stage::Waiting;
+    }
+
+    fn send(&mut self, i: usize) {
+        let operation = &self.operations[i];
+        let (mut record, expected) = self.caches[operation.agent].clone();
+        let (action, attempt) = (operation.action, operation.attempt);
+        let decision = record.apply(action, attempt, operation.change, LIMIT);
+        if !record.take_changed() {
+            return self.settle(i, decision);
+        }
+        self.operations[i].stage = Stage::InFlight;
+        self.writes.push(Write {
+            operation: i,
+            expected,
+            record,
+            decision,
+        });
+    }
+
+    fn deliver(&mut self, index: usize) {
+        if self.writes.is_empty() {
+            return;
+        }
+        let write = self.writes.swap_remove(index % self.writes.len());
+        let is_written = write.expected == self.version;
+        if is_written {
+            self.stored = write.record;
+            self.version += 1;
+        }
+        let operation = &mut self.operations[write.operation];
+        if operation.stage != Stage::InFlight {
+            return;
+        }
+        let agent = operation.agent;
+        if is_written {
+            self.settle(write.operation, write.decision);
+        } else {
+            operation.stage = Stage::Waiting;
+            self.reached.count("conflict");
+        }
+        self.read(agent);
+    }
+
+    fn settle(&mut self, i: usize, decision: ClaimDecision) {
+        let operation = &mut self.operations[i];
+        let attempt = operation.attempt;
+        operation.stage = match decision {
+            ClaimDecision::Won => Stage::Won,
+            _ => Stage::Done,
+        };
+        match (operation.change, decision) {
+            (_, ClaimDecision::Barred) => {
+                self.not_run.insert((operation.action, attempt));
+                let released = matches!(operation.change, ClaimChange::Release { .. });
+                self.reached
+                    .count(if released { "released" } else { "barred" });
+            }
+            (ClaimChange::Claim { .. }, ClaimDecision::Held { holder }) if holder == attempt => {
+                self.reached.count("late copy held");
+            }
+            (ClaimChange::Finish, _) => self.reached.count("finished"),
+            _ => {}
+        }
+    }
+}
