--- /dev/null
+++ b/bulrushward_claims/tests/interleavings.rs
@@ -0,0 +1,303 @@
+//! Claims of several stores hold while calls are slow or lost, processes die and copies come late.
+
+#[expect(dead_code, reason = "the support module serves other test files too")]
+mod support;
+
+use std::{
+    collections::{HashMap, HashSet},
+    num::NonZeroU32,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bulrushward_claims::{ClaimSettings, ClaimStore, Claims, Verdict};
+use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_protocol::{ActionKey, AttemptId};
+use bytes::Bytes;
+use proptest::{prelude::*, strategy::ValueTree, test_runner::RngSeed};
+use support::MemoryKv;
+use tokio::{
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+const CASES: u32 = 2_000;
+const AGENTS: usize = 3;
+const ACTIONS: u128 = 3;
+const ATTEMPTS: u128 = 5;
+const MAX_STEPS: usize = 60;
+const FRESH_ATTEMPT: AttemptId = 1_000;
+
+/// The key-value service as one process sees it; nothing of a dead process goes on.
+#[derive(Debug)]
+struct ProcessKv {
+    kv: MemoryKv,
+    is_dead: Arc<AtomicBool>,
+}
+
+impl ProcessKv {
+    async fn die_if_dead(&self) {
+        if self.is_dead.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+#[async_trait]
+impl KeyValue for ProcessKv {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, KvError> {
+        self.die_if_dead().await;
+        self.kv.get(key).await
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        expected: Version,
+        value: Bytes,
+    ) -> Result<CasOutcome, KvError> {
+        self.die_if_dead().await;
+        self.kv.compare_and_swap(key, expected, value).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: Version,
+        timeout: Duration,
+    ) -> Result<Option<Entry>, KvError> {
+        self.kv.watch(key, after, timeout).await
+    }
+}
+
+/// What the callers of all cases saw.
+#[derive(Debug, Default)]
+struct Seen {
+    starts: HashMap<ActionKey, Vec<AttemptId>>,
+    not_run: HashSet<(ActionKey, AttemptId)>,
+    verdicts: HashMap<&'static str, u32>,
+}
+
+impl Seen {
+    fn violation(&self) -> Option<String> {
+        let mut starts = self.starts.iter();
+        let twice = starts.find(|(_, attempts)| attempts.len() > 1);
+        let mut not_run = self.not_run.iter();
+        let untrue = not_run.find(|(action, attempt)| {
+            let attempts = self.starts.get(action);
+            attempts.is_some_and(|attempts| attempts.contains(attempt))
+        });
+        (twice.is_some() || untrue.is_some()).then(|| format!("{twice:?} {untrue:?}"))
+    }
+
+    fn count(&mut self, name: &'static str) {
+        *self.verdicts.entry(name).or_default() += 1;
+    }
+}
+
+type SharedSeen = Arc<Mutex<Seen>>;
+
+struct Process {
+    store: Arc<ClaimStore>,
+    is_dead: Arc<AtomicBool>,
+    requests: JoinSet<()>,
+}
+
+impl Process {
+    fn start(kv: &MemoryKv, seed: u64) -> Self {
+        let is_dead = Arc::new(AtomicBool::new(false));
+        let kv = ProcessKv {
+            kv: kv.clone(),
+            is_dead: Arc::clone(&is_dead),
+        };
+        let settings = ClaimSettings {
+            shards: NonZeroU32::MIN,
+            seed,
+            ..ClaimSettings::new("registry")
+        };
+        Self {
+            store: ClaimStore::start(Arc::new(kv), settings),
+            is_dead,
+            requests: JoinSet::new(),
+        }
+    }
+
+    fn kill(&mut self) {
+        self.is_dead.store(true, Ordering::Relaxed);
+        self.requests.abort_all();
+    }
+}
+
+/// Claims, pauses, then starts and finishes, gives back, or forgets to wait, as `pick` says.
+async fn request(
+    store: Arc<ClaimStore>,
+    seen: SharedSeen,
+    action: ActionKey,
+    attempt: AttemptId,
+    pick: u64,
+) {
+    let patience = if pick.is_multiple_of(5) { 3 } else { 10_000 };
+    let claim = store.claim(action, attempt);
+    let Ok(verdict) = timeout(Duration::from_millis(patience), claim).await else {
+        return seen.lock().unwrap().count("cancelled");
+    };
+    seen.lock().unwrap().count(name(verdict));
+    if verdict != Verdict::Won {
+        return;
+    }
+    sleep(Duration::from_millis(pick % 7_000)).await;
+    if pick.is_multiple_of(3) {
+        seen.lock().unwrap().not_run.insert((action, attempt));
+        return store.released(action, attempt);
+    }
+    let mut starts = seen
+        .lock()
+        .unwrap()
+        .starts
+        .remove(&action)
+        .unwrap_or_default();
+    starts.push(attempt);
+    seen.lock().unwrap().starts.insert(action, starts);
+    sleep(Duration::from_millis(pick % 900)).await;
+    store.finished(action, attempt);
+}
+
+async fn bar(store: Arc<ClaimStore>, seen: SharedSeen, action: ActionKey, attempt: AttemptId) {
+    if store.bar(action, attempt).await {
+        let mut seen = seen.lock().unwrap();
+        seen.count("bar");
+        seen.not_run.insert((action, attempt));
+    }
+}
+
+fn name(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Won => "won",
+        Verdict::Held { .. } => "held",
+        Verdict::Ran { .. } => "ran",
+        Verdict::Barred => "barred",
+        Verdict::Full => "full",
+        Verdict::Unavailable => "unavailable",
+    }
+}
+
+/// Runs one case; returns what was seen and the actions that could not be claimed at the end.
+async fn run_case(case_seed: u64, raw_steps: Vec<u32>) -> (Seen, Vec<ActionKey>) {
+    let kv = MemoryKv::default();
+    kv.set_chaos(Some(case_seed));
+    let seen = SharedSeen::default();
+    let mut next_seed = case_seed;
+    let mut new_process = || {
+        next_seed = next_seed.wrapping_add(1);
+        Process::start(&kv, next_seed)
+    };
+    let mut processes: Vec<_> = (0..AGENTS).map(|_| new_process()).collect();
+    let mut any_killed = false;
+    for raw in raw_steps {
+        let pick = u64::from(raw / 32);
+        let action = u128::from(pick) % ACTIONS;
+        let attempt = u128::from(pick / 3) % ATTEMPTS;
+        let process = &mut processes[(pick / 15) as usize % AGENTS];
+        let (store, seen) = (Arc::clone(&process.store), Arc::clone(&seen));
+        match raw % 32 {
+            0..16 => drop(
+                process
+                    .requests
+                    .spawn(request(store, seen, action, attempt, pick)),
+            ),
+            16..22 => drop(process.requests.spawn(bar(store, seen, action, attempt))),
+            22 => {
+                any_killed = true;
+                process.kill();
+                *process = new_process();
+            }
+            23 => kv.set_down(pick.is_multiple_of(2)),
+            _ => sleep(Duration::from_millis(pick % 2_000)).await,
+        }
+    }
+    sleep(Duration::from_secs(20)).await;
+    kv.set_down(false);
+    kv.set_chaos(None);
+    sleep(Duration::from_mins(1)).await;
+    let stuck = if any_killed {
+        Vec::new()
+    } else {
+        stuck_actions(&processes[0], &seen).await
+    };
+    drop(processes);
+    let seen = std::mem::take(&mut *seen.lock().unwrap());
+    (seen, stuck)
+}
+
+/// Returns the actions that never started and that still cannot be claimed.
+async fn stuck_actions(process: &Process, seen: &SharedSeen) -> Vec<ActionKey> {
+    let mut stuck = Vec::new();
+    for action in 0..ACTIONS {
+        let has_started = seen.lock().unwrap().starts.contains_key(&action);
+        let verdict = process.store.claim(action, FRESH_ATTEMPT).await;
+        if !has_started && verdict != Verdict::Won {
+            stuck.push(action);
+        }
+    }
+    stuck
+}
+
+fn run(seed: u64, raw_steps: Vec<u32>) -> (Seen, Vec<ActionKey>) {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("the runtime starts")
+        .block_on(run_case(seed, raw_steps))
+}
+
+fn case() -> impl Strategy<Value = (u64, Vec<u32>)> {
+    let steps = prop::collection::vec(any::<u32>(), 1..MAX_STEPS);
+    (any::<u64>(), steps)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn an_action_starts_at_most_once_and_is_not_stuck((seed, raw_steps) in case()) {
+        let (seen, stuck) = run(seed, raw_steps);
+        prop_assert_eq!(seen.violation(), None);
+        prop_assert_eq!(stuck, Vec::<ActionKey>::new());
+    }
+}
+
+#[test]
+fn the_generated_cases_reach_every_verdict() {
+    let mut runner = proptest::test_runner::TestRunner::new(ProptestConfig {
+        rng_seed: RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    });
+    let mut total: HashMap<&'static str, u32> = HashMap::new();
+    for _ in 0..300 {
+        let (seed, raw_steps) = case().new_tree(&mut runner).expect("a case").current();
+        for (verdict, n) in run(seed, raw_steps).0.verdicts {
+            *total.entry(verdict).or_default() += n;
+        }
+    }
+    for verdict in [
+        "won",
+        "held",
+        "ran",
+        "barred",
+        "unavailable",
+        "cancelled",
+        "bar",
+    ] {
+        assert!(total.get(verdict).is_some_and(|n| *n > 50), "{total:?}");
+    }
+}
--- a/bulrushward_claims/tests/store.rs
+++ b/bulrushward_claims/tests/store.rs
@@ -1,5 +1,6 @@
 //! The claim store against a key-value service with faults.
 
+#[expect(dead_code, reason = "the support module serves other test files too")]
 mod support;
 
 use std::{num::NonZeroU32, sync::Arc, time::Duration};
--- a/bulrushward_claims/tests/support/mod.rs
+++ b/bulrushward_claims/tests/support/mod.rs
@@ -7,8 +7,12 @@
 };
 
 use async_trait::async_trait;
+use bulrushward_claims::encode_record;
 use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_policy::claim::ClaimRecord;
 use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
 use tokio::time::sleep;
 
 /// What befalls one write of a record.
@@ -20,7 +24,7 @@
     LoseRequest,
     /// The write has no answer and arrives after a delay.
     ArriveLate(Duration),
-    /// Another writer writes the same value again just before.
+    /// Another writer writes the value that is stored again just before.
     Overtake,
     /// The service says that it refuses.
     Refuse,
@@ -32,10 +36,37 @@
     faults: VecDeque<WriteFault>,
     is_down: bool,
     latency: Duration,
+    chaos: Option<Pcg64>,
     reads: u64,
     writes: u64,
 }
 
+impl State {
+    fn draw_call(&mut self) -> (Duration, bool) {
+        let Some(rng) = &mut self.chaos else {
+            return (self.latency, self.is_down);
+        };
+        let longest = if rng.random_ratio(1, 16) { 1_000 } else { 5 };
+        let latency = Duration::from_millis(rng.random_range(1..=longest));
+        (latency, self.is_down)
+    }
+
+    fn draw_fault(&mut self) -> Option<WriteFault> {
+        let Some(rng) = &mut self.chaos else {
+            return self.faults.pop_front();
+        };
+        let delay = Duration::from_millis(rng.random_range(1..5_000));
+        match rng.random_range(0..16) {
+            0 | 1 => Some(WriteFault::LoseAnswer),
+            2 => Some(WriteFault::LoseRequest),
+            3 => Some(WriteFault::ArriveLate(delay)),
+            4 => Some(WriteFault::Overtake),
+            5 => Some(WriteFault::Refuse),
+            _ => None,
+        }
+    }
+}
+
 /// The stand-in; clones share one state.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryKv {
@@ -47,6 +78,11 @@
         self.state.lock().unwrap().latency = latency;
     }
 
+    /// Draws the latency of every call and the fault of every write from now on, or stops that.
+    pub fn set_chaos(&self, seed: Option<u64>) {
+        self.state.lock().unwrap().chaos = seed.map(Pcg64::seed_from_u64);
+    }
+
     pub fn set_down(&self, is_down: bool) {
         self.state.lock().unwrap().is_down = is_down;
     }
@@ -87,10 +123,7 @@
     }
 
     async fn arrive(&self, key: &str) -> Result<(), KvError> {
-        let (latency, is_down) = {
-            let state = self.state.lock().unwrap();
-            (state.latency, state.is_down)
-        };
+        let (latency, is_down) = self.state.lock().unwrap().draw_call();
         if !latency.is_zero() {
             sleep(latency).await;
         }
@@ -120,7 +153,7 @@
         if key.ends_with("layout") {
             return Ok(self.write(key, expected, value));
         }
-        let fault = self.state.lock().unwrap().faults.pop_front();
+        let fault = self.state.lock().unwrap().draw_fault();
         match fault {
             None => Ok(self.write(key, expected, value)),
             Some(WriteFault::LoseAnswer) => {
@@ -137,8 +170,8 @@
                 std::future::pending().await
             }
             Some(WriteFault::Overtake) => {
-                let stored = self.entry(key).map_or(value.clone(), |entry| entry.value);
-                self.put(key, stored);
+                let stored = self.entry(key).map(|entry| entry.value);
+                self.put(key, stored.unwrap_or_else(empty_record));
                 Ok(self.write(key, expected, value))
             }
             Some(WriteFault::Refuse) => Err(KvError::Refused {
@@ -158,6 +191,10 @@
     }
 }
 
+fn empty_record() -> Bytes {
+    encode_record(&ClaimRecord::default()).expect("an empty record is encoded")
+}
+
 fn lost<T>(key: &str) -> Result<T, KvError> {
     Err(KvError::Unavailable {
         key: key.into(),
