--- /dev/null
+++ b/bulrushward_claims/tests/limits.rs
@@ -0,0 +1,240 @@
+//! Groups, sizes, retention and unreadable values of the claim store.
+
+#[expect(dead_code, reason = "the support module serves other test files too")]
+mod support;
+
+use std::{num::NonZeroU32, sync::Arc, time::Duration};
+
+use bulrushward_claims::{
+    ClaimSettings, ClaimStore, Claims, KvCause, Verdict, decode_record, encode_record,
+};
+use bulrushward_policy::claim::{ClaimChange, ClaimRecord, action_from_content};
+use bytes::Bytes;
+use futures_util::future::join_all;
+use proptest::{prelude::*, test_runner::RngSeed};
+use support::MemoryKv;
+use tokio::time::{Instant, sleep};
+
+const A: u128 = 0xA;
+const B: u128 = 0xB;
+const RECORD: &str = "claims/registry/0";
+const LAYOUT: &str = "claims/registry/layout";
+
+fn settings() -> ClaimSettings {
+    ClaimSettings {
+        shards: NonZeroU32::MIN,
+        seed: 1,
+        ..ClaimSettings::new("registry")
+    }
+}
+
+fn start(kv: &MemoryKv, settings: ClaimSettings) -> Arc<ClaimStore> {
+    kv.set_latency(Duration::from_millis(4));
+    ClaimStore::start(Arc::new(kv.clone()), settings)
+}
+
+fn writes(store: &ClaimStore) -> u64 {
+    let calls = store.counters().calls;
+    let writes = calls.iter().filter(|(cause, _)| cause.is_write());
+    writes.map(|(_, n)| n).sum()
+}
+
+#[tokio::test(start_paused = true)]
+async fn claims_that_come_together_share_a_write() {
+    let kv = MemoryKv::default();
+    let store = start(&kv, settings());
+    assert_eq!(store.claim(0, A).await, Verdict::Won);
+    let before = Instant::now();
+    let verdicts = join_all((1..=500).map(|action| store.claim(action, A))).await;
+    assert!(verdicts.iter().all(|verdict| *verdict == Verdict::Won));
+    assert!(
+        before.elapsed() <= Duration::from_millis(60),
+        "{:?}",
+        before.elapsed()
+    );
+    assert_eq!(writes(&store), 2);
+    for action in 0..=500 {
+        store.finished(action, A);
+    }
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(writes(&store), 3);
+    assert_eq!(store.counters().changes, 1_002);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lone_claim_takes_one_write_and_no_read_once_the_record_is_cached() {
+    let kv = MemoryKv::default();
+    let store = start(&kv, settings());
+    assert_eq!(store.claim(1, A).await, Verdict::Won);
+    sleep(Duration::from_secs(1)).await;
+    let (reads, writes) = (kv.reads(), kv.writes());
+    let before = Instant::now();
+    assert_eq!(store.claim(2, A).await, Verdict::Won);
+    assert_eq!(before.elapsed(), Duration::from_millis(4));
+    assert_eq!((kv.reads(), kv.writes()), (reads, writes + 1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_finished_is_committed_when_the_store_is_dropped() {
+    let kv = MemoryKv::default();
+    let store = start(&kv, settings());
+    assert_eq!(store.claim(1, A).await, Verdict::Won);
+    store.finished(1, A);
+    drop(store);
+    sleep(Duration::from_millis(100)).await;
+    let other = start(&kv, settings());
+    assert_eq!(other.claim(1, B).await, Verdict::Ran { holder: A });
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_record_at_its_limit_refuses_claims_until_entries_expire() {
+    let kv = MemoryKv::default();
+    let value_limit = 10_000;
+    let store = start(
+        &kv,
+        ClaimSettings {
+            value_limit,
+            ..settings()
+        },
+    );
+    let actions: Vec<_> = (0..300).map(action_from_content).collect();
+    let verdicts = join_all(actions.iter().map(|action| store.claim(*action, A))).await;
+    let with = |wanted| {
+        let pairs = actions.iter().zip(&verdicts);
+        let actions = pairs.filter(move |(_, verdict)| **verdict == wanted);
+        actions.map(|(action, _)| *action).collect::<Vec<_>>()
+    };
+    let (won, full) = (with(Verdict::Won), with(Verdict::Full));
+    assert!((150..300).contains(&won.len()), "{}", won.len());
+    assert_eq!(won.len() + full.len(), actions.len());
+    let stored = kv.entry(RECORD).expect("written").value;
+    assert!(stored.len() <= value_limit);
+    for action in &won {
+        assert_eq!(store.claim(*action, B).await, Verdict::Held { holder: A });
+        store.finished(*action, A);
+    }
+    sleep(Duration::from_secs(100)).await;
+    assert_eq!(store.claim(won[0], B).await, Verdict::Ran { holder: A });
+    sleep(Duration::from_mins(1)).await;
+    assert_eq!(store.claim(full[0], A).await, Verdict::Won);
+    assert_eq!(store.claim(won[0], B).await, Verdict::Won);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_value_that_is_no_record_is_refused_and_left_alone() {
+    let mut record = ClaimRecord::default();
+    record.apply(1, A, ClaimChange::Finish, 1_000);
+    let good = encode_record(&record).expect("encoded");
+    let truncated = good.slice(..good.len() - 1);
+    let longer = [&good[..], &[0]].concat().into();
+    let other_format = [&[9], &good[1..]].concat().into();
+    for bad in [
+        Bytes::from_static(b"\xff\xff"),
+        Bytes::new(),
+        truncated,
+        longer,
+        other_format,
+    ] {
+        assert!(decode_record(&bad).is_err());
+        let kv = MemoryKv::default();
+        kv.put(RECORD, bad.clone());
+        let store = start(&kv, settings());
+        assert_eq!(store.claim(1, B).await, Verdict::Unavailable);
+        assert!(!store.bar(1, B).await);
+        assert_eq!(kv.entry(RECORD).expect("still there").value, bad);
+        kv.put(RECORD, good.clone());
+        assert_eq!(store.claim(1, B).await, Verdict::Ran { holder: A });
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_stored_number_of_records_goes_before_the_setting() {
+    let kv = MemoryKv::default();
+    let shards = |n| NonZeroU32::new(n).expect("not 0");
+    let first = start(
+        &kv,
+        ClaimSettings {
+            shards: shards(4),
+            ..settings()
+        },
+    );
+    assert_eq!(first.claim(7, A).await, Verdict::Won);
+    let second = start(
+        &kv,
+        ClaimSettings {
+            shards: shards(5),
+            seed: 2,
+            ..settings()
+        },
+    );
+    assert_eq!(second.claim(7, B).await, Verdict::Held { holder: A });
+    assert_eq!(kv.entry(LAYOUT).expect("written").value, "4");
+
+    let kv = MemoryKv::default();
+    kv.put(LAYOUT, Bytes::from_static(b"many"));
+    let store = start(&kv, settings());
+    assert_eq!(store.claim(7, A).await, Verdict::Unavailable);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_causes_of_all_calls_are_counted() {
+    let kv = MemoryKv::default();
+    let store = start(&kv, settings());
+    assert_eq!(store.claim(1, A).await, Verdict::Won);
+    kv.set_down(true);
+    assert_eq!(store.claim(2, A).await, Verdict::Unavailable);
+    sleep(Duration::from_secs(3)).await;
+    kv.set_down(false);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(store.claim(1, B).await, Verdict::Held { holder: A });
+    let counters = store.counters();
+    let total: u64 = counters.calls.iter().map(|(_, n)| n).sum();
+    assert_eq!(total, kv.reads() + kv.writes());
+    let count = |cause| {
+        counters
+            .calls
+            .iter()
+            .find(|(c, _)| *c == cause)
+            .expect("listed")
+            .1
+    };
+    assert_eq!(count(KvCause::Layout), 2);
+    assert_eq!(count(KvCause::ReadBack), 1);
+    assert!(count(KvCause::Probe) >= 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_record_is_read_as_written_in_the_size_it_states(
+        changes in prop::collection::vec((any::<u128>(), any::<u128>(), 0_u8..3), 0..40),
+        clock_ms: u64,
+    ) {
+        let mut record = ClaimRecord::default();
+        record.advance_clock(clock_ms);
+        for (action, attempt, kind) in changes {
+            let change = match kind {
+                0 => ClaimChange::Claim { nonce: clock_ms },
+                1 => ClaimChange::Finish,
+                _ => ClaimChange::Bar,
+            };
+            record.apply(action, attempt, change, usize::MAX);
+        }
+        record.take_changed();
+        let value = encode_record(&record).expect("encoded");
+        prop_assert_eq!(value.len(), record.encoded_size());
+        prop_assert_eq!(decode_record(&value).expect("decoded"), record);
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_an_error_or_a_record(value in prop::collection::vec(any::<u8>(), 0..200)) {
+        if let Ok(record) = decode_record(&value) {
+            prop_assert_eq!(record.encoded_size(), value.len());
+        }
+    }
+}
