--- a/bulrushward/src/agent/attempts.rs
+++ b/bulrushward/src/agent/attempts.rs
@@ -1,7 +1,7 @@
 //! The attempts that an agent knows: running, finished and barred.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -61,7 +61,7 @@
 struct Tables {
     attempts: HashMap<AttemptId, Arc<Attempt>>,
     actions: HashMap<ActionKey, Arc<Attempt>>,
-    barred: HashMap<AttemptId, ()>,
+    barred: HashSet<AttemptId>,
     barred_order: VecDeque<AttemptId>,
     finished: VecDeque<(Instant, AttemptId)>,
 }
@@ -76,7 +76,7 @@
     /// Enters an attempt, unless it or its action is known or it was barred.
     pub(crate) fn enter(&self, req: RunRequest, now: Instant) -> Entry {
         let mut tables = self.lock();
-        if tables.barred.contains_key(&req.attempt) {
+        if tables.barred.contains(&req.attempt) {
             return Entry::Barred;
         }
         if let Some(known) = tables.attempts.get(&req.attempt) {
@@ -158,7 +158,7 @@
 
 impl Tables {
     fn remember_barred(&mut self, id: AttemptId) {
-        if self.barred.insert(id, ()).is_none() {
+        if self.barred.insert(id) {
             self.barred_order.push_back(id);
         }
         if self.barred_order.len() > MAX_BARRED
--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -69,7 +69,7 @@
             settings.health_path.clone(),
             settings.backend_silence,
         )?;
-        let config = control.snapshot().config.clone();
+        let config = Arc::clone(&control.snapshot().config);
         let queue = Mutex::new(AdmissionQueue::new(admission_settings(&config, &settings)));
         Ok(Arc::new(Self {
             settings,
@@ -243,7 +243,7 @@
     async fn follow_configuration(self: Arc<Self>) {
         let mut revisions = self.control.revisions();
         while revisions.changed().await.is_ok() {
-            let config = self.control.snapshot().config.clone();
+            let config = Arc::clone(&self.control.snapshot().config);
             let settings = admission_settings(&config, &self.settings);
             let started = self.lock_queue().reconfigure(settings, Instant::now());
             self.start_attempts(&started);
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -63,8 +63,8 @@
     let store = Arc::clone(&platform.store);
     let router = Router::new(settings, Arc::clone(&control), store, router_metrics)?;
     router.start();
-    let routes = admin_routes(&control, metrics).push(router.admin_routes());
-    let admin = http::listen("admin", common.admin_address, routes).await?;
+    let admin = admin_routes(&control, metrics).push(router.admin_routes());
+    let admin = http::listen("admin", common.admin_address, admin).await?;
     let callers = http::listen("caller", listen, router.routes()).await?;
     info!(event = "started", role = "router", node = common.node, listen = %callers.address);
     stop.cancelled().await;
--- a/bulrushward/src/metrics.rs
+++ b/bulrushward/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of the daemon, in the text format of OpenMetrics.
+//! Metrics of the daemon, in the `OpenMetrics` text format.
 
 use std::sync::atomic::{AtomicI64, AtomicU64};
 
@@ -191,9 +191,9 @@
     }
 
     pub(crate) fn load(&self, load: WorkUnits, queued: usize, running: usize) {
-        self.load.set(load as i64);
-        self.queued.set(queued as i64);
-        self.running.set(running as i64);
+        self.load.set(load.cast_signed());
+        self.queued.set(queued.cast_signed() as i64);
+        self.running.set(running.cast_signed() as i64);
     }
 }
 
--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -46,6 +46,17 @@
     },
 }
 
+/// How far an attempt is, as far as its router has heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    Sent,
+    Admitted,
+    Started,
+    Head,
+    /// Ended, or given up by the router.
+    Done,
+}
+
 /// One attempt as its router sees it.
 pub(crate) struct AttemptStream {
     router: Arc<Router>,
@@ -55,12 +66,9 @@
     encoded: Bytes,
     connection: Option<reqwest::Response>,
     decoder: FrameDecoder,
-    admitted: bool,
-    started: bool,
-    head: bool,
+    stage: Stage,
     received: u64,
     resumes: u32,
-    done: bool,
 }
 
 impl AttemptStream {
@@ -78,18 +86,15 @@
             encoded: encode(req)?.into(),
             connection: None,
             decoder: FrameDecoder::default(),
-            admitted: false,
-            started: false,
-            head: false,
+            stage: Stage::Sent,
             received: 0,
             resumes: 0,
-            done: false,
         })
     }
 
     /// Returns whether the agent said that the attempt started.
     pub(crate) fn has_started(&self) -> bool {
-        self.started
+        self.stage >= Stage::Started
     }
 
     /// Returns the next frame that the router has not seen; heartbeats are left out.
@@ -115,7 +120,9 @@
     /// Checks a frame against what was received; `None` if it brings nothing new.
     fn accept(&mut self, frame: Frame) -> Result<Option<Frame>, Broken> {
         let agent = self.agent;
-        if !self.admitted && !matches!(frame, Frame::Admitted { .. } | Frame::Refused(_)) {
+        if self.stage < Stage::Admitted
+            && !matches!(frame, Frame::Admitted { .. } | Frame::Refused(_))
+        {
             return MismatchSnafu {
                 agent,
                 detail: "the first frame does not name the attempt",
@@ -129,17 +136,17 @@
             }
             .fail(),
             Frame::Admitted { .. } => {
-                self.admitted = true;
+                self.reach(Stage::Admitted);
                 Ok(None)
             }
             Frame::Heartbeat => Ok(None),
             Frame::Started => {
-                self.started = true;
+                self.reach(Stage::Started);
                 Ok(None)
             }
-            Frame::Head { .. } if self.head => Ok(None),
+            Frame::Head { .. } if self.stage >= Stage::Head => Ok(None),
             Frame::Head { .. } => {
-                self.head = true;
+                self.reach(Stage::Head);
                 Ok(Some(frame))
             }
             Frame::Data { offset, bytes } => self.accept_data(offset, bytes),
@@ -149,12 +156,17 @@
             }
             .fail(),
             Frame::End { .. } | Frame::Refused(_) => {
-                self.done = true;
+                self.reach(Stage::Done);
                 Ok(Some(frame))
             }
         }
     }
 
+    /// Moves on to a stage; resuming repeats earlier ones, which change nothing.
+    fn reach(&mut self, stage: Stage) {
+        self.stage = self.stage.max(stage);
+    }
+
     fn accept_data(&mut self, offset: u64, mut bytes: Bytes) -> Result<Option<Frame>, Broken> {
         let Some(known) = self.received.checked_sub(offset) else {
             let detail = "a piece is missing";
@@ -261,7 +273,7 @@
         if answer.status() != StatusCode::NOT_FOUND {
             return Ok(Some(answer));
         }
-        if self.admitted {
+        if self.stage >= Stage::Admitted {
             return Ok(None);
         }
         // The attempt never arrived, and a repeat of the same attempt cannot run twice.
@@ -278,12 +290,12 @@
 
     /// Gives the attempt up without a word to its agent.
     pub(crate) fn abandon(&mut self) {
-        self.done = true;
+        self.reach(Stage::Done);
     }
 
     /// Makes sure, if possible, that the attempt never starts.
     pub(crate) async fn bar(&mut self) -> Outcome {
-        self.done = true;
+        self.reach(Stage::Done);
         bar(&self.router, self.agent, self.attempt, self.action).await
     }
 }
@@ -291,7 +303,7 @@
 impl Drop for AttemptStream {
     /// Frees the backend server from an answer that nobody wants; actions run to their end.
     fn drop(&mut self) {
-        if self.done || self.action.is_some() {
+        if self.stage == Stage::Done || self.action.is_some() {
             return;
         }
         let router = Arc::clone(&self.router);
--- a/bulrushward/src/router/listener.rs
+++ b/bulrushward/src/router/listener.rs
@@ -190,15 +190,15 @@
         match next_piece(stream).await {
             Ok(Some(piece)) => Some(Ok(piece)),
             Ok(None) => None,
-            Err(message) => self.cut(message, started),
+            Err(message) => Some(self.cut(message, started)),
         }
     }
 
     /// Ends an answer that cannot be finished: an error event if the answer is an event stream,
     /// and in any case a connection that breaks off, never an end that looks whole.
-    fn cut(&mut self, message: String, since: Instant) -> Option<Result<Bytes, std::io::Error>> {
+    fn cut(&mut self, message: String, since: Instant) -> Result<Bytes, std::io::Error> {
         if self.ended {
-            return Some(Err(std::io::Error::other(message)));
+            return Err(std::io::Error::other(message));
         }
         self.ended = true;
         info!(
@@ -209,11 +209,11 @@
             milliseconds = since.elapsed().as_millis() as u64,
         );
         if !self.is_event_stream {
-            return Some(Err(std::io::Error::other(message)));
+            return Err(std::io::Error::other(message));
         }
         let outcome = Outcome::Unknown;
         let body = refusal::error_body(self.request, "refused", CUT_CODE, outcome, &message);
-        Some(Ok(Bytes::from(format!("data: {body}\n\n"))))
+        Ok(Bytes::from(format!("data: {body}\n\n")))
     }
 }
 
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A small fleet of real processes before in-process stand-ins.
 
 use std::{
+    fmt::Write,
     net::{SocketAddr, TcpListener},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -58,13 +59,6 @@
         }
     }
 
-    pub fn is_running(&mut self) -> bool {
-        self.child
-            .try_wait()
-            .expect("the process can be waited for")
-            .is_none()
-    }
-
     fn pid(&self) -> Pid {
         Pid::from_raw(self.child.id().cast_signed())
     }
@@ -305,10 +299,11 @@
 
 /// Returns the standard text with further lines at its end.
 pub fn text(more: &str) -> String {
-    let hash: String = Sha256::digest(API_KEY.as_bytes())
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
+    let digest: [u8; 32] = Sha256::digest(API_KEY.as_bytes()).into();
+    let hash = digest.iter().fold(String::new(), |mut hash, byte| {
+        write!(hash, "{byte:02x}").expect("a string takes text");
+        hash
+    });
     format!(
         r#"
 [fleet]
