--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -10,7 +10,7 @@
 use snafu::Snafu;
 
 use super::transcript::Transcript;
-use crate::{error::DaemonError, http};
+use crate::{error::DaemonError, failpoint, http};
 
 /// Time after which a health probe counts as failed.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -118,6 +118,7 @@
     ) -> Result<(), BackendError> {
         let mut answer = self.send(req).await?;
         let streamed = is_event_stream(&answer);
+        failpoint::hit("agent-first-byte");
         transcript.head(Frame::Head {
             status: answer.status().as_u16(),
             headers: kept_headers(&answer),
@@ -126,6 +127,7 @@
         while let Some(chunk) = self.next_chunk(&mut answer).await? {
             keep_tail(&mut tail, &chunk);
             transcript.data(chunk).await;
+            failpoint::hit("agent-streaming");
             progress();
         }
         let whole = tail
--- a/bulrushward/src/agent/listener.rs
+++ b/bulrushward/src/agent/listener.rs
@@ -13,6 +13,7 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode};
 
 use super::{ABANDONED_GRACE, Agent, attempts::Attempt, refusals, transcript::Read};
+use crate::failpoint;
 
 /// Largest encoded request in bytes: a caller's body and its envelope.
 const MAX_REQUEST_BYTES: usize = 64 << 20;
@@ -60,7 +61,7 @@
             Ok(run) => run,
             Err(error) => return bad_request(res, &error.to_string()),
         };
-        fail::fail_point!("agent-received");
+        failpoint::hit("agent-received");
         let id = run.attempt;
         match self.agent.receive(run) {
             Ok(attempt) => answer(&self.agent, res, attempt, id, 0),
--- a/bulrushward/src/agent/runner.rs
+++ b/bulrushward/src/agent/runner.rs
@@ -7,6 +7,7 @@
 use tracing::info;
 
 use super::{Agent, attempts::Attempt, backend::BackendError, refusals};
+use crate::failpoint;
 
 /// How an attempt ended, for logs and metrics.
 #[derive(Clone, Copy, Debug, strum::Display)]
@@ -20,6 +21,7 @@
 
 /// Runs an attempt that was admitted, from its wait for a place to its last frame.
 pub(crate) async fn run(agent: Arc<Agent>, attempt: Arc<Attempt>) {
+    failpoint::hit("agent-admitted");
     let ending = wait_and_run(&agent, &attempt).await;
     let now = Instant::now();
     agent.leave_queue(attempt.req.attempt, matches!(ending, Ending::Whole), now);
@@ -42,6 +44,7 @@
         () = attempt.start.notified() => {}
         () = attempt.cancelled.cancelled() => return give_up(attempt),
     }
+    failpoint::hit("agent-dequeued");
     // Suspects run one at a time, so that a crash has one culprit.
     let _alone = if attempt.req.suspect {
         let Ok(permit) = agent.suspects.acquire().await else {
@@ -57,12 +60,12 @@
     {
         return ending;
     }
-    fail::fail_point!("agent-before-start");
+    failpoint::hit("agent-claimed");
     if attempt.cancelled.is_cancelled() || !attempt.transcript.begin() {
         release(agent, attempt, claimed);
         return give_up(attempt);
     }
-    fail::fail_point!("agent-after-start");
+    failpoint::hit("agent-started");
     run_backend(agent, attempt, claimed).await
 }
 
@@ -134,7 +137,9 @@
     };
     match result {
         Ok(()) => {
+            failpoint::hit("agent-finished");
             settle(agent, attempt, claimed);
+            failpoint::hit("agent-recorded");
             attempt.transcript.end();
             Ending::Whole
         }
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -21,7 +21,7 @@
     cli::Command,
     control::{self, Control, ControlThread},
     error::DaemonError,
-    http,
+    failpoint, http,
     metrics::Metrics,
     router::Router,
     settings::{AgentSettings, CommonSettings, RouterSettings},
@@ -36,6 +36,7 @@
 ///
 /// Returns [`DaemonError`] if the process cannot start.
 pub async fn run(command: Command) -> Result<(), DaemonError> {
+    let _fail_points = failpoint::start();
     let stop = CancellationToken::new();
     stop_on_signal(&stop)?;
     match command {
--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -12,6 +12,7 @@
 use tracing::info;
 
 use super::Router;
+use crate::failpoint;
 
 /// New connections that are tried after one went silent.
 const MAX_RESUMES: u32 = 3;
@@ -205,6 +206,7 @@
         match self.post(&client).await {
             Ok(connection) => {
                 self.connection = Some(connection);
+                failpoint::hit("router-sent");
                 Ok(())
             }
             Err(detail) => self.resume(detail).await,
--- a/bulrushward/src/router/forward.rs
+++ b/bulrushward/src/router/forward.rs
@@ -19,6 +19,7 @@
     candidates,
     job::Job,
 };
+use crate::failpoint;
 
 /// Bytes of an answer that are held back until it is whole; longer answers are passed on as they
 /// come, and a failure then cuts them visibly.
@@ -54,6 +55,7 @@
 pub(crate) async fn forward(router: &Arc<Router>, job: &Job) -> Result<Answer, Refusal> {
     check_dependencies(router, job)?;
     let agents = candidates::for_job(router, job);
+    failpoint::hit("router-placed");
     let mut progress = RequestProgress::new(RequestFacts {
         candidates: agents.len(),
         idempotent: job.is_idempotent(),
--- a/bulrushward/src/router/listener.rs
+++ b/bulrushward/src/router/listener.rs
@@ -19,6 +19,7 @@
     job::Job,
     refusal::{self, Rejection},
 };
+use crate::failpoint;
 
 /// Error that ends a streamed answer which was cut.
 const CUT_CODE: &str = "answer-cut";
@@ -95,6 +96,7 @@
             return rejection.render(request, res);
         }
     };
+    failpoint::hit("router-received");
     router.metrics.request(&job.kind);
     match forward::forward(router, &job).await {
         Ok(answer) => {
@@ -103,6 +105,7 @@
                 .metrics
                 .first_byte(&job.kind, first_byte.as_secs_f64());
             log_answer(&job, &answer.backend, first_byte.as_millis() as u64);
+            failpoint::hit("router-head");
             render_answer(request, answer, res);
         }
         Err(refused) => {
@@ -188,7 +191,10 @@
         let stream = self.answer.rest.as_mut()?;
         let started = Instant::now();
         match next_piece(stream).await {
-            Ok(Some(piece)) => Some(Ok(piece)),
+            Ok(Some(piece)) => {
+                failpoint::hit("router-streaming");
+                Some(Ok(piece))
+            }
             Ok(None) => None,
             Err(message) => Some(self.cut(message, started)),
         }
