--- a/bulrushward_policy/tests/admission.rs
+++ b/bulrushward_policy/tests/admission.rs
@@ -331,3 +331,23 @@
     assert_eq!(reason(refused), Some(RefusalReason::Draining));
     assert_eq!(queue.finish(0, now), vec![1]);
 }
+
+#[test]
+fn waiting_places_are_bounded_and_some_are_kept_for_long_work() {
+    let now = Instant::now();
+    let mut queue = AdmissionQueue::new(settings(1, 16, 1_000_000));
+    let offer = |queue: &mut AdmissionQueue, id: AttemptId, kind| {
+        queue.offer(&ticket(id, &format!("org-{id}"), kind, 10, now), 0.0, now)
+    };
+    assert_eq!(offer(&mut queue, 0, "quick"), Decision::Start);
+    for id in 1..=12 {
+        assert_eq!(offer(&mut queue, id, "quick"), Decision::Queue);
+    }
+    let refused = offer(&mut queue, 13, "quick");
+    assert_eq!(reason(refused), Some(RefusalReason::QueueFull));
+    for id in 14..18 {
+        assert_eq!(offer(&mut queue, id, "long"), Decision::Queue);
+    }
+    let refused = offer(&mut queue, 18, "long");
+    assert_eq!(reason(refused), Some(RefusalReason::QueueFull));
+}
