--- a/bulrushward_fakes/src/engine.rs
+++ b/bulrushward_fakes/src/engine.rs
@@ -1,109 +1,161 @@
 //! Stand-in for a model engine.
 
+mod batch;
+mod cache;
+mod cache_events;
 mod chat;
+mod generation;
+mod load;
+mod orders;
 mod settings;
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use salvo::{Request, Response, async_trait, http::Method};
-use serde::{Deserialize, Serialize};
-
-use self::chat::ChatRequest;
-pub use self::{chat::answer_tokens, settings::EngineSettings};
-use crate::http::{Endpoint, HttpServer, Refusal, read_json, write_json};
-
-/// Load of an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineLoad {
-    /// Requests that produce tokens.
-    pub running: usize,
-    /// Requests that wait for a place in the batch.
-    pub waiting: usize,
-}
+
+use self::{
+    batch::Batch, cache::PrefixCache, cache_events::CacheEvents, chat::ChatRequest,
+    load::LoadHistory, orders::Orders,
+};
+pub use self::{
+    cache_events::CacheEvent,
+    chat::{ChatMessage, answer_tokens, prompt_of},
+    load::EngineLoad,
+    orders::{EngineOrder, EngineRole, OrderRequest, OrdersState},
+    settings::{EngineFaults, EngineSettings},
+};
+use crate::{
+    crash::Process,
+    fake::{Addresses, Fake, FakeState},
+    faults::Faults,
+    http::{Endpoint, Failure, Refusal, read_json, write_json},
+};
 
 /// A running engine.
+pub type FakeEngine = Fake<EngineState>;
+
+/// State of an engine.
 #[derive(Debug)]
-pub struct FakeEngine {
-    server: HttpServer,
+pub struct EngineState {
+    settings: EngineSettings,
+    faults: Faults<EngineFaults>,
+    process: Process,
+    batch: Batch,
+    load: Arc<LoadHistory>,
+    cache: Mutex<PrefixCache>,
+    cache_events: CacheEvents,
+    orders: Orders,
 }
 
 impl FakeEngine {
-    /// Starts an engine on a free port of the loopback interface.
+    /// Starts an engine on free ports of the loopback interface.
     ///
     /// # Errors
     ///
-    /// Returns an error if the port cannot be bound.
+    /// Returns an error if a port cannot be bound.
     pub async fn start(settings: EngineSettings) -> io::Result<Self> {
-        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), settings).await
+        Self::start_at(Addresses::default(), settings).await
     }
 
-    /// Starts an engine at an address; port 0 takes a free one.
+    /// Starts an engine at set addresses.
     ///
     /// # Errors
     ///
-    /// Returns an error if the address cannot be bound.
-    pub async fn start_at(address: SocketAddr, settings: EngineSettings) -> io::Result<Self> {
-        let state = Arc::new(EngineState {
-            settings,
-            running: AtomicUsize::new(0),
-        });
-        let server = HttpServer::start(address, EngineEndpoint(state)).await?;
-        Ok(Self { server })
+    /// Returns an error if an address cannot be bound.
+    pub async fn start_at(addresses: Addresses, settings: EngineSettings) -> io::Result<Self> {
+        Self::launch(addresses, |network| {
+            let load = Arc::new(LoadHistory::new(settings.load_lag));
+            EngineState {
+                faults: Faults::default(),
+                process: Process::new(settings.on_crash, network),
+                batch: Batch::new(settings.batch_size, Arc::clone(&load)),
+                load,
+                cache: Mutex::new(PrefixCache::new(
+                    settings.block_tokens,
+                    settings.cache_blocks,
+                )),
+                cache_events: CacheEvents::new(
+                    settings.cache_event_delay,
+                    settings.cache_event_gap,
+                ),
+                orders: Orders::new(settings.checks_fencing),
+                settings,
+            }
+        })
+        .await
+    }
+
+    /// Returns the load at this moment.
+    #[must_use]
+    pub fn load(&self) -> EngineLoad {
+        self.state.load.now()
     }
 
-    /// Returns the address that the engine listens on.
+    /// Returns what the engine's orders have led to.
     #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
+    pub fn orders(&self) -> OrdersState {
+        self.state.orders.state()
     }
 
-    /// Returns the base URL of the engine.
+    /// Returns the number of crashes so far.
     #[must_use]
-    pub fn url(&self) -> String {
-        format!("http://{}", self.address())
+    pub fn crashes(&self) -> u64 {
+        self.state.process.crashes()
     }
 
-    /// Stops after the requests in progress.
-    pub async fn stop(mut self) {
-        self.server.stop().await;
+    /// Takes up work again after a crash, with an empty cache and without orders.
+    pub async fn restart(&self) {
+        let removed = self.state.cache().clear();
+        self.state.cache_events.publish(Vec::new(), removed);
+        self.state.orders.clear();
+        self.network().restore().await;
     }
 }
 
-#[derive(Debug)]
-struct EngineState {
-    settings: EngineSettings,
-    running: AtomicUsize,
+impl FakeState for EngineState {
+    type Faults = EngineFaults;
+
+    fn faults(&self) -> &Faults<EngineFaults> {
+        &self.faults
+    }
 }
 
-struct EngineEndpoint(Arc<EngineState>);
+impl EngineState {
+    fn cache(&self) -> MutexGuard<'_, PrefixCache> {
+        self.cache.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits while the engine is frozen.
+    async fn thawed(&self) {
+        self.faults.wait_for(|faults| !faults.freeze).await;
+    }
+}
 
 #[async_trait]
-impl Endpoint for EngineEndpoint {
-    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
+impl Endpoint for Arc<EngineState> {
+    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Failure> {
+        self.thawed().await;
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/health") => write_json(res, "healthy"),
-            (&Method::GET, "/load") => {
-                let running = self.0.running.load(Ordering::Relaxed);
-                write_json(
-                    res,
-                    EngineLoad {
-                        running,
-                        waiting: 0,
-                    },
-                )
+            (&Method::GET, "/load") => write_json(res, self.load.reported()),
+            (&Method::GET, "/cache-events") => {
+                res.stream(self.cache_events.stream());
+                chat::mark_event_stream(res);
+                Ok(())
+            }
+            (&Method::GET, "/orders") => write_json(res, self.orders.state()),
+            (&Method::POST, "/orders") => {
+                let request: OrderRequest = read_json(req).await?;
+                write_json(res, self.orders.take(request)?)
             }
             (&Method::POST, "/v1/chat/completions") => {
                 let request: ChatRequest = read_json(req).await?;
-                chat::answer(Arc::clone(&self.0), request, res).await
+                chat::answer(Self::clone(self), request, res).await
             }
-            _ => Err(Refusal::unknown_path(req)),
+            _ => Err(Refusal::unknown_path(req).into()),
         }
     }
 }
--- /dev/null
+++ b/bulrushward_fakes/src/engine/cache_events.rs
@@ -0,0 +1,90 @@
+//! Events of the prefix cache, late and with gaps.
+
+use std::{
+    convert::Infallible,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use futures_util::{Stream, stream};
+use serde::{Deserialize, Serialize};
+use serde_with::{hex::Hex, serde_as};
+use tokio::{
+    sync::broadcast::{self, error::RecvError},
+    time::{Instant, sleep_until},
+};
+
+use super::cache::BlockHash;
+
+/// Number of events that a slow reader can fall behind before it misses some.
+const EVENTS_KEPT: usize = 256;
+
+/// Change of the prefix cache.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Number of the event, from 1; a gap tells that events are missing.
+    pub number: u64,
+    /// Hashes of the blocks that were stored.
+    #[serde_as(as = "Vec<Hex>")]
+    pub stored: Vec<[u8; 8]>,
+    /// Hashes of the blocks that were dropped.
+    #[serde_as(as = "Vec<Hex>")]
+    pub removed: Vec<[u8; 8]>,
+}
+
+/// Events of an engine's cache.
+#[derive(Debug)]
+pub(crate) struct CacheEvents {
+    delay: Duration,
+    gap: u64,
+    published: AtomicU64,
+    tx: broadcast::Sender<(Instant, CacheEvent)>,
+}
+
+impl CacheEvents {
+    pub(crate) fn new(delay: Duration, gap: u64) -> Self {
+        let (tx, _) = broadcast::channel(EVENTS_KEPT);
+        Self {
+            delay,
+            gap,
+            published: AtomicU64::new(0),
+            tx,
+        }
+    }
+
+    /// Publishes a change, unless it falls into a gap.
+    pub(crate) fn publish(&self, stored: Vec<BlockHash>, removed: Vec<BlockHash>) {
+        if stored.is_empty() && removed.is_empty() {
+            return;
+        }
+        let number = self.published.fetch_add(1, Ordering::Relaxed) + 1;
+        if self.gap > 0 && number.is_multiple_of(self.gap) {
+            return;
+        }
+        let bytes = |hashes: Vec<BlockHash>| hashes.into_iter().map(u64::to_be_bytes).collect();
+        let event = CacheEvent {
+            number,
+            stored: bytes(stored),
+            removed: bytes(removed),
+        };
+        // Without a listener nobody misses the event.
+        drop(self.tx.send((Instant::now() + self.delay, event)));
+    }
+
+    /// Returns the coming events as server-sent events.
+    pub(crate) fn stream(&self) -> impl Stream<Item = Result<String, Infallible>> + use<> {
+        stream::unfold(self.tx.subscribe(), async |mut rx| {
+            let (due, event) = loop {
+                match rx.recv().await {
+                    Ok(event) => break event,
+                    Err(RecvError::Lagged(_)) => {}
+                    Err(RecvError::Closed) => return None,
+                }
+            };
+            sleep_until(due).await;
+            let data = serde_json::to_string(&event).unwrap_or_default();
+            Some((Ok(format!("data: {data}\n\n")), rx))
+        })
+    }
+}
--- a/bulrushward_fakes/src/engine/chat.rs
+++ b/bulrushward_fakes/src/engine/chat.rs
@@ -1,54 +1,46 @@
 //! Chat completions, whole and streamed.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{io, sync::Arc};
 
-use salvo::{Response, http::header::CONTENT_TYPE};
+use futures_util::stream;
+use salvo::{
+    Response,
+    http::{HeaderValue, header::CONTENT_TYPE},
+};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::EngineState;
-use crate::http::{Refusal, write_json};
-
-/// Prompt bytes that count as one token.
-pub(crate) const BYTES_PER_TOKEN: usize = 4;
+use super::{EngineState, batch::Priority, generation::Generation};
+use crate::http::{Failure, write_json};
 
 /// A chat completion request, as far as the engine heeds it.
 #[derive(Clone, Debug, Deserialize)]
 pub(crate) struct ChatRequest {
-    pub(crate) model: String,
-    pub(crate) messages: Vec<Message>,
+    model: String,
+    messages: Vec<ChatMessage>,
     #[serde(default)]
-    pub(crate) stream: bool,
+    stream: bool,
     #[serde(default, alias = "max_completion_tokens")]
-    pub(crate) max_tokens: Option<usize>,
-}
-
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct Message {
-    pub(crate) role: String,
-    pub(crate) content: String,
+    max_tokens: Option<usize>,
+    #[serde(default)]
+    priority: Priority,
 }
 
-impl ChatRequest {
-    /// Returns the prompt that the messages make.
-    pub(crate) fn prompt(&self) -> String {
-        let mut prompt = String::new();
-        for message in &self.messages {
-            prompt.push_str(&message.role);
-            prompt.push_str(": ");
-            prompt.push_str(&message.content);
-            prompt.push('\n');
-        }
-        prompt
-    }
+/// One message of a chat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// Who wrote it.
+    pub role: String,
+    /// What it says.
+    pub content: String,
 }
 
 #[derive(Debug, Serialize)]
-struct Completion {
-    id: String,
+struct Completion<'a> {
+    id: &'a str,
     object: &'static str,
-    model: String,
-    choices: Vec<Choice>,
+    model: &'a str,
+    choices: [Choice; 1],
     #[serde(skip_serializing_if = "Option::is_none")]
     usage: Option<Usage>,
 }
@@ -56,13 +48,20 @@
 #[derive(Debug, Serialize)]
 struct Choice {
     index: u32,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    message: Option<Message>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    delta: Option<Delta>,
+    #[serde(flatten)]
+    content: Content,
     finish_reason: Option<&'static str>,
 }
 
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Content {
+    /// A whole answer.
+    Message(ChatMessage),
+    /// One token of a stream.
+    Delta(Delta),
+}
+
 #[derive(Debug, Serialize)]
 struct Delta {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -82,26 +81,23 @@
     cached_tokens: usize,
 }
 
-/// Returns the tokens that an engine answers a prompt with; they differ from prompt to prompt.
-pub fn answer_tokens(prompt: &str, count: usize) -> impl Iterator<Item = String> + use<> {
-    let hash = xxh3_64(prompt.as_bytes()) >> 32;
-    (0..count).map(move |index| format!("{hash:08x}-{index} "))
-}
-
-/// Counts a request as running while it exists.
-struct Running(Arc<EngineState>);
-
-impl Running {
-    fn new(state: Arc<EngineState>) -> Self {
-        state.running.fetch_add(1, Ordering::Relaxed);
-        Self(state)
+/// Returns the prompt that messages make.
+#[must_use]
+pub fn prompt_of(messages: &[ChatMessage]) -> String {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str(&message.role);
+        prompt.push_str(": ");
+        prompt.push_str(&message.content);
+        prompt.push('\n');
     }
+    prompt
 }
 
-impl Drop for Running {
-    fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Returns the tokens that an engine answers a prompt with; they differ from prompt to prompt.
+pub fn answer_tokens(prompt: &str, count: usize) -> impl Iterator<Item = String> + use<> {
+    let hash = xxh3_64(prompt.as_bytes());
+    (0..count).map(move |index| format!("{hash:016x}-{index} "))
 }
 
 /// Answers a request.
@@ -109,101 +105,125 @@
     state: Arc<EngineState>,
     request: ChatRequest,
     res: &mut Response,
-) -> Result<(), Refusal> {
-    let prompt = request.prompt();
-    let count = request.max_tokens.unwrap_or(state.settings.answer_tokens);
-    let prompt_tokens = prompt.len().div_ceil(BYTES_PER_TOKEN);
-    let usage = Usage {
-        prompt_tokens,
-        completion_tokens: count,
-        total_tokens: prompt_tokens + count,
-        prompt_tokens_details: PromptTokensDetails { cached_tokens: 0 },
-    };
+) -> Result<(), Failure> {
+    let prompt = prompt_of(&request.messages);
     let id = format!("chatcmpl-{:016x}", xxh3_64(prompt.as_bytes()));
-    let running = Running::new(state);
+    let count = request.max_tokens.unwrap_or(state.settings.answer_tokens);
     if request.stream {
-        stream(running, request.model, id, &prompt, usage, res);
+        let start = Generation::start(state, prompt, count, request.priority);
+        stream_answer(start, id, request.model, res);
         return Ok(());
     }
-    whole(running, request.model, id, &prompt, usage, res).await
+    let generation = Generation::start(state, prompt, count, request.priority).await;
+    whole_answer(generation, &id, &request.model, res).await
 }
 
-async fn whole(
-    running: Running,
-    model: String,
-    id: String,
-    prompt: &str,
-    usage: Usage,
+/// Marks an answer as a stream of server-sent events.
+pub(crate) fn mark_event_stream(res: &mut Response) {
+    let value = HeaderValue::from_static("text/event-stream");
+    res.headers_mut().insert(CONTENT_TYPE, value);
+}
+
+async fn whole_answer(
+    mut generation: Generation,
+    id: &str,
+    model: &str,
     res: &mut Response,
-) -> Result<(), Refusal> {
+) -> Result<(), Failure> {
     let mut content = String::new();
-    for token in answer_tokens(prompt, usage.completion_tokens) {
-        tokio::time::sleep(running.0.settings.token_time).await;
-        content.push_str(&token);
+    loop {
+        match generation.next().await {
+            Ok(Some(token)) => content.push_str(&token),
+            Ok(None) => break,
+            Err(_cut) => return Err(Failure::Closed),
+        }
     }
-    let message = Message {
+    let message = ChatMessage {
         role: "assistant".to_owned(),
         content,
     };
-    let choice = Choice {
+    let content = Content::Message(message);
+    let choices = [Choice {
         index: 0,
-        message: Some(message),
-        delta: None,
+        content,
         finish_reason: Some("stop"),
-    };
+    }];
+    let usage = Some(usage(&generation));
+    write_json(
+        res,
+        Completion {
+            id,
+            object: "chat.completion",
+            model,
+            choices,
+            usage,
+        },
+    )
+}
+
+/// What a stream does next.
+enum Step<S> {
+    Start(S),
+    Token(Generation),
+    End,
+}
+
+fn stream_answer<S>(start: S, id: String, model: String, res: &mut Response)
+where
+    S: Future<Output = Generation> + Send + 'static,
+{
+    mark_event_stream(res);
+    let first = Step::Start(Box::pin(start));
+    res.stream(stream::try_unfold(
+        (first, id, model),
+        async |(step, id, model)| {
+            let mut generation = match step {
+                Step::Start(start) => start.await,
+                Step::Token(generation) => generation,
+                Step::End => return Ok::<_, io::Error>(None),
+            };
+            let Some(token) = generation.next().await? else {
+                let end = event(&id, &model, None, Some(usage(&generation)));
+                return Ok(Some((end + "data: [DONE]\n\n", (Step::End, id, model))));
+            };
+            let mut events = event(&id, &model, Some(token), None);
+            if generation.duplicates_events() {
+                events = events.repeat(2);
+            }
+            Ok(Some((events, (Step::Token(generation), id, model))))
+        },
+    ));
+}
+
+fn event(id: &str, model: &str, content: Option<String>, usage: Option<Usage>) -> String {
+    let finish_reason = usage.map(|_| "stop");
+    let content = Content::Delta(Delta { content });
+    let choices = [Choice {
+        index: 0,
+        content,
+        finish_reason,
+    }];
     let completion = Completion {
         id,
-        object: "chat.completion",
+        object: "chat.completion.chunk",
         model,
-        choices: vec![choice],
-        usage: Some(usage),
+        choices,
+        usage,
     };
-    write_json(res, completion)
+    format!(
+        "data: {}\n\n",
+        serde_json::to_string(&completion).unwrap_or_default()
+    )
 }
 
-fn stream(
-    running: Running,
-    model: String,
-    id: String,
-    prompt: &str,
-    usage: Usage,
-    res: &mut Response,
-) {
-    res.headers_mut().insert(
-        CONTENT_TYPE,
-        salvo::http::HeaderValue::from_static("text/event-stream"),
-    );
-    let mut tx = res.channel();
-    let tokens = answer_tokens(prompt, usage.completion_tokens);
-    let chunk = move |content: Option<String>, usage: Option<Usage>| {
-        let finish_reason = usage.map(|_| "stop");
-        let choice = Choice {
-            index: 0,
-            message: None,
-            delta: Some(Delta { content }),
-            finish_reason,
-        };
-        let completion = Completion {
-            id: id.clone(),
-            object: "chat.completion.chunk",
-            model: model.clone(),
-            choices: vec![choice],
-            usage,
-        };
-        format!(
-            "data: {}\n\n",
-            serde_json::to_string(&completion).unwrap_or_default()
-        )
-    };
-    tokio::spawn(async move {
-        for token in tokens {
-            tokio::time::sleep(running.0.settings.token_time).await;
-            if tx.send_data(chunk(Some(token), None)).await.is_err() {
-                return;
-            }
-        }
-        let end = chunk(None, Some(usage)) + "data: [DONE]\n\n";
-        // A caller that has gone needs no end.
-        let _sent = tx.send_data(end).await;
-    });
+fn usage(generation: &Generation) -> Usage {
+    let prompt_tokens = generation.prompt_tokens();
+    let completion_tokens = generation.answer_tokens();
+    let cached_tokens = generation.cached_tokens();
+    Usage {
+        prompt_tokens,
+        completion_tokens,
+        total_tokens: prompt_tokens + completion_tokens,
+        prompt_tokens_details: PromptTokensDetails { cached_tokens },
+    }
 }
--- /dev/null
+++ b/bulrushward_fakes/src/engine/generation.rs
@@ -0,0 +1,117 @@
+//! Generation of one answer.
+
+use std::{io, sync::Arc};
+
+use tokio::time::sleep;
+
+use super::{
+    EngineState,
+    batch::{Place, Priority},
+    cache::BYTES_PER_TOKEN,
+    chat::answer_tokens,
+};
+
+/// An answer that is being generated; it ends when dropped.
+pub(crate) struct Generation {
+    state: Arc<EngineState>,
+    /// Prompt and the answer so far.
+    text: String,
+    prompt_bytes: usize,
+    tokens: Box<dyn Iterator<Item = String> + Send>,
+    count: usize,
+    produced: usize,
+    cached_tokens: usize,
+    /// Whether the prompt makes the engine crash.
+    crashes: bool,
+    _place: Place,
+}
+
+impl Generation {
+    /// Waits for a place in the batch and reads the prompt.
+    pub(crate) async fn start(
+        state: Arc<EngineState>,
+        prompt: String,
+        count: usize,
+        priority: Priority,
+    ) -> Self {
+        let place = state.batch.enter(priority).await;
+        let cached_tokens = state.cache().cached_tokens(&prompt);
+        let crash_on = state.faults.get().crash_on;
+        let generation = Self {
+            tokens: Box::new(answer_tokens(&prompt, count)),
+            prompt_bytes: prompt.len(),
+            text: prompt,
+            count,
+            produced: 0,
+            cached_tokens,
+            crashes: false,
+            _place: place,
+            state,
+        };
+        let crashes = !crash_on.is_empty() && generation.text.contains(&crash_on);
+        let uncached = generation.prompt_tokens().saturating_sub(cached_tokens);
+        let uncached = u32::try_from(uncached).unwrap_or(u32::MAX);
+        sleep(generation.state.settings.prefill_time * uncached).await;
+        generation.store();
+        Self {
+            crashes,
+            ..generation
+        }
+    }
+
+    /// Returns the next token, or `None` after the last.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the answer is to be cut here.
+    pub(crate) async fn next(&mut self) -> io::Result<Option<String>> {
+        let faults = self.state.faults.get();
+        if self.crashes && self.produced >= faults.crash_after_tokens {
+            self.state.process.crash().await;
+        }
+        if faults
+            .cut_after_tokens
+            .is_some_and(|tokens| self.produced >= tokens)
+        {
+            return Err(io::Error::other("the answer is cut"));
+        }
+        let Some(token) = self.tokens.next() else {
+            self.text.push('\n');
+            self.store();
+            return Ok(None);
+        };
+        sleep(self.state.settings.token_time).await;
+        self.state.thawed().await;
+        if self.produced == 0 {
+            sleep(faults.delay).await;
+            self.text.push_str("assistant: ");
+        }
+        self.produced += 1;
+        self.text.push_str(&token);
+        Ok(Some(token))
+    }
+
+    pub(crate) fn prompt_tokens(&self) -> usize {
+        self.prompt_bytes.div_ceil(BYTES_PER_TOKEN)
+    }
+
+    pub(crate) fn cached_tokens(&self) -> usize {
+        self.cached_tokens.min(self.prompt_tokens())
+    }
+
+    pub(crate) fn answer_tokens(&self) -> usize {
+        self.count
+    }
+
+    pub(crate) fn duplicates_events(&self) -> bool {
+        self.state.faults.get().duplicate_events
+    }
+
+    /// Puts the text so far into the prefix cache.
+    fn store(&self) {
+        let change = self.state.cache().store(&self.text);
+        self.state
+            .cache_events
+            .publish(change.stored, change.removed);
+    }
+}
--- /dev/null
+++ b/bulrushward_fakes/src/key_value/lease.rs
@@ -0,0 +1,141 @@
+//! Leases of the key-value service.
+
+use std::{
+    sync::{Arc, PoisonError},
+    time::Duration,
+};
+
+use bulrushward_platform::gateway::Header;
+use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
+
+use super::state::KeyValueState;
+
+/// Grant of a lease: `POST /v3/lease/grant`.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(crate) struct LeaseGrantRequest {
+    /// Time to live, in seconds.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(rename = "TTL")]
+    ttl: u32,
+    /// Wanted id, or 0 for a free one.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(rename = "ID", default)]
+    id: i64,
+}
+
+/// Heartbeat or end of a lease.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub(crate) struct LeaseRequest {
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(rename = "ID")]
+    id: i64,
+}
+
+/// What has become of a lease; a time to live of 0 says that it is gone.
+#[serde_as]
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct LeaseAnswer {
+    header: Header,
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(rename = "ID")]
+    id: i64,
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(rename = "TTL")]
+    ttl: u32,
+}
+
+/// Lease that lasts until its deadline.
+#[derive(Debug)]
+pub(super) struct Lease {
+    ttl: u32,
+    deadline: watch::Sender<Instant>,
+}
+
+fn deadline(ttl: u32) -> Instant {
+    Instant::now() + Duration::from_secs(ttl.into())
+}
+
+impl KeyValueState {
+    pub(crate) fn grant(self: &Arc<Self>, request: LeaseGrantRequest) -> LeaseAnswer {
+        self.count(|counters| counters.lease_grants += 1);
+        let (tx, rx) = watch::channel(deadline(request.ttl));
+        let mut leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = match request.id {
+            0 => leases.keys().max().map_or(1, |id| id + 1),
+            id => id,
+        };
+        leases.insert(
+            id,
+            Lease {
+                ttl: request.ttl,
+                deadline: tx,
+            },
+        );
+        drop(leases);
+        tokio::spawn(Arc::clone(self).lapse_at(id, rx));
+        self.lease_answer(id, request.ttl)
+    }
+
+    pub(crate) fn keep_alive(&self, request: LeaseRequest) -> LeaseAnswer {
+        self.count(|counters| counters.lease_keepalives += 1);
+        let leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
+        let ttl = leases.get(&request.id).map_or(0, |lease| {
+            lease.deadline.send_replace(deadline(lease.ttl));
+            lease.ttl
+        });
+        drop(leases);
+        self.lease_answer(request.id, ttl)
+    }
+
+    pub(crate) fn revoke(&self, request: LeaseRequest) -> LeaseAnswer {
+        self.count(|counters| counters.lease_revokes += 1);
+        self.lapse(request.id);
+        self.lease_answer(request.id, 0)
+    }
+
+    /// Lets every lease lapse at once.
+    pub(crate) fn lapse_all(&self) {
+        let leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
+        let ids: Vec<i64> = leases.keys().copied().collect();
+        drop(leases);
+        for id in ids {
+            self.lapse(id);
+        }
+    }
+
+    async fn lapse_at(self: Arc<Self>, id: i64, mut deadline: watch::Receiver<Instant>) {
+        loop {
+            let until = *deadline.borrow_and_update();
+            tokio::select! {
+                () = sleep_until(until) => return self.lapse(id),
+                changed = deadline.changed() => {
+                    // The lease was revoked.
+                    let Ok(()) = changed else { return };
+                }
+            }
+        }
+    }
+
+    fn lapse(&self, id: i64) {
+        let mut leases = self.leases.lock().unwrap_or_else(PoisonError::into_inner);
+        leases.remove(&id);
+        drop(leases);
+        self.store().delete_leased(id);
+        self.announce();
+    }
+
+    fn lease_answer(&self, id: i64, ttl: u32) -> LeaseAnswer {
+        LeaseAnswer {
+            header: self.store().header(),
+            id,
+            ttl,
+        }
+    }
+}
--- /dev/null
+++ b/bulrushward_fakes/src/key_value/state.rs
@@ -0,0 +1,239 @@
+//! State of a key-value service, with faults and counters but without a transport.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use bulrushward_platform::gateway::{
+    RangeAnswer, RangeRequest, TxnAnswer, TxnOperation, TxnRequest, WatchCreateRequest, WatchResult,
+};
+use tokio::{sync::watch, time::sleep};
+
+use super::{
+    faults::{KeyValueCounters, KeyValueFaults},
+    lease::Lease,
+    store::Store,
+};
+use crate::{fake::FakeState, faults::Faults};
+
+/// Largest value, in bytes.
+pub const VALUE_LIMIT_BYTES: usize = 1_000_000;
+
+/// gRPC codes of refusals.
+const CODE_INVALID_ARGUMENT: i32 = 3;
+const CODE_RESOURCE_EXHAUSTED: i32 = 8;
+const CODE_UNAVAILABLE: i32 = 14;
+
+/// Why a call gets no good answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallFailure {
+    /// The call had no effect, and the answer says why.
+    Refused { code: i32, message: String },
+    /// The call took effect, and its answer is lost.
+    AnswerLost,
+}
+
+/// State of a key-value service.
+#[derive(Debug)]
+pub struct KeyValueState {
+    store: Mutex<Store>,
+    /// Announces every new revision.
+    revision: watch::Sender<i64>,
+    pub(super) leases: Mutex<HashMap<i64, Lease>>,
+    pub(super) faults: Faults<KeyValueFaults>,
+    counters: Mutex<KeyValueCounters>,
+}
+
+impl FakeState for KeyValueState {
+    type Faults = KeyValueFaults;
+
+    fn faults(&self) -> &Faults<KeyValueFaults> {
+        &self.faults
+    }
+}
+
+impl KeyValueState {
+    pub(crate) fn new() -> Self {
+        Self {
+            store: Mutex::default(),
+            revision: watch::Sender::new(0),
+            leases: Mutex::default(),
+            faults: Faults::default(),
+            counters: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn counters(&self) -> KeyValueCounters {
+        *self.counters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn count(&self, change: impl FnOnce(&mut KeyValueCounters)) {
+        change(&mut self.counters.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// Reads a key.
+    pub(crate) async fn range(&self, request: &RangeRequest) -> Result<RangeAnswer, CallFailure> {
+        self.count(|counters| counters.reads += 1);
+        self.start_call().await?;
+        Ok(self.store().range(&request.key))
+    }
+
+    /// Carries out a conditional write.
+    pub(crate) async fn txn(&self, request: &TxnRequest) -> Result<TxnAnswer, CallFailure> {
+        self.count(|counters| counters.writes += 1);
+        check_values(request)?;
+        self.start_call().await?;
+        if self.faults.get().refuse_writes {
+            let message = "the database is out of space".to_owned();
+            return Err(CallFailure::Refused {
+                code: CODE_RESOURCE_EXHAUSTED,
+                message,
+            });
+        }
+        let answer = self.store().txn(request);
+        self.announce();
+        if self.faults.take(|faults| &mut faults.lose_answers) {
+            return Err(CallFailure::AnswerLost);
+        }
+        Ok(answer)
+    }
+
+    /// Starts to watch a key.
+    pub(crate) async fn watch(
+        self: &Arc<Self>,
+        request: WatchCreateRequest,
+    ) -> Result<Watch, CallFailure> {
+        self.count(|counters| counters.watches += 1);
+        self.start_call().await?;
+        let start = match request.start_revision {
+            0 => self.store().revision() + 1,
+            start => start,
+        };
+        Ok(Watch::new(
+            Arc::clone(self),
+            WatchCreateRequest {
+                start_revision: start,
+                ..request
+            },
+        ))
+    }
+
+    /// Wakes the watches after a change.
+    pub(super) fn announce(&self) {
+        let revision = self.store().revision();
+        self.revision.send_replace(revision);
+    }
+
+    /// Brings about the faults that come before any effect.
+    async fn start_call(&self) -> Result<(), CallFailure> {
+        let faults = self.faults.get();
+        if !faults.slow.is_zero() {
+            sleep(faults.slow).await;
+        }
+        if faults.unavailable {
+            let message = "the request timed out".to_owned();
+            return Err(CallFailure::Refused {
+                code: CODE_UNAVAILABLE,
+                message,
+            });
+        }
+        Ok(())
+    }
+}
+
+/// A watch that waits; counted while it exists.
+pub(crate) struct Watch {
+    state: Arc<KeyValueState>,
+    revision: watch::Receiver<i64>,
+    request: WatchCreateRequest,
+    created: bool,
+    canceled: bool,
+}
+
+impl Watch {
+    fn new(state: Arc<KeyValueState>, request: WatchCreateRequest) -> Self {
+        state.count(|counters| counters.watches_open += 1);
+        let revision = state.revision.subscribe();
+        Self {
+            state,
+            revision,
+            request,
+            created: true,
+            canceled: false,
+        }
+    }
+
+    /// Waits for news; the first come at once and confirm the watch.
+    pub(crate) async fn next(&mut self) -> Option<WatchResult> {
+        loop {
+            if self.canceled {
+                return None;
+            }
+            self.revision.borrow_and_update();
+            let result = self.look();
+            self.request.start_revision =
+                self.request.start_revision.max(result.header.revision + 1);
+            self.created = false;
+            self.canceled = result.canceled;
+            if result.created || result.canceled || !result.events.is_empty() {
+                sleep(self.state.faults.get().slow).await;
+                return Some(result);
+            }
+            self.revision.changed().await.ok()?;
+        }
+    }
+
+    fn look(&self) -> WatchResult {
+        let store = self.state.store();
+        let header = store.header();
+        let created = self.created;
+        match store.changes(&self.request.key, self.request.start_revision) {
+            Ok(events) => WatchResult {
+                header,
+                created,
+                events,
+                ..WatchResult::default()
+            },
+            Err(compact_revision) => {
+                let canceled = true;
+                WatchResult {
+                    header,
+                    created,
+                    canceled,
+                    compact_revision,
+                    events: Vec::new(),
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.state.count(|counters| counters.watches_open -= 1);
+    }
+}
+
+fn check_values(request: &TxnRequest) -> Result<(), CallFailure> {
+    for operation in request.success.iter().chain(&request.failure) {
+        let TxnOperation::RequestPut(put) = operation else {
+            continue;
+        };
+        if put.value.len() > VALUE_LIMIT_BYTES {
+            let key = String::from_utf8_lossy(&put.key);
+            let size = put.value.len();
+            let message =
+                format!("the value of key {key:?} has {size} bytes, more than {VALUE_LIMIT_BYTES}");
+            return Err(CallFailure::Refused {
+                code: CODE_INVALID_ARGUMENT,
+                message,
+            });
+        }
+    }
+    Ok(())
+}
--- a/bulrushward_fakes/src/store.rs
+++ b/bulrushward_fakes/src/key_value/store.rs
@@ -64,6 +64,32 @@
         }
     }
 
+    /// Deletes every key that is attached to a lease.
+    pub(crate) fn delete_leased(&mut self, lease: i64) {
+        let keys: Vec<Bytes> = self
+            .keys
+            .values()
+            .filter(|stored| stored.lease == lease)
+            .map(|stored| stored.key.clone())
+            .collect();
+        if keys.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for key in keys {
+            self.keys.remove(&key);
+            let kv = StoredKey {
+                key,
+                mod_revision: self.revision,
+                ..StoredKey::default()
+            };
+            self.remember(WatchEvent {
+                kind: WatchEventKind::Delete,
+                kv,
+            });
+        }
+    }
+
     /// Returns the changes of a key from a revision on.
     ///
     /// # Errors
--- a/bulrushward_fakes/src/lib.rs
+++ b/bulrushward_fakes/src/lib.rs
@@ -1,13 +1,29 @@
 //! Stand-ins for the outside systems, for tests and the demo only.
 
+mod crash;
 mod engine;
+mod fake;
+mod faults;
 mod http;
 mod key_value;
 mod plain;
-mod store;
+mod proxy;
 mod vm_list;
 
-pub use engine::{EngineLoad, EngineSettings, FakeEngine, answer_tokens};
-pub use key_value::FakeKeyValue;
-pub use plain::{Action, Execution, FakePlain, PlainAnswer};
-pub use vm_list::FakeVmList;
+pub use crash::OnCrash;
+pub use engine::{
+    CacheEvent, ChatMessage, EngineFaults, EngineLoad, EngineOrder, EngineRole, EngineSettings,
+    EngineState, FakeEngine, OrderRequest, OrdersState, answer_tokens, prompt_of,
+};
+pub use fake::{Addresses, Fake, FakeState, FaultOrder};
+pub use faults::Faults;
+pub use http::AnswerFault;
+pub use key_value::{
+    FakeKeyValue, KeyValueCounters, KeyValueFaults, KeyValueState, MemoryKeyValue,
+    VALUE_LIMIT_BYTES,
+};
+pub use plain::{
+    Action, CrashPoint, Execution, FakePlain, PlainAnswer, PlainFaults, PlainSettings, PlainState,
+};
+pub use proxy::{Direction, NetworkFault, SilentProxy};
+pub use vm_list::{FakeVmList, VmListFaults, VmListState};
--- a/bulrushward_fakes/src/main.rs
+++ b/bulrushward_fakes/src/main.rs
@@ -2,11 +2,14 @@
 
 mod cli;
 
-use std::{io, net::SocketAddr, process::ExitCode};
+use std::{io, process::ExitCode};
 
-use bulrushward_fakes::{FakeEngine, FakeKeyValue, FakePlain, FakeVmList};
+use bulrushward_fakes::{
+    Fake, FakeEngine, FakeKeyValue, FakePlain, FakeState, FakeVmList, OnCrash, PlainSettings,
+};
 use mimalloc::MiMalloc;
 use tokio::signal::unix::{SignalKind, signal};
+use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
 
 use crate::cli::Command;
 
@@ -19,6 +22,10 @@
         Ok(command) => command,
         Err(code) => return code,
     };
+    tracing_subscriber::registry()
+        .with(EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info")))
+        .with(tracing_logfmt::builder().layer().with_writer(io::stderr))
+        .init();
     match run(command).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -30,38 +37,44 @@
 
 async fn run(command: Command) -> io::Result<()> {
     match command {
-        Command::KeyValue { address } => {
-            let fake = FakeKeyValue::start_at(address).await?;
-            wait_for_stop(fake.address()).await?;
-            fake.stop().await;
+        Command::KeyValue { addresses } => {
+            let fake = FakeKeyValue::start_at(addresses.into()).await?;
+            run_until_stop(fake).await
         }
-        Command::VmList { address, file } => {
-            let fake = FakeVmList::start_at(address, file).await?;
-            wait_for_stop(fake.address()).await?;
-            fake.stop().await;
+        Command::VmList { addresses, file } => {
+            let fake = FakeVmList::start_at(addresses.into(), file).await?;
+            run_until_stop(fake).await
         }
-        Command::Engine { address, settings } => {
-            let fake = FakeEngine::start_at(address, settings.into()).await?;
-            wait_for_stop(fake.address()).await?;
-            fake.stop().await;
+        Command::Engine {
+            addresses,
+            settings,
+        } => {
+            let fake = FakeEngine::start_at(addresses.into(), settings.into()).await?;
+            run_until_stop(fake).await
         }
-        Command::Plain { address } => {
-            let fake = FakePlain::start_at(address).await?;
-            wait_for_stop(fake.address()).await?;
-            fake.stop().await;
+        Command::Plain { addresses } => {
+            let settings = PlainSettings {
+                on_crash: OnCrash::Abort,
+            };
+            let fake = FakePlain::start_at(addresses.into(), settings).await?;
+            run_until_stop(fake).await
         }
     }
-    Ok(())
 }
 
-/// Says where the stand-in listens and waits for SIGTERM or SIGINT.
-async fn wait_for_stop(address: SocketAddr) -> io::Result<()> {
+/// Says where a stand-in listens and stops it on SIGTERM or SIGINT.
+async fn run_until_stop<S: FakeState>(fake: Fake<S>) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    println!("listening address={address}");
+    let addresses = fake.addresses();
+    println!(
+        "listening address={} admin={}",
+        addresses.public, addresses.admin
+    );
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    fake.stop().await;
     Ok(())
 }
--- a/bulrushward_fakes/src/plain.rs
+++ b/bulrushward_fakes/src/plain.rs
@@ -1,160 +1,168 @@
 //! Stand-in for a plain service whose calls may not be repeated.
 
-use std::{
-    collections::BTreeMap,
-    io,
-    net::{Ipv4Addr, SocketAddr},
-    sync::{Arc, Mutex, PoisonError},
-};
+mod executions;
+
+use std::{io, sync::Arc, time::Duration};
 
 use salvo::{Request, Response, async_trait, http::Method};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use tokio::time::sleep;
+
+use self::executions::Executions;
+pub use self::executions::{Action, Execution, PlainAnswer};
+use crate::{
+    crash::{OnCrash, Process},
+    fake::{Addresses, Fake, FakeState},
+    faults::Faults,
+    http::{Endpoint, Failure, Refusal, cut_body, read_body, to_json, write_json},
+};
 
-use crate::http::{Endpoint, HttpServer, Refusal, write_json};
-
-/// Largest request body that is read, in bytes.
-const MAX_BODY_BYTES: usize = 16_000_000;
-
-/// What tells one action from another.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Action {
-    /// Value of the `idempotency-key` header, empty if there is none.
-    pub idempotency_key: String,
-    /// Method of the request.
-    pub method: String,
-    /// Path of the request.
-    pub path: String,
-    /// Body of the request.
-    pub body: String,
+/// Settings of a plain service.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlainSettings {
+    /// What a crash does.
+    pub on_crash: OnCrash,
 }
 
-/// An action and how often it ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Execution {
-    /// What ran.
-    #[serde(flatten)]
-    pub action: Action,
-    /// Number of times.
-    pub count: u64,
+/// When a plain service crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CrashPoint {
+    /// The request is received and not yet executed.
+    BeforeExecution,
+    /// The request is executed and not yet answered.
+    AfterExecution,
 }
 
-/// Answer to a request that ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlainAnswer {
-    /// The action that ran.
-    #[serde(flatten)]
-    pub action: Action,
-    /// Which execution of this action it was, from 1.
-    pub execution: u64,
+/// Faults of a plain service that runs.
+#[serde_as]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainFaults {
+    /// Time between a request and its execution.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "delay_execution_ms")]
+    pub delay_execution: Duration,
+    /// Time between an execution and its answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "delay_answer_ms")]
+    pub delay_answer: Duration,
+    /// Crashes at this point, until the fault is cleared.
+    pub crash: Option<CrashPoint>,
+    /// Only requests whose body holds this text crash the service.
+    pub crash_on: String,
+    /// Number of answers that are cut in the middle.
+    pub cut_answers: u32,
 }
 
-/// A running plain service.
+/// State of a plain service.
 #[derive(Debug)]
-pub struct FakePlain {
-    server: HttpServer,
-    executions: Arc<Executions>,
+pub struct PlainState {
+    executions: Executions,
+    faults: Faults<PlainFaults>,
+    process: Process,
 }
 
+/// A running plain service.
+pub type FakePlain = Fake<PlainState>;
+
 impl FakePlain {
-    /// Starts the service on a free port of the loopback interface.
+    /// Starts the service on free ports of the loopback interface.
     ///
     /// # Errors
     ///
-    /// Returns an error if the port cannot be bound.
-    pub async fn start() -> io::Result<Self> {
-        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).await
+    /// Returns an error if a port cannot be bound.
+    pub async fn start(settings: PlainSettings) -> io::Result<Self> {
+        Self::start_at(Addresses::default(), settings).await
     }
 
-    /// Starts the service at an address; port 0 takes a free one.
+    /// Starts the service at set addresses.
     ///
     /// # Errors
     ///
-    /// Returns an error if the address cannot be bound.
-    pub async fn start_at(address: SocketAddr) -> io::Result<Self> {
-        let executions = Arc::new(Executions::default());
-        let endpoint = PlainEndpoint {
-            executions: Arc::clone(&executions),
-        };
-        let server = HttpServer::start(address, endpoint).await?;
-        Ok(Self { server, executions })
-    }
-
-    /// Returns the address that the service listens on.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Returns the base URL of the service.
-    #[must_use]
-    pub fn url(&self) -> String {
-        format!("http://{}", self.address())
+    /// Returns an error if an address cannot be bound.
+    pub async fn start_at(addresses: Addresses, settings: PlainSettings) -> io::Result<Self> {
+        Self::launch(addresses, |network| PlainState {
+            executions: Executions::default(),
+            faults: Faults::default(),
+            process: Process::new(settings.on_crash, network),
+        })
+        .await
     }
 
-    /// Returns what ran so far.
+    /// Returns what ran so far, crashes or not.
     #[must_use]
     pub fn executions(&self) -> Vec<Execution> {
-        self.executions.all()
+        self.state.executions.all()
     }
 
-    /// Stops after the calls in progress.
-    pub async fn stop(mut self) {
-        self.server.stop().await;
+    /// Returns the number of crashes so far.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.state.process.crashes()
     }
 }
 
-#[derive(Debug, Default)]
-struct Executions(Mutex<BTreeMap<Action, u64>>);
-
-impl Executions {
-    fn all(&self) -> Vec<Execution> {
-        let counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        counts
-            .iter()
-            .map(|(action, &count)| Execution {
-                action: action.clone(),
-                count,
-            })
-            .collect()
-    }
+impl FakeState for PlainState {
+    type Faults = PlainFaults;
 
-    fn record(&self, action: &Action) -> u64 {
-        let mut counts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = counts.entry(action.clone()).or_default();
-        *count += 1;
-        *count
+    fn faults(&self) -> &Faults<PlainFaults> {
+        &self.faults
     }
 }
 
-#[derive(Debug)]
-struct PlainEndpoint {
-    executions: Arc<Executions>,
-}
-
 #[async_trait]
-impl Endpoint for PlainEndpoint {
-    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
+impl Endpoint for Arc<PlainState> {
+    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Failure> {
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/health") => write_json(res, "healthy"),
             (&Method::GET, "/executions") => write_json(res, self.executions.all()),
             _ => {
                 let action = read_action(req).await?;
-                let execution = self.executions.record(&action);
-                write_json(res, PlainAnswer { action, execution })
+                // An execution goes on when its caller has gone.
+                let execution = tokio::spawn(Self::clone(self).execute(action)).await;
+                let execution = execution.map_err(|error| Refusal::internal(error.to_string()))?;
+                let answer = execution.ok_or(Failure::Closed)?;
+                if self.faults.take(|faults| &mut faults.cut_answers) {
+                    res.body(cut_body(&to_json(&answer)?));
+                    return Ok(());
+                }
+                write_json(res, answer)
             }
         }
     }
 }
 
+impl PlainState {
+    /// Executes a request and returns the answer, or `None` after a crash.
+    async fn execute(self: Arc<Self>, action: Action) -> Option<PlainAnswer> {
+        self.process
+            .run(async {
+                let faults = self.faults.get();
+                sleep(faults.delay_execution).await;
+                self.crash_at(CrashPoint::BeforeExecution, &action).await;
+                let execution = self.executions.record(&action);
+                self.crash_at(CrashPoint::AfterExecution, &action).await;
+                sleep(faults.delay_answer).await;
+                PlainAnswer { action, execution }
+            })
+            .await
+    }
+
+    async fn crash_at(&self, point: CrashPoint, action: &Action) {
+        let faults = self.faults.get();
+        if faults.crash == Some(point) && action.body.contains(&faults.crash_on) {
+            self.process.crash().await;
+        }
+    }
+}
+
 async fn read_action(req: &mut Request) -> Result<Action, Refusal> {
     let idempotency_key = req.header::<String>("idempotency-key").unwrap_or_default();
     let method = req.method().to_string();
     let path = req.uri().path().to_owned();
-    let body = req
-        .payload_with_max_size(MAX_BODY_BYTES)
-        .await
-        .map_err(|error| Refusal::bad_request(format!("the body cannot be read: {error}")))?;
-    let body = String::from_utf8_lossy(body).into_owned();
+    let body = String::from_utf8_lossy(read_body(req).await?).into_owned();
     Ok(Action {
         idempotency_key,
         method,
--- a/bulrushward_fakes/src/vm_list.rs
+++ b/bulrushward_fakes/src/vm_list.rs
@@ -2,24 +2,49 @@
 
 use std::{
     io,
-    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use bulrushward_platform::TargetGroup;
-use salvo::{
-    Request, Response, async_trait,
-    http::{Method, StatusCode},
+use salvo::{Request, Response, async_trait, http::Method};
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::{
+    fake::{Addresses, Fake, FakeState},
+    faults::Faults,
+    http::{AnswerFault, Endpoint, Failure, Refusal, read_json, write_json},
 };
 
-use crate::http::{Endpoint, HttpServer, Refusal, read_json, write_json};
+/// Faults of a VM list that runs.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct VmListFaults {
+    /// Serves the list as it was when this began.
+    pub stale: bool,
+    /// Time before an answer.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "slow_ms")]
+    pub slow: Duration,
+    /// Damages every answer.
+    pub answer: Option<AnswerFault>,
+}
 
-/// A running VM list.
+/// State of a VM list.
 #[derive(Debug)]
-pub struct FakeVmList {
-    server: HttpServer,
-    source: Arc<Mutex<Source>>,
+pub struct VmListState {
+    lists: Mutex<Lists>,
+    faults: Faults<VmListFaults>,
+}
+
+#[derive(Debug)]
+struct Lists {
+    source: Source,
+    /// What is served while the list is stale.
+    stale: Option<Vec<TargetGroup>>,
 }
 
 /// Where the list comes from.
@@ -31,92 +56,113 @@
     Memory(Vec<TargetGroup>),
 }
 
+/// A running VM list; [`Fake::url`] is for [`bulrushward_platform::HttpVmList`].
+pub type FakeVmList = Fake<VmListState>;
+
 impl FakeVmList {
-    /// Starts an empty list on a free port of the loopback interface.
+    /// Starts an empty list on free ports of the loopback interface.
     ///
     /// # Errors
     ///
-    /// Returns an error if the port cannot be bound.
+    /// Returns an error if a port cannot be bound.
     pub async fn start() -> io::Result<Self> {
-        Self::start_at(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), None).await
+        Self::start_at(Addresses::default(), None).await
     }
 
-    /// Starts a list at an address, port 0 for a free one; a file is read anew for every call.
+    /// Starts a list at set addresses; a file is read anew for every call.
     ///
     /// # Errors
     ///
-    /// Returns an error if the address cannot be bound.
-    pub async fn start_at(address: SocketAddr, file: Option<PathBuf>) -> io::Result<Self> {
+    /// Returns an error if an address cannot be bound.
+    pub async fn start_at(addresses: Addresses, file: Option<PathBuf>) -> io::Result<Self> {
         let source = file.map_or_else(|| Source::Memory(Vec::new()), Source::File);
-        let source = Arc::new(Mutex::new(source));
-        let endpoint = VmListEndpoint {
-            source: Arc::clone(&source),
-        };
-        let server = HttpServer::start(address, endpoint).await?;
-        Ok(Self { server, source })
-    }
-
-    /// Returns the address that the list is served on.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
-    }
-
-    /// Returns the URL for [`bulrushward_platform::HttpVmList`].
-    #[must_use]
-    pub fn url(&self) -> String {
-        format!("http://{}/list", self.address())
+        let lists = Mutex::new(Lists {
+            source,
+            stale: None,
+        });
+        Self::launch(addresses, |_| VmListState {
+            lists,
+            faults: Faults::default(),
+        })
+        .await
     }
 
     /// Replaces the list.
     pub fn set(&self, groups: Vec<TargetGroup>) {
-        *lock(&self.source) = Source::Memory(groups);
-    }
-
-    /// Stops after the calls in progress.
-    pub async fn stop(mut self) {
-        self.server.stop().await;
+        self.state.set(groups);
     }
 }
 
-#[derive(Debug)]
-struct VmListEndpoint {
-    source: Arc<Mutex<Source>>,
+impl FakeState for VmListState {
+    type Faults = VmListFaults;
+
+    fn faults(&self) -> &Faults<VmListFaults> {
+        &self.faults
+    }
 }
 
 #[async_trait]
-impl Endpoint for VmListEndpoint {
-    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Refusal> {
+impl Endpoint for Arc<VmListState> {
+    async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Failure> {
         match (req.method(), req.uri().path()) {
-            (&Method::GET, "/list") => write_json(res, self.read().await?),
+            (&Method::GET, "/" | "/list") => {
+                tokio::time::sleep(self.faults.get().slow).await;
+                write_json(res, self.read().await?)
+            }
             (&Method::PUT, "/list") => {
                 let groups: Vec<TargetGroup> = read_json(req).await?;
-                *lock(&self.source) = Source::Memory(groups);
-                Ok(())
+                self.set(groups);
+                write_json(res, "set")
             }
-            _ => Err(Refusal::unknown_path(req)),
+            _ => Err(Refusal::unknown_path(req).into()),
         }
     }
+
+    fn answer_fault(&self) -> Option<AnswerFault> {
+        self.faults.get().answer
+    }
 }
 
-impl VmListEndpoint {
+impl VmListState {
+    fn set(&self, groups: Vec<TargetGroup>) {
+        let stale = self.faults.get().stale;
+        let mut lists = self.lists();
+        let old = std::mem::replace(&mut lists.source, Source::Memory(groups));
+        if !stale {
+            lists.stale = None;
+        } else if let (None, Source::Memory(old)) = (&lists.stale, old) {
+            lists.stale = Some(old);
+        }
+    }
+
     async fn read(&self) -> Result<Vec<TargetGroup>, Refusal> {
-        let source = lock(&self.source).clone();
-        let path = match source {
-            Source::Memory(groups) => return Ok(groups),
-            Source::File(path) => path,
-        };
-        let refusal = |detail: String| Refusal {
-            status: StatusCode::INTERNAL_SERVER_ERROR,
-            message: format!("list file {}: {detail}", path.display()),
+        let is_stale = self.faults.get().stale;
+        let (source, stale) = {
+            let lists = self.lists();
+            (lists.source.clone(), lists.stale.clone())
         };
-        let text = tokio::fs::read(&path)
-            .await
-            .map_err(|error| refusal(error.to_string()))?;
-        serde_json::from_slice(&text).map_err(|error| refusal(error.to_string()))
+        if let (true, Some(groups)) = (is_stale, stale) {
+            return Ok(groups);
+        }
+        let groups = read_source(source).await?;
+        self.lists().stale = is_stale.then(|| groups.clone());
+        Ok(groups)
+    }
+
+    fn lists(&self) -> MutexGuard<'_, Lists> {
+        self.lists.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn lock(source: &Mutex<Source>) -> MutexGuard<'_, Source> {
-    source.lock().unwrap_or_else(PoisonError::into_inner)
+async fn read_source(source: Source) -> Result<Vec<TargetGroup>, Refusal> {
+    let path = match source {
+        Source::Memory(groups) => return Ok(groups),
+        Source::File(path) => path,
+    };
+    let refusal =
+        |detail: String| Refusal::internal(format!("list file {}: {detail}", path.display()));
+    let text = tokio::fs::read(&path)
+        .await
+        .map_err(|error| refusal(error.to_string()))?;
+    serde_json::from_slice(&text).map_err(|error| refusal(error.to_string()))
 }
--- a/bulrushward_platform/src/etcd.rs
+++ b/bulrushward_platform/src/etcd.rs
@@ -14,8 +14,8 @@
 use crate::{
     answer::{chain, http_client, read_body},
     gateway::{
-        Compare, CompareResult, CompareTarget, GatewayError, PutRequest, RangeAnswer, RangeRequest,
-        StoredKey, TxnAnswer, TxnOperation, TxnOperationAnswer, TxnRequest,
+        GatewayError, RangeAnswer, RangeRequest, StoredKey, TxnAnswer, TxnOperationAnswer,
+        TxnRequest,
     },
     key_value::{CasOutcome, Entry, KeyValue, KvError, RefusedSnafu, UnavailableSnafu, Version},
     watch::{WatchEnd, WatchStream},
@@ -188,7 +188,7 @@
         expected: Version,
         value: Bytes,
     ) -> Result<CasOutcome, KvError> {
-        let request = cas_request(key, expected, value);
+        let request = TxnRequest::compare_and_swap(key_bytes(key), expected, value);
         let answer: TxnAnswer = self
             .call("/v3/kv/txn", &request)
             .await
@@ -240,26 +240,6 @@
     Bytes::copy_from_slice(key.as_bytes())
 }
 
-fn cas_request(key: &str, expected: Version, value: Bytes) -> TxnRequest {
-    let key = key_bytes(key);
-    let compare = Compare {
-        key: key.clone(),
-        target: CompareTarget::Mod,
-        result: CompareResult::Equal,
-        mod_revision: expected,
-    };
-    let put = PutRequest {
-        key: key.clone(),
-        value,
-        lease: 0,
-    };
-    TxnRequest {
-        compare: vec![compare],
-        success: vec![TxnOperation::RequestPut(put)],
-        failure: vec![TxnOperation::RequestRange(RangeRequest { key })],
-    }
-}
-
 fn cas_outcome(key: &str, answer: TxnAnswer) -> Result<CasOutcome, KvError> {
     if answer.succeeded && answer.header.revision > 0 {
         return Ok(CasOutcome::Written(answer.header.revision));
--- a/bulrushward_platform/src/gateway.rs
+++ b/bulrushward_platform/src/gateway.rs
@@ -162,6 +162,29 @@
     pub failure: Vec<TxnOperation>,
 }
 
+impl TxnRequest {
+    /// Writes a key if its last write has the expected revision, and reads it otherwise.
+    #[must_use]
+    pub fn compare_and_swap(key: Bytes, expected: i64, value: Bytes) -> Self {
+        let compare = Compare {
+            key: key.clone(),
+            target: CompareTarget::Mod,
+            result: CompareResult::Equal,
+            mod_revision: expected,
+        };
+        let put = PutRequest {
+            key: key.clone(),
+            value,
+            lease: 0,
+        };
+        Self {
+            compare: vec![compare],
+            success: vec![TxnOperation::RequestPut(put)],
+            failure: vec![TxnOperation::RequestRange(RangeRequest { key })],
+        }
+    }
+}
+
 /// Answer to one operation of a [`TxnRequest`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
