Prove actions and chats under kills, freezes, silence and crashes at each step

Found and mended: an error event was lost when the body broke off at once (it now gets 50 ms); an answer whose last event had reached the caller was still reported as cut; a dead agent stayed first candidate for 15 s and used up the retry budget (routers now try an agent that did not answer last until it is heard of again); moves away from a dead backend server were paid from the budget though they cost it nothing; test ports collided with outgoing connections.

--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -10,7 +10,11 @@
 use snafu::Snafu;
 
 use super::transcript::Transcript;
-use crate::{error::DaemonError, failpoint, http};
+use crate::{
+    error::DaemonError,
+    event_stream::{LastEvent, is_event_stream},
+    failpoint, http,
+};
 
 /// Time after which a health probe counts as failed.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -23,10 +27,6 @@
     "te",
     "transfer-encoding",
 ];
-/// Last event of a streamed chat answer.
-const STREAM_END: &[u8] = b"[DONE]";
-/// Bytes of a streamed answer that are kept to find its last event.
-const TAIL_BYTES: usize = 64;
 
 /// How a request to the backend server failed.
 #[derive(Debug, Snafu)]
@@ -117,23 +117,21 @@
         progress: &(dyn Fn() + Sync),
     ) -> Result<(), BackendError> {
         let mut answer = self.send(req).await?;
-        let streamed = is_event_stream(&answer);
+        let headers = kept_headers(&answer);
+        let streamed = is_event_stream(&headers);
         failpoint::hit("agent-first-byte");
         transcript.head(Frame::Head {
             status: answer.status().as_u16(),
-            headers: kept_headers(&answer),
+            headers,
         });
-        let mut tail = Vec::new();
+        let mut last_event = LastEvent::default();
         while let Some(chunk) = self.next_chunk(&mut answer).await? {
-            keep_tail(&mut tail, &chunk);
+            last_event.push(&chunk);
             transcript.data(chunk).await;
             failpoint::hit("agent-streaming");
             progress();
         }
-        let whole = tail
-            .windows(STREAM_END.len())
-            .any(|window| window == STREAM_END);
-        if streamed && !whole {
+        if streamed && !last_event.seen() {
             return CutShortSnafu.fail();
         }
         Ok(())
@@ -186,11 +184,6 @@
     }
 }
 
-fn is_event_stream(answer: &reqwest::Response) -> bool {
-    let value = answer.headers().get(reqwest::header::CONTENT_TYPE);
-    value.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
-}
-
 fn kept_headers(answer: &reqwest::Response) -> Vec<Header> {
     let kept = answer
         .headers()
@@ -205,12 +198,6 @@
     .collect()
 }
 
-fn keep_tail(tail: &mut Vec<u8>, chunk: &[u8]) {
-    tail.extend_from_slice(&chunk[chunk.len().saturating_sub(TAIL_BYTES)..]);
-    let excess = tail.len().saturating_sub(TAIL_BYTES);
-    tail.drain(..excess);
-}
-
 /// Describes an error with its causes, which the library leaves out of the first line.
 fn describe(error: &reqwest::Error) -> String {
     let mut text = error.to_string();
--- a/bulrushward/src/cli.rs
+++ b/bulrushward/src/cli.rs
@@ -125,6 +125,14 @@
     /// Address for routers
     #[bpaf(long, env("BULRUSHWARD_INNER_ADDRESS"), argument("IP:PORT"))]
     inner_address: String,
+    /// Address at which routers reach this agent; default the inner address
+    #[bpaf(
+        long,
+        env("BULRUSHWARD_ADVERTISED_ADDRESS"),
+        argument("IP:PORT"),
+        fallback(String::new())
+    )]
+    advertised_address: String,
     /// Name of the backend server in the operators' text
     #[bpaf(long, env("BULRUSHWARD_BACKEND"), argument("NAME"))]
     backend: String,
@@ -289,6 +297,11 @@
 
 impl AgentArguments {
     fn check(self) -> Result<AgentSettings, SettingError> {
+        let advertised = if self.advertised_address.is_empty() {
+            &self.inner_address
+        } else {
+            &self.advertised_address
+        };
         Ok(AgentSettings {
             common: self.common_arguments.check()?,
             inner_address: address(
@@ -296,6 +309,11 @@
                 "BULRUSHWARD_INNER_ADDRESS",
                 &self.inner_address,
             )?,
+            advertised_address: address(
+                "--advertised-address",
+                "BULRUSHWARD_ADVERTISED_ADDRESS",
+                advertised,
+            )?,
             backend: name("--backend", "BULRUSHWARD_BACKEND", self.backend)?,
             backend_url: url(
                 "--backend-url",
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -93,7 +93,7 @@
     let common = settings.common.clone();
     let platform = Platform::new(&common);
     let mut identity = identity(&common, Role::Agent);
-    identity.data_address = settings.inner_address;
+    identity.data_address = settings.advertised_address;
     identity.service = Some(settings.service.clone());
     identity.backend = Some(settings.backend.clone());
     let (control, thread) = platform.start_control(&common, identity, &mut metrics)?;
--- a/bulrushward/src/lib.rs
+++ b/bulrushward/src/lib.rs
@@ -5,6 +5,7 @@
 mod control;
 mod daemon;
 mod error;
+mod event_stream;
 mod failpoint;
 mod http;
 mod logging;
--- a/bulrushward/src/router/candidates.rs
+++ b/bulrushward/src/router/candidates.rs
@@ -1,6 +1,6 @@
 //! Which agents a request may go to, in order of preference.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bulrushward_policy::placement::{Candidate, rank};
 use bulrushward_protocol::{MemberRecord, MemberState};
@@ -23,10 +23,15 @@
         })
         .collect();
     let order = rank(job.chat, &names);
-    order
+    let now = Instant::now();
+    let (answering, silent): (Vec<MemberRecord>, Vec<MemberRecord>) = order
         .into_iter()
-        .take(MAX_CANDIDATES)
         .map(|index| agents[index].clone())
+        .partition(|agent| !router.silent.is_silent(agent, now));
+    answering
+        .into_iter()
+        .chain(silent)
+        .take(MAX_CANDIDATES)
         .collect()
 }
 
--- a/bulrushward/src/router/forward.rs
+++ b/bulrushward/src/router/forward.rs
@@ -228,6 +228,7 @@
     error: Broken,
 ) -> AttemptEnd {
     let started = stream.has_started();
+    router.silent.note(agent, Instant::now());
     stream.abandon();
     if job.is_idempotent() || started {
         return AttemptEnd::Lost { started, error };
--- a/bulrushward/src/router/listener.rs
+++ b/bulrushward/src/router/listener.rs
@@ -1,6 +1,9 @@
 //! The listener for callers.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushward_protocol::{Frame, Outcome, Refusal, RequestId, format_id, headers};
 use bytes::Bytes;
@@ -19,10 +22,15 @@
     job::Job,
     refusal::{self, Rejection},
 };
-use crate::failpoint;
+use crate::{
+    event_stream::{LastEvent, is_event_stream},
+    failpoint,
+};
 
 /// Error that ends a streamed answer which was cut.
 const CUT_CODE: &str = "answer-cut";
+/// Time between the error event of a cut answer and the end of its connection.
+const CUT_PAUSE: Duration = Duration::from_millis(50);
 
 pub(crate) fn routes(router: &Arc<Router>) -> Routes {
     let chat = ChatHandler {
@@ -164,13 +172,12 @@
         res.body(body);
         return;
     }
-    let is_event_stream = answer.headers.iter().any(|header| {
-        header.name == "content-type" && header.value.starts_with("text/event-stream")
-    });
+    let is_event_stream = is_event_stream(&answer.headers);
     res.stream(pieces(Relay {
         request,
         answer,
         is_event_stream,
+        last_event: LastEvent::default(),
         ended: false,
     }));
 }
@@ -180,12 +187,14 @@
     request: RequestId,
     answer: Answer,
     is_event_stream: bool,
+    last_event: LastEvent,
     ended: bool,
 }
 
 impl Relay {
     async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
         if let Some(piece) = self.answer.pieces.pop_front() {
+            self.last_event.push(&piece);
             return Some(Ok(piece));
         }
         let stream = self.answer.rest.as_mut()?;
@@ -193,9 +202,12 @@
         match next_piece(stream).await {
             Ok(Some(piece)) => {
                 failpoint::hit("router-streaming");
+                self.last_event.push(&piece);
                 Some(Ok(piece))
             }
             Ok(None) => None,
+            // The agent was lost after the last event, so the caller misses nothing.
+            Err(_) if self.is_event_stream && self.last_event.seen() => None,
             Err(message) => Some(self.cut(message, started)),
         }
     }
@@ -241,6 +253,8 @@
     stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         if relay.ended {
+            // The error event goes out before the connection breaks off.
+            tokio::time::sleep(CUT_PAUSE).await;
             return Some((Err(std::io::Error::other("the answer was cut")), None));
         }
         let piece = relay.next().await?;
--- a/bulrushward/src/router/mod.rs
+++ b/bulrushward/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod listener;
 mod refusal;
+mod silent_agents;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -18,6 +19,7 @@
 use bulrushward_policy::retry_budget::RetryBudget;
 use bulrushward_revisions::RevisionStore;
 
+use self::silent_agents::SilentAgents;
 use crate::{
     control::Control, error::DaemonError, http, metrics::RouterMetrics, settings::RouterSettings,
 };
@@ -33,6 +35,7 @@
     /// Opens a new connection each time; used after a connection went silent.
     fresh: reqwest::Client,
     budget: Mutex<RetryBudget>,
+    silent: SilentAgents,
     metrics: RouterMetrics,
 }
 
@@ -51,6 +54,7 @@
             pooled: http::pooled_client()?,
             fresh: http::fresh_client()?,
             budget: Mutex::new(RetryBudget::new(fraction)),
+            silent: SilentAgents::default(),
             metrics,
         }))
     }
--- a/bulrushward/src/settings.rs
+++ b/bulrushward/src/settings.rs
@@ -49,6 +49,8 @@
     pub common: CommonSettings,
     /// Where routers are answered.
     pub inner_address: SocketAddr,
+    /// Where routers reach the inner listener, if that is not the same address.
+    pub advertised_address: SocketAddr,
     /// Name of the backend server in the operators' text.
     pub backend: BackendId,
     /// Base URL of the backend server.
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -1,14 +1,28 @@
 //! A small fleet of real processes before in-process stand-ins.
 
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
 use std::{
     fmt::Write,
     net::{SocketAddr, TcpListener},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
-use bulrushward_fakes::{EngineSettings, FakeEngine, FakeKeyValue, FakePlain, FakeVmList};
+use bulrushward_fakes::{
+    EngineSettings, FakeEngine, FakeKeyValue, FakePlain, FakeVmList, PlainSettings, SilentProxy,
+};
 use bulrushward_platform::{TargetGroup, TargetLabels, VmState};
+use bulrushward_policy::{
+    chat_key,
+    claim::action_from_key,
+    placement::{Candidate, rank},
+};
+use bulrushward_protocol::{
+    ActionKey, AttemptId, Exchange, Frame, FrameDecoder, Incarnation, MemberRecord, MemberState,
+    Role, RunRequest, encode, transport,
+};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -20,6 +34,14 @@
 pub const API_KEY: &str = "test-key";
 /// Time after which a condition that should come true counts as failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// First port of the tests.
+const FIRST_PORT: u16 = 12_000;
+/// Ports of one test.
+const PORTS_PER_SLOT: u16 = 300;
+/// Tests that may run at the same time.
+const SLOTS: u16 = 60;
+/// Port that is tried next, counted from the first of the test.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 /// Time between two looks at a condition.
 const POLL: Duration = Duration::from_millis(25);
 
@@ -59,6 +81,12 @@
         }
     }
 
+    /// Returns whether the process was stopped by a signal and not continued.
+    pub fn is_frozen(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        stat.is_ok_and(|stat| stat.contains(") T "))
+    }
+
     fn pid(&self) -> Pid {
         Pid::from_raw(self.child.id().cast_signed())
     }
@@ -84,24 +112,40 @@
     pub http: reqwest::Client,
 }
 
+/// What a fleet consists of; each process may have fail points.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub routers: Vec<&'static str>,
+    pub engines: Vec<&'static str>,
+    pub plains: Vec<&'static str>,
+    pub engine_settings: EngineSettings,
+    pub text: String,
+}
+
+impl Plan {
+    /// Plans a fleet without fail points.
+    pub fn new(routers: usize, engines: usize, plains: usize) -> Self {
+        Self {
+            routers: vec![""; routers],
+            engines: vec![""; engines],
+            plains: vec![""; plains],
+            engine_settings: EngineSettings {
+                token_time: Duration::from_millis(5),
+                ..EngineSettings::default()
+            },
+            text: text(""),
+        }
+    }
+}
+
 impl Fleet {
-    /// Starts a fleet and puts the standard text in force.
+    /// Starts a fleet without fail points.
     pub async fn start(routers: usize, engines: usize, plains: usize) -> Self {
-        let settings = EngineSettings {
-            token_time: Duration::from_millis(5),
-            ..EngineSettings::default()
-        };
-        Self::start_with(routers, engines, plains, settings, &text("")).await
+        Self::start_plan(Plan::new(routers, engines, plains)).await
     }
 
-    /// Starts a fleet with engines and a text of the test's own.
-    pub async fn start_with(
-        routers: usize,
-        engines: usize,
-        plains: usize,
-        settings: EngineSettings,
-        text: &str,
-    ) -> Self {
+    /// Starts a fleet and puts its text in force.
+    pub async fn start_plan(layout: Plan) -> Self {
         let mut fleet = Self {
             kv: FakeKeyValue::start()
                 .await
@@ -116,33 +160,35 @@
                 .build()
                 .expect("the client starts"),
         };
-        for n in 0..routers {
-            let process = fleet.spawn("router", &format!("router-{n}"), &[]);
+        for (n, fail_points) in layout.routers.iter().enumerate() {
+            let process = fleet.spawn("router", &format!("router-{n}"), fail_points, &[]);
             fleet.routers.push(process);
         }
-        for n in 0..engines {
-            let engine = FakeEngine::start(settings.clone())
+        for (n, fail_points) in layout.engines.iter().enumerate() {
+            let engine = FakeEngine::start(layout.engine_settings)
                 .await
                 .expect("the engine starts");
             let url = engine.url();
             fleet.engines.push(engine);
-            fleet.add_agent(&format!("engine-{n}"), "assess", &url);
+            fleet.add_agent(&format!("engine-{n}"), "assess", &url, fail_points);
         }
-        for n in 0..plains {
-            let plain = FakePlain::start().await.expect("the plain service starts");
+        for (n, fail_points) in layout.plains.iter().enumerate() {
+            let plain = FakePlain::start(PlainSettings::default()).await;
+            let plain = plain.expect("the plain service starts");
             let url = plain.url();
             fleet.plains.push(plain);
-            fleet.add_agent(&format!("plain-{n}"), "registry", &url);
+            fleet.add_agent(&format!("plain-{n}"), "registry", &url, fail_points);
         }
         fleet.list_vms();
         fleet.wait_until_answering().await;
-        fleet.submit(0, 0, text).await;
+        let (status, answer) = fleet.submit(0, 0, &layout.text).await;
+        assert_eq!(status, 200, "the text is accepted: {answer}");
         fleet.wait_in_force(1).await;
         fleet
     }
 
     /// Starts an agent before a backend server.
-    pub fn add_agent(&mut self, backend: &str, service: &str, url: &str) {
+    pub fn add_agent(&mut self, backend: &str, service: &str, url: &str, fail_points: &str) {
         let arguments = [
             "--backend",
             backend,
@@ -151,10 +197,113 @@
             "--backend-url",
             url,
         ];
-        let process = self.spawn("agent", &format!("agent-{backend}"), &arguments);
+        let process = self.spawn(
+            "agent",
+            &format!("agent-{backend}"),
+            fail_points,
+            &arguments,
+        );
         self.agents.push(process);
     }
 
+    /// Starts an agent that routers reach through a relay, and waits until routers know it.
+    pub async fn add_relayed_agent(&mut self, backend: &str, url: &str) -> SilentProxy {
+        self.add_relayed_agent_for("assess", backend, url).await
+    }
+
+    pub async fn add_relayed_agent_for(
+        &mut self,
+        service: &str,
+        backend: &str,
+        url: &str,
+    ) -> SilentProxy {
+        let inner = free_address();
+        let relay = SilentProxy::start(inner).expect("the relay starts");
+        let (inner, advertised) = (inner.to_string(), relay.address().to_string());
+        let arguments = [
+            ["--backend", backend],
+            ["--service", service],
+            ["--backend-url", url],
+            ["--advertised-address", &advertised],
+            ["--inner-address", &inner],
+        ];
+        let process = self.spawn_at(
+            "agent",
+            &format!("agent-{backend}"),
+            "",
+            &arguments.concat(),
+        );
+        self.agents.push(process);
+        self.list_vms();
+        self.wait_until_answering().await;
+        relay
+    }
+
+    /// Returns the incarnation of a process as its peers know it.
+    pub fn incarnation(&self, node: &str) -> u64 {
+        let agent = self
+            .agents
+            .iter()
+            .find(|agent| agent.node == node)
+            .expect("it exists");
+        let own = MemberRecord {
+            node: "test".to_owned(),
+            incarnation: 1,
+            version: 1,
+            role: Role::Router,
+            state: MemberState::Live,
+            control_address: free_address(),
+            data_address: free_address(),
+            failure_domain: "a".to_owned(),
+            service: None,
+            backend: None,
+            load: 0,
+            queued: 0,
+            revision: 1,
+        };
+        let exchange = Exchange {
+            own,
+            members: Vec::new(),
+            quarantine: Vec::new(),
+            revision: 1,
+            configuration: None,
+        };
+        let answer = transport::call(agent.control, &exchange, PATIENCE);
+        answer.expect("the agent answers").0.own.incarnation
+    }
+
+    /// Returns the agent before a backend server.
+    pub fn agent(&self, backend: &str) -> &Process {
+        let node = format!("agent-{backend}");
+        self.agents
+            .iter()
+            .find(|agent| agent.node == node)
+            .expect("the agent exists")
+    }
+
+    /// Counts the executions of an action's path over all plain servers.
+    pub fn executions(&self, path: &str) -> usize {
+        let all = self.plains.iter().flat_map(FakePlain::executions);
+        all.filter(|execution| execution.action.path == path)
+            .map(|execution| execution.count as usize)
+            .sum()
+    }
+
+    /// Waits until an agent has no attempt that runs or waits.
+    pub async fn wait_idle(&self, agent: &Process) {
+        let url = format!("http://{}/metrics", agent.admin);
+        eventually(&format!("{} is idle", agent.node), async || {
+            let Ok(answer) = self.http.get(&url).send().await else {
+                return false;
+            };
+            let text = answer.text().await.unwrap_or_default();
+            ["agent_running 0", "agent_queued 0"]
+                .iter()
+                .all(|line| text.contains(line))
+        })
+        .await;
+    }
+
     /// Writes the VM list anew from the processes.
     pub fn list_vms(&self) {
         let groups = self
@@ -172,19 +321,38 @@
         self.vm_list.set(groups.collect());
     }
 
-    pub fn spawn(&self, role: &str, node: &str, arguments: &[&str]) -> Process {
-        let (admin, control, data) = (free_address(), free_address(), free_address());
+    pub fn spawn(&self, role: &str, node: &str, fail_points: &str, arguments: &[&str]) -> Process {
         let data_flag = if role == "router" {
             "--listen"
         } else {
             "--inner-address"
         };
+        let data = free_address().to_string();
+        let arguments = [arguments, &[data_flag, &data]].concat();
+        self.spawn_at(role, node, fail_points, &arguments)
+    }
+
+    /// Starts a process whose last argument is the address of its data listener.
+    pub fn spawn_at(
+        &self,
+        role: &str,
+        node: &str,
+        fail_points: &str,
+        arguments: &[&str],
+    ) -> Process {
+        let (admin, control) = (free_address(), free_address());
+        let data = arguments.last().and_then(|last| last.parse().ok());
+        let data = data.expect("the last argument is an address");
+        let more = if role == "router" {
+            ["--silence-ms", "600"]
+        } else {
+            ["--health-interval-ms", "200"]
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_bulrushwardd"))
             .arg(role)
             .args(["--node", node, "--failure-domain", "a"])
             .args(["--admin-address", &admin.to_string()])
             .args(["--control-address", &control.to_string()])
-            .args([data_flag, &data.to_string()])
             .args([
                 "--key-value",
                 &self.kv.url(),
@@ -192,7 +360,9 @@
                 &self.vm_list.url(),
             ])
             .args(["--exchange-interval-ms", "200", "--drain-grace-ms", "500"])
+            .args(more)
             .args(arguments)
+            .env("FAILPOINTS", fail_points)
             .stdin(Stdio::null())
             .spawn()
             .expect("the daemon starts");
@@ -371,7 +541,92 @@
     }
 }
 
+/// Returns an address that nothing listens at.
+///
+/// The ports lie below those that the system gives to outgoing connections, and each test that
+/// runs at the same time has its own range.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+    loop {
+        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_SLOT;
+        let port = FIRST_PORT + test_slot() * PORTS_PER_SLOT + offset;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Returns the number of this test among those that run at the same time.
+fn test_slot() -> u16 {
+    let slot = std::env::var("NEXTEST_TEST_GLOBAL_SLOT").ok();
+    let slot: Option<u16> = slot.and_then(|slot| slot.parse().ok());
+    slot.unwrap_or(std::process::id() as u16) % SLOTS
+}
+
+/// Finds the first of a row of names that a key function places on the wanted server first.
+pub fn name_placed_on(wanted: &str, servers: &[&str], chat_of: impl Fn(&str) -> u64) -> String {
+    let candidates: Vec<Candidate<'_>> = servers
+        .iter()
+        .map(|name| Candidate { name, weight: 1.0 })
+        .collect();
+    (0..10_000)
+        .map(|n| format!("case-{n}"))
+        .find(|name| servers[rank(chat_of(name), &candidates)[0]] == wanted)
+        .expect("some name is placed there")
+}
+
+/// Returns the placement key of an action that the caller named.
+pub fn action_chat(key: &str) -> u64 {
+    action_from_key("examiners", "registry", key) as u64
+}
+
+/// Returns the placement key of a chat by its opening.
+pub fn opening_chat(opening: &str) -> u64 {
+    let opening = format!("user\u{0}{}", json!(opening));
+    chat_key::from_opening("examiners", "tutor", [opening.as_str()])
+}
+
+/// Sends one attempt to an agent as a router would and returns all frames of the answer.
+pub async fn run_attempt(
+    fleet: &Fleet,
+    agent: &Process,
+    incarnation: Incarnation,
+    attempt: AttemptId,
+    action: Option<ActionKey>,
+) -> Vec<Frame> {
+    let req = RunRequest {
+        request: 1,
+        attempt,
+        agent: incarnation,
+        service: "registry".to_owned(),
+        organisation: "examiners".to_owned(),
+        kind: "review".to_owned(),
+        chat: 1,
+        work: 1,
+        deadline_ms: 10_000,
+        action,
+        fingerprint: 1,
+        suspect: false,
+        revision: 1,
+        method: "POST".to_owned(),
+        path: "/certificates".to_owned(),
+        headers: Vec::new(),
+        body: "late".into(),
+    };
+    let url = format!("http://{}/inner/run", agent.data);
+    let body = encode(&req).expect("encodes");
+    let answer = fleet
+        .http
+        .post(url)
+        .body(body)
+        .send()
+        .await
+        .expect("the agent answers");
+    let mut decoder = FrameDecoder::default();
+    decoder.push(&answer.bytes().await.expect("the answer is whole"));
+    let mut frames = Vec::new();
+    while let Some(frame) = decoder.next_frame().expect("frames decode") {
+        frames.push(frame);
+    }
+    frames
 }
--- a/bulrushward_policy/src/attempt.rs
+++ b/bulrushward_policy/src/attempt.rs
@@ -8,7 +8,8 @@
 
 /// Time after which a caller may try again when no agent named one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Attempts beyond the first that full agents may cause without a withdrawal from the budget.
+/// Attempts beyond the first that refusals before the backend server may cause without a
+/// withdrawal from the budget.
 ///
 /// They are part of placement with bounded loads and cost no backend server any work.
 const FREE_SPILLS: u32 = 2;
@@ -264,9 +265,9 @@
         }
     }
 
-    /// Pays for a retry; the first moves away from full agents are free.
+    /// Pays for a retry; the first moves away from agents that sent nothing on are free.
     fn pay(&mut self, budget: &mut RetryBudget) -> bool {
-        if is_full(self.last_reason) && self.spills < FREE_SPILLS {
+        if is_before_backend(self.last_reason) && self.spills < FREE_SPILLS {
             self.spills += 1;
             return true;
         }
@@ -342,6 +343,15 @@
         )
 }
 
+/// Returns whether a refusal for this reason cost the backend server nothing.
+fn is_before_backend(reason: RefusalReason) -> bool {
+    is_full(reason)
+        || matches!(
+            reason,
+            RefusalReason::BackendDown | RefusalReason::Restarted
+        )
+}
+
 /// Returns whether an agent that refused for this reason works but has no room.
 fn is_full(reason: RefusalReason) -> bool {
     matches!(
--- a/bulrushward_policy/tests/attempt.rs
+++ b/bulrushward_policy/tests/attempt.rs
@@ -220,7 +220,21 @@
     let mut budget = RetryBudget::new(0.0);
     assert!(budget.withdraw());
     progress.next(now, &mut budget);
-    progress.refused(RefusalReason::BackendDown, Outcome::NotRun, RETRY);
+    progress.refused(RefusalReason::BackendFailed, Outcome::Unknown, RETRY);
+    let refused = refuse(RefusalReason::RetryBudget, Outcome::Unknown, RETRY);
+    assert_eq!(progress.next(now, &mut budget), refused);
+}
+
+#[test]
+fn only_the_first_moves_away_from_dead_backend_servers_are_free() {
+    let now = Instant::now();
+    let mut progress = RequestProgress::new(facts(now, 5, true));
+    let mut budget = RetryBudget::new(0.0);
+    assert!(budget.withdraw());
+    for candidate in 0..3 {
+        assert_eq!(progress.next(now, &mut budget), send(candidate, false));
+        progress.refused(RefusalReason::BackendDown, Outcome::NotRun, RETRY);
+    }
     let refused = refuse(RefusalReason::RetryBudget, Outcome::NotRun, RETRY);
     assert_eq!(progress.next(now, &mut budget), refused);
 }
