Keep a table of the members and choose what each exchange carries

Members that leave go first, silent ones are not passed on, and the times scale with the fleet so that an exchange keeps to its bytes.

--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod chat_key;
 mod fair_queue;
 pub mod load_bound;
+mod member_spread;
+pub mod membership;
 pub mod placement;
 pub mod quarantine;
 pub mod retry_budget;
--- /dev/null
+++ b/bulrushward_policy/tests/membership.rs
@@ -0,0 +1,332 @@
+//! Membership converges, spreads leaving first and forgets what is gone.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::membership::MemberTable;
+use bulrushward_protocol::{MemberRecord, MemberState, Role};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+/// Bytes of records in one message.
+const BUDGET: usize = 450;
+
+fn record(node: usize, incarnation: u64, version: u64, state: MemberState) -> MemberRecord {
+    let address: SocketAddr = ([10, 0, (node / 250) as u8, (node % 250) as u8], 7_000).into();
+    MemberRecord {
+        node: format!("agent-{node:04}"),
+        incarnation,
+        version,
+        role: Role::Agent,
+        state,
+        control_address: address,
+        data_address: address,
+        failure_domain: format!("domain-{}", node % 4),
+        service: Some("chat".to_owned()),
+        backend: Some(format!("engine-{node:04}")),
+        load: 1_000,
+        queued: 0,
+        revision: 12,
+    }
+}
+
+fn fresh(node: usize, now: Instant) -> MemberTable {
+    MemberTable::new(record(node, 1_700_000_000_000, 1, MemberState::Live), now)
+}
+
+/// Processes that exchange once a second with a random peer each.
+struct Fleet {
+    tables: Vec<MemberTable>,
+    down: BTreeSet<usize>,
+    /// Processes with an index below this cannot reach the others.
+    partition: usize,
+    now: Instant,
+    rng: Pcg64,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let mut tables: Vec<_> = (0..count).map(|node| fresh(node, now)).collect();
+        let records: Vec<_> = tables.iter().map(|table| table.own().clone()).collect();
+        for table in &mut tables {
+            table.merge(&records, now);
+        }
+        Self {
+            tables,
+            down: BTreeSet::new(),
+            partition: 0,
+            now,
+            rng: Pcg64::seed_from_u64(7),
+        }
+    }
+
+    fn second(&mut self) {
+        self.now += Duration::from_secs(1);
+        for node in 0..self.tables.len() {
+            if self.down.contains(&node) {
+                continue;
+            }
+            self.tables[node].heartbeat(self.now);
+            let Some(peer) = self.tables[node].peer(self.now, &mut self.rng) else {
+                continue;
+            };
+            let name = peer.node.clone();
+            let peer: usize = name["agent-".len()..].parse().expect("a number");
+            if self.down.contains(&peer) || (node < self.partition) != (peer < self.partition) {
+                self.tables[node].unreachable(&name);
+                continue;
+            }
+            let request = self.message(node);
+            let answer = self.message(peer);
+            self.tables[peer].merge(&request, self.now);
+            self.tables[node].merge(&answer, self.now);
+            self.tables[node].reached(&name);
+        }
+    }
+
+    fn message(&mut self, node: usize) -> Vec<MemberRecord> {
+        let table = &mut self.tables[node];
+        let mut records = table.exchange_out(self.now, BUDGET, &mut self.rng);
+        records.push(table.own().clone());
+        records
+    }
+
+    /// Returns how many running processes see a member so.
+    fn count(&self, sees: impl Fn(&MemberTable) -> bool) -> usize {
+        self.tables
+            .iter()
+            .enumerate()
+            .filter(|(node, table)| !self.down.contains(node) && sees(table))
+            .count()
+    }
+
+    /// Runs until all running processes see it, at most so many seconds; returns the seconds.
+    fn until(&mut self, seconds: u32, sees: impl Fn(&MemberTable) -> bool) -> Option<u32> {
+        let all = self.tables.len() - self.down.len();
+        for second in 0..=seconds {
+            if self.count(&sees) == all {
+                return Some(second);
+            }
+            self.second();
+        }
+        None
+    }
+}
+
+#[test]
+fn leaving_reaches_all_within_seconds_in_bounded_bytes() {
+    let mut fleet = Fleet::new(100);
+    (0..60).for_each(|_| fleet.second());
+    let now = fleet.now;
+    fleet.tables[7].update_own(now, |own| own.state = MemberState::Leaving);
+    let leaving = |table: &MemberTable| {
+        table
+            .get("agent-0007")
+            .is_some_and(|record| record.state == MemberState::Leaving)
+    };
+    let seconds = fleet.until(10, leaving);
+    assert!(
+        seconds.is_some(),
+        "only {} of 100 know",
+        fleet.count(leaving)
+    );
+}
+
+#[test]
+fn no_live_member_is_silent_and_a_dead_one_is_silent_then_forgotten() {
+    let mut fleet = Fleet::new(60);
+    for _ in 0..120 {
+        fleet.second();
+        let now = fleet.now;
+        for node in 0..60 {
+            let name = format!("agent-{node:04}");
+            assert_eq!(
+                fleet.count(|table| table.silent(&name, now)),
+                0,
+                "{name} is silent"
+            );
+        }
+    }
+    fleet.down.insert(3);
+    // The last news of the dead member may spread for as long as it counts.
+    let seconds = 2 * fleet.tables[0].silent_after().as_secs() as u32;
+    (0..seconds).for_each(|_| fleet.second());
+    let now = fleet.now;
+    assert_eq!(fleet.count(|table| table.silent("agent-0003", now)), 59);
+    assert_eq!(fleet.count(|table| table.get("agent-0003").is_some()), 59);
+    let forgotten = fleet.until(seconds * 4, |table| table.get("agent-0003").is_none());
+    assert!(forgotten.is_some(), "the dead member is still known");
+}
+
+#[test]
+fn a_partition_heals_after_both_sides_called_each_other_silent() {
+    let mut fleet = Fleet::new(20);
+    (0..20).for_each(|_| fleet.second());
+    fleet.partition = 8;
+    let seconds = 3 * fleet.tables[0].silent_after().as_secs();
+    (0..seconds).for_each(|_| fleet.second());
+    let now = fleet.now;
+    assert_eq!(fleet.count(|table| table.live(now).len() == 8), 8);
+    assert_eq!(fleet.count(|table| table.live(now).len() == 12), 12);
+    fleet.partition = 0;
+    for _ in 0..60 {
+        fleet.second();
+    }
+    let now = fleet.now;
+    assert_eq!(fleet.count(|table| table.live(now).len() == 20), 20);
+}
+
+#[test]
+fn an_unreachable_member_gets_nothing_until_it_is_heard_again() {
+    let now = Instant::now();
+    let mut table = fresh(0, now);
+    table.merge(&[record(1, 5, 1, MemberState::Live)], now);
+    table.unreachable("agent-0001");
+    assert_eq!(table.live(now).len(), 1);
+    table.merge(&[record(1, 5, 1, MemberState::Live)], now);
+    assert_eq!(table.live(now).len(), 1);
+    table.merge(&[record(1, 5, 2, MemberState::Live)], now);
+    assert_eq!(table.live(now).len(), 2);
+}
+
+#[test]
+fn a_later_process_under_the_own_name_is_noticed() {
+    let now = Instant::now();
+    let mut table = fresh(0, now);
+    table.merge(&[record(0, 1_700_000_000_000, 40, MemberState::Live)], now);
+    assert_eq!(table.own().version, 41);
+    assert!(!table.is_superseded());
+    table.merge(&[record(0, 1_700_000_000_001, 1, MemberState::Live)], now);
+    assert!(table.is_superseded());
+    assert_eq!(table.own().incarnation, 1_700_000_000_000);
+}
+
+#[test]
+fn the_table_is_bounded_and_those_that_left_go_first() {
+    let now = Instant::now();
+    let mut table = fresh(0, now);
+    let records: Vec<_> = (2..8_193)
+        .map(|node| record(node, 5, 1, MemberState::Live))
+        .collect();
+    table.merge(&records, now);
+    let later = now + Duration::from_secs(1);
+    table.merge(&[record(1, 5, 1, MemberState::Left)], later);
+    assert_eq!(table.len(), 8_193);
+    table.merge(&[record(8_193, 5, 1, MemberState::Live)], later);
+    assert_eq!(table.len(), 8_193);
+    assert!(table.get("agent-0001").is_none());
+}
+
+#[test]
+fn a_silent_member_is_not_passed_on() {
+    let now = Instant::now();
+    let mut table = fresh(0, now);
+    table.merge(&[record(1, 5, 1, MemberState::Live)], now);
+    let later = now + table.silent_after();
+    table.merge(&[record(2, 5, 1, MemberState::Live)], later);
+    let sent = table.exchange_out(later, 1_000, &mut Pcg64::seed_from_u64(1));
+    assert_eq!(sent, [record(2, 5, 1, MemberState::Live)]);
+}
+
+#[test]
+fn a_member_that_starts_to_leave_goes_first_however_often_it_was_sent() {
+    let now = Instant::now();
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut table = fresh(0, now);
+    let records: Vec<_> = (1..20)
+        .map(|node| record(node, 5, 1, MemberState::Live))
+        .collect();
+    table.merge(&records, now);
+    for _ in 0..100 {
+        table.exchange_out(now, 4_000, &mut rng);
+    }
+    for node in [3, 11, 17] {
+        let leaving = record(node, 5, 2, MemberState::Leaving);
+        table.merge(std::slice::from_ref(&leaving), now);
+        assert_eq!(table.exchange_out(now, 100, &mut rng), [leaving]);
+    }
+}
+
+fn states() -> impl Strategy<Value = MemberState> {
+    prop_oneof![
+        Just(MemberState::Live),
+        Just(MemberState::Leaving),
+        Just(MemberState::Left)
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(45),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_order_of_records_ends_the_same_and_states_never_go_back(
+        records in proptest::collection::vec((1..4_usize, 1..4_u64, 1..9_u64, states()), 1..40),
+        seed: u64,
+    ) {
+        let now = Instant::now();
+        let records: Vec<_> = records
+            .into_iter()
+            .map(|(node, incarnation, version, state)| record(node, incarnation, version, state))
+            .collect();
+        let mut shuffled = records.clone();
+        rand::seq::SliceRandom::shuffle(shuffled.as_mut_slice(), &mut Pcg64::seed_from_u64(seed));
+        let mut one = fresh(0, now);
+        let mut seen: BTreeMap<(String, u64), MemberState> = BTreeMap::new();
+        let mut newest: BTreeMap<String, (u64, u64)> = BTreeMap::new();
+        for record in &records {
+            one.merge(std::slice::from_ref(record), now);
+            let known = one.get(&record.node).expect("merged");
+            let mark = (known.incarnation, known.version);
+            let before = newest.insert(known.node.clone(), mark);
+            prop_assert!(before.is_none_or(|before| before <= mark));
+            let before = seen.insert((known.node.clone(), known.incarnation), known.state);
+            prop_assert!(before.is_none_or(|before| before <= known.state), "went back");
+        }
+        let mut two = fresh(0, now);
+        two.merge(&shuffled, now);
+        let summary = |table: &MemberTable| -> Vec<_> {
+            (1..4)
+                .filter_map(|node| table.get(&format!("agent-{node:04}")))
+                .map(|known| (known.node.clone(), known.incarnation, known.version, known.state))
+                .collect()
+        };
+        // An older start's states do not matter once a newer start is known, whatever the order.
+        prop_assert_eq!(summary(&one), summary(&two));
+    }
+
+    #[test]
+    fn an_exchange_keeps_to_its_bytes_and_names_who_leaves_first(
+        states in proptest::collection::vec(states(), 1..60),
+        budget in 0..4_000_usize,
+        seed: u64,
+    ) {
+        let now = Instant::now();
+        let mut table = fresh(0, now);
+        let records: Vec<_> = states
+            .into_iter()
+            .enumerate()
+            .map(|(node, state)| record(node + 1, 5, 1, state))
+            .collect();
+        table.merge(&records, now);
+        let sent = table.exchange_out(now, budget, &mut Pcg64::seed_from_u64(seed));
+        let bytes: usize = sent
+            .iter()
+            .map(|record| bulrushward_protocol::encode(record).expect("encodes").len())
+            .sum();
+        prop_assert!(bytes <= budget, "{bytes} of {budget} bytes");
+        let first_live = sent.iter().position(|record| record.state == MemberState::Live);
+        if let Some(first_live) = first_live {
+            let leaving = records.iter().filter(|record| record.state != MemberState::Live);
+            prop_assert_eq!(first_live, leaving.count());
+        }
+    }
+}
