--- /dev/null
+++ b/bulrushward_policy/tests/mean_load.rs
@@ -0,0 +1,118 @@
+//! The estimate of the mean load stays on the safe side.
+
+use std::time::Duration;
+
+use bulrushward_policy::{
+    load_bound::LoadBound,
+    mean_load::{MeanLoad, MeanLoadSettings},
+    membership::LoadReport,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+
+fn reports(loads: &[u64], age: Duration) -> Vec<LoadReport> {
+    loads.iter().map(|&load| LoadReport { load, age }).collect()
+}
+
+#[test]
+fn fresh_reports_of_all_give_the_mean_itself() {
+    let known = reports(&[100, 200, 300], Duration::from_secs(1));
+    let mean = MeanLoad::default().estimate(400, &known, 3);
+    assert!((mean - 250.0).abs() < 1e-9, "{mean}");
+    assert!((MeanLoad::default().estimate(400, &[], 0) - 400.0).abs() < 1e-9);
+}
+
+#[test]
+fn without_news_the_bound_falls_to_its_floor() {
+    let bound = LoadBound {
+        multiple: 1.25,
+        floor: 500,
+    };
+    let estimate = |age| {
+        let known = reports(&[4_000; 9], Duration::from_secs(age));
+        bound.limit(MeanLoad::default().estimate(0, &known, 9))
+    };
+    assert_eq!(estimate(1), 4_500);
+    assert!(estimate(30) < estimate(10));
+    assert_eq!(estimate(120), 500);
+    assert_eq!(
+        bound.limit(MeanLoad::default().estimate(9_000, &[], 9)),
+        500
+    );
+}
+
+#[test]
+fn a_single_report_of_many_members_is_not_trusted() {
+    let known = reports(&[9_000], Duration::ZERO);
+    let mean = MeanLoad::default().estimate(0, &known, 9);
+    assert!(mean < 1e-9, "{mean}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(46),
+        ..ProptestConfig::default()
+    })]
+
+    /// Each peer's load has changed since its report, falling at most by half in each half-life.
+    #[test]
+    fn the_bound_holds_while_loads_fall_no_faster_than_reports_lose_value(
+        peers in proptest::collection::vec((0..50_000_u64, 0..200_000_u64, 0.0..3.0_f64), 1..40),
+        own in 0..50_000_u64,
+        work in 1..5_000_u64,
+    ) {
+        let settings = MeanLoadSettings { grace: Duration::ZERO, ..MeanLoadSettings::default() };
+        let known: Vec<_> = peers
+            .iter()
+            .map(|&(load, age, _)| LoadReport { load, age: Duration::from_millis(age) })
+            .collect();
+        let now = peers.iter().zip(&known).map(|(&(load, _, change), report)| {
+            let least = (-report.age.as_secs_f64() / settings.half_life.as_secs_f64()).exp2();
+            load as f64 * (least + change * (1.0 - least))
+        });
+        let count = peers.len() as f64;
+        let true_mean = (now.sum::<f64>() + own as f64) / (count + 1.0);
+        let estimate = MeanLoad::new(settings).estimate(own, &known, peers.len());
+        prop_assert!(estimate <= true_mean * (1.0 + 1e-9), "{estimate} above {true_mean}");
+        let bound = LoadBound { multiple: 1.25, floor: 1_000 };
+        if bound.admits(own, work, estimate) {
+            let limit = 1_000.0_f64.max((1.25 * true_mean).ceil());
+            prop_assert!((own + work) as f64 <= limit + 1e-6);
+        }
+    }
+
+    #[test]
+    fn age_and_missing_reports_never_raise_the_estimate(
+        loads in proptest::collection::vec(0..50_000_u64, 2..40),
+        own in 0..50_000_u64,
+        age in 0..100_u64,
+        older in 0..100_u64,
+    ) {
+        let estimate = |seconds| {
+            let known = reports(&loads, Duration::from_secs(seconds));
+            MeanLoad::default().estimate(own, &known, loads.len())
+        };
+        prop_assert!(estimate(age + older) <= estimate(age) + 1e-9);
+    }
+}
+
+/// Of many random samples of 20 among 600, few may estimate above the true mean.
+#[test]
+fn a_sample_seldom_estimates_above_the_mean() {
+    let mut rng = Pcg64::seed_from_u64(49);
+    let loads: Vec<u64> = (0..600).map(|_| rng.random_range(5_000..7_500)).collect();
+    let true_mean = loads.iter().sum::<u64>() as f64 / 600.0;
+    let mut above = 0;
+    let mut lowest = f64::INFINITY;
+    for _ in 0..1_000 {
+        let sample: Vec<_> = loads.sample(&mut rng, 20).copied().collect();
+        let known = reports(&sample, Duration::ZERO);
+        let mean = MeanLoad::default().estimate(true_mean as u64, &known, 599);
+        above += u32::from(mean > true_mean);
+        lowest = lowest.min(mean / true_mean);
+    }
+    assert!(above <= 50, "{above} of 1000 estimates above the mean");
+    assert!(lowest > 0.85, "an estimate of {lowest} of the mean");
+}
--- /dev/null
+++ b/bulrushward_policy/tests/revisions.rs
@@ -0,0 +1,26 @@
+//! A revision never goes back.
+
+use bulrushward_policy::revisions::Revisions;
+use proptest::{prelude::*, test_runner::RngSeed};
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(47),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_highest_revision_offered_is_in_force(
+        offered in proptest::collection::vec(0..50_u64, 1..60),
+    ) {
+        let mut revisions = Revisions::default();
+        let mut highest = 0;
+        for revision in offered {
+            prop_assert_eq!(revisions.adopt(revision), revision > highest);
+            highest = highest.max(revision);
+            prop_assert_eq!(revisions.in_force(), highest);
+            prop_assert_eq!(revisions.is_newer_than(revision), revision < highest);
+        }
+    }
+}
