--- a/bulrushward_fakes/src/engine/generation.rs
+++ b/bulrushward_fakes/src/engine/generation.rs
@@ -73,6 +73,8 @@
             .cut_after_tokens
             .is_some_and(|tokens| self.produced >= tokens)
         {
+            // Lets the server send the tokens so far before it closes the connection.
+            tokio::task::yield_now().await;
             return Err(io::Error::other("the answer is cut"));
         }
         let Some(token) = self.tokens.next() else {
@@ -83,7 +85,7 @@
         sleep(self.state.settings.token_time).await;
         self.state.thawed().await;
         if self.produced == 0 {
-            sleep(faults.delay).await;
+            self.state.faults.pause(|faults| faults.delay).await;
             self.text.push_str("assistant: ");
         }
         self.produced += 1;
--- a/bulrushward_fakes/src/engine/settings.rs
+++ b/bulrushward_fakes/src/engine/settings.rs
@@ -67,7 +67,7 @@
     pub cut_after_tokens: Option<usize>,
     /// Sends every event of a stream twice.
     pub duplicate_events: bool,
-    /// Time before a finished answer, or a stream's first event, is sent.
+    /// Time before the first token, or until this changes.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "delay_ms")]
     pub delay: Duration,
--- a/bulrushward_fakes/src/faults.rs
+++ b/bulrushward_fakes/src/faults.rs
@@ -1,8 +1,8 @@
 //! Faults that are set while a stand-in runs.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 
 /// Current faults of a stand-in.
 #[derive(Debug)]
@@ -32,6 +32,18 @@
         drop(rx.wait_for(condition).await);
     }
 
+    /// Waits for a time that the faults name; a change of that time ends the wait.
+    pub(crate) async fn pause(&self, time: impl Fn(&F) -> Duration) {
+        let duration = time(&self.0.borrow());
+        if duration.is_zero() {
+            return;
+        }
+        tokio::select! {
+            () = sleep(duration) => {}
+            () = self.wait_for(|faults| time(faults) != duration) => {}
+        }
+    }
+
     /// Takes one from a count of faults that are left, if there is one.
     pub(crate) fn take(&self, count: impl Fn(&mut F) -> &mut u32) -> bool {
         self.0.send_if_modified(|faults| {
--- a/bulrushward_fakes/src/http.rs
+++ b/bulrushward_fakes/src/http.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr};
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait,
     conn::{ConnCtrl, tcp::TcpAcceptor},
@@ -164,10 +164,12 @@
 /// Makes a body that ends with the connection halfway.
 pub(crate) fn cut_body(body: &Bytes) -> ResBody {
     let half = body.slice(..body.len() / 2);
-    ResBody::stream(stream::iter([
-        Ok(half),
-        Err(io::Error::other("the answer is cut")),
-    ]))
+    let cut = async {
+        // Lets the server send the first half before it closes the connection.
+        tokio::task::yield_now().await;
+        Err(io::Error::other("the answer is cut"))
+    };
+    ResBody::stream(stream::iter([Ok(half)]).chain(stream::once(cut)))
 }
 
 /// A running HTTP server; dropping it cuts everything.
--- a/bulrushward_fakes/src/key_value.rs
+++ b/bulrushward_fakes/src/key_value.rs
@@ -9,6 +9,8 @@
 
 use std::io;
 
+use bulrushward_platform::Entry;
+
 pub use self::{
     faults::{KeyValueCounters, KeyValueFaults},
     memory::MemoryKeyValue,
@@ -38,6 +40,12 @@
         Self::launch(addresses, |_| KeyValueState::new()).await
     }
 
+    /// Returns what is stored under a key, whatever the faults.
+    #[must_use]
+    pub fn stored(&self, key: &str) -> Option<Entry> {
+        self.state.stored(key)
+    }
+
     /// Returns the calls so far.
     #[must_use]
     pub fn counters(&self) -> KeyValueCounters {
--- a/bulrushward_fakes/src/key_value/faults.rs
+++ b/bulrushward_fakes/src/key_value/faults.rs
@@ -12,7 +12,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct KeyValueFaults {
-    /// Time before a call is carried out; a write takes effect even if its caller has gone.
+    /// Time before a call is carried out, or until this changes.
+    ///
+    /// A write takes effect even if its caller has gone.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "slow_ms")]
     pub slow: Duration,
--- a/bulrushward_fakes/src/key_value/memory.rs
+++ b/bulrushward_fakes/src/key_value/memory.rs
@@ -77,6 +77,12 @@
         &self.network
     }
 
+    /// Returns what is stored under a key, whatever the faults.
+    #[must_use]
+    pub fn stored(&self, key: &str) -> Option<Entry> {
+        self.state.stored(key)
+    }
+
     /// Returns the calls so far.
     #[must_use]
     pub fn counters(&self) -> KeyValueCounters {
--- a/bulrushward_fakes/src/key_value/state.rs
+++ b/bulrushward_fakes/src/key_value/state.rs
@@ -5,10 +5,15 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use bulrushward_platform::gateway::{
-    RangeAnswer, RangeRequest, TxnAnswer, TxnOperation, TxnRequest, WatchCreateRequest, WatchResult,
+use bulrushward_platform::{
+    Entry,
+    gateway::{
+        RangeAnswer, RangeRequest, TxnAnswer, TxnOperation, TxnRequest, WatchCreateRequest,
+        WatchResult,
+    },
 };
-use tokio::{sync::watch, time::sleep};
+use bytes::Bytes;
+use tokio::sync::watch;
 
 use super::{
     faults::{KeyValueCounters, KeyValueFaults},
@@ -76,6 +81,16 @@
         change(&mut self.counters.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
+    /// Returns what is stored, whatever the faults.
+    pub(crate) fn stored(&self, key: &str) -> Option<Entry> {
+        let range = self.store().range(&Bytes::copy_from_slice(key.as_bytes()));
+        let stored = range.kvs.into_iter().next()?;
+        Some(Entry {
+            value: stored.value,
+            version: stored.mod_revision,
+        })
+    }
+
     /// Reads a key.
     pub(crate) async fn range(&self, request: &RangeRequest) -> Result<RangeAnswer, CallFailure> {
         self.count(|counters| counters.reads += 1);
@@ -131,11 +146,8 @@
 
     /// Brings about the faults that come before any effect.
     async fn start_call(&self) -> Result<(), CallFailure> {
-        let faults = self.faults.get();
-        if !faults.slow.is_zero() {
-            sleep(faults.slow).await;
-        }
-        if faults.unavailable {
+        self.faults.pause(|faults| faults.slow).await;
+        if self.faults.get().unavailable {
             let message = "the request timed out".to_owned();
             return Err(CallFailure::Refused {
                 code: CODE_UNAVAILABLE,
@@ -181,7 +193,7 @@
             self.created = false;
             self.canceled = result.canceled;
             if result.created || result.canceled || !result.events.is_empty() {
-                sleep(self.state.faults.get().slow).await;
+                self.state.faults.pause(|faults| faults.slow).await;
                 return Some(result);
             }
             self.revision.changed().await.ok()?;
--- a/bulrushward_fakes/src/plain.rs
+++ b/bulrushward_fakes/src/plain.rs
@@ -7,7 +7,6 @@
 use salvo::{Request, Response, async_trait, http::Method};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
-use tokio::time::sleep;
 
 use self::executions::Executions;
 pub use self::executions::{Action, Execution, PlainAnswer};
@@ -40,11 +39,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlainFaults {
-    /// Time between a request and its execution.
+    /// Time between a request and its execution, or until this changes.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "delay_execution_ms")]
     pub delay_execution: Duration,
-    /// Time between an execution and its answer.
+    /// Time between an execution and its answer, or until this changes.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "delay_answer_ms")]
     pub delay_answer: Duration,
@@ -139,12 +138,11 @@
     async fn execute(self: Arc<Self>, action: Action) -> Option<PlainAnswer> {
         self.process
             .run(async {
-                let faults = self.faults.get();
-                sleep(faults.delay_execution).await;
+                self.faults.pause(|faults| faults.delay_execution).await;
                 self.crash_at(CrashPoint::BeforeExecution, &action).await;
                 let execution = self.executions.record(&action);
                 self.crash_at(CrashPoint::AfterExecution, &action).await;
-                sleep(faults.delay_answer).await;
+                self.faults.pause(|faults| faults.delay_answer).await;
                 PlainAnswer { action, execution }
             })
             .await
--- a/bulrushward_fakes/src/vm_list.rs
+++ b/bulrushward_fakes/src/vm_list.rs
@@ -25,7 +25,7 @@
 pub struct VmListFaults {
     /// Serves the list as it was when this began.
     pub stale: bool,
-    /// Time before an answer.
+    /// Time before an answer, or until this changes.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "slow_ms")]
     pub slow: Duration,
@@ -106,7 +106,7 @@
     async fn answer(&self, req: &mut Request, res: &mut Response) -> Result<(), Failure> {
         match (req.method(), req.uri().path()) {
             (&Method::GET, "/" | "/list") => {
-                tokio::time::sleep(self.faults.get().slow).await;
+                self.faults.pause(|faults| faults.slow).await;
                 write_json(res, self.read().await?)
             }
             (&Method::PUT, "/list") => {
--- /dev/null
+++ b/bulrushward_fakes/tests/program.rs
@@ -0,0 +1,104 @@
+//! The program: its arguments, its ready line and its stop.
+
+use std::process::Stdio;
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use reqwest::Client;
+use serde_json::json;
+use tokio::{
+    io::{AsyncBufReadExt, BufReader},
+    process::{Child, Command},
+};
+
+fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushward-fakes"));
+    command
+        .args(arguments)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true);
+    command
+}
+
+/// Starts the program and returns it with its public and admin URL.
+async fn start(arguments: &[&str]) -> (Child, String, String) {
+    let mut child = command(arguments).spawn().unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let line = lines.next_line().await.unwrap().unwrap();
+    let addresses = line.strip_prefix("listening address=").unwrap();
+    let (public, admin) = addresses.split_once(" admin=").unwrap();
+    (child, format!("http://{public}"), format!("http://{admin}"))
+}
+
+fn terminate(child: &Child) {
+    let pid = Pid::from_raw(child.id().unwrap().try_into().unwrap());
+    kill(pid, Signal::SIGTERM).unwrap();
+}
+
+#[tokio::test]
+async fn bad_argument_is_named_and_exits_with_2() {
+    for (arguments, named) in [
+        (&["engine", "--token-ms", "x"][..], "`x`"),
+        (&["plain", "--address", "nowhere"], "`nowhere`"),
+        (&["queue"], "queue"),
+    ] {
+        let output = command(arguments).output().await.unwrap();
+        assert_eq!(output.status.code(), Some(2));
+        let said = String::from_utf8(output.stderr).unwrap();
+        assert!(said.contains(named), "{said}");
+    }
+}
+
+#[tokio::test]
+async fn every_stand_in_starts_and_stops() {
+    for name in ["key-value", "vm-list", "engine", "plain"] {
+        let (mut child, public, _admin) = start(&[name]).await;
+        Client::new()
+            .get(format!("{public}/health"))
+            .send()
+            .await
+            .unwrap();
+        terminate(&child);
+        assert!(child.wait().await.unwrap().success(), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn stop_lets_a_stream_end() {
+    let (mut child, public, _admin) = start(&["engine", "--token-ms", "20"]).await;
+    let messages = json!([{"role": "user", "content": "hello"}]);
+    let body = json!({"model": "m", "stream": true, "max_tokens": 20, "messages": messages});
+    let request = Client::new()
+        .post(format!("{public}/v1/chat/completions"))
+        .json(&body);
+    let mut answer = request.send().await.unwrap();
+    let mut text = answer.chunk().await.unwrap().unwrap().to_vec();
+    terminate(&child);
+    while let Some(chunk) = answer.chunk().await.unwrap() {
+        text.extend_from_slice(&chunk);
+    }
+    assert!(text.ends_with(b"data: [DONE]\n\n"));
+    assert!(child.wait().await.unwrap().success());
+}
+
+#[tokio::test]
+async fn crash_aborts_the_process() {
+    let (mut child, public, admin) = start(&["plain"]).await;
+    let order = json!({"faults": {"crash": "after_execution"}});
+    let set = Client::new()
+        .put(format!("{admin}/fault"))
+        .json(&order)
+        .send()
+        .await
+        .unwrap();
+    assert!(set.status().is_success());
+    Client::new()
+        .post(format!("{public}/x"))
+        .send()
+        .await
+        .unwrap_err();
+    assert!(!child.wait().await.unwrap().success());
+}
--- /dev/null
+++ b/bulrushward_fakes/tests/proxy.rs
@@ -0,0 +1,136 @@
+//! Faults of the relay, on plain TCP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bulrushward_fakes::{Direction, NetworkFault, SilentProxy};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::{Instant, timeout},
+};
+
+/// Time in which nothing is to arrive.
+const SILENCE: Duration = Duration::from_millis(200);
+
+/// Starts a server that sends back what it receives, and a relay to it.
+async fn start() -> SilentProxy {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut rx, mut tx) = connection.split();
+                let _copied = tokio::io::copy(&mut rx, &mut tx).await;
+            });
+        }
+    });
+    SilentProxy::start(target).unwrap()
+}
+
+async fn connect(address: SocketAddr) -> TcpStream {
+    let mut connection = TcpStream::connect(address).await.unwrap();
+    echo(&mut connection).await;
+    connection
+}
+
+async fn echo(connection: &mut TcpStream) {
+    connection.write_all(b"ping").await.unwrap();
+    let mut answer = [0; 4];
+    connection.read_exact(&mut answer).await.unwrap();
+    assert_eq!(&answer, b"ping");
+}
+
+async fn assert_silent(connection: &mut TcpStream) {
+    connection.write_all(b"ping").await.unwrap();
+    let read = timeout(SILENCE, connection.read_u8()).await;
+    assert!(read.is_err(), "{read:?}");
+}
+
+#[tokio::test]
+async fn silence_holds_for_existing_connections_only() {
+    for direction in [Direction::ToTarget, Direction::FromTarget] {
+        let proxy = start().await;
+        let mut old = connect(proxy.address()).await;
+        proxy.silence(direction);
+        assert_silent(&mut old).await;
+        let mut new = connect(proxy.address()).await;
+        proxy.restore().await;
+        assert_silent(&mut old).await;
+        echo(&mut new).await;
+        assert_eq!((proxy.connections(), proxy.accepted()), (2, 2));
+    }
+}
+
+#[tokio::test]
+async fn hang_holds_bytes_back_until_it_ends() {
+    let proxy = start().await;
+    let mut connection = connect(proxy.address()).await;
+    proxy
+        .set_fault(NetworkFault {
+            hang: true,
+            ..NetworkFault::default()
+        })
+        .await;
+    assert_silent(&mut connection).await;
+    let mut new = TcpStream::connect(proxy.address()).await.unwrap();
+    assert_silent(&mut new).await;
+    proxy.restore().await;
+    for connection in [&mut connection, &mut new] {
+        let mut answer = [0; 4];
+        connection.read_exact(&mut answer).await.unwrap();
+        echo(connection).await;
+    }
+}
+
+#[tokio::test]
+async fn refused_connections_work_again_on_the_same_port() {
+    let proxy = start().await;
+    let mut old = connect(proxy.address()).await;
+    for _ in 0..3 {
+        proxy
+            .set_fault(NetworkFault {
+                refuse: true,
+                ..NetworkFault::default()
+            })
+            .await;
+        let refused = TcpStream::connect(proxy.address()).await.unwrap_err();
+        assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+        echo(&mut old).await;
+        proxy.restore().await;
+        connect(proxy.address()).await;
+    }
+}
+
+#[tokio::test]
+async fn cut_closes_existing_connections() {
+    let proxy = start().await;
+    let mut old = connect(proxy.address()).await;
+    proxy.cut();
+    assert_eq!(old.read(&mut [0; 4]).await.unwrap(), 0);
+    connect(proxy.address()).await;
+}
+
+#[tokio::test]
+async fn delay_counts_in_both_directions() {
+    let proxy = start().await;
+    let mut connection = connect(proxy.address()).await;
+    let delay = Duration::from_millis(50);
+    proxy
+        .set_fault(NetworkFault {
+            delay,
+            ..NetworkFault::default()
+        })
+        .await;
+    let began = Instant::now();
+    echo(&mut connection).await;
+    assert!(began.elapsed() >= 2 * delay);
+}
+
+#[tokio::test]
+async fn caller_that_goes_ends_the_connection() {
+    let proxy = start().await;
+    drop(connect(proxy.address()).await);
+    while proxy.connections() > 0 {
+        tokio::task::yield_now().await;
+    }
+}
--- a/bulrushward_platform/src/watch.rs
+++ b/bulrushward_platform/src/watch.rs
@@ -121,7 +121,7 @@
             match self.answer.chunk().await {
                 Ok(Some(chunk)) => self.buf.extend_from_slice(&chunk),
                 Ok(None) => return Err("the service ended the watch".to_owned()),
-                Err(error) => return Err(chain(&error)),
+                Err(error) => return Err(format!("the connection failed: {}", chain(&error))),
             }
         }
     }
--- /dev/null
+++ b/bulrushward_platform/tests/gateway.rs
@@ -0,0 +1,126 @@
+//! The etcd client against answers as the published gateway writes them, and against bad ones.
+
+mod common;
+
+use std::time::Duration;
+
+use bulrushward_platform::{CasOutcome, Entry, EtcdKeyValue, KeyValue, KvError};
+use bytes::Bytes;
+use common::answer_with;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+async fn client(body: &str) -> EtcdKeyValue {
+    EtcdKeyValue::new(&[answer_with(body).await], TIMEOUT)
+}
+
+fn entry() -> Entry {
+    Entry {
+        value: Bytes::from_static(b"bar"),
+        version: 9,
+    }
+}
+
+#[tokio::test]
+async fn published_answers_are_understood() {
+    let header = r#"{"cluster_id":"14841639068965178418","member_id":"10276657743932975437",
+        "revision":"12","raft_term":"3"}"#;
+    let stored = r#"{"key":"Zm9v","create_revision":"2","mod_revision":"9","version":"4",
+        "value":"YmFy"}"#;
+
+    let range = format!(r#"{{"header":{header},"kvs":[{stored}],"count":"1"}}"#);
+    assert_eq!(
+        client(&range).await.get("foo").await.unwrap(),
+        Some(entry())
+    );
+    let absent = format!(r#"{{"header":{header}}}"#);
+    assert_eq!(client(&absent).await.get("foo").await.unwrap(), None);
+
+    let put = r#"{"response_put":{"header":{"revision":"12"}}}"#;
+    let written = format!(r#"{{"header":{header},"succeeded":true,"responses":[{put}]}}"#);
+    let outcome = client(&written)
+        .await
+        .compare_and_swap("foo", 9, Bytes::new())
+        .await;
+    assert_eq!(outcome.unwrap(), CasOutcome::Written(12));
+    let range = format!(r#"{{"response_range":{{"header":{header},"kvs":[{stored}]}}}}"#);
+    let conflict = format!(r#"{{"header":{header},"responses":[{range}]}}"#);
+    let outcome = client(&conflict)
+        .await
+        .compare_and_swap("foo", 3, Bytes::new())
+        .await;
+    assert_eq!(outcome.unwrap(), CasOutcome::Conflict(Some(entry())));
+
+    let header = header.replace('\n', " ");
+    let stored = stored.replace('\n', " ");
+    let watch = format!(
+        "{{\"result\":{{\"header\":{header},\"created\":true}}}}\n\
+         {{\"result\":{{\"header\":{header},\"events\":[{{\"kv\":{stored}}}]}}}}\n"
+    );
+    assert_eq!(
+        client(&watch).await.watch("foo", 2, TIMEOUT).await.unwrap(),
+        Some(entry())
+    );
+}
+
+#[tokio::test]
+async fn answers_that_make_no_sense_are_errors() {
+    let other_key = r#"{"header":{"revision":"3"},"kvs":[{"key":"b3RoZXI=","mod_revision":"2"}]}"#;
+    let no_revision = r#"{"header":{"revision":"3"},"kvs":[{"key":"Zm9v","value":"YmFy"}]}"#;
+    let bad_base64 = r#"{"header":{"revision":"3"},"kvs":[{"key":"Zm9v","value":"=="}]}"#;
+    let bad_number = r#"{"header":{"revision":"many"}}"#;
+    for body in [
+        "",
+        "{}",
+        "[]",
+        "<html>",
+        other_key,
+        no_revision,
+        bad_base64,
+        bad_number,
+    ] {
+        let got = client(body).await.get("foo").await;
+        assert!(
+            matches!(got, Err(KvError::Unavailable { .. })),
+            "{body}: {got:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn write_with_an_answer_that_makes_no_sense_may_have_taken_effect() {
+    let no_revision = r#"{"header":{},"succeeded":true}"#;
+    let no_entry = r#"{"header":{"revision":"3"}}"#;
+    let wrong_branch = r#"{"header":{"revision":"3"},"responses":[{"response_put":{}}]}"#;
+    for body in [
+        "",
+        "{}",
+        "[]",
+        "{\"succeeded\":true}",
+        no_revision,
+        no_entry,
+        wrong_branch,
+    ] {
+        let got = client(body)
+            .await
+            .compare_and_swap("foo", 1, Bytes::new())
+            .await;
+        assert!(
+            matches!(got, Err(KvError::Unavailable { .. })),
+            "{body}: {got:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn watch_that_makes_no_sense_is_an_error() {
+    let error = "{\"error\":{\"grpc_code\":14,\"message\":\"no leader\"}}\n";
+    let canceled = "{\"result\":{\"header\":{\"revision\":\"3\"},\"canceled\":true}}\n";
+    for body in ["", "{}\n", "{\"result\":", error, canceled] {
+        let got = client(body).await.watch("foo", 1, TIMEOUT).await;
+        assert!(
+            matches!(got, Err(KvError::Unavailable { .. })),
+            "{body}: {got:?}"
+        );
+    }
+}
--- a/bulrushward_platform/tests/vm_list.rs
+++ b/bulrushward_platform/tests/vm_list.rs
@@ -1,11 +1,18 @@
 //! The client of the VM list against its stand-in.
 
+mod common;
+
 use std::time::Duration;
 
-use bulrushward_fakes::FakeVmList;
+use bulrushward_fakes::{Addresses, AnswerFault, FakeVmList, NetworkFault, VmListFaults};
 use bulrushward_platform::{HttpVmList, TargetGroup, TargetLabels, Vm, VmList, VmState};
+use common::answer_with;
+
+/// Longer than any call without a fault takes.
+const TIMEOUT: Duration = Duration::from_secs(10);
 
-const TIMEOUT: Duration = Duration::from_secs(5);
+/// For calls that are to fail by time.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(1);
 
 fn group(node: &str, state: VmState) -> TargetGroup {
     let labels = TargetLabels {
@@ -19,21 +26,110 @@
     }
 }
 
+fn vm(node: &str, state: VmState) -> Vm {
+    Vm {
+        node: node.to_owned(),
+        control_address: "127.0.0.1:7001".parse().unwrap(),
+        state,
+    }
+}
+
+async fn error_of(client: &HttpVmList) -> String {
+    client.list().await.unwrap_err().to_string()
+}
+
 #[tokio::test]
 async fn list_is_read_whole() {
     let fake = FakeVmList::start().await.unwrap();
     let client = HttpVmList::new(&fake.url(), TIMEOUT);
     assert_eq!(client.list().await.unwrap(), []);
-
     fake.set(vec![
         group("r1", VmState::Live),
         group("r2", VmState::Leaving),
     ]);
-    let control_address = "127.0.0.1:7001".parse().unwrap();
-    let expected = [("r1", VmState::Live), ("r2", VmState::Leaving)].map(|(node, state)| Vm {
-        node: node.to_owned(),
-        control_address,
-        state,
-    });
+    let expected = [vm("r1", VmState::Live), vm("r2", VmState::Leaving)];
     assert_eq!(client.list().await.unwrap(), expected);
 }
+
+#[tokio::test]
+async fn stale_list_stays_as_it_was() {
+    let fake = FakeVmList::start().await.unwrap();
+    let client = HttpVmList::new(&fake.url(), TIMEOUT);
+    fake.set(vec![group("r1", VmState::Live)]);
+    fake.faults().update(|faults| faults.stale = true);
+    fake.set(vec![group("r1", VmState::Leaving)]);
+    assert_eq!(client.list().await.unwrap(), [vm("r1", VmState::Live)]);
+    fake.faults().set(VmListFaults::default());
+    assert_eq!(client.list().await.unwrap(), [vm("r1", VmState::Leaving)]);
+}
+
+#[tokio::test]
+async fn faults_are_errors_and_the_next_reading_works() {
+    let fake = FakeVmList::start().await.unwrap();
+    let client = HttpVmList::new(&fake.url(), SHORT_TIMEOUT);
+    let cases = [
+        (AnswerFault::Malformed, "not understood"),
+        (AnswerFault::Truncated, "connection failed"),
+        (AnswerFault::Oversized, "larger than"),
+    ];
+    for (fault, said) in cases {
+        fake.faults().update(|faults| faults.answer = Some(fault));
+        let error = error_of(&client).await;
+        assert!(
+            error.contains(said) && error.contains(&fake.url()),
+            "{fault:?}: {error}"
+        );
+        fake.faults().set(VmListFaults::default());
+        assert_eq!(client.list().await.unwrap(), []);
+    }
+
+    fake.faults().update(|faults| faults.slow = TIMEOUT);
+    assert!(error_of(&client).await.contains("no answer within 1000 ms"));
+    fake.faults().set(VmListFaults::default());
+    fake.network()
+        .set_fault(NetworkFault {
+            hang: true,
+            ..NetworkFault::default()
+        })
+        .await;
+    assert!(error_of(&client).await.contains("no answer within 1000 ms"));
+    fake.network().down().await;
+    assert!(error_of(&client).await.contains("refused"));
+    fake.network().restore().await;
+    assert_eq!(client.list().await.unwrap(), []);
+}
+
+#[tokio::test]
+async fn list_that_makes_no_sense_is_refused_whole() {
+    let no_state = r#"[{"targets":["127.0.0.1:1"],"labels":{"node":"r1"}}]"#;
+    let bad_state = r#"[{"targets":["127.0.0.1:1"],"labels":{"node":"r1","state":"gone"}}]"#;
+    let bad_address = r#"[{"targets":["r1:80"],"labels":{"node":"r1","state":"live"}}]"#;
+    let no_target = r#"[{"targets":[],"labels":{"node":"r1","state":"live"}}]"#;
+    let cases = [
+        ("{}", "not understood"),
+        (no_state, "missing field `state`"),
+        (bad_state, "unknown variant `gone`"),
+        (bad_address, "invalid socket address"),
+        (no_target, "node \"r1\" has 0 targets instead of one"),
+    ];
+    for (body, said) in cases {
+        let client = HttpVmList::new(&answer_with(body).await, TIMEOUT);
+        let error = error_of(&client).await;
+        assert!(error.contains(said), "{body}: {error}");
+    }
+}
+
+#[tokio::test]
+async fn list_file_is_read_anew_for_every_call() {
+    let path = std::env::temp_dir().join(format!("bulrushward-vm-list-{}", std::process::id()));
+    let fake = FakeVmList::start_at(Addresses::default(), Some(path.clone()))
+        .await
+        .unwrap();
+    let client = HttpVmList::new(&fake.url(), TIMEOUT);
+    assert!(error_of(&client).await.contains("status 500"));
+    let text = serde_json::to_vec(&[group("r1", VmState::Live)]).unwrap();
+    std::fs::write(&path, text).unwrap();
+    let listed = client.list().await;
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(listed.unwrap(), [vm("r1", VmState::Live)]);
+}
