Bound the memory that a bad text takes

Now any text above 128 KiB is parsed in parts that start at [[kind]], [[service]] or [[organisation]] at the start of a line, a longer part is an error, and parsing stops at 1,000 errors. The price: in such a text those headings may not be indented or stand inside a multi-line string.

--- a/bulrushward_config/src/parse.rs
+++ b/bulrushward_config/src/parse.rs
@@ -1,13 +1,15 @@
 //! Reading the operators' text and reporting all of its errors.
 
+use std::ops::Range;
+
 use toml::de::{DeTable, DeValue};
 
 use crate::{
     Config, KeyIndex, TextError, TextErrors,
     links::Links,
-    parts::{SharedKeys, cut},
+    parts::{MAX_PART_BYTES, Part, SharedKeys, parts},
     report::Report,
-    rule::{KeyHash, describe},
+    rule::{KeyHash, describe, shorten},
     sections::{read_fleet, read_kind, read_organisation, read_service},
     table_reader::{Place, TableReader, report_unknown_keys},
 };
@@ -22,8 +24,9 @@
 ///
 /// # Errors
 ///
-/// Returns every error found, in the order of their places. After a syntax error the rest of the
-/// text is still checked, but names are not, since their declarations may be what is broken.
+/// Returns the errors found, at most 1,000, in the order of their places. After a syntax error the
+/// rest of the text is still checked, but names are not, since their declarations may be what is
+/// broken. In a text above 128 KiB, the headings of tables in arrays have to start their lines.
 pub fn parse(text: &str) -> Result<Config, TextErrors> {
     if text.len() > MAX_TEXT_BYTES {
         let found = text.len();
@@ -34,7 +37,15 @@
             message,
         }]));
     }
-    let (draft, mut report) = read_parts(text).unwrap_or_else(|| read_whole(text));
+    let mut report = Report::new(text);
+    let mut draft = Draft::default();
+    let mut shared = SharedKeys::default();
+    for part in parts(text) {
+        draft.read_part(&mut report, part, &mut shared);
+        if report.is_full() {
+            break;
+        }
+    }
     if !report.has_syntax_errors() {
         draft.links.check(&mut report);
     }
@@ -44,37 +55,6 @@
     Ok(config)
 }
 
-/// Reads a text part by part, or returns `None` if its parts would mean something else.
-///
-/// A cut inside a string or an array leaves a part with a syntax error, and a table that goes on
-/// in another part shows as a key of both. A text with any other syntax error is also read as a
-/// whole, so that its errors are those of the whole.
-fn read_parts(text: &str) -> Option<(Draft<'_>, Report<'_>)> {
-    let mut report = Report::new(text);
-    let mut draft = Draft::default();
-    let mut keys = SharedKeys::default();
-    for part in cut(text) {
-        let root = DeTable::parse(part.text).ok()?;
-        if !keys.are_apart(root.get_ref()) {
-            return None;
-        }
-        draft.read(&mut report, root.get_ref(), part.base);
-    }
-    Some((draft, report))
-}
-
-/// Reads a text in one go, whatever its errors.
-fn read_whole(text: &str) -> (Draft<'_>, Report<'_>) {
-    let mut report = Report::new(text);
-    let mut draft = Draft::default();
-    let (root, errors) = DeTable::parse_recoverable(text);
-    for error in errors {
-        report.syntax(error.span(), error.message());
-    }
-    draft.read(&mut report, root.get_ref(), 0);
-    (draft, report)
-}
-
 /// What has been read of a text.
 #[derive(Default)]
 struct Draft<'t> {
@@ -85,6 +65,31 @@
 }
 
 impl<'t> Draft<'t> {
+    /// Parses a part and reads its tables.
+    fn read_part(&mut self, report: &mut Report<'t>, part: Part<'t>, shared: &mut SharedKeys) {
+        let Part { base, text } = part;
+        if text.len() > MAX_PART_BYTES {
+            let message = format!(
+                "found {} bytes up to the next line that starts with [[kind]], [[service]] or \
+                 [[organisation]], expected at most {MAX_PART_BYTES}",
+                text.len()
+            );
+            report.syntax(base, message);
+            return;
+        }
+        let (root, errors) = DeTable::parse_recoverable(text);
+        for error in errors {
+            let span = error.span().unwrap_or(text.len()..text.len());
+            let message = syntax_message(text, &span, error.message());
+            report.syntax(base + span.start, message);
+        }
+        for key in shared.add(root.get_ref()) {
+            let message = format!("found {:?}: duplicate key", key.get_ref());
+            report.syntax(base + key.span().start, message);
+        }
+        self.read(report, root.get_ref(), base);
+    }
+
     /// Reads the tables of a part that starts at byte `base` of the text.
     fn read(&mut self, report: &mut Report<'t>, root: &DeTable<'t>, base: usize) {
         report_unknown_keys(report, root, base, "the text", &SECTIONS);
@@ -129,6 +134,17 @@
     }
 }
 
+/// Says what a syntax error found and what was expected.
+fn syntax_message(text: &str, span: &Range<usize>, message: &str) -> String {
+    let found = text.get(span.clone()).unwrap_or_default();
+    let found = match found.lines().next() {
+        Some(line) if !line.trim().is_empty() => format!("{:?}", shorten(line)),
+        _ if span.start >= text.len() => "the end of the text".to_owned(),
+        _ => "the end of the line".to_owned(),
+    };
+    format!("found {found}: {message}")
+}
+
 /// Returns the tables of an array and their places; anything else is reported.
 fn tables<'d, 't>(
     report: &mut Report<'t>,
--- a/bulrushward_config/src/report.rs
+++ b/bulrushward_config/src/report.rs
@@ -3,13 +3,12 @@
 use std::{
     collections::HashSet,
     fmt::{self, Display, Formatter},
-    ops::Range,
 };
 
-use crate::rule::shorten;
-
 /// Errors reported for one text; further ones are counted only.
 const MAX_ERRORS: usize = 1_000;
+/// Lines after which an offset is kept, so that finding a line needs little memory.
+const LINES_PER_MARK: usize = 64;
 
 /// One error in the text.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,7 +51,8 @@
 #[derive(Debug)]
 pub(crate) struct Report<'a> {
     text: &'a str,
-    line_starts: Vec<usize>,
+    /// Byte offsets at which every [`LINES_PER_MARK`]th line starts.
+    marks: Vec<usize>,
     errors: Vec<(usize, String)>,
     syntax_lines: HashSet<usize>,
 }
@@ -60,29 +60,20 @@
 impl<'a> Report<'a> {
     pub(crate) fn new(text: &'a str) -> Self {
         let after_breaks = text.match_indices('\n').map(|(offset, _)| offset + 1);
+        let line_starts = std::iter::once(0).chain(after_breaks);
         Self {
             text,
-            line_starts: std::iter::once(0).chain(after_breaks).collect(),
+            marks: line_starts.step_by(LINES_PER_MARK).collect(),
             errors: Vec::new(),
             syntax_lines: HashSet::new(),
         }
     }
 
     /// Adds a syntax error; it hides other errors on its line, which would only follow from it.
-    pub(crate) fn syntax(&mut self, span: Option<Range<usize>>, message: &str) {
-        let offset = span.as_ref().map_or(self.text.len(), |span| span.start);
-        let found = span
-            .and_then(|span| self.text.get(span))
-            .unwrap_or_default();
-        let found = match found.lines().next() {
-            Some(line) if !line.trim().is_empty() => format!("{:?}", shorten(line)),
-            _ if offset >= self.text.len() => "the end of the text".to_owned(),
-            _ => "the end of the line".to_owned(),
-        };
+    pub(crate) fn syntax(&mut self, offset: usize, message: String) {
         let line = self.line(offset);
         self.syntax_lines.insert(line);
-        self.errors
-            .push((offset, format!("found {found}: {message}")));
+        self.errors.push((offset, message));
     }
 
     /// Adds an error in what the text means.
@@ -94,10 +85,13 @@
 
     /// Returns the line of an offset, from 1.
     pub(crate) fn line(&self, offset: usize) -> usize {
-        self.line_starts.partition_point(|start| *start <= offset)
+        let mark = self.marks.partition_point(|start| *start <= offset) - 1;
+        let since_mark = &self.before(offset)[self.marks[mark]..];
+        let breaks = since_mark.matches('\n').count();
+        mark * LINES_PER_MARK + breaks + 1
     }
 
-    /// Whether further errors will not all be shown, so that hints for them are not worth seeking.
+    /// Whether further errors will not be shown and are not worth seeking.
     pub(crate) fn is_full(&self) -> bool {
         self.errors.len() >= MAX_ERRORS
     }
@@ -130,13 +124,16 @@
         Err(TextErrors(errors))
     }
 
+    fn before(&self, offset: usize) -> &'a str {
+        &self.text[..self.text.floor_char_boundary(offset)]
+    }
+
     fn place(&self, offset: usize, message: &str) -> TextError {
-        let line = self.line(offset);
-        let start = self.line_starts[line - 1];
-        let end = self.text.floor_char_boundary(offset.min(self.text.len()));
+        let before = self.before(offset);
+        let start = before.rfind('\n').map_or(0, |end| end + 1);
         TextError {
-            line,
-            column: self.text[start..end].chars().count() + 1,
+            line: self.line(offset),
+            column: before[start..].chars().count() + 1,
             message: message.to_owned(),
         }
     }
