--- a/bulrushward_revisions/tests/fake_kv/mod.rs
+++ b/bulrushward_revisions/tests/fake_kv/mod.rs
@@ -31,6 +31,7 @@
     down: bool,
     reads: usize,
     writes: usize,
+    written_bytes: usize,
 }
 
 /// The fake service.
@@ -58,6 +59,17 @@
         self.lock().writes
     }
 
+    pub fn written_bytes(&self) -> usize {
+        self.lock().written_bytes
+    }
+
+    /// Size of the head record in bytes.
+    pub fn head_bytes(&self) -> usize {
+        let state = self.lock();
+        let head = state.entries.iter().find(|(key, _)| key.ends_with("/head"));
+        head.map_or(0, |(_, entry)| entry.value.len())
+    }
+
     /// Damages every stored value whose key contains `part`.
     pub fn damage(&self, part: &str) {
         for (key, entry) in &mut self.lock().entries {
@@ -115,6 +127,7 @@
     ) -> Result<CasOutcome, KvError> {
         let mut state = self.lock();
         state.writes += 1;
+        state.written_bytes += value.len();
         if state.down {
             return Err(unavailable(key));
         }
--- a/bulrushward_revisions/tests/store.rs
+++ b/bulrushward_revisions/tests/store.rs
@@ -6,7 +6,7 @@
     collections::HashMap,
     fmt::Write,
     sync::Arc,
-    time::{Duration, UNIX_EPOCH},
+    time::{Duration, Instant, UNIX_EPOCH},
 };
 
 use bulrushward_platform::KeyValue;
@@ -250,15 +250,27 @@
     assert!(kv.largest_value() < 1 << 20);
     let reader = new_store(&kv);
     reader.current().await.expect("reads");
-    let (writes, reads) = (kv.writes(), kv.reads());
+    let (writes, reads, bytes) = (kv.writes(), kv.reads(), kv.written_bytes());
     let changed = text.replace("\"org-16000\"", "\"org-sixteen-thousand\"");
+    let start = Instant::now();
     let second = accept(&store, 1, &changed, 2).await;
-    assert!(kv.writes() - writes <= 6, "{} writes", kv.writes() - writes);
+    let elapsed = start.elapsed().as_micros();
+    let writes = kv.writes() - writes;
     let reads_of_submit = kv.reads() - reads;
-    assert!(reads_of_submit <= 6, "{reads_of_submit} reads");
+    let bytes = kv.written_bytes() - bytes;
     let reads = kv.reads();
-    assert_eq!(reader.current().await.expect("reads"), Some(second));
-    assert!(kv.reads() - reads <= 4, "{} reads", kv.reads() - reads);
+    assert_eq!(reader.current().await.expect("reads"), Some(second.clone()));
+    let reads_of_reader = kv.reads() - reads;
+    println!(
+        "text_bytes={} chunks={} head_bytes={} submit_us={elapsed} submit_writes={writes} \
+         submit_reads={reads_of_submit} submit_written_bytes={bytes} reader_reads={reads_of_reader}",
+        changed.len(),
+        second.manifest().chunks.len(),
+        kv.head_bytes()
+    );
+    assert!(writes <= 6, "{writes} writes");
+    assert!(reads_of_submit <= 6, "{reads_of_submit} reads");
+    assert!(reads_of_reader <= 4, "{reads_of_reader} reads");
 }
 
 #[tokio::test(start_paused = true)]
