--- a/bulrushward/src/control/members.rs
+++ b/bulrushward/src/control/members.rs
@@ -1,54 +1,31 @@
-//! The processes that this one has heard of.
+//! The processes that this one knows, and whom to talk to next.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Instant};
 
-use bulrushward_protocol::{MemberRecord, MemberState, NodeId, Role};
-use rand::seq::IteratorRandom;
+use bulrushward_policy::membership::{LoadReport, MemberTable};
+use bulrushward_protocol::{MemberRecord, NodeId, Role};
+use rand::{RngExt, seq::IndexedRandom};
 
 use super::Member;
 
-/// Time after which a silent process is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
-/// Records of others that go into one exchange.
-const RECORDS_IN_EXCHANGE: usize = 8;
+/// Bytes of records of others in one exchange.
+const RECORD_BYTES: usize = 1_000;
+/// Share of exchanges that go to an address of the VM list, known or not.
+const CONTACT_SHARE: f64 = 0.1;
 
-/// All known processes but this one.
-#[derive(Debug, Default)]
+/// The member table of this process and the addresses from outside it.
+#[derive(Debug)]
 pub(crate) struct Members {
-    members: HashMap<NodeId, Member>,
+    table: MemberTable,
     contacts: Vec<SocketAddr>,
 }
 
 impl Members {
-    /// Takes in records; newer ones win and a state never goes back within an incarnation.
-    pub(crate) fn merge(&mut self, own: &NodeId, records: Vec<MemberRecord>, now: Instant) -> bool {
-        let mut changed = false;
-        for record in records {
-            if record.node == *own {
-                continue;
-            }
-            changed |= self.merge_one(record, now);
+    pub(crate) fn new(own: MemberRecord, now: Instant) -> Self {
+        Self {
+            table: MemberTable::new(own, now),
+            contacts: Vec::new(),
         }
-        changed
-    }
-
-    fn merge_one(&mut self, mut record: MemberRecord, now: Instant) -> bool {
-        if let Some(known) = self.members.get(&record.node) {
-            let known = &known.record;
-            if (record.incarnation, record.version) <= (known.incarnation, known.version) {
-                return false;
-            }
-            if record.incarnation == known.incarnation {
-                record.state = record.state.max(known.state);
-            }
-        }
-        let member = Member { record, heard: now };
-        self.members.insert(member.record.node.clone(), member);
-        true
     }
 
     /// Keeps addresses of processes that may not be known yet.
@@ -56,53 +33,90 @@
         self.contacts = contacts;
     }
 
-    /// Forgets processes that were silent for long.
-    pub(crate) fn forget_silent(&mut self, now: Instant) {
-        self.members
-            .retain(|_, member| now.duration_since(member.heard) < FORGET_AFTER);
+    /// Brings the own record up to date and returns it.
+    pub(crate) fn refresh_own(&mut self, current: &MemberRecord, now: Instant) -> MemberRecord {
+        let own = self.table.own();
+        let same = own.load == current.load
+            && own.queued == current.queued
+            && own.revision == current.revision
+            && own.state == current.state;
+        if same {
+            self.table.heartbeat(now);
+        } else {
+            self.table.update_own(now, |own| {
+                own.load = current.load;
+                own.queued = current.queued;
+                own.revision = current.revision;
+                own.state = current.state;
+            });
+        }
+        self.table.own().clone()
     }
 
-    /// Returns records for a peer, those heard of last first.
-    pub(crate) fn freshest(&self) -> Vec<MemberRecord> {
-        let mut members: Vec<&Member> = self.members.values().collect();
-        members.sort_by_key(|member| std::cmp::Reverse(member.heard));
-        members
-            .iter()
-            .take(RECORDS_IN_EXCHANGE)
-            .map(|member| member.record.clone())
-            .collect()
+    /// Takes in the records of an exchange.
+    pub(crate) fn merge(&mut self, records: &[MemberRecord], now: Instant) -> Vec<NodeId> {
+        self.table.merge(records, now)
     }
 
-    /// Chooses an address for the next exchange among members and contacts.
-    pub(crate) fn peer(&self, own: SocketAddr) -> Option<SocketAddr> {
-        let members = self
-            .members
-            .values()
-            .map(|member| member.record.control_address);
-        members
-            .chain(self.contacts.iter().copied())
+    /// Returns whether another process runs under the own name and started later.
+    pub(crate) fn is_superseded(&self) -> bool {
+        self.table.is_superseded()
+    }
+
+    pub(crate) fn reached(&mut self, node: &str) {
+        self.table.reached(node);
+    }
+
+    pub(crate) fn unreachable(&mut self, node: &str) {
+        self.table.unreachable(node);
+    }
+
+    /// Returns the records of others for one exchange.
+    pub(crate) fn records(&mut self, now: Instant) -> Vec<MemberRecord> {
+        self.table.exchange_out(now, RECORD_BYTES, &mut rand::rng())
+    }
+
+    /// Chooses whom to talk to next: a member, or an address of the VM list.
+    pub(crate) fn peer(&self, now: Instant) -> Option<(Option<NodeId>, SocketAddr)> {
+        let mut rng = rand::rng();
+        let own = self.table.own().control_address;
+        let contacts: Vec<SocketAddr> = self
+            .contacts
+            .iter()
+            .copied()
             .filter(|address| *address != own)
-            .choose(&mut rand::rng())
+            .collect();
+        let contact = contacts.choose(&mut rng).map(|address| (None, *address));
+        if contact.is_some() && (self.table.is_empty() || rng.random_bool(CONTACT_SHARE)) {
+            return contact;
+        }
+        let member = self.table.peer(now, &mut rng);
+        member
+            .map(|member| (Some(member.node.clone()), member.control_address))
+            .or(contact)
     }
 
-    /// Returns all members for a snapshot.
-    pub(crate) fn all(&self) -> Vec<Member> {
-        let mut members: Vec<Member> = self.members.values().cloned().collect();
+    /// Returns all known members for a snapshot.
+    pub(crate) fn all(&self, now: Instant) -> Vec<Member> {
+        let mut members: Vec<Member> = self
+            .table
+            .known(now)
+            .map(|known| Member {
+                record: known.record.clone(),
+                heard: known.heard,
+                answers: known.answers,
+            })
+            .collect();
         members.sort_by(|a, b| a.record.node.cmp(&b.record.node));
         members
     }
-}
 
-/// Averages the load over the live agents of a service, with the current load of this one.
-pub(crate) fn mean_load(members: &[Member], service: Option<&str>, own: u64) -> f64 {
-    let others = members
-        .iter()
-        .map(|member| &member.record)
-        .filter(|record| {
-            record.role == Role::Agent
-                && record.state == MemberState::Live
-                && record.service.as_deref() == service
-        });
-    let (sum, count) = others.fold((own, 1), |(sum, count), r| (sum + r.load, count + 1));
-    sum as f64 / f64::from(count)
+    /// Returns the loads of the other agents of the own service.
+    pub(crate) fn loads(&self, now: Instant) -> Vec<LoadReport> {
+        let own = self.table.own();
+        match (&own.role, &own.service) {
+            (Role::Agent, Some(service)) => self.table.loads(service, now),
+            _ => Vec::new(),
+        }
+    }
 }
--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -17,7 +17,11 @@
 
 use arc_swap::ArcSwap;
 use bulrushward_config::Config;
-use bulrushward_policy::quarantine::{Quarantine, Verdict};
+use bulrushward_policy::{
+    mean_load::MeanLoad,
+    membership::LoadReport,
+    quarantine::{Quarantine, Verdict},
+};
 use bulrushward_protocol::{
     Fingerprint, Incarnation, MemberRecord, MemberState, Revision, Role, WorkUnits,
 };
@@ -40,6 +44,10 @@
     pub(crate) config: Arc<Config>,
     /// Known processes without this one.
     pub(crate) members: Vec<Member>,
+    /// Loads of the other agents of this agent's service.
+    pub(crate) loads: Vec<LoadReport>,
+    /// When the members were read; `None` before the first time.
+    pub(crate) read: Option<Instant>,
 }
 
 /// A known process.
@@ -49,6 +57,8 @@
     pub(crate) record: MemberRecord,
     /// When the record arrived.
     pub(crate) heard: Instant,
+    /// Whether there was news of it lately and this process can reach it.
+    pub(crate) answers: bool,
 }
 
 /// What the control thread is told by the traffic threads.
@@ -127,14 +137,20 @@
         self.queued.store(queued, Ordering::Relaxed);
     }
 
-    /// Returns the mean load of the backend servers of this agent's service.
+    /// Returns the mean load of the backend servers of this agent's service, on the low side.
     pub(crate) fn mean_load(&self) -> f64 {
         let own = self.load.load(Ordering::Relaxed);
-        members::mean_load(
-            &self.snapshot().members,
-            self.identity.service.as_deref(),
-            own,
-        )
+        let snapshot = self.snapshot();
+        let since = snapshot.read.map_or(Duration::ZERO, |read| read.elapsed());
+        let reports: Vec<LoadReport> = snapshot
+            .loads
+            .iter()
+            .map(|report| LoadReport {
+                load: report.load,
+                age: report.age + since,
+            })
+            .collect();
+        MeanLoad::default().estimate(own, &reports, reports.len())
     }
 
     /// Announces that this process takes nothing new; there is no way back.
@@ -165,14 +181,11 @@
         self.send(Command::Adopt(accepted));
     }
 
-    /// Returns the agents of a service that were heard of within `period`.
-    pub(crate) fn agents_of(&self, service: &str, period: Duration) -> Vec<MemberRecord> {
+    /// Returns the agents of a service that answer.
+    pub(crate) fn agents_of(&self, service: &str) -> Vec<MemberRecord> {
         let snapshot = self.snapshot();
-        let fresh = snapshot
-            .members
-            .iter()
-            .filter(|member| member.heard.elapsed() < period);
-        fresh
+        let answering = snapshot.members.iter().filter(|member| member.answers);
+        answering
             .map(|member| &member.record)
             .filter(|record| record.role == Role::Agent)
             .filter(|record| record.service.as_deref() == Some(service))
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -11,12 +11,12 @@
 };
 
 use bulrushward_platform::{Vm, VmList, VmState};
-use bulrushward_protocol::{Exchange, MemberRecord, Revision, transport::Listener};
+use bulrushward_protocol::{Exchange, MemberRecord, NodeId, Revision, transport::Listener};
 use bulrushward_revisions::{Accepted, RevisionStore};
 use rand::RngExt;
 use snafu::ResultExt;
 use tokio::sync::mpsc;
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 use super::{
     Command, Control, Snapshot, configuration, exchange, exchange::Question, members::Members,
@@ -74,10 +74,9 @@
         exchange::start_listener(listener, questions_tx, metrics.clone(), Arc::clone(&stop));
     let state = State {
         control: Arc::clone(&control),
-        members: Members::default(),
+        members: Members::new(control.identity.clone(), Instant::now()),
         seeds: settings.peers.clone(),
         interval: settings.exchange_interval,
-        version: 0,
         metrics,
         answers: mpsc::channel(CHANNEL_CAPACITY),
     };
@@ -99,14 +98,21 @@
     ))
 }
 
+/// What came of an exchange with a peer.
+struct PeerAnswer {
+    /// The peer, if it was known.
+    node: Option<NodeId>,
+    /// Its side of the exchange, unless it did not answer.
+    exchange: Option<Exchange>,
+}
+
 struct State {
     control: Arc<Control>,
     members: Members,
     seeds: Vec<SocketAddr>,
     interval: Duration,
-    version: u64,
     metrics: ControlMetrics,
-    answers: (mpsc::Sender<Exchange>, mpsc::Receiver<Exchange>),
+    answers: (mpsc::Sender<PeerAnswer>, mpsc::Receiver<PeerAnswer>),
 }
 
 impl State {
@@ -132,7 +138,6 @@
             tokio::select! {
                 _ = tick.tick() => {
                     tick.reset_after(jittered(self.interval));
-                    self.members.forget_silent(Instant::now());
                     self.exchange(1);
                     self.publish();
                 }
@@ -150,17 +155,16 @@
 
     /// Starts exchanges with random peers.
     fn exchange(&mut self, count: usize) {
-        let own = self.control.identity.control_address;
         for _ in 0..count {
-            let Some(peer) = self.members.peer(own) else {
+            let Some((node, address)) = self.members.peer(Instant::now()) else {
                 return;
             };
-            self.send(peer, false);
+            self.send(node, address, false);
         }
     }
 
     /// Starts an exchange, with the configuration if the peer is known to be behind.
-    fn send(&mut self, peer: SocketAddr, with_configuration: bool) {
+    fn send(&mut self, node: Option<NodeId>, peer: SocketAddr, with_configuration: bool) {
         let mut exchange = self.own_side();
         if with_configuration {
             exchange.configuration = self.configuration_for(0);
@@ -168,9 +172,8 @@
         let answers = self.answers.0.clone();
         let metrics = self.metrics.clone();
         tokio::spawn(async move {
-            if let Some(answer) = exchange::send(peer, exchange, metrics).await {
-                let _ended = answers.send(answer).await;
-            }
+            let exchange = exchange::send(peer, exchange, metrics).await;
+            let _ended = answers.send(PeerAnswer { node, exchange }).await;
         });
     }
 
@@ -184,21 +187,32 @@
         let _gave_up = answer.send(own);
     }
 
-    fn take_answer(&mut self, answer: Exchange) {
-        let behind = answer.revision < self.control.snapshot().revision;
-        let peer = answer.own.control_address;
-        self.take(answer);
+    fn take_answer(&mut self, answer: PeerAnswer) {
+        let Some(exchange) = answer.exchange else {
+            if let Some(node) = answer.node {
+                self.members.unreachable(&node);
+                self.publish();
+            }
+            return;
+        };
+        let behind = exchange.revision < self.control.snapshot().revision;
+        let (node, address) = (exchange.own.node.clone(), exchange.own.control_address);
+        self.take(exchange);
+        self.members.reached(&node);
         if behind {
-            self.send(peer, true);
+            self.send(Some(node), address, true);
         }
     }
 
     fn take(&mut self, exchange: Exchange) {
         let now = Instant::now();
-        let own = self.control.identity.node.clone();
         let mut records = exchange.members;
         records.push(exchange.own);
-        let changed = self.members.merge(&own, records, now);
+        let changed = self.members.merge(&records, now);
+        if self.members.is_superseded() && !self.control.is_leaving() {
+            error!(event = "name-taken", node = self.control.identity.node);
+            self.control.leave();
+        }
         self.control
             .lock_quarantine()
             .merge(&exchange.quarantine, now);
@@ -208,20 +222,18 @@
                 Err(error) => warn!(event = "configuration-refused", %error),
             }
         }
-        if changed {
+        if !changed.is_empty() {
             self.publish();
         }
     }
 
     fn own_side(&mut self) -> Exchange {
-        self.version += 1;
-        let mut own = self.control.own_record();
-        own.version = self.version;
         let now = Instant::now();
+        let own = self.members.refresh_own(&self.control.own_record(), now);
         Exchange {
             revision: own.revision,
             own,
-            members: self.members.freshest(),
+            members: self.members.records(now),
             quarantine: self
                 .control
                 .lock_quarantine()
@@ -258,25 +270,32 @@
         self.control
             .lock_quarantine()
             .reconfigure(config.fleet.quarantine_crashes, config.fleet.quarantine);
-        self.control.snapshot.store(Arc::new(Snapshot {
-            revision,
-            accepted: Some(accepted),
-            config: Arc::new(config),
-            members: self.members.all(),
-        }));
+        let mut snapshot = self.with_members(&current);
+        snapshot.revision = revision;
+        snapshot.accepted = Some(accepted);
+        snapshot.config = Arc::new(config);
+        self.control.snapshot.store(Arc::new(snapshot));
         self.control.revisions.send_replace(revision);
         info!(event = "configuration-adopted", revision, origin);
         self.exchange(SPREAD_PEERS);
     }
 
     fn publish(&self) {
-        let current = self.control.snapshot();
-        self.control.snapshot.store(Arc::new(Snapshot {
+        let snapshot = self.with_members(&self.control.snapshot());
+        self.control.snapshot.store(Arc::new(snapshot));
+    }
+
+    /// Copies a snapshot with the members as they are now.
+    fn with_members(&self, current: &Snapshot) -> Snapshot {
+        let now = Instant::now();
+        Snapshot {
             revision: current.revision,
             accepted: current.accepted.clone(),
             config: Arc::clone(&current.config),
-            members: self.members.all(),
-        }));
+            members: self.members.all(now),
+            loads: self.members.loads(now),
+            read: Some(now),
+        }
     }
 
     fn take_vms(&mut self, vms: &[Vm]) {
--- a/bulrushward/src/router/admin.rs
+++ b/bulrushward/src/router/admin.rs
@@ -203,6 +203,7 @@
         let own = Member {
             record: control.own_record(),
             heard: std::time::Instant::now(),
+            answers: true,
         };
         let members: Vec<MemberStatus> = std::iter::once(&own)
             .chain(&snapshot.members)
--- a/bulrushward/src/router/candidates.rs
+++ b/bulrushward/src/router/candidates.rs
@@ -1,14 +1,12 @@
 //! Which agents a request may go to, in order of preference.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bulrushward_policy::placement::{Candidate, rank};
 use bulrushward_protocol::{MemberRecord, MemberState};
 
 use super::{Router, job::Job};
 
-/// Time after which an agent that was not heard of is not tried.
-const SILENT_AFTER: Duration = Duration::from_secs(15);
 /// Agents that one request tries.
 const MAX_CANDIDATES: usize = 8;
 
@@ -37,13 +35,13 @@
 
 /// Returns whether a service has an agent that takes new work.
 pub(crate) fn has_live_agent(router: &Router, service: &str) -> bool {
-    let agents = router.control.agents_of(service, SILENT_AFTER);
+    let agents = router.control.agents_of(service);
     agents.iter().any(|agent| agent.state == MemberState::Live)
 }
 
 fn live_agents(router: &Router, job: &Job) -> Vec<MemberRecord> {
     let service = &job.service;
-    let mut agents = router.control.agents_of(&service.name, SILENT_AFTER);
+    let mut agents = router.control.agents_of(&service.name);
     agents.retain(|agent| {
         let Some(backend) = &agent.backend else {
             return false;
--- a/bulrushward/src/router/forward.rs
+++ b/bulrushward/src/router/forward.rs
@@ -53,6 +53,7 @@
 
 /// Sends a request until it is answered or finally refused.
 pub(crate) async fn forward(router: &Arc<Router>, job: &Job) -> Result<Answer, Refusal> {
+    check_limit(router, job)?;
     check_dependencies(router, job)?;
     let agents = candidates::for_job(router, job);
     failpoint::hit("router-placed");
@@ -110,6 +111,19 @@
     unreachable!("a request without an attempt on its way can only be sent or refused")
 }
 
+fn check_limit(router: &Router, job: &Job) -> Result<(), Refusal> {
+    let taken = router.lock_limits().take(&job.organisation, Instant::now());
+    taken.map_err(|retry_after| Refusal {
+        reason: RefusalReason::OrganisationLimit,
+        outcome: Outcome::NotRun,
+        retry_after_ms: retry_after.as_millis() as u64 + 1,
+        message: format!(
+            "organisation {:?} is above its limit of requests",
+            job.organisation
+        ),
+    })
+}
+
 fn check_dependencies(router: &Router, job: &Job) -> Result<(), Refusal> {
     for dependency in &job.service.depends_on {
         if !candidates::has_live_agent(router, dependency) {
--- a/bulrushward/src/router/mod.rs
+++ b/bulrushward/src/router/mod.rs
@@ -13,10 +13,10 @@
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use bulrushward_policy::retry_budget::RetryBudget;
+use bulrushward_policy::{organisation_limit::OrganisationLimits, retry_budget::RetryBudget};
 use bulrushward_revisions::RevisionStore;
 
 use self::silent_agents::SilentAgents;
@@ -36,6 +36,7 @@
     fresh: reqwest::Client,
     budget: Mutex<RetryBudget>,
     silent: SilentAgents,
+    limits: Mutex<OrganisationLimits>,
     metrics: RouterMetrics,
 }
 
@@ -55,6 +56,7 @@
             fresh: http::fresh_client()?,
             budget: Mutex::new(RetryBudget::new(fraction)),
             silent: SilentAgents::default(),
+            limits: Mutex::default(),
             metrics,
         }))
     }
@@ -77,8 +79,12 @@
     async fn follow_configuration(self: Arc<Self>) {
         let mut revisions = self.control.revisions();
         while revisions.changed().await.is_ok() {
-            let fraction = self.control.snapshot().config.fleet.retry_fraction;
-            self.lock_budget().set_fraction(fraction);
+            let config = Arc::clone(&self.control.snapshot().config);
+            self.lock_budget().set_fraction(config.fleet.retry_fraction);
+            let rates = config.organisations.iter().filter_map(|organisation| {
+                Some((organisation.name.clone(), organisation.requests_per_second?))
+            });
+            self.lock_limits().reconfigure(rates, Instant::now());
         }
     }
 
@@ -87,6 +93,10 @@
         self.settings.silence
     }
 
+    fn lock_limits(&self) -> MutexGuard<'_, OrganisationLimits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/bulrushward_policy/src/membership.rs
+++ b/bulrushward_policy/src/membership.rs
@@ -40,6 +40,17 @@
     pub age: Duration,
 }
 
+/// A known member as its table sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct KnownMember<'a> {
+    /// Its newest record.
+    pub record: &'a MemberRecord,
+    /// When the newest version was heard.
+    pub heard: Instant,
+    /// Whether there was news of it lately and this process can reach it.
+    pub answers: bool,
+}
+
 #[derive(Debug)]
 struct Entry {
     record: MemberRecord,
@@ -177,6 +188,15 @@
         live
     }
 
+    /// Returns all known members but the own process, in no particular order.
+    pub fn known(&self, now: Instant) -> impl Iterator<Item = KnownMember<'_>> {
+        self.entries.values().map(move |entry| KnownMember {
+            record: &entry.record,
+            heard: entry.heard,
+            answers: !entry.unreachable && !self.is_silent(entry, now),
+        })
+    }
+
     /// Returns the loads of the other members of a service that take new work.
     #[must_use]
     pub fn loads(&self, service: &ServiceId, now: Instant) -> Vec<LoadReport> {
