--- a/bulrushward_config/tests/good_texts.rs
+++ b/bulrushward_config/tests/good_texts.rs
@@ -196,6 +196,34 @@
     assert_eq!(diff, "@@ -1,2 +1,2 @@\n a\n-b\n+c\n");
 }
 
+#[test]
+fn the_page_for_operators_names_every_key_and_its_example_is_good() {
+    let page = include_str!("../../docs/CONFIGURATION.md");
+    let example = page
+        .split("```toml\n")
+        .nth(1)
+        .and_then(|rest| rest.split("```").next());
+    let config = parse(example.expect("the page has an example")).expect("the example is good");
+    assert!(config.organisation_for_key("key").is_some());
+    let errors = parse(
+        "[fleet]\n\"?\"=1\n[[kind]]\n\"?\"=1\n[[service]]\n\"?\"=1\n[[organisation]]\n\"?\"=1\n",
+    );
+    let mut keys = 0;
+    for error in errors.expect_err("the keys are unknown").0 {
+        let Some((_, list)) = error.message.split_once("expected one of ") else {
+            continue;
+        };
+        for key in list.split(", ") {
+            assert!(
+                page.contains(&format!("\n| `{key}` |")),
+                "the page lacks {key}"
+            );
+            keys += 1;
+        }
+    }
+    assert_eq!(keys, 29, "keys of all four sections");
+}
+
 /// Texts made of pieces that belong to the format, in any order.
 fn scrambled() -> impl Strategy<Value = String> {
     let piece = prop::sample::select(vec![
--- a/bulrushward_revisions/src/error.rs
+++ b/bulrushward_revisions/src/error.rs
@@ -1,7 +1,7 @@
 //! Errors of the revision store.
 
 use bulrushward_platform::KvError;
-use bulrushward_protocol::{Revision, format_id};
+use bulrushward_protocol::{Outcome, Revision, format_id};
 use snafu::Snafu;
 
 /// A call to the revision store that failed.
@@ -59,3 +59,20 @@
         detail: String,
     },
 }
+
+impl RevisionsError {
+    /// Says what became of the submission that failed with this error.
+    #[must_use]
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Unknown { .. } => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// Whether the submission itself is at fault, so that sending it again cannot help.
+    #[must_use]
+    pub fn is_bad_submission(&self) -> bool {
+        matches!(self, Self::UnknownBase { .. } | Self::FieldSize { .. })
+    }
+}
--- a/bulrushward_revisions/tests/store.rs
+++ b/bulrushward_revisions/tests/store.rs
@@ -10,7 +10,7 @@
 };
 
 use bulrushward_platform::KeyValue;
-use bulrushward_protocol::Revision;
+use bulrushward_protocol::{Outcome, Revision};
 use bulrushward_revisions::{
     Accepted, AssembleError, Manifest, RevisionStore, RevisionsError, Submission, SubmitOutcome,
 };
@@ -96,10 +96,13 @@
 async fn an_unknown_base_is_named() {
     let (_, store) = store();
     let error = store.submit(submission(4, "a = 1\n", 1)).await;
+    let error = error.expect_err("is refused");
     assert_eq!(
-        error.expect_err("is refused").to_string(),
+        error.to_string(),
         "base revision 4 does not exist; the newest is 0"
     );
+    assert!(error.is_bad_submission());
+    assert_eq!(error.outcome(), Outcome::NotRun);
 }
 
 #[tokio::test(start_paused = true)]
@@ -183,10 +186,13 @@
     let (kv, store) = self::store();
     kv.next_head_writes(&[WriteFault::Lost, WriteFault::Refused]);
     let error = store.submit(submission(0, "a = 1\n", 1)).await;
+    let error = error.expect_err("no answer arrives");
     assert!(matches!(
         error,
-        Err(RevisionsError::Unknown { submission: 1, .. })
+        RevisionsError::Unknown { submission: 1, .. }
     ));
+    assert!(!error.is_bad_submission());
+    assert_eq!(error.outcome(), Outcome::Unknown);
 }
 
 #[tokio::test(start_paused = true)]
