--- a/bulrushward_revisions/tests/store.rs
+++ b/bulrushward_revisions/tests/store.rs
@@ -10,9 +10,10 @@
 };
 
 use bulrushward_platform::KeyValue;
-use bulrushward_protocol::{Outcome, Revision};
+use bulrushward_protocol::{Outcome, Revision, codec::VERSION, encode};
 use bulrushward_revisions::{
-    Accepted, AssembleError, Manifest, RevisionStore, RevisionsError, Submission, SubmitOutcome,
+    Accepted, AssembleError, Digest, Manifest, RevisionStore, RevisionsError, Submission,
+    SubmitOutcome,
 };
 use fake_kv::{FakeKv, WriteFault};
 use proptest::prelude::*;
@@ -305,6 +306,20 @@
     assert!(Accepted::decode(&bytes[..bytes.len() / 2]).is_err());
 }
 
+#[test]
+fn times_out_of_range_are_errors_or_times_but_no_panic() {
+    for at in [i64::MIN, -1, 0, i64::MAX] {
+        let chunks: [(Digest, u32); 0] = [];
+        let bytes = encode(&(7_u64, "asha", "why", at, 1_u128, chunks)).expect("encodes");
+        if let Ok(manifest) = Manifest::decode(&bytes) {
+            assert_eq!(
+                Manifest::decode(&manifest.encode().expect("encodes")).ok(),
+                Some(manifest)
+            );
+        }
+    }
+}
+
 /// One step of a generated history.
 #[derive(Clone, Debug)]
 enum Step {
@@ -430,4 +445,14 @@
             .expect("a runtime starts");
         runtime.block_on(check_history(steps));
     }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(mut bytes: Vec<u8>) {
+        bytes.insert(0, VERSION);
+        let _ = Accepted::decode(&bytes);
+        let Ok(manifest) = Manifest::decode(&bytes) else {
+            return Ok(());
+        };
+        let _ = Accepted::assemble(&manifest, &|_| Some("x".into()));
+    }
 }
