--- a/bulrushward_revisions/tests/store.rs
+++ b/bulrushward_revisions/tests/store.rs
@@ -10,9 +10,10 @@
 };
 
 use bulrushward_platform::KeyValue;
-use bulrushward_protocol::Revision;
+use bulrushward_protocol::{Outcome, Revision, codec::VERSION, encode};
 use bulrushward_revisions::{
-    Accepted, AssembleError, Manifest, RevisionStore, RevisionsError, Submission, SubmitOutcome,
+    Accepted, AssembleError, Digest, Manifest, RevisionStore, RevisionsError, Submission,
+    SubmitOutcome,
 };
 use fake_kv::{FakeKv, WriteFault};
 use proptest::prelude::*;
@@ -96,10 +97,13 @@
 async fn an_unknown_base_is_named() {
     let (_, store) = store();
     let error = store.submit(submission(4, "a = 1\n", 1)).await;
+    let error = error.expect_err("is refused");
     assert_eq!(
-        error.expect_err("is refused").to_string(),
+        error.to_string(),
         "base revision 4 does not exist; the newest is 0"
     );
+    assert!(error.is_bad_submission());
+    assert_eq!(error.outcome(), Outcome::NotRun);
 }
 
 #[tokio::test(start_paused = true)]
@@ -183,10 +187,13 @@
     let (kv, store) = self::store();
     kv.next_head_writes(&[WriteFault::Lost, WriteFault::Refused]);
     let error = store.submit(submission(0, "a = 1\n", 1)).await;
+    let error = error.expect_err("no answer arrives");
     assert!(matches!(
         error,
-        Err(RevisionsError::Unknown { submission: 1, .. })
+        RevisionsError::Unknown { submission: 1, .. }
     ));
+    assert!(!error.is_bad_submission());
+    assert_eq!(error.outcome(), Outcome::Unknown);
 }
 
 #[tokio::test(start_paused = true)]
@@ -299,6 +306,20 @@
     assert!(Accepted::decode(&bytes[..bytes.len() / 2]).is_err());
 }
 
+#[test]
+fn times_out_of_range_are_errors_or_times_but_no_panic() {
+    for at in [i64::MIN, -1, 0, i64::MAX] {
+        let chunks: [(Digest, u32); 0] = [];
+        let bytes = encode(&(7_u64, "asha", "why", at, 1_u128, chunks)).expect("encodes");
+        if let Ok(manifest) = Manifest::decode(&bytes) {
+            assert_eq!(
+                Manifest::decode(&manifest.encode().expect("encodes")).ok(),
+                Some(manifest)
+            );
+        }
+    }
+}
+
 /// One step of a generated history.
 #[derive(Clone, Debug)]
 enum Step {
@@ -424,4 +445,14 @@
             .expect("a runtime starts");
         runtime.block_on(check_history(steps));
     }
+
+    #[test]
+    fn arbitrary_bytes_never_panic(mut bytes: Vec<u8>) {
+        bytes.insert(0, VERSION);
+        let _ = Accepted::decode(&bytes);
+        let Ok(manifest) = Manifest::decode(&bytes) else {
+            return Ok(());
+        };
+        let _ = Accepted::assemble(&manifest, &|_| Some("x".into()));
+    }
 }
