Let a new router retry as many requests as a crash breaks at once

Cause: a router began with one retry, so a crash of an engine with nine requests in flight refused the innocent with retry-budget. Ruled out: claims of suspects, which were won.

--- a/bulrushward_policy/src/retry_budget.rs
+++ b/bulrushward_policy/src/retry_budget.rs
@@ -2,8 +2,9 @@
 
 /// Retries that a router may save up.
 const MAX_BALANCE: f64 = 10.0;
-/// Balance of a new router, so that its first request may be retried.
-const INITIAL_BALANCE: f64 = 1.0;
+/// Balance of a new router, which has no retries behind it; a crash breaks several requests at
+/// once.
+const INITIAL_BALANCE: f64 = MAX_BALANCE;
 
 /// Limits retries to a fraction of requests.
 ///
