--- a/bulrushward_fakes/src/main.rs
+++ b/bulrushward_fakes/src/main.rs
@@ -38,25 +38,25 @@
 async fn run(command: Command) -> io::Result<()> {
     match command {
         Command::KeyValue { addresses } => {
-            let fake = FakeKeyValue::start_at(addresses.into()).await?;
+            let fake = FakeKeyValue::start_at(addresses).await?;
             run_until_stop(fake).await
         }
         Command::VmList { addresses, file } => {
-            let fake = FakeVmList::start_at(addresses.into(), file).await?;
+            let fake = FakeVmList::start_at(addresses, file).await?;
             run_until_stop(fake).await
         }
         Command::Engine {
             addresses,
             settings,
         } => {
-            let fake = FakeEngine::start_at(addresses.into(), settings.into()).await?;
+            let fake = FakeEngine::start_at(addresses, settings).await?;
             run_until_stop(fake).await
         }
         Command::Plain { addresses } => {
             let settings = PlainSettings {
                 on_crash: OnCrash::Abort,
             };
-            let fake = FakePlain::start_at(addresses.into(), settings).await?;
+            let fake = FakePlain::start_at(addresses, settings).await?;
             run_until_stop(fake).await
         }
     }
--- a/bulrushward_fakes/tests/program.rs
+++ b/bulrushward_fakes/tests/program.rs
@@ -41,17 +41,39 @@
 #[tokio::test]
 async fn bad_argument_is_named_and_exits_with_2() {
     for (arguments, named) in [
-        (&["engine", "--token-ms", "x"][..], "`x`"),
-        (&["plain", "--address", "nowhere"], "`nowhere`"),
+        (
+            &["engine", "--token-ms", "x"][..],
+            "--token-ms (or BULRUSHWARD_FAKES_TOKEN_MS) is \"x\"",
+        ),
+        (
+            &["plain", "--address", "nowhere"],
+            "\"nowhere\" and should be IP:PORT",
+        ),
         (&["queue"], "queue"),
     ] {
         let output = command(arguments).output().await.unwrap();
         assert_eq!(output.status.code(), Some(2));
         let said = String::from_utf8(output.stderr).unwrap();
-        assert!(said.contains(named), "{said}");
+        assert!(said.contains(named) && said.lines().count() == 1, "{said}");
     }
 }
 
+#[tokio::test]
+async fn bad_variable_is_named_as_a_bad_argument_is() {
+    let mut command = command(&["engine"]);
+    let output = command
+        .env("BULRUSHWARD_FAKES_BATCH_SIZE", "-1")
+        .output()
+        .await
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        said.contains("BULRUSHWARD_FAKES_BATCH_SIZE) is \"-1\""),
+        "{said}"
+    );
+}
+
 #[tokio::test]
 async fn every_stand_in_starts_and_stops() {
     for name in ["key-value", "vm-list", "engine", "plain"] {
