--- a/bulrushward_fakes/src/engine.rs
+++ b/bulrushward_fakes/src/engine.rs
@@ -29,7 +29,7 @@
 };
 use crate::{
     crash::Process,
-    fake::{Addresses, Fake, FakeState},
+    fake::{Addresses, EndOfStreams, Fake, FakeState},
     faults::Faults,
     http::{Endpoint, Failure, Refusal, read_json, write_json},
 };
@@ -48,6 +48,7 @@
     cache: Mutex<PrefixCache>,
     cache_events: CacheEvents,
     orders: Orders,
+    end_of_events: EndOfStreams,
 }
 
 impl FakeEngine {
@@ -82,6 +83,7 @@
                     settings.cache_event_gap,
                 ),
                 orders: Orders::new(settings.checks_fencing),
+                end_of_events: EndOfStreams::default(),
                 settings,
             }
         })
@@ -121,6 +123,10 @@
     fn faults(&self) -> &Faults<EngineFaults> {
         &self.faults
     }
+
+    fn end_streams(&self) {
+        self.end_of_events.end();
+    }
 }
 
 impl EngineState {
@@ -142,7 +148,7 @@
             (&Method::GET, "/health") => write_json(res, "healthy"),
             (&Method::GET, "/load") => write_json(res, self.load.reported()),
             (&Method::GET, "/cache-events") => {
-                res.stream(self.cache_events.stream());
+                res.stream(self.end_of_events.until_end(self.cache_events.stream()));
                 chat::mark_event_stream(res);
                 Ok(())
             }
--- a/bulrushward_fakes/src/fake.rs
+++ b/bulrushward_fakes/src/fake.rs
@@ -2,9 +2,10 @@
 
 use std::{fmt::Debug, io, net::SocketAddr, sync::Arc};
 
+use futures_util::{Stream, StreamExt};
 use salvo::{Request, Response, async_trait, http::Method};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::net::TcpListener;
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
     faults::Faults,
@@ -63,6 +64,28 @@
 
     /// Returns the current faults.
     fn faults(&self) -> &Faults<Self::Faults>;
+
+    /// Ends the answers that would otherwise last as long as their callers stay.
+    fn end_streams(&self) {}
+}
+
+/// End of the answers that last as long as their callers stay.
+#[derive(Debug, Default)]
+pub(crate) struct EndOfStreams(watch::Sender<bool>);
+
+impl EndOfStreams {
+    pub(crate) fn end(&self) {
+        self.0.send_replace(true);
+    }
+
+    /// Passes on a stream until the end of all.
+    pub(crate) fn until_end<S: Stream>(&self, stream: S) -> impl Stream<Item = S::Item> + use<S> {
+        let mut end = self.0.subscribe();
+        stream.take_until(async move {
+            // The stand-in is gone if its sender is.
+            drop(end.wait_for(|end| *end).await);
+        })
+    }
 }
 
 /// A stand-in that runs; dropping it cuts everything.
@@ -132,7 +155,11 @@
     }
 
     /// Takes no new requests and returns when those in progress have ended.
+    ///
+    /// Faults end, and so do watches and streams of events, which have no end of their own.
     pub async fn stop(mut self) {
+        self.state.faults().set(S::Faults::default());
+        self.state.end_streams();
         self.proxy
             .set_fault(NetworkFault {
                 refuse: true,
--- a/bulrushward_fakes/src/key_value/endpoint.rs
+++ b/bulrushward_fakes/src/key_value/endpoint.rs
@@ -94,10 +94,11 @@
     ) -> Result<(), Failure> {
         let watch = self.watch(request).await;
         let watch = self.settle(watch).await?;
-        res.stream(stream::unfold(watch, async |mut watch| {
+        let lines = stream::unfold(watch, async |mut watch| {
             let result = watch.next().await?;
             Some((line(result), watch))
-        }));
+        });
+        res.stream(self.end_of_watches.until_end(lines));
         Ok(())
     }
 
--- a/bulrushward_fakes/src/key_value/state.rs
+++ b/bulrushward_fakes/src/key_value/state.rs
@@ -20,7 +20,10 @@
     lease::Lease,
     store::Store,
 };
-use crate::{fake::FakeState, faults::Faults};
+use crate::{
+    fake::{EndOfStreams, FakeState},
+    faults::Faults,
+};
 
 /// Largest value, in bytes.
 pub const VALUE_LIMIT_BYTES: usize = 1_000_000;
@@ -48,6 +51,7 @@
     pub(super) leases: Mutex<HashMap<i64, Lease>>,
     pub(super) faults: Faults<KeyValueFaults>,
     counters: Mutex<KeyValueCounters>,
+    pub(super) end_of_watches: EndOfStreams,
 }
 
 impl FakeState for KeyValueState {
@@ -56,6 +60,10 @@
     fn faults(&self) -> &Faults<KeyValueFaults> {
         &self.faults
     }
+
+    fn end_streams(&self) {
+        self.end_of_watches.end();
+    }
 }
 
 impl KeyValueState {
@@ -66,6 +74,7 @@
             leases: Mutex::default(),
             faults: Faults::default(),
             counters: Mutex::default(),
+            end_of_watches: EndOfStreams::default(),
         }
     }
 
--- a/bulrushward_fakes/tests/program.rs
+++ b/bulrushward_fakes/tests/program.rs
@@ -106,6 +106,56 @@
     assert!(child.wait().await.unwrap().success());
 }
 
+#[tokio::test]
+async fn stop_does_not_wait_for_endless_streams() {
+    let watch = json!({"create_request": {"key": "YQ==", "startRevision": "1"}});
+    let client = Client::new();
+    for (name, path) in [("key-value", "/v3/watch"), ("engine", "/cache-events")] {
+        let (mut child, public, _admin) = start(&[name]).await;
+        let url = format!("{public}{path}");
+        let request = if name == "engine" {
+            client.get(url)
+        } else {
+            client.post(url)
+        };
+        let mut answer = request.json(&watch).send().await.unwrap();
+        terminate(&child);
+        while answer.chunk().await.unwrap().is_some() {}
+        assert!(child.wait().await.unwrap().success(), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn stop_ends_faults() {
+    let (mut child, public, admin) = start(&["plain"]).await;
+    let client = Client::new();
+    let order = json!({"faults": {"delay_answer_ms": 3_600_000}});
+    client
+        .put(format!("{admin}/fault"))
+        .json(&order)
+        .send()
+        .await
+        .unwrap();
+    let answer = tokio::spawn(client.post(format!("{public}/x")).send());
+    let executions = client.get(format!("{admin}/executions"));
+    while executions
+        .try_clone()
+        .unwrap()
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap()
+        == "[]"
+    {
+        tokio::task::yield_now().await;
+    }
+    terminate(&child);
+    assert!(answer.await.unwrap().unwrap().status().is_success());
+    assert!(child.wait().await.unwrap().success());
+}
+
 #[tokio::test]
 async fn crash_aborts_the_process() {
     let (mut child, public, admin) = start(&["plain"]).await;
