--- a/bulrushward_fakes/tests/program.rs
+++ b/bulrushward_fakes/tests/program.rs
@@ -41,17 +41,39 @@
 #[tokio::test]
 async fn bad_argument_is_named_and_exits_with_2() {
     for (arguments, named) in [
-        (&["engine", "--token-ms", "x"][..], "`x`"),
-        (&["plain", "--address", "nowhere"], "`nowhere`"),
+        (
+            &["engine", "--token-ms", "x"][..],
+            "--token-ms (or BULRUSHWARD_FAKES_TOKEN_MS) is \"x\"",
+        ),
+        (
+            &["plain", "--address", "nowhere"],
+            "\"nowhere\" and should be IP:PORT",
+        ),
         (&["queue"], "queue"),
     ] {
         let output = command(arguments).output().await.unwrap();
         assert_eq!(output.status.code(), Some(2));
         let said = String::from_utf8(output.stderr).unwrap();
-        assert!(said.contains(named), "{said}");
+        assert!(said.contains(named) && said.lines().count() == 1, "{said}");
     }
 }
 
+#[tokio::test]
+async fn bad_variable_is_named_as_a_bad_argument_is() {
+    let mut command = command(&["engine"]);
+    let output = command
+        .env("BULRUSHWARD_FAKES_BATCH_SIZE", "-1")
+        .output()
+        .await
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        said.contains("BULRUSHWARD_FAKES_BATCH_SIZE) is \"-1\""),
+        "{said}"
+    );
+}
+
 #[tokio::test]
 async fn every_stand_in_starts_and_stops() {
     for name in ["key-value", "vm-list", "engine", "plain"] {
@@ -84,6 +106,56 @@
     assert!(child.wait().await.unwrap().success());
 }
 
+#[tokio::test]
+async fn stop_does_not_wait_for_endless_streams() {
+    let watch = json!({"create_request": {"key": "YQ==", "startRevision": "1"}});
+    let client = Client::new();
+    for (name, path) in [("key-value", "/v3/watch"), ("engine", "/cache-events")] {
+        let (mut child, public, _admin) = start(&[name]).await;
+        let url = format!("{public}{path}");
+        let request = if name == "engine" {
+            client.get(url)
+        } else {
+            client.post(url)
+        };
+        let mut answer = request.json(&watch).send().await.unwrap();
+        terminate(&child);
+        while answer.chunk().await.unwrap().is_some() {}
+        assert!(child.wait().await.unwrap().success(), "{name}");
+    }
+}
+
+#[tokio::test]
+async fn stop_ends_faults() {
+    let (mut child, public, admin) = start(&["plain"]).await;
+    let client = Client::new();
+    let order = json!({"faults": {"delay_answer_ms": 3_600_000}});
+    client
+        .put(format!("{admin}/fault"))
+        .json(&order)
+        .send()
+        .await
+        .unwrap();
+    let answer = tokio::spawn(client.post(format!("{public}/x")).send());
+    let executions = client.get(format!("{admin}/executions"));
+    while executions
+        .try_clone()
+        .unwrap()
+        .send()
+        .await
+        .unwrap()
+        .text()
+        .await
+        .unwrap()
+        == "[]"
+    {
+        tokio::task::yield_now().await;
+    }
+    terminate(&child);
+    assert!(answer.await.unwrap().unwrap().status().is_success());
+    assert!(child.wait().await.unwrap().success());
+}
+
 #[tokio::test]
 async fn crash_aborts_the_process() {
     let (mut child, public, admin) = start(&["plain"]).await;
