Measure reuse and skew of six policies in a small model

An event queue with virtual time sends a generated workload through model engines with bounded prefix caches. Product, round robin, least load, two choices, plain rendezvous and an oracle run over the same requests, at both fleets of today and at the planned size.

--- /dev/null
+++ b/bulrushward_measure/src/figure.rs
@@ -0,0 +1,115 @@
+//! One measured figure, its line and its files.
+
+use std::{
+    fmt::{self, Display, Formatter},
+    fs::File,
+    path::{Path, PathBuf},
+};
+
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+
+/// Figures that cannot be written.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum FigureError {
+    /// The file cannot be created.
+    #[snafu(display("cannot create {}: {source}", path.display()))]
+    Create {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The figures cannot be written as JSON.
+    #[snafu(display("cannot write JSON to {}: {source}", path.display()))]
+    Json {
+        /// The file.
+        path: PathBuf,
+        /// The serialiser's error.
+        source: serde_json::Error,
+    },
+    /// The figures cannot be written as CSV.
+    #[snafu(display("cannot write CSV to {}: {source}", path.display()))]
+    Csv {
+        /// The file.
+        path: PathBuf,
+        /// The serialiser's error.
+        source: csv::Error,
+    },
+    /// A picture cannot be drawn.
+    #[snafu(display("cannot draw {}: {message}", path.display()))]
+    Plot {
+        /// The file.
+        path: PathBuf,
+        /// The plotting library's error.
+        message: String,
+    },
+}
+
+/// One measured figure.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Figure {
+    /// What was measured.
+    pub measure: String,
+    /// Under which policy, or by which part.
+    pub policy: String,
+    /// At which size.
+    pub size: String,
+    /// In which case.
+    pub case: String,
+    /// The value.
+    pub value: f64,
+    /// The unit of the value.
+    pub unit: &'static str,
+    /// Whether the target is met, where there is one.
+    pub target_met: Option<bool>,
+}
+
+impl Display for Figure {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self {
+            measure,
+            policy,
+            size,
+            case,
+            value,
+            unit,
+            target_met,
+        } = self;
+        write!(
+            f,
+            "measure={measure} policy={policy} size={size} case={case}"
+        )?;
+        write!(f, " value={value:.4} unit={unit}")?;
+        match target_met {
+            Some(true) => write!(f, " target=met"),
+            Some(false) => write!(f, " target=missed"),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Writes figures as a JSON array.
+///
+/// # Errors
+///
+/// Returns [`FigureError`] if the file cannot be written.
+pub fn write_json(path: &Path, figures: &[Figure]) -> Result<(), FigureError> {
+    let file = File::create(path).context(CreateSnafu { path })?;
+    serde_json::to_writer_pretty(file, figures).context(JsonSnafu { path })
+}
+
+/// Writes figures as CSV with a header.
+///
+/// # Errors
+///
+/// Returns [`FigureError`] if the file cannot be written.
+pub fn write_csv(path: &Path, figures: &[Figure]) -> Result<(), FigureError> {
+    let file = File::create(path).context(CreateSnafu { path })?;
+    let mut writer = csv::Writer::from_writer(file);
+    for figure in figures {
+        writer.serialize(figure).context(CsvSnafu { path })?;
+    }
+    writer.flush().context(CreateSnafu { path })
+}
--- /dev/null
+++ b/bulrushward_measure/src/lib.rs
@@ -0,0 +1,25 @@
+//! Measures the decision code of the fleet against in-memory stand-ins.
+//!
+//! A run sends a generated workload through model engines in virtual time; only the decisions are
+//! the product's own.
+
+mod engine;
+mod figure;
+mod fleet;
+mod measures;
+mod policies;
+mod prefix_cache;
+mod results;
+mod scenario;
+mod views;
+mod workload;
+
+pub use engine::{Engine, Progress};
+pub use figure::{Figure, FigureError, write_csv, write_json};
+pub use fleet::run;
+pub use measures::measure_runs;
+pub use policies::{MAX_ATTEMPTS, Policy, PolicyName, Seen, View};
+pub use prefix_cache::{PrefixCache, PrefixId};
+pub use results::Results;
+pub use scenario::{Case, Size};
+pub use workload::{Arrival, Kind, generate};
--- a/bulrushward_measure/src/main.rs
+++ b/bulrushward_measure/src/main.rs
@@ -1,3 +1,71 @@
 //! Measures the decision code of the fleet against in-memory stand-ins.
 
-fn main() {}
+use std::{path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+use bulrushward_measure::{Figure, FigureError, Size, measure_runs, write_csv, write_json};
+use bulrushward_policy::load_bound::LoadBound;
+
+/// Load that an engine may always carry, in work units; the default of the operators' text.
+const FLOOR: u64 = 4_096;
+
+/// What to measure and where to write it.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Seed of the workload and of all choices
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Measure shorter virtual times, in less than 30 s
+    quick: bool,
+    /// Measure only the size with this name
+    #[bpaf(argument("NAME"))]
+    size: Option<String>,
+    /// Load multiple that agents apply
+    #[bpaf(argument("RATIO"), fallback(1.25), display_fallback)]
+    multiple: f64,
+    /// Write the figures as JSON
+    #[bpaf(argument("FILE"))]
+    json: Option<PathBuf>,
+    /// Write the figures as CSV
+    #[bpaf(argument("FILE"))]
+    csv: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match measure(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bulrushward-measure: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(options: &Options) -> Result<(), FigureError> {
+    let is_wanted = |size: &Size| options.size.as_ref().is_none_or(|name| name == size.name);
+    let sizes: Vec<Size> = Size::all(options.quick)
+        .into_iter()
+        .filter(is_wanted)
+        .collect();
+    let bound = LoadBound {
+        multiple: options.multiple,
+        floor: FLOOR,
+    };
+    let figures = measure_runs(&sizes, bound, options.seed);
+    report(options, &figures)
+}
+
+fn report(options: &Options, figures: &[Figure]) -> Result<(), FigureError> {
+    for figure in figures {
+        println!("{figure}");
+    }
+    if let Some(path) = &options.json {
+        write_json(path, figures)?;
+    }
+    if let Some(path) = &options.csv {
+        write_csv(path, figures)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/bulrushward_measure/src/results.rs
@@ -0,0 +1,135 @@
+//! What a run of the model measured.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bulrushward_protocol::{RefusalReason, WorkUnits};
+use hdrhistogram::Histogram;
+
+use crate::workload::Kind;
+
+/// Steps of the recorded skew per unit.
+const SKEW_STEPS: f64 = 10_000.0;
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+/// Largest value that the histograms tell apart: a skew of 100,000 or 11 days.
+const LARGEST: u64 = 1_000_000_000;
+
+/// Counts and distributions of one run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Results {
+    /// Requests that reached a router, over the whole run.
+    pub arrived: u64,
+    /// Requests that an agent admitted, over the whole run.
+    pub admitted: u64,
+    /// Requests that finished, over the whole run.
+    pub finished: u64,
+    /// Requests refused in the end, over the whole run.
+    pub refused: u64,
+    /// Requests in progress when the run ended.
+    pub unfinished: u64,
+    /// Tokens in the fullest prefix cache when the run ended.
+    pub fullest_cache: u64,
+    /// Refusals after the warm-up, by kind of work and last reason.
+    pub refusals: BTreeMap<(String, String), u64>,
+    /// Prompt tokens after the warm-up.
+    pub prompt_tokens: u64,
+    /// Prompt tokens found in a cache after the warm-up.
+    pub found_tokens: u64,
+    skew: Histogram<u64>,
+    skew_above_floor: Histogram<u64>,
+    first_token_ms: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Default for Results {
+    fn default() -> Self {
+        Self {
+            arrived: 0,
+            admitted: 0,
+            finished: 0,
+            refused: 0,
+            unfinished: 0,
+            fullest_cache: 0,
+            refusals: BTreeMap::new(),
+            prompt_tokens: 0,
+            found_tokens: 0,
+            skew: histogram(),
+            skew_above_floor: histogram(),
+            first_token_ms: BTreeMap::new(),
+        }
+    }
+}
+
+impl Results {
+    /// Returns the share of prompt tokens found in caches.
+    #[must_use]
+    pub fn reuse(&self) -> f64 {
+        self.found_tokens as f64 / self.prompt_tokens.max(1) as f64
+    }
+
+    /// Returns a quantile of load over mean load at admissions above the floor.
+    #[must_use]
+    pub fn skew_above_floor(&self, quantile: f64) -> f64 {
+        self.skew_above_floor.value_at_quantile(quantile) as f64 / SKEW_STEPS
+    }
+
+    /// Returns a quantile of load over mean load at all admissions.
+    #[must_use]
+    pub fn skew(&self, quantile: f64) -> f64 {
+        self.skew.value_at_quantile(quantile) as f64 / SKEW_STEPS
+    }
+
+    /// Returns the 95th percentile of the time until the first token, by kind of work.
+    #[must_use]
+    pub fn first_token_p95(&self) -> BTreeMap<String, Duration> {
+        let p95 = |h: &Histogram<u64>| Duration::from_millis(h.value_at_quantile(0.95));
+        self.first_token_ms
+            .iter()
+            .map(|(kind, h)| (kind.clone(), p95(h)))
+            .collect()
+    }
+
+    /// Returns the share of measured requests that were refused.
+    #[must_use]
+    pub fn refused_share(&self) -> f64 {
+        let refused: u64 = self.refusals.values().sum();
+        let answered: u64 = self.first_token_ms.values().map(Histogram::len).sum();
+        refused as f64 / (refused + answered).max(1) as f64
+    }
+
+    pub(crate) fn refuse(&mut self, kind: Kind, reason: RefusalReason, is_measured: bool) {
+        self.refused += 1;
+        if is_measured {
+            let key = (kind.to_string(), reason.to_string());
+            *self.refusals.entry(key).or_default() += 1;
+        }
+    }
+
+    pub(crate) fn record_skew(&mut self, load: WorkUnits, mean: f64, floor: WorkUnits) {
+        let skew = (load as f64 / mean * SKEW_STEPS).round() as u64;
+        self.skew.saturating_record(skew);
+        if load > floor {
+            self.skew_above_floor.saturating_record(skew);
+        }
+    }
+
+    pub(crate) fn record_prompt(&mut self, found: u64, prompt: u64, is_measured: bool) {
+        if is_measured {
+            self.prompt_tokens += prompt;
+            self.found_tokens += found;
+        }
+    }
+
+    pub(crate) fn record_first_token(&mut self, kind: Kind, elapsed: Duration, is_measured: bool) {
+        if is_measured {
+            let times = self
+                .first_token_ms
+                .entry(kind.to_string())
+                .or_insert_with(histogram);
+            times.saturating_record(elapsed.as_millis() as u64);
+        }
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LARGEST, DIGITS).expect("bounds and precision are valid")
+}
--- /dev/null
+++ b/bulrushward_measure/src/scenario.rs
@@ -0,0 +1,104 @@
+//! Sizes of the fleet and cases of a run.
+
+use std::{ops::Range, time::Duration};
+
+use strum::{Display, VariantArray};
+
+/// What happens in a run.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, VariantArray)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Case {
+    /// Nothing fails and traffic is even.
+    Steady,
+    /// A tenth of the engines and of the routers is replaced each minute.
+    Churn,
+    /// Three organisations send 80% of the traffic for the middle third of the measured time.
+    Surge,
+}
+
+/// A fleet and its traffic.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Size {
+    /// Name in figures.
+    pub name: &'static str,
+    /// Model engines.
+    pub engines: usize,
+    /// Routers.
+    pub routers: usize,
+    /// Plain backend servers, which count in membership and control traffic only.
+    pub plain_servers: usize,
+    /// Organisations.
+    pub organisations: usize,
+    /// Requests a second.
+    pub rate: f64,
+    /// Tokens that the prefix cache of an engine holds.
+    pub cache_tokens: u64,
+    /// One-way delay between failure domains.
+    pub one_way: Duration,
+    /// Greatest age of what a process knows of another's load.
+    pub view_lag: Duration,
+    /// Virtual time before measuring starts.
+    pub warm_up: Duration,
+    /// Virtual time of the run.
+    pub duration: Duration,
+}
+
+impl Size {
+    /// Returns when the surge of a run lasts.
+    #[must_use]
+    pub fn surge(&self) -> Range<Duration> {
+        let third = self.duration.saturating_sub(self.warm_up) / 3;
+        self.warm_up + third..self.warm_up + 2 * third
+    }
+
+    /// Returns a quarter of the planned fleet, for quick runs.
+    fn quarter(self) -> Self {
+        Self {
+            name: "planned-quarter",
+            engines: self.engines / 4,
+            routers: self.routers / 4,
+            rate: self.rate / 4.0,
+            ..self
+        }
+    }
+
+    /// Returns the sizes to measure: both fleets of today and the one to design for.
+    #[must_use]
+    pub fn all(quick: bool) -> Vec<Self> {
+        let today = Duration::from_mins(if quick { 30 } else { 120 });
+        let planned = Duration::from_mins(6);
+        let shrestha = Self {
+            name: "shrestha",
+            engines: 10,
+            routers: 3,
+            plain_servers: 3,
+            organisations: 10,
+            rate: 30.0,
+            cache_tokens: 4_000_000,
+            one_way: Duration::from_micros(1_500),
+            view_lag: Duration::from_secs(2),
+            warm_up: today / 3,
+            duration: today,
+        };
+        let kestrelvlei = Self {
+            name: "kestrelvlei",
+            engines: 20,
+            rate: 60.0,
+            one_way: Duration::from_micros(500),
+            ..shrestha.clone()
+        };
+        let planned = Self {
+            name: "planned",
+            engines: 600,
+            routers: 410,
+            organisations: 32_000,
+            rate: 1_800.0,
+            view_lag: Duration::from_secs(20),
+            warm_up: planned / 3,
+            duration: planned,
+            ..shrestha.clone()
+        };
+        let planned = if quick { planned.quarter() } else { planned };
+        vec![shrestha, kestrelvlei, planned]
+    }
+}
--- /dev/null
+++ b/bulrushward_measure/src/views.rs
@@ -0,0 +1,53 @@
+//! What routers and agents know of loads: reports that arrive late.
+
+use std::{collections::VecDeque, time::Duration};
+
+use bulrushward_protocol::WorkUnits;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Time between two samples of all loads.
+pub(crate) const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The loads of all slots over the last seconds.
+#[derive(Debug)]
+pub(crate) struct LoadHistory {
+    rows: VecDeque<Vec<WorkUnits>>,
+    kept: usize,
+    lag: Duration,
+}
+
+impl LoadHistory {
+    /// Creates a history that answers for ages up to `lag`.
+    pub(crate) fn new(lag: Duration) -> Self {
+        let kept = lag.as_millis() / SAMPLE_INTERVAL.as_millis() + 2;
+        Self {
+            rows: VecDeque::new(),
+            kept: kept as usize,
+            lag,
+        }
+    }
+
+    /// Adds the loads of this moment.
+    pub(crate) fn push(&mut self, loads: Vec<WorkUnits>) {
+        self.rows.push_front(loads);
+        self.rows.truncate(self.kept);
+    }
+
+    /// Returns the newest report of a slot that a process has at `now`.
+    pub(crate) fn reported(&self, viewer: usize, slot: usize, now: Duration) -> Option<WorkUnits> {
+        let age = self.age(viewer, slot, now);
+        let row = age.as_millis() / SAMPLE_INTERVAL.as_millis();
+        let row = self.rows.get(row as usize).or(self.rows.back())?;
+        Some(row[slot])
+    }
+
+    /// Returns the age of what a process knows of a slot: even in 0 to the greatest lag.
+    pub(crate) fn age(&self, viewer: usize, slot: usize, now: Duration) -> Duration {
+        let mut buf = [0; 24];
+        buf[..8].copy_from_slice(&viewer.to_le_bytes());
+        buf[8..16].copy_from_slice(&slot.to_le_bytes());
+        buf[16..].copy_from_slice(&now.as_secs().to_le_bytes());
+        self.lag
+            .mul_f64((xxh3_64(&buf) >> 11) as f64 / (1_u64 << 53) as f64)
+    }
+}
