--- a/bulrushward_measure/tests/model.rs
+++ b/bulrushward_measure/tests/model.rs
@@ -126,7 +126,9 @@
 
 #[test]
 fn prompts_grow_by_every_turn_of_their_chat() {
-    let arrivals = generate(&small(), Case::Steady, SEED);
+    let mut size = small();
+    size.duration = Duration::from_mins(6);
+    let arrivals = generate(&size, Case::Steady, SEED);
     let mut histories = std::collections::HashMap::new();
     let mut returns = 0;
     for arrival in &arrivals {
