--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -2,6 +2,12 @@
 //!
 //! Time and randomness are arguments everywhere, so every decision can be replayed.
 
+pub mod admission;
+pub mod attempt;
 pub mod chat_key;
+mod fair_queue;
 pub mod load_bound;
 pub mod placement;
+pub mod quarantine;
+pub mod retry_budget;
+mod service_rate;
