Drive admission, attempts and retry budget of the product in the model

Agents of all policies queue through AdmissionQueue, and routers step through RequestProgress with a RetryBudget; only the order of candidates and the bound differ.

--- a/bulrushward_measure/src/fleet.rs
+++ b/bulrushward_measure/src/fleet.rs
@@ -4,23 +4,31 @@
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use bulrushward_policy::load_bound::LoadBound;
-use bulrushward_protocol::{RefusalReason, WorkUnits};
+use bulrushward_policy::{
+    admission::{AdmissionSettings, Decision, Ticket},
+    attempt::{RequestFacts, RequestProgress, Step},
+    load_bound::LoadBound,
+    retry_budget::RetryBudget,
+};
+use bulrushward_protocol::{AttemptId, Outcome, RefusalReason, WorkUnits};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
     Case, Size,
-    engine::{Engine, Progress},
+    backend::{Backend, admission_settings},
+    engine::Progress,
     policies::{Policy, Seen, View},
     results::Results,
     views::{LoadHistory, SAMPLE_INTERVAL},
     workload::Arrival,
 };
 
+/// Failure domains of each fleet.
+const FAILURE_DOMAINS: usize = 3;
 /// One-way delay within a failure domain.
 const NEAR: Duration = Duration::from_micros(200);
 /// One-way delay between callers and routers.
@@ -31,6 +39,8 @@
 const ROUTER_BLIND: Duration = Duration::from_secs(2);
 /// Share of engines and of routers that churn replaces each minute.
 const CHURN_PER_MINUTE: f64 = 0.1;
+/// Retries that routers allow as a fraction of requests; the default of the operators' text.
+const RETRY_FRACTION: f64 = 0.1;
 /// Seed of choices that routers make, apart from the workload.
 const CHOICE_STREAM: u64 = 0x5eed;
 
@@ -40,17 +50,37 @@
     Sample,
     ReplaceEngine,
     ReplaceRouter,
-    Wake { engine: usize, generation: u64 },
-    Attempt { request: usize, engine: usize },
+    Report,
+    Wake { backend: usize, generation: u64 },
+    Attempt { request: usize, backend: usize },
     Arrive { request: usize },
 }
 
 /// What a router has in memory.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Router {
     started: Duration,
     refreshed: Option<Duration>,
     seen: Vec<Seen>,
+    budget: RetryBudget,
+}
+
+impl Router {
+    fn new(now: Duration) -> Self {
+        Self {
+            started: now,
+            refreshed: None,
+            seen: Vec::new(),
+            budget: RetryBudget::new(RETRY_FRACTION),
+        }
+    }
+}
+
+/// A request that has not been admitted yet.
+#[derive(Debug)]
+struct Pending {
+    candidates: Vec<usize>,
+    progress: RequestProgress,
 }
 
 /// The mean load that an agent last worked out.
@@ -66,19 +96,22 @@
     arrivals: &'a [Arrival],
     policy: Box<dyn Policy>,
     bound: LoadBound,
+    settings: AdmissionSettings,
     rng: Pcg64Mcg,
+    /// The moment that virtual time is counted from.
+    epoch: Instant,
     now: Duration,
     events: BinaryHeap<Reverse<(Duration, Event)>>,
-    engines: Vec<Engine>,
-    /// The engine of each slot, and the one before it.
+    backends: Vec<Backend>,
+    /// The backend server of each slot, and the one before it.
     slots: Vec<(usize, Option<usize>)>,
-    slot_of: Vec<usize>,
     routers: Vec<Router>,
     means: Vec<AgentMean>,
     history: LoadHistory,
+    /// Backend servers that ran each conversation.
     holders: HashMap<u64, Vec<usize>>,
-    /// Engines still to be tried for a request.
-    remaining: HashMap<usize, Vec<usize>>,
+    pending: HashMap<usize, Pending>,
+    /// Load of all backend servers that are not leaving.
     total_load: WorkUnits,
     results: Results,
 }
@@ -115,44 +148,46 @@
         bound: LoadBound,
         seed: u64,
     ) -> Self {
+        let settings = admission_settings(policy.limits(), bound);
         let mut fleet = Self {
             size,
             arrivals,
             policy,
             bound,
+            settings,
             rng: Pcg64Mcg::seed_from_u64(seed ^ CHOICE_STREAM),
+            epoch: Instant::now(),
             now: Duration::ZERO,
             events: BinaryHeap::new(),
-            engines: Vec::new(),
+            backends: Vec::new(),
             slots: Vec::new(),
-            slot_of: Vec::new(),
-            routers: vec![Router::default(); size.routers],
+            routers: vec![Router::new(Duration::ZERO); size.routers],
             means: Vec::new(),
             history: LoadHistory::new(size.view_lag),
             holders: HashMap::new(),
-            remaining: HashMap::new(),
+            pending: HashMap::new(),
             total_load: 0,
             results: Results::default(),
         };
         for slot in 0..size.engines {
-            let engine = fleet.add_engine(slot);
-            fleet.slots.push((engine, None));
+            let backend = fleet.add_backend(slot);
+            fleet.slots.push((backend, None));
         }
         fleet
     }
 
-    fn add_engine(&mut self, slot: usize) -> usize {
-        let index = self.engines.len();
-        let name: Arc<str> = format!("engine-{index}").into();
-        self.engines
-            .push(Engine::new(name, self.size.cache_tokens, self.now));
-        self.slot_of.push(slot);
+    fn add_backend(&mut self, slot: usize) -> usize {
+        let index = self.backends.len();
+        let settings = self.settings.clone();
+        let backend = Backend::new(index, slot, self.size.cache_tokens, settings, self.now);
+        self.backends.push(backend);
         self.means.push(AgentMean::default());
         index
     }
 
     fn schedule_start(&mut self, case: Case) {
         self.schedule(Duration::ZERO, Event::Sample);
+        self.schedule(REFRESH_INTERVAL, Event::Report);
         if !self.arrivals.is_empty() {
             self.schedule(self.arrivals[0].at, Event::Arrive { request: 0 });
         }
@@ -180,12 +215,16 @@
             Event::Sample => self.sample(),
             Event::ReplaceEngine => self.replace_engine(),
             Event::ReplaceRouter => self.replace_router(),
-            Event::Wake { engine, generation } => {
-                if self.engines[engine].generation == generation {
-                    self.step(engine);
+            Event::Report => self.report_progress(),
+            Event::Wake {
+                backend,
+                generation,
+            } => {
+                if self.backends[backend].engine.generation == generation {
+                    self.step(backend);
                 }
             }
-            Event::Attempt { request, engine } => self.attempt(request, engine),
+            Event::Attempt { request, backend } => self.attempt(request, backend),
             Event::Arrive { request } => self.arrive(request),
         }
     }
@@ -194,40 +233,50 @@
         let loads = self
             .slots
             .iter()
-            .map(|(engine, _)| self.engines[*engine].load)
-            .collect();
-        self.history.push(loads);
+            .map(|(backend, _)| self.backends[*backend].load());
+        self.history.push(loads.collect());
         self.schedule(SAMPLE_INTERVAL, Event::Sample);
     }
 
+    /// Replaces an engine gracefully: the old one ends its work, the new one has another name.
     fn replace_engine(&mut self) {
         let slot = self.rng.random_range(0..self.slots.len());
         let old = self.slots[slot].0;
-        let new = self.add_engine(slot);
+        let new = self.add_backend(slot);
         self.slots[slot] = (new, Some(old));
-        self.engines[old].left = Some(self.now);
-        self.total_load -= self.engines[old].load;
+        self.total_load -= self.backends[old].load();
+        self.backends[old].is_leaving = true;
+        self.backends[old].admission.drain();
         self.schedule(churn_interval(self.size.engines), Event::ReplaceEngine);
     }
 
     fn replace_router(&mut self) {
         let router = self.rng.random_range(0..self.routers.len());
-        self.routers[router] = Router {
-            started: self.now,
-            ..Router::default()
-        };
+        self.routers[router] = Router::new(self.now);
         self.schedule(churn_interval(self.size.routers), Event::ReplaceRouter);
     }
 
+    /// Tells every agent how far its running requests are.
+    fn report_progress(&mut self) {
+        for backend in 0..self.backends.len() {
+            if self.backends[backend].unfinished() == 0 {
+                continue;
+            }
+            self.step(backend);
+            self.change_load(backend, |backend| {
+                for (request, tokens) in backend.engine.take_progress() {
+                    backend.admission.progress(request as AttemptId, tokens);
+                }
+            });
+        }
+        self.schedule(REFRESH_INTERVAL, Event::Report);
+    }
+
     fn arrive(&mut self, request: usize) {
         if let Some(next) = self.arrivals.get(request + 1) {
             let at = next.at;
-            self.events.push(Reverse((
-                at,
-                Event::Arrive {
-                    request: request + 1,
-                },
-            )));
+            let request = request + 1;
+            self.events.push(Reverse((at, Event::Arrive { request })));
         }
         let arrival = self.arrivals[request];
         self.refresh_router(arrival.router);
@@ -235,141 +284,193 @@
             router: arrival.router,
             seen: &self.routers[arrival.router].seen,
             bound: self.bound,
-            engines: &self.engines,
+            backends: &self.backends,
             holders: &self.holders,
         };
-        let mut order = self.policy.order(&view, &arrival, &mut self.rng);
-        order.reverse();
-        self.remaining.insert(request, order);
+        let candidates = self.policy.order(&view, &arrival, &mut self.rng);
+        let progress = RequestProgress::new(RequestFacts {
+            candidates: candidates.len(),
+            idempotent: true,
+            suspect: false,
+            deadline: self.deadline(&arrival),
+        });
+        self.pending.insert(
+            request,
+            Pending {
+                candidates,
+                progress,
+            },
+        );
         self.results.arrived += 1;
-        self.try_next(request, RefusalReason::NoBackend, Duration::ZERO);
+        self.routers[arrival.router].budget.deposit();
+        self.proceed(request, Duration::ZERO);
     }
 
-    /// Sends a request to its next candidate, or refuses it for the reason of the last one.
-    fn try_next(&mut self, request: usize, reason: RefusalReason, delay: Duration) {
-        let Some(engine) = self.remaining.get_mut(&request).and_then(Vec::pop) else {
-            self.remaining.remove(&request);
-            let arrival = &self.arrivals[request];
-            self.results
-                .refuse(arrival.kind, reason, self.is_measured(arrival));
+    /// Does the next step of a request that is not admitted, after its last answer came back.
+    fn proceed(&mut self, request: usize, delay: Duration) {
+        let arrival = self.arrivals[request];
+        let Some(pending) = self.pending.get_mut(&request) else {
             return;
         };
-        let delay = delay + self.one_way(self.arrivals[request].router, engine);
-        self.schedule(delay, Event::Attempt { request, engine });
+        let now = self.epoch + self.now + delay;
+        let budget = &mut self.routers[arrival.router].budget;
+        match pending.progress.next(now, budget) {
+            Step::Send { candidate, .. } => {
+                let backend = pending.candidates[candidate];
+                let delay = delay + self.one_way(arrival.router, backend);
+                self.schedule(delay, Event::Attempt { request, backend });
+            }
+            Step::Refuse { reason, .. } => {
+                self.pending.remove(&request);
+                self.results
+                    .refuse(arrival.kind, reason, self.is_measured(&arrival));
+            }
+            Step::Resume { .. } | Step::Wait | Step::Done => {}
+        }
     }
 
-    fn attempt(&mut self, request: usize, engine: usize) {
+    fn attempt(&mut self, request: usize, backend: usize) {
         let arrival = self.arrivals[request];
-        self.step(engine);
-        if let Some(reason) = self.refusal(&arrival, engine) {
-            let back = self.one_way(arrival.router, engine);
-            self.try_next(request, reason, back);
+        self.step(backend);
+        let ticket = Ticket {
+            attempt: request as AttemptId,
+            organisation: arrival.organisation.to_string(),
+            kind: arrival.kind.to_string(),
+            work: arrival.work(),
+            deadline: self.deadline(&arrival),
+        };
+        let mean = self.agent_mean(backend);
+        let now = self.epoch + self.now;
+        let offer = |backend: &mut Backend| backend.admission.offer(&ticket, mean, now);
+        let decision = self.change_load(backend, offer);
+        if let Decision::Refuse {
+            reason,
+            retry_after,
+        } = decision
+        {
+            let back = self.one_way(arrival.router, backend);
+            if let Some(pending) = self.pending.get_mut(&request) {
+                pending
+                    .progress
+                    .refused(reason, Outcome::NotRun, retry_after);
+            }
+            self.proceed(request, back);
             return;
         }
-        self.remaining.remove(&request);
-        self.engines[engine].admit(request, arrival.kind, arrival.work());
-        self.total_load += arrival.work();
+        self.pending.remove(&request);
         self.results.admitted += 1;
-        let load = self.engines[engine].load;
         if self.is_measured(&arrival) {
             let mean = self.total_load as f64 / self.slots.len() as f64;
+            let load = self.backends[backend].load();
             self.results.record_skew(load, mean, self.bound.floor);
         }
-        self.step(engine);
-    }
-
-    fn refusal(&mut self, arrival: &Arrival, engine: usize) -> Option<RefusalReason> {
-        if self.engines[engine].left.is_some() {
-            return Some(RefusalReason::Draining);
-        }
-        if self.policy.is_unlimited() {
-            return None;
+        if decision == Decision::Start {
+            self.start(request, backend);
+            self.schedule_wake(backend);
         }
-        if !self.engines[engine].has_room() {
-            return Some(RefusalReason::QueueFull);
-        }
-        let load = self.engines[engine].load;
-        if !self.policy.is_bounded() {
-            return None;
-        }
-        let mean = self.agent_mean(engine);
-        let is_admitted = self.bound.admits(load, arrival.work(), mean);
-        (!is_admitted).then_some(RefusalReason::LoadBound)
     }
 
     /// Lets an engine make progress, starts what waits beside it and schedules its next step.
-    fn step(&mut self, engine: usize) {
-        for progress in self.engines[engine].advance(self.now) {
+    fn step(&mut self, backend: usize) {
+        for progress in self.backends[backend].engine.advance(self.now) {
             match progress {
-                Progress::FirstToken(request) => self.first_token(request, engine),
-                Progress::Finished(request) => self.finished(request, engine),
+                Progress::FirstToken(request) => self.first_token(request, backend),
+                Progress::Finished(request) => self.finished(request, backend),
             }
         }
-        for (request, found) in self.engines[engine].start_waiting(self.arrivals) {
-            let arrival = &self.arrivals[request];
-            let ran_on = self.holders.entry(arrival.conversation).or_default();
-            if !ran_on.contains(&engine) {
-                ran_on.push(engine);
-            }
-            let measured = self.is_measured(arrival);
-            self.results
-                .record_prompt(found, arrival.prompt(), measured);
+        self.schedule_wake(backend);
+    }
+
+    fn schedule_wake(&mut self, backend: usize) {
+        let engine = &self.backends[backend].engine;
+        let generation = engine.generation;
+        if let Some(at) = engine.next_step() {
+            self.events.push(Reverse((
+                at,
+                Event::Wake {
+                    backend,
+                    generation,
+                },
+            )));
         }
-        let generation = self.engines[engine].generation;
-        if let Some(at) = self.engines[engine].next_step() {
-            self.events
-                .push(Reverse((at, Event::Wake { engine, generation })));
+    }
+
+    fn start(&mut self, request: usize, backend: usize) {
+        let arrival = &self.arrivals[request];
+        let found = self.backends[backend].engine.start(request, arrival);
+        let holders = self.holders.entry(arrival.conversation).or_default();
+        if !holders.contains(&backend) {
+            holders.push(backend);
         }
+        let is_measured = self.is_measured(arrival);
+        self.results
+            .record_prompt(found, arrival.prompt(), is_measured);
     }
 
-    fn first_token(&mut self, request: usize, engine: usize) {
+    fn first_token(&mut self, request: usize, backend: usize) {
         let arrival = &self.arrivals[request];
-        let way = 2 * TO_CALLER + self.one_way(arrival.router, engine);
+        let way = 2 * TO_CALLER + self.one_way(arrival.router, backend);
         let elapsed = self.now.saturating_sub(arrival.at) + way;
         self.results
             .record_first_token(arrival.kind, elapsed, self.is_measured(arrival));
     }
 
-    fn finished(&mut self, request: usize, engine: usize) {
-        let work = self.arrivals[request].work();
-        self.engines[engine].load -= work;
-        if self.engines[engine].left.is_none() {
-            self.total_load -= work;
-        }
+    fn finished(&mut self, request: usize, backend: usize) {
+        let now = self.epoch + self.now;
+        let (started, expired) = self.change_load(backend, |backend| {
+            let started = backend.admission.finish(request as AttemptId, now);
+            (started, backend.admission.expire(now))
+        });
         self.results.finished += 1;
+        for attempt in started {
+            self.start(attempt as usize, backend);
+        }
+        for attempt in expired {
+            let arrival = self.arrivals[attempt as usize];
+            let is_measured = self.is_measured(&arrival);
+            self.results
+                .refuse(arrival.kind, RefusalReason::Deadline, is_measured);
+        }
+    }
+
+    /// Applies a change to a backend server and keeps the sum of loads in step.
+    fn change_load<T>(&mut self, backend: usize, change: impl FnOnce(&mut Backend) -> T) -> T {
+        let backend = &mut self.backends[backend];
+        let before = backend.load();
+        let value = change(backend);
+        if !backend.is_leaving {
+            self.total_load = self.total_load + backend.load() - before;
+        }
+        value
     }
 
     fn refresh_router(&mut self, router: usize) {
         let state = &self.routers[router];
-        if state
-            .refreshed
-            .is_some_and(|at| self.now.saturating_sub(at) < REFRESH_INTERVAL)
-        {
+        let is_fresh = |at| self.now.saturating_sub(at) < REFRESH_INTERVAL;
+        if state.refreshed.is_some_and(is_fresh) {
             return;
         }
-        let is_blind =
-            self.now.saturating_sub(state.started) < ROUTER_BLIND && !state.started.is_zero();
-        let seen = (0..self.slots.len())
-            .map(|slot| {
-                let engine = self.seen_engine(router, slot);
-                let report = self.history.reported(router, slot, self.now);
-                let load = report.filter(|_| !is_blind);
-                Seen {
-                    engine,
-                    name: Arc::clone(&self.engines[engine].name),
-                    load,
-                }
-            })
-            .collect();
+        let age = self.now.saturating_sub(state.started);
+        let is_blind = age < ROUTER_BLIND && !state.started.is_zero();
+        let seen = |slot| {
+            let backend = self.seen_backend(router, slot);
+            let report = self.history.reported(router, slot, self.now);
+            Seen {
+                backend,
+                name: Arc::clone(&self.backends[backend].name),
+                load: report.filter(|_| !is_blind),
+            }
+        };
+        let seen = (0..self.slots.len()).map(seen).collect();
         self.routers[router].seen = seen;
         self.routers[router].refreshed = Some(self.now);
     }
 
-    /// Returns the engine of a slot that a router believes in: the one before, until it hears.
-    fn seen_engine(&self, router: usize, slot: usize) -> usize {
+    /// Returns the occupant of a slot that a router believes in: the one before, until it hears.
+    fn seen_backend(&self, router: usize, slot: usize) -> usize {
         let (current, previous) = self.slots[slot];
         let age = self.history.age(router, slot, self.now);
-        let has_heard = self.now.saturating_sub(self.engines[current].joined) >= age;
+        let has_heard = self.now.saturating_sub(self.backends[current].joined) >= age;
         if has_heard {
             current
         } else {
@@ -378,42 +479,45 @@
     }
 
     /// Returns the mean load as an agent knows it: its own exactly, others' by late reports.
-    fn agent_mean(&mut self, engine: usize) -> f64 {
-        let own = self.slot_of[engine];
-        let known = self.means[engine];
-        let is_fresh = known
-            .refreshed
-            .is_some_and(|at| self.now.saturating_sub(at) < REFRESH_INTERVAL);
+    fn agent_mean(&mut self, backend: usize) -> f64 {
+        let own = self.backends[backend].slot;
         let count = self.slots.len();
-        if !is_fresh {
+        let is_fresh = |at| self.now.saturating_sub(at) < REFRESH_INTERVAL;
+        if !self.means[backend].refreshed.is_some_and(is_fresh) {
             let viewer = self.size.routers + own;
+            let report = |slot| self.history.reported(viewer, slot, self.now);
             let others = (0..count).filter(|slot| *slot != own);
-            let sum: WorkUnits = others
-                .filter_map(|slot| self.history.reported(viewer, slot, self.now))
-                .sum();
-            self.means[engine] = AgentMean {
+            let sum: WorkUnits = others.filter_map(report).sum();
+            self.means[backend] = AgentMean {
                 refreshed: Some(self.now),
                 mean_of_others: sum as f64 / (count - 1).max(1) as f64,
             };
         }
-        let others = self.means[engine].mean_of_others * (count - 1) as f64;
-        (others + self.engines[engine].load as f64) / count as f64
+        let others = self.means[backend].mean_of_others * (count - 1) as f64;
+        (others + self.backends[backend].load() as f64) / count as f64
     }
 
-    fn one_way(&self, router: usize, engine: usize) -> Duration {
-        let is_near = router % 3 == self.slot_of[engine] % 3;
+    fn one_way(&self, router: usize, backend: usize) -> Duration {
+        let is_near = router % FAILURE_DOMAINS == self.backends[backend].slot % FAILURE_DOMAINS;
         if is_near { NEAR } else { self.size.one_way }
     }
 
+    fn deadline(&self, arrival: &Arrival) -> Instant {
+        self.epoch + arrival.at + arrival.kind.deadline()
+    }
+
     fn is_measured(&self, arrival: &Arrival) -> bool {
         arrival.at >= self.size.warm_up
     }
 
     fn finish(mut self) -> Results {
-        self.results.unfinished =
-            self.remaining.len() as u64 + self.engines.iter().map(Engine::unfinished).sum::<u64>();
-        let fullest = self.engines.iter().map(|engine| engine.cache.used()).max();
-        self.results.fullest_cache = fullest.unwrap_or(0);
+        let unfinished: u64 = self.backends.iter().map(Backend::unfinished).sum();
+        self.results.unfinished = self.pending.len() as u64 + unfinished;
+        let caches = self
+            .backends
+            .iter()
+            .map(|backend| backend.engine.cache.used());
+        self.results.fullest_cache = caches.max().unwrap_or(0);
         self.results
     }
 }
--- a/bulrushward_measure/src/lib.rs
+++ b/bulrushward_measure/src/lib.rs
@@ -3,6 +3,7 @@
 //! A run sends a generated workload through model engines in virtual time; only the decisions are
 //! the product's own.
 
+mod backend;
 mod engine;
 mod figure;
 mod fleet;
@@ -14,11 +15,11 @@
 mod views;
 mod workload;
 
-pub use engine::{Engine, Progress};
+pub use backend::{Backend, Limits};
 pub use figure::{Figure, FigureError, write_csv, write_json};
 pub use fleet::run;
 pub use measures::measure_runs;
-pub use policies::{MAX_ATTEMPTS, Policy, PolicyName, Seen, View};
+pub use policies::{MAX_CANDIDATES, Policy, PolicyName, Seen, View};
 pub use prefix_cache::{PrefixCache, PrefixId};
 pub use results::Results;
 pub use scenario::{Case, Size};
--- a/bulrushward_measure/src/policies.rs
+++ b/bulrushward_measure/src/policies.rs
@@ -11,16 +11,16 @@
 use rand_pcg::Pcg64Mcg;
 use strum::{Display, VariantArray};
 
-use crate::{engine::Engine, workload::Arrival};
+use crate::{Arrival, Backend, Limits};
 
-/// Attempts that a router makes for one request.
-pub const MAX_ATTEMPTS: usize = 4;
+/// Candidates that a router considers for one request.
+pub const MAX_CANDIDATES: usize = 6;
 
-/// What a router knows of an engine.
+/// What a router knows of a backend server.
 #[derive(Clone, Debug)]
 pub struct Seen {
-    /// Index of the engine in the model.
-    pub engine: usize,
+    /// Its index in the model.
+    pub backend: usize,
     /// Its name.
     pub name: Arc<str>,
     /// Its load by the newest report, if one has arrived.
@@ -32,29 +32,24 @@
 pub struct View<'a> {
     /// The router that decides, by index.
     pub router: usize,
-    /// Engines that the router believes to be alive.
+    /// Backend servers that the router believes to be alive.
     pub seen: &'a [Seen],
     /// The bound that agents apply.
     pub bound: LoadBound,
-    /// All engines as they are; for the oracle only.
-    pub engines: &'a [Engine],
-    /// Engines that ran a conversation; for the oracle only.
+    /// All backend servers as they are; for the oracle only.
+    pub backends: &'a [Backend],
+    /// Backend servers that ran a conversation; for the oracle only.
     pub holders: &'a HashMap<u64, Vec<usize>>,
 }
 
-/// Chooses the engines that a router tries, best first.
+/// Chooses the backend servers that a router tries, best first.
 pub trait Policy {
-    /// Returns at most [`MAX_ATTEMPTS`] indices of engines.
+    /// Returns at most [`MAX_CANDIDATES`] indices of backend servers.
     fn order(&mut self, view: &View<'_>, arrival: &Arrival, rng: &mut Pcg64Mcg) -> Vec<usize>;
 
-    /// Returns whether agents apply the load bound.
-    fn is_bounded(&self) -> bool {
-        false
-    }
-
-    /// Returns whether agents admit without any limit.
-    fn is_unlimited(&self) -> bool {
-        false
+    /// Returns what limits the admission.
+    fn limits(&self) -> Limits {
+        Limits::Places
     }
 }
 
@@ -110,10 +105,10 @@
     rank(chat, &candidates)
 }
 
-fn engines(view: &View<'_>, order: impl Iterator<Item = usize>) -> Vec<usize> {
+fn backends(view: &View<'_>, order: impl Iterator<Item = usize>) -> Vec<usize> {
     order
-        .take(MAX_ATTEMPTS)
-        .map(|index| view.seen[index].engine)
+        .take(MAX_CANDIDATES)
+        .map(|index| view.seen[index].backend)
         .collect()
 }
 
@@ -129,11 +124,11 @@
         };
         let (first, last): (Vec<usize>, Vec<usize>) =
             ranked(arrival.chat, view.seen).into_iter().partition(fits);
-        engines(view, first.into_iter().chain(last))
+        backends(view, first.into_iter().chain(last))
     }
 
-    fn is_bounded(&self) -> bool {
-        true
+    fn limits(&self) -> Limits {
+        Limits::Bounded
     }
 }
 
@@ -147,7 +142,7 @@
         *next += 1;
         let start = *next + view.router;
         let count = view.seen.len();
-        engines(view, (0..count).map(|step| (start + step) % count))
+        backends(view, (0..count).map(|step| (start + step) % count))
     }
 }
 
@@ -158,7 +153,7 @@
         let mut order: Vec<usize> = (0..view.seen.len()).collect();
         order.shuffle(rng);
         order.sort_by_key(|&index| view.seen[index].load.unwrap_or(0));
-        engines(view, order.into_iter())
+        backends(view, order.into_iter())
     }
 }
 
@@ -167,13 +162,13 @@
 impl Policy for TwoChoices {
     fn order(&mut self, view: &View<'_>, _: &Arrival, rng: &mut Pcg64Mcg) -> Vec<usize> {
         let count = view.seen.len();
-        let mut order: Vec<usize> = (0..MAX_ATTEMPTS)
+        let mut order: Vec<usize> = (0..MAX_CANDIDATES)
             .map(|_| rng.random_range(0..count))
             .collect();
         for pair in order.chunks_mut(2) {
             pair.sort_by_key(|&index| view.seen[index].load.unwrap_or(0));
         }
-        engines(view, order.into_iter())
+        backends(view, order.into_iter())
     }
 }
 
@@ -181,7 +176,7 @@
 
 impl Policy for Rendezvous {
     fn order(&mut self, view: &View<'_>, arrival: &Arrival, _: &mut Pcg64Mcg) -> Vec<usize> {
-        engines(view, ranked(arrival.chat, view.seen).into_iter())
+        backends(view, ranked(arrival.chat, view.seen).into_iter())
     }
 }
 
@@ -195,15 +190,15 @@
             .into_iter()
             .flatten()
             .copied()
-            .filter(|&engine| view.engines[engine].left.is_none())
-            .max_by_key(|&engine| view.engines[engine].cached_tokens(arrival));
+            .filter(|&backend| !view.backends[backend].is_leaving)
+            .max_by_key(|&backend| view.backends[backend].engine.cached_tokens(arrival));
         if let Some(holder) = holder {
             return vec![holder];
         }
-        engines(view, ranked(arrival.conversation, view.seen).into_iter())
+        backends(view, ranked(arrival.conversation, view.seen).into_iter())
     }
 
-    fn is_unlimited(&self) -> bool {
-        true
+    fn limits(&self) -> Limits {
+        Limits::Unlimited
     }
 }
--- a/bulrushward_measure/src/workload.rs
+++ b/bulrushward_measure/src/workload.rs
@@ -78,9 +78,25 @@
         }
     }
 
+    /// Returns the share of places that other kinds cannot take.
+    pub(crate) fn reserved_share(self) -> f64 {
+        match self {
+            Self::Long => 0.3,
+            Self::Answer | Self::Note => 0.1,
+        }
+    }
+
+    /// Returns the time after which an answer is of no use.
+    pub(crate) fn deadline(self) -> Duration {
+        match self {
+            Self::Long => Duration::from_hours(1),
+            Self::Answer => Duration::from_mins(2),
+            Self::Note => Duration::from_secs(30),
+        }
+    }
+
     /// Returns the queueing priority: the higher goes first.
-    #[must_use]
-    pub fn priority(self) -> u8 {
+    pub(crate) fn priority(self) -> u8 {
         match self {
             Self::Long => 0,
             Self::Answer => 2,
