Measure agents that remember chats sent on for the load bound

A chat that the bound moves comes back to its first choice on its next turn and finds no cache there. In the candidate policy the first two agents remember the chats that they refused for the bound and send them on until they run there again.

--- a/bulrushward_measure/src/backend.rs
+++ b/bulrushward_measure/src/backend.rs
@@ -9,7 +9,7 @@
 use bulrushward_protocol::WorkUnits;
 use strum::VariantArray;
 
-use crate::{engine::Engine, workload::Kind};
+use crate::{engine::Engine, prefix_cache::PrefixCache, workload::Kind};
 
 /// Streams that an engine batches.
 const CONCURRENCY: usize = 160;
@@ -18,6 +18,9 @@
 /// Places of an engine that never refuses, for the oracle.
 const UNLIMITED: usize = 1 << 24;
 
+/// Chats that an agent remembers to have sent on because of its bound.
+const SPILL_MEMORY: u64 = 16_384;
+
 /// What limits the admission of a policy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Limits {
@@ -38,6 +41,8 @@
     pub slot: usize,
     pub(crate) engine: Engine,
     pub(crate) admission: AdmissionQueue,
+    /// Chats that were refused for the load bound and have not run here since.
+    pub(crate) spilled: PrefixCache,
     pub(crate) joined: Duration,
     /// Whether it was replaced and takes nothing new.
     pub(crate) is_leaving: bool,
@@ -56,6 +61,7 @@
             slot,
             engine: Engine::new(cache_tokens, now),
             admission: AdmissionQueue::new(settings),
+            spilled: PrefixCache::new(SPILL_MEMORY),
             joined: now,
             is_leaving: false,
         }
--- a/bulrushward_measure/src/fleet.rs
+++ b/bulrushward_measure/src/fleet.rs
@@ -21,7 +21,7 @@
     Case, Size,
     backend::{Backend, admission_settings},
     engine::Progress,
-    policies::{Policy, Seen, View},
+    policies::{Policy, STICKY_CANDIDATES, Seen, View},
     results::Results,
     views::{LoadHistory, SAMPLE_INTERVAL},
     workload::Arrival,
@@ -341,13 +341,34 @@
         };
         let mean = self.agent_mean(backend);
         let now = self.epoch + self.now;
-        let offer = |backend: &mut Backend| backend.admission.offer(&ticket, mean, now);
-        let decision = self.change_load(backend, offer);
+        let candidates = self
+            .pending
+            .get(&request)
+            .map(|pending| &pending.candidates);
+        let is_sticky = candidates.is_some_and(|all| {
+            all.iter()
+                .take(STICKY_CANDIDATES)
+                .any(|&candidate| candidate == backend)
+        });
+        let may_send_on = is_sticky && self.policy.remembers_spills();
+        let decision = self.change_load(backend, |backend| {
+            let is_spilled = backend.spilled.tokens(arrival.chat) > 0;
+            if may_send_on && is_spilled {
+                return Decision::Refuse {
+                    reason: RefusalReason::LoadBound,
+                    retry_after: Duration::ZERO,
+                };
+            }
+            backend.admission.offer(&ticket, mean, now)
+        });
         if let Decision::Refuse {
             reason,
             retry_after,
         } = decision
         {
+            if reason == RefusalReason::LoadBound {
+                self.backends[backend].spilled.insert(arrival.chat, 1);
+            }
             let back = self.one_way(arrival.router, backend);
             if let Some(pending) = self.pending.get_mut(&request) {
                 pending
@@ -357,6 +378,7 @@
             self.proceed(request, back);
             return;
         }
+        self.backends[backend].spilled.remove(arrival.chat);
         self.pending.remove(&request);
         self.results.admitted += 1;
         if self.is_measured(&arrival) {
--- a/bulrushward_measure/src/main.rs
+++ b/bulrushward_measure/src/main.rs
@@ -6,9 +6,6 @@
 use bulrushward_measure::{Figure, FigureError, Size, measure_runs, write_csv, write_json};
 use bulrushward_policy::load_bound::LoadBound;
 
-/// Load that an engine may always carry, in work units; the default of the operators' text.
-const FLOOR: u64 = 4_096;
-
 /// What to measure and where to write it.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -24,6 +21,9 @@
     /// Load multiple that agents apply
     #[bpaf(argument("RATIO"), fallback(1.25), display_fallback)]
     multiple: f64,
+    /// Load that an engine may always carry, in work units; by default that of the operators' text
+    #[bpaf(argument("UNITS"), fallback_with(default_floor))]
+    floor: u64,
     /// Write the figures as JSON
     #[bpaf(argument("FILE"))]
     json: Option<PathBuf>,
@@ -32,6 +32,14 @@
     csv: Option<PathBuf>,
 }
 
+/// Returns the floor of a service whose text names none.
+fn default_floor() -> Result<u64, String> {
+    let text = "[[service]]\nname = \"chat\"\nprotocol = \"chat\"\n";
+    let cfg = bulrushward_config::parse(text).map_err(|errors| errors.to_string())?;
+    let service = cfg.services.first().ok_or("the text has no service")?;
+    Ok(service.load_floor)
+}
+
 fn main() -> ExitCode {
     let options = options().run();
     match measure(&options) {
@@ -51,7 +59,7 @@
         .collect();
     let bound = LoadBound {
         multiple: options.multiple,
-        floor: FLOOR,
+        floor: options.floor,
     };
     let figures = measure_runs(&sizes, bound, options.seed);
     report(options, &figures)
--- a/bulrushward_measure/src/policies.rs
+++ b/bulrushward_measure/src/policies.rs
@@ -16,6 +16,9 @@
 /// Candidates that a router considers for one request.
 pub const MAX_CANDIDATES: usize = 6;
 
+/// Candidates that are asked in their order whatever their reports say.
+pub(crate) const STICKY_CANDIDATES: usize = 2;
+
 /// What a router knows of a backend server.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -47,6 +50,11 @@
     /// Returns at most [`MAX_CANDIDATES`] indices of backend servers.
     fn order(&mut self, view: &View<'_>, arrival: &Arrival, rng: &mut Pcg64Mcg) -> Vec<usize>;
 
+    /// Returns whether agents send chats on to where they went when the bound moved them.
+    fn remembers_spills(&self) -> bool {
+        false
+    }
+
     /// Returns what limits the admission.
     fn limits(&self) -> Limits {
         Limits::Places
@@ -59,6 +67,8 @@
 pub enum PolicyName {
     /// Rendezvous order under the load bound.
     Product,
+    /// The product's order without a look at reports, with agents that remember spilled chats.
+    StickySpill,
     /// Each router in turn.
     RoundRobin,
     /// The least load by reports.
@@ -75,7 +85,7 @@
     /// Returns whether the product has to be ahead of the policy.
     #[must_use]
     pub fn is_baseline(self) -> bool {
-        !matches!(self, Self::Product | Self::Oracle)
+        !matches!(self, Self::Product | Self::StickySpill | Self::Oracle)
     }
 
     /// Creates the policy.
@@ -83,6 +93,7 @@
     pub fn create(self, routers: usize) -> Box<dyn Policy> {
         match self {
             Self::Product => Box::new(Product),
+            Self::StickySpill => Box::new(StickySpill),
             Self::RoundRobin => Box::new(RoundRobin {
                 next: vec![0; routers],
             }),
@@ -112,16 +123,23 @@
         .collect()
 }
 
+fn reported_mean(view: &View<'_>) -> f64 {
+    let loads: Vec<WorkUnits> = view.seen.iter().filter_map(|seen| seen.load).collect();
+    loads.iter().sum::<WorkUnits>() as f64 / loads.len().max(1) as f64
+}
+
+/// Returns whether a backend server would admit a request by what its report says.
+fn fits(view: &View<'_>, arrival: &Arrival, mean: f64, index: usize) -> bool {
+    let load = view.seen[index].load.unwrap_or(0);
+    view.bound.admits(load, arrival.work(), mean)
+}
+
 struct Product;
 
 impl Policy for Product {
     fn order(&mut self, view: &View<'_>, arrival: &Arrival, _rng: &mut Pcg64Mcg) -> Vec<usize> {
-        let loads: Vec<WorkUnits> = view.seen.iter().filter_map(|seen| seen.load).collect();
-        let mean = loads.iter().sum::<WorkUnits>() as f64 / loads.len().max(1) as f64;
-        let fits = |index: &usize| {
-            let load = view.seen[*index].load.unwrap_or(0);
-            view.bound.admits(load, arrival.work(), mean)
-        };
+        let mean = reported_mean(view);
+        let fits = |index: &usize| fits(view, arrival, mean, *index);
         let (first, last): (Vec<usize>, Vec<usize>) =
             ranked(arrival.chat, view.seen).into_iter().partition(fits);
         backends(view, first.into_iter().chain(last))
@@ -132,6 +150,28 @@
     }
 }
 
+struct StickySpill;
+
+impl Policy for StickySpill {
+    fn order(&mut self, view: &View<'_>, arrival: &Arrival, _: &mut Pcg64Mcg) -> Vec<usize> {
+        let mean = reported_mean(view);
+        let mut order = ranked(arrival.chat, view.seen);
+        let rest = order.split_off(STICKY_CANDIDATES.min(order.len()));
+        let (fitting, full): (Vec<usize>, Vec<usize>) = rest
+            .into_iter()
+            .partition(|&index| fits(view, arrival, mean, index));
+        backends(view, order.into_iter().chain(fitting).chain(full))
+    }
+
+    fn remembers_spills(&self) -> bool {
+        true
+    }
+
+    fn limits(&self) -> Limits {
+        Limits::Bounded
+    }
+}
+
 struct RoundRobin {
     next: Vec<usize>,
 }
--- a/bulrushward_measure/src/prefix_cache.rs
+++ b/bulrushward_measure/src/prefix_cache.rs
@@ -65,7 +65,8 @@
         self.used += tokens;
     }
 
-    fn remove(&mut self, prefix: PrefixId) {
+    /// Drops a prefix.
+    pub fn remove(&mut self, prefix: PrefixId) {
         let Some(entry) = self.entries.remove(&prefix) else {
             return;
         };
