Raise the default load floor from 4,096 to 16,384 work units

With the floor below the work of a few long requests the fleet can stay trapped at a low load: long work is refused, so the mean stays low, so long work is refused. An agent at the mean admits the largest request W only if the floor is at least W * c / (c - 1), which is 13,000 units for W = 2,600 and c = 1.25. Nearly all refused work was long.

--- a/bulrushward_config/src/model.rs
+++ b/bulrushward_config/src/model.rs
@@ -115,7 +115,7 @@
 }
 
 fn default_floor() -> WorkUnits {
-    4_096
+    16_384
 }
 
 fn default_concurrency() -> u32 {
