--- a/bulrushward_config/src/sections.rs
+++ b/bulrushward_config/src/sections.rs
@@ -16,7 +16,7 @@
 /// Largest integer that a text can hold.
 const MAX_INTEGER: u64 = i64::MAX as u64;
 /// Load that a backend server may always carry unless declared, in work units.
-const DEFAULT_LOAD_FLOOR: u64 = 4_096;
+const DEFAULT_LOAD_FLOOR: u64 = 16_384;
 /// Requests that a backend server runs at the same time unless declared.
 const DEFAULT_CONCURRENCY: u64 = 16;
 /// Requests that may wait at an agent unless declared.
--- /dev/null
+++ b/bulrushward_measure/src/policies.rs
@@ -0,0 +1,244 @@
+//! The product's order of candidates and the policies that it is compared with.
+
+use std::{collections::HashMap, sync::Arc};
+
+use bulrushward_policy::{
+    load_bound::LoadBound,
+    placement::{Candidate, rank},
+};
+use bulrushward_protocol::{ChatKey, WorkUnits};
+use rand::{RngExt, seq::SliceRandom};
+use rand_pcg::Pcg64Mcg;
+use strum::{Display, VariantArray};
+
+use crate::{Arrival, Backend, Limits};
+
+/// Candidates that a router considers for one request.
+pub const MAX_CANDIDATES: usize = 6;
+
+/// Candidates that are asked in their order whatever their reports say.
+pub(crate) const STICKY_CANDIDATES: usize = 2;
+
+/// What a router knows of a backend server.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Its index in the model.
+    pub backend: usize,
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its load by the newest report, if one has arrived.
+    pub load: Option<WorkUnits>,
+}
+
+/// What a policy may look at.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// The router that decides, by index.
+    pub router: usize,
+    /// Backend servers that the router believes to be alive.
+    pub seen: &'a [Seen],
+    /// The bound that agents apply.
+    pub bound: LoadBound,
+    /// All backend servers as they are; for the oracle only.
+    pub backends: &'a [Backend],
+    /// Backend servers that ran a conversation; for the oracle only.
+    pub holders: &'a HashMap<u64, Vec<usize>>,
+}
+
+/// Chooses the backend servers that a router tries, best first.
+pub trait Policy {
+    /// Returns at most [`MAX_CANDIDATES`] indices of backend servers.
+    fn order(&mut self, view: &View<'_>, arrival: &Arrival, rng: &mut Pcg64Mcg) -> Vec<usize>;
+
+    /// Returns whether agents send chats on to where they went when the bound moved them.
+    fn remembers_spills(&self) -> bool {
+        false
+    }
+
+    /// Returns what limits the admission.
+    fn limits(&self) -> Limits {
+        Limits::Places
+    }
+}
+
+/// Names of the policies.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, VariantArray)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PolicyName {
+    /// Rendezvous order under the load bound.
+    Product,
+    /// The product's order without a look at reports, with agents that remember spilled chats.
+    StickySpill,
+    /// Each router in turn.
+    RoundRobin,
+    /// The least load by reports.
+    LeastLoad,
+    /// The lesser of two random ones by reports.
+    TwoChoices,
+    /// Rendezvous order without a bound.
+    Rendezvous,
+    /// The longest cached prefix, known everywhere at once, without a bound.
+    Oracle,
+}
+
+impl PolicyName {
+    /// Returns whether the product has to be ahead of the policy.
+    #[must_use]
+    pub fn is_baseline(self) -> bool {
+        !matches!(self, Self::Product | Self::StickySpill | Self::Oracle)
+    }
+
+    /// Creates the policy.
+    #[must_use]
+    pub fn create(self, routers: usize) -> Box<dyn Policy> {
+        match self {
+            Self::Product => Box::new(Product),
+            Self::StickySpill => Box::new(StickySpill),
+            Self::RoundRobin => Box::new(RoundRobin {
+                next: vec![0; routers],
+            }),
+            Self::LeastLoad => Box::new(LeastLoad),
+            Self::TwoChoices => Box::new(TwoChoices),
+            Self::Rendezvous => Box::new(Rendezvous),
+            Self::Oracle => Box::new(Oracle),
+        }
+    }
+}
+
+fn ranked(chat: ChatKey, seen: &[Seen]) -> Vec<usize> {
+    let candidates: Vec<Candidate<'_>> = seen
+        .iter()
+        .map(|seen| Candidate {
+            name: &seen.name,
+            weight: 1.0,
+        })
+        .collect();
+    rank(chat, &candidates)
+}
+
+fn backends(view: &View<'_>, order: impl Iterator<Item = usize>) -> Vec<usize> {
+    order
+        .take(MAX_CANDIDATES)
+        .map(|index| view.seen[index].backend)
+        .collect()
+}
+
+fn reported_mean(view: &View<'_>) -> f64 {
+    let loads: Vec<WorkUnits> = view.seen.iter().filter_map(|seen| seen.load).collect();
+    loads.iter().sum::<WorkUnits>() as f64 / loads.len().max(1) as f64
+}
+
+/// Returns whether a backend server would admit a request by what its report says.
+fn fits(view: &View<'_>, arrival: &Arrival, mean: f64, index: usize) -> bool {
+    let load = view.seen[index].load.unwrap_or(0);
+    view.bound.admits(load, arrival.work(), mean)
+}
+
+struct Product;
+
+impl Policy for Product {
+    fn order(&mut self, view: &View<'_>, arrival: &Arrival, _rng: &mut Pcg64Mcg) -> Vec<usize> {
+        let mean = reported_mean(view);
+        let fits = |index: &usize| fits(view, arrival, mean, *index);
+        let (first, last): (Vec<usize>, Vec<usize>) =
+            ranked(arrival.chat, view.seen).into_iter().partition(fits);
+        backends(view, first.into_iter().chain(last))
+    }
+
+    fn limits(&self) -> Limits {
+        Limits::Bounded
+    }
+}
+
+struct StickySpill;
+
+impl Policy for StickySpill {
+    fn order(&mut self, view: &View<'_>, arrival: &Arrival, _: &mut Pcg64Mcg) -> Vec<usize> {
+        let mean = reported_mean(view);
+        let mut order = ranked(arrival.chat, view.seen);
+        let rest = order.split_off(STICKY_CANDIDATES.min(order.len()));
+        let (fitting, full): (Vec<usize>, Vec<usize>) = rest
+            .into_iter()
+            .partition(|&index| fits(view, arrival, mean, index));
+        backends(view, order.into_iter().chain(fitting).chain(full))
+    }
+
+    fn remembers_spills(&self) -> bool {
+        true
+    }
+
+    fn limits(&self) -> Limits {
+        Limits::Bounded
+    }
+}
+
+struct RoundRobin {
+    next: Vec<usize>,
+}
+
+impl Policy for RoundRobin {
+    fn order(&mut self, view: &View<'_>, _: &Arrival, _: &mut Pcg64Mcg) -> Vec<usize> {
+        let next = &mut self.next[view.router];
+        *next += 1;
+        let start = *next + view.router;
+        let count = view.seen.len();
+        backends(view, (0..count).map(|step| (start + step) % count))
+    }
+}
+
+struct LeastLoad;
+
+impl Policy for LeastLoad {
+    fn order(&mut self, view: &View<'_>, _: &Arrival, rng: &mut Pcg64Mcg) -> Vec<usize> {
+        let mut order: Vec<usize> = (0..view.seen.len()).collect();
+        order.shuffle(rng);
+        order.sort_by_key(|&index| view.seen[index].load.unwrap_or(0));
+        backends(view, order.into_iter())
+    }
+}
+
+struct TwoChoices;
+
+impl Policy for TwoChoices {
+    fn order(&mut self, view: &View<'_>, _: &Arrival, rng: &mut Pcg64Mcg) -> Vec<usize> {
+        let count = view.seen.len();
+        let mut order: Vec<usize> = (0..MAX_CANDIDATES)
+            .map(|_| rng.random_range(0..count))
+            .collect();
+        for pair in order.chunks_mut(2) {
+            pair.sort_by_key(|&index| view.seen[index].load.unwrap_or(0));
+        }
+        backends(view, order.into_iter())
+    }
+}
+
+struct Rendezvous;
+
+impl Policy for Rendezvous {
+    fn order(&mut self, view: &View<'_>, arrival: &Arrival, _: &mut Pcg64Mcg) -> Vec<usize> {
+        backends(view, ranked(arrival.chat, view.seen).into_iter())
+    }
+}
+
+struct Oracle;
+
+impl Policy for Oracle {
+    fn order(&mut self, view: &View<'_>, arrival: &Arrival, _: &mut Pcg64Mcg) -> Vec<usize> {
+        let holder = view
+            .holders
+            .get(&arrival.conversation)
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(|&backend| !view.backends[backend].is_leaving)
+            .max_by_key(|&backend| view.backends[backend].engine.cached_tokens(arrival));
+        if let Some(holder) = holder {
+            return vec![holder];
+        }
+        backends(view, ranked(arrival.conversation, view.seen).into_iter())
+    }
+
+    fn limits(&self) -> Limits {
+        Limits::Unlimited
+    }
+}
