Bound the writes of claims and read contended records before writing

Finishes came alone after 1 s, and agents that share a record met a conflict nearly every time.

Now a store paces all its writes, first tries and repeats (100/s unless set otherwise), a finish waits up to 5 s for a commit to join, and a record that others write is read before it is written. The commit interval fell from 50 to 20 ms, since the pacer bounds the rate.

--- a/bulrushward_claims/src/counters.rs
+++ b/bulrushward_claims/src/counters.rs
@@ -12,6 +12,8 @@
     Layout,
     /// Reads a record that is not cached.
     Load,
+    /// Reads a record that other stores write too, before it is written.
+    Refresh,
     /// Reads a record before a claim is refused because of another holder.
     Confirm,
     /// Reads a record after a write without an answer.
--- a/bulrushward_claims/src/gateway.rs
+++ b/bulrushward_claims/src/gateway.rs
@@ -1,6 +1,6 @@
 //! Calls of a store to the key-value service, with timeout and counts.
 
-use std::{sync::Arc, time::Duration};
+use std::{num::NonZeroU32, sync::Arc, time::Duration};
 
 use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
 use bytes::Bytes;
@@ -12,6 +12,7 @@
     KvCause,
     availability::Availability,
     counters::{LiveCounters, add},
+    pacer::Pacer,
 };
 
 /// A call to the key-value service that gave nothing to go on with.
@@ -30,15 +31,21 @@
     kv: Arc<dyn KeyValue>,
     call_timeout: Duration,
     pub(crate) availability: Availability,
+    pub(crate) pacer: Pacer,
     pub(crate) counters: LiveCounters,
 }
 
 impl Gateway {
-    pub(crate) fn new(kv: Arc<dyn KeyValue>, call_timeout: Duration) -> Self {
+    pub(crate) fn new(
+        kv: Arc<dyn KeyValue>,
+        call_timeout: Duration,
+        writes_per_second: NonZeroU32,
+    ) -> Self {
         Self {
             kv,
             call_timeout,
             availability: Availability::new(),
+            pacer: Pacer::new(writes_per_second),
             counters: LiveCounters::default(),
         }
     }
--- a/bulrushward_claims/src/lib.rs
+++ b/bulrushward_claims/src/lib.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod gateway;
 mod layout;
+mod pacer;
 mod pending;
 mod record_codec;
 mod settings;
--- /dev/null
+++ b/bulrushward_claims/src/pacer.rs
@@ -0,0 +1,54 @@
+//! Spreads the writes of a store over time, so that their rate has a bound.
+
+use std::{
+    num::NonZeroU32,
+    sync::{Mutex, PoisonError},
+};
+
+use tokio::time::{Duration, Instant};
+
+/// How much of the past an idle store may catch up on at once.
+const BURST: Duration = Duration::from_millis(200);
+
+/// Hands out times to write at, the same number each second.
+#[derive(Debug)]
+pub(crate) struct Pacer {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    interval: Duration,
+    next: Instant,
+}
+
+impl Pacer {
+    pub(crate) fn new(writes_per_second: NonZeroU32) -> Self {
+        Self {
+            state: Mutex::new(State {
+                interval: interval(writes_per_second),
+                next: Instant::now(),
+            }),
+        }
+    }
+
+    /// Changes the rate from the next time on.
+    pub(crate) fn set_rate(&self, writes_per_second: NonZeroU32) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.interval = interval(writes_per_second);
+    }
+
+    /// Returns the time of the next write, which may be past.
+    pub(crate) fn reserve(&self) -> Instant {
+        let now = Instant::now();
+        let earliest = now.checked_sub(BURST).unwrap_or(now);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let slot = earliest.max(state.next);
+        state.next = slot + state.interval;
+        slot
+    }
+}
+
+fn interval(writes_per_second: NonZeroU32) -> Duration {
+    Duration::from_secs(1) / writes_per_second.get()
+}
--- a/bulrushward_claims/src/settings.rs
+++ b/bulrushward_claims/src/settings.rs
@@ -14,6 +14,8 @@
     pub shards: NonZeroU32,
     /// Least time between two commits of one record by this store.
     pub commit_interval: Duration,
+    /// Most writes a second that this store makes, first tries and repeats together.
+    pub writes_per_second: NonZeroU32,
     /// How long the record of a finished action may wait for a commit to join.
     pub finish_delay: Duration,
     /// How long a claim may take before it is given up.
@@ -33,6 +35,8 @@
 impl ClaimSettings {
     /// Number of records of a service.
     pub const DEFAULT_SHARDS: NonZeroU32 = NonZeroU32::new(64).expect("64 is not 0");
+    /// Writes a second of one store; three agents of a service then make 300 at most.
+    pub const DEFAULT_WRITES_PER_SECOND: NonZeroU32 = NonZeroU32::new(100).expect("100 is not 0");
     /// Bytes that a value of the key-value service may have.
     pub const DEFAULT_VALUE_LIMIT: usize = 1_000_000;
 
@@ -42,8 +46,9 @@
         Self {
             service: service.into(),
             shards: Self::DEFAULT_SHARDS,
-            commit_interval: Duration::from_millis(50),
-            finish_delay: Duration::from_secs(1),
+            commit_interval: Duration::from_millis(20),
+            writes_per_second: Self::DEFAULT_WRITES_PER_SECOND,
+            finish_delay: Duration::from_secs(5),
             claim_timeout: Duration::from_millis(1_500),
             call_timeout: Duration::from_millis(500),
             probe_interval: Duration::from_secs(1),
--- a/bulrushward_claims/src/shard.rs
+++ b/bulrushward_claims/src/shard.rs
@@ -59,6 +59,9 @@
     pending: Vec<Pending>,
     flushes: Vec<oneshot::Sender<()>>,
     cached: Option<Cached>,
+    /// Whether another store may have written the record since the last commit; `true` until a
+    /// read shows otherwise.
+    is_contended: bool,
     clock: RecordClock,
     started: Instant,
     next_commit: Instant,
@@ -84,6 +87,7 @@
             pending: Vec::new(),
             flushes: Vec::new(),
             cached: None,
+            is_contended: true,
             clock: RecordClock::default(),
             started: now,
             next_commit: now,
@@ -94,6 +98,8 @@
     /// Commits groups until the store is gone and nothing waits.
     pub(crate) async fn run(mut self) {
         while self.wait_until_due().await {
+            sleep_until(self.gateway.pacer.reserve()).await;
+            self.take_waiting();
             self.next_commit = Instant::now() + self.settings.commit_interval;
             self.commit_group().await;
         }
@@ -132,6 +138,13 @@
         }
     }
 
+    /// Takes in what arrived while the task waited for its time to write.
+    fn take_waiting(&mut self) {
+        while let Ok(message) = self.rx.try_recv() {
+            self.take(Some(message));
+        }
+    }
+
     fn due(&self) -> Option<Instant> {
         let first = self.pending.iter().map(|pending| pending.due).min()?;
         let is_urgent = !self.is_open || !self.flushes.is_empty();
@@ -154,6 +167,9 @@
         if let Some(cached) = &mut self.cached {
             cached.is_fresh = false;
         }
+        if self.is_contended && self.cached.is_some() && !self.refresh().await {
+            return self.give_up(group);
+        }
         let mut read_cause = KvCause::Load;
         let mut tries = 0;
         loop {
@@ -228,10 +244,13 @@
                 self.cached = Some(Cached { version, ..cached });
                 (Try::Settled, KvCause::Load)
             }
-            Ok(CasOutcome::Conflict(entry)) => match self.load(entry) {
-                Some(()) => (Try::Again, KvCause::Load),
-                None => (Try::Failed, KvCause::Load),
-            },
+            Ok(CasOutcome::Conflict(entry)) => {
+                self.is_contended = true;
+                match self.load(entry) {
+                    Some(()) => (Try::Again, KvCause::Load),
+                    None => (Try::Failed, KvCause::Load),
+                }
+            }
             Err(CallError::Unanswered) => {
                 for pending in group.iter_mut() {
                     pending.sent = true;
@@ -242,6 +261,17 @@
         }
     }
 
+    /// Reads a record that others write too; most likely, a write without that would be lost.
+    async fn refresh(&mut self) -> bool {
+        let version = self.cached.take().map(|cached| cached.version);
+        if self.read(KvCause::Refresh).await.is_none() {
+            return false;
+        }
+        let current = self.cached.as_ref().map(|cached| cached.version);
+        self.is_contended = current != version;
+        true
+    }
+
     async fn read(&mut self, cause: KvCause) -> Option<()> {
         let entry = self.gateway.get(&self.key, cause).await.ok()?;
         self.load(entry)
@@ -298,6 +328,7 @@
     async fn back_off(&mut self, tries: u32) {
         let longest = CONFLICT_BACKOFF * 2_u32.pow(tries.min(MAX_BACKOFF_DOUBLINGS));
         sleep(longest.mul_f64(self.rng.random())).await;
+        sleep_until(self.gateway.pacer.reserve()).await;
     }
 }
 
--- a/bulrushward_claims/src/store.rs
+++ b/bulrushward_claims/src/store.rs
@@ -2,13 +2,14 @@
 
 use std::{
     collections::HashMap,
+    num::NonZeroU32,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use async_trait::async_trait;
 use bulrushward_platform::KeyValue;
-use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimNonce};
+use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimNonce, shard_of};
 use bulrushward_protocol::{ActionKey, AttemptId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -52,7 +53,8 @@
     #[must_use]
     pub fn start(kv: Arc<dyn KeyValue>, settings: ClaimSettings) -> Arc<Self> {
         let settings = Arc::new(settings);
-        let gateway = Arc::new(Gateway::new(kv, settings.call_timeout));
+        let gateway = Gateway::new(kv, settings.call_timeout, settings.writes_per_second);
+        let gateway = Arc::new(gateway);
         let mut rng = Pcg64::seed_from_u64(settings.seed);
         let (tx, shards) = watch::channel(None);
         let upkeep = Upkeep {
@@ -76,6 +78,11 @@
         self.gateway.counters.snapshot()
     }
 
+    /// Changes the bound on the writes of this store, as other agents of the service come and go.
+    pub fn set_writes_per_second(&self, writes_per_second: NonZeroU32) {
+        self.gateway.pacer.set_rate(writes_per_second);
+    }
+
     /// Commits what waits in the background; `false` if that took longer than `limit`.
     ///
     /// A process that stops calls this after its last request ended.
@@ -243,8 +250,7 @@
 }
 
 fn send(shards: &Shards, pending: Pending) {
-    let index = pending.action % shards.len() as u128;
-    let tx = &shards[index as usize];
+    let tx = &shards[shard_of(pending.action, shards.len())];
     // A shard's task only ends with the store or with the runtime.
     drop(tx.send(ShardMessage::Change(pending)));
 }
--- a/bulrushward_policy/src/claim.rs
+++ b/bulrushward_policy/src/claim.rs
@@ -97,6 +97,16 @@
     Recorded,
 }
 
+/// Returns the record, counted from 0, that holds an action if there are `shards` records.
+///
+/// # Panics
+///
+/// Panics if `shards` is 0.
+#[must_use]
+pub fn shard_of(action: ActionKey, shards: usize) -> usize {
+    (action % shards as u128) as usize
+}
+
 /// All entries of one record, sorted by action and attempt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ClaimRecord {
