--- a/bulrushward_claims/src/shard.rs
+++ b/bulrushward_claims/src/shard.rs
@@ -10,7 +10,7 @@
     sync::{mpsc, oneshot},
     time::{Duration, Instant, sleep, sleep_until},
 };
-use tracing::error;
+use tracing::{error, warn};
 
 use crate::{
     ClaimSettings, KvCause,
@@ -340,7 +340,10 @@
     settings: &ClaimSettings,
 ) -> Vec<ClaimDecision> {
     record.advance_clock(now_ms);
-    record.prune(&settings.retention);
+    let unfinished = record.prune(&settings.retention);
+    if unfinished > 0 {
+        warn!(event = "claims_unfinished_expired", count = unfinished);
+    }
     let apply = |pending: &Pending| {
         record.apply(
             pending.action,
--- a/bulrushward_policy/src/claim.rs
+++ b/bulrushward_policy/src/claim.rs
@@ -165,16 +165,21 @@
     }
 
     /// Drops the entries whose retention is over by the record's clock.
-    pub fn prune(&mut self, retention: &Retention) {
+    ///
+    /// Returns how many of them were claims that nobody finished or released.
+    pub fn prune(&mut self, retention: &Retention) -> usize {
         let now = self.second();
+        let mut unfinished = 0;
         let size = &mut self.size;
         self.entries.retain(|entry| {
             let kept = !retention.is_over(entry, now);
             if !kept {
                 *size -= size_of_state(entry.state);
+                unfinished += usize::from(matches!(entry.state, ClaimState::Claimed { .. }));
             }
             kept
         });
+        unfinished
     }
 
     /// Applies a change to a record that may grow to `limit` bytes.
--- a/bulrushward_policy/tests/claim/record.rs
+++ b/bulrushward_policy/tests/claim/record.rs
@@ -66,14 +66,14 @@
     let kept_after = |duration: Duration| {
         let mut record = record.clone();
         record.advance_clock(u64::try_from(duration.as_millis()).expect("fits"));
-        record.prune(&Retention::default());
-        record.entries().len()
+        let unfinished = record.prune(&Retention::default());
+        (record.entries().len(), unfinished)
     };
-    assert_eq!(kept_after(Duration::from_mins(2)), 4);
-    assert_eq!(kept_after(Duration::from_secs(121)), 3);
-    assert_eq!(kept_after(Duration::from_hours(24)), 3);
-    assert_eq!(kept_after(Duration::from_hours(25)), 1);
-    assert_eq!(kept_after(Duration::from_hours(8 * 24)), 0);
+    assert_eq!(kept_after(Duration::from_mins(2)), (4, 0));
+    assert_eq!(kept_after(Duration::from_secs(121)), (3, 0));
+    assert_eq!(kept_after(Duration::from_hours(24)), (3, 0));
+    assert_eq!(kept_after(Duration::from_hours(25)), (1, 0));
+    assert_eq!(kept_after(Duration::from_hours(8 * 24)), (0, 1));
 }
 
 proptest! {
