Test that a store notices when others begin to write its record

Removing the refresh passed the earlier test by luck of its start state; the test now lets the store be alone first. With it, each of these fails when removed: the refresh and the memory of a conflict (a_record_that_others_write_is_read_before_it_is_written), the pacing of writes (the_rate_of_writes_has_a_bound_whatever_the_rate_of_claims), the grouping of changes (claims_that_come_together_share_a_write), the agreed number of records (the_stored_number_of_records_goes_before_the_setting) and the refusal of an unreadable record (a_value_that_is_no_record_is_refused_and_left_alone).

--- a/bulrushward_claims/tests/limits.rs
+++ b/bulrushward_claims/tests/limits.rs
@@ -105,6 +105,9 @@
             ..settings()
         },
     );
+    for action in 1_000..1_003 {
+        assert_eq!(first.claim(action, A).await, Verdict::Won);
+    }
     for action in 0..50 {
         assert_eq!(first.claim(2 * action, A).await, Verdict::Won);
         assert_eq!(second.claim(2 * action + 1, A).await, Verdict::Won);
