--- a/bulrushward_claims/src/lib.rs
+++ b/bulrushward_claims/src/lib.rs
@@ -1,11 +1,13 @@
 //! Claims of non-idempotent actions, committed in groups to the key-value service.
 
 mod availability;
+mod cached_record;
 mod counters;
 mod gateway;
 mod layout;
 mod pacer;
 mod pending;
+mod queue;
 mod record_codec;
 mod settings;
 mod shard;
@@ -28,7 +30,7 @@
     Won,
     /// Another attempt holds the claim and is not known to have ended.
     Held {
-        /// The holder.
+        /// The holder, which is the attempt itself if another copy of it claimed before.
         holder: AttemptId,
     },
     /// The action ran.
@@ -48,12 +50,16 @@
 #[async_trait]
 pub trait Claims: Debug + Send + Sync {
     /// Claims an action for an attempt.
+    ///
+    /// If the future is dropped before it ends, a claim that was won is released.
     async fn claim(&self, action: ActionKey, attempt: AttemptId) -> Verdict;
 
     /// Records that the attempt ran the action; returns at once and commits in the background.
     fn finished(&self, action: ActionKey, attempt: AttemptId);
 
     /// Records that the winner of a claim did not start it, so that another attempt may.
+    ///
+    /// Only the process that won may release; the attempt itself can never win again.
     fn released(&self, action: ActionKey, attempt: AttemptId);
 
     /// Bars an attempt from ever winning; `true` if it is now certain that it did not and will not
--- a/bulrushward_claims/src/shard.rs
+++ b/bulrushward_claims/src/shard.rs
@@ -2,22 +2,24 @@
 
 use std::sync::Arc;
 
-use bulrushward_platform::{CasOutcome, Entry, Version};
-use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimRecord, RecordClock};
+use bulrushward_platform::{CasOutcome, Entry};
+use bulrushward_policy::claim::{ClaimChange, ClaimDecision, RecordClock};
 use rand::RngExt;
 use rand_pcg::Pcg64;
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::mpsc,
     time::{Duration, Instant, sleep, sleep_until},
 };
-use tracing::{error, warn};
+use tracing::error;
 
 use crate::{
     ClaimSettings, KvCause,
+    cached_record::CachedRecord,
     counters::add,
     gateway::{CallError, Gateway},
     pending::{Pending, Reply, ShardMessage, WonClaim, answer},
-    record_codec::{decode_record, encode_record},
+    queue::ChangeQueue,
+    record_codec::encode_record,
 };
 
 /// Longest wait before a write is tried again after a first conflict; doubles with each more.
@@ -25,15 +27,6 @@
 /// Greatest number of doublings of the backoff.
 const MAX_BACKOFF_DOUBLINGS: u32 = 5;
 
-/// A record as last read or written by this task.
-#[derive(Debug)]
-struct Cached {
-    record: ClaimRecord,
-    version: Version,
-    /// Whether the record was read for the group at hand.
-    is_fresh: bool,
-}
-
 /// How a try to commit a group ended.
 enum Try {
     /// The decisions hold.
@@ -52,13 +45,10 @@
     settings: Arc<ClaimSettings>,
     gateway: Arc<Gateway>,
     rng: Pcg64,
-    rx: mpsc::UnboundedReceiver<ShardMessage>,
+    queue: ChangeQueue,
     /// The task's own channel, for claims that are won but not accepted.
     tx: mpsc::WeakUnboundedSender<ShardMessage>,
-    is_open: bool,
-    pending: Vec<Pending>,
-    flushes: Vec<oneshot::Sender<()>>,
-    cached: Option<Cached>,
+    cached: Option<CachedRecord>,
     /// Whether another store may have written the record since the last commit; `true` until a
     /// read shows otherwise.
     is_contended: bool,
@@ -81,11 +71,8 @@
             settings,
             gateway,
             rng,
-            rx,
+            queue: ChangeQueue::new(rx),
             tx: tx.downgrade(),
-            is_open: true,
-            pending: Vec::new(),
-            flushes: Vec::new(),
             cached: None,
             is_contended: true,
             clock: RecordClock::default(),
@@ -99,71 +86,21 @@
     pub(crate) async fn run(mut self) {
         while self.wait_until_due().await {
             sleep_until(self.gateway.pacer.reserve()).await;
-            self.take_waiting();
             self.next_commit = Instant::now() + self.settings.commit_interval;
             self.commit_group().await;
         }
     }
 
-    /// Collects changes until some are to be committed; `false` at the end.
     async fn wait_until_due(&mut self) -> bool {
-        loop {
-            self.answer_flushes();
-            let Some(due) = self.due() else {
-                if !self.is_open {
-                    return false;
-                }
-                let message = self.rx.recv().await;
-                self.take(message);
-                continue;
-            };
-            let gateway = Arc::clone(&self.gateway);
-            let ready = async {
-                sleep_until(due).await;
-                gateway.availability.wait_until(true).await;
-            };
-            tokio::select! {
-                biased;
-                message = self.rx.recv(), if self.is_open => self.take(message),
-                () = ready => return true,
-            }
-        }
-    }
-
-    fn take(&mut self, message: Option<ShardMessage>) {
-        match message {
-            Some(ShardMessage::Change(pending)) => self.pending.push(pending),
-            Some(ShardMessage::Flush(reply)) => self.flushes.push(reply),
-            None => self.is_open = false,
-        }
-    }
-
-    /// Takes in what arrived while the task waited for its time to write.
-    fn take_waiting(&mut self) {
-        while let Ok(message) = self.rx.try_recv() {
-            self.take(Some(message));
-        }
-    }
-
-    fn due(&self) -> Option<Instant> {
-        let first = self.pending.iter().map(|pending| pending.due).min()?;
-        let is_urgent = !self.is_open || !self.flushes.is_empty();
-        let wanted = if is_urgent { Instant::now() } else { first };
-        Some(wanted.max(self.next_commit))
-    }
-
-    fn answer_flushes(&mut self) {
-        if self.pending.is_empty() {
-            for reply in self.flushes.drain(..) {
-                // Whoever asked may have stopped waiting.
-                let _ = reply.send(());
-            }
-        }
+        let availability = &self.gateway.availability;
+        self.queue
+            .wait_until_due(self.next_commit, availability)
+            .await
     }
 
     /// Commits all that waits, however often the record changes meanwhile.
     async fn commit_group(&mut self) {
-        let mut group = std::mem::take(&mut self.pending);
+        let mut group = self.queue.take_group();
         if let Some(cached) = &mut self.cached {
             cached.is_fresh = false;
         }
@@ -205,13 +142,13 @@
             return (Try::Failed, Vec::new());
         };
         let now_ms = self.clock.reading_ms(self.started.elapsed());
-        let decisions = decide(&mut cached.record, group, now_ms, &self.settings);
+        let decisions = cached.decide(group, now_ms, &self.settings);
         if cached.record.take_changed() {
             let (result, next_cause) = self.write(group, tries).await;
             *read_cause = next_cause;
             return (result, decisions);
         }
-        if cached.is_fresh || decisions.iter().all(is_final) {
+        if cached.holds(&decisions) {
             return (Try::Settled, decisions);
         }
         self.cached = None;
@@ -241,7 +178,7 @@
             .await;
         match outcome {
             Ok(CasOutcome::Written(version)) => {
-                self.cached = Some(Cached { version, ..cached });
+                self.cached = Some(CachedRecord { version, ..cached });
                 (Try::Settled, KvCause::Load)
             }
             Ok(CasOutcome::Conflict(entry)) => {
@@ -279,23 +216,16 @@
 
     /// Caches what the key holds; `None` if that is not a record, which is then left alone.
     fn load(&mut self, entry: Option<Entry>) -> Option<()> {
-        let (record, version) = match entry {
-            None => (ClaimRecord::default(), 0),
-            Some(entry) => match decode_record(&entry.value) {
-                Ok(record) => (record, entry.version),
-                Err(err) => {
-                    error!(event = "claims_record_unreadable", key = self.key, %err);
-                    return None;
-                }
-            },
+        let cached = match CachedRecord::read(entry) {
+            Ok(cached) => cached,
+            Err(err) => {
+                error!(event = "claims_record_unreadable", key = self.key, %err);
+                return None;
+            }
         };
-        self.clock
-            .observe(record.clock_ms(), self.started.elapsed());
-        self.cached = Some(Cached {
-            record,
-            version,
-            is_fresh: true,
-        });
+        let now = self.started.elapsed();
+        self.clock.observe(cached.record.clock_ms(), now);
+        self.cached = Some(cached);
         Some(())
     }
 
@@ -320,9 +250,8 @@
         self.cached = None;
         let due = Instant::now() + self.settings.probe_interval;
         let kept = group.into_iter().filter_map(Pending::give_up);
-        let mut kept: Vec<_> = kept.map(|pending| Pending { due, ..pending }).collect();
-        kept.append(&mut self.pending);
-        self.pending = kept;
+        let kept = kept.map(|pending| Pending { due, ..pending });
+        self.queue.put_back(kept.collect());
     }
 
     async fn back_off(&mut self, tries: u32) {
@@ -331,34 +260,3 @@
         sleep_until(self.gateway.pacer.reserve()).await;
     }
 }
-
-/// Applies a group to a record.
-fn decide(
-    record: &mut ClaimRecord,
-    group: &[Pending],
-    now_ms: u64,
-    settings: &ClaimSettings,
-) -> Vec<ClaimDecision> {
-    record.advance_clock(now_ms);
-    let unfinished = record.prune(&settings.retention);
-    if unfinished > 0 {
-        warn!(event = "claims_unfinished_expired", count = unfinished);
-    }
-    let apply = |pending: &Pending| {
-        record.apply(
-            pending.action,
-            pending.attempt,
-            pending.change,
-            settings.value_limit,
-        )
-    };
-    group.iter().map(apply).collect()
-}
-
-/// Tells whether a decision stays true however old the record is that it was made on.
-fn is_final(decision: &ClaimDecision) -> bool {
-    match decision {
-        ClaimDecision::Ran { .. } | ClaimDecision::Barred | ClaimDecision::Recorded => true,
-        ClaimDecision::Won | ClaimDecision::Held { .. } | ClaimDecision::Full => false,
-    }
-}
--- a/bulrushward_policy/src/claim.rs
+++ b/bulrushward_policy/src/claim.rs
@@ -5,98 +5,23 @@
 //! idempotent, so a change whose write had no answer can be applied again to what is read back.
 
 mod action_key;
+mod entry;
 mod record_clock;
 mod retention;
 
 use bulrushward_protocol::{ActionKey, AttemptId};
 
 pub use action_key::{ActionClass, action_class, action_from_content, action_from_key};
+pub use entry::{
+    ClaimChange, ClaimDecision, ClaimEntry, ClaimNonce, ClaimState, ENTRY_SIZE, NONCE_SIZE,
+    RECORD_HEADER_SIZE, RecordSecond,
+};
 pub use record_clock::RecordClock;
 pub use retention::Retention;
 
-/// Identifies one call that claims, so that two copies of one attempt cannot both win.
-pub type ClaimNonce = u64;
-/// Counts seconds of a record's own clock.
-pub type RecordSecond = u32;
-
-/// Bytes of an encoded record without entries: format, clock and number of entries.
-pub const RECORD_HEADER_SIZE: usize = 1 + size_of::<u64>() + size_of::<u32>();
-/// Bytes of an encoded entry: action, attempt, state and second.
-pub const ENTRY_SIZE: usize = 16 + 16 + 1 + size_of::<RecordSecond>();
-/// Bytes that an entry needs besides while it is claimed.
-pub const NONCE_SIZE: usize = size_of::<ClaimNonce>();
 /// Share of a record, as a divisor, that claims leave free for tombstones.
 const TOMBSTONE_RESERVE_DIVISOR: usize = 16;
 
-/// What is known about one attempt of an action.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimState {
-    /// The attempt may start, may be running, or may have ended unseen.
-    Claimed {
-        /// The call that claimed.
-        nonce: ClaimNonce,
-    },
-    /// The attempt ran the action.
-    Finished,
-    /// The attempt did not start and never will.
-    Barred,
-}
-
-/// One attempt of an action in a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClaimEntry {
-    /// The action.
-    pub action: ActionKey,
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// What is known about the attempt.
-    pub state: ClaimState,
-    /// Second of the record's clock in which the state was entered.
-    pub changed: RecordSecond,
-}
-
-/// A wish to change a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimChange {
-    /// Claims the action for the attempt.
-    Claim {
-        /// The call that claims.
-        nonce: ClaimNonce,
-    },
-    /// Records that the attempt ran the action.
-    Finish,
-    /// Gives up a claim that was not started and never will be.
-    Release {
-        /// The call that claimed; a claim by another call is left alone.
-        nonce: ClaimNonce,
-    },
-    /// Bars the attempt unless it holds a claim.
-    Bar,
-}
-
-/// What a change came to, valid once the record is written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimDecision {
-    /// The claiming call alone may start the action.
-    Won,
-    /// An attempt holds the claim and is not known to have ended.
-    Held {
-        /// The holder, which may be the attempt itself.
-        holder: AttemptId,
-    },
-    /// The action ran.
-    Ran {
-        /// The attempt that ran it.
-        holder: AttemptId,
-    },
-    /// The attempt did not start and never will.
-    Barred,
-    /// The record has no room; nothing changed.
-    Full,
-    /// The change is recorded.
-    Recorded,
-}
-
 /// Returns the record, counted from 0, that holds an action if there are `shards` records.
 ///
 /// # Panics
@@ -121,13 +46,11 @@
     /// Builds a record from its stored parts; `None` if the entries are not in strict order.
     #[must_use]
     pub fn from_parts(clock_ms: u64, entries: Vec<ClaimEntry>) -> Option<Self> {
-        let sorted = entries
-            .windows(2)
-            .all(|pair| key_of(&pair[0]) < key_of(&pair[1]));
+        let sorted = entries.windows(2).all(|pair| pair[0].key() < pair[1].key());
         if !sorted {
             return None;
         }
-        let size = entries.iter().map(|entry| size_of_state(entry.state)).sum();
+        let size = entries.iter().map(|entry| entry.state.entry_size()).sum();
         Some(Self {
             clock_ms,
             entries,
@@ -174,7 +97,7 @@
         self.entries.retain(|entry| {
             let kept = !retention.is_over(entry, now);
             if !kept {
-                *size -= size_of_state(entry.state);
+                *size -= entry.state.entry_size();
                 unfinished += usize::from(matches!(entry.state, ClaimState::Claimed { .. }));
             }
             kept
@@ -226,7 +149,7 @@
         if own == Some(ClaimState::Claimed { nonce }) {
             return Some(ClaimDecision::Won);
         }
-        let holder = self.entries_of(action).iter().find_map(hold_of);
+        let holder = self.entries_of(action).iter().find_map(ClaimEntry::hold);
         let barred = (own == Some(ClaimState::Barred)).then_some(ClaimDecision::Barred);
         barred.or(holder)
     }
@@ -283,7 +206,7 @@
         };
         match self.position(action, attempt) {
             Ok(index) => self.replace(index, entry),
-            Err(_) if self.encoded_size() + size_of_state(state) > limit => {
+            Err(_) if self.encoded_size() + state.entry_size() > limit => {
                 return ClaimDecision::Full;
             }
             Err(index) => self.insert(index, entry),
@@ -296,13 +219,13 @@
         if stored.state == entry.state {
             return;
         }
-        self.size = self.size + size_of_state(entry.state) - size_of_state(stored.state);
+        self.size = self.size + entry.state.entry_size() - stored.state.entry_size();
         *stored = entry;
         self.changed = true;
     }
 
     fn insert(&mut self, index: usize, entry: ClaimEntry) {
-        self.size += size_of_state(entry.state);
+        self.size += entry.state.entry_size();
         self.entries.insert(index, entry);
         self.changed = true;
     }
@@ -318,7 +241,7 @@
 
     fn position(&self, action: ActionKey, attempt: AttemptId) -> Result<usize, usize> {
         self.entries
-            .binary_search_by_key(&(action, attempt), key_of)
+            .binary_search_by_key(&(action, attempt), ClaimEntry::key)
     }
 
     fn entries_of(&self, action: ActionKey) -> &[ClaimEntry] {
@@ -328,24 +251,3 @@
         &rest[..len]
     }
 }
-
-/// Returns the hold that an entry has on its action, if any.
-fn hold_of(entry: &ClaimEntry) -> Option<ClaimDecision> {
-    let holder = entry.attempt;
-    match entry.state {
-        ClaimState::Claimed { .. } => Some(ClaimDecision::Held { holder }),
-        ClaimState::Finished => Some(ClaimDecision::Ran { holder }),
-        ClaimState::Barred => None,
-    }
-}
-
-fn key_of(entry: &ClaimEntry) -> (ActionKey, AttemptId) {
-    (entry.action, entry.attempt)
-}
-
-fn size_of_state(state: ClaimState) -> usize {
-    match state {
-        ClaimState::Claimed { .. } => ENTRY_SIZE + NONCE_SIZE,
-        ClaimState::Finished | ClaimState::Barred => ENTRY_SIZE,
-    }
-}
