--- a/bulrushward_measure/src/fleet.rs
+++ b/bulrushward_measure/src/fleet.rs
@@ -23,7 +23,7 @@
     engine::Progress,
     policies::{Policy, STICKY_CANDIDATES, Seen, View},
     results::Results,
-    views::{LoadHistory, SAMPLE_INTERVAL},
+    views::{LoadHistory, SAMPLE_INTERVAL, share_of_lag},
     workload::Arrival,
 };
 
@@ -491,7 +491,8 @@
     /// Returns the occupant of a slot that a router believes in: the one before, until it hears.
     fn seen_backend(&self, router: usize, slot: usize) -> usize {
         let (current, previous) = self.slots[slot];
-        let age = self.history.age(router, slot, self.now);
+        let share = share_of_lag(router, slot, self.backends[current].joined);
+        let age = self.size.member_lag.mul_f64(share);
         let has_heard = self.now.saturating_sub(self.backends[current].joined) >= age;
         if has_heard {
             current
--- a/bulrushward_measure/src/lib.rs
+++ b/bulrushward_measure/src/lib.rs
@@ -4,6 +4,7 @@
 //! the product's own.
 
 mod backend;
+mod control;
 mod engine;
 mod figure;
 mod fleet;
@@ -16,6 +17,7 @@
 mod workload;
 
 pub use backend::{Backend, Limits};
+pub use control::{ControlFleet, measure_control};
 pub use figure::{Figure, FigureError, write_csv, write_json};
 pub use fleet::run;
 pub use measures::measure_runs;
