--- a/bulrushward_measure/src/main.rs
+++ b/bulrushward_measure/src/main.rs
@@ -4,7 +4,8 @@
 
 use bpaf::Bpaf;
 use bulrushward_measure::{
-    Figure, FigureError, Size, measure_control, measure_runs, write_csv, write_json,
+    Figure, FigureError, Size, draw_plots, measure_control, measure_runs, measure_slopes,
+    write_csv, write_json,
 };
 use bulrushward_policy::load_bound::LoadBound;
 use strum::{Display, EnumString};
@@ -19,11 +20,13 @@
     Runs,
     /// Control traffic and the spread of news.
     Control,
+    /// Slopes of state and processor time.
+    Slopes,
 }
 
 impl Part {
     fn includes(self, part: Self) -> bool {
-        self == Self::All || self == part
+        self == part || (self == Self::All && part != Self::Slopes)
     }
 }
 
@@ -51,7 +54,10 @@
     /// Write the figures as CSV
     #[bpaf(argument("FILE"))]
     csv: Option<PathBuf>,
-    /// all, runs or control
+    /// Draw a picture of each measure into this directory
+    #[bpaf(argument("DIR"))]
+    plots: Option<PathBuf>,
+    /// all, runs, control or slopes; all leaves out the slopes
     #[bpaf(positional("PART"), fallback(Part::All))]
     part: Part,
 }
@@ -93,6 +99,9 @@
         let control = |size| measure_control(size, options.seed);
         figures.extend(sizes.iter().flat_map(control));
     }
+    if options.part.includes(Part::Slopes) {
+        figures.extend(measure_slopes());
+    }
     report(options, &figures)
 }
 
@@ -106,5 +115,8 @@
     if let Some(path) = &options.csv {
         write_csv(path, figures)?;
     }
+    if let Some(dir) = &options.plots {
+        draw_plots(dir, figures)?;
+    }
     Ok(())
 }
