--- a/bulrushward_measure/src/lib.rs
+++ b/bulrushward_measure/src/lib.rs
@@ -4,23 +4,29 @@
 //! the product's own.
 
 mod backend;
+mod control;
 mod engine;
 mod figure;
 mod fleet;
 mod measures;
+mod plots;
 mod policies;
 mod prefix_cache;
 mod results;
 mod scenario;
+mod slopes;
 mod views;
 mod workload;
 
 pub use backend::{Backend, Limits};
+pub use control::{ControlFleet, measure_control};
 pub use figure::{Figure, FigureError, write_csv, write_json};
 pub use fleet::run;
 pub use measures::measure_runs;
+pub use plots::draw_plots;
 pub use policies::{MAX_CANDIDATES, Policy, PolicyName, Seen, View};
 pub use prefix_cache::{PrefixCache, PrefixId};
 pub use results::Results;
 pub use scenario::{Case, Size};
+pub use slopes::measure_slopes;
 pub use workload::{Arrival, Kind, generate};
