Follow retention, write budget and shard placement of claims

The text's claim_retention_seconds and fingerprint_window_seconds had no effect: the store started with its defaults. Test ports are locked per test: two test runs on one machine had met on the control channel.

--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -153,6 +153,11 @@
         MeanLoad::default().estimate(own, &reports, reports.len())
     }
 
+    /// Returns the number of other agents of this agent's service that take new work.
+    pub(crate) fn mates(&self) -> usize {
+        self.snapshot().loads.len()
+    }
+
     /// Announces that this process takes nothing new; there is no way back.
     pub(crate) fn leave(&self) {
         if !self.leaving.swap(true, Ordering::Relaxed) {
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     agent::Agent,
+    claim_limits,
     cli::Command,
     control::{self, Control, ControlThread},
     error::DaemonError,
@@ -100,6 +101,10 @@
     let agent_metrics = metrics.agent();
     let inner_address = settings.inner_address;
     let claims = ClaimStore::start(platform.kv, ClaimSettings::new(settings.service.clone()));
+    tokio::spawn(claim_limits::follow(
+        Arc::clone(&claims),
+        Arc::clone(&control),
+    ));
     let agent = Agent::new(
         settings,
         Arc::clone(&control),
--- a/bulrushward/src/lib.rs
+++ b/bulrushward/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon of the fleet as a library: router, agent and the control thread that both share.
 
 mod agent;
+mod claim_limits;
 mod cli;
 mod control;
 mod daemon;
--- a/bulrushward/src/router/classify.rs
+++ b/bulrushward/src/router/classify.rs
@@ -2,12 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use bulrushward_claims::ClaimSettings;
 use bulrushward_config::{Config, Kind, Organisation, Protocol, Service};
 use bulrushward_policy::{
     chat_key,
-    claim::{action_from_content, action_from_key},
+    claim::{action_from_content, action_from_key, shard_of},
 };
-use bulrushward_protocol::{Fingerprint, Header, RequestId, headers};
+use bulrushward_protocol::{ActionKey, ChatKey, Fingerprint, Header, RequestId, headers};
 use salvo::{
     Request,
     http::{HeaderMap, ParseError, StatusCode},
@@ -123,8 +124,8 @@
         service: service.clone(),
         organisation: organisation.name.clone(),
         kind: kind.map_or_else(|| DEFAULT_KIND.to_owned(), |kind| kind.name.clone()),
-        // Calls without an action spread by content; repeats of an action meet at one agent.
-        chat: action.unwrap_or(fingerprint) as u64,
+        // Calls without an action spread by content.
+        chat: action.map_or(fingerprint as u64, placement_of),
         work: PLAIN_WORK,
         action,
         fingerprint,
@@ -137,6 +138,13 @@
     })
 }
 
+/// Returns the placement key of an action: its record of claims.
+///
+/// Repeats meet at one agent, and each record is written by one agent as a rule.
+fn placement_of(action: ActionKey) -> ChatKey {
+    shard_of(action, ClaimSettings::DEFAULT_SHARDS.get() as usize) as ChatKey
+}
+
 fn organisation<'a>(config: &'a Config, map: &HeaderMap) -> Result<&'a Organisation, Rejection> {
     let key = text_header(map, "authorization").and_then(|value| value.strip_prefix("Bearer "));
     let Some(key) = key else {
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -4,9 +4,13 @@
 
 use std::{
     fmt::Write,
+    fs::File,
     net::{SocketAddr, TcpListener},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU16, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,7 +20,7 @@
 use bulrushward_platform::{TargetGroup, TargetLabels, VmState};
 use bulrushward_policy::{
     chat_key,
-    claim::action_from_key,
+    claim::{action_from_key, shard_of},
     placement::{Candidate, rank},
 };
 use bulrushward_protocol::{
@@ -35,11 +39,11 @@
 /// Time after which a condition that should come true counts as failed.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 /// First port of the tests.
-const FIRST_PORT: u16 = 12_000;
+const FIRST_PORT: u16 = 10_000;
 /// Ports of one test.
-const PORTS_PER_SLOT: u16 = 300;
+const PORTS_PER_SLOT: u16 = 100;
 /// Tests that may run at the same time.
-const SLOTS: u16 = 60;
+const SLOTS: u16 = 220;
 /// Port that is tried next, counted from the first of the test.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 /// Time between two looks at a condition.
@@ -556,11 +560,22 @@
     }
 }
 
-/// Returns the number of this test among those that run at the same time.
+/// Returns a number that no other test on this machine has while this one runs.
 fn test_slot() -> u16 {
-    let slot = std::env::var("NEXTEST_TEST_GLOBAL_SLOT").ok();
-    let slot: Option<u16> = slot.and_then(|slot| slot.parse().ok());
-    slot.unwrap_or(std::process::id() as u16) % SLOTS
+    static SLOT: OnceLock<(u16, File)> = OnceLock::new();
+    SLOT.get_or_init(|| {
+        let folder = std::env::temp_dir().join("bulrushward-test-ports");
+        std::fs::create_dir_all(&folder).expect("the folder of the locks can be made");
+        // The lock ends with the test, however it ends.
+        (0..SLOTS)
+            .find_map(|slot| {
+                let lock = File::create(folder.join(format!("{slot}.lock"))).ok()?;
+                lock.try_lock().ok()?;
+                Some((slot, lock))
+            })
+            .expect("fewer tests than slots run at the same time")
+    })
+    .0
 }
 
 /// Finds the first of a row of names that a key function places on the wanted server first.
@@ -577,7 +592,7 @@
 
 /// Returns the placement key of an action that the caller named.
 pub fn action_chat(key: &str) -> u64 {
-    action_from_key("examiners", "registry", key) as u64
+    shard_of(action_from_key("examiners", "registry", key), 64) as u64
 }
 
 /// Returns the placement key of a chat by its opening.
--- a/bulrushward_claims/src/cached_record.rs
+++ b/bulrushward_claims/src/cached_record.rs
@@ -1,7 +1,7 @@
 //! A shard's copy of its record, on which groups of changes are decided.
 
 use bulrushward_platform::{Entry, Version};
-use bulrushward_policy::claim::{ClaimDecision, ClaimRecord};
+use bulrushward_policy::claim::{ClaimDecision, ClaimRecord, Retention};
 use tracing::warn;
 
 use crate::{ClaimSettings, RecordError, pending::Pending, record_codec::decode_record};
@@ -35,10 +35,11 @@
         group: &[Pending],
         now_ms: u64,
         settings: &ClaimSettings,
+        retention: &Retention,
     ) -> Vec<ClaimDecision> {
         let record = &mut self.record;
         record.advance_clock(now_ms);
-        let unfinished = record.prune(&settings.retention);
+        let unfinished = record.prune(retention);
         if unfinished > 0 {
             warn!(event = "claims_unfinished_expired", count = unfinished);
         }
--- a/bulrushward_claims/src/lib.rs
+++ b/bulrushward_claims/src/lib.rs
@@ -5,6 +5,7 @@
 mod counters;
 mod gateway;
 mod layout;
+mod live_retention;
 mod pacer;
 mod pending;
 mod queue;
--- a/bulrushward_claims/src/settings.rs
+++ b/bulrushward_claims/src/settings.rs
@@ -24,7 +24,10 @@
     pub call_timeout: Duration,
     /// Time between two probes while the key-value service does not answer.
     pub probe_interval: Duration,
-    /// How long the entries of a record are kept.
+    /// How long the entries of a record are kept until [`ClaimStore::set_retention`]
+    /// changes it.
+    ///
+    /// [`ClaimStore::set_retention`]: crate::ClaimStore::set_retention
     pub retention: Retention,
     /// Bytes that a value of the key-value service may have.
     pub value_limit: usize,
--- a/bulrushward_claims/src/shard.rs
+++ b/bulrushward_claims/src/shard.rs
@@ -17,6 +17,7 @@
     cached_record::CachedRecord,
     counters::add,
     gateway::{CallError, Gateway},
+    live_retention::LiveRetention,
     pending::{Pending, Reply, ShardMessage, WonClaim, answer},
     queue::ChangeQueue,
     record_codec::encode_record,
@@ -43,6 +44,7 @@
 pub(crate) struct Shard {
     key: String,
     settings: Arc<ClaimSettings>,
+    retention: Arc<LiveRetention>,
     gateway: Arc<Gateway>,
     rng: Pcg64,
     queue: ChangeQueue,
@@ -61,6 +63,7 @@
     pub(crate) fn new(
         key: String,
         settings: Arc<ClaimSettings>,
+        retention: Arc<LiveRetention>,
         gateway: Arc<Gateway>,
         rng: Pcg64,
     ) -> (mpsc::UnboundedSender<ShardMessage>, Self) {
@@ -69,6 +72,7 @@
         let shard = Self {
             key,
             settings,
+            retention,
             gateway,
             rng,
             queue: ChangeQueue::new(rx),
@@ -142,7 +146,7 @@
             return (Try::Failed, Vec::new());
         };
         let now_ms = self.clock.reading_ms(self.started.elapsed());
-        let decisions = cached.decide(group, now_ms, &self.settings);
+        let decisions = cached.decide(group, now_ms, &self.settings, &self.retention.get());
         if cached.record.take_changed() {
             let (result, next_cause) = self.write(group, tries).await;
             *read_cause = next_cause;
--- a/bulrushward_claims/src/store.rs
+++ b/bulrushward_claims/src/store.rs
@@ -9,7 +9,7 @@
 
 use async_trait::async_trait;
 use bulrushward_platform::KeyValue;
-use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimNonce, shard_of};
+use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimNonce, Retention, shard_of};
 use bulrushward_protocol::{ActionKey, AttemptId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -24,6 +24,7 @@
     ClaimCounters, ClaimSettings, Claims, KvCause, Verdict,
     gateway::Gateway,
     layout::{agree_on_shards, layout_key, shard_key},
+    live_retention::LiveRetention,
     pending::{Pending, Reply, ShardMessage},
     shard::Shard,
 };
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub struct ClaimStore {
     settings: Arc<ClaimSettings>,
+    retention: Arc<LiveRetention>,
     gateway: Arc<Gateway>,
     /// Senders to the shards' tasks, once their number is agreed.
     shards: watch::Receiver<Option<Shards>>,
@@ -57,13 +59,16 @@
         let gateway = Arc::new(gateway);
         let mut rng = Pcg64::seed_from_u64(settings.seed);
         let (tx, shards) = watch::channel(None);
+        let retention = Arc::new(LiveRetention::new(settings.retention));
         let upkeep = Upkeep {
             settings: Arc::clone(&settings),
+            retention: Arc::clone(&retention),
             gateway: Arc::clone(&gateway),
             rng: Pcg64::seed_from_u64(rng.next_u64()),
         };
         Arc::new(Self {
             settings,
+            retention,
             gateway,
             shards,
             rng: Mutex::new(rng),
@@ -78,6 +83,11 @@
         self.gateway.counters.snapshot()
     }
 
+    /// Changes how long entries are kept, from the next commit of each record on.
+    pub fn set_retention(&self, retention: Retention) {
+        self.retention.set(retention);
+    }
+
     /// Changes the bound on the writes of this store, as other agents of the service come and go.
     pub fn set_writes_per_second(&self, writes_per_second: NonZeroU32) {
         self.gateway.pacer.set_rate(writes_per_second);
@@ -212,6 +222,7 @@
 /// The task that agrees on the shards and probes a service that does not answer.
 struct Upkeep {
     settings: Arc<ClaimSettings>,
+    retention: Arc<LiveRetention>,
     gateway: Arc<Gateway>,
     rng: Pcg64,
 }
@@ -241,6 +252,7 @@
         let (tx, task) = Shard::new(
             shard_key(&self.settings.service, shard),
             Arc::clone(&self.settings),
+            Arc::clone(&self.retention),
             Arc::clone(&self.gateway),
             Pcg64::seed_from_u64(self.rng.next_u64()),
         );
