Carry a falling mean on over the age of the reports

Cause: with 3 s of grace and a half-life of 20 s the limit trailed a falling mean. Now: no grace, half-life 20 s, a straight trend over 2 s, reports older than 10 s left out. The estimate now needs the time. Proofs by removal: decay, margin, single report, cut off, greatest age and trend; each makes a test fail.

--- a/bulrushward_policy/src/mean_load.rs
+++ b/bulrushward_policy/src/mean_load.rs
@@ -1,17 +1,22 @@
 //! Estimate of the mean load of a service's backend servers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bulrushward_protocol::WorkUnits;
 
 use crate::membership::LoadReport;
 
+/// Time over which the trend of the mean is averaged.
+const TREND_WINDOW: Duration = Duration::from_secs(2);
+/// Shortest time between two points of the trend.
+const TREND_STEP: Duration = Duration::from_millis(200);
+
 /// How far reports are trusted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MeanLoadSettings {
-    /// Age up to which a report counts in full.
-    pub grace: Duration,
-    /// Time in which a report beyond the grace loses half of its value.
+    /// Age beyond which a report does not count.
+    pub max_age: Duration,
+    /// Time in which a report loses half of its value.
     pub half_life: Duration,
     /// Standard errors that the estimate stays below the mean of a sample.
     pub margin: f64,
@@ -20,7 +25,7 @@
 impl Default for MeanLoadSettings {
     fn default() -> Self {
         Self {
-            grace: Duration::from_secs(3),
+            max_age: Duration::from_secs(10),
             half_life: Duration::from_secs(20),
             margin: 2.0,
         }
@@ -30,43 +35,86 @@
 /// Estimates the mean load from the reports of peers, on the low side.
 ///
 /// A low estimate refuses work that another backend server takes; a high one would break the load
-/// bound. Reports lose value with age, so that the bound falls to its floor when news stops.
+/// bound. Reports lose value with age, so that the bound falls to its floor when news stops, and
+/// a falling mean is carried on over the age of the reports.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MeanLoad {
     settings: MeanLoadSettings,
+    /// Time and mean of the reports at the last point of the trend.
+    last: Option<(Instant, f64)>,
+    /// Change of the mean in work units a second.
+    trend: f64,
 }
 
 impl MeanLoad {
     /// Creates an estimator.
     #[must_use]
     pub fn new(settings: MeanLoadSettings) -> Self {
-        Self { settings }
+        Self {
+            settings,
+            ..Self::default()
+        }
     }
 
     /// Estimates the mean over the own load and the `members` other backend servers of the
     /// service, of which `reports` are known.
-    #[must_use]
-    pub fn estimate(&self, own: WorkUnits, reports: &[LoadReport], members: usize) -> f64 {
-        let loads: Vec<f64> = reports
+    pub fn estimate(
+        &mut self,
+        own: WorkUnits,
+        reports: &[LoadReport],
+        members: usize,
+        now: Instant,
+    ) -> f64 {
+        let members = members.max(reports.len()) as f64;
+        if members == 0.0 {
+            return own as f64;
+        }
+        let fresh: Vec<_> = reports
             .iter()
-            .map(|report| report.load as f64 * self.trust(report.age))
+            .filter(|report| report.age <= self.settings.max_age)
             .collect();
-        let members = members.max(loads.len()) as f64;
-        let known = loads.len() as f64;
+        let known = fresh.len() as f64;
         if known == 0.0 {
-            // Alone, the own load is the mean; cut off from others, nothing is known.
-            return if members == 0.0 { own as f64 } else { 0.0 };
+            // Cut off from others, nothing is known of them.
+            self.last = None;
+            return 0.0;
         }
+        let fall = self.fall(&fresh, now);
+        let loads: Vec<f64> = fresh
+            .iter()
+            .map(|report| report.load as f64 * self.trust(report.age))
+            .collect();
         let mean = loads.iter().sum::<f64>() / known;
-        let peers = (mean - self.margin(&loads, mean, members)).max(0.0);
+        let peers = (mean - self.margin(&loads, mean, members) - fall).max(0.0);
         (own as f64 + peers * members) / (members + 1.0)
     }
 
+    /// Returns how far the mean has fallen since the reports were made if it falls on as before.
+    ///
+    /// A straight line errs on the low side for loads that fall ever more slowly.
+    fn fall(&mut self, reports: &[&LoadReport], now: Instant) -> f64 {
+        let known = reports.len() as f64;
+        let mean = reports.iter().map(|report| report.load as f64).sum::<f64>() / known;
+        let age = reports
+            .iter()
+            .map(|report| report.age.as_secs_f64())
+            .sum::<f64>()
+            / known;
+        let (before, earlier) = *self.last.get_or_insert((now, mean));
+        let step = now.saturating_duration_since(before);
+        if step >= TREND_STEP {
+            let slope = (mean - earlier) / step.as_secs_f64();
+            let weight = 1.0 - (-step.as_secs_f64() / TREND_WINDOW.as_secs_f64()).exp();
+            self.trend += weight * (slope - self.trend);
+            self.last = Some((now, mean));
+        }
+        (-self.trend * age).max(0.0)
+    }
+
     /// Returns the share of a report that still counts, from 0 to 1.
     fn trust(&self, age: Duration) -> f64 {
-        let beyond = age.saturating_sub(self.settings.grace).as_secs_f64();
         let half_life = self.settings.half_life.as_secs_f64().max(f64::MIN_POSITIVE);
-        (-beyond / half_life).exp2()
+        (-age.as_secs_f64() / half_life).exp2()
     }
 
     /// Returns the standard error of a sample mean, times the margin; zero if all peers report.
