Meet the own service often and count only direct loads in a large fleet

A relayed record says when it was heard, not when it was made: at 600 members it is older than 10 s although it looks fresh.

--- a/bulrushward_policy/src/membership.rs
+++ b/bulrushward_policy/src/membership.rs
@@ -31,6 +31,11 @@
 /// Share of peers that are taken from silent members, so that a healed partition is found.
 const SILENT_SHARE: f64 = 0.1;
 
+/// Share of peers that an agent takes from its own service, whose loads it needs.
+const SAME_SERVICE_SHARE: f64 = 0.5;
+/// Longest time that a record is passed on for its load to count.
+const MAX_RELAY: Duration = Duration::from_secs(5);
+
 /// The load of a member, as far as it is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReport {
@@ -45,6 +50,8 @@
     record: MemberRecord,
     /// When the newest version was heard.
     heard: Instant,
+    /// When the member last sent its record itself.
+    direct: Option<Instant>,
     /// Whether this process failed to reach the member since then.
     unreachable: bool,
     spread: Spread,
@@ -129,11 +136,17 @@
         changed
     }
 
-    /// Takes in that a member answered this process itself.
-    pub fn reached(&mut self, node: &str) {
-        if let Some(entry) = self.entries.get_mut(node) {
+    /// Takes in the record that a member sent about itself; returns whether its state or start
+    /// changed.
+    pub fn merge_direct(&mut self, record: &MemberRecord, now: Instant) -> bool {
+        let changed = self.merge_one(record, now);
+        if let Some(entry) = self.entries.get_mut(&record.node)
+            && entry.record.incarnation == record.incarnation
+        {
+            entry.direct = Some(now);
             entry.unreachable = false;
         }
+        changed
     }
 
     /// Takes in that this process could not reach a member; its next version clears that.
@@ -178,20 +191,37 @@
     }
 
     /// Returns the loads of the other members of a service that take new work.
+    ///
+    /// In a fleet too large to pass records on quickly, only what members said themselves counts.
     #[must_use]
     pub fn loads(&self, service: &ServiceId, now: Instant) -> Vec<LoadReport> {
+        let relayed = self.heartbeat_interval() <= MAX_RELAY;
         self.entries
             .values()
             .filter(|entry| entry.record.service.as_ref() == Some(service))
             .filter(|entry| entry.record.state == MemberState::Live)
             .filter(|entry| !self.is_silent(entry, now))
-            .map(|entry| LoadReport {
-                load: entry.record.load,
-                age: now.saturating_duration_since(entry.heard),
+            .filter_map(|entry| {
+                let heard = if relayed { entry.heard } else { entry.direct? };
+                Some(LoadReport {
+                    load: entry.record.load,
+                    age: now.saturating_duration_since(heard),
+                })
             })
             .collect()
     }
 
+    /// Returns the number of other members of a service that take new work.
+    #[must_use]
+    pub fn live_of(&self, service: &ServiceId, now: Instant) -> usize {
+        self.entries
+            .values()
+            .filter(|entry| entry.record.service.as_ref() == Some(service))
+            .filter(|entry| entry.record.state == MemberState::Live)
+            .filter(|entry| !self.is_silent(entry, now))
+            .count()
+    }
+
     /// Returns the number of known processes, its own among them.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -206,10 +236,12 @@
 
     /// Picks a member for the next exchange.
     ///
-    /// Most are from the own failure domain, some from others, and now and then a silent one.
+    /// Most are from the own failure domain, some from others, and now and then a silent one;
+    /// half of an agent's are of its own service.
     pub fn peer(&self, now: Instant, rng: &mut dyn Rng) -> Option<&MemberRecord> {
         let silent = rng.random_bool(SILENT_SHARE);
         let other = rng.random_bool(OTHER_DOMAIN_SHARE);
+        let mate = self.own.service.is_some() && rng.random_bool(SAME_SERVICE_SHARE);
         let pick = |rng: &mut dyn Rng, wanted: &dyn Fn(&Entry) -> bool| {
             let known = self.entries.values();
             let open = known.filter(|entry| entry.record.state != MemberState::Left);
@@ -220,12 +252,17 @@
         };
         let quiet = |entry: &Entry| entry.unreachable || self.is_silent(entry, now);
         let is_other = |entry: &Entry| entry.record.failure_domain != self.own.failure_domain;
-        pick(rng, &|entry| {
-            quiet(entry) == silent && (silent || is_other(entry) == other)
-        })
-        .or_else(|| pick(rng, &|entry| !quiet(entry)))
-        .or_else(|| pick(rng, &|_| true))
-        .map(|entry| &entry.record)
+        let is_mate = |entry: &Entry| entry.record.service == self.own.service;
+        let mates = |entry: &Entry| mate && !silent && is_mate(entry) && !quiet(entry);
+        pick(rng, &mates)
+            .or_else(|| {
+                pick(rng, &|entry| {
+                    quiet(entry) == silent && (silent || is_other(entry) == other)
+                })
+            })
+            .or_else(|| pick(rng, &|entry| !quiet(entry)))
+            .or_else(|| pick(rng, &|_| true))
+            .map(|entry| &entry.record)
     }
 
     /// Returns the records for one exchange, the most urgent first, within a number of bytes.
@@ -321,6 +358,7 @@
         let entry = Entry {
             record: record.clone(),
             heard: now,
+            direct: None,
             unreachable: false,
             spread: Spread::new(encoded_bytes(record)),
         };
--- a/bulrushward_policy/tests/membership.rs
+++ b/bulrushward_policy/tests/membership.rs
@@ -83,12 +83,17 @@
             }
             let request = self.message(node);
             let answer = self.message(peer);
-            self.tables[peer].merge(&request, self.now);
-            self.tables[node].merge(&answer, self.now);
-            self.tables[node].reached(&name);
+            self.hear(peer, &request);
+            self.hear(node, &answer);
         }
     }
 
+    fn hear(&mut self, node: usize, message: &[MemberRecord]) {
+        let (sender, members) = message.split_last().expect("the sender's own record");
+        self.tables[node].merge(members, self.now);
+        self.tables[node].merge_direct(sender, self.now);
+    }
+
     fn message(&mut self, node: usize) -> Vec<MemberRecord> {
         let table = &mut self.tables[node];
         let mut records = table.exchange_out(self.now, BUDGET, &mut self.rng);
@@ -222,6 +227,54 @@
     assert!(table.get("agent-0001").is_none());
 }
 
+#[test]
+fn in_a_large_fleet_only_direct_reports_of_load_count() {
+    let now = Instant::now();
+    let service = "chat".to_owned();
+    for (count, relayed) in [(20, 19), (600, 0)] {
+        let mut table = fresh(0, now);
+        let records: Vec<_> = (1..count)
+            .map(|node| record(node, 5, 1, MemberState::Live))
+            .collect();
+        table.merge(&records, now);
+        assert_eq!(table.loads(&service, now).len(), relayed);
+        assert_eq!(table.live_of(&service, now), count - 1);
+        table.merge_direct(&record(1, 5, 2, MemberState::Live), now);
+        assert_eq!(table.loads(&service, now).len(), relayed.max(1));
+    }
+}
+
+#[test]
+fn an_agent_meets_its_own_service_often_and_other_domains_too() {
+    let now = Instant::now();
+    let mut rng = Pcg64::seed_from_u64(3);
+    let mut table = fresh(0, now);
+    let records: Vec<_> = (1..200)
+        .map(|node| MemberRecord {
+            service: Some(format!("chat-{}", node % 20)),
+            ..record(node, 5, 1, MemberState::Live)
+        })
+        .collect();
+    table.merge(&records, now);
+    table.update_own(now, |own| own.service = Some("chat-4".to_owned()));
+    let peers: Vec<_> = (0..1_000)
+        .filter_map(|_| table.peer(now, &mut rng).cloned())
+        .collect();
+    let mates = peers
+        .iter()
+        .filter(|peer| peer.service == table.own().service)
+        .count();
+    assert!(
+        (400..600).contains(&mates),
+        "{mates} of 1000 of the own service"
+    );
+    let others = peers
+        .iter()
+        .filter(|peer| peer.failure_domain != "domain-0")
+        .count();
+    assert!(others >= 100, "{others} of 1000 in other domains");
+}
+
 #[test]
 fn a_silent_member_is_not_passed_on() {
     let now = Instant::now();
