--- a/bulrushward_policy/src/admission.rs
+++ b/bulrushward_policy/src/admission.rs
@@ -1,13 +1,18 @@
 //! Admission of attempts at one backend server: load bound, queue, priorities and fair shares.
 
+mod kinds;
+mod settings;
+
 use std::{
     collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
-use bulrushward_protocol::{AttemptId, KindId, OrganisationId, RefusalReason, WorkUnits};
+use bulrushward_protocol::{AttemptId, RefusalReason, WorkUnits};
 
-use crate::{fair_queue::FairQueue, load_bound::LoadBound, service_rate::ServiceRate};
+use self::kinds::{Kind, build_kinds, find_kind};
+pub use self::settings::{AdmissionSettings, Decision, KindSettings, Ticket};
+use crate::service_rate::ServiceRate;
 
 /// Shortest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -16,68 +21,6 @@
 /// Time after which a refused caller is asked to come back while no service time is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Deadline of kinds without settings of their own.
-const MAX_DEADLINE: Duration = Duration::from_hours(24);
-
-/// Settings of one kind of work.
-#[derive(Clone, Debug, PartialEq)]
-pub struct KindSettings {
-    /// The kind.
-    pub name: KindId,
-    /// Priority: the higher starts first.
-    pub priority: u8,
-    /// Share of places, running and waiting, that other kinds cannot take; from 0 to 1.
-    pub reserved_share: f64,
-    /// Longest time from the offer until the answer is of no use.
-    pub deadline: Duration,
-}
-
-/// Settings of the admission at one backend server.
-#[derive(Clone, Debug, PartialEq)]
-pub struct AdmissionSettings {
-    /// Attempts that run at the same time.
-    pub concurrency: usize,
-    /// Attempts that may wait.
-    pub queue: usize,
-    /// Bound on running and waiting work.
-    pub bound: LoadBound,
-    /// Kinds of work; others have the lowest priority and no reserved share.
-    pub kinds: Vec<KindSettings>,
-    /// Shares of contended places; 1 for organisations that are not listed.
-    pub weights: HashMap<OrganisationId, f64>,
-}
-
-/// An attempt that asks for admission.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ticket {
-    /// The attempt.
-    pub attempt: AttemptId,
-    /// The organisation that sent the request.
-    pub organisation: OrganisationId,
-    /// The kind of work.
-    pub kind: KindId,
-    /// Estimated work.
-    pub work: WorkUnits,
-    /// Time after which the answer is of no use.
-    pub deadline: Instant,
-}
-
-/// What becomes of an offered attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// It starts now.
-    Start,
-    /// It waits until a later call returns it.
-    Queue,
-    /// It did not run and will not.
-    Refuse {
-        /// Why.
-        reason: RefusalReason,
-        /// Time after which the caller may try again.
-        retry_after: Duration,
-    },
-}
-
 /// An admitted attempt.
 #[derive(Debug)]
 struct Entry {
@@ -91,18 +34,6 @@
     started: Option<Instant>,
 }
 
-/// The attempts of one kind of work.
-#[derive(Debug)]
-struct Kind {
-    settings: KindSettings,
-    /// Running attempts that other kinds leave room for.
-    reserved_running: usize,
-    /// Waiting attempts that other kinds leave room for.
-    reserved_queue: usize,
-    running: usize,
-    queue: FairQueue,
-}
-
 /// Admits, queues and refuses the attempts of one backend server.
 #[derive(Debug)]
 pub struct AdmissionQueue {
@@ -415,43 +346,3 @@
         }
     }
 }
-
-fn find_kind(kinds: &[Kind], name: &str) -> usize {
-    let known = kinds.iter().position(|kind| kind.settings.name == name);
-    known.unwrap_or(kinds.len() - 1)
-}
-
-/// Sorts the kinds by priority and works out their reserved places.
-fn build_kinds(settings: &AdmissionSettings) -> Vec<Kind> {
-    let shares: f64 = settings.kinds.iter().map(share).sum();
-    let scale = 1.0 / shares.max(1.0);
-    let mut kinds: Vec<Kind> = settings
-        .kinds
-        .iter()
-        .map(|kind| Kind {
-            settings: kind.clone(),
-            reserved_running: (share(kind) * scale * settings.concurrency as f64) as usize,
-            reserved_queue: (share(kind) * scale * settings.queue as f64) as usize,
-            running: 0,
-            queue: FairQueue::default(),
-        })
-        .collect();
-    kinds.sort_by_key(|kind| std::cmp::Reverse(kind.settings.priority));
-    kinds.push(Kind {
-        settings: KindSettings {
-            name: KindId::new(),
-            priority: 0,
-            reserved_share: 0.0,
-            deadline: MAX_DEADLINE,
-        },
-        reserved_running: 0,
-        reserved_queue: 0,
-        running: 0,
-        queue: FairQueue::default(),
-    });
-    kinds
-}
-
-fn share(kind: &KindSettings) -> f64 {
-    kind.reserved_share.clamp(0.0, 1.0)
-}
--- /dev/null
+++ b/bulrushward_policy/src/admission/kinds.rs
@@ -0,0 +1,64 @@
+//! Kinds of work with their reserved places.
+
+use std::time::Duration;
+
+use bulrushward_protocol::KindId;
+
+use super::settings::{AdmissionSettings, KindSettings};
+use crate::fair_queue::FairQueue;
+
+/// Deadline of kinds without settings of their own.
+const MAX_DEADLINE: Duration = Duration::from_hours(24);
+
+/// The attempts of one kind of work.
+#[derive(Debug)]
+pub(super) struct Kind {
+    pub(super) settings: KindSettings,
+    /// Running attempts that other kinds leave room for.
+    pub(super) reserved_running: usize,
+    /// Waiting attempts that other kinds leave room for.
+    pub(super) reserved_queue: usize,
+    pub(super) running: usize,
+    pub(super) queue: FairQueue,
+}
+
+/// Returns the position of a kind; one without settings has the last.
+pub(super) fn find_kind(kinds: &[Kind], name: &str) -> usize {
+    let known = kinds.iter().position(|kind| kind.settings.name == name);
+    known.unwrap_or(kinds.len() - 1)
+}
+
+/// Sorts the kinds by priority and works out their reserved places.
+pub(super) fn build_kinds(settings: &AdmissionSettings) -> Vec<Kind> {
+    let shares: f64 = settings.kinds.iter().map(share).sum();
+    let scale = 1.0 / shares.max(1.0);
+    let mut kinds: Vec<Kind> = settings
+        .kinds
+        .iter()
+        .map(|kind| Kind {
+            settings: kind.clone(),
+            reserved_running: (share(kind) * scale * settings.concurrency as f64) as usize,
+            reserved_queue: (share(kind) * scale * settings.queue as f64) as usize,
+            running: 0,
+            queue: FairQueue::default(),
+        })
+        .collect();
+    kinds.sort_by_key(|kind| std::cmp::Reverse(kind.settings.priority));
+    kinds.push(Kind {
+        settings: KindSettings {
+            name: KindId::new(),
+            priority: 0,
+            reserved_share: 0.0,
+            deadline: MAX_DEADLINE,
+        },
+        reserved_running: 0,
+        reserved_queue: 0,
+        running: 0,
+        queue: FairQueue::default(),
+    });
+    kinds
+}
+
+fn share(kind: &KindSettings) -> f64 {
+    kind.reserved_share.clamp(0.0, 1.0)
+}
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -8,7 +8,6 @@
 mod fair_queue;
 pub mod load_bound;
 pub mod mean_load;
-mod member_spread;
 pub mod membership;
 pub mod organisation_limit;
 pub mod placement;
--- a/bulrushward_policy/src/membership.rs
+++ b/bulrushward_policy/src/membership.rs
@@ -1,5 +1,8 @@
 //! What one process knows about the others.
 
+mod peers;
+mod spread;
+
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -8,9 +11,8 @@
 use bulrushward_protocol::{
     Incarnation, MemberRecord, MemberState, NodeId, ServiceId, WorkUnits, encode,
 };
-use rand::{Rng, RngExt, seq::IteratorRandom};
 
-use crate::member_spread::{Spread, spread_limit};
+use self::spread::Spread;
 
 /// Members that a table keeps besides its own process.
 const MAX_MEMBERS: usize = 8_192;
@@ -26,13 +28,7 @@
 const SILENT_HEARTBEATS: u32 = 8; // 5 called 1 of 100,000 live members silent
 /// Silent times after which a member is forgotten; other tables stop naming it after one.
 const FORGET_SILENCES: u32 = 4;
-/// Share of peers that are taken from other failure domains.
-const OTHER_DOMAIN_SHARE: f64 = 0.25;
-/// Share of peers that are taken from silent members, so that a healed partition is found.
-const SILENT_SHARE: f64 = 0.1;
 
-/// Share of peers that an agent takes from its own service, whose loads it needs.
-const SAME_SERVICE_SHARE: f64 = 0.5;
 /// Longest time that a record is passed on for its load to count.
 const MAX_RELAY: Duration = Duration::from_secs(5);
 
@@ -234,76 +230,6 @@
         self.entries.is_empty()
     }
 
-    /// Picks a member for the next exchange.
-    ///
-    /// Most are from the own failure domain, some from others, and now and then a silent one;
-    /// half of an agent's are of its own service.
-    pub fn peer(&self, now: Instant, rng: &mut dyn Rng) -> Option<&MemberRecord> {
-        let silent = rng.random_bool(SILENT_SHARE);
-        let other = rng.random_bool(OTHER_DOMAIN_SHARE);
-        let mate = self.own.service.is_some() && rng.random_bool(SAME_SERVICE_SHARE);
-        let pick = |rng: &mut dyn Rng, wanted: &dyn Fn(&Entry) -> bool| {
-            let known = self.entries.values();
-            let open = known.filter(|entry| entry.record.state != MemberState::Left);
-            let mut fitting: Vec<_> = open.filter(|entry| wanted(entry)).collect();
-            // The order of a hash map differs between runs.
-            fitting.sort_unstable_by(|a, b| a.record.node.cmp(&b.record.node));
-            fitting.into_iter().choose(rng)
-        };
-        let quiet = |entry: &Entry| entry.unreachable || self.is_silent(entry, now);
-        let is_other = |entry: &Entry| entry.record.failure_domain != self.own.failure_domain;
-        let is_mate = |entry: &Entry| entry.record.service == self.own.service;
-        let mates = |entry: &Entry| mate && !silent && is_mate(entry) && !quiet(entry);
-        pick(rng, &mates)
-            .or_else(|| {
-                pick(rng, &|entry| {
-                    quiet(entry) == silent && (silent || is_other(entry) == other)
-                })
-            })
-            .or_else(|| pick(rng, &|entry| !quiet(entry)))
-            .or_else(|| pick(rng, &|_| true))
-            .map(|entry| &entry.record)
-    }
-
-    /// Returns the records for one exchange, the most urgent first, within a number of bytes.
-    ///
-    /// Members that leave go first, then the least sent, of these the freshest. Silent members
-    /// are left out, so that the fleet forgets them.
-    pub fn exchange_out(
-        &mut self,
-        now: Instant,
-        byte_budget: usize,
-        rng: &mut dyn Rng,
-    ) -> Vec<MemberRecord> {
-        let silent_after = self.silent_after();
-        let limit = spread_limit(self.len());
-        let mut order: Vec<_> = self
-            .entries
-            .values_mut()
-            .filter(|entry| now.saturating_duration_since(entry.heard) < silent_after)
-            .map(|entry| {
-                let age = now.saturating_duration_since(entry.heard);
-                let key = entry.spread.key(entry.record.state, limit, age);
-                (key, entry)
-            })
-            .collect();
-        order.sort_unstable_by(|(a, one), (b, two)| {
-            a.cmp(b).then_with(|| one.record.node.cmp(&two.record.node))
-        });
-        rotate_ties(&mut order, rng);
-        let mut left = byte_budget;
-        let mut records = Vec::new();
-        for (_, entry) in order {
-            let Some(rest) = left.checked_sub(entry.spread.bytes()) else {
-                break;
-            };
-            left = rest;
-            entry.spread.sent();
-            records.push(entry.record.clone());
-        }
-        records
-    }
-
     fn is_silent(&self, entry: &Entry, now: Instant) -> bool {
         now.saturating_duration_since(entry.heard) >= self.silent_after()
     }
@@ -391,10 +317,3 @@
 fn encoded_bytes(record: &MemberRecord) -> usize {
     encode(record).map_or(usize::MAX, |bytes| bytes.len())
 }
-
-/// Starts each run of equally urgent entries at a random one, so that none is always last.
-fn rotate_ties<K: PartialEq, V>(order: &mut [(K, V)], rng: &mut dyn Rng) {
-    for run in order.chunk_by_mut(|a, b| a.0 == b.0) {
-        run.rotate_left(rng.random_range(0..run.len()));
-    }
-}
