State that the mean includes the work that asks for admission

Two backend servers with equal loads could otherwise both refuse the next request, and one alone could not grow above the floor.

--- a/bulrushward_policy/src/admission.rs
+++ b/bulrushward_policy/src/admission.rs
@@ -82,7 +82,9 @@
         self.start_waiting(now)
     }
 
-    /// Decides about a new attempt; `mean` is the mean load of the service's backend servers.
+    /// Decides about a new attempt.
+    ///
+    /// `mean` is the mean load of the service's backend servers, the work of the attempt included.
     pub fn offer(&mut self, ticket: &Ticket, mean: f64, now: Instant) -> Decision {
         if self.draining {
             return self.refuse(RefusalReason::Draining, MIN_RETRY_AFTER);
--- a/bulrushward_policy/src/mean_load.rs
+++ b/bulrushward_policy/src/mean_load.rs
@@ -58,6 +58,10 @@
 
     /// Estimates the mean over the own load and the `members` other backend servers of the
     /// service, of which `reports` are known.
+    ///
+    /// For an admission, `own` includes the work that asks for it: the bound is on the loads after
+    /// the admission. Without that, a service of one or two evenly loaded backend servers could
+    /// not take the next request.
     pub fn estimate(
         &mut self,
         own: WorkUnits,
