--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -9,7 +9,6 @@
 mod fair_queue;
 pub mod load_bound;
 pub mod mean_load;
-mod member_spread;
 pub mod membership;
 pub mod organisation_limit;
 pub mod placement;
