--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -183,7 +183,7 @@
             work: req.work,
             deadline: attempt.deadline(),
         };
-        let mean = self.control.mean_load();
+        let mean = self.control.mean_load_with(req.work);
         let mut queue = self.lock_queue();
         let decision = queue.offer(&ticket, mean, Instant::now());
         self.publish_load(&queue);
--- a/bulrushward/src/control/members.rs
+++ b/bulrushward/src/control/members.rs
@@ -53,9 +53,16 @@
         self.table.own().clone()
     }
 
-    /// Takes in the records of an exchange.
-    pub(crate) fn merge(&mut self, records: &[MemberRecord], now: Instant) -> Vec<NodeId> {
-        self.table.merge(records, now)
+    /// Takes in the records of an exchange; returns whether a state or a start changed.
+    pub(crate) fn merge(
+        &mut self,
+        sender: &MemberRecord,
+        others: &[MemberRecord],
+        now: Instant,
+    ) -> bool {
+        let direct = self.table.merge_direct(sender, now);
+        let relayed = !self.table.merge(others, now).is_empty();
+        direct || relayed
     }
 
     /// Returns whether another process runs under the own name and started later.
@@ -63,10 +70,6 @@
         self.table.is_superseded()
     }
 
-    pub(crate) fn reached(&mut self, node: &str) {
-        self.table.reached(node);
-    }
-
     pub(crate) fn unreachable(&mut self, node: &str) {
         self.table.unreachable(node);
     }
@@ -111,12 +114,15 @@
         members
     }
 
-    /// Returns the loads of the other agents of the own service.
-    pub(crate) fn loads(&self, now: Instant) -> Vec<LoadReport> {
+    /// Returns the loads of the other agents of the own service, and how many there are.
+    pub(crate) fn mates(&self, now: Instant) -> (Vec<LoadReport>, usize) {
         let own = self.table.own();
         match (&own.role, &own.service) {
-            (Role::Agent, Some(service)) => self.table.loads(service, now),
-            _ => Vec::new(),
+            (Role::Agent, Some(service)) => (
+                self.table.loads(service, now),
+                self.table.live_of(service, now),
+            ),
+            _ => (Vec::new(), 0),
         }
     }
 }
--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -46,6 +46,8 @@
     pub(crate) members: Vec<Member>,
     /// Loads of the other agents of this agent's service.
     pub(crate) loads: Vec<LoadReport>,
+    /// Number of the other agents of this agent's service.
+    pub(crate) mates: usize,
     /// When the members were read; `None` before the first time.
     pub(crate) read: Option<Instant>,
 }
@@ -81,6 +83,7 @@
     queued: AtomicU32,
     leaving: AtomicBool,
     quarantine: Mutex<Quarantine>,
+    mean_load: Mutex<MeanLoad>,
     commands: mpsc::UnboundedSender<Command>,
 }
 
@@ -100,6 +103,7 @@
             queued: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             quarantine: Mutex::new(quarantine),
+            mean_load: Mutex::default(),
             commands,
         }
     }
@@ -137,9 +141,10 @@
         self.queued.store(queued, Ordering::Relaxed);
     }
 
-    /// Returns the mean load of the backend servers of this agent's service, on the low side.
-    pub(crate) fn mean_load(&self) -> f64 {
-        let own = self.load.load(Ordering::Relaxed);
+    /// Returns the mean load of the backend servers of this agent's service, on the low side, as
+    /// it would be with more work here.
+    pub(crate) fn mean_load_with(&self, work: WorkUnits) -> f64 {
+        let own = self.load.load(Ordering::Relaxed).saturating_add(work);
         let snapshot = self.snapshot();
         let since = snapshot.read.map_or(Duration::ZERO, |read| read.elapsed());
         let reports: Vec<LoadReport> = snapshot
@@ -150,12 +155,16 @@
                 age: report.age + since,
             })
             .collect();
-        MeanLoad::default().estimate(own, &reports, reports.len())
+        let mut mean_load = self
+            .mean_load
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        mean_load.estimate(own, &reports, snapshot.mates, Instant::now())
     }
 
     /// Returns the number of other agents of this agent's service that take new work.
     pub(crate) fn mates(&self) -> usize {
-        self.snapshot().loads.len()
+        self.snapshot().mates
     }
 
     /// Announces that this process takes nothing new; there is no way back.
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -198,7 +198,6 @@
         let behind = exchange.revision < self.control.snapshot().revision;
         let (node, address) = (exchange.own.node.clone(), exchange.own.control_address);
         self.take(exchange);
-        self.members.reached(&node);
         if behind {
             self.send(Some(node), address, true);
         }
@@ -206,9 +205,7 @@
 
     fn take(&mut self, exchange: Exchange) {
         let now = Instant::now();
-        let mut records = exchange.members;
-        records.push(exchange.own);
-        let changed = self.members.merge(&records, now);
+        let changed = self.members.merge(&exchange.own, &exchange.members, now);
         if self.members.is_superseded() && !self.control.is_leaving() {
             error!(event = "name-taken", node = self.control.identity.node);
             self.control.leave();
@@ -222,7 +219,7 @@
                 Err(error) => warn!(event = "configuration-refused", %error),
             }
         }
-        if !changed.is_empty() {
+        if changed {
             self.publish();
         }
     }
@@ -288,12 +285,14 @@
     /// Copies a snapshot with the members as they are now.
     fn with_members(&self, current: &Snapshot) -> Snapshot {
         let now = Instant::now();
+        let (loads, mates) = self.members.mates(now);
         Snapshot {
             revision: current.revision,
             accepted: current.accepted.clone(),
             config: Arc::clone(&current.config),
             members: self.members.all(now),
-            loads: self.members.loads(now),
+            loads,
+            mates,
             read: Some(now),
         }
     }
--- a/bulrushward_measure/src/control.rs
+++ b/bulrushward_measure/src/control.rs
@@ -108,7 +108,6 @@
             self.send(index, other, now);
             self.send(other, index, now);
             self.busy += started.elapsed();
-            self.tables[index].reached(&peer);
         }
     }
 
