Hand revisions on between processes as manifest and chunks

A control message could hold a whole text only up to 1 MB, and every process watched and read the key-value service itself. Now a process that hears of a newer revision asks that peer for its manifest and then for the chunks it lacks, in messages of at most 64 KB.

Only 16 processes of the fleet, at least two in each failure domain, watch the service; the others read its head every 20 s to 40 s. Bad manifests and chunks are refused, logged and counted, and the peer is not asked for that revision for 30 s.

--- a/bulrushward/src/control/exchange.rs
+++ b/bulrushward/src/control/exchange.rs
@@ -20,7 +20,7 @@
 use crate::metrics::ControlMetrics;
 
 /// Time after which a peer counts as silent.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest wait for an exchange before the listener looks whether it should end.
 const LISTEN_TIMEOUT: Duration = Duration::from_millis(200);
 
--- a/bulrushward/src/control/members.rs
+++ b/bulrushward/src/control/members.rs
@@ -3,8 +3,11 @@
 use std::{net::SocketAddr, time::Instant};
 
 use bulrushward_policy::membership::{LoadReport, MemberTable};
-use bulrushward_protocol::{MemberRecord, NodeId, Role};
-use rand::{RngExt, seq::IndexedRandom};
+use bulrushward_protocol::{MemberRecord, NodeId, Revision, Role};
+use rand::{
+    RngExt,
+    seq::{IndexedRandom, SliceRandom},
+};
 
 use super::Member;
 
@@ -96,6 +99,24 @@
             .or(contact)
     }
 
+    /// Chooses members that answer and, as far as is known, have an older revision.
+    pub(crate) fn behind(
+        &self,
+        revision: Revision,
+        count: usize,
+        now: Instant,
+    ) -> Vec<(NodeId, SocketAddr)> {
+        let mut behind: Vec<_> = self
+            .table
+            .known(now)
+            .filter(|known| known.answers && known.record.revision < revision)
+            .map(|known| (known.record.node.clone(), known.record.control_address))
+            .collect();
+        behind.shuffle(&mut rand::rng());
+        behind.truncate(count);
+        behind
+    }
+
     /// Returns all known members for a snapshot.
     pub(crate) fn all(&self, now: Instant) -> Vec<Member> {
         let mut members: Vec<Member> = self
--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -2,10 +2,14 @@
 //!
 //! One thread owns it and publishes immutable snapshots; traffic threads read the newest one.
 
+mod adoption;
 mod configuration;
 mod exchange;
+mod fetch;
 mod members;
 mod thread;
+mod vm_list;
+mod watchers;
 
 use std::{
     sync::{
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -11,15 +11,23 @@
 };
 
 use bulrushward_platform::{Vm, VmList, VmState};
-use bulrushward_protocol::{Exchange, MemberRecord, NodeId, Revision, transport::Listener};
+use bulrushward_protocol::{Exchange, MemberRecord, NodeId, transport::Listener};
 use bulrushward_revisions::{Accepted, RevisionStore};
-use rand::RngExt;
 use snafu::ResultExt;
-use tokio::sync::mpsc;
-use tracing::{error, info, warn};
+use tokio::sync::{mpsc, watch};
+use tracing::{error, info};
 
 use super::{
-    Command, Control, Snapshot, configuration, exchange, exchange::Question, members::Members,
+    Command, Control, Snapshot,
+    adoption::{Adoption, Finished, Origin, Readable},
+    configuration::{Follower, set_watcher},
+    exchange,
+    exchange::Question,
+    fetch,
+    members::Members,
+    vm_list,
+    vm_list::jittered,
+    watchers::is_watcher,
 };
 use crate::{
     error::{ControlSnafu, DaemonError},
@@ -27,16 +35,14 @@
     settings::CommonSettings,
 };
 
-/// Time between two readings of the VM list.
-const VM_LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Peers that are told at once about something new.
 const SPREAD_PEERS: usize = 3;
 /// Quarantine records that go into one exchange.
 const QUARANTINE_IN_EXCHANGE: usize = 16;
 /// Messages that may wait for the control thread.
 const CHANNEL_CAPACITY: usize = 64;
-/// Part of the exchange interval by which exchanges are shifted at random.
-const JITTER: f64 = 0.2;
+/// Time that a stopping process waits for exchanges that have begun.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The running control threads of a process.
 #[derive(Debug)]
@@ -72,6 +78,7 @@
     let (questions_tx, questions) = mpsc::channel(CHANNEL_CAPACITY);
     let listener =
         exchange::start_listener(listener, questions_tx, metrics.clone(), Arc::clone(&stop));
+    let (adoption, finished) = Adoption::new(metrics.clone());
     let state = State {
         control: Arc::clone(&control),
         members: Members::new(control.identity.clone(), Instant::now()),
@@ -79,6 +86,9 @@
         interval: settings.exchange_interval,
         metrics,
         answers: mpsc::channel(CHANNEL_CAPACITY),
+        adoption,
+        store,
+        watcher: watch::Sender::new(true),
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -86,7 +96,8 @@
         .map_err(|source| DaemonError::Runtime { source })?;
     let stopped = Arc::clone(&stop);
     let thread = std::thread::spawn(move || {
-        runtime.block_on(state.run(commands, questions, store, vm_list, stopped));
+        runtime.block_on(state.run(commands, questions, finished, vm_list, stopped));
+        runtime.shutdown_timeout(STOP_TIMEOUT);
     });
     Ok((
         control,
@@ -113,6 +124,10 @@
     interval: Duration,
     metrics: ControlMetrics,
     answers: (mpsc::Sender<PeerAnswer>, mpsc::Receiver<PeerAnswer>),
+    adoption: Adoption,
+    store: Arc<RevisionStore>,
+    /// Whether this process watches the key-value service.
+    watcher: watch::Sender<bool>,
 }
 
 impl State {
@@ -120,18 +135,20 @@
         mut self,
         mut commands: mpsc::UnboundedReceiver<Command>,
         mut questions: mpsc::Receiver<Question>,
-        store: Arc<RevisionStore>,
+        mut finished: mpsc::Receiver<Finished>,
         vm_list: Box<dyn VmList>,
         stop: Arc<AtomicBool>,
     ) {
-        let (accepted_tx, mut accepted) = mpsc::channel(1);
+        let (found_tx, mut found) = mpsc::channel(1);
         let (vms_tx, mut vms) = mpsc::channel(1);
-        tokio::spawn(configuration::follow(
-            store,
-            self.control.revisions(),
-            accepted_tx,
-        ));
-        tokio::spawn(follow_vm_list(vm_list, vms_tx));
+        let follower = Follower {
+            store: Arc::clone(&self.store),
+            known: self.control.revisions(),
+            watcher: self.watcher.subscribe(),
+            found: found_tx,
+        };
+        tokio::spawn(follower.run());
+        tokio::spawn(vm_list::follow(vm_list, vms_tx));
         self.members.set_contacts(self.seeds.clone());
         let mut tick = tokio::time::interval(self.interval);
         while !stop.load(Ordering::Relaxed) {
@@ -140,14 +157,16 @@
                     tick.reset_after(jittered(self.interval));
                     self.exchange(1);
                     self.publish();
+                    self.choose_watcher();
                 }
                 Some(question) = questions.recv() => self.answer(question),
                 Some(answer) = self.answers.1.recv() => self.take_answer(answer),
-                Some(accepted) = accepted.recv() => self.adopt(accepted, "key-value service"),
+                Some(accepted) = found.recv() => self.read(accepted, Origin::KeyValue),
+                Some(finished) = finished.recv() => self.finished(finished),
                 Some(vms) = vms.recv() => self.take_vms(&vms),
                 Some(command) = commands.recv() => match command {
                     Command::Spread => self.exchange(SPREAD_PEERS),
-                    Command::Adopt(accepted) => self.adopt(accepted, "submission"),
+                    Command::Adopt(accepted) => self.read(accepted, Origin::Submission),
                 },
             }
         }
@@ -159,16 +178,12 @@
             let Some((node, address)) = self.members.peer(Instant::now()) else {
                 return;
             };
-            self.send(node, address, false);
+            self.send(node, address);
         }
     }
 
-    /// Starts an exchange, with the configuration if the peer is known to be behind.
-    fn send(&mut self, node: Option<NodeId>, peer: SocketAddr, with_configuration: bool) {
-        let mut exchange = self.own_side();
-        if with_configuration {
-            exchange.configuration = self.configuration_for(0);
-        }
+    fn send(&mut self, node: Option<NodeId>, peer: SocketAddr) {
+        let exchange = self.own_side();
         let answers = self.answers.0.clone();
         let metrics = self.metrics.clone();
         tokio::spawn(async move {
@@ -178,11 +193,21 @@
     }
 
     fn answer(&mut self, question: Question) {
-        let Question { exchange, answer } = question;
-        let revision = exchange.revision;
+        let Question {
+            mut exchange,
+            answer,
+        } = question;
+        let wanted = exchange.configuration.take();
         self.take(exchange);
-        let mut own = self.own_side();
-        own.configuration = self.configuration_for(revision);
+        let own = match wanted {
+            Some(wanted) => {
+                let accepted = self.newest();
+                let mut own = self.bare_side();
+                own.configuration = fetch::answer(&wanted, accepted.as_ref());
+                own
+            }
+            None => self.own_side(),
+        };
         // The listener gave up if it no longer waits.
         let _gave_up = answer.send(own);
     }
@@ -195,17 +220,14 @@
             }
             return;
         };
-        let behind = exchange.revision < self.control.snapshot().revision;
-        let (node, address) = (exchange.own.node.clone(), exchange.own.control_address);
+        let node = exchange.own.node.clone();
         self.take(exchange);
         self.members.reached(&node);
-        if behind {
-            self.send(Some(node), address, true);
-        }
     }
 
     fn take(&mut self, exchange: Exchange) {
         let now = Instant::now();
+        let (peer, revision) = (exchange.own.control_address, exchange.revision);
         let mut records = exchange.members;
         records.push(exchange.own);
         let changed = self.members.merge(&records, now);
@@ -216,68 +238,104 @@
         self.control
             .lock_quarantine()
             .merge(&exchange.quarantine, now);
-        if let Some(bytes) = exchange.configuration {
-            match Accepted::decode(&bytes) {
-                Ok(accepted) => self.adopt(accepted, "peer"),
-                Err(error) => warn!(event = "configuration-refused", %error),
-            }
+        if self.adoption.offer(peer, revision, now) {
+            self.fetch_next();
         }
         if !changed.is_empty() {
             self.publish();
         }
     }
 
+    /// Returns this process's side of an exchange of records.
     fn own_side(&mut self) -> Exchange {
         let now = Instant::now();
-        let own = self.members.refresh_own(&self.control.own_record(), now);
+        let mut exchange = self.bare_side();
+        exchange.members = self.members.records(now);
+        let mut quarantine = self.control.lock_quarantine();
+        exchange.quarantine = quarantine.records(now, QUARANTINE_IN_EXCHANGE);
+        drop(quarantine);
+        exchange
+    }
+
+    /// Returns this process's side of an exchange without records of others.
+    fn bare_side(&mut self) -> Exchange {
+        let own = self.control.own_record();
+        let own = self.members.refresh_own(&own, Instant::now());
         Exchange {
-            revision: own.revision,
+            revision: self.newest().map_or(0, |newest| newest.revision),
             own,
-            members: self.members.records(now),
-            quarantine: self
-                .control
-                .lock_quarantine()
-                .records(now, QUARANTINE_IN_EXCHANGE),
+            members: Vec::new(),
+            quarantine: Vec::new(),
             configuration: None,
         }
     }
 
-    fn configuration_for(&self, revision: Revision) -> Option<Vec<u8>> {
-        let snapshot = self.control.snapshot();
-        if revision >= snapshot.revision {
-            return None;
+    fn fetch_next(&mut self) {
+        let own_side = self.bare_side();
+        let known = self.newest();
+        self.adoption.fetch_next(own_side, known);
+    }
+
+    fn finished(&mut self, finished: Finished) {
+        let now = Instant::now();
+        match finished {
+            Finished::Fetch(peer, result) => {
+                if self.adoption.fetched(peer, result, now) {
+                    self.tell();
+                }
+                self.fetch_next();
+            }
+            Finished::Parse(accepted, origin, result) => {
+                let readable = self.adoption.parsed(accepted, origin, result, now);
+                if let Some(readable) = readable {
+                    self.put_in_force(readable);
+                }
+            }
         }
-        snapshot
-            .accepted
-            .as_ref()
-            .and_then(|accepted| accepted.encode().ok())
     }
 
-    /// Puts a revision in force if it is newer than the one in force.
-    fn adopt(&mut self, accepted: Accepted, origin: &'static str) {
-        let current = self.control.snapshot();
-        if accepted.revision <= current.revision {
-            return;
+    /// Takes a revision of the key-value service or of an operator.
+    fn read(&mut self, accepted: Accepted, origin: Origin) {
+        if self.adoption.read(accepted, origin) {
+            self.tell();
         }
-        let config = match bulrushward_config::parse(&accepted.text) {
-            Ok(config) => config,
-            Err(errors) => {
-                warn!(event = "configuration-refused", revision = accepted.revision, %errors);
-                return;
-            }
-        };
+    }
+
+    /// Tells a few peers that are behind of the newest revision, before its text is read here.
+    fn tell(&mut self) {
+        let revision = self.newest().map_or(0, |newest| newest.revision);
+        let behind = self.members.behind(revision, SPREAD_PEERS, Instant::now());
+        for (node, address) in behind {
+            self.send(Some(node), address);
+        }
+    }
+
+    /// Returns the newest revision that this process can hand on.
+    fn newest(&self) -> Option<Accepted> {
+        let upcoming = self.adoption.upcoming().cloned();
+        upcoming.or_else(|| self.control.snapshot().accepted.clone())
+    }
+
+    /// Puts a revision in force.
+    fn put_in_force(&mut self, readable: Readable) {
+        let Readable {
+            accepted,
+            config,
+            origin,
+        } = readable;
         let revision = accepted.revision;
         self.control
             .lock_quarantine()
             .reconfigure(config.fleet.quarantine_crashes, config.fleet.quarantine);
-        let mut snapshot = self.with_members(&current);
+        self.store.remember(&accepted);
+        let mut snapshot = self.with_members(&self.control.snapshot());
         snapshot.revision = revision;
         snapshot.accepted = Some(accepted);
         snapshot.config = Arc::new(config);
         self.control.snapshot.store(Arc::new(snapshot));
         self.control.revisions.send_replace(revision);
-        info!(event = "configuration-adopted", revision, origin);
-        self.exchange(SPREAD_PEERS);
+        info!(event = "configuration-adopted", revision, %origin);
+        self.exchange(1);
     }
 
     fn publish(&self) {
@@ -298,6 +356,15 @@
         }
     }
 
+    /// Decides anew whether this process watches the key-value service.
+    fn choose_watcher(&self) {
+        let members = &self.control.snapshot().members;
+        set_watcher(
+            &self.watcher,
+            is_watcher(&self.control.own_record(), members),
+        );
+    }
+
     fn take_vms(&mut self, vms: &[Vm]) {
         let own = &self.control.identity.node;
         if vms
@@ -311,26 +378,3 @@
             .set_contacts(listed.chain(self.seeds.iter().copied()).collect());
     }
 }
-
-async fn follow_vm_list(vm_list: Box<dyn VmList>, tx: mpsc::Sender<Vec<Vm>>) {
-    let mut available = true;
-    while !tx.is_closed() {
-        let answer = vm_list.list().await;
-        if available != answer.is_ok() {
-            available = answer.is_ok();
-            warn!(
-                event = "vm-list",
-                available,
-                error = answer.as_ref().err().map(ToString::to_string)
-            );
-        }
-        if let Ok(vms) = answer {
-            let _receiver_gone = tx.send(vms).await;
-        }
-        tokio::time::sleep(jittered(VM_LIST_INTERVAL)).await;
-    }
-}
-
-fn jittered(interval: Duration) -> Duration {
-    interval.mul_f64(rand::rng().random_range(1.0 - JITTER..1.0 + JITTER))
-}
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -630,3 +630,76 @@
     }
     frames
 }
+
+/// An exchange that asks a process for its own side and leaves nothing behind there.
+pub fn probe_exchange(process: &Process) -> Exchange {
+    let own = MemberRecord {
+        node: process.node.clone(),
+        // A process ignores what others say about an earlier start of itself.
+        incarnation: 0,
+        version: 0,
+        role: Role::Router,
+        state: MemberState::Live,
+        control_address: process.control,
+        data_address: process.data,
+        failure_domain: "a".to_owned(),
+        service: None,
+        backend: None,
+        load: 0,
+        queued: 0,
+        revision: 0,
+    };
+    Exchange {
+        own,
+        members: Vec::new(),
+        quarantine: Vec::new(),
+        revision: 0,
+        configuration: None,
+    }
+}
+
+/// Sends an exchange to a process and returns its side, or `None` if it does not answer.
+pub async fn exchange_with(address: SocketAddr, exchange: Exchange) -> Option<Exchange> {
+    let call = move || transport::call(address, &exchange, Duration::from_millis(500));
+    let answer = tokio::task::spawn_blocking(call).await;
+    let (answer, _) = answer.expect("the call ends").ok()?;
+    Some(answer)
+}
+
+/// Returns the revision that a process has in force, or `None` if it does not answer.
+pub async fn revision_of(process: &Process) -> Option<u64> {
+    let answer = exchange_with(process.control, probe_exchange(process)).await?;
+    Some(answer.own.revision)
+}
+
+/// Returns the value of a counter without labels.
+pub async fn counter(fleet: &Fleet, process: &Process, name: &str) -> u64 {
+    let url = format!("http://{}/metrics", process.admin);
+    let answer = fleet
+        .http
+        .get(url)
+        .send()
+        .await
+        .expect("the metrics answer");
+    let text = answer.text().await.expect("the metrics are text");
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.and_then(|value| value.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("there is no counter {name}"))
+}
+
+/// Returns tables of organisations, about 100 bytes each.
+pub fn organisations(count: usize) -> String {
+    (0..count).fold(String::new(), |mut text, index| {
+        write!(
+            text,
+            "\n[[organisation]]\nname = \"org-{index}\"\nkey_sha256 = [\"{index:064x}\"]\n"
+        )
+        .expect("a string takes text");
+        text
+    })
+}
+
+/// Returns an address that nothing listens at.
+pub fn unused_address() -> SocketAddr {
+    free_address()
+}
--- a/bulrushward_protocol/src/exchange.rs
+++ b/bulrushward_protocol/src/exchange.rs
@@ -6,7 +6,8 @@
 use strum::{Display, EnumString};
 
 use crate::{
-    BackendId, FailureDomain, Fingerprint, Incarnation, NodeId, Revision, ServiceId, WorkUnits,
+    BackendId, ChunkDigest, FailureDomain, Fingerprint, Incarnation, NodeId, Revision, ServiceId,
+    WorkUnits,
 };
 
 /// What a process does in the fleet.
@@ -75,6 +76,28 @@
     pub ttl_seconds: u32,
 }
 
+/// A step by which a process fetches the newest revision of a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigurationMessage {
+    /// Asks for the manifest of the newest revision.
+    ManifestRequest,
+    /// The encoded manifest.
+    Manifest(Vec<u8>),
+    /// Asks for chunks of the newest revision by their digests.
+    ChunkRequest(Vec<ChunkDigest>),
+    /// Those of the chunks that the sender has, as many as fit one message.
+    Chunks(Vec<Chunk>),
+}
+
+/// A part of the operators' text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Digest of the text.
+    pub digest: ChunkDigest,
+    /// The text.
+    pub text: String,
+}
+
 /// One side of a control exchange; both sides send the same shape.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exchange {
@@ -84,8 +107,8 @@
     pub members: Vec<MemberRecord>,
     /// Quarantined contents that the sender heard about lately.
     pub quarantine: Vec<QuarantineRecord>,
-    /// Newest revision that the sender has.
+    /// Newest revision that the sender can hand on; the one in force is in its own record.
     pub revision: Revision,
-    /// The encoded configuration record, sent to a peer whose revision is older.
-    pub configuration: Option<Vec<u8>>,
+    /// A step of handing over the newest revision; such an exchange carries no records of others.
+    pub configuration: Option<ConfigurationMessage>,
 }
--- a/bulrushward_protocol/src/ids.rs
+++ b/bulrushward_protocol/src/ids.rs
@@ -25,6 +25,8 @@
 pub type Fingerprint = u128;
 /// Numbers the accepted versions of the operators' text, from 1.
 pub type Revision = u64;
+/// First 128 bits of the SHA-256 hash of a part of the operators' text.
+pub type ChunkDigest = [u8; 16];
 /// Distinguishes restarts of one node: milliseconds since the Unix epoch at the start.
 pub type Incarnation = u64;
 /// Measures estimated work; one unit is about one generated token.
--- a/bulrushward_protocol/src/lib.rs
+++ b/bulrushward_protocol/src/lib.rs
@@ -15,11 +15,13 @@
 pub mod transport;
 
 pub use codec::{CodecError, decode, encode};
-pub use exchange::{Exchange, MemberRecord, MemberState, QuarantineRecord, Role};
+pub use exchange::{
+    Chunk, ConfigurationMessage, Exchange, MemberRecord, MemberState, QuarantineRecord, Role,
+};
 pub use frame::{Frame, FrameDecoder, encode_frame};
 pub use ids::{
-    ActionKey, AttemptId, BackendId, ChatKey, FailureDomain, Fingerprint, Incarnation, KindId,
-    NodeId, OrganisationId, RequestId, Revision, ServiceId, WorkUnits, format_id,
+    ActionKey, AttemptId, BackendId, ChatKey, ChunkDigest, FailureDomain, Fingerprint, Incarnation,
+    KindId, NodeId, OrganisationId, RequestId, Revision, ServiceId, WorkUnits, format_id,
 };
 pub use outcome::{Outcome, RefusalReason};
 pub use run::{BarRequest, Header, Refusal, RunRequest};
--- a/bulrushward_protocol/src/transport.rs
+++ b/bulrushward_protocol/src/transport.rs
@@ -10,8 +10,10 @@
 
 use crate::{CodecError, Exchange, decode, encode};
 
-/// Largest accepted control message in bytes: one configuration record and a few deltas.
-pub const MAX_MESSAGE_BYTES: usize = (1 << 20) + (64 << 10);
+/// Largest accepted control message in bytes: a few chunks of the configuration and the records.
+pub const MAX_MESSAGE_BYTES: usize = 64 << 10;
+/// Largest message in bytes that is read in order to refuse it; nng ends the connection above.
+const MAX_READ_BYTES: usize = 4 * MAX_MESSAGE_BYTES;
 
 /// A control exchange that failed.
 #[derive(Debug, Snafu)]
@@ -64,13 +66,13 @@
     timeout: Duration,
 ) -> Result<(Exchange, usize), TransportError> {
     let open = OpenSnafu { address };
-    let request = encode(exchange).context(CodecSnafu { address })?;
+    let request = encode_bounded(exchange).context(CodecSnafu { address })?;
     let sent = request.len();
     let socket = Socket::new(Protocol::Req0).context(open)?;
     socket.set_opt::<SendTimeout>(Some(timeout)).context(open)?;
     socket.set_opt::<RecvTimeout>(Some(timeout)).context(open)?;
     socket
-        .set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)
+        .set_opt::<RecvMaxSize>(MAX_READ_BYTES)
         .context(open)?;
     socket
         .dial_async(&format!("tcp://{address}"))
@@ -80,7 +82,7 @@
         .map_err(|(_, source)| source)
         .context(SendSnafu { address })?;
     let reply = socket.recv().context(ReceiveSnafu { address })?;
-    let answer = decode(&reply).context(CodecSnafu { address })?;
+    let answer = decode_bounded(&reply).context(CodecSnafu { address })?;
     Ok((answer, sent + reply.len()))
 }
 
@@ -101,7 +103,7 @@
         let open = OpenSnafu { address };
         let socket = Socket::new(Protocol::Rep0).context(open)?;
         socket
-            .set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)
+            .set_opt::<RecvMaxSize>(MAX_READ_BYTES)
             .context(open)?;
         socket.listen(&format!("tcp://{address}")).context(open)?;
         Ok(Self { address, socket })
@@ -129,8 +131,8 @@
             Err(nng::Error::TimedOut) => return Ok(None),
             Err(source) => return Err(TransportError::Receive { address, source }),
         };
-        let exchange = decode(&request).context(CodecSnafu { address })?;
-        let reply = encode(&answer(exchange)).context(CodecSnafu { address })?;
+        let exchange = decode_bounded(&request).context(CodecSnafu { address })?;
+        let reply = encode_bounded(&answer(exchange)).context(CodecSnafu { address })?;
         self.socket
             .send(reply.as_slice())
             .map_err(|(_, source)| source)
@@ -138,3 +140,23 @@
         Ok(Some(request.len() + reply.len()))
     }
 }
+
+fn encode_bounded(exchange: &Exchange) -> Result<Vec<u8>, CodecError> {
+    let bytes = encode(exchange)?;
+    check_size(&bytes)?;
+    Ok(bytes)
+}
+
+fn decode_bounded(bytes: &[u8]) -> Result<Exchange, CodecError> {
+    check_size(bytes)?;
+    decode(bytes)
+}
+
+fn check_size(message: &[u8]) -> Result<(), CodecError> {
+    let bytes = message.len();
+    let limit = MAX_MESSAGE_BYTES;
+    if bytes > limit {
+        return Err(CodecError::TooLarge { bytes, limit });
+    }
+    Ok(())
+}
