--- a/bulrushward_measure/src/slopes.rs
+++ b/bulrushward_measure/src/slopes.rs
@@ -11,11 +11,11 @@
     admission::{AdmissionQueue, Ticket},
     load_bound::LoadBound,
     membership::MemberTable,
-    placement::{Candidate, rank},
+    placement::{Candidate, PlacementTable, rank},
 };
 use bulrushward_protocol::{AttemptId, encode};
 
-use crate::{Figure, Limits, backend::admission_settings, control::member_record};
+use crate::{Figure, Limits, MAX_CANDIDATES, backend::admission_settings, control::member_record};
 
 /// Sizes at which placement is timed, in backend servers.
 const PLACEMENT_SIZES: [usize; 3] = [20, 600, 5_000];
@@ -58,6 +58,19 @@
             chat += 1;
             black_box(rank(chat, &candidates));
         });
+        add(
+            figures,
+            "placement-time-whole-order",
+            &format!("{size}-backends"),
+            micros(time),
+            "us",
+            None,
+        );
+        let table = PlacementTable::new(&candidates);
+        let time = time_of(|| {
+            chat += 1;
+            black_box(table.top(chat, MAX_CANDIDATES));
+        });
         let met = (size == 600).then(|| time <= PLACEMENT_TARGET);
         add(
             figures,
--- a/bulrushward_measure/src/views.rs
+++ b/bulrushward_measure/src/views.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
+use bulrushward_policy::membership::LoadReport;
 use bulrushward_protocol::WorkUnits;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -34,11 +35,12 @@
     }
 
     /// Returns the newest report of a slot that a process has at `now`.
-    pub(crate) fn reported(&self, viewer: usize, slot: usize, now: Duration) -> Option<WorkUnits> {
+    pub(crate) fn reported(&self, viewer: usize, slot: usize, now: Duration) -> Option<LoadReport> {
         let age = self.lag.mul_f64(share_of_lag(viewer, slot, now));
         let row = age.as_millis() / SAMPLE_INTERVAL.as_millis();
         let row = self.rows.get(row as usize).or(self.rows.back())?;
-        Some(row[slot])
+        let load = row[slot];
+        Some(LoadReport { load, age })
     }
 }
 
