Split the fleet of the model and judge no skew where the floor governs

A case without any admission above the floor printed a skew of 0 as a met target; it now prints the share of admissions above the floor and no skew.

--- a/bulrushward_measure/src/fleet.rs
+++ b/bulrushward_measure/src/fleet.rs
@@ -1,32 +1,28 @@
 //! Runs the requests of a workload through routers, agents and engines in virtual time.
 
+mod knowledge;
+mod request_path;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
-    sync::Arc,
     time::{Duration, Instant},
 };
 
 use bulrushward_policy::{
-    admission::{AdmissionSettings, Decision, Ticket},
-    attempt::{RequestFacts, RequestProgress, Step},
-    load_bound::LoadBound,
-    mean_load::MeanLoad,
-    membership::LoadReport,
-    placement::{Candidate, PlacementTable},
-    retry_budget::RetryBudget,
+    admission::AdmissionSettings, attempt::RequestProgress, load_bound::LoadBound,
+    membership::LoadReport, placement::PlacementTable, retry_budget::RetryBudget,
 };
-use bulrushward_protocol::{AttemptId, Outcome, RefusalReason, WorkUnits};
+use bulrushward_protocol::{AttemptId, WorkUnits};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
     Case, Size,
-    backend::{Backend, Limits, admission_settings},
-    engine::Progress,
-    policies::{Policy, STICKY_CANDIDATES, Seen, View},
+    backend::{Backend, admission_settings},
+    policies::{Policy, Seen},
     results::Results,
-    views::{LoadHistory, SAMPLE_INTERVAL, share_of_lag},
+    views::{LoadHistory, SAMPLE_INTERVAL},
     workload::Arrival,
 };
 
@@ -277,257 +273,6 @@
         self.schedule(REFRESH_INTERVAL, Event::Report);
     }
 
-    fn arrive(&mut self, request: usize) {
-        if let Some(next) = self.arrivals.get(request + 1) {
-            let at = next.at;
-            let request = request + 1;
-            self.events.push(Reverse((at, Event::Arrive { request })));
-        }
-        let arrival = self.arrivals[request];
-        self.refresh_router(arrival.router);
-        let view = View {
-            router: arrival.router,
-            seen: &self.routers[arrival.router].seen,
-            table: &self.routers[arrival.router].table,
-            bound: self.bound,
-            backends: &self.backends,
-            holders: &self.holders,
-        };
-        let candidates = self.policy.order(&view, &arrival, &mut self.rng);
-        let progress = RequestProgress::new(RequestFacts {
-            candidates: candidates.len(),
-            idempotent: true,
-            suspect: false,
-            deadline: self.deadline(&arrival),
-        });
-        self.pending.insert(
-            request,
-            Pending {
-                candidates,
-                progress,
-            },
-        );
-        self.results.arrived += 1;
-        self.routers[arrival.router].budget.deposit();
-        self.proceed(request, Duration::ZERO);
-    }
-
-    /// Does the next step of a request that is not admitted, after its last answer came back.
-    fn proceed(&mut self, request: usize, delay: Duration) {
-        let arrival = self.arrivals[request];
-        let Some(pending) = self.pending.get_mut(&request) else {
-            return;
-        };
-        let now = self.epoch + self.now + delay;
-        let budget = &mut self.routers[arrival.router].budget;
-        match pending.progress.next(now, budget) {
-            Step::Send { candidate, .. } => {
-                let backend = pending.candidates[candidate];
-                let delay = delay + self.one_way(arrival.router, backend);
-                self.schedule(delay, Event::Attempt { request, backend });
-            }
-            Step::Refuse { reason, .. } => {
-                self.pending.remove(&request);
-                self.results
-                    .refuse(arrival.kind, reason, self.is_measured(&arrival));
-            }
-            Step::Resume { .. } | Step::Wait | Step::Done => {}
-        }
-    }
-
-    fn attempt(&mut self, request: usize, backend: usize) {
-        let arrival = self.arrivals[request];
-        self.step(backend);
-        let ticket = Ticket {
-            attempt: request as AttemptId,
-            organisation: arrival.organisation.to_string(),
-            kind: arrival.kind.to_string(),
-            work: arrival.work(),
-            deadline: self.deadline(&arrival),
-        };
-        let mean = self.agent_mean(backend);
-        let now = self.epoch + self.now;
-        let candidates = self
-            .pending
-            .get(&request)
-            .map(|pending| &pending.candidates);
-        let is_sticky = candidates.is_some_and(|all| {
-            all.iter()
-                .take(STICKY_CANDIDATES)
-                .any(|&candidate| candidate == backend)
-        });
-        let may_send_on = is_sticky && self.policy.remembers_spills();
-        let decision = self.change_load(backend, |backend| {
-            let is_spilled = backend.spilled.tokens(arrival.chat) > 0;
-            if may_send_on && is_spilled {
-                return Decision::Refuse {
-                    reason: RefusalReason::LoadBound,
-                    retry_after: Duration::ZERO,
-                };
-            }
-            backend.admission.offer(&ticket, mean, now)
-        });
-        if let Decision::Refuse {
-            reason,
-            retry_after,
-        } = decision
-        {
-            if reason == RefusalReason::LoadBound {
-                self.backends[backend].spilled.insert(arrival.chat, 1);
-            }
-            let back = self.one_way(arrival.router, backend);
-            if let Some(pending) = self.pending.get_mut(&request) {
-                pending
-                    .progress
-                    .refused(reason, Outcome::NotRun, retry_after);
-            }
-            self.proceed(request, back);
-            return;
-        }
-        self.backends[backend].spilled.remove(arrival.chat);
-        self.pending.remove(&request);
-        self.results.admitted += 1;
-        if self.is_measured(&arrival) {
-            let mean = self.total_load as f64 / self.slots.len() as f64;
-            let load = self.backends[backend].load();
-            self.results.record_skew(load, mean, self.bound.floor);
-        }
-        if decision == Decision::Start {
-            self.start(request, backend);
-            self.schedule_wake(backend);
-        }
-    }
-
-    /// Lets an engine make progress, starts what waits beside it and schedules its next step.
-    fn step(&mut self, backend: usize) {
-        for progress in self.backends[backend].engine.advance(self.now) {
-            match progress {
-                Progress::FirstToken(request) => self.first_token(request, backend),
-                Progress::Finished(request) => self.finished(request, backend),
-            }
-        }
-        self.schedule_wake(backend);
-    }
-
-    fn schedule_wake(&mut self, backend: usize) {
-        let engine = &self.backends[backend].engine;
-        let generation = engine.generation;
-        if let Some(at) = engine.next_step() {
-            self.events.push(Reverse((
-                at,
-                Event::Wake {
-                    backend,
-                    generation,
-                },
-            )));
-        }
-    }
-
-    fn start(&mut self, request: usize, backend: usize) {
-        let arrival = &self.arrivals[request];
-        let found = self.backends[backend].engine.start(request, arrival);
-        let holders = self.holders.entry(arrival.conversation).or_default();
-        if !holders.contains(&backend) {
-            holders.push(backend);
-        }
-        let is_measured = self.is_measured(arrival);
-        self.results
-            .record_prompt(found, arrival.prompt(), is_measured);
-    }
-
-    fn first_token(&mut self, request: usize, backend: usize) {
-        let arrival = &self.arrivals[request];
-        let way = 2 * TO_CALLER + self.one_way(arrival.router, backend);
-        let elapsed = self.now.saturating_sub(arrival.at) + way;
-        self.results
-            .record_first_token(arrival.kind, elapsed, self.is_measured(arrival));
-    }
-
-    fn finished(&mut self, request: usize, backend: usize) {
-        let now = self.epoch + self.now;
-        let (started, expired) = self.change_load(backend, |backend| {
-            let started = backend.admission.finish(request as AttemptId, now);
-            (started, backend.admission.expire(now))
-        });
-        self.results.finished += 1;
-        for attempt in started {
-            self.start(attempt as usize, backend);
-        }
-        for attempt in expired {
-            let arrival = self.arrivals[attempt as usize];
-            let is_measured = self.is_measured(&arrival);
-            self.results
-                .refuse(arrival.kind, RefusalReason::Deadline, is_measured);
-        }
-    }
-
-    /// Applies a change to a backend server and keeps the sum of loads in step.
-    fn change_load<T>(&mut self, backend: usize, change: impl FnOnce(&mut Backend) -> T) -> T {
-        let backend = &mut self.backends[backend];
-        let before = backend.load();
-        let value = change(backend);
-        if !backend.is_leaving {
-            self.total_load = self.total_load + backend.load() - before;
-        }
-        value
-    }
-
-    fn refresh_router(&mut self, router: usize) {
-        let state = &self.routers[router];
-        let is_fresh = |at| self.now.saturating_sub(at) < REFRESH_INTERVAL;
-        if state.refreshed.is_some_and(is_fresh) {
-            return;
-        }
-        let age = self.now.saturating_sub(state.started);
-        let is_blind = age < ROUTER_BLIND && !state.started.is_zero();
-        let seen = |slot| {
-            let backend = self.seen_backend(router, slot);
-            let report = self.history.reported(router, slot, self.now);
-            Seen {
-                backend,
-                name: Arc::clone(&self.backends[backend].name),
-                load: report.filter(|_| !is_blind).map(|report| report.load),
-            }
-        };
-        let seen: Vec<Seen> = (0..self.slots.len()).map(seen).collect();
-        self.routers[router].table = placement_table(&seen);
-        self.routers[router].seen = seen;
-        self.routers[router].refreshed = Some(self.now);
-    }
-
-    /// Returns the occupant of a slot that a router believes in: the one before, until it hears.
-    fn seen_backend(&self, router: usize, slot: usize) -> usize {
-        let (current, previous) = self.slots[slot];
-        let share = share_of_lag(router, slot, self.backends[current].joined);
-        let age = self.size.member_lag.mul_f64(share);
-        let has_heard = self.now.saturating_sub(self.backends[current].joined) >= age;
-        if has_heard {
-            current
-        } else {
-            previous.unwrap_or(current)
-        }
-    }
-
-    /// Returns the mean load as an agent estimates it from late reports.
-    fn agent_mean(&mut self, backend: usize) -> f64 {
-        if self.policy.limits() != Limits::Bounded {
-            return 0.0;
-        }
-        let own = self.backends[backend].slot;
-        let is_fresh = |at| self.now.saturating_sub(at) < REFRESH_INTERVAL;
-        if !self.heard[backend].refreshed.is_some_and(is_fresh) {
-            let viewer = self.size.routers + own;
-            let others = (0..self.slots.len()).filter(|slot| *slot != own);
-            let report = |slot| self.history.reported(viewer, slot, self.now);
-            self.heard[backend] = Heard {
-                refreshed: Some(self.now),
-                reports: others.filter_map(report).collect(),
-            };
-        }
-        let load = self.backends[backend].load();
-        MeanLoad::default().estimate(load, &self.heard[backend].reports, self.slots.len() - 1)
-    }
-
     fn one_way(&self, router: usize, backend: usize) -> Duration {
         let is_near = router % FAILURE_DOMAINS == self.backends[backend].slot % FAILURE_DOMAINS;
         if is_near { NEAR } else { self.size.one_way }
@@ -553,17 +298,6 @@
     }
 }
 
-fn placement_table(seen: &[Seen]) -> PlacementTable {
-    let mut candidates: Vec<Candidate<'_>> = Vec::with_capacity(seen.len());
-    for member in seen {
-        candidates.push(Candidate {
-            name: &member.name,
-            weight: 1.0,
-        });
-    }
-    PlacementTable::new(&candidates)
-}
-
 fn churn_interval(count: usize) -> Duration {
     Duration::from_mins(1).div_f64(CHURN_PER_MINUTE * count as f64)
 }
--- a/bulrushward_measure/src/measures.rs
+++ b/bulrushward_measure/src/measures.rs
@@ -22,6 +22,9 @@
 /// Least reuse relative to the oracle in churn.
 const CHURN_REUSE_TARGET: f64 = 0.85;
 
+/// Quantiles of the skew that are printed.
+const QUANTILES: [(&str, f64); 3] = [("p50", 0.5), ("p99", 0.99), ("max", 1.0)];
+
 /// The requests of one size in one case, generated once for all policies.
 struct Workload<'a> {
     size: &'a Size,
@@ -89,7 +92,11 @@
     let named = || PolicyName::VARIANTS.iter().copied().zip(results);
     let oracle = named().find(|(name, _)| *name == PolicyName::Oracle);
     let oracle_reuse = oracle.map_or(1.0, |(_, results)| results.reuse());
-    let holds_skew = |results: &Results| results.skew_above_floor(1.0) <= SKEW_TARGET;
+    let holds_skew = |results: &Results| {
+        results
+            .skew_above_floor(1.0)
+            .is_none_or(|skew| skew <= SKEW_TARGET)
+    };
     let best_rival = named()
         .filter(|(name, results)| name.is_baseline() && holds_skew(results))
         .map(|(_, results)| results.reuse() / oracle_reuse)
@@ -106,7 +113,7 @@
         let reuse_met = reuse_target
             .filter(|_| judged)
             .map(|target| relative >= target && relative > best_rival);
-        let skew_met = judged.then(|| holds_skew(results));
+        let skew_met = |skew: f64| judged.then_some(skew <= SKEW_TARGET);
         let mut add = |measure: String, value: f64, unit, target_met| {
             figures.push(Figure {
                 measure,
@@ -120,19 +127,16 @@
         };
         add("reuse".into(), results.reuse(), "share", None);
         add("reuse-of-oracle".into(), relative, "ratio", reuse_met);
-        for (name, quantile, met) in [
-            ("p50", 0.5, None),
-            ("p99", 0.99, None),
-            ("max", 1.0, skew_met),
-        ] {
-            add(
-                format!("skew-{name}"),
-                results.skew_above_floor(quantile),
-                "ratio",
-                met,
-            );
+        // Without any admission above the floor there is no skew to judge.
+        for (name, quantile) in QUANTILES {
+            if let Some(skew) = results.skew_above_floor(quantile) {
+                let met = skew_met(skew).filter(|_| quantile >= 1.0);
+                add(format!("skew-{name}"), skew, "ratio", met);
+            }
         }
-        for (name, quantile) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
+        let above = results.above_floor_share();
+        add("admissions-above-floor".into(), above, "share", None);
+        for (name, quantile) in QUANTILES {
             add(
                 format!("skew-with-floor-{name}"),
                 results.skew(quantile),
--- a/bulrushward_measure/src/results.rs
+++ b/bulrushward_measure/src/results.rs
@@ -66,10 +66,17 @@
         self.found_tokens as f64 / self.prompt_tokens.max(1) as f64
     }
 
-    /// Returns a quantile of load over mean load at admissions above the floor.
+    /// Returns a quantile of load over mean load at admissions above the floor, if there were any.
     #[must_use]
-    pub fn skew_above_floor(&self, quantile: f64) -> f64 {
-        self.skew_above_floor.value_at_quantile(quantile) as f64 / SKEW_STEPS
+    pub fn skew_above_floor(&self, quantile: f64) -> Option<f64> {
+        let skew = self.skew_above_floor.value_at_quantile(quantile) as f64 / SKEW_STEPS;
+        (!self.skew_above_floor.is_empty()).then_some(skew)
+    }
+
+    /// Returns the share of admissions after which the load was above the floor.
+    #[must_use]
+    pub fn above_floor_share(&self) -> f64 {
+        self.skew_above_floor.len() as f64 / self.skew.len().max(1) as f64
     }
 
     /// Returns a quantile of load over mean load at all admissions.
