--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -14,7 +14,7 @@
 };
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
-use tracing::info;
+use tracing::{info, warn};
 
 use crate::{
     agent::Agent,
@@ -30,6 +30,9 @@
 /// Longest time that the last claims may take to be recorded at a planned stop.
 const CLAIM_FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Exit code after a second signal, which ends the process without waiting for its requests.
+const STOPPED_AT_ONCE: i32 = 1;
+
 /// Runs the daemon until it is told to stop.
 ///
 /// # Errors
@@ -193,6 +196,7 @@
     }
 }
 
+/// Begins a graceful stop at the first signal and ends the process at the second.
 fn stop_on_signal(stop: &CancellationToken) -> Result<(), DaemonError> {
     let stop = stop.clone();
     let mut terminate =
@@ -200,11 +204,17 @@
     let mut interrupt =
         signal(SignalKind::interrupt()).map_err(|source| DaemonError::Runtime { source })?;
     tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
+        let mut next = async || {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        next().await;
         stop.cancel();
+        next().await;
+        warn!(event = "stopped-at-once");
+        std::process::exit(STOPPED_AT_ONCE);
     });
     Ok(())
 }
--- a/bulrushward/src/error.rs
+++ b/bulrushward/src/error.rs
@@ -9,16 +9,27 @@
 /// A setting that is missing or has a bad value.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
-#[snafu(display("setting {name} ({variable}) has value {value:?}, expected {expected}"))]
-pub struct SettingError {
-    /// Flag.
-    pub name: &'static str,
-    /// Environment variable.
-    pub variable: &'static str,
-    /// Value found.
-    pub value: String,
-    /// What would have been accepted.
-    pub expected: &'static str,
+pub enum SettingError {
+    /// A required setting has no value.
+    #[snafu(display("setting {name} ({variable}) is missing"))]
+    Missing {
+        /// Flag.
+        name: &'static str,
+        /// Environment variable.
+        variable: &'static str,
+    },
+    /// A value is not accepted.
+    #[snafu(display("setting {name} ({variable}) has value {value:?}, expected {expected}"))]
+    Value {
+        /// Flag.
+        name: &'static str,
+        /// Environment variable.
+        variable: &'static str,
+        /// Value found.
+        value: String,
+        /// What would have been accepted.
+        expected: &'static str,
+    },
 }
 
 /// Why the daemon could not start or go on.
--- a/bulrushward/src/settings.rs
+++ b/bulrushward/src/settings.rs
@@ -38,6 +38,8 @@
     pub listen: SocketAddr,
     /// Largest body of a caller in bytes.
     pub body_limit: usize,
+    /// Time that a caller may take to send its headers, and again to send its body.
+    pub caller_timeout: Duration,
     /// Time without a frame after which a connection to an agent counts as silent.
     pub silence: Duration,
 }
--- /dev/null
+++ b/bulrushward/tests/settings.rs
@@ -0,0 +1,395 @@
+//! Settings of the daemon by flag and by variable, and the signals that stop it.
+
+use std::{
+    io::{BufRead, BufReader},
+    net::TcpListener,
+    process::{Command, Output, Stdio},
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use rstest::rstest;
+
+/// Exit code of a bad or missing setting.
+const BAD_SETTING: i32 = 2;
+/// Exit code of a process that could not start.
+const FAILURE: i32 = 1;
+/// Time after which a process that should end counts as stuck.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A setting with a good and a bad value; a required one has no default.
+struct Setting {
+    flag: &'static str,
+    variable: &'static str,
+    good: &'static str,
+    bad: &'static str,
+    required: bool,
+}
+
+const fn required(
+    flag: &'static str,
+    variable: &'static str,
+    good: &'static str,
+    bad: &'static str,
+) -> Setting {
+    Setting {
+        flag,
+        variable,
+        good,
+        bad,
+        required: true,
+    }
+}
+
+const fn optional(
+    flag: &'static str,
+    variable: &'static str,
+    good: &'static str,
+    bad: &'static str,
+) -> Setting {
+    Setting {
+        flag,
+        variable,
+        good,
+        bad,
+        required: false,
+    }
+}
+
+/// An address of this machine at which nothing listens.
+const NOWHERE: &str = "127.0.0.1:0";
+const URL: &str = "http://127.0.0.1:1";
+
+const COMMON: [Setting; 11] = [
+    required("--node", "BULRUSHWARD_NODE", "node-1", "node 1"),
+    required("--failure-domain", "BULRUSHWARD_FAILURE_DOMAIN", "a", "a/b"),
+    required(
+        "--control-address",
+        "BULRUSHWARD_CONTROL_ADDRESS",
+        NOWHERE,
+        "localhost",
+    ),
+    required(
+        "--admin-address",
+        "BULRUSHWARD_ADMIN_ADDRESS",
+        NOWHERE,
+        "127.0.0.1",
+    ),
+    required(
+        "--key-value",
+        "BULRUSHWARD_KEY_VALUE",
+        URL,
+        "http://127.0.0.1:1,127.0.0.1:2",
+    ),
+    required("--vm-list", "BULRUSHWARD_VM_LIST", URL, "ftp://127.0.0.1"),
+    optional(
+        "--peers",
+        "BULRUSHWARD_PEERS",
+        "127.0.0.1:1,127.0.0.1:2",
+        "127.0.0.1:1,here",
+    ),
+    optional(
+        "--exchange-interval-ms",
+        "BULRUSHWARD_EXCHANGE_INTERVAL_MS",
+        "500",
+        "0",
+    ),
+    optional(
+        "--platform-timeout-ms",
+        "BULRUSHWARD_PLATFORM_TIMEOUT_MS",
+        "500",
+        "1s",
+    ),
+    optional(
+        "--drain-grace-ms",
+        "BULRUSHWARD_DRAIN_GRACE_MS",
+        "500",
+        "18446744073709551615",
+    ),
+    optional("--log", "BULRUSHWARD_LOG", "debug", "bulrushward=loud"),
+];
+
+const ROUTER: [Setting; 4] = [
+    required("--listen", "BULRUSHWARD_LISTEN", NOWHERE, "0.0.0.0"),
+    optional(
+        "--body-limit-bytes",
+        "BULRUSHWARD_BODY_LIMIT_BYTES",
+        "33554432",
+        "33554433",
+    ),
+    optional(
+        "--caller-timeout-ms",
+        "BULRUSHWARD_CALLER_TIMEOUT_MS",
+        "86400000",
+        "86400001",
+    ),
+    optional("--silence-ms", "BULRUSHWARD_SILENCE_MS", "1500", "-1"),
+];
+
+const AGENT: [Setting; 9] = [
+    required(
+        "--inner-address",
+        "BULRUSHWARD_INNER_ADDRESS",
+        NOWHERE,
+        "127.0.0.1:99999",
+    ),
+    optional(
+        "--advertised-address",
+        "BULRUSHWARD_ADVERTISED_ADDRESS",
+        "127.0.0.1:1",
+        "agent:1",
+    ),
+    required("--backend", "BULRUSHWARD_BACKEND", "engine-1", "engine 1"),
+    required(
+        "--backend-url",
+        "BULRUSHWARD_BACKEND_URL",
+        URL,
+        "127.0.0.1:1",
+    ),
+    required("--service", "BULRUSHWARD_SERVICE", "assess", "as\"sess"),
+    optional("--health-path", "BULRUSHWARD_HEALTH_PATH", "/", "health"),
+    optional(
+        "--health-interval-ms",
+        "BULRUSHWARD_HEALTH_INTERVAL_MS",
+        "1",
+        "0.5",
+    ),
+    optional(
+        "--backend-silence-ms",
+        "BULRUSHWARD_BACKEND_SILENCE_MS",
+        "30000",
+        "long",
+    ),
+    optional(
+        "--answer-retention-seconds",
+        "BULRUSHWARD_ANSWER_RETENTION_SECONDS",
+        "86400",
+        "86401",
+    ),
+];
+
+fn settings(role: &str) -> impl Iterator<Item = &'static Setting> {
+    let own: &[Setting] = if role == "router" { &ROUTER } else { &AGENT };
+    COMMON.iter().chain(own)
+}
+
+fn daemon(role: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushwardd"));
+    command.arg(role).env_clear().stdin(Stdio::null());
+    command
+}
+
+/// Builds a daemon with a good value for each required setting except one, by variable.
+fn daemon_without(role: &str, without: &str) -> Command {
+    let mut command = daemon(role);
+    let kept = settings(role).filter(|setting| setting.required && setting.flag != without);
+    for setting in kept {
+        command.env(setting.variable, setting.good);
+    }
+    command
+}
+
+/// Returns the only line on standard error that is not an event of the log.
+fn error_line(output: &Output) -> String {
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    let lines: Vec<&str> = errors
+        .lines()
+        .filter(|line| !line.starts_with("ts="))
+        .collect();
+    assert_eq!(lines.len(), 1, "one line: {errors}");
+    lines[0].to_owned()
+}
+
+/// Returns the whole of standard error, which must be one line.
+fn only_line(output: &Output) -> String {
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(errors.lines().count(), 1, "one line: {errors}");
+    errors
+}
+
+#[rstest]
+fn a_bad_value_is_named_in_one_line(
+    #[values("router", "agent")] role: &str,
+    #[values(true, false)] by_flag: bool,
+) {
+    for setting in settings(role) {
+        let mut command = daemon_without(role, setting.flag);
+        if by_flag {
+            command.arg(format!("{}={}", setting.flag, setting.bad));
+        } else {
+            command.env(setting.variable, setting.bad);
+        }
+        let output = command.output().expect("the daemon starts");
+        assert_eq!(output.status.code(), Some(BAD_SETTING), "{}", setting.flag);
+        let line = only_line(&output);
+        let bad = setting.bad.rsplit(',').next().expect("a last part");
+        for part in [setting.flag, setting.variable, &format!("{bad:?}")] {
+            assert!(line.contains(part), "{line} names {part}");
+        }
+    }
+}
+
+#[rstest]
+fn a_missing_setting_is_named_in_one_line(#[values("router", "agent")] role: &str) {
+    for setting in settings(role).filter(|setting| setting.required) {
+        let output = daemon_without(role, setting.flag).output();
+        let output = output.expect("the daemon starts");
+        assert_eq!(output.status.code(), Some(BAD_SETTING), "{}", setting.flag);
+        let line = only_line(&output);
+        for part in [setting.flag, setting.variable, "missing"] {
+            assert!(line.contains(part), "{line} names {part}");
+        }
+    }
+}
+
+#[rstest]
+fn a_good_value_is_taken_and_a_flag_goes_before_its_variable(
+    #[values("router", "agent")] role: &str,
+    #[values(true, false)] by_flag: bool,
+) {
+    let taken = TcpListener::bind(NOWHERE).expect("a port is free");
+    let taken = taken.local_addr().expect("it is bound").to_string();
+    for setting in settings(role) {
+        // The process gets as far as its listeners, which tells that the settings were taken.
+        let stop = if setting.flag == "--admin-address" {
+            "--control-address"
+        } else {
+            "--admin-address"
+        };
+        let mut command = daemon_without(role, stop);
+        command.arg(format!("{stop}={taken}"));
+        if by_flag {
+            command.env(setting.variable, setting.bad);
+            command.arg(format!("{}={}", setting.flag, setting.good));
+        } else {
+            command.env(setting.variable, setting.good);
+        }
+        let output = command.output().expect("the daemon starts");
+        let line = error_line(&output);
+        assert_eq!(
+            output.status.code(),
+            Some(FAILURE),
+            "{}: {line}",
+            setting.flag
+        );
+    }
+}
+
+#[rstest]
+#[case("router", "--admin-address")]
+#[case("router", "--control-address")]
+#[case("router", "--listen")]
+#[case("agent", "--admin-address")]
+#[case("agent", "--control-address")]
+#[case("agent", "--inner-address")]
+fn a_port_in_use_ends_the_start_with_one_line(#[case] role: &str, #[case] flag: &str) {
+    let taken = TcpListener::bind(NOWHERE).expect("a port is free");
+    let taken = taken.local_addr().expect("it is bound").to_string();
+    let output = daemon_without(role, flag)
+        .arg(format!("{flag}={taken}"))
+        .output()
+        .expect("the daemon starts");
+    assert_eq!(output.status.code(), Some(FAILURE));
+    let line = error_line(&output);
+    assert!(line.contains(&taken), "{line} names {taken}");
+}
+
+#[rstest]
+#[case(&["--nod=x"])]
+#[case(&["surplus"])]
+fn an_unknown_argument_is_named_in_one_line(#[case] arguments: &[&str]) {
+    let output = daemon_without("router", "").args(arguments).output();
+    let output = output.expect("the daemon starts");
+    assert_eq!(output.status.code(), Some(BAD_SETTING));
+    let name = arguments[0].split('=').next().expect("a name");
+    assert!(only_line(&output).contains(name));
+}
+
+#[rstest]
+fn the_help_explains_every_setting(#[values("router", "agent")] role: &str) {
+    let output = daemon(role).arg("--help").output();
+    let output = output.expect("the daemon starts");
+    assert!(output.status.success());
+    let help = String::from_utf8_lossy(&output.stdout).into_owned();
+    let shown: Vec<&str> = help
+        .split_whitespace()
+        .filter(|word| word.starts_with("--"))
+        .map(|word| word.split('=').next().expect("a name"))
+        .collect();
+    for setting in settings(role) {
+        assert!(shown.contains(&setting.flag), "{} is shown", setting.flag);
+        assert!(help.contains(setting.variable), "{}", setting.variable);
+    }
+    let known: Vec<&str> = settings(role).map(|setting| setting.flag).collect();
+    for flag in shown.iter().filter(|flag| **flag != "--help") {
+        assert!(known.contains(flag), "{flag} is tested here");
+    }
+    // The usage line names every setting first, so the entry with its text is the last.
+    let words = help.split_whitespace().collect::<Vec<_>>().join(" ");
+    for setting in settings(role) {
+        let entry = words.split(&format!("{}=", setting.flag)).last();
+        let entry = entry.expect("it is shown").split(" --").next();
+        let entry = entry.expect("it has a text");
+        let told = if setting.required {
+            "required"
+        } else {
+            "default"
+        };
+        assert!(
+            entry.contains(told),
+            "{} says {told}: {entry}",
+            setting.flag
+        );
+    }
+}
+
+/// Starts a router whose graceful stop takes `grace_ms` and waits until it listens.
+fn start_router(grace_ms: &str) -> std::process::Child {
+    let mut child = daemon_without("router", "")
+        .args(["--drain-grace-ms", grace_ms])
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    let stderr = child.stderr.take().expect("it is piped");
+    let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
+    lines
+        .find(|line| line.contains("event=started"))
+        .expect("the router starts");
+    // The pipe stays open, so that later events do not fail.
+    std::thread::spawn(move || lines.count());
+    child
+}
+
+fn exit_code(mut child: std::process::Child) -> Option<i32> {
+    let start = Instant::now();
+    loop {
+        if let Some(status) = child.try_wait().expect("it can be waited for") {
+            return status.code();
+        }
+        if start.elapsed() > PATIENCE {
+            child.kill().expect("it can be killed");
+            panic!("the daemon did not end");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[rstest]
+fn a_signal_is_a_graceful_stop(#[values(Signal::SIGTERM, Signal::SIGINT)] signal: Signal) {
+    let child = start_router("50");
+    kill(Pid::from_raw(child.id().cast_signed()), signal).expect("it can be signalled");
+    assert_eq!(exit_code(child), Some(0));
+}
+
+#[test]
+fn a_second_signal_ends_the_process_at_once() {
+    let child = start_router("86400000");
+    let pid = Pid::from_raw(child.id().cast_signed());
+    kill(pid, Signal::SIGTERM).expect("it can be signalled");
+    // Two signals of one kind that come together are one to the process, so the kinds differ.
+    kill(pid, Signal::SIGINT).expect("it can be signalled");
+    assert_eq!(exit_code(child), Some(FAILURE));
+}
