--- /dev/null
+++ b/bulrushward_load/src/client.rs
@@ -0,0 +1,211 @@
+//! One request and what became of it.
+
+use std::time::{Duration, Instant};
+
+use reqwest::{RequestBuilder, Response};
+use snafu::{ResultExt, Snafu};
+use strum::{Display, EnumString};
+
+use crate::{arrivals::Arrival, chat, target::Target};
+
+/// Header that carries the outcome of a refusal.
+const OUTCOME_HEADER: &str = "x-bulrushward-outcome";
+/// Last event of a streamed answer.
+const LAST_EVENT: &[u8] = b"[DONE]";
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, Display, EnumString, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Work {
+    /// A chat answered in one piece.
+    WholeChat,
+    /// A chat answered token by token.
+    StreamedChat,
+    /// An idempotent call of a plain service.
+    Call,
+    /// A non-idempotent call of a plain service, with its own key.
+    Action,
+}
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Outcome {
+    /// The whole answer arrived.
+    Whole,
+    /// It was refused and did not run.
+    NotRun,
+    /// It was refused after it ran.
+    Ran,
+    /// It was refused, and whether it ran is not known.
+    Unknown,
+    /// It got an error without an outcome.
+    Error,
+    /// Its answer broke off.
+    Cut,
+    /// It got no answer.
+    NoAnswer,
+    /// It was in progress when the load ended.
+    Unfinished,
+}
+
+/// What was observed of one request.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// Time until the first byte of the body.
+    pub first_byte: Option<Duration>,
+    /// Times between two pieces of the body.
+    pub gaps: Vec<Duration>,
+    /// Time until the end.
+    pub whole: Duration,
+}
+
+impl Sample {
+    fn ended(outcome: Outcome, started: Instant) -> Self {
+        Self {
+            outcome,
+            first_byte: None,
+            gaps: Vec::new(),
+            whole: started.elapsed(),
+        }
+    }
+}
+
+/// A client that cannot be built.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot build the HTTP client: {source}"))]
+pub struct ClientError {
+    source: reqwest::Error,
+}
+
+/// What the requests of a client hold.
+#[derive(Clone, Debug)]
+pub struct ClientSettings {
+    /// API keys, one for each organisation.
+    pub keys: Vec<String>,
+    /// Model of the chats.
+    pub model: String,
+    /// Tokens in an answer.
+    pub max_tokens: u32,
+    /// Seed that tells the chats of this load from those of others.
+    pub seed: u64,
+}
+
+/// Sends requests.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: reqwest::Client,
+    settings: ClientSettings,
+}
+
+impl Client {
+    /// Builds a client.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`] if the HTTP library refuses its settings.
+    pub fn new(settings: ClientSettings) -> Result<Self, ClientError> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .tcp_nodelay(true)
+            .pool_max_idle_per_host(usize::MAX)
+            // A redirect could lead away from the loopback interface.
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .build()
+            .context(ClientSnafu)?;
+        Ok(Self { http, settings })
+    }
+
+    /// Sends one request and reads its answer to the end.
+    pub async fn send(&self, target: &Target, work: Work, arrival: &Arrival) -> Sample {
+        let request = self.request(target, work, arrival);
+        let started = Instant::now();
+        let Ok(answer) = request.send().await else {
+            return Sample::ended(Outcome::NoAnswer, started);
+        };
+        if !answer.status().is_success() {
+            let outcome = refusal_outcome(&answer);
+            // The body is read so that the connection can be used again.
+            let _read = answer.bytes().await;
+            return Sample::ended(outcome, started);
+        }
+        read_answer(answer, work, started).await
+    }
+
+    pub(crate) fn request(&self, target: &Target, work: Work, arrival: &Arrival) -> RequestBuilder {
+        let index = arrival.index;
+        let request = match work {
+            Work::WholeChat | Work::StreamedChat => self.chat(target, work, arrival),
+            Work::Call => self.http.get(target.url(&format!("/records/{index}"))),
+            Work::Action => self
+                .http
+                .post(target.url("/certificates"))
+                .header("idempotency-key", uuid::Uuid::new_v4().to_string())
+                .body(format!("technician {index}")),
+        };
+        match self.settings.keys.get(arrival.organisation) {
+            Some(key) => request.bearer_auth(key),
+            None => request,
+        }
+    }
+
+    fn chat(&self, target: &Target, work: Work, arrival: &Arrival) -> RequestBuilder {
+        let settings = &self.settings;
+        let stream = work == Work::StreamedChat;
+        let (model, max_tokens) = (&settings.model, settings.max_tokens);
+        let body = chat::body(arrival, settings.seed, model, stream, max_tokens);
+        self.http
+            .post(target.url("/v1/chat/completions"))
+            .header("content-type", "application/json")
+            .body(body)
+    }
+}
+
+fn refusal_outcome(answer: &Response) -> Outcome {
+    let outcome = answer.headers().get(OUTCOME_HEADER);
+    match outcome.and_then(|value| value.to_str().ok()) {
+        Some("not-run") => Outcome::NotRun,
+        Some("ran") => Outcome::Ran,
+        Some("unknown") => Outcome::Unknown,
+        _ => Outcome::Error,
+    }
+}
+
+async fn read_answer(mut answer: Response, work: Work, started: Instant) -> Sample {
+    let mut sample = Sample::ended(Outcome::Whole, started);
+    let mut tail = Vec::new();
+    let mut last = started;
+    loop {
+        let Ok(piece) = answer.chunk().await else {
+            sample.outcome = Outcome::Cut;
+            break;
+        };
+        let Some(piece) = piece else { break };
+        let now = Instant::now();
+        if sample.first_byte.is_none() {
+            sample.first_byte = Some(now - started);
+        } else {
+            sample.gaps.push(now - last);
+        }
+        last = now;
+        keep_tail(&mut tail, &piece);
+    }
+    sample.whole = started.elapsed();
+    let has_end = tail.windows(LAST_EVENT.len()).any(|w| w == LAST_EVENT);
+    if work == Work::StreamedChat && !has_end {
+        sample.outcome = Outcome::Cut;
+    }
+    sample
+}
+
+/// Keeps the end of a body, where its last event stands.
+fn keep_tail(tail: &mut Vec<u8>, piece: &[u8]) {
+    /// Bytes that hold the last event and the white space after it.
+    const TAIL_BYTES: usize = 32;
+    tail.extend_from_slice(piece);
+    let excess = tail.len().saturating_sub(TAIL_BYTES);
+    tail.drain(..excess);
+}
--- /dev/null
+++ b/bulrushward_load/src/comparison.rs
@@ -0,0 +1,128 @@
+//! The same requests sent to a backend server and through the fleet, in turns.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use tokio::{task::JoinSet, time::sleep_until};
+
+use crate::{
+    arrivals::Arrival,
+    client::{Client, Sample, Work},
+    figure::Figure,
+    results::{QUANTILES, Results, milliseconds},
+    run::send_until,
+    target::Target,
+};
+
+/// What the direct and the routed requests of one run observed.
+#[derive(Clone, Debug, Default)]
+pub struct Comparison {
+    /// Requests to the backend server itself.
+    pub direct: Results,
+    /// The same requests through router and agent.
+    pub routed: Results,
+}
+
+/// Which way a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Routed,
+}
+
+impl Comparison {
+    /// Returns the figures of both ways and the added times, as differences of quantiles.
+    ///
+    /// Added 99th percentiles are held against `target`.
+    #[must_use]
+    pub fn figures(&self, size: &str, work: Work, target: Duration) -> Vec<Figure> {
+        let mut figures = self.direct.figures(size, &format!("{work}-direct"));
+        figures.extend(self.routed.figures(size, &format!("{work}-routed")));
+        let times = [
+            (
+                "first-byte",
+                &self.direct.first_byte,
+                &self.routed.first_byte,
+            ),
+            ("whole", &self.direct.whole, &self.routed.whole),
+        ];
+        for (name, direct, routed) in times {
+            let added = |(end, quantile)| Figure {
+                measure: format!("added-{name}-{end}"),
+                size: size.to_owned(),
+                case: work.to_string(),
+                value: difference(direct, routed, quantile),
+                unit: "ms",
+                target_met: None,
+            };
+            figures.extend(QUANTILES.map(added));
+        }
+        for figure in &mut figures {
+            if figure.measure.starts_with("added-") && figure.measure.ends_with("-p99") {
+                let met = figure.value <= target.as_secs_f64() * 1_000.0;
+                figure.target_met = Some(met);
+            }
+        }
+        figures
+    }
+}
+
+/// Returns how much later a quantile comes on the routed way, in milliseconds.
+fn difference(direct: &Histogram<u64>, routed: &Histogram<u64>, quantile: f64) -> f64 {
+    milliseconds(routed, quantile) - milliseconds(direct, quantile)
+}
+
+/// Sends each arrival both ways; which way goes first changes from one arrival to the next.
+///
+/// The second request of an arrival is sent in the middle of the time to the next arrival, so
+/// that both ways see the same rate.
+pub async fn compare(
+    client: &Client,
+    direct: &Target,
+    routed: &Target,
+    work: Work,
+    arrivals: &[Arrival],
+    time: Duration,
+) -> Comparison {
+    let started = Instant::now();
+    let end = started + time;
+    let mut requests: JoinSet<(Way, Duration, Sample)> = JoinSet::new();
+    for (index, arrival) in arrivals.iter().enumerate() {
+        let next = arrivals.get(index + 1).map_or(arrival.at, |next| next.at);
+        let middle = arrival.at + next.saturating_sub(arrival.at) / 2;
+        for (way, at) in ways(index).into_iter().zip([arrival.at, middle]) {
+            let at = started + at;
+            sleep_until(at.into()).await;
+            let lag = at.elapsed();
+            let target = match way {
+                Way::Direct => direct.clone(),
+                Way::Routed => routed.clone(),
+            };
+            let (client, arrival) = (client.clone(), *arrival);
+            requests.spawn(async move {
+                let sample = send_until(&client, &target, work, &arrival, end).await;
+                (way, lag, sample)
+            });
+        }
+    }
+    let mut comparison = Comparison::default();
+    for (way, lag, sample) in requests.join_all().await {
+        let results = match way {
+            Way::Direct => &mut comparison.direct,
+            Way::Routed => &mut comparison.routed,
+        };
+        results.record(&sample);
+        results.record_lag(lag);
+    }
+    comparison.direct.elapsed = started.elapsed();
+    comparison.routed.elapsed = started.elapsed();
+    comparison
+}
+
+fn ways(index: usize) -> [Way; 2] {
+    if index.is_multiple_of(2) {
+        [Way::Direct, Way::Routed]
+    } else {
+        [Way::Routed, Way::Direct]
+    }
+}
--- /dev/null
+++ b/bulrushward_load/src/results.rs
@@ -0,0 +1,128 @@
+//! Histograms and counts of a load.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+
+use crate::{
+    client::{Outcome, Sample},
+    figure::Figure,
+};
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+/// Longest time that the histograms tell apart, in microseconds: one hour.
+const LONGEST_US: u64 = 3_600_000_000;
+/// Quantiles that are reported, with the ends of their measures' names.
+pub(crate) const QUANTILES: [(&str, f64); 2] = [("p50", 0.5), ("p99", 0.99)];
+
+/// What a load observed.
+#[derive(Clone, Debug)]
+pub struct Results {
+    /// Requests by outcome.
+    pub outcomes: BTreeMap<Outcome, u64>,
+    /// Time of the whole load.
+    pub elapsed: Duration,
+    pub(crate) first_byte: Histogram<u64>,
+    pub(crate) between_pieces: Histogram<u64>,
+    pub(crate) whole: Histogram<u64>,
+    send_lag: Histogram<u64>,
+}
+
+impl Default for Results {
+    fn default() -> Self {
+        let new = || {
+            Histogram::new_with_bounds(1, LONGEST_US, DIGITS).expect("bounds and digits are valid")
+        };
+        Self {
+            outcomes: BTreeMap::new(),
+            elapsed: Duration::ZERO,
+            first_byte: new(),
+            between_pieces: new(),
+            whole: new(),
+            send_lag: new(),
+        }
+    }
+}
+
+impl Results {
+    /// Takes in one request; only whole answers count for the times.
+    pub fn record(&mut self, sample: &Sample) {
+        *self.outcomes.entry(sample.outcome).or_default() += 1;
+        if sample.outcome != Outcome::Whole {
+            return;
+        }
+        record(&mut self.whole, sample.whole);
+        if let Some(first_byte) = sample.first_byte {
+            record(&mut self.first_byte, first_byte);
+        }
+        for gap in &sample.gaps {
+            record(&mut self.between_pieces, *gap);
+        }
+    }
+
+    /// Takes in how late a request was sent against its arrival.
+    pub fn record_lag(&mut self, lag: Duration) {
+        record(&mut self.send_lag, lag);
+    }
+
+    /// Returns the number of whole answers.
+    #[must_use]
+    pub fn whole_answers(&self) -> u64 {
+        self.outcomes.get(&Outcome::Whole).copied().unwrap_or(0)
+    }
+
+    /// Returns a quantile of the time of a whole answer.
+    #[must_use]
+    pub fn whole_at(&self, quantile: f64) -> Duration {
+        Duration::from_micros(self.whole.value_at_quantile(quantile))
+    }
+
+    /// Returns whole answers per second.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        self.whole_answers() as f64 / self.elapsed.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns all figures of the load.
+    #[must_use]
+    pub fn figures(&self, size: &str, case: &str) -> Vec<Figure> {
+        let figure = |measure: String, value: f64, unit: &'static str| Figure {
+            measure,
+            size: size.to_owned(),
+            case: case.to_owned(),
+            value,
+            unit,
+            target_met: None,
+        };
+        let mut figures = vec![figure("rate".to_owned(), self.rate(), "requests/s")];
+        for (outcome, count) in &self.outcomes {
+            let measure = format!("outcome-{outcome}");
+            figures.push(figure(measure, *count as f64, "requests"));
+        }
+        let histograms = [
+            ("first-byte", &self.first_byte),
+            ("between-tokens", &self.between_pieces),
+            ("whole", &self.whole),
+            ("send-lag", &self.send_lag),
+        ];
+        for (name, histogram) in histograms {
+            for (end, quantile) in QUANTILES {
+                if !histogram.is_empty() {
+                    let value = milliseconds(histogram, quantile);
+                    figures.push(figure(format!("{name}-{end}"), value, "ms"));
+                }
+            }
+        }
+        figures
+    }
+}
+
+/// Returns a quantile of a histogram of microseconds, in milliseconds.
+pub(crate) fn milliseconds(histogram: &Histogram<u64>, quantile: f64) -> f64 {
+    histogram.value_at_quantile(quantile) as f64 / 1_000.0
+}
+
+fn record(histogram: &mut Histogram<u64>, time: Duration) {
+    histogram.saturating_record(time.as_micros() as u64);
+}
