--- a/bulrushward_measure/src/fleet/knowledge.rs
+++ b/bulrushward_measure/src/fleet/knowledge.rs
@@ -64,7 +64,12 @@
             };
         }
         let load = self.backends[backend].load();
-        MeanLoad::default().estimate(load, &self.heard[backend].reports, self.slots.len() - 1)
+        MeanLoad::default().estimate(
+            load,
+            &self.heard[backend].reports,
+            self.slots.len() - 1,
+            std::time::Instant::now(),
+        )
     }
 }
 
