Refuse bad requests, paths, headers and inner messages clearly

Unknown paths and methods get JSON; a path that would reach the service as another one, a bad idempotency key, headers above 64 KiB and bodies that are too large, announced or not, or too slow are refused with a request id and outcome. Headers with the fleet's prefix pass neither in nor out. Agents check deadline, work, method, path and headers of a decoded request, so that no sum of them overflows. Every placed request ends in one event: answer-ended, answer-cut, request-refused or caller-gone.

--- a/bulrushward/src/agent/listener.rs
+++ b/bulrushward/src/agent/listener.rs
@@ -6,17 +6,26 @@
 };
 
 use bulrushward_protocol::{
-    AttemptId, BarRequest, Frame, Outcome, Refusal, RefusalReason, decode, encode, encode_frame,
+    AttemptId, BarRequest, Frame, Header, Outcome, Refusal, RefusalReason, RunRequest, WorkUnits,
+    decode, encode, encode_frame,
 };
 use bytes::Bytes;
 use futures_util::{Stream, stream};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait, http::StatusCode};
+use salvo::{
+    Depot, FlowCtrl, Handler, Request, Response, Router, async_trait,
+    http::{HeaderName, HeaderValue, Method, StatusCode},
+};
+use serde::de::DeserializeOwned;
 
 use super::{ABANDONED_GRACE, Agent, attempts::Attempt, refusals, transcript::Read};
 use crate::failpoint;
 
 /// Largest encoded request in bytes: a caller's body and its envelope.
 const MAX_REQUEST_BYTES: usize = 64 << 20;
+/// Longest deadline of an attempt in milliseconds: 30 days.
+const MAX_DEADLINE_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
+/// Largest estimated work of an attempt, so that no sum of work overflows.
+const MAX_WORK: WorkUnits = 1 << 40;
 /// Time without a frame after which a heartbeat is sent.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -53,14 +62,13 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let body = match req.payload_with_max_size(MAX_REQUEST_BYTES).await {
-            Ok(body) => body,
-            Err(error) => return bad_request(res, &error.to_string()),
-        };
-        let run = match decode::<bulrushward_protocol::RunRequest>(body) {
+        let run = match message::<RunRequest>(req).await {
             Ok(run) => run,
-            Err(error) => return bad_request(res, &error.to_string()),
+            Err(message) => return bad_request(res, &message),
         };
+        if let Err(fault) = check(&run) {
+            return bad_request(res, fault);
+        }
         failpoint::hit("agent-received");
         let id = run.attempt;
         match self.agent.receive(run) {
@@ -89,10 +97,14 @@
         let Some(id) = id else {
             return bad_request(res, "the attempt id is not a hexadecimal number");
         };
-        let from = req.query::<u64>("from").unwrap_or(0);
+        let from = req.query::<String>("from").map(|from| from.parse());
+        let Ok(from) = from.unwrap_or(Ok(0)) else {
+            return bad_request(res, "the offset is not a number of bytes");
+        };
         let Some(attempt) = self.agent.attempts.get(id) else {
             res.status_code(StatusCode::NOT_FOUND);
-            return;
+            let message = "the attempt is not known here";
+            return refuse(res, refusals::unknown(RefusalReason::Restarted, message));
         };
         answer(&self.agent, res, attempt, id, from);
     }
@@ -111,11 +123,7 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let decoded = match req.payload_with_max_size(MAX_REQUEST_BYTES).await {
-            Ok(body) => decode::<BarRequest>(body).map_err(|error| error.to_string()),
-            Err(error) => Err(error.to_string()),
-        };
-        let bar = match decoded {
+        let bar = match message::<BarRequest>(req).await {
             Ok(bar) => bar,
             Err(message) => return bad_request(res, &message),
         };
@@ -153,6 +161,43 @@
     }
 }
 
+/// Reads an inner message.
+async fn message<T: DeserializeOwned>(req: &mut Request) -> Result<T, String> {
+    let announced = req.header::<u64>("content-length").unwrap_or_default();
+    if announced > MAX_REQUEST_BYTES as u64 {
+        return Err(format!(
+            "the message has {announced} bytes, the limit is {MAX_REQUEST_BYTES}"
+        ));
+    }
+    let body = req.payload_with_max_size(MAX_REQUEST_BYTES).await;
+    let body = body.map_err(|error| error.to_string())?;
+    decode(body).map_err(|error| error.to_string())
+}
+
+/// Checks what the types of a decoded request leave open.
+fn check(run: &RunRequest) -> Result<(), &'static str> {
+    if run.deadline_ms > MAX_DEADLINE_MS {
+        return Err("the deadline is more than 30 days away");
+    }
+    if run.work > MAX_WORK {
+        return Err("the estimated work is beyond reason");
+    }
+    if Method::from_bytes(run.method.as_bytes()).is_err() {
+        return Err("the method is not valid");
+    }
+    if !run.path.starts_with('/') {
+        return Err("the path does not begin with a slash");
+    }
+    let valid = |header: &Header| {
+        HeaderName::try_from(header.name.as_str()).is_ok()
+            && HeaderValue::try_from(header.value.as_str()).is_ok()
+    };
+    if !run.headers.iter().all(valid) {
+        return Err("a header is not valid");
+    }
+    Ok(())
+}
+
 fn bad_request(res: &mut Response, message: &str) {
     res.status_code(StatusCode::BAD_REQUEST);
     refuse(res, refusals::not_run(RefusalReason::BadRequest, message));
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -64,12 +64,13 @@
     let (control, thread) = platform.start_control(&common, identity, &mut metrics)?;
     let router_metrics = metrics.router();
     let listen = settings.listen;
+    let caller_timeout = settings.caller_timeout;
     let store = Arc::clone(&platform.store);
     let router = Router::new(settings, Arc::clone(&control), store, router_metrics)?;
     router.start();
     let admin = admin_routes(&control, metrics).push(router.admin_routes());
     let admin = http::listen("admin", common.admin_address, admin).await?;
-    let callers = http::listen("caller", listen, router.routes()).await?;
+    let callers = http::listen_to_callers(listen, router.routes(), caller_timeout).await?;
     info!(event = "started", role = "router", node = common.node, listen = %callers.address);
     stop.cancelled().await;
     control.leave();
--- a/bulrushward/src/http.rs
+++ b/bulrushward/src/http.rs
@@ -5,6 +5,7 @@
 use salvo::{
     Listener, Router, Server,
     conn::{TcpListener, tcp::TcpAcceptor},
+    fuse::FuseConfig,
     server::ServerHandle,
 };
 
@@ -12,6 +13,10 @@
 
 /// Time after which a new connection inside the fleet is given up.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time that a process of the fleet or an operator's tool may take for the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest head of a request in bytes, which is also the size of the connection's buffer.
+const MAX_HEADER_BYTES: usize = 64 << 10;
 
 /// Builds a client that keeps connections for reuse.
 pub(crate) fn pooled_client() -> Result<reqwest::Client, DaemonError> {
@@ -45,11 +50,36 @@
     pub(crate) task: tokio::task::JoinHandle<()>,
 }
 
-/// Binds an address and serves the routes on it.
+/// Binds an address for the fleet itself or its operators and serves the routes on it.
 pub(crate) async fn listen(
     listener: &'static str,
     address: SocketAddr,
     routes: Router,
+) -> Result<HttpListener, DaemonError> {
+    let limits = FuseConfig::default().with_http1_header_timeout(HEADER_TIMEOUT);
+    serve(listener, address, routes, limits).await
+}
+
+/// Binds an address for callers and serves the routes on it.
+///
+/// A connection ends whose caller takes longer than `timeout` to send the head of a request or
+/// to take in a piece of its answer.
+pub(crate) async fn listen_to_callers(
+    address: SocketAddr,
+    routes: Router,
+    timeout: Duration,
+) -> Result<HttpListener, DaemonError> {
+    let limits = FuseConfig::default()
+        .with_http1_header_timeout(timeout)
+        .with_write_stall_timeout(timeout);
+    serve("caller", address, routes, limits).await
+}
+
+async fn serve(
+    listener: &'static str,
+    address: SocketAddr,
+    routes: Router,
+    limits: FuseConfig,
 ) -> Result<HttpListener, DaemonError> {
     let acceptor: TcpAcceptor = TcpListener::new(address)
         .try_bind()
@@ -64,7 +94,8 @@
         address,
         detail: error.to_string(),
     })?;
-    let server = Server::new(acceptor);
+    let mut server = Server::new(acceptor).fuse_config(limits);
+    server.http1_mut().max_buf_size(MAX_HEADER_BYTES);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(Arc::new(routes)));
     Ok(HttpListener {
--- a/bulrushward/src/router/chat_request.rs
+++ b/bulrushward/src/router/chat_request.rs
@@ -1,13 +1,18 @@
 //! The parts of a chat completion request that placement needs.
 
+use salvo::http::StatusCode;
 use serde::Deserialize;
 
+use super::refusal::Rejection;
+
 /// Characters of a prompt that make about one token.
 const CHARACTERS_PER_TOKEN: u64 = 4;
 /// Prompt tokens that cost an engine about as much as one generated token.
 const PROMPT_TOKENS_PER_UNIT: u64 = 16;
 /// Generated tokens that are assumed when the caller names no limit.
 const DEFAULT_MAX_TOKENS: u64 = 256;
+/// Largest limit on generated tokens that a caller may name.
+const MAX_TOKENS_LIMIT: u64 = 10_000_000;
 
 /// A chat completion request; fields that the fleet does not need are left to the engine.
 #[derive(Clone, Debug, Deserialize)]
@@ -15,7 +20,7 @@
     pub(crate) model: String,
     pub(crate) messages: Vec<Message>,
     #[serde(default)]
-    pub(crate) stream: bool,
+    stream: Option<bool>,
     #[serde(default)]
     max_tokens: Option<u64>,
     #[serde(default)]
@@ -31,6 +36,27 @@
 }
 
 impl ChatRequest {
+    /// Checks what the types of the fields leave open.
+    ///
+    /// # Errors
+    ///
+    /// Returns a rejection if there is no message or the limit on tokens is beyond reason.
+    pub(crate) fn check(&self) -> Result<(), Rejection> {
+        if self.messages.is_empty() {
+            return Err(invalid("\"messages\" is empty"));
+        }
+        if self.max_tokens().is_some_and(|max| max > MAX_TOKENS_LIMIT) {
+            let fault = format!("the limit on tokens is above {MAX_TOKENS_LIMIT}");
+            return Err(invalid(&fault));
+        }
+        Ok(())
+    }
+
+    /// Returns whether the caller asked for the answer piece by piece.
+    pub(crate) fn is_streamed(&self) -> bool {
+        self.stream.unwrap_or(false)
+    }
+
     /// Returns the limit on generated tokens, if the caller named one.
     pub(crate) fn max_tokens(&self) -> Option<u64> {
         self.max_completion_tokens.or(self.max_tokens)
@@ -57,3 +83,8 @@
             .collect()
     }
 }
+
+fn invalid(fault: &str) -> Rejection {
+    let message = format!("the body is not a chat completion request: {fault}");
+    Rejection::new(StatusCode::BAD_REQUEST, "invalid-body", message)
+}
--- a/bulrushward/src/router/classify.rs
+++ b/bulrushward/src/router/classify.rs
@@ -7,14 +7,20 @@
     chat_key,
     claim::{action_from_content, action_from_key},
 };
-use bulrushward_protocol::{Fingerprint, Header, RequestId, headers};
+use bulrushward_protocol::{Fingerprint, RequestId, headers};
 use salvo::{
     Request,
-    http::{HeaderMap, ParseError, StatusCode},
+    http::{HeaderMap, Method, ParseError, StatusCode},
 };
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{Router, chat_request::ChatRequest, job::Job, refusal::Rejection};
+use super::{
+    Router,
+    chat_request::ChatRequest,
+    job::Job,
+    passed_headers::{idempotency_key, passed, text_header},
+    refusal::{Rejection, shortened},
+};
 
 /// Path of chat completions, at callers and at engines.
 pub(crate) const CHAT_PATH: &str = "/v1/chat/completions";
@@ -26,19 +32,6 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_mins(1);
 /// Name of the kind of work when the text declares none.
 const DEFAULT_KIND: &str = "default";
-/// Headers of the caller that are not for the backend server.
-const DROPPED_HEADERS: [&str; 9] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "expect",
-    "host",
-    "keep-alive",
-    "te",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Classifies a chat completion request.
 pub(crate) async fn chat(
     router: &Router,
@@ -48,16 +41,23 @@
     let received = Instant::now();
     let snapshot = router.control.snapshot();
     let config = &snapshot.config;
+    if req.method() != Method::POST {
+        return Err(Rejection::method(CHAT_PATH, "POST"));
+    }
     let organisation = organisation(config, req.headers())?;
+    let headers = passed(req.headers())?;
+    let named_chat = text_header(req.headers(), headers::CHAT)?.map(ToOwned::to_owned);
+    idempotency_key(req.headers())?;
     let body = body(router, req).await?;
     let parsed: ChatRequest = serde_json::from_slice(&body).map_err(|error| {
         let message = format!("the body is not a chat completion request: {error}");
         Rejection::new(StatusCode::BAD_REQUEST, "invalid-body", message)
     })?;
+    parsed.check()?;
     let service = service_for_model(config, &parsed.model)?;
     let kind = kind(config, service, req.headers(), parsed.max_tokens())?;
     let opening = parsed.opening();
-    let chat = match text_header(req.headers(), headers::CHAT) {
+    let chat = match &named_chat {
         Some(id) => chat_key::from_id(&organisation.name, id),
         None => chat_key::from_opening(
             &organisation.name,
@@ -77,10 +77,10 @@
         work: parsed.work(body.len()),
         action: None,
         revision: snapshot.revision,
-        streamed: parsed.stream,
+        streamed: parsed.is_streamed(),
         method: "POST".to_owned(),
         path: CHAT_PATH.to_owned(),
-        headers: passed_headers(req.headers()),
+        headers,
         body,
     })
 }
@@ -107,12 +107,14 @@
         Some(query) => format!("{path}?{query}"),
         None => path.clone(),
     };
+    check_path(&path)?;
     let kind = kind(config, service, req.headers(), None)?;
+    let headers = passed(req.headers())?;
+    let key = idempotency_key(req.headers())?.map(ToOwned::to_owned);
     let method = req.method().as_str().to_owned();
     let body = body(router, req).await?;
     let fingerprint = fingerprint(&organisation.name, &service.name, &method, &target, &body);
-    let key = text_header(req.headers(), headers::IDEMPOTENCY_KEY);
-    let action = (!service.is_idempotent(&method, &path)).then(|| match key {
+    let action = (!service.is_idempotent(&method, &path)).then(|| match &key {
         Some(key) => action_from_key(&organisation.name, &service.name, key),
         None => action_from_content(fingerprint),
     });
@@ -132,13 +134,13 @@
         streamed: false,
         method,
         path: target,
-        headers: passed_headers(req.headers()),
+        headers,
         body,
     })
 }
 
 fn organisation<'a>(config: &'a Config, map: &HeaderMap) -> Result<&'a Organisation, Rejection> {
-    let key = text_header(map, "authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let key = text_header(map, "authorization")?.and_then(|value| value.strip_prefix("Bearer "));
     let Some(key) = key else {
         let message = "the request has no API key; send \"Authorization: Bearer <key>\"";
         return Err(Rejection::new(
@@ -155,7 +157,7 @@
 
 fn service_for_model<'a>(config: &'a Config, model: &str) -> Result<&'a Service, Rejection> {
     config.service_for_model(model).ok_or_else(|| {
-        let message = format!("model {model:?} is not served here");
+        let message = format!("model {:?} is not served here", shortened(model));
         Rejection::new(StatusCode::NOT_FOUND, "unknown-model", message)
     })
 }
@@ -164,7 +166,7 @@
     let mut services = config.services.iter();
     let found = services.find(|s| s.name == name && s.protocol == Protocol::Plain);
     found.ok_or_else(|| {
-        let message = format!("service {name:?} does not exist");
+        let message = format!("service {:?} does not exist", shortened(name));
         Rejection::new(StatusCode::NOT_FOUND, "unknown-service", message)
     })
 }
@@ -175,14 +177,15 @@
     map: &HeaderMap,
     max_tokens: Option<u64>,
 ) -> Result<Option<&'a Kind>, Rejection> {
-    let named = text_header(map, headers::KIND);
+    let named = text_header(map, headers::KIND)?;
     let kind = config.kind_for(service, named, max_tokens);
     if let Some(name) = named
         && kind.is_none()
     {
         let message = format!(
-            "service {:?} has no kind of work {name:?} (header {:?})",
+            "service {:?} has no kind of work {:?} (header {:?})",
             service.name,
+            shortened(name),
             headers::KIND
         );
         return Err(Rejection::new(
@@ -194,46 +197,67 @@
     Ok(kind)
 }
 
+/// Refuses a path that would reach the service as another one, such as one with `..`.
+///
+/// Whether a call is idempotent is decided by its path as sent.
+fn check_path(path: &str) -> Result<(), Rejection> {
+    let url = reqwest::Url::parse(&format!("http://service{path}"));
+    if url.is_ok_and(|url| url.path() == path) {
+        return Ok(());
+    }
+    let message = format!(
+        "the path {:?} is not in its normal form; encode special characters, and use neither \
+         \"..\" nor \".\" as a part",
+        shortened(path)
+    );
+    Err(Rejection::new(
+        StatusCode::BAD_REQUEST,
+        "invalid-path",
+        message,
+    ))
+}
+
+/// Reads a body, which may be neither too large nor too slow.
 async fn body(router: &Router, req: &mut Request) -> Result<bytes::Bytes, Rejection> {
     let limit = router.settings.body_limit;
-    match req.payload_with_max_size(limit).await {
-        Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => {
-            let message = format!("the body is above the limit of {limit} bytes");
+    if announced_length(req.headers()) > limit as u64 {
+        return Err(too_large(limit));
+    }
+    let timeout = router.settings.caller_timeout;
+    match tokio::time::timeout(timeout, req.payload_with_max_size(limit)).await {
+        Ok(Ok(body)) => Ok(body.clone()),
+        Ok(Err(ParseError::PayloadTooLarge)) => Err(too_large(limit)),
+        Ok(Err(error)) => {
+            let message = format!("the body could not be read: {error}");
             Err(Rejection::new(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body-too-large",
+                StatusCode::BAD_REQUEST,
+                "unreadable-body",
                 message,
             ))
         }
-        Err(error) => {
-            let message = format!("the body could not be read: {error}");
+        Err(_elapsed) => {
+            let message = format!("the body did not arrive within {} ms", timeout.as_millis());
             Err(Rejection::new(
-                StatusCode::BAD_REQUEST,
-                "unreadable-body",
+                StatusCode::REQUEST_TIMEOUT,
+                "slow-body",
                 message,
             ))
         }
     }
 }
 
-fn text_header<'a>(map: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    map.get(name).and_then(|value| value.to_str().ok())
+fn announced_length(map: &HeaderMap) -> u64 {
+    let length = map
+        .get("content-length")
+        .and_then(|length| length.to_str().ok());
+    length
+        .and_then(|length| length.parse().ok())
+        .unwrap_or_default()
 }
 
-/// Keeps the headers for the backend server; those of the inner protocol are never the caller's.
-fn passed_headers(map: &HeaderMap) -> Vec<Header> {
-    let kept = map.iter().filter(|(name, _)| {
-        let name = name.as_str();
-        !name.starts_with(headers::PREFIX) && !DROPPED_HEADERS.contains(&name)
-    });
-    kept.filter_map(|(name, value)| {
-        Some(Header {
-            name: name.as_str().to_owned(),
-            value: value.to_str().ok()?.to_owned(),
-        })
-    })
-    .collect()
+fn too_large(limit: usize) -> Rejection {
+    let message = format!("the body is above the limit of {limit} bytes");
+    Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "body-too-large", message)
 }
 
 fn fingerprint(
--- a/bulrushward/src/router/listener.rs
+++ b/bulrushward/src/router/listener.rs
@@ -5,14 +5,13 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_protocol::{Frame, Outcome, Refusal, RequestId, format_id, headers};
+use bulrushward_protocol::{Frame, Outcome, RequestId, format_id, headers};
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router as Routes, async_trait,
     http::{StatusCode, header::HeaderName},
 };
-use tracing::info;
 
 use super::{
     Router,
@@ -20,7 +19,8 @@
     classify,
     forward::{self, Answer},
     job::Job,
-    refusal::{self, Rejection},
+    refusal::{self, Rejection, shortened},
+    request_log::{self, RequestLog},
 };
 use crate::{
     event_stream::{LastEvent, is_event_stream},
@@ -40,8 +40,9 @@
         router: Arc::clone(router),
     };
     Routes::new()
-        .push(Routes::with_path("v1/chat/completions").post(chat))
+        .push(Routes::with_path("v1/chat/completions").goal(chat))
         .push(Routes::with_path("svc/{**rest}").goal(plain))
+        .push(Routes::with_path("{**rest}").goal(UnknownHandler))
 }
 
 struct ChatHandler {
@@ -58,8 +59,9 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let request = new_request();
+        let received = Instant::now();
         let job = classify::chat(&self.router, request, req).await;
-        serve(&self.router, request, job, res).await;
+        serve(&self.router, request, received, job, res).await;
     }
 }
 
@@ -77,8 +79,32 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let request = new_request();
+        let received = Instant::now();
         let job = classify::plain(&self.router, request, req).await;
-        serve(&self.router, request, job, res).await;
+        serve(&self.router, request, received, job, res).await;
+    }
+}
+
+/// Answers paths at which the fleet offers nothing.
+struct UnknownHandler;
+
+#[async_trait]
+impl Handler for UnknownHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let message = format!(
+            "the path {:?} does not exist; chats are at {:?}, services below {:?}",
+            shortened(req.uri().path()),
+            classify::CHAT_PATH,
+            classify::SERVICE_PREFIX,
+        );
+        let rejection = Rejection::new(StatusCode::NOT_FOUND, "unknown-path", message);
+        reject(new_request(), Instant::now(), &rejection, res);
     }
 }
 
@@ -89,73 +115,46 @@
 async fn serve(
     router: &Arc<Router>,
     request: RequestId,
+    received: Instant,
     job: Result<Job, Rejection>,
     res: &mut Response,
 ) {
     let job = match job {
         Ok(job) => job,
-        Err(rejection) => {
-            info!(
-                event = "request-rejected",
-                request = format_id(request),
-                code = rejection.code,
-                message = rejection.message,
-            );
-            return rejection.render(request, res);
-        }
+        Err(rejection) => return reject(request, received, &rejection, res),
     };
     failpoint::hit("router-received");
     router.metrics.request(&job.kind);
+    let mut log = RequestLog::new(&job);
     match forward::forward(router, &job).await {
         Ok(answer) => {
-            let first_byte = job.received.elapsed();
-            router
-                .metrics
-                .first_byte(&job.kind, first_byte.as_secs_f64());
-            log_answer(&job, &answer.backend, first_byte.as_millis() as u64);
+            let first_byte = job.received.elapsed().as_secs_f64();
+            router.metrics.first_byte(&job.kind, first_byte);
+            log.answered(&answer.backend, answer.status);
             failpoint::hit("router-head");
-            render_answer(request, answer, res);
+            render_answer(request, answer, log, res);
         }
         Err(refused) => {
             router.metrics.refused(refused.reason);
-            log_refusal(&job, &refused);
+            log.refused(&refused);
             refusal::render_refusal(&refused, request, res);
         }
     }
 }
 
-fn log_answer(job: &Job, backend: &str, first_byte_ms: u64) {
-    info!(
-        event = "request-answered",
-        request = format_id(job.request),
-        organisation = job.organisation,
-        service = job.service.name,
-        kind = job.kind,
-        chat = format!("{:016x}", job.chat),
-        backend,
-        first_byte_ms,
-    );
-}
-
-fn log_refusal(job: &Job, refused: &Refusal) {
-    info!(
-        event = "request-refused",
-        request = format_id(job.request),
-        organisation = job.organisation,
-        service = job.service.name,
-        kind = job.kind,
-        chat = format!("{:016x}", job.chat),
-        reason = %refused.reason,
-        outcome = %refused.outcome,
-        retry_after_ms = refused.retry_after_ms,
-        milliseconds = job.received.elapsed().as_millis() as u64,
-    );
+fn reject(request: RequestId, received: Instant, rejection: &Rejection, res: &mut Response) {
+    request_log::rejected(request, received, rejection);
+    rejection.render(request, res);
 }
 
-fn render_answer(request: RequestId, answer: Answer, res: &mut Response) {
+fn render_answer(request: RequestId, answer: Answer, mut log: RequestLog, res: &mut Response) {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     res.status_code(status);
     for header in &answer.headers {
+        // Only the fleet speaks for itself to its callers.
+        if header.name.starts_with(headers::PREFIX) {
+            continue;
+        }
         // Headers of the backend server that are not valid here cannot be passed on.
         let Ok(name) = header.name.parse::<HeaderName>() else {
             continue;
@@ -169,6 +168,8 @@
     refusal::set(res, headers::BACKEND, &answer.backend);
     if answer.rest.is_none() {
         let body: Vec<u8> = answer.pieces.into_iter().flatten().collect();
+        log.passed(body.len());
+        log.ended();
         res.body(body);
         return;
     }
@@ -176,6 +177,7 @@
     res.stream(pieces(Relay {
         request,
         answer,
+        log,
         is_event_stream,
         last_event: LastEvent::default(),
         ended: false,
@@ -186,6 +188,7 @@
 struct Relay {
     request: RequestId,
     answer: Answer,
+    log: RequestLog,
     is_event_stream: bool,
     last_event: LastEvent,
     ended: bool,
@@ -194,43 +197,42 @@
 impl Relay {
     async fn next(&mut self) -> Option<Result<Bytes, std::io::Error>> {
         if let Some(piece) = self.answer.pieces.pop_front() {
-            self.last_event.push(&piece);
-            return Some(Ok(piece));
+            return Some(Ok(self.pass(piece)));
         }
         let stream = self.answer.rest.as_mut()?;
-        let started = Instant::now();
         match next_piece(stream).await {
             Ok(Some(piece)) => {
                 failpoint::hit("router-streaming");
-                self.last_event.push(&piece);
-                Some(Ok(piece))
+                Some(Ok(self.pass(piece)))
             }
-            Ok(None) => None,
+            Ok(None) => self.end(),
             // The agent was lost after the last event, so the caller misses nothing.
-            Err(_) if self.is_event_stream && self.last_event.seen() => None,
-            Err(message) => Some(self.cut(message, started)),
+            Err(_) if self.is_event_stream && self.last_event.seen() => self.end(),
+            Err(message) => Some(self.cut(&message)),
         }
     }
 
+    fn pass(&mut self, piece: Bytes) -> Bytes {
+        self.last_event.push(&piece);
+        self.log.passed(piece.len());
+        piece
+    }
+
+    fn end<T>(&mut self) -> Option<T> {
+        self.log.ended();
+        None
+    }
+
     /// Ends an answer that cannot be finished: an error event if the answer is an event stream,
     /// and in any case a connection that breaks off, never an end that looks whole.
-    fn cut(&mut self, message: String, since: Instant) -> Result<Bytes, std::io::Error> {
-        if self.ended {
-            return Err(std::io::Error::other(message));
-        }
+    fn cut(&mut self, message: &str) -> Result<Bytes, std::io::Error> {
         self.ended = true;
-        info!(
-            event = "answer-cut",
-            request = format_id(self.request),
-            backend = self.answer.backend,
-            message,
-            milliseconds = since.elapsed().as_millis() as u64,
-        );
+        self.log.cut(message);
         if !self.is_event_stream {
-            return Err(std::io::Error::other(message));
+            return Err(std::io::Error::other(message.to_owned()));
         }
         let outcome = Outcome::Unknown;
-        let body = refusal::error_body(self.request, "refused", CUT_CODE, outcome, &message);
+        let body = refusal::error_body(self.request, "refused", CUT_CODE, outcome, message);
         Ok(Bytes::from(format!("data: {body}\n\n")))
     }
 }
--- a/bulrushward/src/router/mod.rs
+++ b/bulrushward/src/router/mod.rs
@@ -8,7 +8,9 @@
 mod forward;
 mod job;
 mod listener;
+mod passed_headers;
 mod refusal;
+mod request_log;
 mod silent_agents;
 
 use std::{
--- a/bulrushward/src/router/refusal.rs
+++ b/bulrushward/src/router/refusal.rs
@@ -6,6 +6,8 @@
 
 /// Milliseconds in a second.
 const MILLISECONDS: u64 = 1_000;
+/// Characters of a caller's own text that a message repeats.
+const QUOTED_CHARACTERS: usize = 100;
 
 /// An answer that the router gives by itself to a request that it does not place.
 #[derive(Debug)]
@@ -13,14 +15,30 @@
     pub(crate) status: StatusCode,
     pub(crate) code: &'static str,
     pub(crate) message: String,
+    /// The methods that a path takes, if the method was the fault.
+    allowed: Option<&'static str>,
 }
 
 impl Rejection {
+    /// Rejects a method; `allowed` names the one that is taken.
+    pub(crate) fn method(path: &str, allowed: &'static str) -> Self {
+        let message = format!("the path {path:?} takes {allowed} only");
+        Self {
+            allowed: Some(allowed),
+            ..Self::new(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method-not-allowed",
+                message,
+            )
+        }
+    }
+
     pub(crate) fn new(status: StatusCode, code: &'static str, message: impl Into<String>) -> Self {
         Self {
             status,
             code,
             message: message.into(),
+            allowed: None,
         }
     }
 
@@ -36,9 +54,20 @@
             Outcome::NotRun,
             &self.message,
         );
+        if let Some(allowed) = self.allowed {
+            set(res, "allow", allowed);
+        }
+        if self.status == StatusCode::REQUEST_TIMEOUT {
+            set(res, "connection", "close");
+        }
     }
 }
 
+/// Returns the beginning of a caller's text for a message.
+pub(crate) fn shortened(text: &str) -> String {
+    text.chars().take(QUOTED_CHARACTERS).collect()
+}
+
 /// Writes a final refusal with its outcome and the time to come back.
 pub(crate) fn render_refusal(refusal: &Refusal, request: RequestId, res: &mut Response) {
     let status = status_of(refusal);
--- /dev/null
+++ b/bulrushward/src/router/request_log.rs
@@ -0,0 +1,148 @@
+//! The events of one caller's request, up to its end or until its caller goes away.
+
+use std::time::Instant;
+
+use bulrushward_protocol::{Outcome, Refusal, RequestId, format_id};
+use tracing::info;
+
+use super::{job::Job, refusal::Rejection};
+
+/// Logs a request that is not placed.
+pub(super) fn rejected(request: RequestId, received: Instant, rejection: &Rejection) {
+    info!(
+        event = "request-rejected",
+        request = format_id(request),
+        code = rejection.code,
+        outcome = %Outcome::NotRun,
+        message = rejection.message,
+        milliseconds = received.elapsed().as_millis() as u64,
+    );
+}
+
+/// Logs how a placed request goes on; one that is dropped before its end lost its caller.
+pub(super) struct RequestLog {
+    request: RequestId,
+    organisation: String,
+    service: String,
+    kind: String,
+    chat: String,
+    received: Instant,
+    backend: String,
+    bytes: u64,
+    ended: bool,
+}
+
+impl RequestLog {
+    pub(super) fn new(job: &Job) -> Self {
+        Self {
+            request: job.request,
+            organisation: job.organisation.clone(),
+            service: job.service.name.clone(),
+            kind: job.kind.clone(),
+            chat: format!("{:016x}", job.chat),
+            received: job.received,
+            backend: String::new(),
+            bytes: 0,
+            ended: false,
+        }
+    }
+
+    /// Logs that the answer begins.
+    pub(super) fn answered(&mut self, backend: &str, status: u16) {
+        backend.clone_into(&mut self.backend);
+        info!(
+            event = "request-answered",
+            request = format_id(self.request),
+            organisation = self.organisation,
+            service = self.service,
+            kind = self.kind,
+            chat = self.chat,
+            backend = self.backend,
+            outcome = %Outcome::Ran,
+            status,
+            first_byte_ms = self.milliseconds(),
+        );
+    }
+
+    /// Counts bytes of the answer.
+    pub(super) fn passed(&mut self, bytes: usize) {
+        self.bytes += bytes as u64;
+    }
+
+    /// Logs that the answer is whole.
+    pub(super) fn ended(&mut self) {
+        self.ended = true;
+        info!(
+            event = "answer-ended",
+            request = format_id(self.request),
+            organisation = self.organisation,
+            service = self.service,
+            kind = self.kind,
+            chat = self.chat,
+            backend = self.backend,
+            outcome = %Outcome::Ran,
+            bytes = self.bytes,
+            milliseconds = self.milliseconds(),
+        );
+    }
+
+    /// Logs that the answer broke off.
+    pub(super) fn cut(&mut self, message: &str) {
+        self.ended = true;
+        info!(
+            event = "answer-cut",
+            request = format_id(self.request),
+            organisation = self.organisation,
+            service = self.service,
+            kind = self.kind,
+            chat = self.chat,
+            backend = self.backend,
+            outcome = %Outcome::Unknown,
+            message,
+            bytes = self.bytes,
+            milliseconds = self.milliseconds(),
+        );
+    }
+
+    /// Logs a final refusal.
+    pub(super) fn refused(&mut self, refused: &Refusal) {
+        self.ended = true;
+        info!(
+            event = "request-refused",
+            request = format_id(self.request),
+            organisation = self.organisation,
+            service = self.service,
+            kind = self.kind,
+            chat = self.chat,
+            reason = %refused.reason,
+            outcome = %refused.outcome,
+            message = refused.message,
+            retry_after_ms = refused.retry_after_ms,
+            milliseconds = self.milliseconds(),
+        );
+    }
+
+    fn milliseconds(&self) -> u64 {
+        self.received.elapsed().as_millis() as u64
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        info!(
+            event = "caller-gone",
+            request = format_id(self.request),
+            organisation = self.organisation,
+            service = self.service,
+            kind = self.kind,
+            chat = self.chat,
+            backend = self.backend,
+            outcome = %Outcome::Unknown,
+            bytes = self.bytes,
+            milliseconds = self.milliseconds(),
+        );
+    }
+}
--- /dev/null
+++ b/bulrushward/tests/bad_input.rs
@@ -0,0 +1,335 @@
+//! Malformed requests, inner messages and answers: a clear error, and nothing else disturbed.
+
+mod support;
+
+use std::time::Duration;
+
+use bulrushward_protocol::{Frame, FrameDecoder, Header, RefusalReason, RunRequest, encode};
+use rstest::rstest;
+use serde_json::Value;
+use support::{
+    Fleet, Process, chat_request, header,
+    raw::{RawAnswer, RawBackend, exchange, head, status, trickle},
+};
+
+/// Bytes of the largest inner message.
+const INNER_LIMIT: usize = 64 << 20;
+/// Time that a caller of the impatient router may take.
+const CALLER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two bytes of a slow caller.
+const TRICKLE: Duration = Duration::from_millis(20);
+
+fn post(path: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let length = format!("content-length: {}\r\n{more}", body.len());
+    [head("POST", path, &length).as_bytes(), body].concat()
+}
+
+fn post_chat(body: &[u8]) -> Vec<u8> {
+    post("/v1/chat/completions", "", body)
+}
+
+fn code(answer: &str) -> String {
+    let (_head, body) = answer.split_once("\r\n\r\n").expect("a head");
+    let body: Value = serde_json::from_str(body).expect("the body is JSON");
+    assert_eq!(body["error"]["outcome"], "not-run");
+    body["error"]["code"].as_str().expect("a code").to_owned()
+}
+
+async fn is_whole(chat: reqwest::Response) -> bool {
+    chat.text()
+        .await
+        .is_ok_and(|body| body.contains("data: [DONE]"))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_chat_requests_are_refused_beside_a_chat_that_stays_whole() {
+    let fleet = Fleet::start(1, 1, 0).await;
+    let router = fleet.routers[0].data;
+    let running = fleet.chat(0, &chat_request("portfolio", true, 400)).await;
+    let deep = "[".repeat(100_000);
+    let deep_content = format!(
+        r#"{{"model":"tutor","messages":[{{"role":"user","content":{}{}}}]}}"#,
+        "[".repeat(1_000),
+        "]".repeat(1_000)
+    );
+    let bad: [&[u8]; 17] = [
+        b"",
+        b"{",
+        b"null",
+        b"[]",
+        b"\"chat\"",
+        b"\xff\xfe",
+        b"{\"model\":\"tutor\",\"messages\":[{\"role\":\"user\",\"content\":\"\xff\"}]}",
+        br#"{"messages":[{"role":"user","content":"x"}]}"#,
+        br#"{"model":"tutor"}"#,
+        br#"{"model":"tutor","messages":[]}"#,
+        br#"{"model":"tutor","messages":{}}"#,
+        br#"{"model":7,"messages":[{"role":"user","content":"x"}]}"#,
+        br#"{"model":"tutor","messages":[{"content":"x"}]}"#,
+        br#"{"model":"tutor","messages":[{"role":"user"}],"stream":"yes"}"#,
+        br#"{"model":"tutor","messages":[{"role":"user"}],"max_tokens":18446744073709551615}"#,
+        deep.as_bytes(),
+        deep_content.as_bytes(),
+    ];
+    for body in bad {
+        let answer = exchange(router, &post_chat(body)).await;
+        let shown = String::from_utf8_lossy(&body[..body.len().min(80)]);
+        assert_eq!(status(&answer), 400, "{shown}: {answer}");
+        assert_eq!(code(&answer), "invalid-body", "{shown}");
+    }
+    let unknown = format!(
+        r#"{{"model":"{}","messages":[{{"role":"user"}}]}}"#,
+        "m".repeat(5_000)
+    );
+    let answer = exchange(router, &post_chat(unknown.as_bytes())).await;
+    assert_eq!(status(&answer), 404, "{answer}");
+    assert_eq!(code(&answer), "unknown-model");
+    assert!(answer.len() < 1_000, "a long name is not repeated whole");
+    let fine = br#"{"model":"tutor","messages":[{"role":"user","content":"x"}],"stream":null}"#;
+    let answer = exchange(router, &post_chat(fine)).await;
+    assert!(
+        answer.contains("x-bulrushward-backend: engine-0"),
+        "null is for the engine to judge: {answer}"
+    );
+    assert!(is_whole(running).await);
+}
+
+#[rstest]
+#[case::bad_length(post("/svc/registry/a", "content-length: 1\r\n", b"body"), 400)]
+#[case::not_http(b"\x16\x03\x01\x02\x00 hello\r\n\r\n".to_vec(), 400)]
+#[case::bad_header(head("GET", "/svc/registry/a", "a b: c\r\n").into_bytes(), 400)]
+#[case::bad_header_value(
+    head("GET", "/svc/registry/a", "a: b\r\nx-work-kind: \u{e9}\r\n").into_bytes(), 400
+)]
+#[case::value_not_utf8(
+    [b"GET /svc/registry/a HTTP/1.1\r\nauthorization: Bearer test-key\r\nx: \xff\r\n\
+       connection: close\r\n\r\n".as_slice()].concat(), 400
+)]
+#[case::large_headers(
+    head("GET", "/svc/registry/a", &format!("x: {}\r\n", "y".repeat(70_000))).into_bytes(), 431
+)]
+#[case::endless_headers(
+    head("GET", "/svc/registry/a", &format!("x: {}\r\n", "y".repeat(500_000))).into_bytes(), 431
+)]
+#[case::many_headers(
+    head("GET", "/svc/registry/a", &"x: y\r\n".repeat(101)).into_bytes(), 431
+)]
+#[case::announced_too_large(
+    head("POST", "/svc/registry/a", "content-length: 4194305\r\n").into_bytes(), 413
+)]
+#[case::chunks_too_large(
+    [
+        head("POST", "/svc/registry/a", "transfer-encoding: chunked\r\n").as_bytes(),
+        b"400001\r\n",
+        &vec![b'x'; (4 << 20) + 1],
+        b"\r\n0\r\n\r\n",
+    ].concat(),
+    413
+)]
+#[case::bad_chunk(
+    (head("POST", "/svc/registry/a", "transfer-encoding: chunked\r\n") + "zz\r\n").into_bytes(),
+    400
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_http_is_refused_and_the_next_request_served(
+    #[case] request: Vec<u8>,
+    #[case] expected: u16,
+) {
+    let fleet = Fleet::start(1, 0, 1).await;
+    let answer = exchange(fleet.routers[0].data, &request).await;
+    assert_eq!(status(&answer), expected, "{answer}");
+    assert!(fleet.plains[0].executions().is_empty());
+    let next = fleet.call(0, "GET", "/certificates/7", None, "").await;
+    assert_eq!(next.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_caller_is_given_up_in_time_and_a_slow_reader_is_not() {
+    let mut fleet = Fleet::start(1, 1, 0).await;
+    let timeout = CALLER_TIMEOUT.as_millis().to_string();
+    fleet
+        .add_router("impatient", &["--caller-timeout-ms", &timeout])
+        .await;
+    let router = fleet.routers[1].data;
+    // A long answer takes several times as long as a caller may take to send its request.
+    let running = fleet.chat(1, &chat_request("portfolio", true, 400)).await;
+    let slow_head = trickle(router, b"GET / HTTP/1.1\r\nx: ", b'y', TRICKLE).await;
+    assert!([0, 408].contains(&status(&slow_head)), "{slow_head}");
+    let slow_start = trickle(router, b"G", b'G', TRICKLE).await;
+    assert!([0, 400, 408].contains(&status(&slow_start)), "{slow_start}");
+    let request = head("POST", "/v1/chat/completions", "content-length: 100000\r\n");
+    let slow_body = trickle(router, request.as_bytes(), b' ', TRICKLE).await;
+    assert_eq!(status(&slow_body), 408, "{slow_body}");
+    assert_eq!(code(&slow_body), "slow-body");
+    assert!(is_whole(running).await);
+}
+
+fn run_request() -> RunRequest {
+    RunRequest {
+        request: 1,
+        attempt: 2,
+        agent: 3,
+        service: "registry".to_owned(),
+        organisation: "examiners".to_owned(),
+        kind: "review".to_owned(),
+        chat: 1,
+        work: 1,
+        deadline_ms: 10_000,
+        action: None,
+        fingerprint: 1,
+        suspect: false,
+        revision: 1,
+        method: "GET".to_owned(),
+        path: "/certificates".to_owned(),
+        headers: Vec::new(),
+        body: "x".into(),
+    }
+}
+
+/// Sends a body to an agent and returns the status and the reason of its refusal.
+async fn refused(
+    fleet: &Fleet,
+    agent: &Process,
+    path: &str,
+    body: Vec<u8>,
+) -> (u16, RefusalReason) {
+    let url = format!("http://{}{path}", agent.data);
+    let request = if body.is_empty() && path.starts_with("/inner/attempts") {
+        fleet.http.get(url)
+    } else {
+        fleet.http.post(url).body(body)
+    };
+    let answer = request.send().await.expect("the agent answers");
+    let status = answer.status().as_u16();
+    let mut decoder = FrameDecoder::default();
+    decoder.push(&answer.bytes().await.expect("the answer is whole"));
+    match decoder.next_frame() {
+        Ok(Some(Frame::Refused(refusal))) => {
+            assert!(!refusal.message.is_empty());
+            (status, refusal.reason)
+        }
+        other => panic!("not a refusal: {status} {other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_inner_messages_are_refused_and_the_agent_goes_on_serving() {
+    let fleet = Fleet::start(1, 0, 1).await;
+    let agent = &fleet.agents[0];
+    let bad = (400, RefusalReason::BadRequest);
+    let good = encode(&run_request()).expect("it encodes");
+    let mut messages: Vec<Vec<u8>> = (0..good.len()).map(|end| good[..end].to_vec()).collect();
+    messages.push([&[good[0] + 1], &good[1..]].concat());
+    messages.push([good.as_slice(), &[0]].concat());
+    // A linear congruential generator gives the same noise every time.
+    let mut noise = 1_u64;
+    for length in 1..100 {
+        let mut message = vec![good[0]];
+        for _ in 0..length {
+            noise = noise
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            message.push((noise >> 56) as u8);
+        }
+        messages.push(message);
+    }
+    for message in messages {
+        for path in ["/inner/run", "/inner/bar"] {
+            let found = refused(&fleet, agent, path, message.clone()).await;
+            assert_eq!(found, bad, "{path} {message:?}");
+        }
+    }
+    let node = agent.node.clone();
+    let incarnation = fleet.incarnation(&node);
+    let wild: [fn(&mut RunRequest); 6] = [
+        |run| run.deadline_ms = u64::MAX,
+        |run| run.work = u64::MAX,
+        |run| run.method = "G T".to_owned(),
+        |run| run.path = "@127.0.0.1:1/".to_owned(),
+        |run| {
+            run.headers = vec![Header {
+                name: "a b".to_owned(),
+                value: String::new(),
+            }];
+        },
+        |run| {
+            run.headers = vec![Header {
+                name: "a".to_owned(),
+                value: "b\r\nc: d".to_owned(),
+            }];
+        },
+    ];
+    for (n, change) in wild.iter().enumerate() {
+        let mut run = run_request();
+        run.agent = incarnation;
+        change(&mut run);
+        let message = encode(&run).expect("it encodes");
+        let found = refused(&fleet, agent, "/inner/run", message).await;
+        assert_eq!(found, bad, "change {n}");
+    }
+    let found = refused(&fleet, agent, "/inner/run", good).await;
+    assert_eq!(found.1, RefusalReason::Restarted, "wrong incarnation");
+    for path in [
+        "/inner/attempts/xyz",
+        "/inner/attempts/-1",
+        "/inner/attempts/2?from=x",
+    ] {
+        assert_eq!(
+            refused(&fleet, agent, path, Vec::new()).await,
+            bad,
+            "{path}"
+        );
+    }
+    let found = refused(&fleet, agent, "/inner/attempts/2", Vec::new()).await;
+    assert_eq!(found, (404, RefusalReason::Restarted));
+    assert!(fleet.plains[0].executions().is_empty());
+    let next = fleet.call(0, "GET", "/certificates/7", None, "").await;
+    assert_eq!(next.status(), 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_oversized_inner_message_is_refused_before_it_is_read() {
+    let fleet = Fleet::start(1, 0, 1).await;
+    for path in ["/inner/run", "/inner/bar"] {
+        let length = format!("content-length: {}\r\n", INNER_LIMIT + 1);
+        let answer = exchange(fleet.agents[0].data, head("POST", path, &length).as_bytes()).await;
+        assert_eq!(status(&answer), 400, "{answer}");
+        assert!(answer.contains("the limit is 67108864"), "{answer}");
+    }
+    let next = fleet.call(0, "GET", "/certificates/7", None, "").await;
+    assert_eq!(next.status(), 200);
+}
+
+#[rstest]
+#[case::not_http("SSH-2.0-server\r\n")]
+#[case::nothing("")]
+#[case::cut_head("HTTP/1.1 200 OK\r\ncontent-le")]
+#[case::short_body("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort")]
+#[case::bad_length("HTTP/1.1 200 OK\r\ncontent-length: many\r\n\r\nx")]
+#[case::cut_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab")]
+#[case::endless_headers("endless")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_answer_of_a_backend_server_is_a_502_with_its_outcome(
+    #[case] answer: &str,
+    #[values("GET", "POST")] method: &str,
+) {
+    let answer = if answer == "endless" {
+        RawAnswer::EndlessHeaders
+    } else {
+        RawAnswer::Bytes(answer.to_owned())
+    };
+    let mut fleet = Fleet::start(1, 1, 0).await;
+    let raw = RawBackend::start(answer).await;
+    fleet.add_raw_agent("registry", &raw).await;
+    let refused = fleet.call(0, method, "/a", None, "x").await;
+    assert_eq!(refused.status(), 502);
+    assert_eq!(header(&refused, "x-bulrushward-outcome"), "unknown");
+    assert!(!header(&refused, "retry-after").is_empty());
+    let refused: Value = refused.json().await.expect("the body is JSON");
+    assert_eq!(refused["error"]["code"], "backend-failed");
+    if method == "POST" {
+        assert_eq!(raw.requests().len(), 1, "an action is not tried again");
+    }
+    let chat = fleet.chat(0, &chat_request("portfolio", true, 4)).await;
+    assert!(is_whole(chat).await);
+}
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -2,9 +2,13 @@
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+pub mod raw;
+
 use std::{
     fmt::Write,
+    fs::File,
     net::{SocketAddr, TcpListener},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
@@ -30,6 +34,8 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
+use self::raw::RawBackend;
+
 /// API key of the test organisation.
 pub const API_KEY: &str = "test-key";
 /// Time after which a condition that should come true counts as failed.
@@ -110,6 +116,8 @@
     pub routers: Vec<Process>,
     pub agents: Vec<Process>,
     pub http: reqwest::Client,
+    /// Where processes that start from now on write their events; else to the test's own.
+    pub log: Option<PathBuf>,
 }
 
 /// What a fleet consists of; each process may have fail points.
@@ -159,6 +167,7 @@
                 .no_proxy()
                 .build()
                 .expect("the client starts"),
+            log: None,
         };
         for (n, fail_points) in layout.routers.iter().enumerate() {
             let process = fleet.spawn("router", &format!("router-{n}"), fail_points, &[]);
@@ -206,6 +215,34 @@
         self.agents.push(process);
     }
 
+    /// Starts an agent before a raw backend server and waits until it admits attempts.
+    ///
+    /// An agent tells the revision that it heard of a moment before it admits by it.
+    pub async fn add_raw_agent(&mut self, service: &str, backend: &RawBackend) {
+        self.add_agent("raw", service, &backend.url(), "");
+        self.list_vms();
+        self.wait_until_answering().await;
+        self.wait_in_force(1).await;
+        let agent = self.agents.last().expect("it was added");
+        let incarnation = self.incarnation(&agent.node);
+        eventually("the agent admits attempts", async || {
+            let attempt = u128::from(NEXT_PORT.fetch_add(1, Ordering::Relaxed));
+            let frames = run_attempt(self, agent, incarnation, attempt, None).await;
+            matches!(frames.first(), Some(Frame::Admitted { .. }))
+        })
+        .await;
+        backend.forget();
+    }
+
+    /// Starts a router with further settings and waits until it has the configuration.
+    pub async fn add_router(&mut self, node: &str, arguments: &[&str]) {
+        let process = self.spawn("router", node, "", arguments);
+        self.routers.push(process);
+        self.list_vms();
+        self.wait_until_answering().await;
+        self.wait_in_force(1).await;
+    }
+
     /// Starts an agent that routers reach through a relay, and waits until routers know it.
     pub async fn add_relayed_agent(&mut self, backend: &str, url: &str) -> SilentProxy {
         self.add_relayed_agent_for("assess", backend, url).await
@@ -348,7 +385,8 @@
         } else {
             ["--health-interval-ms", "200"]
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_bulrushwardd"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushwardd"));
+        command
             .arg(role)
             .args(["--node", node, "--failure-domain", "a"])
             .args(["--admin-address", &admin.to_string()])
@@ -363,9 +401,12 @@
             .args(more)
             .args(arguments)
             .env("FAILPOINTS", fail_points)
-            .stdin(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
+            .stdin(Stdio::null());
+        if let Some(log) = &self.log {
+            let log = File::options().create(true).append(true).open(log);
+            command.stderr(log.expect("the log can be written"));
+        }
+        let child = command.spawn().expect("the daemon starts");
         Process {
             node: node.to_owned(),
             admin,
@@ -544,12 +585,15 @@
 /// Returns an address that nothing listens at.
 ///
 /// The ports lie below those that the system gives to outgoing connections, and each test that
-/// runs at the same time has its own range.
+/// runs at the same time has its own range and, even beside tests of another checkout, its own
+/// address of the loopback network.
 fn free_address() -> SocketAddr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let host = [127, high + 1, middle, low];
     loop {
         let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_SLOT;
         let port = FIRST_PORT + test_slot() * PORTS_PER_SLOT + offset;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let address = SocketAddr::from((host, port));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
