--- a/bulrushward/src/agent/listener.rs
+++ b/bulrushward/src/agent/listener.rs
@@ -22,8 +22,8 @@
 
 /// Largest encoded request in bytes: a caller's body and its envelope.
 const MAX_REQUEST_BYTES: usize = 64 << 20;
-/// Longest deadline of an attempt in milliseconds: 30 days.
-const MAX_DEADLINE_MS: u64 = 30 * 24 * 60 * 60 * 1_000;
+/// Longest deadline of an attempt in milliseconds: a year, as in the operators' text.
+const MAX_DEADLINE_MS: u64 = 366 * 24 * 60 * 60 * 1_000;
 /// Largest estimated work of an attempt, so that no sum of work overflows.
 const MAX_WORK: WorkUnits = 1 << 40;
 /// Time without a frame after which a heartbeat is sent.
@@ -177,7 +177,7 @@
 /// Checks what the types of a decoded request leave open.
 fn check(run: &RunRequest) -> Result<(), &'static str> {
     if run.deadline_ms > MAX_DEADLINE_MS {
-        return Err("the deadline is more than 30 days away");
+        return Err("the deadline is more than a year away");
     }
     if run.work > MAX_WORK {
         return Err("the estimated work is beyond reason");
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -7,10 +7,11 @@
 
 use bulrushward_claims::{ClaimSettings, ClaimStore};
 use bulrushward_platform::{EtcdKeyValue, HttpVmList, KeyValue};
-use bulrushward_protocol::{MemberRecord, MemberState, Role};
+use bulrushward_protocol::{MemberRecord, MemberState, Outcome, Role, admin::ErrorAnswer};
 use bulrushward_revisions::RevisionStore;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, Router as Routes, async_trait, http::StatusCode,
+    writing::Json,
 };
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -68,7 +69,9 @@
     let store = Arc::clone(&platform.store);
     let router = Router::new(settings, Arc::clone(&control), store, router_metrics)?;
     router.start();
-    let admin = admin_routes(&control, metrics).push(router.admin_routes());
+    let admin = admin_routes(&control, metrics)
+        .push(router.admin_routes())
+        .push(unknown_route());
     let admin = http::listen("admin", common.admin_address, admin).await?;
     let callers = http::listen_to_callers(listen, router.routes(), caller_timeout).await?;
     info!(event = "started", role = "router", node = common.node, listen = %callers.address);
@@ -114,7 +117,7 @@
     let admin = http::listen(
         "admin",
         common.admin_address,
-        admin_routes(&control, metrics),
+        admin_routes(&control, metrics).push(unknown_route()),
     )
     .await?;
     let inner = http::listen("inner", inner_address, agent.routes()).await?;
@@ -230,6 +233,34 @@
         }))
 }
 
+/// Returns the route that answers whatever an admin listener does not offer; it comes last.
+fn unknown_route() -> Routes {
+    Routes::with_path("{**rest}").goal(UnknownHandler)
+}
+
+struct UnknownHandler;
+
+#[async_trait]
+impl Handler for UnknownHandler {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.status_code(StatusCode::NOT_FOUND);
+        res.render(Json(ErrorAnswer {
+            message: format!(
+                "this admin listener does not offer {} {:?}",
+                req.method(),
+                req.uri().path()
+            ),
+            outcome: Outcome::NotRun,
+        }));
+    }
+}
+
 struct MetricsHandler {
     metrics: Metrics,
 }
--- a/bulrushward/src/router/admin.rs
+++ b/bulrushward/src/router/admin.rs
@@ -1,6 +1,7 @@
 //! The admin API for the operators' tool.
 
 use std::{
+    str::FromStr,
     sync::Arc,
     time::{Duration, SystemTime},
 };
@@ -64,7 +65,11 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let found = match req.query::<Revision>("revision") {
+        let revision = match number::<Revision>(req, "revision") {
+            Ok(revision) => revision,
+            Err(message) => return fail(res, StatusCode::BAD_REQUEST, Outcome::NotRun, &message),
+        };
+        let found = match revision {
             Some(revision) => self.router.store.revision(revision).await,
             None => self.router.store.current().await,
         };
@@ -174,7 +179,10 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        let limit = req.query::<usize>("limit").unwrap_or(DEFAULT_HISTORY);
+        let limit = match number::<usize>(req, "limit") {
+            Ok(limit) => limit.unwrap_or(DEFAULT_HISTORY),
+            Err(message) => return fail(res, StatusCode::BAD_REQUEST, Outcome::NotRun, &message),
+        };
         match self.router.store.history(limit).await {
             Ok(entries) => {
                 let entries = entries.into_iter().map(history_entry).collect();
@@ -281,6 +289,16 @@
     fail(res, status, error.outcome(), &error.to_string());
 }
 
+/// Reads a number of the query; an empty or missing one is none.
+fn number<T: FromStr>(req: &Request, name: &str) -> Result<Option<T>, String> {
+    match req.query::<String>(name) {
+        Some(text) if !text.is_empty() => text.parse().map(Some).map_err(|_not_a_number| {
+            format!("query parameter {name:?} has value {text:?}, expected a whole number")
+        }),
+        _ => Ok(None),
+    }
+}
+
 fn fail(res: &mut Response, status: StatusCode, outcome: Outcome, message: &str) {
     answer(
         res,
--- a/bulrushward_protocol/src/outcome.rs
+++ b/bulrushward_protocol/src/outcome.rs
@@ -1,7 +1,7 @@
 //! What became of a request that was not answered in whole.
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString, IntoStaticStr};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 /// What the fleet knows about the execution of a request that failed.
 #[derive(
@@ -19,7 +19,17 @@
 
 /// Why a request was refused.
 #[derive(
-    Clone, Copy, Debug, Display, EnumString, Eq, IntoStaticStr, PartialEq, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    EnumIter,
+    EnumString,
+    Eq,
+    IntoStaticStr,
+    PartialEq,
+    Serialize,
+    Deserialize,
 )]
 #[strum(serialize_all = "kebab-case")]
 pub enum RefusalReason {
