--- a/bulrushward_measure/src/main.rs
+++ b/bulrushward_measure/src/main.rs
@@ -8,6 +8,7 @@
     write_csv, write_json,
 };
 use bulrushward_policy::load_bound::LoadBound;
+use snafu::{Snafu, ensure};
 use strum::{Display, EnumString};
 
 /// Parts of the measurement.
@@ -70,6 +71,17 @@
     Ok(service.load_floor)
 }
 
+/// A measurement that could not be done.
+#[derive(Debug, Snafu)]
+enum MeasureError {
+    /// No size has the wanted name.
+    #[snafu(display("no size is named {name:?}, expected one of {known}"))]
+    UnknownSize { name: String, known: String },
+    /// The figures could not be written.
+    #[snafu(transparent)]
+    Write { source: FigureError },
+}
+
 fn main() -> ExitCode {
     let options = options().run();
     match measure(&options) {
@@ -81,12 +93,8 @@
     }
 }
 
-fn measure(options: &Options) -> Result<(), FigureError> {
-    let is_wanted = |size: &Size| options.size.as_ref().is_none_or(|name| name == size.name);
-    let sizes: Vec<Size> = Size::all(options.quick)
-        .into_iter()
-        .filter(is_wanted)
-        .collect();
+fn measure(options: &Options) -> Result<(), MeasureError> {
+    let sizes = wanted_sizes(options)?;
     let bound = LoadBound {
         multiple: options.multiple,
         floor: options.floor,
@@ -102,7 +110,20 @@
     if options.part.includes(Part::Slopes) {
         figures.extend(measure_slopes());
     }
-    report(options, &figures)
+    report(options, &figures)?;
+    Ok(())
+}
+
+fn wanted_sizes(options: &Options) -> Result<Vec<Size>, MeasureError> {
+    let mut sizes = Size::all(options.quick);
+    let Some(name) = &options.size else {
+        return Ok(sizes);
+    };
+    let names: Vec<&str> = sizes.iter().map(|size| size.name).collect();
+    let known = names.join(", ");
+    sizes.retain(|size| size.name == name);
+    ensure!(!sizes.is_empty(), UnknownSizeSnafu { name, known });
+    Ok(sizes)
 }
 
 fn report(options: &Options, figures: &[Figure]) -> Result<(), FigureError> {
