--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -163,7 +163,25 @@
             .mean_load
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        mean_load.estimate(own, &reports, snapshot.mates, Instant::now())
+        let members = snapshot.mates.max(self.listed_mates(&snapshot));
+        mean_load.estimate(own, &reports, members, Instant::now())
+    }
+
+    /// Returns the number of other backend servers that the text lists for this agent's service.
+    ///
+    /// They count before they are heard of, so that an agent that has just started is bounded.
+    fn listed_mates(&self, snapshot: &Snapshot) -> usize {
+        let service = self.identity.service.as_deref();
+        let service = service.and_then(|name| snapshot.config.service(name));
+        service.map_or(0, |service| {
+            let taking = service
+                .servers
+                .iter()
+                .filter(|server| !service.draining.contains(server));
+            taking
+                .filter(|server| Some(*server) != self.identity.backend.as_ref())
+                .count()
+        })
     }
 
     /// Returns the number of other agents of this agent's service that take new work.
--- a/bulrushward/src/router/candidates.rs
+++ b/bulrushward/src/router/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use bulrushward_policy::placement::{Candidate, rank};
+use bulrushward_policy::placement::{Candidate, rank_top};
 use bulrushward_protocol::{MemberRecord, MemberState};
 
 use super::{Router, job::Job};
@@ -10,9 +10,18 @@
 /// Agents that one request tries.
 const MAX_CANDIDATES: usize = 8;
 
-/// Returns the agents for a request, best first.
+/// Returns the agents for a request, best first; those that did not answer lately come last.
 pub(crate) fn for_job(router: &Router, job: &Job) -> Vec<MemberRecord> {
-    let agents = live_agents(router, job);
+    let now = Instant::now();
+    let (answering, silent): (Vec<MemberRecord>, Vec<MemberRecord>) = live_agents(router, job)
+        .into_iter()
+        .partition(|agent| !router.silent.is_silent(agent, now));
+    let mut chosen = best(job, &answering, MAX_CANDIDATES);
+    chosen.extend(best(job, &silent, MAX_CANDIDATES - chosen.len()));
+    chosen
+}
+
+fn best(job: &Job, agents: &[MemberRecord], count: usize) -> Vec<MemberRecord> {
     let names: Vec<Candidate<'_>> = agents
         .iter()
         .map(|agent| Candidate {
@@ -20,16 +29,10 @@
             weight: 1.0,
         })
         .collect();
-    let order = rank(job.chat, &names);
-    let now = Instant::now();
-    let (answering, silent): (Vec<MemberRecord>, Vec<MemberRecord>) = order
+    let order = rank_top(job.chat, &names, count);
+    order
         .into_iter()
         .map(|index| agents[index].clone())
-        .partition(|agent| !router.silent.is_silent(agent, now));
-    answering
-        .into_iter()
-        .chain(silent)
-        .take(MAX_CANDIDATES)
         .collect()
 }
 
--- a/bulrushward_claims/src/availability.rs
+++ b/bulrushward_claims/src/availability.rs
@@ -18,13 +18,13 @@
 
     pub(crate) fn set_up(&self) {
         if !self.up.send_replace(true) {
-            info!(event = "claims_available");
+            info!(event = "claims-available");
         }
     }
 
     pub(crate) fn set_down(&self) {
         if self.up.send_replace(false) {
-            warn!(event = "claims_unavailable");
+            warn!(event = "claims-unavailable");
         }
     }
 
--- a/bulrushward_claims/src/cached_record.rs
+++ b/bulrushward_claims/src/cached_record.rs
@@ -41,7 +41,7 @@
         record.advance_clock(now_ms);
         let unfinished = record.prune(retention);
         if unfinished > 0 {
-            warn!(event = "claims_unfinished_expired", count = unfinished);
+            warn!(event = "claims-unfinished-expired", count = unfinished);
         }
         let apply = |pending: &Pending| {
             record.apply(
--- a/bulrushward_claims/src/gateway.rs
+++ b/bulrushward_claims/src/gateway.rs
@@ -85,7 +85,7 @@
         match answer {
             Some(Ok(value)) => Ok(value),
             Some(Err(KvError::Refused { key, detail })) => {
-                warn!(event = "claims_call_refused", key, detail);
+                warn!(event = "claims-call-refused", key, detail);
                 RefusedSnafu.fail()
             }
             Some(Err(KvError::Unavailable { .. })) | None => {
--- a/bulrushward_claims/src/layout.rs
+++ b/bulrushward_claims/src/layout.rs
@@ -35,12 +35,12 @@
         None => create(gateway, &key, settings.shards).await.ok()??,
     };
     let Some(shards) = parse(&stored) else {
-        error!(event = "claims_layout_unreadable", key);
+        error!(event = "claims-layout-unreadable", key);
         return None;
     };
     if shards != settings.shards {
         warn!(
-            event = "claims_layout_differs",
+            event = "claims-layout-differs",
             stored = shards.get(),
             setting = settings.shards.get()
         );
--- a/bulrushward_claims/src/shard.rs
+++ b/bulrushward_claims/src/shard.rs
@@ -167,7 +167,7 @@
         let value = match encode_record(&cached.record) {
             Ok(value) => value,
             Err(err) => {
-                error!(event = "claims_record_not_encoded", key = self.key, %err);
+                error!(event = "claims-record-not-encoded", key = self.key, %err);
                 return (Try::Failed, KvCause::Load);
             }
         };
@@ -223,7 +223,7 @@
         let cached = match CachedRecord::read(entry) {
             Ok(cached) => cached,
             Err(err) => {
-                error!(event = "claims_record_unreadable", key = self.key, %err);
+                error!(event = "claims-record-unreadable", key = self.key, %err);
                 return None;
             }
         };
--- a/bulrushward_claims/src/store.rs
+++ b/bulrushward_claims/src/store.rs
@@ -146,7 +146,7 @@
         delay: Duration,
     ) {
         let Some(shards) = self.shards.borrow().clone() else {
-            warn!(event = "claims_change_before_claim", ?change);
+            warn!(event = "claims-change-before-claim", ?change);
             return;
         };
         let due = Instant::now() + delay;
@@ -200,7 +200,7 @@
 
     fn released(&self, action: ActionKey, attempt: AttemptId) {
         let Some(nonce) = self.forget_won(action, attempt) else {
-            warn!(event = "claims_release_without_claim", attempt);
+            warn!(event = "claims-release-without-claim", attempt);
             return;
         };
         let change = ClaimChange::Release { nonce };
