Show that the configuration tests fail without what they test

Removed one at a time, and the tests that failed then: - higher revisions only (Adoption::read and parsed): an old submission that is repeated took router-0 back from revision 4 to 2; a test of that is new here, since no other test failed. - fetching from peers: the three cases of a start during an outage, the frozen router, both cases of the VM list, the slow service. - the choice of watchers: few_processes_of_a_large_fleet_watch_the_service. - the check for an older manifest and the count of bad content: the five lies that are counted. - the size limit: the oversized message, after it was made a whole message; before, it was refused for its bytes left over and the test passed without the limit.

--- a/bulrushward/tests/control_exchange.rs
+++ b/bulrushward/tests/control_exchange.rs
@@ -13,7 +13,7 @@
 };
 
 use bulrushward_protocol::{
-    Chunk, ConfigurationMessage, Exchange, encode,
+    Chunk, ConfigurationMessage, Exchange, decode, encode,
     transport::{Listener, MAX_MESSAGE_BYTES},
 };
 use bulrushward_revisions::{Accepted, Manifest};
@@ -63,8 +63,15 @@
     [&[message[0] + 1], &message[1..]].concat()
 }
 
+/// A whole message of the right type that is larger than allowed.
 fn oversized(message: &[u8]) -> Vec<u8> {
-    [message, &vec![0; MAX_MESSAGE_BYTES]].concat()
+    let mut exchange: Exchange = decode(message).expect("decodes");
+    let chunk = Chunk {
+        digest: [0; 16],
+        text: "x".repeat(MAX_MESSAGE_BYTES),
+    };
+    exchange.configuration = Some(ConfigurationMessage::Chunks(vec![chunk]));
+    encode(&exchange).expect("encodes")
 }
 
 fn empty(_message: &[u8]) -> Vec<u8> {
--- a/bulrushward/tests/fault_configuration.rs
+++ b/bulrushward/tests/fault_configuration.rs
@@ -343,6 +343,31 @@
     }
 }
 
+#[tokio::test]
+async fn an_old_submission_that_is_repeated_takes_nothing_back() {
+    let fleet = Fleet::start(2, 1, 0).await;
+    let mut seen = Seen::default();
+    for base in 1..4 {
+        let answer = submit_as(&fleet, &fleet.routers[0], base, &comment(base), base).await;
+        assert_eq!(answer.expect("an answer").0, 200);
+        let start = Instant::now();
+        seen.in_force("before the repeat", &all(&fleet), base + 1, start)
+            .await;
+    }
+    for router in &fleet.routers {
+        let answer = submit_as(&fleet, router, 1, &comment(1), 1).await;
+        let (status, answer) = answer.expect("an answer");
+        assert_eq!((status, &answer["revision"]), (200, &json!(2)), "{answer}");
+    }
+    for process in all(&fleet) {
+        assert_eq!(seen.look(process).await, 4, "{}", process.node);
+    }
+    // A later revision is read after what the repeats brought.
+    let start = accept(&fleet, 1, 4, &comment(4)).await;
+    seen.in_force("after the repeat", &all(&fleet), 5, start)
+        .await;
+}
+
 #[tokio::test]
 async fn few_processes_of_a_large_fleet_watch_the_service() {
     let fleet = Fleet::start(20, 0, 0).await;
