--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -383,10 +383,15 @@
         let (admin, control) = (free_address(), free_address());
         let data = arguments.last().and_then(|last| last.parse().ok());
         let data = data.expect("the last argument is an address");
-        let more = if role == "router" {
-            ["--silence-ms", "600"]
+        let more: &[&str] = if role == "router" {
+            &["--silence-ms", "600"]
         } else {
-            ["--health-interval-ms", "200"]
+            &[
+                "--health-interval-ms",
+                "200",
+                "--backend-silence-ms",
+                "3000",
+            ]
         };
         let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushwardd"));
         command
