Send small pieces at once on all listeners of the daemon

Cause: connections accepted by the daemon delayed small pieces until the one before was acknowledged, which the other end delays by 40 ms.

--- a/bulrushward/src/http.rs
+++ b/bulrushward/src/http.rs
@@ -1,17 +1,16 @@
 //! Small helpers around the HTTP libraries.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use salvo::{
-    Listener, Router, Server,
-    conn::{TcpListener, tcp::TcpAcceptor},
-    server::ServerHandle,
-};
+use salvo::{Router, Server, conn::tcp::TcpAcceptor, server::ServerHandle};
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::error::DaemonError;
 
 /// Time after which a new connection inside the fleet is given up.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// Builds a client that keeps connections for reuse.
 pub(crate) fn pooled_client() -> Result<reqwest::Client, DaemonError> {
@@ -46,24 +45,24 @@
 }
 
 /// Binds an address and serves the routes on it.
+#[expect(
+    clippy::unused_async,
+    reason = "sockets and tasks need the runtime, which an asynchronous function has"
+)]
 pub(crate) async fn listen(
     listener: &'static str,
     address: SocketAddr,
     routes: Router,
 ) -> Result<HttpListener, DaemonError> {
-    let acceptor: TcpAcceptor = TcpListener::new(address)
-        .try_bind()
-        .await
-        .map_err(|error| DaemonError::Listen {
-            listener,
-            address,
-            detail: error.to_string(),
-        })?;
-    let address = acceptor.local_addr().map_err(|error| DaemonError::Listen {
+    let failed = |error: io::Error| DaemonError::Listen {
         listener,
         address,
         detail: error.to_string(),
-    })?;
+    };
+    let acceptor = bind(address)
+        .and_then(TcpAcceptor::try_from)
+        .map_err(failed)?;
+    let address = acceptor.local_addr().map_err(failed)?;
     let server = Server::new(acceptor);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(Arc::new(routes)));
@@ -73,3 +72,18 @@
         task,
     })
 }
+
+/// Binds a listening socket whose connections send small pieces at once.
+///
+/// Without it, a piece waits until the other end acknowledges the one before, which it delays by
+/// 40 ms. Connections take the option from the listening socket on Linux.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
