Report a revision in force only when traffic is decided by it

Cause: an agent that adopted its first revision before its follower had subscribed never applied it and refused everything with load-bound until the next one; and a revision was reported before the admission queue knew it. Ruled out: the ports. The follower now starts from the newest revision, and the record says what is applied. Adds tests of an agent that is sent work by routers with an old text, of an earlier start, and of a bar between claim and start.

--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -241,15 +241,16 @@
     }
 
     async fn follow_configuration(self: Arc<Self>) {
-        let mut revisions = self.control.revisions();
+        let mut revisions = self.control.all_revisions();
         while revisions.changed().await.is_ok() {
-            let config = Arc::clone(&self.control.snapshot().config);
-            let settings = admission_settings(&config, &self.settings);
+            let snapshot = self.control.snapshot();
+            let settings = admission_settings(&snapshot.config, &self.settings);
             let started = self.lock_queue().reconfigure(settings, Instant::now());
             self.start_attempts(&started);
+            self.control.put_in_force(snapshot.revision);
             info!(
                 event = "configuration-in-force",
-                revision = self.control.snapshot().revision
+                revision = snapshot.revision
             );
         }
     }
--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -83,6 +83,8 @@
     identity: MemberRecord,
     snapshot: ArcSwap<Snapshot>,
     revisions: watch::Sender<Revision>,
+    /// Revision that the traffic threads decide by.
+    in_force: AtomicU64,
     load: AtomicU64,
     queued: AtomicU32,
     leaving: AtomicBool,
@@ -103,6 +105,7 @@
             identity,
             snapshot: ArcSwap::default(),
             revisions: watch::Sender::new(0),
+            in_force: AtomicU64::new(0),
             load: AtomicU64::new(0),
             queued: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -122,6 +125,19 @@
         self.revisions.subscribe()
     }
 
+    /// Follows revisions from the first on, also one that was adopted before this call.
+    pub(crate) fn all_revisions(&self) -> watch::Receiver<Revision> {
+        let mut revisions = self.revisions.subscribe();
+        revisions.mark_changed();
+        revisions
+    }
+
+    /// Notes that the traffic threads decide by a revision; peers hear of it at once.
+    pub(crate) fn put_in_force(&self, revision: Revision) {
+        self.in_force.fetch_max(revision, Ordering::Relaxed);
+        self.send(Command::Spread);
+    }
+
     /// Returns the start of this process.
     pub(crate) fn incarnation(&self) -> Incarnation {
         self.identity.incarnation
@@ -132,7 +148,7 @@
         let mut own = self.identity.clone();
         own.load = self.load.load(Ordering::Relaxed);
         own.queued = self.queued.load(Ordering::Relaxed);
-        own.revision = self.snapshot().revision;
+        own.revision = self.in_force.load(Ordering::Relaxed);
         if self.is_leaving() {
             own.state = MemberState::Leaving;
         }
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -123,8 +123,7 @@
         "admin",
         common.admin_address,
         admin_routes(&control, metrics).push(unknown_route()),
-    )
-    .await?;
+    )?;
     let inner = http::listen("inner", inner_address, agent.routes())?;
     info!(event = "started", role = "agent", node = common.node, listen = %inner.address);
     stop.cancelled().await;
--- a/bulrushward/src/router/mod.rs
+++ b/bulrushward/src/router/mod.rs
@@ -79,14 +79,16 @@
     }
 
     async fn follow_configuration(self: Arc<Self>) {
-        let mut revisions = self.control.revisions();
+        let mut revisions = self.control.all_revisions();
         while revisions.changed().await.is_ok() {
-            let config = Arc::clone(&self.control.snapshot().config);
+            let snapshot = self.control.snapshot();
+            let config = &snapshot.config;
             self.lock_budget().set_fraction(config.fleet.retry_fraction);
             let rates = config.organisations.iter().filter_map(|organisation| {
                 Some((organisation.name.clone(), organisation.requests_per_second?))
             });
             self.lock_limits().reconfigure(rates, Instant::now());
+            self.control.put_in_force(snapshot.revision);
         }
     }
 
--- a/bulrushward/tests/fault_backends.rs
+++ b/bulrushward/tests/fault_backends.rs
@@ -6,6 +6,7 @@
 
 use bulrushward_fakes::answer_tokens;
 use bulrushward_platform::{TargetGroup, TargetLabels, VmState};
+use bulrushward_protocol::{BarRequest, Frame, Outcome, RefusalReason, decode, encode};
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::Value;
@@ -254,3 +255,85 @@
 fn live_url(admin: std::net::SocketAddr) -> String {
     format!("http://{admin}/health/live")
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_refuses_what_routers_with_an_old_text_send_to_a_draining_server() {
+    let fleet = Fleet::start(1, 0, 1).await;
+    let drained = support::text("").replace(
+        "protocol = \"plain\"",
+        "protocol = \"plain\"\ndraining = [\"plain-0\"]",
+    );
+    let (status, answer) = fleet.submit(0, 1, &drained).await;
+    assert_eq!(status, 200, "{answer}");
+    fleet.wait_in_force(2).await;
+    let agent = fleet.agent("plain-0");
+    let incarnation = fleet.incarnation("agent-plain-0");
+    let frames = support::run_attempt(&fleet, agent, incarnation, 5, None).await;
+    assert!(
+        matches!(&frames[..], [Frame::Refused(refusal)]
+            if refusal.reason == RefusalReason::Draining && refusal.outcome == Outcome::NotRun),
+        "{frames:?}"
+    );
+    assert_eq!(fleet.executions(PATH), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_refuses_an_attempt_that_was_meant_for_its_earlier_start() {
+    let fleet = Fleet::start(1, 0, 1).await;
+    let agent = fleet.agent("plain-0");
+    let earlier = fleet.incarnation("agent-plain-0") - 1;
+    let frames = support::run_attempt(&fleet, agent, earlier, 5, Some(9)).await;
+    assert!(
+        matches!(&frames[..], [Frame::Refused(refusal)]
+            if refusal.reason == RefusalReason::Restarted && refusal.outcome == Outcome::NotRun),
+        "{frames:?}"
+    );
+    assert_eq!(fleet.executions(PATH), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_that_is_barred_between_its_claim_and_its_start_never_starts() {
+    let hold = "agent-claimed=1*sleep(2000)";
+    let plan = Plan {
+        plains: vec![hold],
+        ..Plan::new(1, 0, 1)
+    };
+    let fleet = Fleet::start_plan(plan).await;
+    let agent = fleet.agent("plain-0");
+    let incarnation = fleet.incarnation("agent-plain-0");
+    let attempt = support::run_attempt(&fleet, agent, incarnation, 5, Some(9));
+    let bar = async {
+        let running = format!("http://{}/metrics", agent.admin);
+        eventually("the attempt is admitted", async || {
+            let answer = fleet.http.get(&running).send().await.expect("metrics");
+            answer
+                .text()
+                .await
+                .unwrap_or_default()
+                .contains("agent_running 1")
+        })
+        .await;
+        let body = encode(&BarRequest {
+            attempt: 5,
+            action: Some(9),
+        })
+        .expect("encodes");
+        let url = format!("http://{}/inner/bar", agent.data);
+        let answer = fleet
+            .http
+            .post(url)
+            .body(body)
+            .send()
+            .await
+            .expect("the agent answers");
+        decode::<Outcome>(&answer.bytes().await.expect("whole")).expect("decodes")
+    };
+    let (frames, outcome) = tokio::join!(attempt, bar);
+    assert_eq!(outcome, Outcome::NotRun);
+    assert!(
+        matches!(frames.last(), Some(Frame::Refused(_))),
+        "{frames:?}"
+    );
+    fleet.wait_idle(agent).await;
+    assert_eq!(fleet.executions(PATH), 0);
+}
