Know a dead member within seconds by suspicions that spread

Cause: only who failed to connect knew of a death; the others waited until the member was silent, which is 8 heartbeat intervals (128 s computed at 100 members, 21 minutes at 1,010). An exchange now names members that do not answer. A member does not count as answering if this process could not reach it or two peers suspect its newest known version; its next version refutes that and spreads like leaving. Two peers, not one of another failure domain: one process whose network is broken then convinces nobody, wherever it stands. The tests' fleet now answers after it heard the question, as the processes do.

--- a/bulrushward/src/control/members.rs
+++ b/bulrushward/src/control/members.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Instant};
 
 use bulrushward_policy::membership::{LoadReport, MemberTable};
-use bulrushward_protocol::{MemberRecord, NodeId, Revision, Role};
+use bulrushward_protocol::{Exchange, MemberRecord, NodeId, Revision, Role, Suspicion};
 use rand::{
     RngExt,
     seq::{IndexedRandom, SliceRandom},
@@ -56,16 +56,14 @@
         self.table.own().clone()
     }
 
-    /// Takes in the records of an exchange; returns whether a state or a start changed.
-    pub(crate) fn merge(
-        &mut self,
-        sender: &MemberRecord,
-        others: &[MemberRecord],
-        now: Instant,
-    ) -> bool {
+    /// Takes in an exchange; returns whether a state or a start changed or a member is suspect.
+    pub(crate) fn merge(&mut self, exchange: &Exchange, now: Instant) -> bool {
+        let sender = &exchange.own;
         let direct = self.table.merge_direct(sender, now);
-        let relayed = !self.table.merge(others, now).is_empty();
-        direct || relayed
+        let relayed = !self.table.merge(&exchange.members, now).is_empty();
+        let suspects = &exchange.suspects;
+        let suspect = self.table.merge_suspicions(&sender.node, suspects, now);
+        direct || relayed || suspect
     }
 
     /// Returns whether another process runs under the own name and started later.
@@ -82,6 +80,11 @@
         self.table.exchange_out(now, RECORD_BYTES, &mut rand::rng())
     }
 
+    /// Returns the suspicions for an exchange with a peer.
+    pub(crate) fn suspicions(&mut self, peer: Option<&str>, now: Instant) -> Vec<Suspicion> {
+        self.table.suspicions(peer, now)
+    }
+
     /// Chooses whom to talk to next: a member, or an address of the VM list.
     pub(crate) fn peer(&self, now: Instant) -> Option<(Option<NodeId>, SocketAddr)> {
         let mut rng = rand::rng();
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -183,7 +183,7 @@
     }
 
     fn send(&mut self, node: Option<NodeId>, peer: SocketAddr) {
-        let exchange = self.own_side();
+        let exchange = self.own_side(node.as_deref());
         let answers = self.answers.0.clone();
         let metrics = self.metrics.clone();
         tokio::spawn(async move {
@@ -206,7 +206,7 @@
                 own.configuration = fetch::answer(&wanted, accepted.as_ref());
                 own
             }
-            None => self.own_side(),
+            None => self.own_side(Some(&exchange.own.node)),
         };
         // The listener gave up if it no longer waits.
         let _gave_up = answer.send(own);
@@ -226,7 +226,7 @@
     fn take(&mut self, exchange: &Exchange) {
         let now = Instant::now();
         let (peer, revision) = (exchange.own.control_address, exchange.revision);
-        let changed = self.members.merge(&exchange.own, &exchange.members, now);
+        let changed = self.members.merge(exchange, now);
         if self.members.is_superseded() && !self.control.is_leaving() {
             error!(event = "name-taken", node = self.control.identity.node);
             self.control.leave();
@@ -242,11 +242,12 @@
         }
     }
 
-    /// Returns this process's side of an exchange of records.
-    fn own_side(&mut self) -> Exchange {
+    /// Returns this process's side of an exchange of records with a peer.
+    fn own_side(&mut self, peer: Option<&str>) -> Exchange {
         let now = Instant::now();
         let mut exchange = self.bare_side();
         exchange.members = self.members.records(now);
+        exchange.suspects = self.members.suspicions(peer, now);
         let mut quarantine = self.control.lock_quarantine();
         exchange.quarantine = quarantine.records(now, QUARANTINE_IN_EXCHANGE);
         drop(quarantine);
@@ -261,6 +262,7 @@
             revision: self.newest().map_or(0, |newest| newest.revision),
             own,
             members: Vec::new(),
+            suspects: Vec::new(),
             quarantine: Vec::new(),
             configuration: None,
         }
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -268,6 +268,7 @@
         let exchange = Exchange {
             own,
             members: Vec::new(),
+            suspects: Vec::new(),
             quarantine: Vec::new(),
             revision: 1,
             configuration: None,
@@ -667,6 +668,7 @@
     Exchange {
         own,
         members: Vec::new(),
+        suspects: Vec::new(),
         quarantine: Vec::new(),
         revision: 0,
         configuration: None,
--- a/bulrushward_measure/src/control.rs
+++ b/bulrushward_measure/src/control.rs
@@ -118,9 +118,12 @@
     /// Sends the exchange of one process to another, encoded and decoded as over the network.
     fn send(&mut self, from: usize, to: usize, now: Instant) {
         let members = self.tables[from].exchange_out(now, RECORDS_BUDGET, &mut self.rng);
+        let peer = self.tables[to].own().node.clone();
+        let suspects = self.tables[from].suspicions(Some(&peer), now);
         let exchange = Exchange {
             own: self.tables[from].own().clone(),
             members,
+            suspects,
             quarantine: Vec::new(),
             revision: self.revisions[from],
             configuration: None,
@@ -128,8 +131,10 @@
         let message = encode(&exchange).expect("an exchange can be encoded");
         self.count(&exchange, message.len());
         let received: Exchange = decode(&message).expect("the exchange was just encoded");
+        let sender = received.own.node.clone();
         self.tables[to].merge(&[received.own], now);
         self.tables[to].merge(&received.members, now);
+        self.tables[to].merge_suspicions(&sender, &received.suspects, now);
         self.revisions[to] = self.revisions[to].max(received.revision);
     }
 
--- a/bulrushward_policy/benches/decisions.rs
+++ b/bulrushward_policy/benches/decisions.rs
@@ -123,6 +123,7 @@
     let exchange = Exchange {
         own: record(0),
         members: table.exchange_out(now, 450, &mut rng),
+        suspects: Vec::new(),
         quarantine: Vec::new(),
         revision: 1_500,
         configuration: None,
--- a/bulrushward_policy/src/membership.rs
+++ b/bulrushward_policy/src/membership.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 mod spread;
+mod suspicion;
 
 use std::{
     collections::HashMap,
@@ -12,7 +13,7 @@
     Incarnation, MemberRecord, MemberState, NodeId, ServiceId, WorkUnits, encode,
 };
 
-use self::spread::Spread;
+use self::{spread::Spread, suspicion::Doubt};
 
 /// Members that a table keeps besides its own process.
 const MAX_MEMBERS: usize = 8_192;
@@ -48,7 +49,7 @@
     pub record: &'a MemberRecord,
     /// When the newest version was heard.
     pub heard: Instant,
-    /// Whether there was news of it lately and this process can reach it.
+    /// Whether there was news of it lately and neither this process nor two peers suspect it.
     pub answers: bool,
 }
 
@@ -59,8 +60,8 @@
     heard: Instant,
     /// When the member last sent its record itself.
     direct: Option<Instant>,
-    /// Whether this process failed to reach the member since then.
-    unreachable: bool,
+    /// What speaks against the member since its newest version.
+    doubt: Doubt,
     spread: Spread,
 }
 
@@ -151,7 +152,7 @@
             && entry.record.incarnation == record.incarnation
         {
             entry.direct = Some(now);
-            entry.unreachable = false;
+            entry.doubt.answered(now);
         }
         changed
     }
@@ -159,7 +160,7 @@
     /// Takes in that this process could not reach a member; its next version clears that.
     pub fn unreachable(&mut self, node: &str) {
         if let Some(entry) = self.entries.get_mut(node) {
-            entry.unreachable = true;
+            entry.doubt.unreachable(entry.record.version);
         }
     }
 
@@ -189,7 +190,7 @@
             .entries
             .values()
             .filter(|entry| entry.record.state == MemberState::Live)
-            .filter(|entry| !entry.unreachable && !self.is_silent(entry, now))
+            .filter(|entry| !entry.doubt.is_suspect(now) && !self.is_silent(entry, now))
             .map(|entry| &entry.record)
             .chain((self.own.state == MemberState::Live).then_some(&self.own))
             .collect();
@@ -202,7 +203,7 @@
         self.entries.values().map(move |entry| KnownMember {
             record: &entry.record,
             heard: entry.heard,
-            answers: !entry.unreachable && !self.is_silent(entry, now),
+            answers: !entry.doubt.is_suspect(now) && !self.is_silent(entry, now),
         })
     }
 
@@ -276,7 +277,6 @@
             *known = record.clone();
             known.state = known.state.max(state);
             entry.heard = now;
-            entry.unreachable = false;
         } else if record.incarnation == known.incarnation {
             known.state = known.state.max(record.state);
         }
@@ -284,6 +284,11 @@
         if newer || changed {
             entry.spread = Spread::new(encoded_bytes(known));
         }
+        if newer && before.0 != known.incarnation {
+            entry.doubt = Doubt::default();
+        } else if newer && entry.doubt.refute(known.version) {
+            entry.spread.hurry();
+        }
         changed
     }
 
@@ -305,7 +310,7 @@
             record: record.clone(),
             heard: now,
             direct: None,
-            unreachable: false,
+            doubt: Doubt::default(),
             spread: Spread::new(encoded_bytes(record)),
         };
         self.entries.insert(record.node.clone(), entry);
--- a/bulrushward_policy/src/membership/spread.rs
+++ b/bulrushward_policy/src/membership/spread.rs
@@ -23,12 +23,26 @@
 pub(super) struct Spread {
     bytes: usize,
     sent: u32,
+    /// Whether it refutes a suspicion.
+    hurried: bool,
 }
 
 impl Spread {
     /// Starts with a record that was not sent yet and has this encoded size.
     pub(super) fn new(bytes: usize) -> Self {
-        Self { bytes, sent: 0 }
+        Self {
+            bytes,
+            sent: 0,
+            hurried: false,
+        }
+    }
+
+    /// Sends the record as urgently as that of a leaving member, once for each version.
+    pub(super) fn hurry(&mut self) {
+        if !self.hurried {
+            self.hurried = true;
+            self.sent = 0;
+        }
     }
 
     pub(super) fn bytes(&self) -> usize {
@@ -39,10 +53,11 @@
         self.sent = self.sent.saturating_add(1);
     }
 
-    /// Returns the urgency: leaving members until they were sent `limit` times, then the rest.
+    /// Returns the urgency: leaving members and refutations until they were sent `limit` times,
+    /// then the rest.
     pub(super) fn key(&self, state: MemberState, limit: u32, age: Duration) -> Urgency {
         Urgency {
-            settled: state == MemberState::Live || self.sent >= limit,
+            settled: (state == MemberState::Live && !self.hurried) || self.sent >= limit,
             sent: self.sent,
             age_seconds: age.as_secs(),
         }
@@ -57,8 +72,8 @@
 impl MemberTable {
     /// Returns the records for one exchange, the most urgent first, within a number of bytes.
     ///
-    /// Members that leave go first, then the least sent, of these the freshest. Silent members
-    /// are left out, so that the fleet forgets them.
+    /// Members that leave and those that refute a suspicion go first, then the least sent, of
+    /// these the freshest. Silent members are left out, so that the fleet forgets them.
     pub fn exchange_out(
         &mut self,
         now: Instant,
--- a/bulrushward_policy/tests/membership.rs
+++ b/bulrushward_policy/tests/membership.rs
@@ -7,7 +7,7 @@
 };
 
 use bulrushward_policy::membership::MemberTable;
-use bulrushward_protocol::{MemberRecord, MemberState, Role};
+use bulrushward_protocol::{MemberRecord, MemberState, Role, Suspicion};
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -38,10 +38,19 @@
     MemberTable::new(record(node, 1_700_000_000_000, 1, MemberState::Live), now)
 }
 
+/// One side of an exchange.
+struct Message {
+    own: MemberRecord,
+    members: Vec<MemberRecord>,
+    suspects: Vec<Suspicion>,
+}
+
 /// Processes that exchange once a second with a random peer each.
 struct Fleet {
     tables: Vec<MemberTable>,
     down: BTreeSet<usize>,
+    /// Processes that reach nobody, though others reach them.
+    deaf: BTreeSet<usize>,
     /// Processes with an index below this cannot reach the others.
     partition: usize,
     now: Instant,
@@ -59,6 +68,7 @@
         Self {
             tables,
             down: BTreeSet::new(),
+            deaf: BTreeSet::new(),
             partition: 0,
             now,
             rng: Pcg64::seed_from_u64(7),
@@ -77,28 +87,47 @@
             };
             let name = peer.node.clone();
             let peer: usize = name["agent-".len()..].parse().expect("a number");
-            if self.down.contains(&peer) || (node < self.partition) != (peer < self.partition) {
+            let apart = (node < self.partition) != (peer < self.partition);
+            if self.down.contains(&peer) || self.deaf.contains(&node) || apart {
                 self.tables[node].unreachable(&name);
                 continue;
             }
-            let request = self.message(node);
-            let answer = self.message(peer);
+            let request = self.message(node, peer);
             self.hear(peer, &request);
+            let answer = self.message(peer, node);
             self.hear(node, &answer);
         }
     }
 
-    fn hear(&mut self, node: usize, message: &[MemberRecord]) {
-        let (sender, members) = message.split_last().expect("the sender's own record");
-        self.tables[node].merge(members, self.now);
-        self.tables[node].merge_direct(sender, self.now);
+    fn hear(&mut self, node: usize, message: &Message) {
+        let Message {
+            own,
+            members,
+            suspects,
+        } = message;
+        let table = &mut self.tables[node];
+        table.merge_direct(own, self.now);
+        table.merge(members, self.now);
+        table.merge_suspicions(&own.node, suspects, self.now);
     }
 
-    fn message(&mut self, node: usize) -> Vec<MemberRecord> {
+    fn message(&mut self, node: usize, peer: usize) -> Message {
         let table = &mut self.tables[node];
-        let mut records = table.exchange_out(self.now, BUDGET, &mut self.rng);
-        records.push(table.own().clone());
-        records
+        Message {
+            own: table.own().clone(),
+            members: table.exchange_out(self.now, BUDGET, &mut self.rng),
+            suspects: table.suspicions(Some(&format!("agent-{peer:04}")), self.now),
+        }
+    }
+
+    /// Returns how many running processes take a member for dead.
+    fn take_for_dead(&self, node: usize) -> usize {
+        let name = format!("agent-{node:04}");
+        let dead = |table: &MemberTable| {
+            let mut known = table.known(self.now);
+            known.any(|known| known.record.node == name && !known.answers)
+        };
+        self.count(dead)
     }
 
     /// Returns how many running processes see a member so.
@@ -383,3 +412,84 @@
         }
     }
 }
+
+/// Kills a member of a fleet and returns the seconds until 99% of the others know.
+fn seconds_until_dead(count: usize, warm_up: u32) -> Option<u32> {
+    let mut fleet = Fleet::new(count);
+    (0..warm_up).for_each(|_| fleet.second());
+    fleet.down.insert(3);
+    for second in 0..=120 {
+        if fleet.take_for_dead(3) * 100 >= (count - 1) * 99 {
+            return Some(second);
+        }
+        fleet.second();
+    }
+    None
+}
+
+#[test]
+fn a_dead_member_is_known_within_seconds() {
+    let seconds = seconds_until_dead(100, 60);
+    println!("100 members: {seconds:?} s");
+    assert!(seconds.is_some_and(|seconds| seconds <= 30), "{seconds:?}");
+}
+
+/// Lets processes reach nobody for a minute; returns the longest time in seconds for which any
+/// other process took a sound member for dead.
+fn longest_false_death(deaf: usize) -> u32 {
+    const COUNT: usize = 100;
+    let mut fleet = Fleet::new(COUNT);
+    (0..30).for_each(|_| fleet.second());
+    fleet.deaf.extend(0..deaf);
+    let mut since: BTreeMap<String, u32> = BTreeMap::new();
+    let mut longest = 0;
+    for _ in 0..60 {
+        fleet.second();
+        let sound = fleet.tables[deaf..].iter();
+        let suspects: BTreeSet<String> = sound
+            .flat_map(|table| table.known(fleet.now).filter(|known| !known.answers))
+            .map(|known| known.record.node.clone())
+            .collect();
+        since.retain(|node, _| suspects.contains(node));
+        for node in suspects {
+            let seconds = since.entry(node).or_default();
+            *seconds += 1;
+            longest = longest.max(*seconds);
+        }
+    }
+    longest
+}
+
+#[test]
+fn processes_with_a_broken_network_convince_nobody_for_long() {
+    for (deaf, bound) in [(1, 0), (2, 5)] {
+        let seconds = longest_false_death(deaf);
+        println!("{deaf} broken: {seconds} s");
+        assert!(seconds <= bound, "{deaf} broken: {seconds} s");
+    }
+}
+
+#[test]
+fn a_member_that_hears_of_a_suspicion_refutes_it() {
+    let now = Instant::now();
+    let mut table = fresh(0, now);
+    table.merge(&[record(1, 5, 7, MemberState::Live)], now);
+    let suspicion = Suspicion {
+        node: "agent-0001".to_owned(),
+        incarnation: 5,
+        version: 9,
+    };
+    let suspects = [suspicion];
+    for (peer, live) in [("agent-0002", 2), ("agent-0002", 2), ("agent-0003", 1)] {
+        table.merge_suspicions(&peer.to_owned(), &suspects, now);
+        assert_eq!(table.live(now).len(), live, "after {peer}");
+    }
+    assert_eq!(table.suspicions(None, now), suspects);
+    table.merge(&[record(1, 5, 9, MemberState::Live)], now);
+    assert_eq!(table.live(now).len(), 1);
+    let mut suspect = MemberTable::new(record(1, 5, 9, MemberState::Live), now);
+    suspect.merge_suspicions(&"agent-0000".to_owned(), &suspects, now);
+    assert_eq!(suspect.own().version, 10);
+    table.merge(&[suspect.own().clone()], now);
+    assert_eq!(table.live(now).len(), 2);
+}
--- a/bulrushward_protocol/src/exchange.rs
+++ b/bulrushward_protocol/src/exchange.rs
@@ -76,6 +76,17 @@
     pub ttl_seconds: u32,
 }
 
+/// A member that a process could not reach; a newer version of the member refutes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion {
+    /// The member.
+    pub node: NodeId,
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// Its newest version that is known to those who could not reach it.
+    pub version: u64,
+}
+
 /// A step by which a process fetches the newest revision of a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigurationMessage {
@@ -105,6 +116,8 @@
     pub own: MemberRecord,
     /// Records of others that the sender heard about lately.
     pub members: Vec<MemberRecord>,
+    /// Members that do not answer as far as the sender knows.
+    pub suspects: Vec<Suspicion>,
     /// Quarantined contents that the sender heard about lately.
     pub quarantine: Vec<QuarantineRecord>,
     /// Newest revision that the sender can hand on; the one in force is in its own record.
--- a/bulrushward_protocol/src/lib.rs
+++ b/bulrushward_protocol/src/lib.rs
@@ -17,6 +17,7 @@
 pub use codec::{CodecError, decode, encode};
 pub use exchange::{
     Chunk, ConfigurationMessage, Exchange, MemberRecord, MemberState, QuarantineRecord, Role,
+    Suspicion,
 };
 pub use frame::{Frame, FrameDecoder, encode_frame};
 pub use ids::{
