--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -304,6 +304,7 @@
         let exchange = Exchange {
             own,
             members: Vec::new(),
+            suspects: Vec::new(),
             quarantine: Vec::new(),
             revision: 1,
             configuration: None,
@@ -715,6 +716,7 @@
     Exchange {
         own,
         members: Vec::new(),
+        suspects: Vec::new(),
         quarantine: Vec::new(),
         revision: 0,
         configuration: None,
