--- a/bulrushward/src/control/members.rs
+++ b/bulrushward/src/control/members.rs
@@ -12,7 +12,7 @@
 use super::Member;
 
 /// Bytes of records of others in one exchange.
-const RECORD_BYTES: usize = 1_000;
+const RECORD_BYTES: usize = 450;
 /// Share of exchanges that go to an address of the VM list, known or not.
 const CONTACT_SHARE: f64 = 0.1;
 
