--- a/bulrushward/tests/fault_chats.rs
+++ b/bulrushward/tests/fault_chats.rs
@@ -9,7 +9,9 @@
 use rstest::rstest;
 use serde_json::Value;
 use support::{
-    Fleet, Plan, backend, chat_request, eventually, header, name_placed_on, opening_chat, text,
+    Fleet, Plan, backend, chat_request, eventually, header, name_placed_on, opening_chat,
+    raw::{RawAnswer, RawBackend},
+    text,
 };
 
 /// Tokens of a test answer.
@@ -344,3 +346,22 @@
         Some(&*own_answer(&opening, 300))
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_ends_without_its_last_event_is_not_whole() {
+    let event = "data: {\"choices\":[{\"delta\":{\"content\":\"half\"}}]}\n\n";
+    let length = event.len();
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {length}\r\n\r\n{event}"
+    );
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    let engine = RawBackend::start(RawAnswer::Bytes(answer)).await;
+    fleet.add_raw_agent("assess", &engine).await;
+    let mut answer = fleet.chat(0, &chat_request("portfolio", true, 4)).await;
+    let mut body = String::new();
+    while let Ok(Some(chunk)) = answer.chunk().await {
+        body += &String::from_utf8_lossy(&chunk);
+    }
+    assert!(body.contains("half"), "what came is passed on: {body}");
+    assert!(body.contains("answer-cut"), "the caller is told: {body}");
+}
