--- a/bulrushward_measure/src/fleet.rs
+++ b/bulrushward_measure/src/fleet.rs
@@ -11,7 +11,8 @@
 
 use bulrushward_policy::{
     admission::AdmissionSettings, attempt::RequestProgress, load_bound::LoadBound,
-    membership::LoadReport, placement::PlacementTable, retry_budget::RetryBudget,
+    mean_load::MeanLoad, membership::LoadReport, placement::PlacementTable,
+    retry_budget::RetryBudget,
 };
 use bulrushward_protocol::{AttemptId, WorkUnits};
 use rand::{RngExt, SeedableRng};
@@ -89,6 +90,7 @@
 struct Heard {
     refreshed: Option<Duration>,
     reports: Vec<LoadReport>,
+    mean: MeanLoad,
 }
 
 /// A fleet in the middle of a run.
--- a/bulrushward_measure/src/fleet/knowledge.rs
+++ b/bulrushward_measure/src/fleet/knowledge.rs
@@ -2,10 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushward_policy::{
-    mean_load::MeanLoad,
-    placement::{Candidate, PlacementTable},
-};
+use bulrushward_policy::placement::{Candidate, PlacementTable};
 
 use super::{Fleet, Heard, REFRESH_INTERVAL, ROUTER_BLIND};
 use crate::{Limits, Seen, views::share_of_lag};
@@ -47,8 +44,9 @@
         }
     }
 
-    /// Returns the mean load as an agent estimates it from late reports.
-    pub(super) fn agent_mean(&mut self, backend: usize) -> f64 {
+    /// Returns the mean load as an agent estimates it from late reports, as it would be with more
+    /// work at this agent.
+    pub(super) fn agent_mean_with(&mut self, backend: usize, work: u64) -> f64 {
         if self.policy.limits() != Limits::Bounded {
             return 0.0;
         }
@@ -58,18 +56,15 @@
             let viewer = self.size.routers + own;
             let others = (0..self.slots.len()).filter(|slot| *slot != own);
             let report = |slot| self.history.reported(viewer, slot, self.now);
-            self.heard[backend] = Heard {
-                refreshed: Some(self.now),
-                reports: others.filter_map(report).collect(),
-            };
+            let reports = others.filter_map(report).collect();
+            let heard = &mut self.heard[backend];
+            heard.refreshed = Some(self.now);
+            heard.reports = reports;
         }
-        let load = self.backends[backend].load();
-        MeanLoad::default().estimate(
-            load,
-            &self.heard[backend].reports,
-            self.slots.len() - 1,
-            std::time::Instant::now(),
-        )
+        let load = self.backends[backend].load() + work;
+        let now = self.epoch + self.now;
+        let Heard { reports, mean, .. } = &mut self.heard[backend];
+        mean.estimate(load, reports, self.slots.len() - 1, now)
     }
 }
 
--- a/bulrushward_measure/src/fleet/request_path.rs
+++ b/bulrushward_measure/src/fleet/request_path.rs
@@ -80,7 +80,7 @@
             work: arrival.work(),
             deadline: self.deadline(&arrival),
         };
-        let mean = self.agent_mean(backend);
+        let mean = self.agent_mean_with(backend, arrival.work());
         let now = self.epoch + self.now;
         let candidates = self
             .pending
