--- a/bulrushward/tests/bad_input.rs
+++ b/bulrushward/tests/bad_input.rs
@@ -144,7 +144,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_slow_caller_is_given_up_in_time_and_a_slow_reader_is_not() {
+async fn a_slow_caller_is_given_up_in_time_beside_a_long_answer() {
     let mut fleet = Fleet::start(1, 1, 0).await;
     let timeout = CALLER_TIMEOUT.as_millis().to_string();
     fleet
