--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -56,6 +56,20 @@
     pub(crate) read: Option<Instant>,
 }
 
+impl Snapshot {
+    /// Returns the agents of a service that answer.
+    pub(crate) fn agents_of<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a MemberRecord> {
+        let answering = self.members.iter().filter(|member| member.answers);
+        answering
+            .map(|member| &member.record)
+            .filter(|record| record.role == Role::Agent)
+            .filter(move |record| record.service.as_deref() == Some(service))
+    }
+}
+
 /// A known process.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -233,18 +247,6 @@
         self.send(Command::Adopt(accepted));
     }
 
-    /// Returns the agents of a service that answer.
-    pub(crate) fn agents_of(&self, service: &str) -> Vec<MemberRecord> {
-        let snapshot = self.snapshot();
-        let answering = snapshot.members.iter().filter(|member| member.answers);
-        answering
-            .map(|member| &member.record)
-            .filter(|record| record.role == Role::Agent)
-            .filter(|record| record.service.as_deref() == Some(service))
-            .cloned()
-            .collect()
-    }
-
     fn send(&self, command: Command) {
         // The control thread ends only after the traffic threads.
         let _ended = self.commands.send(command);
--- a/bulrushward/src/router/candidates.rs
+++ b/bulrushward/src/router/candidates.rs
@@ -38,20 +38,25 @@
 
 /// Returns whether a service has an agent that takes new work.
 pub(crate) fn has_live_agent(router: &Router, service: &str) -> bool {
-    let agents = router.control.agents_of(service);
-    agents.iter().any(|agent| agent.state == MemberState::Live)
+    let snapshot = router.control.snapshot();
+    let mut agents = snapshot.agents_of(service);
+    agents.any(|agent| agent.state == MemberState::Live)
 }
 
 fn live_agents(router: &Router, job: &Job) -> Vec<MemberRecord> {
     let service = &job.service;
-    let mut agents = router.control.agents_of(&service.name);
-    agents.retain(|agent| {
+    let takes_work = |agent: &&MemberRecord| {
         let Some(backend) = &agent.backend else {
             return false;
         };
         agent.state == MemberState::Live
             && (service.servers.is_empty() || service.servers.contains(backend))
             && !service.draining.contains(backend)
-    });
-    agents
+    };
+    let snapshot = router.control.snapshot();
+    snapshot
+        .agents_of(&service.name)
+        .filter(takes_work)
+        .cloned()
+        .collect()
 }
