--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_platform::{Vm, VmList, VmState};
+use bulrushward_clients::{Vm, VmList, VmState};
 use bulrushward_protocol::{Exchange, MemberRecord, NodeId, transport::Listener};
 use bulrushward_revisions::{Accepted, RevisionStore};
 use snafu::ResultExt;
--- a/bulrushward/src/control/vm_list.rs
+++ b/bulrushward/src/control/vm_list.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushward_platform::{Vm, VmList};
+use bulrushward_clients::{Vm, VmList};
 use rand::RngExt;
 use tokio::sync::mpsc;
 use tracing::warn;
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -6,7 +6,7 @@
 };
 
 use bulrushward_claims::{ClaimSettings, ClaimStore};
-use bulrushward_platform::{EtcdKeyValue, HttpVmList, KeyValue};
+use bulrushward_clients::{EtcdKeyValue, HttpVmList, KeyValue};
 use bulrushward_protocol::{MemberRecord, MemberState, Outcome, Role, admin::ErrorAnswer};
 use bulrushward_revisions::RevisionStore;
 use salvo::{
@@ -47,6 +47,7 @@
     match command {
         Command::Router(settings, _) => run_router(*settings, stop).await,
         Command::Agent(settings, _) => run_agent(*settings, stop).await,
+        Command::Direct(..) => unreachable!("main runs a router without agents itself"),
     }
 }
 
--- a/bulrushward/src/error.rs
+++ b/bulrushward/src/error.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use bulrushward_platform::KvError;
+use bulrushward_clients::KvError;
+use bulrushward_direct::{DirectError, SettingsError};
 use bulrushward_protocol::transport::TransportError;
 use snafu::Snafu;
 
@@ -30,6 +31,12 @@
         /// What would have been accepted.
         expected: &'static str,
     },
+    /// A settings file is not accepted.
+    #[snafu(display("{source}"))]
+    File {
+        /// Error that names the file or the setting.
+        source: SettingsError,
+    },
 }
 
 /// Why the daemon could not start or go on.
@@ -70,4 +77,10 @@
         /// Error of the client.
         source: KvError,
     },
+    /// A router without agents could not start.
+    #[snafu(display("{source}"), context(false))]
+    Direct {
+        /// Error of the router.
+        source: DirectError,
+    },
 }
--- a/bulrushward/src/lib.rs
+++ b/bulrushward/src/lib.rs
@@ -18,6 +18,6 @@
 pub use cli::{Command, parse_arguments};
 pub use daemon::{run, run_agent, run_router};
 pub use error::{DaemonError, SettingError};
-pub use logging::start_logging;
+pub use logging::{LogGuard, start_logging};
 pub use router::Router;
 pub use settings::{AgentSettings, CommonSettings, RouterSettings};
--- a/bulrushward/tests/fault_backends.rs
+++ b/bulrushward/tests/fault_backends.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_fakes::answer_tokens;
-use bulrushward_platform::{TargetGroup, TargetLabels, VmState};
+use bulrushward_clients::{TargetGroup, TargetLabels, VmState};
 use bulrushward_protocol::{BarRequest, Frame, Outcome, RefusalReason, decode, encode};
 use nix::sys::signal::Signal;
 use rstest::rstest;
--- a/bulrushward/tests/fault_configuration.rs
+++ b/bulrushward/tests/fault_configuration.rs
@@ -8,7 +8,7 @@
 };
 
 use bulrushward_fakes::{KeyValueFaults, NetworkFault};
-use bulrushward_platform::{
+use bulrushward_clients::{
     CasOutcome, EtcdKeyValue, KeyValue, TargetGroup, TargetLabels, VmState,
 };
 use nix::sys::signal::Signal;
--- a/bulrushward/tests/settings.rs
+++ b/bulrushward/tests/settings.rs
@@ -350,11 +350,11 @@
 fn start_router(grace_ms: &str) -> std::process::Child {
     let mut child = daemon_without("router", "")
         .args(["--drain-grace-ms", grace_ms])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .expect("the daemon starts");
-    let stderr = child.stderr.take().expect("it is piped");
-    let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
+    let stdout = child.stdout.take().expect("it is piped");
+    let mut lines = BufReader::new(stdout).lines().map_while(Result::ok);
     lines
         .find(|line| line.contains("event=started"))
         .expect("the router starts");
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -20,7 +20,7 @@
 use bulrushward_fakes::{
     EngineSettings, FakeEngine, FakeKeyValue, FakePlain, FakeVmList, PlainSettings, SilentProxy,
 };
-use bulrushward_platform::{TargetGroup, TargetLabels, VmState};
+use bulrushward_clients::{TargetGroup, TargetLabels, VmState};
 use bulrushward_policy::{
     chat_key,
     claim::{action_from_key, shard_of},
@@ -413,7 +413,7 @@
             .stdin(Stdio::null());
         if let Some(log) = &self.log {
             let log = File::options().create(true).append(true).open(log);
-            command.stderr(log.expect("the log can be written"));
+            command.stdout(log.expect("the log can be written"));
         }
         let child = command.spawn().expect("the daemon starts");
         Process {
--- a/bulrushward_claims/examples/claim_rate.rs
+++ b/bulrushward_claims/examples/claim_rate.rs
@@ -18,7 +18,7 @@
 use bulrushward_claims::{
     ClaimSettings, ClaimStore, Claims, Verdict, decode_record, encode_record,
 };
-use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError, Version};
 use bulrushward_policy::claim::{ClaimChange, ClaimRecord, shard_of};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
--- a/bulrushward_claims/src/cached_record.rs
+++ b/bulrushward_claims/src/cached_record.rs
@@ -1,6 +1,6 @@
 //! A shard's copy of its record, on which groups of changes are decided.
 
-use bulrushward_platform::{Entry, Version};
+use bulrushward_clients::{Entry, Version};
 use bulrushward_policy::claim::{ClaimDecision, ClaimRecord, Retention};
 use tracing::warn;
 
--- a/bulrushward_claims/src/gateway.rs
+++ b/bulrushward_claims/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{num::NonZeroU32, sync::Arc, time::Duration};
 
-use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError, Version};
 use bytes::Bytes;
 use snafu::Snafu;
 use tokio::time::timeout;
--- a/bulrushward_claims/src/layout.rs
+++ b/bulrushward_claims/src/layout.rs
@@ -2,7 +2,7 @@
 
 use std::num::NonZeroU32;
 
-use bulrushward_platform::CasOutcome;
+use bulrushward_clients::CasOutcome;
 use bytes::Bytes;
 use tracing::{error, warn};
 
--- a/bulrushward_claims/src/shard.rs
+++ b/bulrushward_claims/src/shard.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushward_platform::{CasOutcome, Entry};
+use bulrushward_clients::{CasOutcome, Entry};
 use bulrushward_policy::claim::{ClaimChange, ClaimDecision, RecordClock};
 use rand::RngExt;
 use rand_pcg::Pcg64;
--- a/bulrushward_claims/src/store.rs
+++ b/bulrushward_claims/src/store.rs
@@ -8,7 +8,7 @@
 };
 
 use async_trait::async_trait;
-use bulrushward_platform::KeyValue;
+use bulrushward_clients::KeyValue;
 use bulrushward_policy::claim::{ClaimChange, ClaimDecision, ClaimNonce, Retention, shard_of};
 use bulrushward_protocol::{ActionKey, AttemptId};
 use rand::{Rng, SeedableRng};
--- a/bulrushward_claims/tests/interleavings.rs
+++ b/bulrushward_claims/tests/interleavings.rs
@@ -15,7 +15,7 @@
 
 use async_trait::async_trait;
 use bulrushward_claims::{ClaimSettings, ClaimStore, Claims, Verdict};
-use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError, Version};
 use bulrushward_protocol::{ActionKey, AttemptId};
 use bytes::Bytes;
 use proptest::{prelude::*, strategy::ValueTree, test_runner::RngSeed};
--- a/bulrushward_claims/tests/support/mod.rs
+++ b/bulrushward_claims/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 use async_trait::async_trait;
 use bulrushward_claims::encode_record;
-use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError, Version};
 use bulrushward_policy::claim::ClaimRecord;
 use bytes::Bytes;
 use rand::{RngExt, SeedableRng};
--- a/bulrushward_platform/tests/gateway.rs
+++ b/bulrushward_clients/tests/gateway.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bulrushward_platform::{CasOutcome, Entry, EtcdKeyValue, KeyValue, KvError};
+use bulrushward_clients::{CasOutcome, Entry, EtcdKeyValue, KeyValue, KvError};
 use bytes::Bytes;
 use common::{answer_with, stall_after_head};
 
--- a/bulrushward_platform/tests/vm_list.rs
+++ b/bulrushward_clients/tests/vm_list.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushward_fakes::{Addresses, AnswerFault, FakeVmList, NetworkFault, VmListFaults};
-use bulrushward_platform::{HttpVmList, TargetGroup, TargetLabels, Vm, VmList, VmState};
+use bulrushward_clients::{HttpVmList, TargetGroup, TargetLabels, Vm, VmList, VmState};
 use common::{answer_with, stall_after_head};
 
 /// Longer than any call without a fault takes.
--- /dev/null
+++ b/bulrushward_direct/src/call.rs
@@ -0,0 +1,100 @@
+//! One HTTP call on a connection of its own, for the store and for peers.
+//!
+//! A connection for each call costs a round trip and never goes silent unnoticed between calls.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, header::HOST};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Largest answer that is read, in bytes: a configuration of a megabyte in text encoding, or a page of
+/// entries.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Why a call had no answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// No connection could be made.
+    #[snafu(display("no connection to {address}: {detail}"))]
+    Connect {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        detail: String,
+    },
+    /// No whole answer came.
+    #[snafu(display("no whole answer of {address}: {detail}"))]
+    Answer {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        detail: String,
+    },
+    /// The time was over.
+    #[snafu(display("no answer of {address} within {} ms", limit.as_millis()))]
+    Timeout {
+        /// Address.
+        address: SocketAddr,
+        /// Time that was allowed.
+        limit: Duration,
+    },
+}
+
+/// Gets `path` from `address` within `limit`, connecting included.
+///
+/// # Errors
+///
+/// Returns [`CallError`] if no whole answer came in time.
+pub async fn get(
+    address: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    match timeout(limit, get_unbounded(address, path)).await {
+        Ok(answer) => answer,
+        Err(_elapsed) => TimeoutSnafu { address, limit }.fail(),
+    }
+}
+
+async fn get_unbounded(address: SocketAddr, path: &str) -> Result<(StatusCode, Bytes), CallError> {
+    let no_connection = |error: &dyn ToString| CallError::Connect {
+        address,
+        detail: error.to_string(),
+    };
+    let no_answer = |error: &dyn ToString| CallError::Answer {
+        address,
+        detail: error.to_string(),
+    };
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| no_connection(&error))?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| no_connection(&error))?;
+    let req = Request::get(path)
+        .header(HOST, address.to_string())
+        .body(Full::<Bytes>::default())
+        .map_err(|error| no_answer(&error))?;
+    let exchange = async {
+        let res = sender
+            .send_request(req)
+            .await
+            .map_err(|error| no_answer(&error))?;
+        let status = res.status();
+        let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| no_answer(&error))?;
+        Ok((status, body.to_bytes()))
+    };
+    let mut exchange = std::pin::pin!(exchange);
+    tokio::select! {
+        answer = &mut exchange => answer,
+        // The connection ends after the answer was handed over, or without one.
+        _ended = connection => exchange.await,
+    }
+}
--- /dev/null
+++ b/bulrushward_direct/src/connection.rs
@@ -0,0 +1,134 @@
+//! Connections to backend servers: made, kept while idle, and closed to cancel their request.
+
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+
+use crate::servers::Server;
+
+/// Time for a new connection; a lost opening packet would be sent again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which sent bytes must be acknowledged, and idle time before probes of the system.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Probes of the system that may stay unanswered, one each [`SILENCE`].
+const SILENT_PROBES: u32 = 2;
+/// Time for which an idle connection is kept where the server names none.
+const DEFAULT_KEEP: Duration = Duration::from_secs(2);
+/// Share of the server's own idle time after which a connection is not used again, as the server may
+/// close it while the next request is on its way.
+const KEEP_SHARE: f64 = 0.5;
+/// Idle connections to one server that are kept.
+const MAX_IDLE: usize = 16;
+/// Buffer of one connection in bytes; the smallest that the library allows.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// A connection that carries one request at a time; closes when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    count: Arc<AtomicU32>,
+    /// Whether it served a request before.
+    pub(crate) is_reused: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// A connection without a request.
+#[derive(Debug)]
+pub(crate) struct IdleConnection {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Takes an idle connection or opens one.
+///
+/// # Errors
+///
+/// Returns the error of the system if no connection can be made in time.
+pub(crate) async fn take(server: &Server) -> io::Result<Connection> {
+    if let Some(connection) = take_idle(server) {
+        return Ok(connection);
+    }
+    match timeout(CONNECT_TIMEOUT, open(server)).await {
+        Ok(opened) => opened,
+        Err(_elapsed) => Err(io::ErrorKind::TimedOut.into()),
+    }
+}
+
+fn take_idle(server: &Server) -> Option<Connection> {
+    let now = Instant::now();
+    let mut state = server.state();
+    while let Some(idle) = state.idle.pop() {
+        if now < idle.until && idle.connection.sender.is_ready() {
+            return Some(idle.connection);
+        }
+    }
+    None
+}
+
+/// Keeps a connection whose answer is whole for the next request.
+pub(crate) fn give_back(server: &Server, mut connection: Connection, keeps: Option<Duration>) {
+    if connection.sender.is_closed() {
+        return;
+    }
+    connection.is_reused = true;
+    let keep = keeps.map_or(DEFAULT_KEEP, |time| time.mul_f64(KEEP_SHARE));
+    let until = Instant::now() + keep;
+    let mut state = server.state();
+    if state.idle.len() >= MAX_IDLE {
+        state.idle.remove(0);
+    }
+    state.idle.push(IdleConnection { connection, until });
+}
+
+/// Closes the idle connections that are kept no longer.
+pub(crate) fn drop_expired(server: &Server, now: Instant) {
+    server.state().idle.retain(|idle| now < idle.until);
+}
+
+async fn open(server: &Server) -> io::Result<Connection> {
+    let stream = TcpStream::connect(server.record.address).await?;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(SILENCE * 2))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(SILENCE)
+        .with_interval(SILENCE)
+        .with_retries(SILENT_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MIN_BUFFER * 8)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    server.connections.fetch_add(1, Ordering::Relaxed);
+    let count = Arc::clone(&server.connections);
+    let task = tokio::spawn(async move {
+        // How a connection ended is told to the request that it carried.
+        let _ended = connection.await;
+    });
+    Ok(Connection {
+        sender,
+        task: task.abort_handle(),
+        count,
+        is_reused: false,
+    })
+}
--- /dev/null
+++ b/bulrushward_direct/src/follow.rs
@@ -0,0 +1,145 @@
+//! Follows the configuration and the registered servers in the platform's store.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use rand::RngExt;
+use tracing::{info, warn};
+
+use crate::{
+    knowledge::{Knowledge, Source},
+    ports::{FleetStore, StoreError},
+    shared::Shared,
+};
+
+/// Time for which one call waits for changes. A connection that went silent is noticed after it, so it
+/// stays below the time in which a leaving server must be known.
+const WAIT: Duration = Duration::from_millis(1_200);
+/// Pause after the first failed call; doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+/// Longest pause between calls while the store does not answer.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Whether the store answers, as both followers see it.
+#[derive(Debug, Default)]
+pub(crate) struct StoreState {
+    failures: AtomicU32,
+}
+
+impl StoreState {
+    /// Returns whether the last call had a usable answer.
+    pub(crate) fn answers(&self) -> bool {
+        self.failures.load(Ordering::Relaxed) == 0
+    }
+
+    fn answered(&self) {
+        let failures = self.failures.swap(0, Ordering::Relaxed);
+        if failures > 0 {
+            info!(event = "store-regained", failures);
+        }
+    }
+
+    fn failed(&self, error: &StoreError) {
+        if self.failures.fetch_add(1, Ordering::Relaxed) == 0 {
+            warn!(event = "store-lost", %error);
+        }
+    }
+}
+
+/// Pauses between failed calls.
+#[derive(Debug, Default)]
+struct Pauses {
+    failures: u32,
+}
+
+impl Pauses {
+    async fn pause(&mut self) {
+        let longest = (FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8))).min(LONGEST_PAUSE);
+        self.failures += 1;
+        // Routers that lost the store together do not return to it together.
+        let pause = longest.mul_f64(rand::rng().random_range(0.5..1.0));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Follows the configuration for ever.
+pub(crate) async fn config(shared: Arc<Shared>, knowledge: Arc<Knowledge>, state: Arc<StoreState>) {
+    let mut pauses = Pauses::default();
+    let mut after = None;
+    loop {
+        let reading = match after {
+            None => shared.store.config().await,
+            Some(after) => shared.store.next_config(after, WAIT).await,
+        };
+        match reading {
+            Ok(reading) => {
+                state.answered();
+                pauses = Pauses::default();
+                after = Some(reading.as_of);
+                if let Some(config) = reading.config {
+                    knowledge.adopt(config, Source::Store);
+                }
+            }
+            Err(error) => {
+                after = None;
+                note(&shared, &state, &error);
+                pauses.pause().await;
+            }
+        }
+    }
+}
+
+/// Follows the registered servers for ever.
+pub(crate) async fn servers(shared: Arc<Shared>, knowledge: Arc<Knowledge>, state: Arc<StoreState>) {
+    let mut pauses = Pauses::default();
+    let mut is_listed = false;
+    loop {
+        let done = if is_listed {
+            next_servers(shared.store.as_ref(), &knowledge).await
+        } else {
+            list_servers(shared.store.as_ref(), &knowledge).await
+        };
+        match done {
+            Ok(()) => {
+                state.answered();
+                pauses = Pauses::default();
+                is_listed = true;
+            }
+            Err(error) => {
+                is_listed = false;
+                if !matches!(error, StoreError::HistoryGone { .. }) {
+                    knowledge.store_failed();
+                }
+                note(&shared, &state, &error);
+                pauses.pause().await;
+            }
+        }
+    }
+}
+
+fn note(shared: &Shared, state: &StoreState, error: &StoreError) {
+    shared.metrics.store_call_failed();
+    match error {
+        StoreError::HistoryGone { .. } => info!(event = "store-history-gone", %error),
+        StoreError::Unavailable { .. } | StoreError::Refused { .. } => state.failed(error),
+    }
+}
+
+async fn list_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<(), StoreError> {
+    let listing = store.servers().await?;
+    knowledge.store_answered();
+    knowledge.replace_servers(listing, Source::Store);
+    Ok(())
+}
+
+async fn next_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<(), StoreError> {
+    let changes = store.next_servers(knowledge.servers_as_of(), WAIT).await?;
+    knowledge.store_answered();
+    knowledge.change_servers(changes);
+    Ok(())
+}
--- /dev/null
+++ b/bulrushward_direct/src/job.rs
@@ -0,0 +1,59 @@
+//! One request of a caller as all hops need it.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+
+use crate::{
+    model::{Route, RouteKind, Service},
+    ports::PromptPart,
+};
+
+/// A request that was read whole and may be sent to servers.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) request_id: String,
+    pub(crate) received: Instant,
+    /// When a final answer is due.
+    pub(crate) due: Instant,
+    pub(crate) method: Method,
+    /// Path and query as the caller wrote them.
+    pub(crate) target: String,
+    /// Headers that are passed on.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Route,
+    pub(crate) service: Service,
+    pub(crate) organisation: Option<String>,
+    pub(crate) urgency: Option<u8>,
+    pub(crate) session: Option<u64>,
+    pub(crate) prompt: Vec<PromptPart>,
+    pub(crate) prompt_tokens: u64,
+    /// Last event that the caller has, where it resumes a stream itself.
+    pub(crate) last_event: Option<String>,
+    /// Versions of the configuration that decided, for the log.
+    pub(crate) config_version: u64,
+}
+
+impl Job {
+    /// Returns the time until a final answer is due.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn is_stream(&self) -> bool {
+        self.route.kind == RouteKind::Stream
+    }
+
+    /// Returns the prompt tokens that a server has to read that has the session cached.
+    pub(crate) fn own_tokens(&self) -> u64 {
+        self.prompt.last().map_or(0, |part| part.tokens.into())
+    }
+}
+
+/// Returns the part of a prompt that a session's requests share: the last but one.
+pub(crate) fn session(prompt: &[PromptPart]) -> Option<u64> {
+    let shared = prompt.len().checked_sub(2).unwrap_or(0);
+    prompt.get(shared).map(|part| part.id)
+}
--- /dev/null
+++ b/bulrushward_direct/src/knowledge.rs
@@ -0,0 +1,153 @@
+//! What a router knows that lasts: configuration and registered servers, with where it has them from.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use bulrushward_policy::server_registry::{ServerRegistry, StoreRevision};
+use serde::{Deserialize, Serialize};
+use tracing::{info, warn};
+
+use crate::{
+    model::{FleetConfig, ServerId, ServerRecord},
+    ports::{ServerChanges, ServerListing},
+    servers::ServerSet,
+    shared::Shared,
+};
+
+/// What a peer hands to a router that is behind.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct KnowledgeCopy {
+    pub(crate) config: Option<FleetConfig>,
+    pub(crate) servers: Vec<(ServerId, ServerRecord)>,
+    pub(crate) as_of: StoreRevision,
+}
+
+/// Where knowledge came from, for the log.
+#[derive(Clone, Copy, Debug, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Source {
+    Store,
+    Peer,
+}
+
+/// Knowledge of the control thread, which publishes what traffic needs of it.
+#[derive(Debug)]
+pub(crate) struct Knowledge {
+    shared: Arc<Shared>,
+    registry: Mutex<ServerRegistry<ServerRecord>>,
+}
+
+impl Knowledge {
+    pub(crate) fn new(shared: &Arc<Shared>) -> Arc<Self> {
+        Arc::new(Self {
+            shared: Arc::clone(shared),
+            registry: Mutex::default(),
+        })
+    }
+
+    /// Returns the revision up to which registered servers are known.
+    pub(crate) fn servers_as_of(&self) -> StoreRevision {
+        self.lock().as_of()
+    }
+
+    /// Takes in that the store answered a call about servers.
+    pub(crate) fn store_answered(&self) {
+        self.lock().store_answered(Instant::now());
+    }
+
+    /// Takes in that the store gave no usable answer about servers.
+    pub(crate) fn store_failed(&self) {
+        self.lock().store_failed(Instant::now());
+    }
+
+    /// Puts a configuration in force if it is newer.
+    pub(crate) fn adopt(&self, config: FleetConfig, source: Source) {
+        let version = config.version;
+        let routes = config.routes.len();
+        if self.shared.adopt(config) {
+            info!(event = "config-in-force", version, routes, %source);
+        }
+    }
+
+    /// Replaces the registered servers by a full listing.
+    pub(crate) fn replace_servers(&self, listing: ServerListing, source: Source) {
+        let mut registry = self.lock();
+        if listing.as_of < registry.as_of() {
+            return;
+        }
+        registry.replace(listing.servers, listing.as_of, Instant::now());
+        self.publish(&registry, source);
+    }
+
+    /// Takes in changes of the registered servers.
+    pub(crate) fn change_servers(&self, changes: ServerChanges) {
+        let mut registry = self.lock();
+        let now = Instant::now();
+        for (id, record) in &changes.changes {
+            let state = match record {
+                Some(record) if record.is_leaving => "leaving",
+                Some(_) => "registered",
+                None => "gone",
+            };
+            info!(event = "server-changed", server = id, state, revision = changes.as_of);
+            registry.change(id, record.clone(), now);
+        }
+        registry.advance(changes.as_of);
+        if !changes.changes.is_empty() {
+            self.publish(&registry, Source::Store);
+        }
+    }
+
+    /// Drops the servers whose entries did not come back after an outage of the store.
+    pub(crate) fn drop_lapsed(&self) {
+        let mut registry = self.lock();
+        if registry.drop_lapsed(Instant::now()) {
+            warn!(event = "lapsed-servers-dropped");
+            self.publish(&registry, Source::Store);
+        }
+    }
+
+    /// Returns a copy for a peer.
+    pub(crate) fn copy(&self) -> KnowledgeCopy {
+        let registry = self.lock();
+        let servers = registry
+            .records()
+            .map(|(id, record)| (id.to_owned(), record.clone()))
+            .collect();
+        let table = self.shared.routes.load();
+        KnowledgeCopy {
+            config: table.as_ref().map(|table| table.config().clone()),
+            servers,
+            as_of: registry.as_of(),
+        }
+    }
+
+    /// Takes in what a peer knows, where it is newer.
+    pub(crate) fn merge(&self, copy: KnowledgeCopy) {
+        if let Some(config) = copy.config {
+            self.adopt(config, Source::Peer);
+        }
+        if copy.as_of > self.servers_as_of() {
+            let listing = ServerListing {
+                servers: copy.servers,
+                as_of: copy.as_of,
+            };
+            self.replace_servers(listing, Source::Peer);
+        }
+    }
+
+    fn publish(&self, registry: &ServerRegistry<ServerRecord>, source: Source) {
+        let before = self.shared.servers.load();
+        let set = ServerSet::new(registry.records(), &before);
+        let servers = set.all().count();
+        self.shared.metrics.servers.set(servers as i64);
+        self.shared.servers.store(Arc::new(set));
+        info!(event = "servers-known", servers, as_of = registry.as_of(), %source);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServerRegistry<ServerRecord>> {
+        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/bulrushward_direct/src/lib.rs
@@ -0,0 +1,39 @@
+//! The router that calls registered backend servers itself.
+//!
+//! A platform gives it a [`Dialect`] for headers and a [`FleetStore`] to follow; everything else is decided
+//! here and in the policy package.
+
+mod answer;
+pub mod call;
+mod choose;
+mod connection;
+mod events;
+mod follow;
+mod hop;
+mod job;
+mod knowledge;
+mod listener;
+mod metrics;
+mod model;
+mod peers;
+mod ports;
+mod relay;
+mod request;
+mod routes;
+mod run;
+mod servers;
+mod settings;
+mod shared;
+
+pub use events::{EventCutter, EventTooLarge};
+pub use model::{
+    CallerLimits, ConfigVersion, FleetConfig, Organisation, OrganisationName, Route, RouteKind,
+    ServerId, ServerRecord, Service, ServiceName, Target,
+};
+pub use ports::{
+    CallerFacts, ConfigReading, Delivery, Dialect, FleetStore, PromptPart, ReportedLoad,
+    ServerChanges, ServerFacts, ServerListing, StoreError,
+};
+pub use routes::RouteTable;
+pub use run::{DirectError, run};
+pub use settings::{DirectSettings, SettingsError};
--- /dev/null
+++ b/bulrushward_direct/src/listener.rs
@@ -0,0 +1,158 @@
+//! Listeners: callers' requests, readiness, metrics.
+
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE, header::HeaderValue,
+    server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+use tracing::{debug, warn};
+
+use crate::{
+    answer::{self, Body},
+    model::CallerLimits,
+    request,
+    shared::Shared,
+};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// Pause after a connection could not be accepted, as when no descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Buffer of a caller's connection in bytes beyond the largest head; the library needs 8 KiB.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// Binds a listening socket whose connections send small pieces at once.
+///
+/// # Errors
+///
+/// Returns the error of the system.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers until `close` fires and the last of their requests has its answer.
+///
+/// From `drain` on, connections close after the request that they carry.
+pub(crate) async fn serve_callers(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    drain: CancellationToken,
+    close: CancellationToken,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _peer)) => {
+                    connections.spawn(serve_caller(Arc::clone(&shared), stream, drain.clone()));
+                }
+                Err(error) => pause_after(&error).await,
+            },
+            Some(_ended) = connections.join_next(), if !connections.is_empty() => {}
+            () = close.cancelled() => break,
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn pause_after(error: &io::Error) {
+    warn!(event = "accept-failed", %error);
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
+async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, drain: CancellationToken) {
+    let limits = shared
+        .routes
+        .load()
+        .as_ref()
+        .map_or_else(CallerLimits::default, |table| table.config().limits);
+    // Set on the listening socket as well; a system that does not hand it on would delay events.
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(event = "nodelay-failed", %error);
+    }
+    let service = service_fn(move |req| {
+        let shared = Arc::clone(&shared);
+        async move { Ok::<_, Infallible>(request::serve(shared, req).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
+        .auto_date_header(false);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = drain.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!(event = "caller-connection-ended", %error);
+    }
+}
+
+/// Answers `GET` requests on a listener of the platform or the operators until `close` fires.
+pub(crate) async fn serve_internal<F, R>(
+    listener: TcpListener,
+    close: CancellationToken,
+    answer: F,
+) where
+    F: Fn(String) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _peer)) => stream,
+                Err(error) => {
+                    pause_after(&error).await;
+                    continue;
+                }
+            },
+            () = close.cancelled() => return,
+        };
+        let answer = answer.clone();
+        let service = service_fn(move |req: Request<Incoming>| {
+            let answered = answer(req.uri().path().to_owned());
+            async move { Ok::<_, Infallible>(answered.await) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(CallerLimits::default().idle)
+                .auto_date_header(false)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                debug!(event = "internal-connection-ended", %error);
+            }
+        });
+    }
+}
+
+/// Returns a small answer of the router itself.
+pub(crate) fn plain(status: StatusCode, content_type: &'static str, bytes: Bytes) -> Response<Body> {
+    let mut res = Response::new(answer::full(bytes));
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res
+}
--- /dev/null
+++ b/bulrushward_direct/src/peers.rs
@@ -0,0 +1,318 @@
+//! Datagrams between routers: versions and requests in progress; who is behind fetches from a peer.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bulrushward_policy::{server_load::PeerShare, server_registry::StoreRevision};
+use hyper::StatusCode;
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::UdpSocket,
+    time::{MissedTickBehavior, interval},
+};
+use tracing::{debug, info, warn};
+
+use crate::{
+    call,
+    connection::drop_expired,
+    follow::StoreState,
+    knowledge::{Knowledge, KnowledgeCopy},
+    model::ConfigVersion,
+    servers::ServerHash,
+    shared::Shared,
+};
+
+/// Path at which a router hands out what it knows.
+pub(crate) const KNOWLEDGE_PATH: &str = "/knowledge";
+/// Time between two rounds of datagrams.
+const ROUND: Duration = Duration::from_millis(250);
+/// Peers that get a datagram in each round; bounds the traffic of a large fleet.
+const PEERS_A_ROUND: usize = 4;
+/// Time without a datagram after which a peer counts as gone.
+const PEER_GONE: Duration = Duration::from_secs(3);
+/// Time after which a peer that is gone is not written to any more.
+const PEER_FORGOTTEN: Duration = Duration::from_secs(30);
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM: usize = 8 << 10;
+/// Servers that one datagram tells of, the busiest first.
+const MAX_SERVERS: usize = 256;
+/// Peers that one datagram tells of.
+const MAX_PEERS: usize = 8;
+/// Time for a peer to hand out what it knows.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which the own store may bring what a peer has already before it is fetched from the peer.
+const STORE_FIRST: Duration = Duration::from_millis(700);
+
+/// What a router tells its peers in each round.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Digest {
+    node: String,
+    started_ms: u64,
+    knowledge: SocketAddr,
+    config: Option<ConfigVersion>,
+    servers_as_of: StoreRevision,
+    in_progress: Vec<ServerInProgress>,
+    /// Knowledge addresses of other routers that were heard lately.
+    others: Vec<SocketAddr>,
+}
+
+/// Requests of one router in progress at one server.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ServerInProgress {
+    server: ServerHash,
+    requests: u32,
+    unread_tokens: u64,
+}
+
+/// A peer as it last told of itself.
+#[derive(Clone, Debug)]
+struct Peer {
+    digest: Digest,
+    heard: Instant,
+    is_alive: bool,
+}
+
+/// The exchange with peers.
+pub(crate) struct Peers {
+    shared: Arc<Shared>,
+    knowledge: Arc<Knowledge>,
+    store: Arc<StoreState>,
+    socket: UdpSocket,
+    started_ms: u64,
+    by_node: HashMap<String, Peer>,
+    /// Since when a peer has been ahead of this router.
+    behind_since: Option<Instant>,
+}
+
+impl Peers {
+    /// Binds the socket for datagrams.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system.
+    pub(crate) async fn bind(
+        shared: Arc<Shared>,
+        knowledge: Arc<Knowledge>,
+        store: Arc<StoreState>,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(shared.settings().datagram_address()).await?;
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Ok(Self {
+            shared,
+            knowledge,
+            store,
+            socket,
+            started_ms: now.as_millis() as u64,
+            by_node: HashMap::new(),
+            behind_since: None,
+        })
+    }
+
+    /// Exchanges datagrams for ever.
+    pub(crate) async fn run(mut self) {
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buf = vec![0; MAX_DATAGRAM];
+        loop {
+            tokio::select! {
+                _tick = rounds.tick() => self.round().await,
+                received = self.socket.recv_from(&mut buf) => match received {
+                    Ok((len, from)) => self.hear(&buf[..len], from),
+                    // A port without listener at a peer is reported here.
+                    Err(error) => debug!(event = "datagram-failed", %error),
+                },
+            }
+        }
+    }
+
+    async fn round(&mut self) {
+        let now = Instant::now();
+        self.knowledge.drop_lapsed();
+        self.note_gone(now);
+        self.share_loads(now);
+        for server in self.shared.servers.load().all() {
+            drop_expired(server, now);
+        }
+        self.tell(now).await;
+        self.catch_up(now).await;
+    }
+
+    fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
+        let digest: Digest = match postcard::from_bytes(datagram) {
+            Ok(digest) => digest,
+            Err(error) => {
+                debug!(event = "datagram-unreadable", %from, %error);
+                return;
+            }
+        };
+        if digest.node == self.shared.settings().node {
+            return;
+        }
+        let known = self.by_node.get(&digest.node);
+        if known.is_some_and(|peer| peer.digest.started_ms > digest.started_ms) {
+            return;
+        }
+        if known.is_none_or(|peer| !peer.is_alive) {
+            info!(event = "peer-known", peer = digest.node, address = %digest.knowledge);
+        }
+        let peer = Peer {
+            heard: Instant::now(),
+            is_alive: true,
+            digest,
+        };
+        self.by_node.insert(peer.digest.node.clone(), peer);
+    }
+
+    fn note_gone(&mut self, now: Instant) {
+        for peer in self.by_node.values_mut() {
+            if peer.is_alive && now.saturating_duration_since(peer.heard) > PEER_GONE {
+                peer.is_alive = false;
+                warn!(event = "peer-lost", peer = peer.digest.node);
+            }
+        }
+        self.by_node
+            .retain(|_, peer| now.saturating_duration_since(peer.heard) < PEER_FORGOTTEN);
+        let routers = 1 + self.alive().count() as u32;
+        self.shared.set_routers(routers);
+        self.shared.metrics.routers.set(routers.into());
+    }
+
+    fn alive(&self) -> impl Iterator<Item = &Peer> {
+        self.by_node.values().filter(|peer| peer.is_alive)
+    }
+
+    /// Sums up what peers have in progress at each server.
+    fn share_loads(&self, now: Instant) {
+        if self.alive().next().is_none() {
+            return;
+        }
+        let mut sums: HashMap<ServerHash, PeerShare> = HashMap::new();
+        for told in self.alive().flat_map(|peer| &peer.digest.in_progress) {
+            let sum = sums.entry(told.server).or_default();
+            sum.requests += told.requests;
+            sum.unread_tokens += told.unread_tokens;
+        }
+        for server in self.shared.servers.load().all() {
+            let sum = sums.get(&server.hash).copied().unwrap_or_default();
+            server.state().load.set_peers(sum, now);
+        }
+    }
+
+    async fn tell(&self, now: Instant) {
+        let digest = self.digest(now);
+        let bytes = match postcard::to_stdvec(&digest) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!(event = "digest-failed", %error);
+                return;
+            }
+        };
+        for address in self.receivers() {
+            let to = SocketAddr::new(address.ip(), self.shared.settings().datagram_port);
+            if let Err(error) = self.socket.send_to(&bytes, to).await {
+                debug!(event = "datagram-failed", %to, %error);
+            }
+        }
+    }
+
+    /// Draws the peers that get this round's datagram.
+    fn receivers(&self) -> Vec<SocketAddr> {
+        let settings = self.shared.settings();
+        let mut known: Vec<SocketAddr> = self
+            .by_node
+            .values()
+            .flat_map(|peer| peer.digest.others.iter().chain([&peer.digest.knowledge]))
+            .chain(&settings.seeds)
+            .copied()
+            .filter(|address| *address != settings.knowledge_address)
+            .collect();
+        known.sort_unstable();
+        known.dedup();
+        known
+            .sample(&mut rand::rng(), PEERS_A_ROUND)
+            .copied()
+            .collect()
+    }
+
+    fn digest(&self, now: Instant) -> Digest {
+        let mut in_progress: Vec<_> = self
+            .shared
+            .servers
+            .load()
+            .all()
+            .filter_map(|server| {
+                let state = server.state();
+                (state.load.own() > 0).then(|| ServerInProgress {
+                    server: server.hash,
+                    requests: state.load.own(),
+                    unread_tokens: state.load.own_unread_tokens(),
+                })
+            })
+            .collect();
+        in_progress.sort_unstable_by_key(|told| std::cmp::Reverse(told.requests));
+        in_progress.truncate(MAX_SERVERS);
+        let mut others: Vec<_> = self
+            .alive()
+            .filter(|peer| now.saturating_duration_since(peer.heard) < PEER_GONE)
+            .map(|peer| peer.digest.knowledge)
+            .collect();
+        others.truncate(MAX_PEERS);
+        Digest {
+            node: self.shared.settings().node.clone(),
+            started_ms: self.started_ms,
+            knowledge: self.shared.settings().knowledge_address,
+            config: self.shared.config_version(),
+            servers_as_of: self.knowledge.servers_as_of(),
+            in_progress,
+            others,
+        }
+    }
+
+    /// Fetches from a peer what the own store does not bring.
+    async fn catch_up(&mut self, now: Instant) {
+        let Some(from) = self.most_ahead() else {
+            self.behind_since = None;
+            return;
+        };
+        let since = *self.behind_since.get_or_insert(now);
+        let store_may_bring = self.store.answers()
+            && self.shared.config_version().is_some()
+            && now.saturating_duration_since(since) < STORE_FIRST;
+        if store_may_bring {
+            return;
+        }
+        self.behind_since = None;
+        match fetch(from).await {
+            Ok(copy) => self.knowledge.merge(copy),
+            Err(error) => info!(event = "fetch-failed", %from, error),
+        }
+    }
+
+    /// Returns the address of the living peer that knows most beyond this router.
+    fn most_ahead(&self) -> Option<SocketAddr> {
+        let config = self.shared.config_version();
+        let as_of = self.knowledge.servers_as_of();
+        self.alive()
+            .filter(|peer| peer.digest.config > config || peer.digest.servers_as_of > as_of)
+            .max_by_key(|peer| (peer.digest.config, peer.digest.servers_as_of))
+            .map(|peer| peer.digest.knowledge)
+    }
+}
+
+async fn fetch(from: SocketAddr) -> Result<KnowledgeCopy, String> {
+    let (status, bytes) = call::get(from, KNOWLEDGE_PATH, FETCH_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!("status {status}"));
+    }
+    postcard::from_bytes(&bytes).map_err(|error| format!("unreadable copy: {error}"))
+}
--- /dev/null
+++ b/bulrushward_direct/src/request.rs
@@ -0,0 +1,344 @@
+//! The life of one request: route, organisation, hops, answer.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::hop::{HopHistory, NextHop};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::HOST};
+use rand::RngExt;
+use tokio::time::{Instant as TokioInstant, timeout_at};
+use tracing::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    answer::{self, Body, OwnAnswer, Reason},
+    choose,
+    hop::{self, HopAnswer, HopError, drop_connection_headers},
+    job::{self, Job},
+    model::Organisation,
+    ports::CallerFacts,
+    relay,
+    routes::RouteTable,
+    shared::Shared,
+};
+
+/// Time after which a caller may come back while no configuration is known.
+const CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
+/// Shortest and longest time after which a caller may come back for a server with room.
+const SERVER_RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
+
+/// What the log says of a request.
+#[derive(Debug, Default)]
+struct Trail {
+    kind: String,
+    hops: u32,
+    server: String,
+    load: f64,
+    report_age_ms: Option<u64>,
+    usable: usize,
+    detail: String,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let received = Instant::now();
+    let facts = shared.dialect.caller(req.headers());
+    let request_id = facts.request_id.clone();
+    let mut trail = Trail::default();
+    shared.metrics.in_progress.inc();
+    let in_progress = shared.metrics.in_progress.clone();
+    let _counted = OnDrop(move || {
+        in_progress.dec();
+    });
+    let answered = match read(&shared, req, facts, received, &mut trail).await {
+        Ok(job) => hops(&shared, Arc::new(job), &mut trail).await,
+        Err(own) => Err(own),
+    };
+    let (res, outcome) = match answered {
+        Ok(res) => {
+            log_answer(&request_id, &trail, received, res.status());
+            (res, "answered")
+        }
+        Err(own) => {
+            log_own_answer(&request_id, &trail, received, &own);
+            (own.response(), own.reason.into())
+        }
+    };
+    shared
+        .metrics
+        .answered(&trail.kind, outcome, received.elapsed());
+    res
+}
+
+/// Runs a closure when it is dropped.
+struct OnDrop<F: FnMut()>(F);
+
+impl<F: FnMut()> Drop for OnDrop<F> {
+    fn drop(&mut self) {
+        (self.0)();
+    }
+}
+
+fn log_answer(request: &str, trail: &Trail, received: Instant, status: StatusCode) {
+    info!(
+        event = "answered",
+        request,
+        route = trail.kind,
+        server = trail.server,
+        status = status.as_u16(),
+        hops = trail.hops,
+        load = trail.load,
+        report_age_ms = trail.report_age_ms,
+        usable = trail.usable,
+        ms = received.elapsed().as_millis() as u64,
+    );
+}
+
+fn log_own_answer(request: &str, trail: &Trail, received: Instant, own: &OwnAnswer) {
+    warn!(
+        event = "refused",
+        request,
+        route = trail.kind,
+        server = trail.server,
+        status = own.status.as_u16(),
+        reason = %own.reason,
+        outcome = %own.outcome,
+        retry_after_ms = own.retry_after.map(|time| time.as_millis() as u64),
+        hops = trail.hops,
+        usable = trail.usable,
+        detail = trail.detail,
+        ms = received.elapsed().as_millis() as u64,
+    );
+}
+
+/// Finds out what a request is and reads it whole.
+async fn read(
+    shared: &Shared,
+    req: Request<Incoming>,
+    facts: CallerFacts,
+    received: Instant,
+    trail: &mut Trail,
+) -> Result<Job, OwnAnswer> {
+    let Some(table) = shared.routes.load_full() else {
+        return Err(OwnAnswer::not_run(Reason::NoConfiguration, CONFIGURATION_RETRY));
+    };
+    let (head, body) = req.into_parts();
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let route = table
+        .route(host, head.uri.path())
+        .ok_or_else(|| OwnAnswer::wrong(StatusCode::NOT_FOUND, Reason::UnknownRoute))?;
+    trail.kind.clone_from(&route.name);
+    let organisation = organisation(&table, facts.key.as_deref(), route.is_public)?;
+    let timeout = facts
+        .patience
+        .map_or(route.timeout, |patience| patience.min(route.timeout));
+    let due = received + timeout;
+    let body = read_body(body, table.config().limits.body_bytes, due).await?;
+    let session = job::session(&facts.prompt);
+    let key = session.unwrap_or_else(|| xxh3_64(facts.request_id.as_bytes()));
+    let service = route
+        .service_for(key)
+        .and_then(|name| table.service(name))
+        .ok_or_else(|| OwnAnswer::not_run(Reason::UnknownService, CONFIGURATION_RETRY))?;
+    let mut headers = head.headers;
+    drop_connection_headers(&mut headers);
+    shared.dialect.strip(&mut headers);
+    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    Ok(Job {
+        request_id: facts.request_id,
+        received,
+        due,
+        method: head.method,
+        target: target.to_owned(),
+        headers,
+        body,
+        route: route.clone(),
+        service: service.clone(),
+        organisation: organisation.map(|organisation| organisation.name.clone()),
+        urgency: Some(
+            organisation
+                .and_then(|organisation| organisation.priority)
+                .unwrap_or(route.priority),
+        ),
+        session,
+        prompt: facts.prompt,
+        prompt_tokens: facts.prompt_tokens,
+        last_event: facts.last_event,
+        config_version: table.config().version,
+    })
+}
+
+fn organisation<'a>(
+    table: &'a RouteTable,
+    key: Option<&str>,
+    is_public: bool,
+) -> Result<Option<&'a Organisation>, OwnAnswer> {
+    let found = key.and_then(|key| table.organisation(key));
+    if found.is_none() && table.asks_for_keys() && !is_public {
+        return Err(OwnAnswer::wrong(StatusCode::UNAUTHORIZED, Reason::UnknownKey));
+    }
+    Ok(found)
+}
+
+async fn read_body(body: Incoming, limit: usize, due: Instant) -> Result<Bytes, OwnAnswer> {
+    let collected = timeout_at(TokioInstant::from_std(due), Limited::new(body, limit).collect());
+    match collected.await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::wrong(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BodyTooLarge,
+        )),
+        Ok(Err(_cut)) => Err(OwnAnswer::wrong(StatusCode::BAD_REQUEST, Reason::BodyCut)),
+        Err(_elapsed) => Err(OwnAnswer::wrong(
+            StatusCode::REQUEST_TIMEOUT,
+            Reason::TimeOver,
+        )),
+    }
+}
+
+/// Sends a request to servers until one answers or nothing more may be tried.
+async fn hops(
+    shared: &Arc<Shared>,
+    job: Arc<Job>,
+    trail: &mut Trail,
+) -> Result<Response<Body>, OwnAnswer> {
+    let service = &job.service.name;
+    shared.deposit(service);
+    let mut history = HopHistory::new(job.route.is_idempotent(), job.route.max_servers);
+    let mut tried = Vec::new();
+    let mut last_error: Option<HopError> = None;
+    loop {
+        if Instant::now() >= job.due {
+            return give_up(&history, last_error, Reason::TimeOver);
+        }
+        let Some(choice) = choose::server(shared, &job, &tried) else {
+            return give_up(&history, last_error, Reason::NoServer);
+        };
+        let server = choice.server;
+        trail.hops = history.hops() + 1;
+        trail.server.clone_from(&server.id);
+        trail.load = choice.load;
+        trail.report_age_ms = choice.report_age_ms;
+        trail.usable = choice.usable;
+        tried.push(server.id.clone());
+        let error = match hop::send(shared, &job, &server, None).await {
+            Ok(answer) => return Ok(respond(shared, &job, answer, history, tried)),
+            Err(error) => error,
+        };
+        shared.metrics.hop_failed(error.failure.into());
+        trail.detail.clone_from(&error.detail);
+        log_failed_hop(&job, &server.id, &error);
+        let next = history.failed(error.failure);
+        let reason = reason(&error);
+        last_error = Some(error);
+        match next {
+            NextHop::Send { repeat } if !repeat || shared.withdraw(service) => {
+                if repeat {
+                    shared.metrics.repeats.inc();
+                }
+            }
+            NextHop::Send { .. } => {
+                return give_up(&history, last_error, Reason::RetryBudget);
+            }
+            NextHop::NotRun | NextHop::Unknown => {
+                return give_up(&history, last_error, reason);
+            }
+        }
+    }
+}
+
+fn log_failed_hop(job: &Job, server: &str, error: &HopError) {
+    info!(
+        event = "hop-failed",
+        request = job.request_id,
+        server,
+        failure = %error.failure,
+        detail = error.detail,
+        config = job.config_version,
+        ms = job.received.elapsed().as_millis() as u64,
+    );
+}
+
+fn reason(error: &HopError) -> Reason {
+    use bulrushward_policy::hop::HopFailure;
+    match error.failure {
+        HopFailure::NotSent => Reason::NoServer,
+        HopFailure::Rejected | HopFailure::Misdirected => Reason::ServersRefused,
+        HopFailure::ServerError | HopFailure::Broken => Reason::ServerBroke,
+        HopFailure::Silent => Reason::ServerSilent,
+    }
+}
+
+/// Ends a request that is not sent any more, with the server's own error where there is one.
+fn give_up(
+    history: &HopHistory,
+    last_error: Option<HopError>,
+    reason: Reason,
+) -> Result<Response<Body>, OwnAnswer> {
+    let own_error = last_error.and_then(|error| error.answer);
+    if let Some(HopAnswer::Whole {
+        status,
+        headers,
+        body,
+    }) = own_error
+    {
+        return Ok(whole(status, headers, body));
+    }
+    match history.outcome() {
+        NextHop::Unknown => Err(OwnAnswer::unknown(reason)),
+        NextHop::NotRun | NextHop::Send { .. } => Err(OwnAnswer::not_run(reason, retry_after())),
+    }
+}
+
+/// Returns when to come back; drawn, so that callers who were refused together do not return together.
+fn retry_after() -> Duration {
+    let (least, most) = SERVER_RETRY;
+    rand::rng().random_range(least..most)
+}
+
+fn respond(
+    shared: &Arc<Shared>,
+    job: &Arc<Job>,
+    answer: HopAnswer,
+    history: HopHistory,
+    tried: Vec<String>,
+) -> Response<Body> {
+    match answer {
+        HopAnswer::Whole {
+            status,
+            headers,
+            body,
+        } => whole(status, headers, body),
+        HopAnswer::Stream(open) => {
+            let body = relay::body(
+                shared,
+                Arc::clone(job),
+                history,
+                tried,
+                open.first,
+                open.rest,
+            );
+            with_head(open.status, open.headers, body)
+        }
+    }
+}
+
+fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Response<Body> {
+    with_head(status, headers, answer::full(body))
+}
+
+fn with_head(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut res = Response::new(body);
+    *res.status_mut() = status;
+    *res.headers_mut() = headers;
+    res
+}
--- /dev/null
+++ b/bulrushward_direct/src/run.rs
@@ -0,0 +1,239 @@
+//! Starts a direct router, waits for its planned stop and stops it gracefully.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    runtime::Runtime,
+    signal::unix::{Signal, SignalKind, signal},
+};
+use tokio_util::sync::CancellationToken;
+use tracing::{error, info, warn};
+
+use crate::{
+    follow::{self, StoreState},
+    knowledge::Knowledge,
+    listener::{self, plain},
+    peers::{KNOWLEDGE_PATH, Peers},
+    ports::{Dialect, FleetStore},
+    settings::DirectSettings,
+    shared::Shared,
+};
+
+/// Time from a planned stop for which new connections are taken: the platform asks for readiness each
+/// second and takes a router out after two misses.
+const LAST_CONNECTIONS: Duration = Duration::from_millis(2_600);
+/// Time before the platform ends the process at which the last requests are given up.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Time between looks at the settings file, which may change without a signal.
+const SETTINGS_CHECK: Duration = Duration::from_secs(2);
+
+/// Why a direct router could not start.
+#[derive(Debug, Snafu)]
+pub enum DirectError {
+    /// A runtime or thread could not be started.
+    #[snafu(display("the threads did not start: {source}"))]
+    Thread {
+        /// Error of the system.
+        source: io::Error,
+    },
+    /// A listener could not be bound.
+    #[snafu(display("the {listener} listener did not start at {address}: {source}"))]
+    Listen {
+        /// Which listener.
+        listener: &'static str,
+        /// Address asked for.
+        address: SocketAddr,
+        /// Error of the system.
+        source: io::Error,
+    },
+}
+
+/// Runs a direct router until it is told to stop.
+///
+/// # Errors
+///
+/// Returns [`DirectError`] if the router cannot start.
+pub fn run(
+    settings: DirectSettings,
+    settings_path: &Path,
+    dialect: Arc<dyn Dialect>,
+    store: Arc<dyn FleetStore>,
+) -> Result<(), DirectError> {
+    let shared = Shared::new(settings, dialect, store);
+    let traffic = single_thread()?;
+    let control = single_thread()?;
+    let for_control = Arc::clone(&shared);
+    // The control thread ends with the process: nothing it holds outlives it.
+    let _control = thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || control.block_on(run_control(for_control)))
+        .context(ThreadSnafu)?;
+    let path = settings_path.to_owned();
+    let ended = traffic.block_on(run_traffic(shared, path));
+    traffic.shutdown_background();
+    ended
+}
+
+fn single_thread() -> Result<Runtime, DirectError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ThreadSnafu)
+}
+
+async fn run_control(shared: Arc<Shared>) {
+    let knowledge = Knowledge::new(&shared);
+    let store = Arc::new(StoreState::default());
+    tokio::spawn(follow::config(
+        Arc::clone(&shared),
+        Arc::clone(&knowledge),
+        Arc::clone(&store),
+    ));
+    tokio::spawn(follow::servers(
+        Arc::clone(&shared),
+        Arc::clone(&knowledge),
+        Arc::clone(&store),
+    ));
+    tokio::spawn(serve_knowledge(Arc::clone(&shared), Arc::clone(&knowledge)));
+    match Peers::bind(shared, knowledge, store).await {
+        Ok(peers) => peers.run().await,
+        Err(error) => {
+            error!(event = "peers-failed", %error);
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+async fn serve_knowledge(shared: Arc<Shared>, knowledge: Arc<Knowledge>) {
+    let listener = match listener::bind(shared.settings().knowledge_address) {
+        Ok(listener) => listener,
+        Err(error) => {
+            error!(event = "knowledge-listener-failed", %error);
+            return;
+        }
+    };
+    let answer = move |path: String| {
+        let copied = (path == KNOWLEDGE_PATH).then(|| postcard::to_stdvec(&knowledge.copy()));
+        async move {
+            match copied {
+                Some(Ok(bytes)) => plain(StatusCode::OK, "application/octet-stream", bytes.into()),
+                Some(Err(error)) => {
+                    warn!(event = "knowledge-failed", %error);
+                    plain(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", Bytes::new())
+                }
+                None => plain(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
+            }
+        }
+    };
+    listener::serve_internal(listener, CancellationToken::new(), answer).await;
+}
+
+async fn run_traffic(shared: Arc<Shared>, settings_path: PathBuf) -> Result<(), DirectError> {
+    let mut terminate = signal(SignalKind::terminate()).context(ThreadSnafu)?;
+    let hangup = signal(SignalKind::hangup()).context(ThreadSnafu)?;
+    let callers = bind("callers", shared.settings().callers_address)?;
+    let readiness = bind("readiness", shared.settings().readiness_address)?;
+    let metrics = bind("metrics", shared.settings().metrics_address())?;
+    let (drain, close) = (CancellationToken::new(), CancellationToken::new());
+    tokio::spawn(serve_readiness(Arc::clone(&shared), readiness, close.clone()));
+    tokio::spawn(serve_metrics(Arc::clone(&shared), metrics, close.clone()));
+    tokio::spawn(watch_settings(Arc::clone(&shared), settings_path, hangup));
+    let mut serving = tokio::spawn(listener::serve_callers(
+        Arc::clone(&shared),
+        callers,
+        drain.clone(),
+        close.clone(),
+    ));
+    info!(
+        event = "started",
+        node = shared.settings().node,
+        failure_domain = shared.settings().failure_domain,
+        listen = %shared.settings().callers_address,
+        version = env!("CARGO_PKG_VERSION"),
+    );
+    terminate.recv().await;
+    let told = Instant::now();
+    info!(event = "stopping", node = shared.settings().node);
+    shared.stop();
+    drain.cancel();
+    tokio::time::sleep(LAST_CONNECTIONS).await;
+    close.cancel();
+    let left = shared
+        .settings()
+        .stop_grace
+        .saturating_sub(STOP_MARGIN + told.elapsed());
+    let is_complete = tokio::time::timeout(left, &mut serving).await.is_ok();
+    info!(
+        event = "stopped",
+        node = shared.settings().node,
+        complete = is_complete,
+        ms = told.elapsed().as_millis() as u64,
+    );
+    Ok(())
+}
+
+fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, DirectError> {
+    listener::bind(address).context(ListenSnafu { listener, address })
+}
+
+async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener, close: CancellationToken) {
+    let answer = move |path: String| {
+        let status = if path != shared.dialect.readiness_path() {
+            StatusCode::NOT_FOUND
+        } else if shared.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        async move { plain(status, "text/plain", Bytes::new()) }
+    };
+    listener::serve_internal(listener, close, answer).await;
+}
+
+async fn serve_metrics(shared: Arc<Shared>, listener: TcpListener, close: CancellationToken) {
+    let answer = move |path: String| {
+        let text = (path == "/metrics").then(|| shared.metrics.text());
+        async move {
+            match text {
+                Some(text) => plain(
+                    StatusCode::OK,
+                    "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                    text.into(),
+                ),
+                None => plain(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
+            }
+        }
+    };
+    listener::serve_internal(listener, close, answer).await;
+}
+
+/// Takes in changed settings, with or without a signal; addresses stay those of the start.
+async fn watch_settings(shared: Arc<Shared>, path: PathBuf, mut hangup: Signal) {
+    loop {
+        tokio::select! {
+            _signal = hangup.recv() => info!(event = "reload-asked"),
+            () = tokio::time::sleep(SETTINGS_CHECK) => {}
+        }
+        let known = shared.settings();
+        match DirectSettings::read(&path) {
+            Ok(settings) if settings == *known => {}
+            Ok(settings) => {
+                let fixed = !settings.has_addresses_of(&known);
+                info!(event = "settings-changed", path = %path.display(), needs_restart = fixed);
+                shared.set_settings(settings);
+            }
+            Err(error) => warn!(event = "settings-refused", %error),
+        }
+    }
+}
--- /dev/null
+++ b/bulrushward_direct/src/shared.rs
@@ -0,0 +1,144 @@
+//! What the control thread publishes and traffic reads.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bulrushward_policy::retry_budget::RetryBudget;
+
+use crate::{
+    metrics::DirectMetrics,
+    model::{FleetConfig, ServiceName},
+    ports::{Dialect, FleetStore},
+    routes::RouteTable,
+    servers::ServerSet,
+    settings::DirectSettings,
+};
+
+/// Share of the fleet's repeats that routers spend; the rest covers routers that were restarted and views
+/// that differ.
+const BUDGET_SHARE: f64 = 0.7;
+/// Routers that are assumed at least, for the split of the repeats beyond the ratio.
+const MIN_ROUTERS: u32 = 4;
+
+/// State of a direct router that both threads use.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    settings: ArcSwap<DirectSettings>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) store: Arc<dyn FleetStore>,
+    pub(crate) routes: ArcSwapOption<RouteTable>,
+    pub(crate) servers: ArcSwap<ServerSet>,
+    /// Routers that are believed alive, this one included.
+    routers: AtomicU32,
+    is_stopping: AtomicBool,
+    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    pub(crate) metrics: DirectMetrics,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: DirectSettings,
+        dialect: Arc<dyn Dialect>,
+        store: Arc<dyn FleetStore>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings: ArcSwap::from_pointee(settings),
+            dialect,
+            store,
+            routes: ArcSwapOption::empty(),
+            servers: ArcSwap::default(),
+            routers: AtomicU32::new(1),
+            is_stopping: AtomicBool::new(false),
+            budgets: Mutex::default(),
+            metrics: DirectMetrics::new(),
+        })
+    }
+
+    /// Returns the settings, which may change while the router runs.
+    pub(crate) fn settings(&self) -> Arc<DirectSettings> {
+        self.settings.load_full()
+    }
+
+    pub(crate) fn set_settings(&self, settings: DirectSettings) {
+        self.settings.store(Arc::new(settings));
+    }
+
+    /// Puts a configuration in force if it is newer; returns whether it is.
+    pub(crate) fn adopt(&self, config: FleetConfig) -> bool {
+        let known = self.config_version();
+        if known.is_some_and(|known| config.version <= known) {
+            return false;
+        }
+        self.metrics.config_version.set(config.version as i64);
+        self.routes.store(Some(Arc::new(RouteTable::new(config))));
+        true
+    }
+
+    /// Returns the version in force.
+    pub(crate) fn config_version(&self) -> Option<u64> {
+        self.routes
+            .load()
+            .as_ref()
+            .map(|table| table.config().version)
+    }
+
+    /// Returns whether requests are taken.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.routes.load().is_some()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn set_routers(&self, routers: u32) {
+        self.routers.store(routers, Ordering::Relaxed);
+    }
+
+    /// Returns this router's share of the connections that a server accepts.
+    pub(crate) fn connection_share(&self, limit: u32) -> u32 {
+        (limit / (self.routers.load(Ordering::Relaxed) + 1)).max(1)
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn deposit(&self, service: &str) {
+        self.with_budget(service, RetryBudget::deposit);
+    }
+
+    /// Pays for a repeat at a service; returns whether it may be sent.
+    pub(crate) fn withdraw(&self, service: &str) -> bool {
+        self.with_budget(service, RetryBudget::withdraw)
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut budgets = self.lock_budgets();
+        if let Some(budget) = budgets.get_mut(service) {
+            return act(budget);
+        }
+        act(budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| self.new_budget()))
+    }
+
+    fn new_budget(&self) -> RetryBudget {
+        let routers = self.routers.load(Ordering::Relaxed).max(MIN_ROUTERS);
+        // Half is left for routers that start again with a full balance.
+        let settings = self.settings();
+        let balance = settings.extra_repeats * BUDGET_SHARE / 2.0 / f64::from(routers);
+        RetryBudget::with_balance(settings.repeat_ratio * BUDGET_SHARE, balance)
+    }
+
+    fn lock_budgets(&self) -> MutexGuard<'_, HashMap<ServiceName, RetryBudget>> {
+        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/bulrushward_fakes/src/key_value.rs
+++ b/bulrushward_fakes/src/key_value.rs
@@ -9,7 +9,7 @@
 
 use std::io;
 
-use bulrushward_platform::Entry;
+use bulrushward_clients::Entry;
 
 pub use self::{
     faults::{KeyValueCounters, KeyValueFaults},
@@ -18,7 +18,7 @@
 };
 use crate::fake::{Addresses, Fake};
 
-/// A running key-value service; [`Fake::url`] is for [`bulrushward_platform::EtcdKeyValue`].
+/// A running key-value service; [`Fake::url`] is for [`bulrushward_clients::EtcdKeyValue`].
 pub type FakeKeyValue = Fake<KeyValueState>;
 
 impl FakeKeyValue {
--- a/bulrushward_fakes/src/key_value/endpoint.rs
+++ b/bulrushward_fakes/src/key_value/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushward_platform::gateway::{
+use bulrushward_clients::gateway::{
     RangeRequest, TxnAnswer, TxnRequest, WatchCreateRequest, WatchLine, WatchRequest, WatchResult,
 };
 use bytes::Bytes;
--- a/bulrushward_fakes/src/key_value/lease.rs
+++ b/bulrushward_fakes/src/key_value/lease.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use bulrushward_platform::gateway::Header;
+use bulrushward_clients::gateway::Header;
 use serde::{Deserialize, Serialize};
 use serde_with::{DisplayFromStr, serde_as};
 use tokio::{
--- a/bulrushward_fakes/src/key_value/memory.rs
+++ b/bulrushward_fakes/src/key_value/memory.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use bulrushward_platform::{
+use bulrushward_clients::{
     CasOutcome, Entry, KeyValue, KvError, Version,
     gateway::{
         RangeRequest, StoredKey, TxnAnswer, TxnOperationAnswer, TxnRequest, WatchCreateRequest,
--- a/bulrushward_fakes/src/key_value/state.rs
+++ b/bulrushward_fakes/src/key_value/state.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use bulrushward_platform::{
+use bulrushward_clients::{
     Entry,
     gateway::{
         RangeAnswer, RangeRequest, TxnAnswer, TxnOperation, TxnRequest, WatchCreateRequest,
--- a/bulrushward_fakes/src/key_value/store.rs
+++ b/bulrushward_fakes/src/key_value/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use bulrushward_platform::gateway::{
+use bulrushward_clients::gateway::{
     Compare, Header, PutAnswer, PutRequest, RangeAnswer, StoredKey, TxnAnswer, TxnOperation,
     TxnOperationAnswer, TxnRequest, WatchEvent, WatchEventKind,
 };
--- a/bulrushward_fakes/src/vm_list.rs
+++ b/bulrushward_fakes/src/vm_list.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use bulrushward_platform::TargetGroup;
+use bulrushward_clients::TargetGroup;
 use salvo::{Request, Response, async_trait, http::Method};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -56,7 +56,7 @@
     Memory(Vec<TargetGroup>),
 }
 
-/// A running VM list; [`Fake::url`] is for [`bulrushward_platform::HttpVmList`].
+/// A running VM list; [`Fake::url`] is for [`bulrushward_clients::HttpVmList`].
 pub type FakeVmList = Fake<VmListState>;
 
 impl FakeVmList {
--- a/bulrushward_fakes/tests/memory_key_value.rs
+++ b/bulrushward_fakes/tests/memory_key_value.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bulrushward_fakes::{KeyValueFaults, MemoryKeyValue, NetworkFault, VALUE_LIMIT_BYTES};
-use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError};
+use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError};
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
--- a/bulrushward_policy/src/retry_budget.rs
+++ b/bulrushward_policy/src/retry_budget.rs
@@ -14,6 +14,7 @@
 pub struct RetryBudget {
     fraction: f64,
     balance: f64,
+    max_balance: f64,
 }
 
 impl RetryBudget {
@@ -23,6 +24,17 @@
         Self {
             fraction: fraction.clamp(0.0, 1.0),
             balance: INITIAL_BALANCE,
+            max_balance: MAX_BALANCE,
+        }
+    }
+
+    /// Creates a budget that saves up `max_balance` retries and starts with them.
+    #[must_use]
+    pub fn with_balance(fraction: f64, max_balance: f64) -> Self {
+        Self {
+            fraction: fraction.clamp(0.0, 1.0),
+            balance: max_balance,
+            max_balance,
         }
     }
 
@@ -33,7 +45,7 @@
 
     /// Counts one request.
     pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.fraction).min(MAX_BALANCE);
+        self.balance = (self.balance + self.fraction).min(self.max_balance);
     }
 
     /// Pays for one retry; returns whether it may be sent.
--- /dev/null
+++ b/bulrushward_policy/src/server_registry.rs
@@ -0,0 +1,144 @@
+//! The backend servers that registered themselves in a store with outages.
+//!
+//! Patterns answered: entries lapse while the store is down and come back soon after it; servers leave in
+//! a gap of the store's history; a peer's newer view stands in while the store turns this router away.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+/// Time after the store's return in which a lapsed entry may come back; servers renew theirs within it.
+const RETURN_TIME: Duration = Duration::from_millis(2_100);
+/// Time without an answer from which on the store counts as having been away; shorter gaps let no entry
+/// lapse.
+const OUTAGE: Duration = Duration::from_secs(1);
+
+/// Revision of the store.
+pub type StoreRevision = u64;
+
+#[derive(Clone, Debug)]
+struct Entry<R> {
+    record: R,
+    /// When the entry went missing after an outage.
+    lapsed: Option<Instant>,
+}
+
+/// Registered servers by id, with what outages of the store mean for them.
+#[derive(Clone, Debug)]
+pub struct ServerRegistry<R> {
+    entries: BTreeMap<String, Entry<R>>,
+    as_of: StoreRevision,
+    failing_since: Option<Instant>,
+    returned: Option<Instant>,
+}
+
+impl<R> Default for ServerRegistry<R> {
+    fn default() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            as_of: 0,
+            failing_since: None,
+            returned: None,
+        }
+    }
+}
+
+impl<R: Clone + PartialEq> ServerRegistry<R> {
+    /// Returns the revision of the store up to which changes are known.
+    #[must_use]
+    pub fn as_of(&self) -> StoreRevision {
+        self.as_of
+    }
+
+    /// Takes in that a call to the store failed.
+    pub fn store_failed(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
+    /// Takes in that the store answered; must come before what it answered.
+    pub fn store_answered(&mut self, now: Instant) {
+        let Some(since) = self.failing_since.take() else {
+            return;
+        };
+        if now.saturating_duration_since(since) >= OUTAGE {
+            self.returned = Some(now);
+        }
+    }
+
+    /// Replaces all entries by a full read.
+    pub fn replace(&mut self, records: Vec<(String, R)>, as_of: StoreRevision, now: Instant) {
+        if as_of < self.as_of {
+            return;
+        }
+        self.as_of = as_of;
+        let fresh: BTreeMap<_, _> = records.into_iter().collect();
+        let missing: Vec<_> = self
+            .entries
+            .keys()
+            .filter(|id| !fresh.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        for (id, record) in fresh {
+            self.put(id, record);
+        }
+    }
+
+    /// Takes in one changed entry; `None` means that it was removed.
+    pub fn change(&mut self, id: &str, record: Option<R>, now: Instant) {
+        match record {
+            Some(record) => self.put(id.to_owned(), record),
+            None => self.remove(id, now),
+        }
+    }
+
+    /// Takes in that all changes up to a revision are known.
+    pub fn advance(&mut self, as_of: StoreRevision) {
+        self.as_of = self.as_of.max(as_of);
+    }
+
+    /// Drops the entries that did not come back in time; returns whether there were any.
+    pub fn drop_lapsed(&mut self, now: Instant) -> bool {
+        let before = self.entries.len();
+        let away = self.failing_since.is_some();
+        self.entries.retain(|_, entry| {
+            entry.lapsed.is_none_or(|lapsed| {
+                away || now.saturating_duration_since(lapsed) < RETURN_TIME
+            })
+        });
+        self.entries.len() != before
+    }
+
+    /// Returns all entries that hold.
+    pub fn records(&self) -> impl Iterator<Item = (&str, &R)> {
+        self.entries
+            .iter()
+            .map(|(id, entry)| (id.as_str(), &entry.record))
+    }
+
+    fn put(&mut self, id: String, record: R) {
+        let entry = Entry {
+            record,
+            lapsed: None,
+        };
+        self.entries.insert(id, entry);
+    }
+
+    fn remove(&mut self, id: &str, now: Instant) {
+        let may_return = self
+            .returned
+            .is_some_and(|returned| now.saturating_duration_since(returned) < RETURN_TIME);
+        match self.entries.get_mut(id) {
+            Some(entry) if may_return => {
+                entry.lapsed.get_or_insert(now);
+            }
+            Some(_) => {
+                self.entries.remove(id);
+            }
+            None => {}
+        }
+    }
+}
--- a/bulrushward_revisions/src/blobs.rs
+++ b/bulrushward_revisions/src/blobs.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushward_platform::{CasOutcome, KeyValue, KvError};
+use bulrushward_clients::{CasOutcome, KeyValue, KvError};
 use bytes::Bytes;
 use tokio::time::sleep;
 
--- a/bulrushward_revisions/src/error.rs
+++ b/bulrushward_revisions/src/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the revision store.
 
-use bulrushward_platform::KvError;
+use bulrushward_clients::KvError;
 use bulrushward_protocol::{Outcome, Revision, format_id};
 use snafu::Snafu;
 
--- a/bulrushward_revisions/src/store.rs
+++ b/bulrushward_revisions/src/store.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use bulrushward_platform::{Entry, KeyValue, Version};
+use bulrushward_clients::{Entry, KeyValue, Version};
 use bulrushward_protocol::{Revision, decode};
 use futures_util::{StreamExt, TryStreamExt, stream};
 use tokio::time::Instant;
--- a/bulrushward_revisions/src/submit.rs
+++ b/bulrushward_revisions/src/submit.rs
@@ -5,7 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use bulrushward_platform::{CasOutcome, KvError};
+use bulrushward_clients::{CasOutcome, KvError};
 use bulrushward_protocol::{Revision, encode};
 use bytes::Bytes;
 use futures_util::{StreamExt, TryStreamExt, stream};
--- a/bulrushward_revisions/tests/fake_kv/mod.rs
+++ b/bulrushward_revisions/tests/fake_kv/mod.rs
@@ -7,7 +7,7 @@
 };
 
 use async_trait::async_trait;
-use bulrushward_platform::{CasOutcome, Entry, KeyValue, KvError, Version};
+use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError, Version};
 use bytes::Bytes;
 use tokio::{sync::Notify, time::timeout};
 
--- a/bulrushward_revisions/tests/store.rs
+++ b/bulrushward_revisions/tests/store.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant, UNIX_EPOCH},
 };
 
-use bulrushward_platform::KeyValue;
+use bulrushward_clients::KeyValue;
 use bulrushward_protocol::{Outcome, Revision, codec::VERSION, encode};
 use bulrushward_revisions::{
     Accepted, AssembleError, Digest, Manifest, RevisionStore, RevisionsError, Submission,
