Keep lapsed entries only until they could have come back

After its return each removal was put off by 2.1 s from the removal, not from the return, and the store had never been away at all. Ruled out: a late watch (the removal was read 4 ms after it was acknowledged). A removal is now put off until 2.1 s after the return at most, and not at all if a peer's view advanced meanwhile.

--- a/bulrushward_policy/src/server_registry.rs
+++ b/bulrushward_policy/src/server_registry.rs
@@ -20,8 +20,8 @@
 #[derive(Clone, Debug)]
 struct Entry<R> {
     record: R,
-    /// When the entry went missing after an outage.
-    lapsed: Option<Instant>,
+    /// Whether the entry went missing around an outage and may come back.
+    has_lapsed: bool,
 }
 
 /// Registered servers by id, with what outages of the store mean for them.
@@ -66,11 +66,15 @@
         }
     }
 
-    /// Replaces all entries by a full read.
+    /// Replaces all entries by a full read, of the store or of a peer.
     pub fn replace(&mut self, records: Vec<(String, R)>, as_of: StoreRevision, now: Instant) {
         if as_of < self.as_of {
             return;
         }
+        if let Some(since) = self.failing_since.as_mut().filter(|_| as_of > self.as_of) {
+            // Only this router was cut off: the store went on for the peer, and so did the servers' entries.
+            *since = now;
+        }
         self.as_of = as_of;
         let fresh: BTreeMap<_, _> = records.into_iter().collect();
         let missing: Vec<_> = self
@@ -102,13 +106,11 @@
 
     /// Drops the entries that did not come back in time; returns whether there were any.
     pub fn drop_lapsed(&mut self, now: Instant) -> bool {
+        if self.failing_since.is_some() || self.may_return(now) {
+            return false;
+        }
         let before = self.entries.len();
-        let away = self.failing_since.is_some();
-        self.entries.retain(|_, entry| {
-            entry.lapsed.is_none_or(|lapsed| {
-                away || now.saturating_duration_since(lapsed) < RETURN_TIME
-            })
-        });
+        self.entries.retain(|_, entry| !entry.has_lapsed);
         self.entries.len() != before
     }
 
@@ -122,23 +124,22 @@
     fn put(&mut self, id: String, record: R) {
         let entry = Entry {
             record,
-            lapsed: None,
+            has_lapsed: false,
         };
         self.entries.insert(id, entry);
     }
 
     fn remove(&mut self, id: &str, now: Instant) {
-        let may_return = self
-            .returned
-            .is_some_and(|returned| now.saturating_duration_since(returned) < RETURN_TIME);
-        match self.entries.get_mut(id) {
-            Some(entry) if may_return => {
-                entry.lapsed.get_or_insert(now);
-            }
-            Some(_) => {
-                self.entries.remove(id);
-            }
-            None => {}
+        if !self.may_return(now) {
+            self.entries.remove(id);
+        } else if let Some(entry) = self.entries.get_mut(id) {
+            entry.has_lapsed = true;
         }
     }
+
+    /// Returns whether missing entries may still come back after an outage.
+    fn may_return(&self, now: Instant) -> bool {
+        self.returned
+            .is_some_and(|returned| now.saturating_duration_since(returned) < RETURN_TIME)
+    }
 }
