Keep sessions at the servers that have their prompt cached (unmeasured yet)

Placement weighs the prompt tokens that a server would read again and those it has still to read; where a session was read is told to peers.

--- a/bulrushward/src/main.rs
+++ b/bulrushward/src/main.rs
@@ -17,7 +17,10 @@
     let log = bulrushward::start_logging(command.log_filter());
     let ended = run_to_end(command);
     if log.dropped_lines() > 0 {
-        eprintln!("bulrushwardd: {} lines of the log were dropped", log.dropped_lines());
+        eprintln!(
+            "bulrushwardd: {} lines of the log were dropped",
+            log.dropped_lines()
+        );
     }
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -32,7 +35,8 @@
     if let Command::Direct(settings, path) = command {
         let store = Arc::new(PlatformStore::new(settings.store_address));
         let dialect = Arc::new(PlatformHeaders);
-        return bulrushward_direct::run(*settings, &path, dialect, store).map_err(DaemonError::from);
+        return bulrushward_direct::run(*settings, &path, dialect, store)
+            .map_err(DaemonError::from);
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/bulrushward/tests/fault_backends.rs
+++ b/bulrushward/tests/fault_backends.rs
@@ -4,8 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_fakes::answer_tokens;
 use bulrushward_clients::{TargetGroup, TargetLabels, VmState};
+use bulrushward_fakes::answer_tokens;
 use bulrushward_protocol::{BarRequest, Frame, Outcome, RefusalReason, decode, encode};
 use nix::sys::signal::Signal;
 use rstest::rstest;
--- a/bulrushward/tests/fault_configuration.rs
+++ b/bulrushward/tests/fault_configuration.rs
@@ -7,10 +7,8 @@
     time::{Duration, Instant},
 };
 
+use bulrushward_clients::{CasOutcome, EtcdKeyValue, KeyValue, TargetGroup, TargetLabels, VmState};
 use bulrushward_fakes::{KeyValueFaults, NetworkFault};
-use bulrushward_clients::{
-    CasOutcome, EtcdKeyValue, KeyValue, TargetGroup, TargetLabels, VmState,
-};
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::{Value, json};
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -17,10 +17,10 @@
     time::{Duration, Instant},
 };
 
+use bulrushward_clients::{TargetGroup, TargetLabels, VmState};
 use bulrushward_fakes::{
     EngineSettings, FakeEngine, FakeKeyValue, FakePlain, FakeVmList, PlainSettings, SilentProxy,
 };
-use bulrushward_clients::{TargetGroup, TargetLabels, VmState};
 use bulrushward_policy::{
     chat_key,
     claim::{action_from_key, shard_of},
--- a/bulrushward_clients/tests/key_value.rs
+++ b/bulrushward_clients/tests/key_value.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use bulrushward_clients::{CasOutcome, Entry, EtcdKeyValue, KeyValue, KvError};
 use bulrushward_fakes::{
     AnswerFault, Direction, FakeKeyValue, KeyValueFaults, NetworkFault, VALUE_LIMIT_BYTES,
 };
-use bulrushward_clients::{CasOutcome, Entry, EtcdKeyValue, KeyValue, KvError};
 use bytes::Bytes;
 
 /// Longer than any call without a fault takes.
--- a/bulrushward_clients/tests/vm_list.rs
+++ b/bulrushward_clients/tests/vm_list.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use bulrushward_fakes::{Addresses, AnswerFault, FakeVmList, NetworkFault, VmListFaults};
 use bulrushward_clients::{HttpVmList, TargetGroup, TargetLabels, Vm, VmList, VmState};
+use bulrushward_fakes::{Addresses, AnswerFault, FakeVmList, NetworkFault, VmListFaults};
 use common::{answer_with, stall_after_head};
 
 /// Longer than any call without a fault takes.
--- a/bulrushward_direct/src/answer.rs
+++ b/bulrushward_direct/src/answer.rs
@@ -39,7 +39,6 @@
     NoServer,
     ServersRefused,
     RetryBudget,
-    Stopping,
     TimeOver,
     ServerBroke,
     ServerSilent,
--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -95,7 +95,11 @@
 }
 
 /// Follows the registered servers for ever.
-pub(crate) async fn servers(shared: Arc<Shared>, knowledge: Arc<Knowledge>, state: Arc<StoreState>) {
+pub(crate) async fn servers(
+    shared: Arc<Shared>,
+    knowledge: Arc<Knowledge>,
+    state: Arc<StoreState>,
+) {
     let mut pauses = Pauses::default();
     let mut is_listed = false;
     loop {
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -111,9 +111,10 @@
     shared: &Shared,
     job: &Job,
     server: &Arc<Server>,
+    unread_tokens: u64,
     last_event: Option<&str>,
 ) -> Result<HopAnswer, HopError> {
-    let mut progress = InProgress::new(server, job.own_tokens());
+    let mut progress = InProgress::new(server, unread_tokens);
     let sent = exchange(shared, job, server, last_event, &mut progress).await;
     match sent {
         Ok(exchanged) => finish(job, exchanged, progress).await,
@@ -167,7 +168,9 @@
     let facts = shared.dialect.server(res.headers());
     if let Some(load) = facts.load {
         let mut state = progress.server().state();
-        state.load.report(load.running + load.waiting, Instant::now());
+        state
+            .load
+            .report(load.running + load.waiting, Instant::now());
     }
     check_head(job, &res, &facts)?;
     Ok(Exchanged {
@@ -179,7 +182,11 @@
 
 /// Checks that an answer belongs to the request and that the request has run.
 fn check_head(job: &Job, res: &Response<Incoming>, facts: &ServerFacts) -> Result<(), HopError> {
-    if let Some(id) = facts.request_id.as_ref().filter(|id| **id != job.request_id) {
+    if let Some(id) = facts
+        .request_id
+        .as_ref()
+        .filter(|id| **id != job.request_id)
+    {
         let detail = format!("the answer is for request {id}");
         return Err(HopError::new(HopFailure::Broken, detail));
     }
@@ -191,7 +198,10 @@
         return Err(HopError::new(HopFailure::Rejected, detail));
     }
     if res.status().is_success() && !facts.is_signed {
-        return Err(HopError::new(HopFailure::Broken, "the answer is not signed"));
+        return Err(HopError::new(
+            HopFailure::Broken,
+            "the answer is not signed",
+        ));
     }
     Ok(())
 }
--- a/bulrushward_direct/src/job.rs
+++ b/bulrushward_direct/src/job.rs
@@ -29,7 +29,6 @@
     pub(crate) urgency: Option<u8>,
     pub(crate) session: Option<u64>,
     pub(crate) prompt: Vec<PromptPart>,
-    pub(crate) prompt_tokens: u64,
     /// Last event that the caller has, where it resumes a stream itself.
     pub(crate) last_event: Option<String>,
     /// Versions of the configuration that decided, for the log.
@@ -50,6 +49,15 @@
     pub(crate) fn own_tokens(&self) -> u64 {
         self.prompt.last().map_or(0, |part| part.tokens.into())
     }
+
+    /// Returns the prompt tokens that the session's requests share.
+    pub(crate) fn shared_tokens(&self) -> u64 {
+        let shared = self
+            .prompt
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| u64::from(part.tokens)).sum()
+    }
 }
 
 /// Returns the part of a prompt that a session's requests share: the last but one.
--- a/bulrushward_direct/src/knowledge.rs
+++ b/bulrushward_direct/src/knowledge.rs
@@ -91,7 +91,12 @@
                 Some(_) => "registered",
                 None => "gone",
             };
-            info!(event = "server-changed", server = id, state, revision = changes.as_of);
+            info!(
+                event = "server-changed",
+                server = id,
+                state,
+                revision = changes.as_of
+            );
             registry.change(id, record.clone(), now);
         }
         registry.advance(changes.as_of);
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -15,6 +15,7 @@
 mod listener;
 mod metrics;
 mod model;
+mod news;
 mod peers;
 mod ports;
 mod relay;
--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -111,11 +111,8 @@
 }
 
 /// Answers `GET` requests on a listener of the platform or the operators until `close` fires.
-pub(crate) async fn serve_internal<F, R>(
-    listener: TcpListener,
-    close: CancellationToken,
-    answer: F,
-) where
+pub(crate) async fn serve_internal<F, R>(listener: TcpListener, close: CancellationToken, answer: F)
+where
     F: Fn(String) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -149,7 +146,11 @@
 }
 
 /// Returns a small answer of the router itself.
-pub(crate) fn plain(status: StatusCode, content_type: &'static str, bytes: Bytes) -> Response<Body> {
+pub(crate) fn plain(
+    status: StatusCode,
+    content_type: &'static str,
+    bytes: Bytes,
+) -> Response<Body> {
     let mut res = Response::new(answer::full(bytes));
     *res.status_mut() = status;
     res.headers_mut()
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -61,20 +61,56 @@
 
     fn register(&mut self) {
         let r = &mut self.registry;
-        r.register("requests", "Requests by kind and outcome", self.requests.clone());
-        r.register("hops_failed", "Failed hops by reason", self.hops_failed.clone());
+        r.register(
+            "requests",
+            "Requests by kind and outcome",
+            self.requests.clone(),
+        );
+        r.register(
+            "hops_failed",
+            "Failed hops by reason",
+            self.hops_failed.clone(),
+        );
         let failed = self.store_calls_failed.clone();
-        r.register("store_calls_failed", "Store calls without usable answer", failed);
-        r.register("repeats", "Requests sent to a further server", self.repeats.clone());
-        r.register("resumes", "Streams resumed at another server", self.resumes.clone());
+        r.register(
+            "store_calls_failed",
+            "Store calls without usable answer",
+            failed,
+        );
+        r.register(
+            "repeats",
+            "Requests sent to a further server",
+            self.repeats.clone(),
+        );
+        r.register(
+            "resumes",
+            "Streams resumed at another server",
+            self.resumes.clone(),
+        );
         let opened = self.connections_opened.clone();
-        r.register("connections_opened", "Connections opened to servers", opened);
-        r.register("config_version", "Version in force", self.config_version.clone());
+        r.register(
+            "connections_opened",
+            "Connections opened to servers",
+            opened,
+        );
+        r.register(
+            "config_version",
+            "Version in force",
+            self.config_version.clone(),
+        );
         r.register("servers", "Registered servers", self.servers.clone());
         r.register("routers", "Routers believed alive", self.routers.clone());
-        r.register("in_progress", "Requests in progress", self.in_progress.clone());
+        r.register(
+            "in_progress",
+            "Requests in progress",
+            self.in_progress.clone(),
+        );
         let seconds = self.answer_seconds.clone();
-        r.register("answer_seconds", "Time to the first byte of an answer", seconds);
+        r.register(
+            "answer_seconds",
+            "Time to the first byte of an answer",
+            seconds,
+        );
     }
 
     /// Counts a request and its time to the first byte of the answer.
@@ -89,7 +125,9 @@
 
     /// Counts a failed hop.
     pub(crate) fn hop_failed(&self, reason: &'static str) {
-        self.hops_failed.get_or_create(&ReasonLabel { reason }).inc();
+        self.hops_failed
+            .get_or_create(&ReasonLabel { reason })
+            .inc();
     }
 
     /// Counts a call to the store that gave nothing.
--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -24,6 +24,7 @@
     follow::StoreState,
     knowledge::{Knowledge, KnowledgeCopy},
     model::ConfigVersion,
+    news::Placement,
     servers::ServerHash,
     shared::Shared,
 };
@@ -58,6 +59,7 @@
     config: Option<ConfigVersion>,
     servers_as_of: StoreRevision,
     in_progress: Vec<ServerInProgress>,
+    placements: Vec<Placement>,
     /// Knowledge addresses of other routers that were heard lately.
     others: Vec<SocketAddr>,
 }
@@ -163,6 +165,9 @@
         if known.is_none_or(|peer| !peer.is_alive) {
             info!(event = "peer-known", peer = digest.node, address = %digest.knowledge);
         }
+        for placement in &digest.placements {
+            self.shared.note_home(placement.session, placement.server);
+        }
         let peer = Peer {
             heard: Instant::now(),
             is_alive: true,
@@ -272,6 +277,7 @@
             config: self.shared.config_version(),
             servers_as_of: self.knowledge.servers_as_of(),
             in_progress,
+            placements: self.shared.take_news(),
             others,
         }
     }
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -20,8 +20,6 @@
     pub key: Option<String>,
     /// Parts of the prompt in order, with their tokens; empty for plain requests.
     pub prompt: Vec<PromptPart>,
-    /// Prompt tokens in all.
-    pub prompt_tokens: u64,
     /// Last event that the caller has, where it resumes a stream.
     pub last_event: Option<String>,
 }
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -126,16 +126,16 @@
             load = choice.load,
             after_event = self.last_event.as_deref().unwrap_or_default(),
         );
-        let answer = hop::send(&self.shared, &self.job, &server, self.last_event.as_deref()).await?;
+        let unread = choice.unread_tokens;
+        let last_event = self.last_event.as_deref();
+        let answer = hop::send(&self.shared, &self.job, &server, unread, last_event).await?;
         match answer {
             HopAnswer::Stream(open) => {
                 let OpenStream { first, rest, .. } = *open;
                 self.source = rest;
                 Ok(first)
             }
-            HopAnswer::Whole { status, .. } => {
-                Err(HopError::new(HopFailure::ServerError, status))
-            }
+            HopAnswer::Whole { status, .. } => Err(HopError::new(HopFailure::ServerError, status)),
         }
     }
 
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -40,6 +40,8 @@
     load: f64,
     report_age_ms: Option<u64>,
     usable: usize,
+    has_prompt: bool,
+    unread_tokens: u64,
     detail: String,
 }
 
@@ -94,6 +96,8 @@
         load = trail.load,
         report_age_ms = trail.report_age_ms,
         usable = trail.usable,
+        has_prompt = trail.has_prompt,
+        unread_tokens = trail.unread_tokens,
         ms = received.elapsed().as_millis() as u64,
     );
 }
@@ -124,7 +128,10 @@
     trail: &mut Trail,
 ) -> Result<Job, OwnAnswer> {
     let Some(table) = shared.routes.load_full() else {
-        return Err(OwnAnswer::not_run(Reason::NoConfiguration, CONFIGURATION_RETRY));
+        return Err(OwnAnswer::not_run(
+            Reason::NoConfiguration,
+            CONFIGURATION_RETRY,
+        ));
     };
     let (head, body) = req.into_parts();
     let host = head
@@ -152,7 +159,10 @@
     let mut headers = head.headers;
     drop_connection_headers(&mut headers);
     shared.dialect.strip(&mut headers);
-    let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
     Ok(Job {
         request_id: facts.request_id,
         received,
@@ -171,7 +181,6 @@
         ),
         session,
         prompt: facts.prompt,
-        prompt_tokens: facts.prompt_tokens,
         last_event: facts.last_event,
         config_version: table.config().version,
     })
@@ -184,13 +193,19 @@
 ) -> Result<Option<&'a Organisation>, OwnAnswer> {
     let found = key.and_then(|key| table.organisation(key));
     if found.is_none() && table.asks_for_keys() && !is_public {
-        return Err(OwnAnswer::wrong(StatusCode::UNAUTHORIZED, Reason::UnknownKey));
+        return Err(OwnAnswer::wrong(
+            StatusCode::UNAUTHORIZED,
+            Reason::UnknownKey,
+        ));
     }
     Ok(found)
 }
 
 async fn read_body(body: Incoming, limit: usize, due: Instant) -> Result<Bytes, OwnAnswer> {
-    let collected = timeout_at(TokioInstant::from_std(due), Limited::new(body, limit).collect());
+    let collected = timeout_at(
+        TokioInstant::from_std(due),
+        Limited::new(body, limit).collect(),
+    );
     match collected.await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::wrong(
@@ -229,8 +244,10 @@
         trail.load = choice.load;
         trail.report_age_ms = choice.report_age_ms;
         trail.usable = choice.usable;
+        trail.has_prompt = choice.has_prompt;
+        trail.unread_tokens = choice.unread_tokens;
         tried.push(server.id.clone());
-        let error = match hop::send(shared, &job, &server, None).await {
+        let error = match hop::send(shared, &job, &server, choice.unread_tokens, None).await {
             Ok(answer) => return Ok(respond(shared, &job, answer, history, tried)),
             Err(error) => error,
         };
--- a/bulrushward_direct/src/routes.rs
+++ b/bulrushward_direct/src/routes.rs
@@ -33,7 +33,10 @@
             .iter()
             .enumerate()
             .flat_map(|(index, organisation)| {
-                organisation.keys.iter().map(move |key| (key.clone(), index))
+                organisation
+                    .keys
+                    .iter()
+                    .map(move |key| (key.clone(), index))
             })
             .collect();
         let by_service = config
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -130,7 +130,11 @@
                 Some(Ok(bytes)) => plain(StatusCode::OK, "application/octet-stream", bytes.into()),
                 Some(Err(error)) => {
                     warn!(event = "knowledge-failed", %error);
-                    plain(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", Bytes::new())
+                    plain(
+                        StatusCode::INTERNAL_SERVER_ERROR,
+                        "text/plain",
+                        Bytes::new(),
+                    )
                 }
                 None => plain(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
             }
@@ -146,7 +150,11 @@
     let readiness = bind("readiness", shared.settings().readiness_address)?;
     let metrics = bind("metrics", shared.settings().metrics_address())?;
     let (drain, close) = (CancellationToken::new(), CancellationToken::new());
-    tokio::spawn(serve_readiness(Arc::clone(&shared), readiness, close.clone()));
+    tokio::spawn(serve_readiness(
+        Arc::clone(&shared),
+        readiness,
+        close.clone(),
+    ));
     tokio::spawn(serve_metrics(Arc::clone(&shared), metrics, close.clone()));
     tokio::spawn(watch_settings(Arc::clone(&shared), settings_path, hangup));
     let mut serving = tokio::spawn(listener::serve_callers(
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -9,16 +9,18 @@
     time::Instant,
 };
 
-use bulrushward_policy::{server_health::ServerHealth, server_load::ServerLoad};
-use xxhash_rust::xxh3::xxh3_64;
+use bulrushward_policy::{
+    prompt_homes::ServerKey, server_health::ServerHealth, server_load::ServerLoad,
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     connection::IdleConnection,
     model::{ServerId, ServerRecord, ServiceName},
 };
 
-/// Short form of a server's id in datagrams.
-pub(crate) type ServerHash = u32;
+/// Short name of one incarnation of a server in datagrams.
+pub(crate) type ServerHash = ServerKey;
 
 /// What changes with each request to a server.
 #[derive(Debug, Default)]
@@ -45,7 +47,8 @@
         let same = before.filter(|server| server.is_same_incarnation(record));
         Self {
             id: id.to_owned(),
-            hash: xxh3_64(id.as_bytes()) as ServerHash,
+            // A server that starts again under its id holds nothing of before.
+            hash: xxh3_64_with_seed(id.as_bytes(), record.started_ms) as ServerHash,
             record: record.clone(),
             state: same.map_or_else(Arc::default, |server| Arc::clone(&server.state)),
             connections: same.map_or_else(Arc::default, |server| Arc::clone(&server.connections)),
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    num::NonZeroUsize,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -9,14 +10,18 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bulrushward_policy::retry_budget::RetryBudget;
+use bulrushward_policy::{
+    prompt_homes::{PromptHomes, SessionKey},
+    retry_budget::RetryBudget,
+};
 
 use crate::{
     metrics::DirectMetrics,
     model::{FleetConfig, ServiceName},
+    news::{News, Placement},
     ports::{Dialect, FleetStore},
     routes::RouteTable,
-    servers::ServerSet,
+    servers::{ServerHash, ServerSet},
     settings::DirectSettings,
 };
 
@@ -26,6 +31,9 @@
 /// Routers that are assumed at least, for the split of the repeats beyond the ratio.
 const MIN_ROUTERS: u32 = 4;
 
+/// Sessions whose servers are remembered; some hundred bytes each.
+const MAX_SESSIONS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+
 /// State of a direct router that both threads use.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -38,6 +46,9 @@
     routers: AtomicU32,
     is_stopping: AtomicBool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    homes: Mutex<PromptHomes>,
+    /// Placements that peers are still to be told.
+    news: Mutex<News>,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -56,6 +67,8 @@
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
             budgets: Mutex::default(),
+            homes: Mutex::new(PromptHomes::new(MAX_SESSIONS)),
+            news: Mutex::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -121,7 +134,7 @@
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut budgets = self.lock_budgets();
+        let mut budgets = lock(&self.budgets);
         if let Some(budget) = budgets.get_mut(service) {
             return act(budget);
         }
@@ -138,7 +151,24 @@
         RetryBudget::with_balance(settings.repeat_ratio * BUDGET_SHARE, balance)
     }
 
-    fn lock_budgets(&self) -> MutexGuard<'_, HashMap<ServiceName, RetryBudget>> {
-        self.budgets.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the servers that are believed to have a session's prompt cached.
+    pub(crate) fn homes(&self, session: SessionKey) -> Vec<ServerHash> {
+        lock(&self.homes).homes(session).collect()
+    }
+
+    /// Takes in that a server reads a session's prompt, and tells peers if that is news.
+    pub(crate) fn note_home(&self, session: SessionKey, server: ServerHash) {
+        if lock(&self.homes).note(session, server) {
+            lock(&self.news).add(Placement { session, server });
+        }
     }
+
+    /// Takes the placements for the next round of datagrams.
+    pub(crate) fn take_news(&self) -> Vec<Placement> {
+        lock(&self.news).take()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/bulrushward_fakes/tests/memory_key_value.rs
+++ b/bulrushward_fakes/tests/memory_key_value.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use bulrushward_fakes::{KeyValueFaults, MemoryKeyValue, NetworkFault, VALUE_LIMIT_BYTES};
 use bulrushward_clients::{CasOutcome, Entry, KeyValue, KvError};
+use bulrushward_fakes::{KeyValueFaults, MemoryKeyValue, NetworkFault, VALUE_LIMIT_BYTES};
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod organisation_limit;
 pub mod placement;
+pub mod prompt_homes;
 pub mod quarantine;
 pub mod retry_budget;
 pub mod revisions;
--- /dev/null
+++ b/bulrushward_policy/tests/server_choice.rs
@@ -0,0 +1,184 @@
+//! Tests of the choice of a server under the loads that it answers.
+
+use std::collections::HashMap;
+
+use bulrushward_policy::{
+    prompt_homes::PromptHomes,
+    server_choice::{ServerView, SessionRequest, for_any, for_session},
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const SERVERS: usize = 18;
+const SLOTS: u32 = 48;
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("server-{index}")).collect()
+}
+
+fn views(names: &[String]) -> Vec<ServerView<'_>> {
+    names
+        .iter()
+        .map(|name| ServerView {
+            name,
+            load: 0.0,
+            unread_tokens: 0,
+            slots: SLOTS,
+            usable: true,
+            has_prompt: false,
+        })
+        .collect()
+}
+
+fn long(session: u64) -> SessionRequest {
+    SessionRequest {
+        session,
+        shared_tokens: 10_000,
+    }
+}
+
+#[test]
+fn routers_agree_on_a_new_session_without_talking() {
+    let names = names(SERVERS);
+    let idle = views(&names);
+    for session in 0..200 {
+        let mut other = views(&names);
+        // Another router's view of the load differs a little.
+        for (index, view) in other.iter_mut().enumerate() {
+            view.load = (index % 3) as f64;
+        }
+        let one = for_session(&long(session), &idle);
+        assert_eq!(
+            one,
+            for_session(&long(session), &other),
+            "session {session}"
+        );
+    }
+}
+
+#[test]
+fn new_sessions_spread_over_all_servers() {
+    let names = names(SERVERS);
+    let idle = views(&names);
+    let mut counts = HashMap::new();
+    for session in 0..1_800 {
+        let chosen = for_session(&long(session), &idle).expect("all are usable");
+        *counts.entry(chosen).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), SERVERS);
+    assert!(
+        counts.values().all(|count| (50..200).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn a_session_stays_at_its_server_when_servers_join() {
+    let names = names(SERVERS + 4);
+    for session in 0..200 {
+        let before = for_session(&long(session), &views(&names[..SERVERS])).expect("usable");
+        let mut after = views(&names);
+        after[before].has_prompt = true;
+        after[before].load = 4.0;
+        after[before].unread_tokens = 6_000;
+        assert_eq!(for_session(&long(session), &after), Some(before));
+    }
+}
+
+#[test]
+fn a_prompt_is_read_again_where_its_server_would_take_longer() {
+    let names = names(SERVERS);
+    let mut servers = views(&names);
+    servers[3].has_prompt = true;
+    servers[3].unread_tokens = 60_000;
+    let chosen = for_session(&long(7), &servers);
+    assert!(chosen.is_some_and(|chosen| chosen != 3));
+}
+
+/// A hot session: its requests come faster than one server may take them.
+#[test]
+fn a_hot_session_spreads_before_a_server_is_above_the_allowed_multiple_of_the_mean() {
+    let names = names(SERVERS);
+    let mut homes = PromptHomes::new(16.try_into().expect("not zero"));
+    let mut loads = [4.0_f64; SERVERS];
+    let mut used = HashMap::new();
+    for _request in 0..60 {
+        let known: Vec<_> = homes.homes(1).collect();
+        let mut servers = views(&names);
+        for (index, view) in servers.iter_mut().enumerate() {
+            view.load = loads[index];
+            view.has_prompt = known.contains(&(index as u32));
+        }
+        let chosen = for_session(&long(1), &servers).expect("usable");
+        homes.note(1, chosen as u32);
+        loads[chosen] += 1.0;
+        *used.entry(chosen).or_insert(0) += 1;
+        let mean = loads.iter().sum::<f64>() / SERVERS as f64;
+        assert!(loads[chosen] <= 2.0 * mean + 3.0, "{loads:?}");
+    }
+    assert!(
+        used.len() < 13,
+        "spread no wider than the bound asks for: {used:?}"
+    );
+}
+
+#[test]
+fn a_session_comes_back_to_a_server_that_it_was_spread_to() {
+    let names = names(SERVERS);
+    let mut servers = views(&names);
+    for server in &mut servers {
+        server.load = 4.0;
+    }
+    servers[2].has_prompt = true;
+    servers[2].load = 30.0;
+    servers[9].has_prompt = true;
+    assert_eq!(for_session(&long(5), &servers), Some(9));
+}
+
+#[test]
+fn a_server_that_fails_its_requests_loses_its_sessions() {
+    let names = names(SERVERS);
+    let mut servers = views(&names);
+    servers[2].has_prompt = true;
+    // What the failures of all its recent requests stand for.
+    servers[2].load = 24.0;
+    assert_ne!(for_session(&long(5), &servers), Some(2));
+}
+
+#[test]
+fn nothing_is_chosen_where_nothing_is_usable() {
+    let names = names(3);
+    let mut servers = views(&names);
+    for server in &mut servers {
+        server.usable = false;
+    }
+    assert_eq!(for_session(&long(1), &servers), None);
+    assert_eq!(for_any(&servers, &mut Pcg64Mcg::seed_from_u64(1)), None);
+}
+
+#[test]
+fn plain_requests_go_where_least_of_the_slots_is_taken() {
+    let names = names(3);
+    let mut servers = views(&names);
+    servers[0].load = 2.0;
+    servers[1].load = 3.0;
+    servers[1].slots = 3;
+    servers[2].load = 4.0;
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    assert!((0..50).all(|_| for_any(&servers, &mut rng) == Some(0)));
+}
+
+#[test]
+fn idle_servers_share_plain_requests() {
+    let names = names(3);
+    let servers = views(&names);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut counts = [0; 3];
+    for _request in 0..300 {
+        counts[for_any(&servers, &mut rng).expect("usable")] += 1;
+    }
+    assert!(
+        counts.iter().all(|count| (60..140).contains(count)),
+        "{counts:?}"
+    );
+}
--- a/bulrushward_policy/tests/server_registry.rs
+++ b/bulrushward_policy/tests/server_registry.rs
@@ -71,7 +71,11 @@
     let mut registry = listed(start);
     registry.store_failed(start);
     // A peer's newer view shows that the store was up all the time.
-    registry.replace(vec![("a".into(), 1), ("b".into(), 2)], 12, start + 4_800 * MS);
+    registry.replace(
+        vec![("a".into(), 1), ("b".into(), 2)],
+        12,
+        start + 4_800 * MS,
+    );
     let back = start + 5_000 * MS;
     registry.store_answered(back);
     registry.change("a", None, back + 100 * MS);
