Copy a session's prompt from a server that has it instead of reading it again

A server without the prompt is now named one that has it; copying takes a quarter of the time of reading.

--- a/bulrushward_direct/src/choose.rs
+++ b/bulrushward_direct/src/choose.rs
@@ -1,6 +1,6 @@
 //! Gathers what is known of a service's servers and chooses one for a request.
 
-use std::{sync::Arc, time::Instant};
+use std::{net::SocketAddr, sync::Arc, time::Instant};
 
 use bulrushward_policy::server_choice::{self, ServerView, SessionRequest};
 
@@ -10,6 +10,9 @@
     shared::Shared,
 };
 
+/// Prompt tokens from which on a copy is asked for; setting one up takes as long as reading some hundred.
+const MIN_COPY_TOKENS: u64 = 1_000;
+
 /// A server for a request, with what decided.
 #[derive(Debug)]
 pub(crate) struct Choice {
@@ -23,6 +26,8 @@
     pub(crate) has_prompt: bool,
     /// Prompt tokens that the server is believed to have to read.
     pub(crate) unread_tokens: u64,
+    /// Server from which it copies the session's prompt.
+    pub(crate) copy_from: Option<SocketAddr>,
 }
 
 /// Chooses a server that was not tried yet.
@@ -43,11 +48,13 @@
         }
     }
     let usable = views.iter().filter(|view| view.usable).count();
+    let source = copy_source(servers, job, &homes, now);
     let index = match session {
         Some(session) => {
             let req = SessionRequest {
                 session,
                 shared_tokens: job.shared_tokens(),
+                can_copy: source.is_some(),
             };
             server_choice::for_session(&req, &views)
         }
@@ -55,7 +62,12 @@
     }?;
     let chosen = Arc::clone(&servers[index]);
     let has_prompt = views[index].has_prompt;
-    let again = if has_prompt { 0 } else { job.shared_tokens() };
+    let copy_from = source.filter(|_| !has_prompt);
+    let again = if has_prompt || copy_from.is_some() {
+        0
+    } else {
+        job.shared_tokens()
+    };
     if let Some(session) = session {
         shared.note_home(session, chosen.hash);
     }
@@ -66,10 +78,28 @@
         usable,
         has_prompt,
         unread_tokens: job.own_tokens() + again,
+        copy_from,
         server: chosen,
     })
 }
 
+/// Returns a server that has the session's prompt and can hand it out; one that is leaving can as well.
+fn copy_source(
+    servers: &[Arc<Server>],
+    job: &Job,
+    homes: &[ServerHash],
+    now: Instant,
+) -> Option<SocketAddr> {
+    if !job.service.can_copy_prompts || job.shared_tokens() < MIN_COPY_TOKENS {
+        return None;
+    }
+    homes.iter().find_map(|home| {
+        let server = servers.iter().find(|server| server.hash == *home)?;
+        let is_reachable = !server.state().health.rests(now);
+        is_reachable.then_some(server.record.address)
+    })
+}
+
 fn view<'a>(
     server: &'a Server,
     tried: &[String],
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -1,9 +1,6 @@
 //! One hop: sends a request to one server and reads the beginning of its answer.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use bulrushward_policy::hop::HopFailure;
 use bytes::Bytes;
@@ -16,11 +13,12 @@
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use crate::{
+    choose::Choice,
     connection::{self, Connection},
     events::EventCutter,
     job::Job,
     ports::{Delivery, ServerFacts},
-    servers::{InProgress, Server},
+    servers::InProgress,
     shared::Shared,
 };
 
@@ -110,12 +108,11 @@
 pub(crate) async fn send(
     shared: &Shared,
     job: &Job,
-    server: &Arc<Server>,
-    unread_tokens: u64,
+    choice: &Choice,
     last_event: Option<&str>,
 ) -> Result<HopAnswer, HopError> {
-    let mut progress = InProgress::new(server, unread_tokens);
-    let sent = exchange(shared, job, server, last_event, &mut progress).await;
+    let mut progress = InProgress::new(&choice.server, choice.unread_tokens);
+    let sent = exchange(shared, job, choice, last_event, &mut progress).await;
     match sent {
         Ok(exchanged) => finish(job, exchanged, progress).await,
         Err(error) => {
@@ -135,10 +132,11 @@
 async fn exchange(
     shared: &Shared,
     job: &Job,
-    server: &Arc<Server>,
+    choice: &Choice,
     last_event: Option<&str>,
     progress: &mut InProgress,
 ) -> Result<Exchanged, HopError> {
+    let server = &choice.server;
     let share = shared.connection_share(job.service.connection_limit);
     if server.state().idle.is_empty() && server.open_connections() >= share {
         let detail = format!("{share} connections are open");
@@ -150,7 +148,7 @@
     if !connection.is_reused {
         shared.metrics.connections_opened.inc();
     }
-    let req = request(shared, job, server, last_event)?;
+    let req = request(shared, job, choice, last_event)?;
     let until = TokioInstant::from_std(silent_until(job));
     let answered = timeout_at(until, connection.sender.try_send_request(req)).await;
     let res = match answered {
@@ -361,16 +359,17 @@
 fn request(
     shared: &Shared,
     job: &Job,
-    server: &Server,
+    choice: &Choice,
     last_event: Option<&str>,
 ) -> Result<Request<Full<Bytes>>, HopError> {
     let mut headers = job.headers.clone();
     let delivery = Delivery {
-        server: &server.id,
+        server: &choice.server.id,
         time_left: job.time_left(),
         organisation: job.organisation.as_deref(),
         urgency: job.urgency,
         last_event: last_event.or(job.last_event.as_deref()),
+        copy_from: choice.copy_from,
     };
     shared.dialect.deliver(&mut headers, &delivery);
     let mut req = Request::builder()
--- a/bulrushward_direct/src/model.rs
+++ b/bulrushward_direct/src/model.rs
@@ -100,6 +100,8 @@
     pub connection_limit: u32,
     /// Whether its servers are model engines, which cache prompts.
     pub is_engine: bool,
+    /// Whether its servers can copy cached prompts from each other.
+    pub can_copy_prompts: bool,
     /// Requests that one server runs at once, where the configuration says so.
     pub slots: Option<u32>,
 }
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -1,6 +1,6 @@
 //! What the router asks of a platform: headers to read and write, and a store to follow.
 
-use std::{fmt::Debug, time::Duration};
+use std::{fmt::Debug, net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
 use bulrushward_policy::server_registry::StoreRevision;
@@ -46,6 +46,8 @@
     pub urgency: Option<u8>,
     /// Last event that the caller has, where a stream is resumed.
     pub last_event: Option<&'a str>,
+    /// Server from which to copy the cached part of the prompt.
+    pub copy_from: Option<SocketAddr>,
 }
 
 /// What a server's headers say.
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -116,7 +116,7 @@
         let Some(choice) = choose::server(&self.shared, &self.job, &self.tried) else {
             return Err(HopError::new(HopFailure::Silent, "no other server"));
         };
-        let server = choice.server;
+        let server = &choice.server;
         self.tried.push(server.id.clone());
         self.shared.metrics.resumes.inc();
         info!(
@@ -126,9 +126,8 @@
             load = choice.load,
             after_event = self.last_event.as_deref().unwrap_or_default(),
         );
-        let unread = choice.unread_tokens;
         let last_event = self.last_event.as_deref();
-        let answer = hop::send(&self.shared, &self.job, &server, unread, last_event).await?;
+        let answer = hop::send(&self.shared, &self.job, &choice, last_event).await?;
         match answer {
             HopAnswer::Stream(open) => {
                 let OpenStream { first, rest, .. } = *open;
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -1,6 +1,7 @@
 //! The life of one request: route, organisation, hops, answer.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -42,6 +43,7 @@
     usable: usize,
     has_prompt: bool,
     unread_tokens: u64,
+    copy_from: Option<SocketAddr>,
     detail: String,
 }
 
@@ -98,6 +100,7 @@
         usable = trail.usable,
         has_prompt = trail.has_prompt,
         unread_tokens = trail.unread_tokens,
+        copy_from = trail.copy_from.map(tracing::field::display),
         ms = received.elapsed().as_millis() as u64,
     );
 }
@@ -238,7 +241,7 @@
         let Some(choice) = choose::server(shared, &job, &tried) else {
             return give_up(&history, last_error, Reason::NoServer);
         };
-        let server = choice.server;
+        let server = &choice.server;
         trail.hops = history.hops() + 1;
         trail.server.clone_from(&server.id);
         trail.load = choice.load;
@@ -246,8 +249,9 @@
         trail.usable = choice.usable;
         trail.has_prompt = choice.has_prompt;
         trail.unread_tokens = choice.unread_tokens;
+        trail.copy_from = choice.copy_from;
         tried.push(server.id.clone());
-        let error = match hop::send(shared, &job, &server, choice.unread_tokens, None).await {
+        let error = match hop::send(shared, &job, &choice, None).await {
             Ok(answer) => return Ok(respond(shared, &job, answer, history, tried)),
             Err(error) => error,
         };
--- a/bulrushward_policy/src/server_choice.rs
+++ b/bulrushward_policy/src/server_choice.rs
@@ -22,6 +22,9 @@
 const PLACE_TOKENS: f64 = 2_000.0;
 /// Weight of a prompt token that would be read again: it delays its own request and those beside it.
 const READ_AGAIN_WEIGHT: f64 = 2.0;
+/// Weight of a prompt token that is copied from another server instead, which takes a quarter of the time
+/// of reading it and holds up no other request.
+const COPY_WEIGHT: f64 = 0.5;
 /// Largest random addition to a load, in requests in progress.
 const TIE_NOISE: f64 = 0.5;
 /// Prompt tokens that a request in progress is worth; each slows the steps of all others a little.
@@ -51,6 +54,8 @@
     pub session: u64,
     /// Prompt tokens that the session's requests share.
     pub shared_tokens: u64,
+    /// Whether a server without them can copy them from one that has them.
+    pub can_copy: bool,
 }
 
 /// Chooses a server for a session's request: the one that can begin it first, with a preference for those
@@ -90,10 +95,15 @@
 
 /// Returns what a request costs at a server, in prompt tokens to be read before it.
 fn cost(req: &SessionRequest, server: &ServerView<'_>, place: usize) -> f64 {
+    let weight = if req.can_copy {
+        COPY_WEIGHT
+    } else {
+        READ_AGAIN_WEIGHT
+    };
     let again = if server.has_prompt {
         0.0
     } else {
-        READ_AGAIN_WEIGHT * req.shared_tokens as f64 + PLACE_TOKENS * place as f64
+        weight * req.shared_tokens as f64 + PLACE_TOKENS * place as f64
     };
     server.unread_tokens as f64 + again + REQUEST_TOKENS * server.load
 }
--- a/bulrushward_policy/tests/server_choice.rs
+++ b/bulrushward_policy/tests/server_choice.rs
@@ -34,6 +34,7 @@
     SessionRequest {
         session,
         shared_tokens: 10_000,
+        can_copy: false,
     }
 }
 
@@ -95,6 +96,20 @@
     assert!(chosen.is_some_and(|chosen| chosen != 3));
 }
 
+#[test]
+fn a_prompt_that_can_be_copied_moves_earlier() {
+    let names = names(SERVERS);
+    let mut servers = views(&names);
+    servers[3].has_prompt = true;
+    servers[3].unread_tokens = 15_000;
+    assert_eq!(for_session(&long(7), &servers), Some(3));
+    let copied = SessionRequest {
+        can_copy: true,
+        ..long(7)
+    };
+    assert_ne!(for_session(&copied, &servers), Some(3));
+}
+
 /// A hot session: its requests come faster than one server may take them.
 #[test]
 fn a_hot_session_spreads_before_a_server_is_above_the_allowed_multiple_of_the_mean() {
