Gather changes of the store and take the system's allocator

Cause: store calls and memory were the dearest prices left. Each change of one server's entry ended the waiting call of each router; now a router waits 600 ms after changes and 4 s for the next, with probes of the system on the connection.

--- a/bulrushward/src/main.rs
+++ b/bulrushward/src/main.rs
@@ -4,10 +4,6 @@
 
 use bulrushward::{Command, DaemonError, parse_arguments, run};
 use bulrushward_platform::{PlatformHeaders, PlatformStore};
-use mimalloc::MiMalloc;
-
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
 
 fn main() -> ExitCode {
     let command = match parse_arguments() {
--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -2,13 +2,14 @@
 //!
 //! A connection for each call costs a round trip and never goes silent unnoticed between calls.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, header::HOST};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
 /// Largest answer that is read, in bytes: a configuration of a megabyte in text encoding, or a page of
@@ -44,6 +45,27 @@
     },
 }
 
+/// Time after which sent bytes must be acknowledged, and idle time before probes of the system; a waiting
+/// call whose connection went silent ends after three times as long.
+const SILENCE: Duration = Duration::from_millis(800);
+/// Probes of the system that may stay unanswered.
+const SILENT_PROBES: u32 = 2;
+
+/// Lets the system probe a connection, so that one that went silent is noticed.
+///
+/// # Errors
+///
+/// Returns the error of the system.
+pub(crate) fn probe_silence(stream: &TcpStream, silence: Duration) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(silence * SILENT_PROBES))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(silence)
+        .with_interval(silence)
+        .with_retries(SILENT_PROBES);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
 /// Gets `path` from `address` within `limit`, connecting included.
 ///
 /// # Errors
@@ -72,6 +94,7 @@
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| no_connection(&error))?;
+    probe_silence(&stream, SILENCE).map_err(|error| no_connection(&error))?;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| no_connection(&error))?;
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -13,17 +13,14 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::servers::Server;
+use crate::{call::probe_silence, servers::Server};
 
 /// Time for a new connection; a lost opening packet would be sent again only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time after which sent bytes must be acknowledged, and idle time before probes of the system.
 const SILENCE: Duration = Duration::from_secs(1);
-/// Probes of the system that may stay unanswered, one each [`SILENCE`].
-const SILENT_PROBES: u32 = 2;
 /// Time for which an idle connection is kept where the server names none.
 const DEFAULT_KEEP: Duration = Duration::from_secs(2);
 /// Share of the server's own idle time after which a connection is not used again, as the server may
@@ -107,13 +104,7 @@
 async fn open(server: &Server) -> io::Result<Connection> {
     let stream = TcpStream::connect(server.record.address).await?;
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(SILENCE * 2))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(SILENCE)
-        .with_interval(SILENCE)
-        .with_retries(SILENT_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
+    probe_silence(&stream, SILENCE)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MIN_BUFFER * 8)
         .handshake(TokioIo::new(stream))
--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -17,9 +17,12 @@
     shared::Shared,
 };
 
-/// Time for which one call waits for changes. A connection that went silent is noticed after it, so it
-/// stays below the time in which a leaving server must be known.
-const WAIT: Duration = Duration::from_millis(1_200);
+/// Time for which one call waits for changes; calls are priced, and probes of the system notice a
+/// connection that went silent sooner.
+const WAIT: Duration = Duration::from_secs(4);
+/// Pause after changes, so that a series of them takes few calls; a third of the time in which a leaving
+/// server and a new configuration must be known.
+const GATHERING: Duration = Duration::from_millis(600);
 /// Pause after the first failed call; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause between calls while the store does not answer.
@@ -83,6 +86,7 @@
                 after = Some(reading.as_of);
                 if let Some(config) = reading.config {
                     knowledge.adopt(config, Source::Store);
+                    tokio::time::sleep(GATHERING).await;
                 }
             }
             Err(error) => {
@@ -109,9 +113,12 @@
             list_servers(shared.store.as_ref(), &knowledge).await
         };
         match done {
-            Ok(()) => {
+            Ok(has_changes) => {
                 state.answered();
                 pauses = Pauses::default();
+                if is_listed && has_changes {
+                    tokio::time::sleep(GATHERING).await;
+                }
                 is_listed = true;
             }
             Err(error) => {
@@ -134,16 +141,18 @@
     }
 }
 
-async fn list_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<(), StoreError> {
+async fn list_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<bool, StoreError> {
     let listing = store.servers().await?;
     knowledge.store_answered();
     knowledge.replace_servers(listing, Source::Store);
-    Ok(())
+    Ok(true)
 }
 
-async fn next_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<(), StoreError> {
+/// Waits for changes; returns whether there were any.
+async fn next_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<bool, StoreError> {
     let changes = store.next_servers(knowledge.servers_as_of(), WAIT).await?;
+    let has_changes = !changes.changes.is_empty();
     knowledge.store_answered();
     knowledge.change_servers(changes);
-    Ok(())
+    Ok(has_changes)
 }
