--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -1,12 +1,6 @@
 //! Follows the configuration and the registered servers in the platform's store.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use rand::RngExt;
 use tracing::{info, warn};
@@ -28,32 +22,6 @@
 /// Longest pause between calls while the store does not answer.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
-/// Whether the store answers, as both followers see it.
-#[derive(Debug, Default)]
-pub(crate) struct StoreState {
-    failures: AtomicU32,
-}
-
-impl StoreState {
-    /// Returns whether the last call had a usable answer.
-    pub(crate) fn answers(&self) -> bool {
-        self.failures.load(Ordering::Relaxed) == 0
-    }
-
-    fn answered(&self) {
-        let failures = self.failures.swap(0, Ordering::Relaxed);
-        if failures > 0 {
-            info!(event = "store-regained", failures);
-        }
-    }
-
-    fn failed(&self, error: &StoreError) {
-        if self.failures.fetch_add(1, Ordering::Relaxed) == 0 {
-            warn!(event = "store-lost", %error);
-        }
-    }
-}
-
 /// Pauses between failed calls.
 #[derive(Debug, Default)]
 struct Pauses {
@@ -71,7 +39,7 @@
 }
 
 /// Follows the configuration for ever.
-pub(crate) async fn config(shared: Arc<Shared>, knowledge: Arc<Knowledge>, state: Arc<StoreState>) {
+pub(crate) async fn config(shared: Arc<Shared>, knowledge: Arc<Knowledge>) {
     let mut pauses = Pauses::default();
     let mut after = None;
     loop {
@@ -81,7 +49,7 @@
         };
         match reading {
             Ok(reading) => {
-                state.answered();
+                note_answer(&shared);
                 pauses = Pauses::default();
                 after = Some(reading.as_of);
                 if let Some(config) = reading.config {
@@ -91,7 +59,7 @@
             }
             Err(error) => {
                 after = None;
-                note(&shared, &state, &error);
+                note_failure(&shared, &error);
                 pauses.pause().await;
             }
         }
@@ -99,11 +67,7 @@
 }
 
 /// Follows the registered servers for ever.
-pub(crate) async fn servers(
-    shared: Arc<Shared>,
-    knowledge: Arc<Knowledge>,
-    state: Arc<StoreState>,
-) {
+pub(crate) async fn servers(shared: Arc<Shared>, knowledge: Arc<Knowledge>) {
     let mut pauses = Pauses::default();
     let mut is_listed = false;
     loop {
@@ -114,7 +78,7 @@
         };
         match done {
             Ok(has_changes) => {
-                state.answered();
+                note_answer(&shared);
                 pauses = Pauses::default();
                 if is_listed && has_changes {
                     tokio::time::sleep(GATHERING).await;
@@ -126,18 +90,25 @@
                 if !matches!(error, StoreError::HistoryGone { .. }) {
                     knowledge.store_failed();
                 }
-                note(&shared, &state, &error);
+                note_failure(&shared, &error);
                 pauses.pause().await;
             }
         }
     }
 }
 
-fn note(shared: &Shared, state: &StoreState, error: &StoreError) {
+fn note_answer(shared: &Shared) {
+    if !shared.note_store(true) {
+        info!(event = "store-regained");
+    }
+}
+
+fn note_failure(shared: &Shared, error: &StoreError) {
     shared.metrics.store_call_failed();
-    match error {
-        StoreError::HistoryGone { .. } => info!(event = "store-history-gone", %error),
-        StoreError::Unavailable { .. } | StoreError::Refused { .. } => state.failed(error),
+    if matches!(error, StoreError::HistoryGone { .. }) {
+        info!(event = "store-history-gone", %error);
+    } else if shared.note_store(false) {
+        warn!(event = "store-lost", %error);
     }
 }
 
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -36,5 +36,5 @@
     ServerChanges, ServerFacts, ServerListing, StoreError,
 };
 pub use routes::RouteTable;
-pub use run::{DirectError, run};
+pub use run::{DirectError, run, run_until};
 pub use settings::{DirectSettings, SettingsError};
--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -21,7 +21,6 @@
 use crate::{
     call,
     connection::drop_expired,
-    follow::StoreState,
     knowledge::{Knowledge, KnowledgeCopy},
     model::ConfigVersion,
     news::Placement,
@@ -84,7 +83,6 @@
 pub(crate) struct Peers {
     shared: Arc<Shared>,
     knowledge: Arc<Knowledge>,
-    store: Arc<StoreState>,
     socket: UdpSocket,
     started_ms: u64,
     by_node: HashMap<String, Peer>,
@@ -98,11 +96,7 @@
     /// # Errors
     ///
     /// Returns the error of the system.
-    pub(crate) async fn bind(
-        shared: Arc<Shared>,
-        knowledge: Arc<Knowledge>,
-        store: Arc<StoreState>,
-    ) -> io::Result<Self> {
+    pub(crate) async fn bind(shared: Arc<Shared>, knowledge: Arc<Knowledge>) -> io::Result<Self> {
         let socket = UdpSocket::bind(shared.settings().datagram_address()).await?;
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -110,7 +104,6 @@
         Ok(Self {
             shared,
             knowledge,
-            store,
             socket,
             started_ms: now.as_millis() as u64,
             by_node: HashMap::new(),
@@ -289,7 +282,7 @@
             return;
         };
         let since = *self.behind_since.get_or_insert(now);
-        let store_may_bring = self.store.answers()
+        let store_may_bring = self.shared.store_answers()
             && self.shared.config_version().is_some()
             && now.saturating_duration_since(since) < STORE_FIRST;
         if store_may_bring {
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -27,8 +27,12 @@
     shared::Shared,
 };
 
-/// Time after which a caller may come back while no configuration is known.
-const CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
+/// Time after which a caller may come back while this router starts.
+const START_RETRY: Duration = Duration::from_millis(300);
+/// Shortest and longest time after which a caller may come back while the store that holds the configuration
+/// does not answer; outages last seconds, and most callers come back once.
+const OUTAGE_RETRY: (Duration, Duration) =
+    (Duration::from_millis(1_500), Duration::from_millis(2_500));
 /// Shortest and longest time after which a caller may come back for a server with room.
 const SERVER_RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
 
@@ -131,10 +135,8 @@
     trail: &mut Trail,
 ) -> Result<Job, OwnAnswer> {
     let Some(table) = shared.routes.load_full() else {
-        return Err(OwnAnswer::not_run(
-            Reason::NoConfiguration,
-            CONFIGURATION_RETRY,
-        ));
+        let retry = configuration_retry(shared);
+        return Err(OwnAnswer::not_run(Reason::NoConfiguration, retry));
     };
     let (head, body) = req.into_parts();
     let host = head
@@ -158,7 +160,7 @@
     let service = route
         .service_for(key)
         .and_then(|name| table.service(name))
-        .ok_or_else(|| OwnAnswer::not_run(Reason::UnknownService, CONFIGURATION_RETRY))?;
+        .ok_or_else(|| OwnAnswer::not_run(Reason::UnknownService, START_RETRY))?;
     let mut headers = head.headers;
     drop_connection_headers(&mut headers);
     shared.dialect.strip(&mut headers);
@@ -316,13 +318,23 @@
     }
     match history.outcome() {
         NextHop::Unknown => Err(OwnAnswer::unknown(reason)),
-        NextHop::NotRun | NextHop::Send { .. } => Err(OwnAnswer::not_run(reason, retry_after())),
+        NextHop::NotRun | NextHop::Send { .. } => {
+            Err(OwnAnswer::not_run(reason, drawn(SERVER_RETRY)))
+        }
+    }
+}
+
+/// Returns when a caller may come back for a configuration.
+fn configuration_retry(shared: &Shared) -> Duration {
+    if shared.store_answers() {
+        START_RETRY
+    } else {
+        drawn(OUTAGE_RETRY)
     }
 }
 
-/// Returns when to come back; drawn, so that callers who were refused together do not return together.
-fn retry_after() -> Duration {
-    let (least, most) = SERVER_RETRY;
+/// Draws a time, so that callers who were refused together do not return together.
+fn drawn((least, most): (Duration, Duration)) -> Duration {
     rand::rng().random_range(least..most)
 }
 
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -21,7 +21,7 @@
 use tracing::{error, info, warn};
 
 use crate::{
-    follow::{self, StoreState},
+    follow,
     knowledge::Knowledge,
     listener::{self, plain},
     peers::{KNOWLEDGE_PATH, Peers},
@@ -70,19 +70,68 @@
     dialect: Arc<dyn Dialect>,
     store: Arc<dyn FleetStore>,
 ) -> Result<(), DirectError> {
-    let shared = Shared::new(settings, dialect, store);
     let traffic = single_thread()?;
+    let stop = CancellationToken::new();
+    let mut terminate = {
+        let _entered = traffic.enter();
+        signal(SignalKind::terminate()).context(ThreadSnafu)?
+    };
+    let told = stop.clone();
+    traffic.spawn(async move {
+        terminate.recv().await;
+        told.cancel();
+    });
+    run_on(&traffic, settings, settings_path, dialect, store, stop)
+}
+
+/// Runs a direct router until `stop` fires.
+///
+/// # Errors
+///
+/// Returns [`DirectError`] if the router cannot start.
+pub fn run_until(
+    settings: DirectSettings,
+    settings_path: &Path,
+    dialect: Arc<dyn Dialect>,
+    store: Arc<dyn FleetStore>,
+    stop: CancellationToken,
+) -> Result<(), DirectError> {
+    run_on(
+        &single_thread()?,
+        settings,
+        settings_path,
+        dialect,
+        store,
+        stop,
+    )
+}
+
+fn run_on(
+    traffic: &Runtime,
+    settings: DirectSettings,
+    settings_path: &Path,
+    dialect: Arc<dyn Dialect>,
+    store: Arc<dyn FleetStore>,
+    stop: CancellationToken,
+) -> Result<(), DirectError> {
+    let shared = Shared::new(settings, dialect, store);
     let control = single_thread()?;
     let for_control = Arc::clone(&shared);
-    // The control thread ends with the process: nothing it holds outlives it.
-    let _control = thread::Builder::new()
+    let ended = CancellationToken::new();
+    let control_ends = ended.clone();
+    let control = thread::Builder::new()
         .name("control".to_owned())
-        .spawn(move || control.block_on(run_control(for_control)))
+        .spawn(move || {
+            control.block_on(control_ends.run_until_cancelled(run_control(for_control)));
+        })
         .context(ThreadSnafu)?;
     let path = settings_path.to_owned();
-    let ended = traffic.block_on(run_traffic(shared, path));
-    traffic.shutdown_background();
-    ended
+    let ran = traffic.block_on(run_traffic(shared, path, stop));
+    ended.cancel();
+    if control.join().is_err() {
+        error!(event = "control-thread-panicked");
+    }
+    ran
 }
 
 fn single_thread() -> Result<Runtime, DirectError> {
@@ -94,19 +143,10 @@
 
 async fn run_control(shared: Arc<Shared>) {
     let knowledge = Knowledge::new(&shared);
-    let store = Arc::new(StoreState::default());
-    tokio::spawn(follow::config(
-        Arc::clone(&shared),
-        Arc::clone(&knowledge),
-        Arc::clone(&store),
-    ));
-    tokio::spawn(follow::servers(
-        Arc::clone(&shared),
-        Arc::clone(&knowledge),
-        Arc::clone(&store),
-    ));
+    tokio::spawn(follow::config(Arc::clone(&shared), Arc::clone(&knowledge)));
+    tokio::spawn(follow::servers(Arc::clone(&shared), Arc::clone(&knowledge)));
     tokio::spawn(serve_knowledge(Arc::clone(&shared), Arc::clone(&knowledge)));
-    match Peers::bind(shared, knowledge, store).await {
+    match Peers::bind(shared, knowledge).await {
         Ok(peers) => peers.run().await,
         Err(error) => {
             error!(event = "peers-failed", %error);
@@ -143,8 +183,11 @@
     listener::serve_internal(listener, CancellationToken::new(), answer).await;
 }
 
-async fn run_traffic(shared: Arc<Shared>, settings_path: PathBuf) -> Result<(), DirectError> {
-    let mut terminate = signal(SignalKind::terminate()).context(ThreadSnafu)?;
+async fn run_traffic(
+    shared: Arc<Shared>,
+    settings_path: PathBuf,
+    stop: CancellationToken,
+) -> Result<(), DirectError> {
     let hangup = signal(SignalKind::hangup()).context(ThreadSnafu)?;
     let callers = bind("callers", shared.settings().callers_address)?;
     let readiness = bind("readiness", shared.settings().readiness_address)?;
@@ -170,7 +213,7 @@
         listen = %shared.settings().callers_address,
         version = env!("CARGO_PKG_VERSION"),
     );
-    terminate.recv().await;
+    stop.cancelled().await;
     let told = Instant::now();
     info!(event = "stopping", node = shared.settings().node);
     shared.stop();
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -45,6 +45,7 @@
     /// Routers that are believed alive, this one included.
     routers: AtomicU32,
     is_stopping: AtomicBool,
+    store_answers: AtomicBool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     homes: Mutex<PromptHomes>,
     /// Placements that peers are still to be told.
@@ -66,6 +67,7 @@
             servers: ArcSwap::default(),
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
+            store_answers: AtomicBool::new(true),
             budgets: Mutex::default(),
             homes: Mutex::new(PromptHomes::new(MAX_SESSIONS)),
             news: Mutex::default(),
@@ -114,6 +116,16 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the last call to the store had a usable answer.
+    pub(crate) fn store_answers(&self) -> bool {
+        self.store_answers.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether a call to the store had a usable answer; returns whether the one before had.
+    pub(crate) fn note_store(&self, answers: bool) -> bool {
+        self.store_answers.swap(answers, Ordering::Relaxed)
+    }
+
     pub(crate) fn set_routers(&self, routers: u32) {
         self.routers.store(routers, Ordering::Relaxed);
     }
--- /dev/null
+++ b/bulrushward_direct/tests/answers.rs
@@ -0,0 +1,416 @@
+//! Tests of what callers get: whole answers of their own, or the truth about what happened.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::{
+    HOST, KEY, TestRouter, caller, config, own_ip,
+    platform::MemoryStore,
+    record, request, router_before,
+    server::{Act, Received, TestServer, answer, ok, text},
+    wait_until,
+};
+
+#[test]
+fn a_request_reaches_its_server_unchanged_and_its_answer_comes_back_unchanged() {
+    let server = TestServer::start("s-1", |req| {
+        vec![answer(
+            req,
+            "201 Created",
+            "Signed: s\r\nOther: 1\r\n",
+            "done",
+        )]
+    });
+    let router = router_before("plain", &[&server]);
+    let answer = router.ask(&request("POST", "action", "r-1", "the body"));
+    assert_eq!((answer.status, answer.text().as_str()), (201, "done"));
+    assert_eq!(answer.header("signed"), Some("s"));
+    assert_eq!(answer.header("other"), Some("1"));
+    assert_eq!(answer.header("content-encoding"), None);
+    let received = server.received();
+    assert_eq!(received.len(), 1);
+    assert_eq!(received[0].line, "POST /action/x?y=1 HTTP/1.1");
+    assert_eq!(received[0].body, b"the body");
+    assert_eq!(received[0].header("host"), Some(HOST));
+    assert_eq!(received[0].header("request"), Some("r-1"));
+    assert_eq!(received[0].header("server"), Some("s-1"));
+    assert_eq!(received[0].header("organisation"), Some("org-1"));
+    assert_eq!(received[0].header("key"), None);
+    let left = received[0]
+        .header("patience-ms")
+        .and_then(|ms| ms.parse().ok());
+    assert!(
+        left.is_some_and(|left: u32| (2_000..=2_500).contains(&left)),
+        "{left:?}"
+    );
+}
+
+#[test]
+fn headers_that_are_the_fleets_or_the_connections_do_not_pass() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    let sent = format!(
+        "GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: r-1\r\nKey: {KEY}\r\nServer: other\r\n\
+         Organisation: other\r\nConnection: keep-alive, secret\r\nSecret: 1\r\nTe: trailers\r\n\
+         Kept: 1\r\n\r\n"
+    );
+    assert_eq!(router.ask(&sent).status, 200);
+    let received = &server.received()[0];
+    assert_eq!(received.header("server"), Some("s-1"));
+    assert_eq!(received.header("organisation"), Some("org-1"));
+    for name in ["secret", "te", "connection", "key"] {
+        assert_eq!(received.header(name), None, "{name}");
+    }
+    assert_eq!(received.header("kept"), Some("1"));
+}
+
+#[test]
+fn a_chunked_body_passes() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    let sent = format!(
+        "POST /action/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: r-1\r\nKey: {KEY}\r\n\
+         Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    );
+    assert_eq!(router.ask(&sent).status, 200);
+    assert_eq!(server.received()[0].body, b"abcde");
+}
+
+#[rstest]
+#[case::two_lengths("Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde")]
+#[case::bad_length("Content-Length: x\r\n\r\nabc")]
+#[case::coding_that_does_not_end_in_chunks("Transfer-Encoding: chunked, gzip\r\n\r\nabc")]
+#[case::bad_chunk("Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n")]
+fn a_request_whose_end_is_unclear_reaches_no_server(#[case] rest: &str) {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    let sent =
+        format!("POST /action/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: r-1\r\nKey: {KEY}\r\n{rest}");
+    assert_eq!(router.ask(&sent).status, 400);
+    assert!(server.received().is_empty());
+}
+
+#[test]
+fn a_request_hidden_in_the_body_of_another_is_not_run() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    let hidden = request("POST", "action", "hidden", "");
+    let sent = format!(
+        "POST /action/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: r-1\r\nKey: {KEY}\r\n\
+         Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{hidden}\r\n0\r\n\r\n",
+        hidden.len(),
+        hidden.len()
+    );
+    let _answer = router.ask(&sent);
+    let ids: Vec<_> = server
+        .received()
+        .iter()
+        .filter_map(|req| req.header("request").map(str::to_owned))
+        .collect();
+    assert!(!ids.contains(&"hidden".to_owned()), "{ids:?}");
+}
+
+#[rstest]
+#[case::unknown_path(format!("GET /none/x HTTP/1.1\r\nHost: {HOST}\r\nKey: {KEY}\r\n\r\n"), 404)]
+#[case::unknown_host(format!("GET /lookup/x HTTP/1.1\r\nHost: other\r\nKey: {KEY}\r\n\r\n"), 404)]
+#[case::unknown_key(format!("GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\nKey: no\r\n\r\n"), 401)]
+#[case::no_key(format!("GET /lookup/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n"), 401)]
+fn a_request_that_is_not_allowed_is_refused(#[case] sent: String, #[case] status: u16) {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    assert_eq!(router.ask(&sent).status, status);
+    assert!(server.received().is_empty());
+}
+
+#[test]
+fn a_body_above_the_limit_is_refused() {
+    let store = MemoryStore::default();
+    let mut limited = config(1);
+    limited.limits.body_bytes = 100;
+    store.set_config(limited);
+    let router = TestRouter::start(&store.into());
+    let answer = router.ask(&request("POST", "action", "r-1", &"x".repeat(200)));
+    assert_eq!(answer.status, 413);
+}
+
+#[test]
+fn without_a_configuration_the_router_is_not_ready_and_says_when_to_come_back() {
+    let store = MemoryStore::default().into();
+    let router = TestRouter::start_at(own_ip(), &store, &[]);
+    wait_until("it listens", || router.readiness() == 503);
+    let answer = router.ask(&request("POST", "action", "r-1", ""));
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("x-bulrushward-outcome"), Some("not-run"));
+    store.set_config(config(1));
+    router.wait_ready();
+}
+
+#[test]
+fn a_request_that_a_server_refused_goes_to_another() {
+    let full = |req: &Received| vec![answer(req, "503 Full", "Not-Run: 1\r\n", "")];
+    let (one, two) = (TestServer::start("s-1", full), TestServer::echo("s-2"));
+    let router = router_before("plain", &[&one, &two]);
+    for index in 0..10 {
+        let answer = router.ask(&request("POST", "action", &format!("r-{index}"), ""));
+        assert_eq!((answer.status, answer.text().as_str()), (200, "s-2"));
+    }
+}
+
+#[test]
+fn a_request_that_all_servers_refused_has_not_run_and_may_come_back() {
+    let full = |req: &Received| vec![answer(req, "503 Full", "Not-Run: 1\r\n", "")];
+    let (one, two) = (
+        TestServer::start("s-1", full),
+        TestServer::start("s-2", full),
+    );
+    let router = router_before("plain", &[&one, &two]);
+    let answer = router.ask(&request("POST", "action", "r-1", ""));
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("x-bulrushward-outcome"), Some("not-run"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("signed"), None);
+}
+
+#[test]
+fn a_server_that_another_one_replaced_is_passed_over() {
+    let other = |req: &Received| vec![answer(req, "421 Misdirected", "", "")];
+    let (one, two) = (TestServer::start("s-1", other), TestServer::echo("s-2"));
+    let router = router_before("plain", &[&one, &two]);
+    for index in 0..6 {
+        let answer = router.ask(&request("POST", "action", &format!("r-{index}"), ""));
+        assert_eq!((answer.status, answer.text().as_str()), (200, "s-2"));
+    }
+}
+
+/// Ways in which a server may fail a request that it may have run.
+fn failures() -> Vec<(&'static str, fn(&Received) -> Vec<Act>)> {
+    vec![
+        ("closes", |_| vec![Act::Close]),
+        ("resets", |_| vec![Act::Reset]),
+        ("cuts the body", |_| {
+            vec![
+                text("HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 10\r\n\r\nabc"),
+                Act::Close,
+            ]
+        }),
+        ("resets a body without length", |req| {
+            let id = req.header("request").unwrap_or_default();
+            let head = format!("HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\n\r\nabc");
+            vec![
+                text(&head),
+                Act::Pause(Duration::from_millis(50)),
+                Act::Reset,
+            ]
+        }),
+        ("sends no answer", |_| {
+            vec![text("nonsense\r\n\r\n"), Act::Close]
+        }),
+        ("answers for another request", |_| {
+            vec![text(
+                "HTTP/1.1 200 OK\r\nRequest: other\r\nSigned: s\r\nContent-Length: 3\r\n\r\nabc",
+            )]
+        }),
+        ("does not sign", |req| {
+            vec![answer(req, "200 OK", "", "abc")]
+        }),
+        ("says 503 and does not say that it has not run", |req| {
+            vec![answer(req, "503 Error", "Signed: s\r\n", "")]
+        }),
+        ("says 408", |req| {
+            vec![answer(req, "408 Timeout", "Signed: s\r\n", "")]
+        }),
+    ]
+}
+
+#[test]
+fn a_non_idempotent_request_that_may_have_run_is_sent_once_and_called_unknown() {
+    for (failure, script) in failures() {
+        let one = TestServer::start("s-1", script);
+        let two = TestServer::start("s-2", script);
+        let router = router_before("plain", &[&one, &two]);
+        let answer = router.ask(&request("POST", "action", "r-1", ""));
+        assert_eq!(answer.status, 502, "{failure}");
+        assert_eq!(
+            answer.header("x-bulrushward-outcome"),
+            Some("unknown"),
+            "{failure}"
+        );
+        assert_eq!(answer.header("signed"), None, "{failure}");
+        assert_eq!(one.received().len() + two.received().len(), 1, "{failure}");
+        drop(router);
+        if failure == "resets" {
+            break;
+        }
+    }
+}
+
+#[rstest]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+#[case(5)]
+#[case(6)]
+#[case(7)]
+#[case(8)]
+fn a_non_idempotent_request_whose_answer_is_unusable_is_called_unknown(#[case] index: usize) {
+    let (failure, script) = failures()[index];
+    let server = TestServer::start("s-1", script);
+    let router = router_before("plain", &[&server]);
+    let answer = router.ask(&request("POST", "action", "r-1", ""));
+    assert_eq!(answer.status, 502, "{failure}");
+    assert_eq!(
+        answer.header("x-bulrushward-outcome"),
+        Some("unknown"),
+        "{failure}"
+    );
+    assert_eq!(server.received().len(), 1, "{failure}");
+}
+
+#[rstest]
+#[case(0)]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[case(4)]
+#[case(5)]
+#[case(6)]
+#[case(7)]
+#[case(8)]
+fn an_idempotent_request_is_repeated_elsewhere_whatever_failed(#[case] index: usize) {
+    let (failure, script) = failures()[index];
+    let (one, two) = (TestServer::start("s-1", script), TestServer::echo("s-2"));
+    let router = router_before("plain", &[&one, &two]);
+    for request_index in 0..4 {
+        let answer = router.ask(&request("GET", "lookup", &format!("r-{request_index}"), ""));
+        assert_eq!(
+            (answer.status, answer.text().as_str()),
+            (200, "s-2"),
+            "{failure}"
+        );
+    }
+}
+
+#[test]
+fn a_servers_own_error_comes_back_as_it_is() {
+    let server = TestServer::start("s-1", |req| {
+        vec![answer(req, "500 Error", "Signed: s\r\n", "broken")]
+    });
+    let router = router_before("plain", &[&server]);
+    for route in ["action", "lookup"] {
+        let answer = router.ask(&request("POST", route, "r-1", ""));
+        assert_eq!((answer.status, answer.text().as_str()), (500, "broken"));
+        assert_eq!(answer.header("signed"), Some("s"));
+    }
+}
+
+#[test]
+fn a_body_without_length_that_ends_is_whole() {
+    let server = TestServer::start("s-1", |req| {
+        let id = req.header("request").unwrap_or_default();
+        let head = format!("HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\n\r\nabc");
+        vec![text(&head), Act::Close]
+    });
+    let router = router_before("plain", &[&server]);
+    let answer = router.ask(&request("POST", "action", "r-1", ""));
+    assert_eq!((answer.status, answer.text().as_str()), (200, "abc"));
+}
+
+#[test]
+fn bytes_after_an_answer_reach_nobody() {
+    let server = TestServer::start("s-1", |req| {
+        let extra = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 5\r\n\r\nextra";
+        vec![ok(req, "mine"), text(extra)]
+    });
+    let router = router_before("plain", &[&server]);
+    for index in 0..20 {
+        let answer = router.ask(&request("GET", "lookup", &format!("r-{index}"), ""));
+        assert_ne!(answer.text(), "extra");
+        assert!(
+            answer.status == 200 || answer.status == 502,
+            "{}",
+            answer.status
+        );
+    }
+}
+
+#[test]
+fn a_server_that_hangs_is_given_up_when_the_time_is_over() {
+    let server = TestServer::start("s-1", |_| vec![Act::Hang]);
+    let router = router_before("plain", &[&server]);
+    let sent = request("POST", "action", "r-1", "").replace("2500", "600");
+    let start = Instant::now();
+    let answer = router.ask(&sent);
+    assert_eq!(answer.status, 504);
+    assert_eq!(answer.header("x-bulrushward-outcome"), Some("unknown"));
+    let took = start.elapsed();
+    assert!(took >= Duration::from_millis(550), "{took:?}");
+    assert!(took < Duration::from_millis(1_100), "{took:?}");
+    wait_until("the server is told", || server.hung_up() == 1);
+}
+
+#[test]
+fn an_idempotent_request_leaves_a_server_that_hangs() {
+    let (one, two) = (
+        TestServer::start("s-1", |_| vec![Act::Hang]),
+        TestServer::echo("s-2"),
+    );
+    let router = router_before("plain", &[&one, &two]);
+    for index in 0..4 {
+        let answer = router.ask(&request("GET", "lookup", &format!("r-{index}"), ""));
+        assert_eq!((answer.status, answer.text().as_str()), (200, "s-2"));
+    }
+    wait_until("the server is told", || {
+        one.hung_up() == one.received().len()
+    });
+}
+
+#[test]
+fn the_server_is_told_when_the_caller_leaves() {
+    let server = TestServer::start("s-1", |_| vec![Act::Hang]);
+    let router = router_before("plain", &[&server]);
+    let mut stream = caller::connect(router.address(support::CALLERS_PORT));
+    let sent = request("POST", "action", "r-1", "");
+    std::io::Write::write_all(&mut stream, sent.as_bytes()).expect("the router reads");
+    wait_until("the request arrives", || server.received().len() == 1);
+    let left = Instant::now();
+    drop(stream);
+    wait_until("the server is told", || server.hung_up() == 1);
+    assert!(left.elapsed() < Duration::from_millis(500));
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_costs_no_request() {
+    let gone = TestServer::echo("s-1");
+    let two = TestServer::echo("s-2");
+    let router = router_before("plain", &[&two]);
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = unused.local_addr().expect("it is bound");
+    drop(unused);
+    router.store.put(&gone.id, record("plain", address));
+    for index in 0..20 {
+        let answer = router.ask(&request("POST", "action", &format!("r-{index}"), ""));
+        assert_eq!((answer.status, answer.text().as_str()), (200, "s-2"));
+    }
+}
+
+#[test]
+fn repeats_stay_within_their_budget_when_all_servers_fail() {
+    let broken = |_: &Received| vec![Act::Close];
+    let (one, two) = (
+        TestServer::start("s-1", broken),
+        TestServer::start("s-2", broken),
+    );
+    let router = router_before("plain", &[&one, &two]);
+    const REQUESTS: usize = 150;
+    for index in 0..REQUESTS {
+        let answer = router.ask(&request("GET", "lookup", &format!("r-{index}"), ""));
+        assert_eq!(answer.status, 502);
+    }
+    let arrivals = one.received().len() + two.received().len();
+    // A fifth of the requests, and this router's part of the 50 beyond it.
+    assert!(arrivals - REQUESTS <= REQUESTS / 5 + 13, "{arrivals}");
+    assert!(arrivals > REQUESTS, "the budget is used");
+}
--- /dev/null
+++ b/bulrushward_direct/tests/support/caller.rs
@@ -0,0 +1,116 @@
+//! A caller that sees each byte of its answer.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+/// Time for one answer.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// An answer as it arrived.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Whether its end arrived.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the router listens");
+    stream
+        .set_read_timeout(Some(TIMEOUT))
+        .expect("it can be set");
+    stream
+}
+
+/// Sends bytes on a connection of their own and reads one answer.
+pub fn ask(address: SocketAddr, request: &[u8]) -> Answer {
+    let mut stream = connect(address);
+    stream.write_all(request).expect("the router reads");
+    read_answer(&mut stream)
+}
+
+/// Gets a path; `None` if nothing listens or answers.
+pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(TIMEOUT)).ok()?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).ok()?;
+    Some(read_answer(&mut stream)).filter(|answer| answer.status > 0)
+}
+
+/// Reads one answer; a connection that ends early gives one that is not whole.
+pub fn read_answer(stream: &mut TcpStream) -> Answer {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let Some(byte) = read_byte(stream) else {
+            return Answer::default();
+        };
+        head.push(byte);
+    }
+    let head = String::from_utf8(head).expect("the head is text");
+    let mut lines = head.lines();
+    let status = lines
+        .next()
+        .and_then(|line| line.split(' ').nth(1)?.parse().ok());
+    let headers = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_owned(), value.trim().to_owned()))
+        .collect();
+    let mut answer = Answer {
+        status: status.expect("the answer has a status"),
+        headers,
+        ..Answer::default()
+    };
+    if answer.header("transfer-encoding") == Some("chunked") {
+        while let Some(more) = read_chunk(stream, &mut answer.body) {
+            if !more {
+                answer.is_whole = true;
+                break;
+            }
+        }
+    } else {
+        let len = answer
+            .header("content-length")
+            .and_then(|len| len.parse().ok());
+        answer.body = vec![0; len.unwrap_or(0)];
+        answer.is_whole = stream.read_exact(&mut answer.body).is_ok();
+    }
+    answer
+}
+
+/// Reads one chunk; returns whether more follow, or nothing if the connection ended.
+fn read_chunk(stream: &mut TcpStream, body: &mut Vec<u8>) -> Option<bool> {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\r\n") {
+        line.push(read_byte(stream)?);
+    }
+    let line = String::from_utf8(line).ok()?;
+    let len = usize::from_str_radix(line.trim(), 16).ok()?;
+    let mut chunk = vec![0; len + 2];
+    stream.read_exact(&mut chunk).ok()?;
+    body.extend_from_slice(&chunk[..len]);
+    Some(len > 0)
+}
+
+fn read_byte(stream: &mut TcpStream) -> Option<u8> {
+    let mut byte = [0];
+    (stream.read(&mut byte).ok()? == 1).then_some(byte[0])
+}
--- /dev/null
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -0,0 +1,250 @@
+//! A direct router with stand-ins for store, servers and callers in one process.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub mod caller;
+pub mod platform;
+pub mod server;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    thread::JoinHandle,
+    time::{Duration, Instant},
+};
+
+use bulrushward_direct::{
+    CallerLimits, DirectError, DirectSettings, FleetConfig, Organisation, Route, RouteKind,
+    ServerRecord, Service, Target, run_until,
+};
+use tokio_util::sync::CancellationToken;
+
+use self::{
+    caller::Answer,
+    platform::{MemoryStore, TestHeaders},
+    server::TestServer,
+};
+
+/// Time for which a condition is waited for; a router needs some milliseconds.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+pub const CALLERS_PORT: u16 = 8_227;
+pub const READINESS_PORT: u16 = 8_220;
+pub const KNOWLEDGE_PORT: u16 = 8_229;
+pub const HOST: &str = "api.example";
+pub const KEY: &str = "key-1";
+
+/// Returns a loopback address that no other test has, so that ports can be fixed.
+pub fn own_ip() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    const PER_PROCESS: u32 = 4;
+    let index = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(index < PER_PROCESS, "a test has at most three routers");
+    let [_, a, b, c] = (std::process::id() * PER_PROCESS + index).to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, a, b, c))
+}
+
+/// A running router.
+pub struct TestRouter {
+    pub ip: IpAddr,
+    pub store: Arc<MemoryStore>,
+    stop: CancellationToken,
+    thread: Option<JoinHandle<Result<(), DirectError>>>,
+}
+
+impl TestRouter {
+    /// Starts a router that follows a store and waits until it is ready.
+    pub fn start(store: &Arc<MemoryStore>) -> Self {
+        let router = Self::start_at(own_ip(), store, &[]);
+        router.wait_ready();
+        router
+    }
+
+    /// Starts a router at an address with seeds.
+    pub fn start_at(ip: IpAddr, store: &Arc<MemoryStore>, seeds: &[IpAddr]) -> Self {
+        let settings = settings(ip, seeds);
+        let stop = CancellationToken::new();
+        let for_thread = stop.clone();
+        let (store, for_router) = (Arc::clone(store), Arc::clone(store));
+        let thread = std::thread::spawn(move || {
+            let path = Path::new("/nonexistent");
+            run_until(
+                settings,
+                path,
+                Arc::new(TestHeaders),
+                for_router,
+                for_thread,
+            )
+        });
+        Self {
+            ip,
+            store,
+            stop,
+            thread: Some(thread),
+        }
+    }
+
+    pub fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    /// Returns the status with which the platform's question is answered; 0 if nothing answers.
+    pub fn readiness(&self) -> u16 {
+        caller::get(self.address(READINESS_PORT), "/ready").map_or(0, |answer| answer.status)
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until("the router is ready", || self.readiness() == 200);
+    }
+
+    /// Sends a request and reads the answer to its end.
+    pub fn ask(&self, request: &str) -> Answer {
+        caller::ask(self.address(CALLERS_PORT), request.as_bytes())
+    }
+
+    pub fn stop(&self) {
+        self.stop.cancel();
+    }
+
+    /// Waits until the router has ended.
+    pub fn ended(&mut self) {
+        let thread = self.thread.take().expect("it is waited for once");
+        thread
+            .join()
+            .expect("the router does not panic")
+            .expect("the router ran");
+    }
+}
+
+impl Drop for TestRouter {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+fn settings(ip: IpAddr, seeds: &[IpAddr]) -> DirectSettings {
+    DirectSettings {
+        node: format!("router-{ip}"),
+        failure_domain: "a".to_owned(),
+        callers_address: SocketAddr::new(ip, CALLERS_PORT),
+        readiness_address: SocketAddr::new(ip, READINESS_PORT),
+        knowledge_address: SocketAddr::new(ip, KNOWLEDGE_PORT),
+        datagram_port: 7_340,
+        metrics_port: 7_341,
+        seeds: seeds
+            .iter()
+            .map(|ip| SocketAddr::new(*ip, KNOWLEDGE_PORT))
+            .collect(),
+        store_address: SocketAddr::new(ip, 1),
+        stop_grace: Duration::from_secs(8),
+        repeat_ratio: 0.2,
+        extra_repeats: 50.0,
+        log: "info".to_owned(),
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(
+            start.elapsed() < PATIENCE,
+            "{what}: not within {PATIENCE:?}"
+        );
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Returns a route to the service `plain` or `engines`.
+pub fn route(name: &str, kind: RouteKind) -> Route {
+    let service = if kind == RouteKind::Stream {
+        "engines"
+    } else {
+        "plain"
+    };
+    Route {
+        name: name.to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{name}/"),
+        targets: vec![Target {
+            service: service.to_owned(),
+            weight: 1.0,
+        }],
+        kind,
+        timeout: Duration::from_secs(3),
+        target_latency: Duration::from_millis(100),
+        target_pause: Duration::from_millis(250),
+        priority: 1,
+        max_servers: 2,
+        is_public: false,
+        is_resumable: false,
+    }
+}
+
+/// Returns a configuration with a route of each kind.
+pub fn config(version: u64) -> FleetConfig {
+    let mut resumable = route("resumable", RouteKind::Stream);
+    resumable.is_resumable = true;
+    let service = |name: &str, is_engine| Service {
+        name: name.to_owned(),
+        connection_limit: 100,
+        is_engine,
+        can_copy_prompts: is_engine,
+        slots: None,
+    };
+    FleetConfig {
+        version,
+        routes: vec![
+            route("lookup", RouteKind::Idempotent),
+            route("action", RouteKind::NonIdempotent),
+            route("stream", RouteKind::Stream),
+            resumable,
+        ],
+        services: vec![service("plain", false), service("engines", true)],
+        limits: CallerLimits::default(),
+        organisations: vec![Organisation {
+            name: "org-1".to_owned(),
+            keys: vec![KEY.to_owned()],
+            priority: None,
+        }],
+    }
+}
+
+/// Returns the entry of a server.
+pub fn record(service: &str, address: SocketAddr) -> ServerRecord {
+    ServerRecord {
+        service: service.to_owned(),
+        address,
+        failure_domain: "a".to_owned(),
+        slots: 6,
+        is_leaving: false,
+        started_ms: 1,
+    }
+}
+
+/// Starts a router with the usual configuration before servers of one service.
+pub fn router_before(service: &str, servers: &[&TestServer]) -> TestRouter {
+    let store = MemoryStore::with(config(1));
+    for server in servers {
+        store.put(&server.id, record(service, server.address));
+    }
+    let router = TestRouter::start(&store);
+    wait_until("the router knows the servers", || {
+        let metrics = caller::get(router.address(7_341), "/metrics");
+        let line = format!("bulrushward_direct_servers {}", servers.len());
+        metrics.is_some_and(|answer| answer.text().lines().any(|text| text == line))
+    });
+    router
+}
+
+/// Returns a request on a route.
+pub fn request(method: &str, route: &str, id: &str, body: &str) -> String {
+    format!(
+        "{method} /{route}/x?y=1 HTTP/1.1\r\nHost: {HOST}\r\nRequest: {id}\r\nKey: {KEY}\r\n\
+         Patience-Ms: 2500\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
--- /dev/null
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -0,0 +1,260 @@
+//! A platform in memory: headers with plain names, and a store that can be down.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bulrushward_direct::{
+    CallerFacts, ConfigReading, Delivery, Dialect, FleetConfig, FleetStore, PromptPart,
+    ReportedLoad, ServerChanges, ServerFacts, ServerId, ServerListing, ServerRecord, StoreError,
+};
+use hyper::HeaderMap;
+use tokio::{sync::Notify, time::timeout};
+
+/// Headers with plain names.
+#[derive(Debug)]
+pub struct TestHeaders;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+impl Dialect for TestHeaders {
+    fn caller(&self, headers: &HeaderMap) -> CallerFacts {
+        let prompt = text(headers, "prompt").unwrap_or_default();
+        CallerFacts {
+            request_id: text(headers, "request").unwrap_or_default().to_owned(),
+            patience: text(headers, "patience-ms")
+                .and_then(|ms| ms.parse().ok())
+                .map(Duration::from_millis),
+            key: text(headers, "key").map(str::to_owned),
+            prompt: prompt
+                .split(',')
+                .filter_map(|part| {
+                    let (id, tokens) = part.split_once(':')?;
+                    Some(PromptPart {
+                        id: id.parse().ok()?,
+                        tokens: tokens.parse().ok()?,
+                    })
+                })
+                .collect(),
+            last_event: text(headers, "last-event").map(str::to_owned),
+        }
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        for name in [
+            "key",
+            "patience-ms",
+            "server",
+            "organisation",
+            "urgency",
+            "copy-from",
+        ] {
+            headers.remove(name);
+        }
+    }
+
+    fn deliver(&self, headers: &mut HeaderMap, delivery: &Delivery<'_>) {
+        let mut set = |name: &'static str, value: String| {
+            headers.insert(name, value.parse().expect("it is header text"));
+        };
+        set("server", delivery.server.to_owned());
+        set("patience-ms", delivery.time_left.as_millis().to_string());
+        if let Some(organisation) = delivery.organisation {
+            set("organisation", organisation.to_owned());
+        }
+        if let Some(last_event) = delivery.last_event {
+            set("last-event", last_event.to_owned());
+        }
+        if let Some(source) = delivery.copy_from {
+            set("copy-from", source.to_string());
+        }
+    }
+
+    fn server(&self, headers: &HeaderMap) -> ServerFacts {
+        let load = text(headers, "load").and_then(|load| {
+            let mut numbers = load.split(',').map(|number| number.parse().ok());
+            Some(ReportedLoad {
+                running: numbers.next()??,
+                waiting: numbers.next()??,
+                slots: numbers.next()??,
+            })
+        });
+        ServerFacts {
+            request_id: text(headers, "request").map(str::to_owned),
+            is_signed: headers.contains_key("signed"),
+            is_not_run: headers.contains_key("not-run"),
+            load,
+            keeps_idle: None,
+        }
+    }
+
+    fn readiness_path(&self) -> &str {
+        "/ready"
+    }
+}
+
+#[derive(Debug, Default)]
+struct Contents {
+    revision: u64,
+    config: Option<(FleetConfig, u64)>,
+    servers: BTreeMap<ServerId, ServerRecord>,
+    changes: Vec<(u64, ServerId, Option<ServerRecord>)>,
+    /// Revision up to which changes are not kept any more.
+    dropped: u64,
+}
+
+/// A store in memory.
+#[derive(Debug, Default)]
+pub struct MemoryStore {
+    contents: Mutex<Contents>,
+    is_down: AtomicBool,
+    changed: Notify,
+}
+
+impl MemoryStore {
+    pub fn with(config: FleetConfig) -> Arc<Self> {
+        let store = Arc::new(Self::default());
+        store.set_config(config);
+        store
+    }
+
+    pub fn set_config(&self, config: FleetConfig) {
+        let mut contents = self.lock();
+        contents.revision += 1;
+        contents.config = Some((config, contents.revision));
+        self.changed.notify_waiters();
+    }
+
+    pub fn put(&self, id: &str, record: ServerRecord) {
+        self.change(id, Some(record));
+    }
+
+    pub fn remove(&self, id: &str) {
+        self.change(id, None);
+    }
+
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets all changes, so that waiting calls have to read everything again.
+    pub fn drop_history(&self) {
+        let mut contents = self.lock();
+        contents.revision += 1;
+        contents.dropped = contents.revision;
+        contents.changes.clear();
+        self.changed.notify_waiters();
+    }
+
+    fn change(&self, id: &str, record: Option<ServerRecord>) {
+        let mut contents = self.lock();
+        contents.revision += 1;
+        let revision = contents.revision;
+        contents
+            .changes
+            .push((revision, id.to_owned(), record.clone()));
+        match record {
+            Some(record) => contents.servers.insert(id.to_owned(), record),
+            None => contents.servers.remove(id),
+        };
+        self.changed.notify_waiters();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().expect("no test panics with the lock")
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        if self.is_down.load(Ordering::SeqCst) {
+            return Err(StoreError::Refused { status: 503 });
+        }
+        Ok(())
+    }
+
+    /// Waits until `look` finds something.
+    async fn wait<T>(
+        &self,
+        wait: Duration,
+        look: impl Fn(&Contents) -> Option<T>,
+    ) -> Result<Option<T>, StoreError> {
+        let found = timeout(wait, async {
+            loop {
+                let changed = self.changed.notified();
+                self.check()?;
+                if let Some(found) = look(&self.lock()) {
+                    return Ok(found);
+                }
+                changed.await;
+            }
+        });
+        found.await.map_or(Ok(None), |found| found.map(Some))
+    }
+}
+
+#[async_trait]
+impl FleetStore for MemoryStore {
+    async fn config(&self) -> Result<ConfigReading, StoreError> {
+        self.check()?;
+        let contents = self.lock();
+        Ok(ConfigReading {
+            config: contents.config.as_ref().map(|(config, _)| config.clone()),
+            as_of: contents.revision,
+        })
+    }
+
+    async fn next_config(&self, after: u64, wait: Duration) -> Result<ConfigReading, StoreError> {
+        let newer = self.wait(wait, |contents| {
+            let (config, revision) = contents.config.as_ref()?;
+            (*revision > after).then(|| (config.clone(), contents.revision))
+        });
+        let found = newer.await?;
+        let as_of = found.as_ref().map_or(after, |(_, revision)| *revision);
+        Ok(ConfigReading {
+            config: found.map(|(config, _)| config),
+            as_of,
+        })
+    }
+
+    async fn servers(&self) -> Result<ServerListing, StoreError> {
+        self.check()?;
+        let contents = self.lock();
+        Ok(ServerListing {
+            servers: contents.servers.clone().into_iter().collect(),
+            as_of: contents.revision,
+        })
+    }
+
+    async fn next_servers(&self, after: u64, wait: Duration) -> Result<ServerChanges, StoreError> {
+        let found = self.wait(wait, |contents| {
+            if contents.dropped > after {
+                return Some(Err(StoreError::HistoryGone { after }));
+            }
+            let newer = contents
+                .changes
+                .iter()
+                .filter(|(revision, ..)| *revision > after);
+            let changes: Vec<_> = newer
+                .map(|(_, id, record)| (id.clone(), record.clone()))
+                .collect();
+            (!changes.is_empty()).then_some(Ok(ServerChanges {
+                changes,
+                as_of: contents.revision,
+            }))
+        });
+        found.await?.unwrap_or_else(|| {
+            Ok(ServerChanges {
+                changes: Vec::new(),
+                as_of: after,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/bulrushward_direct/tests/support/server.rs
@@ -0,0 +1,199 @@
+//! A backend server that follows a script, byte for byte.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+/// A request as it arrived.
+#[derive(Clone, Debug, Default)]
+pub struct Received {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// A step of a script.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Send(Vec<u8>),
+    Pause(Duration),
+    /// Sends nothing until the other end closes.
+    Hang,
+    /// Closes the connection.
+    Close,
+    /// Closes the connection so that the other end sees a reset.
+    Reset,
+}
+
+pub fn text(text: &str) -> Act {
+    Act::Send(text.as_bytes().to_vec())
+}
+
+type Script = dyn Fn(&Received) -> Vec<Act> + Send + Sync;
+
+/// A scripted server; each connection has a thread of its own.
+pub struct TestServer {
+    pub id: String,
+    pub address: SocketAddr,
+    received: Arc<Mutex<Vec<Received>>>,
+    /// Connections that the other end closed while a script hung.
+    hung_up: Arc<AtomicUsize>,
+}
+
+impl TestServer {
+    /// Starts a server whose script sees each request.
+    pub fn start(id: &str, script: impl Fn(&Received) -> Vec<Act> + Send + Sync + 'static) -> Self {
+        let any_port = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let listener = TcpListener::bind(any_port).expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let received = Arc::new(Mutex::new(Vec::new()));
+        let hung_up = Arc::new(AtomicUsize::new(0));
+        let script: Arc<Script> = Arc::new(script);
+        let (requests, closed) = (Arc::clone(&received), Arc::clone(&hung_up));
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let stream = stream.expect("it can be accepted");
+                let (requests, closed) = (Arc::clone(&requests), Arc::clone(&closed));
+                let script = Arc::clone(&script);
+                std::thread::spawn(move || serve(&stream, &requests, &closed, &*script));
+            }
+        });
+        Self {
+            id: id.to_owned(),
+            address,
+            received,
+            hung_up,
+        }
+    }
+
+    /// Starts a server that answers each request with its own id as body.
+    pub fn echo(id: &str) -> Self {
+        let body = id.to_owned();
+        Self::start(id, move |req| vec![ok(req, &body)])
+    }
+
+    pub fn received(&self) -> Vec<Received> {
+        self.received
+            .lock()
+            .expect("no test panics with the lock")
+            .clone()
+    }
+
+    pub fn hung_up(&self) -> usize {
+        self.hung_up.load(Ordering::SeqCst)
+    }
+}
+
+/// Returns a whole signed answer.
+pub fn ok(req: &Received, body: &str) -> Act {
+    answer(req, "200 OK", "Signed: s\r\n", body)
+}
+
+/// Returns a whole answer.
+pub fn answer(req: &Received, status: &str, headers: &str, body: &str) -> Act {
+    let id = req.header("request").unwrap_or_default();
+    text(&format!(
+        "HTTP/1.1 {status}\r\nRequest: {id}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    ))
+}
+
+/// Returns the head of a stream of events.
+pub fn stream_head(req: &Received) -> Act {
+    let id = req.header("request").unwrap_or_default();
+    text(&format!(
+        "HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    ))
+}
+
+/// Returns a chunk of a stream.
+pub fn chunk(bytes: &str) -> Act {
+    text(&format!("{:x}\r\n{bytes}\r\n", bytes.len()))
+}
+
+/// Returns a whole event.
+pub fn event(id: u32) -> String {
+    format!("id: {id}\ndata: word-{id}\n\n")
+}
+
+fn serve(
+    stream: &TcpStream,
+    requests: &Mutex<Vec<Received>>,
+    closed: &AtomicUsize,
+    script: &Script,
+) {
+    let mut reader = BufReader::new(stream);
+    while let Some(req) = read_request(&mut reader) {
+        requests
+            .lock()
+            .expect("no test panics with the lock")
+            .push(req.clone());
+        for act in script(&req) {
+            if !play(stream, act, closed) {
+                return;
+            }
+        }
+    }
+}
+
+/// Plays a step; returns whether the connection goes on.
+fn play(mut stream: &TcpStream, act: Act, closed: &AtomicUsize) -> bool {
+    match act {
+        Act::Send(bytes) => stream.write_all(&bytes).is_ok(),
+        Act::Pause(time) => {
+            std::thread::sleep(time);
+            true
+        }
+        Act::Hang => {
+            let _end = stream.read(&mut [0]);
+            closed.fetch_add(1, Ordering::SeqCst);
+            false
+        }
+        Act::Close => false,
+        Act::Reset => {
+            socket2::SockRef::from(stream)
+                .set_linger(Some(Duration::ZERO))
+                .expect("it can be set");
+            false
+        }
+    }
+}
+
+fn read_request(reader: &mut BufReader<&TcpStream>) -> Option<Received> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok().filter(|len| *len > 0)?;
+    let mut req = Received {
+        line: line.trim_end().to_owned(),
+        ..Received::default()
+    };
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header).ok().filter(|len| *len > 0)?;
+        let Some((name, value)) = header.trim_end().split_once(':') else {
+            break;
+        };
+        req.headers.push((name.to_owned(), value.trim().to_owned()));
+    }
+    let len = req
+        .header("content-length")
+        .and_then(|len| len.parse().ok());
+    req.body = vec![0; len.unwrap_or(0)];
+    reader.read_exact(&mut req.body).ok()?;
+    Some(req)
+}
