--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -46,8 +46,8 @@
 }
 
 /// Time after which sent bytes must be acknowledged, and idle time before probes of the system; a waiting
-/// call whose connection went silent ends after three times as long.
-const SILENCE: Duration = Duration::from_millis(800);
+/// call whose connection went silent ends after three times as long. Systems count whole seconds.
+const SILENCE: Duration = Duration::from_secs(1);
 /// Probes of the system that may stay unanswered.
 const SILENT_PROBES: u32 = 2;
 
--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -124,6 +124,6 @@
     let changes = store.next_servers(knowledge.servers_as_of(), WAIT).await?;
     let has_changes = !changes.changes.is_empty();
     knowledge.store_answered();
-    knowledge.change_servers(changes);
+    knowledge.change_servers(&changes);
     Ok(has_changes)
 }
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_policy::hop::HopFailure;
+use bulrushward_policy::{hop::HopFailure, server_health::ServerHealth};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -87,11 +87,11 @@
 pub(crate) struct HopError {
     pub(crate) failure: HopFailure,
     pub(crate) detail: String,
-    pub(crate) answer: Option<HopAnswer>,
+    pub(crate) answer: Option<Box<HopAnswer>>,
 }
 
 impl HopError {
-    pub(crate) fn new(failure: HopFailure, detail: impl ToString) -> Self {
+    pub(crate) fn new(failure: HopFailure, detail: &dyn ToString) -> Self {
         Self {
             failure,
             detail: detail.to_string(),
@@ -140,11 +140,11 @@
     let share = shared.connection_share(job.service.connection_limit);
     if server.state().idle.is_empty() && server.open_connections() >= share {
         let detail = format!("{share} connections are open");
-        return Err(HopError::new(HopFailure::NotSent, detail));
+        return Err(HopError::new(HopFailure::NotSent, &detail));
     }
     let mut connection = connection::take(server)
         .await
-        .map_err(|error| HopError::new(HopFailure::NotSent, error))?;
+        .map_err(|error| HopError::new(HopFailure::NotSent, &error))?;
     if !connection.is_reused {
         shared.metrics.connections_opened.inc();
     }
@@ -159,9 +159,9 @@
             } else {
                 HopFailure::Broken
             };
-            return Err(HopError::new(failure, error.error()));
+            return Err(HopError::new(failure, &error.error()));
         }
-        Err(_elapsed) => return Err(HopError::new(HopFailure::Silent, "no head in time")),
+        Err(_elapsed) => return Err(HopError::new(HopFailure::Silent, &"no head in time")),
     };
     let facts = shared.dialect.server(res.headers());
     if let Some(load) = facts.load {
@@ -186,19 +186,19 @@
         .filter(|id| **id != job.request_id)
     {
         let detail = format!("the answer is for request {id}");
-        return Err(HopError::new(HopFailure::Broken, detail));
+        return Err(HopError::new(HopFailure::Broken, &detail));
     }
     if res.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Err(HopError::new(HopFailure::Misdirected, "another server"));
+        return Err(HopError::new(HopFailure::Misdirected, &"another server"));
     }
     if facts.is_not_run {
         let detail = format!("refused with {}", res.status().as_u16());
-        return Err(HopError::new(HopFailure::Rejected, detail));
+        return Err(HopError::new(HopFailure::Rejected, &detail));
     }
     if res.status().is_success() && !facts.is_signed {
         return Err(HopError::new(
             HopFailure::Broken,
-            "the answer is not signed",
+            &"the answer is not signed",
         ));
     }
     Ok(())
@@ -232,8 +232,8 @@
     let limited = Limited::new(body, MAX_HELD_BYTES);
     let collected = match timeout_at(until, limited.collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(HopError::new(HopFailure::Broken, error)),
-        Err(_elapsed) => Err(HopError::new(HopFailure::Silent, "the body is not whole")),
+        Ok(Err(error)) => Err(HopError::new(HopFailure::Broken, &error)),
+        Err(_elapsed) => Err(HopError::new(HopFailure::Silent, &"the body is not whole")),
     };
     let body = match collected {
         Ok(body) => body,
@@ -249,13 +249,13 @@
         body,
     };
     if head.status.is_server_error() || is_promise(head.status) {
-        let mut error = HopError::new(HopFailure::ServerError, head.status);
+        let mut error = HopError::new(HopFailure::ServerError, &head.status);
         note_failure(&progress, &error);
         // A promise that the server did not mean must not reach the caller.
-        error.answer = (!is_promise(head.status) && facts.is_signed).then_some(answer);
+        error.answer = (!is_promise(head.status) && facts.is_signed).then(|| Box::new(answer));
         return Err(error);
     }
-    progress.note_health(|health, now| health.served(now));
+    progress.note_health(ServerHealth::served);
     Ok(answer)
 }
 
@@ -307,15 +307,16 @@
         loop {
             let frame = timeout_at(TokioInstant::from_std(until), self.body.frame()).await;
             let piece = match frame {
-                Err(_elapsed) => return Err(HopError::new(HopFailure::Silent, "no event in time")),
-                Ok(Some(Err(error))) => return Err(HopError::new(HopFailure::Broken, error)),
+                Err(_elapsed) => {
+                    return Err(HopError::new(HopFailure::Silent, &"no event in time"));
+                }
+                Ok(Some(Err(error))) => return Err(HopError::new(HopFailure::Broken, &error)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => return self.end(),
             };
-            let whole = self
-                .cutter
-                .push(&piece)
-                .map_err(|_too_large| HopError::new(HopFailure::Broken, "an event is too large"))?;
+            let whole = self.cutter.push(&piece).map_err(|_too_large| {
+                HopError::new(HopFailure::Broken, &"an event is too large")
+            })?;
             if !whole.is_empty() {
                 return Ok(Piece::Events(whole));
             }
@@ -324,10 +325,10 @@
 
     fn end(&mut self) -> Result<Piece, HopError> {
         if self.cutter.has_rest() {
-            return Err(HopError::new(HopFailure::Broken, "the last event is cut"));
+            return Err(HopError::new(HopFailure::Broken, &"the last event is cut"));
         }
         self.is_over = true;
-        self.progress.note_health(|health, now| health.served(now));
+        self.progress.note_health(ServerHealth::served);
         if let Some(connection) = self.connection.take() {
             connection::give_back(self.progress.server(), connection, self.keeps);
         }
@@ -338,8 +339,7 @@
 /// Takes the failure of a hop into the server's health.
 pub(crate) fn note_failure(progress: &InProgress, error: &HopError) {
     progress.note_health(|health, now| match error.failure {
-        HopFailure::NotSent => health.unreachable(now),
-        HopFailure::Misdirected => health.unreachable(now),
+        HopFailure::NotSent | HopFailure::Misdirected => health.unreachable(now),
         HopFailure::Rejected
         | HopFailure::ServerError
         | HopFailure::Broken
@@ -376,7 +376,7 @@
         .method(job.method.clone())
         .uri(job.target.as_str())
         .body(Full::new(job.body.clone()))
-        .map_err(|error| HopError::new(HopFailure::NotSent, error))?;
+        .map_err(|error| HopError::new(HopFailure::NotSent, &error))?;
     *req.headers_mut() = headers;
     Ok(req)
 }
--- a/bulrushward_direct/src/job.rs
+++ b/bulrushward_direct/src/job.rs
@@ -62,6 +62,6 @@
 
 /// Returns the part of a prompt that a session's requests share: the last but one.
 pub(crate) fn session(prompt: &[PromptPart]) -> Option<u64> {
-    let shared = prompt.len().checked_sub(2).unwrap_or(0);
+    let shared = prompt.len().saturating_sub(2);
     prompt.get(shared).map(|part| part.id)
 }
--- a/bulrushward_direct/src/knowledge.rs
+++ b/bulrushward_direct/src/knowledge.rs
@@ -82,7 +82,7 @@
     }
 
     /// Takes in changes of the registered servers.
-    pub(crate) fn change_servers(&self, changes: ServerChanges) {
+    pub(crate) fn change_servers(&self, changes: &ServerChanges) {
         let mut registry = self.lock();
         let now = Instant::now();
         for (id, record) in &changes.changes {
@@ -147,7 +147,10 @@
         let before = self.shared.servers.load();
         let set = ServerSet::new(registry.records(), &before);
         let servers = set.all().count();
-        self.shared.metrics.servers.set(servers as i64);
+        self.shared
+            .metrics
+            .servers
+            .set(servers.cast_signed() as i64);
         self.shared.servers.store(Arc::new(set));
         info!(event = "servers-known", servers, as_of = registry.as_of(), %source);
     }
--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -90,8 +90,10 @@
         let shared = Arc::clone(&shared);
         async move { Ok::<_, Infallible>(request::serve(shared, req).await) }
     });
+    let is_draining = drain.is_cancelled();
     let mut builder = http1::Builder::new();
     builder
+        .keep_alive(!is_draining)
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER))
@@ -100,7 +102,8 @@
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = drain.cancelled() => {
+        // A connection that was made meanwhile closes after its one request.
+        () = drain.cancelled(), if !is_draining => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -114,7 +114,7 @@
 
     async fn go_on(&mut self) -> Result<Bytes, HopError> {
         let Some(choice) = choose::server(&self.shared, &self.job, &self.tried) else {
-            return Err(HopError::new(HopFailure::Silent, "no other server"));
+            return Err(HopError::new(HopFailure::Silent, &"no other server"));
         };
         let server = &choice.server;
         self.tried.push(server.id.clone());
@@ -134,7 +134,7 @@
                 self.source = rest;
                 Ok(first)
             }
-            HopAnswer::Whole { status, .. } => Err(HopError::new(HopFailure::ServerError, status)),
+            HopAnswer::Whole { status, .. } => Err(HopError::new(HopFailure::ServerError, &status)),
         }
     }
 
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -307,7 +307,9 @@
     last_error: Option<HopError>,
     reason: Reason,
 ) -> Result<Response<Body>, OwnAnswer> {
-    let own_error = last_error.and_then(|error| error.answer);
+    let own_error = last_error
+        .and_then(|error| error.answer)
+        .map(|answer| *answer);
     if let Some(HopAnswer::Whole {
         status,
         headers,
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -88,7 +88,7 @@
             .collect();
         let mut by_service: HashMap<ServiceName, Vec<Arc<Server>>> = HashMap::new();
         for (id, record) in records {
-            let server = Server::new(id, record, known.get(id).map(|server| server.as_ref()));
+            let server = Server::new(id, record, known.get(id).map(AsRef::as_ref));
             by_service
                 .entry(record.service.clone())
                 .or_default()
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -90,7 +90,9 @@
         if known.is_some_and(|known| config.version <= known) {
             return false;
         }
-        self.metrics.config_version.set(config.version as i64);
+        self.metrics
+            .config_version
+            .set(config.version.cast_signed());
         self.routes.store(Some(Arc::new(RouteTable::new(config))));
         true
     }
--- a/bulrushward_direct/tests/answers.rs
+++ b/bulrushward_direct/tests/answers.rs
@@ -185,8 +185,13 @@
     }
 }
 
+type Failure = (&'static str, fn(&Received) -> Vec<Act>);
+
+/// Requests of the test of the budget.
+const REQUESTS: usize = 150;
+
 /// Ways in which a server may fail a request that it may have run.
-fn failures() -> Vec<(&'static str, fn(&Received) -> Vec<Act>)> {
+fn failures() -> Vec<Failure> {
     vec![
         ("closes", |_| vec![Act::Close]),
         ("resets", |_| vec![Act::Reset]),
@@ -225,29 +230,9 @@
     ]
 }
 
-#[test]
-fn a_non_idempotent_request_that_may_have_run_is_sent_once_and_called_unknown() {
-    for (failure, script) in failures() {
-        let one = TestServer::start("s-1", script);
-        let two = TestServer::start("s-2", script);
-        let router = router_before("plain", &[&one, &two]);
-        let answer = router.ask(&request("POST", "action", "r-1", ""));
-        assert_eq!(answer.status, 502, "{failure}");
-        assert_eq!(
-            answer.header("x-bulrushward-outcome"),
-            Some("unknown"),
-            "{failure}"
-        );
-        assert_eq!(answer.header("signed"), None, "{failure}");
-        assert_eq!(one.received().len() + two.received().len(), 1, "{failure}");
-        drop(router);
-        if failure == "resets" {
-            break;
-        }
-    }
-}
-
 #[rstest]
+#[case(0)]
+#[case(1)]
 #[case(2)]
 #[case(3)]
 #[case(4)]
@@ -255,18 +240,24 @@
 #[case(6)]
 #[case(7)]
 #[case(8)]
-fn a_non_idempotent_request_whose_answer_is_unusable_is_called_unknown(#[case] index: usize) {
+fn a_non_idempotent_request_that_may_have_run_is_sent_once_and_called_unknown(
+    #[case] index: usize,
+) {
     let (failure, script) = failures()[index];
-    let server = TestServer::start("s-1", script);
-    let router = router_before("plain", &[&server]);
+    let (one, two) = (
+        TestServer::start("s-1", script),
+        TestServer::start("s-2", script),
+    );
+    let router = router_before("plain", &[&one, &two]);
     let answer = router.ask(&request("POST", "action", "r-1", ""));
     assert_eq!(answer.status, 502, "{failure}");
+    assert_eq!(answer.header("signed"), None, "{failure}");
     assert_eq!(
         answer.header("x-bulrushward-outcome"),
         Some("unknown"),
         "{failure}"
     );
-    assert_eq!(server.received().len(), 1, "{failure}");
+    assert_eq!(one.received().len() + two.received().len(), 1, "{failure}");
 }
 
 #[rstest]
@@ -404,7 +395,6 @@
         TestServer::start("s-2", broken),
     );
     let router = router_before("plain", &[&one, &two]);
-    const REQUESTS: usize = 150;
     for index in 0..REQUESTS {
         let answer = router.ask(&request("GET", "lookup", &format!("r-{index}"), ""));
         assert_eq!(answer.status, 502);
--- /dev/null
+++ b/bulrushward_direct/tests/fleet.rs
@@ -0,0 +1,215 @@
+//! Tests of what a router believes: configurations, servers, peers, and of its planned stop.
+
+mod support;
+
+use std::{
+    io::Write,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bulrushward_direct::RouteKind;
+use support::{
+    CALLERS_PORT, TestRouter, caller, config, own_ip,
+    platform::MemoryStore,
+    record, request, route, router_before,
+    server::{Act, TestServer, ok},
+    wait_until,
+};
+
+/// Time in which a change must be in force.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+fn status(router: &TestRouter, route: &str) -> u16 {
+    router.ask(&request("GET", route, "r", "")).status
+}
+
+#[test]
+fn a_new_configuration_is_in_force_within_its_time_and_an_older_one_never_returns() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    assert_eq!(status(&router, "new"), 404);
+    let mut newer = config(5);
+    newer.routes.push(route("new", RouteKind::Idempotent));
+    router.store.set_config(newer);
+    let start = Instant::now();
+    wait_until("the route is there", || status(&router, "new") == 200);
+    assert!(start.elapsed() < IN_FORCE);
+    router.store.set_config(config(4));
+    std::thread::sleep(Duration::from_millis(800));
+    assert_eq!(status(&router, "new"), 200);
+}
+
+#[test]
+fn a_revoked_key_is_refused_within_its_time() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    assert_eq!(status(&router, "lookup"), 200);
+    let mut revoked = config(2);
+    revoked.organisations[0].keys = vec!["other".to_owned()];
+    router.store.set_config(revoked);
+    let start = Instant::now();
+    wait_until("the key is refused", || status(&router, "lookup") == 401);
+    assert!(start.elapsed() < IN_FORCE);
+}
+
+#[test]
+fn a_series_of_configurations_ends_at_the_last() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    for version in 2..40 {
+        let mut newer = config(version);
+        newer
+            .routes
+            .push(route(&format!("v{version}"), RouteKind::Idempotent));
+        router.store.set_config(newer);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let start = Instant::now();
+    wait_until("the last is in force", || status(&router, "v39") == 200);
+    assert!(start.elapsed() < IN_FORCE);
+    assert_eq!(status(&router, "v20"), 404);
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_after_its_time() {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let router = router_before("plain", &[&one, &two]);
+    let mut leaving = record("plain", one.address);
+    leaving.is_leaving = true;
+    router.store.put("s-1", leaving);
+    std::thread::sleep(Duration::from_millis(1_200));
+    let before = one.received().len();
+    for index in 0..20 {
+        assert_eq!(
+            router
+                .ask(&request("GET", "lookup", &format!("r-{index}"), ""))
+                .text(),
+            "s-2"
+        );
+    }
+    assert_eq!(one.received().len(), before);
+}
+
+#[test]
+fn a_store_that_dropped_its_history_is_read_again() {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let router = router_before("plain", &[&one]);
+    router.store.put("s-2", record("plain", two.address));
+    router.store.remove("s-1");
+    router.store.drop_history();
+    let start = Instant::now();
+    wait_until("the new server is used", || {
+        router.ask(&request("GET", "lookup", "r", "")).text() == "s-2"
+    });
+    assert!(start.elapsed() < IN_FORCE);
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_down() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    router.store.set_down(true);
+    std::thread::sleep(Duration::from_millis(300));
+    for index in 0..20 {
+        assert_eq!(
+            router
+                .ask(&request("POST", "action", &format!("r-{index}"), ""))
+                .status,
+            200
+        );
+    }
+    assert_eq!(router.readiness(), 200);
+}
+
+#[test]
+fn a_router_that_starts_without_the_store_learns_from_a_peer() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    let away = Arc::new(MemoryStore::default());
+    away.set_down(true);
+    let late = TestRouter::start_at(own_ip(), &away, &[router.ip]);
+    late.wait_ready();
+    wait_until("it knows the server", || status(&late, "lookup") == 200);
+}
+
+#[test]
+fn a_router_that_the_store_turns_away_gets_changes_from_a_peer() {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let router = router_before("plain", &[&one]);
+    let copy = MemoryStore::with(config(1));
+    let turned_away = TestRouter::start_at(own_ip(), &copy, &[router.ip]);
+    turned_away.wait_ready();
+    copy.set_down(true);
+    let mut newer = config(9);
+    newer.organisations[0].keys.push("key-2".to_owned());
+    newer.routes.push(route("new", RouteKind::Idempotent));
+    router.store.set_config(newer);
+    router.store.put("s-2", record("plain", two.address));
+    router.store.remove("s-1");
+    let start = Instant::now();
+    wait_until("it has route and server", || {
+        turned_away.ask(&request("GET", "new", "r", "")).text() == "s-2"
+    });
+    assert!(start.elapsed() < Duration::from_secs(4));
+}
+
+#[test]
+fn a_planned_stop_answers_what_was_read_and_is_not_ready_meanwhile() {
+    let server = TestServer::start("s-1", |req| {
+        vec![Act::Pause(Duration::from_millis(1_500)), ok(req, "late")]
+    });
+    let mut router = router_before("plain", &[&server]);
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    let sent = request("POST", "action", "r-1", "");
+    stream.write_all(sent.as_bytes()).expect("the router reads");
+    wait_until("the request arrives", || server.received().len() == 1);
+    router.stop();
+    wait_until("it is not ready", || router.readiness() == 503);
+    let answer = caller::read_answer(&mut stream);
+    assert_eq!((answer.status, answer.text().as_str()), (200, "late"));
+    assert_eq!(answer.header("connection"), Some("close"));
+    router.ended();
+}
+
+#[test]
+fn a_router_that_stops_takes_connections_until_the_platform_knows() {
+    let server = TestServer::echo("s-1");
+    let mut router = router_before("plain", &[&server]);
+    let idle = caller::connect(router.address(CALLERS_PORT));
+    router.stop();
+    wait_until("it is not ready", || router.readiness() == 503);
+    std::thread::sleep(Duration::from_millis(1_500));
+    let answer = router.ask(&request("POST", "action", "r-1", ""));
+    assert_eq!(answer.status, 200);
+    drop(idle);
+    let start = Instant::now();
+    router.ended();
+    assert!(
+        start.elapsed() < Duration::from_secs(3),
+        "it ends when nothing is left"
+    );
+}
+
+#[test]
+fn a_connection_serves_many_requests() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    for index in 0..50 {
+        let sent = request("POST", "action", &format!("r-{index}"), "body");
+        stream.write_all(sent.as_bytes()).expect("the router reads");
+        assert_eq!(caller::read_answer(&mut stream).text(), "s-1");
+    }
+}
+
+#[test]
+fn metrics_are_served() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    assert_eq!(status(&router, "lookup"), 200);
+    let answer = caller::get(router.address(7_341), "/metrics").expect("it listens");
+    let text = answer.text();
+    let line = "bulrushward_direct_requests_total{kind=\"lookup\",outcome=\"answered\"} 1";
+    assert!(text.contains(line), "{text}");
+}
--- /dev/null
+++ b/bulrushward_direct/tests/streams.rs
@@ -0,0 +1,295 @@
+//! Tests of streams: events as they come, each once, and never an end that is none.
+
+mod support;
+
+use std::{
+    io::{Read, Write},
+    time::{Duration, Instant},
+};
+
+use support::{
+    CALLERS_PORT, HOST, KEY, TestRouter, caller, request, router_before,
+    server::{Act, Received, TestServer, answer, chunk, event, stream_head, text},
+    wait_until,
+};
+
+fn events(from: u32, to: u32) -> String {
+    (from..=to).map(event).collect()
+}
+
+/// Streams events 1 to 6, or from the one after the caller's last.
+fn whole(req: &Received) -> Vec<Act> {
+    let after = req
+        .header("last-event")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let mut acts = vec![stream_head(req)];
+    acts.extend((after + 1..=6).map(|id| chunk(&event(id))));
+    acts.push(text("0\r\n\r\n"));
+    acts
+}
+
+/// Streams three events and the beginning of the fourth, then breaks.
+fn broken(req: &Received) -> Vec<Act> {
+    vec![
+        stream_head(req),
+        chunk(&event(1)),
+        Act::Pause(Duration::from_millis(20)),
+        chunk(&events(2, 3)),
+        chunk("id: 4\ndata: wo"),
+        Act::Pause(Duration::from_millis(20)),
+        Act::Close,
+    ]
+}
+
+#[test]
+fn events_arrive_as_they_come() {
+    let server = TestServer::start("s-1", |req| {
+        vec![stream_head(req), chunk(&event(1)), Act::Hang]
+    });
+    let router = router_before("engines", &[&server]);
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    let sent = request("POST", "stream", "r-1", "");
+    stream.write_all(sent.as_bytes()).expect("the router reads");
+    let mut seen = String::new();
+    wait_until("the first event arrives", || {
+        let mut buf = [0; 1_024];
+        let len = stream.read(&mut buf).expect("the stream is open");
+        seen.push_str(&String::from_utf8_lossy(&buf[..len]));
+        seen.contains("word-1\n\n")
+    });
+    drop(stream);
+    wait_until("the server is told", || server.hung_up() == 1);
+}
+
+#[test]
+fn a_stream_comes_whole() {
+    let server = TestServer::start("s-1", whole);
+    let router = router_before("engines", &[&server]);
+    for route in ["stream", "resumable"] {
+        let answer = router.ask(&request("POST", route, "r-1", ""));
+        assert_eq!(answer.status, 200);
+        assert!(answer.is_whole);
+        assert_eq!(answer.text(), events(1, 6));
+        assert_eq!(answer.header("signed"), Some("s"));
+    }
+}
+
+#[test]
+fn a_broken_stream_that_may_not_be_resumed_is_cut_visibly() {
+    let (one, two) = (
+        TestServer::start("s-1", broken),
+        TestServer::start("s-2", broken),
+    );
+    let router = router_before("engines", &[&one, &two]);
+    let answer = router.ask(&request("POST", "stream", "r-1", ""));
+    assert_eq!(answer.status, 200);
+    assert!(!answer.is_whole);
+    assert_eq!(answer.text(), events(1, 3));
+    assert_eq!(one.received().len() + two.received().len(), 1);
+}
+
+#[test]
+fn a_resumable_stream_goes_on_after_its_last_whole_event() {
+    // Each server breaks the first run that it gets and serves a resumed one.
+    let script = |req: &Received| match req.header("last-event") {
+        Some(_) => whole(req),
+        None => broken(req),
+    };
+    let (one, two) = (
+        TestServer::start("s-1", script),
+        TestServer::start("s-2", script),
+    );
+    let router = router_before("engines", &[&one, &two]);
+    let answer = router.ask(&request("POST", "resumable", "r-1", ""));
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), events(1, 6));
+    let received = [one.received(), two.received()].concat();
+    assert_eq!(received.len(), 2);
+    let resumed: Vec<_> = received
+        .iter()
+        .filter_map(|req| req.header("last-event"))
+        .collect();
+    assert_eq!(resumed, ["3"]);
+}
+
+#[test]
+fn a_stream_resumes_at_no_more_servers_than_its_route_allows() {
+    let servers: Vec<_> = (0..4)
+        .map(|index| TestServer::start(&format!("s-{index}"), broken))
+        .collect();
+    let router = router_before("engines", &servers.iter().collect::<Vec<_>>());
+    let answer = router.ask(&request("POST", "resumable", "r-1", ""));
+    assert!(!answer.is_whole);
+    let arrivals: usize = servers.iter().map(|server| server.received().len()).sum();
+    assert_eq!(arrivals, 2);
+}
+
+#[test]
+fn a_stream_that_a_caller_resumes_itself_starts_after_its_event() {
+    let server = TestServer::start("s-1", whole);
+    let router = router_before("engines", &[&server]);
+    let sent = request("POST", "resumable", "r-2", "").replace("Key:", "Last-Event: 4\r\nKey:");
+    assert_eq!(router.ask(&sent).text(), events(5, 6));
+}
+
+#[test]
+fn a_stream_that_breaks_before_its_first_event_is_an_error() {
+    let server = TestServer::start("s-1", |req| vec![stream_head(req), Act::Close]);
+    let router = router_before("engines", &[&server]);
+    let answer = router.ask(&request("POST", "stream", "r-1", ""));
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("x-bulrushward-outcome"), Some("unknown"));
+}
+
+#[test]
+fn a_resumable_stream_leaves_a_server_that_fell_silent() {
+    let (one, two) = (
+        TestServer::start("s-1", |req| {
+            if req.header("last-event").is_some() {
+                return whole(req);
+            }
+            vec![stream_head(req), chunk(&events(1, 2)), Act::Hang]
+        }),
+        TestServer::start("s-2", whole),
+    );
+    let router = router_before("engines", &[&one, &two]);
+    for index in 0..6 {
+        let start = Instant::now();
+        let answer = router.ask(&request("POST", "resumable", &format!("r-{index}"), ""));
+        assert_eq!(answer.text(), events(1, 6));
+        assert!(start.elapsed() < Duration::from_secs(2));
+    }
+    wait_until("the silent runs end", || {
+        let silent = one
+            .received()
+            .iter()
+            .filter(|req| req.header("last-event").is_none())
+            .count();
+        one.hung_up() == silent
+    });
+}
+
+#[test]
+fn a_long_pause_is_no_reason_to_end_a_stream_that_may_not_be_resumed() {
+    let server = TestServer::start("s-1", |req| {
+        vec![
+            stream_head(req),
+            chunk(&event(1)),
+            Act::Pause(Duration::from_millis(1_600)),
+            chunk(&event(2)),
+            text("0\r\n\r\n"),
+        ]
+    });
+    let router = router_before("engines", &[&server]);
+    let answer = router.ask(&request("POST", "stream", "r-1", ""));
+    assert!(answer.is_whole);
+    assert_eq!(answer.text(), events(1, 2));
+}
+
+#[test]
+fn a_stream_that_ends_within_an_event_does_not_look_complete() {
+    let server = TestServer::start("s-1", |req| {
+        let cut = "id: 2\ndata: wo";
+        vec![
+            stream_head(req),
+            chunk(&event(1)),
+            chunk(cut),
+            text("0\r\n\r\n"),
+        ]
+    });
+    let router = router_before("engines", &[&server]);
+    let answer = router.ask(&request("POST", "stream", "r-1", ""));
+    assert!(!answer.is_whole);
+    assert_eq!(answer.text(), event(1));
+}
+
+#[test]
+fn an_error_in_place_of_a_stream_comes_back() {
+    let server = TestServer::start("s-1", |req| {
+        vec![answer(req, "400 Bad", "Signed: s\r\n", "no")]
+    });
+    let router = router_before("engines", &[&server]);
+    let answer = router.ask(&request("POST", "stream", "r-1", ""));
+    assert_eq!((answer.status, answer.text().as_str()), (400, "no"));
+}
+
+fn ask_session(router: &TestRouter, session: u64, id: &str) -> String {
+    let sent = format!(
+        "POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: {id}\r\nKey: {KEY}\r\n\
+         Prompt: 1:500,{session}:10000,999:100\r\nContent-Length: 0\r\n\r\n"
+    );
+    let answer = router.ask(&sent);
+    assert!(answer.is_whole, "{}", answer.status);
+    answer
+        .header("by")
+        .expect("the server names itself")
+        .to_owned()
+}
+
+/// Streams one event and names the server in a header.
+fn named(id: &'static str) -> TestServer {
+    TestServer::start(id, move |req| {
+        let request = req.header("request").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest: {request}\r\nSigned: s\r\nBy: {id}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n"
+        );
+        vec![text(&head), chunk(&event(1)), text("0\r\n\r\n")]
+    })
+}
+
+#[test]
+fn a_session_returns_to_its_server_after_others_joined() {
+    let first = [named("s-1"), named("s-2"), named("s-3")];
+    let later = [named("s-4"), named("s-5"), named("s-6")];
+    let router = router_before("engines", &first.iter().collect::<Vec<_>>());
+    let homes: Vec<_> = (10..40)
+        .map(|session| ask_session(&router, session, &format!("a-{session}")))
+        .collect();
+    for server in &later {
+        router
+            .store
+            .put(&server.id, support::record("engines", server.address));
+    }
+    wait_until("the others get new sessions", || {
+        let new = (100..130).map(|session| ask_session(&router, session, &format!("n-{session}")));
+        new.filter(|home| ["s-4", "s-5", "s-6"].contains(&home.as_str()))
+            .count()
+            > 3
+    });
+    for (session, home) in (10..40).zip(homes) {
+        let id = format!("b-{session}");
+        assert_eq!(
+            ask_session(&router, session, &id),
+            home,
+            "session {session}"
+        );
+    }
+}
+
+#[test]
+fn a_session_whose_server_leaves_is_copied_from_it() {
+    let servers = [named("s-1"), named("s-2")];
+    let router = router_before("engines", &servers.iter().collect::<Vec<_>>());
+    let home = ask_session(&router, 7, "r-1");
+    let (left, other) = if home == "s-1" {
+        (&servers[0], &servers[1])
+    } else {
+        (&servers[1], &servers[0])
+    };
+    let mut leaving = support::record("engines", left.address);
+    leaving.is_leaving = true;
+    router.store.put(&left.id, leaving);
+    let mut asked = 0;
+    wait_until("the session moves", || {
+        asked += 1;
+        ask_session(&router, 7, &format!("m-{asked}")) == other.id
+    });
+    let received = other.received();
+    let source = received[0].header("copy-from").map(str::to_owned);
+    assert_eq!(source, Some(left.address.to_string()));
+    assert_eq!(ask_session(&router, 7, "r-9"), other.id);
+    let last = other.received().pop().expect("it was asked");
+    assert_eq!(last.header("copy-from"), None);
+}
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    fn readiness_path(&self) -> &str {
+    fn readiness_path(&self) -> &'static str {
         "/ready"
     }
 }
