Soak real routers as processes under randomized faults

Routers, store, servers and callers on loopback, a relay on each link, faults in overlapping series with quiet changes between them.

--- /dev/null
+++ b/bulrushward_soak/src/callers.rs
@@ -0,0 +1,251 @@
+//! Callers that keep their connections, follow the promises of answers, and note what they saw.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bulrushward_platform_stand_in::{CallerRequest, event_id, is_signed, server_signature};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+
+use crate::world::World;
+
+/// Time for which a caller waits for an answer, in milliseconds.
+const PATIENCE_MS: u64 = 2_500;
+/// Time beyond it after which a caller gives up itself.
+const OWN_SLACK: Duration = Duration::from_millis(700);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Sessions that return.
+const SESSIONS: u64 = 20;
+
+/// What a caller asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Kind {
+    Lookup,
+    Action,
+    Stream,
+    Resumable,
+}
+
+impl Kind {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Lookup => "/lookup/x",
+            Self::Action => "/action/x",
+            Self::Stream => "/stream/once/x",
+            Self::Resumable => "/stream/resume/x",
+        }
+    }
+
+    pub(crate) fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumable)
+    }
+}
+
+/// How an attempt ended for its caller.
+#[derive(Clone, Debug)]
+pub(crate) enum Seen {
+    /// An answer whose end arrived.
+    Whole(SeenAnswer),
+    /// An answer that was cut after its head.
+    Cut(SeenAnswer),
+    /// The connection ended or gave nothing.
+    Nothing,
+    /// The caller closed its connection on purpose.
+    Left,
+}
+
+/// An answer as far as it arrived.
+#[derive(Clone, Debug)]
+pub(crate) struct SeenAnswer {
+    pub(crate) status: u16,
+    pub(crate) is_signed: bool,
+    /// Server and request that the signature names.
+    pub(crate) signature: Option<(String, String)>,
+    pub(crate) body: String,
+}
+
+/// One attempt of a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt {
+    pub(crate) id: String,
+    pub(crate) kind: Kind,
+    pub(crate) router: usize,
+    pub(crate) ended: Instant,
+    pub(crate) seen: Seen,
+}
+
+/// Attempts of all callers.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    all: Mutex<Vec<Attempt>>,
+    next: AtomicU64,
+    pub(crate) is_over: AtomicBool,
+}
+
+impl Attempts {
+    pub(crate) fn all(&self) -> Vec<Attempt> {
+        self.all
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn add(&self, attempt: Attempt) {
+        let mut all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
+        all.push(attempt);
+    }
+}
+
+/// A connection to a router; closes when it is dropped.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sends requests until the attempts are over; keeps its connection as long as it works.
+pub(crate) async fn caller(world: Arc<World>, attempts: Arc<Attempts>, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut router = 0;
+    let mut connection = None;
+    while !attempts.is_over.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        if connection.is_none() {
+            router = rng.random_range(0..world.caller_links.len());
+            if !world.routers()[router].is_up() {
+                continue;
+            }
+            connection = connect(world.caller_address(router)).await;
+        }
+        let Some(mut open) = connection.take() else {
+            continue;
+        };
+        let kind =
+            [Kind::Lookup, Kind::Action, Kind::Stream, Kind::Resumable][rng.random_range(0..4)];
+        let number = attempts.next.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{seed}-{number}");
+        let keys = world.written().last().map(|last| last.config.keys.clone());
+        let key = keys
+            .and_then(|keys| keys.first().cloned())
+            .unwrap_or_default();
+        let req = CallerRequest {
+            id: id.clone(),
+            path: kind.path().to_owned(),
+            key,
+            patience_ms: PATIENCE_MS,
+            session: kind
+                .is_stream()
+                .then(|| rng.random_range(100..100 + SESSIONS)),
+        };
+        let leaves = rng.random_bool(0.04).then(|| rng.random_range(5..300));
+        let limit = leaves.map_or(
+            Duration::from_millis(PATIENCE_MS) + OWN_SLACK,
+            Duration::from_millis,
+        );
+        let outcome = match timeout(limit, ask(&mut open, &req)).await {
+            Ok(answered) => answered,
+            Err(_elapsed) if leaves.is_some() => Seen::Left,
+            Err(_elapsed) => Seen::Nothing,
+        };
+        if matches!(outcome, Seen::Whole(_)) && !open.sender.is_closed() {
+            connection = Some(open);
+        }
+        attempts.add(Attempt {
+            id,
+            kind,
+            router,
+            ended: Instant::now(),
+            seen: outcome,
+        });
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<Connection> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    let task = tokio::spawn(async move {
+        // The request that it carried tells how it ended.
+        let _ended = connection.await;
+    });
+    Some(Connection {
+        sender,
+        task: task.abort_handle(),
+    })
+}
+
+async fn ask(connection: &mut Connection, req: &CallerRequest) -> Seen {
+    if connection.sender.ready().await.is_err() {
+        return Seen::Nothing;
+    }
+    let Ok(res) = connection.sender.send_request(req.build()).await else {
+        return Seen::Nothing;
+    };
+    let (head, mut body) = res.into_parts();
+    let mut answer = SeenAnswer {
+        status: head.status.as_u16(),
+        is_signed: is_signed(&head.headers),
+        signature: server_signature(&head.headers),
+        body: String::new(),
+    };
+    loop {
+        match body.frame().await {
+            None => return Seen::Whole(answer),
+            Some(Err(_cut)) => return Seen::Cut(answer),
+            Some(Ok(frame)) => {
+                let bytes = frame.into_data().unwrap_or_default();
+                answer.body.push_str(&String::from_utf8_lossy(&bytes));
+            }
+        }
+    }
+}
+
+/// Asks once on a connection of its own; returns the status, or nothing without an answer.
+pub(crate) async fn probe(address: SocketAddr, path: &str, key: &str, id: &str) -> Option<u16> {
+    let req = CallerRequest {
+        id: id.to_owned(),
+        path: path.to_owned(),
+        key: key.to_owned(),
+        patience_ms: PATIENCE_MS,
+        session: None,
+    };
+    let mut connection = connect(address).await?;
+    let asked = timeout(
+        Duration::from_millis(PATIENCE_MS),
+        ask(&mut connection, &req),
+    );
+    match asked.await.ok()? {
+        Seen::Whole(answer) | Seen::Cut(answer) => Some(answer.status),
+        Seen::Nothing | Seen::Left => None,
+    }
+}
+
+/// Returns the ids of the events of a stream in order, and whether the last one is there.
+pub(crate) fn events(body: &str) -> (Vec<u32>, bool) {
+    let events: Vec<_> = body
+        .split_inclusive("\n\n")
+        .filter(|event| event.ends_with("\n\n"))
+        .filter_map(event_id)
+        .collect();
+    let has_last = events.last().is_some_and(|(_, is_last)| *is_last);
+    (events.into_iter().map(|(id, _)| id).collect(), has_last)
+}
--- /dev/null
+++ b/bulrushward_soak/src/router.rs
@@ -0,0 +1,194 @@
+//! One router as a process: started, signalled and started again.
+
+use std::{
+    fs::{self, File},
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+pub(crate) const CALLERS_PORT: u16 = 8_227;
+pub(crate) const READINESS_PORT: u16 = 8_220;
+const KNOWLEDGE_PORT: u16 = 8_229;
+/// Time that a stopping process has, in milliseconds; part of its settings.
+const STOP_GRACE_MS: u64 = 6_000;
+/// Routers of one process of the soak whose addresses do not meet.
+const MAX_ROUTERS: u32 = 64;
+
+/// A router process with its place in the fleet.
+#[derive(Debug)]
+pub(crate) struct RouterProcess {
+    pub(crate) index: usize,
+    pub(crate) ip: IpAddr,
+    daemon: PathBuf,
+    folder: PathBuf,
+    child: Option<Child>,
+    is_paused: bool,
+    /// Whether it was told to stop.
+    is_stopping: bool,
+    /// When its process or its link to the store was disturbed, in order.
+    disturbances: Vec<Instant>,
+}
+
+/// Returns whether no disturbance lies in the time before a moment.
+pub(crate) fn was_calm(disturbances: &[Instant], moment: Instant, time: Duration) -> bool {
+    let mut before = disturbances.iter().filter(|at| **at <= moment);
+    before.all(|at| moment.duration_since(*at) > time)
+}
+
+/// Returns the loopback address of a router; no other process of the soak has it.
+fn ip(index: usize) -> IpAddr {
+    let place = std::process::id() * MAX_ROUTERS + index as u32 + 1;
+    let [_, a, b, c] = place.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, a, b, c))
+}
+
+impl RouterProcess {
+    /// Prepares a router that follows a store at an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its settings cannot be written.
+    pub(crate) fn new(
+        index: usize,
+        daemon: &Path,
+        folder: &Path,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
+        let ip = ip(index);
+        let settings = format!(
+            "node = \"router-{index}\"\nfailure_domain = \"a\"\n\
+             callers_address = \"{ip}:{CALLERS_PORT}\"\n\
+             readiness_address = \"{ip}:{READINESS_PORT}\"\n\
+             knowledge_address = \"{ip}:{KNOWLEDGE_PORT}\"\n\
+             datagram_port = 7340\nmetrics_port = 7341\n\
+             seeds = [\"{first}:{KNOWLEDGE_PORT}\"]\nstore_address = \"{store}\"\n\
+             stop_grace_ms = {STOP_GRACE_MS}\nrepeat_ratio = 0.2\nextra_repeats = 50.0\n",
+            first = self::ip(0),
+        );
+        fs::create_dir_all(folder)?;
+        fs::write(folder.join(format!("router-{index}.toml")), settings)?;
+        Ok(Self {
+            index,
+            ip,
+            daemon: daemon.to_owned(),
+            folder: folder.to_owned(),
+            child: None,
+            is_paused: false,
+            is_stopping: false,
+            disturbances: vec![Instant::now()],
+        })
+    }
+
+    pub(crate) fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, port)
+    }
+
+    /// Starts the process; its log goes on in the same file.
+    pub(crate) fn start(&mut self) -> io::Result<()> {
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("router-{}.log", self.index)))?;
+        let child = Command::new(&self.daemon)
+            .arg("direct")
+            .arg("--settings")
+            .arg(self.folder.join(format!("router-{}.toml", self.index)))
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.is_paused = false;
+        self.is_stopping = false;
+        self.disturb();
+        Ok(())
+    }
+
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        self.disturb();
+        match signal {
+            Signal::SIGSTOP => self.is_paused = true,
+            Signal::SIGCONT => self.is_paused = false,
+            Signal::SIGTERM => self.is_stopping = true,
+            _ => {}
+        }
+        if let Some(child) = &self.child {
+            let pid = Pid::from_raw(child.id().cast_signed());
+            // A process that has just ended by an earlier signal is noticed by `ended`.
+            let _delivered = kill(pid, signal);
+        }
+    }
+
+    pub(crate) fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        self.wait();
+    }
+
+    /// Returns whether the process is there and neither paused nor stopping.
+    pub(crate) fn is_up(&self) -> bool {
+        self.child.is_some() && !self.is_paused && !self.is_stopping
+    }
+
+    /// Returns whether the process has ended; `None` if there is none.
+    pub(crate) fn ended(&mut self) -> Option<bool> {
+        let child = self.child.as_mut()?;
+        let status = child.try_wait().ok().flatten();
+        if status.is_some() {
+            self.child = None;
+        }
+        Some(status.is_some())
+    }
+
+    /// Returns the largest memory of the process so far in kilobytes.
+    pub(crate) fn peak_memory_kb(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// Notes a disturbance.
+    pub(crate) fn disturb(&mut self) {
+        self.disturbances.push(Instant::now());
+    }
+
+    /// Returns the time since the last disturbance.
+    pub(crate) fn undisturbed(&self) -> Duration {
+        self.disturbances
+            .last()
+            .map_or(Duration::MAX, Instant::elapsed)
+    }
+
+    /// Returns whether nothing disturbed the router for a time.
+    pub(crate) fn is_calm(&self, time: Duration) -> bool {
+        self.is_up() && self.undisturbed() > time
+    }
+
+    /// Returns whether nothing disturbed the router for a time before a moment.
+    pub(crate) fn was_calm(&self, moment: Instant, time: Duration) -> bool {
+        was_calm(&self.disturbances, moment, time)
+    }
+
+    fn wait(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It was killed, so this returns.
+            let _status = child.wait();
+        }
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        if self.child.is_some() {
+            self.kill();
+        }
+    }
+}
--- /dev/null
+++ b/bulrushward_soak/tests/seeds.rs
@@ -0,0 +1,27 @@
+//! A short seeded soak, with the seeds that once broke a promise.
+
+use std::{path::PathBuf, time::Duration};
+
+use bulrushward_soak::{SoakSettings, run};
+use rstest::rstest;
+
+/// Time of faults for each seed; long enough for each kind of fault to overlap with others.
+const DURATION: Duration = Duration::from_secs(6);
+
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_seed_breaks_no_promise(#[case] seed: u64) {
+    let target = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target");
+    let settings = SoakSettings {
+        daemon: target.join("debug/bulrushwardd"),
+        logs: target.join("soak-tests").join(seed.to_string()),
+        seed,
+        duration: DURATION,
+        routers: 3,
+    };
+    let report = run(settings).await.expect("the fleet starts");
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.served > report.attempts / 2, "{report}");
+}
