Contain requests that crash servers across the fleet, and compare views by content

A content whose connections broke three times is not sent for 30 s; peers hear of it. Routers fetched from peers whenever a store revision of something else advanced; they now compare a digest of the servers, and a copy leaves out a configuration that the asking router has. After a jump of the time of day a restarted router was ignored by its peers for 30 s; now for 1 s.

--- a/bulrushward_direct/src/answer.rs
+++ b/bulrushward_direct/src/answer.rs
@@ -42,6 +42,7 @@
     TimeOver,
     ServerBroke,
     ServerSilent,
+    Quarantined,
 }
 
 /// An answer of the router's own.
--- a/bulrushward_direct/src/job.rs
+++ b/bulrushward_direct/src/job.rs
@@ -2,8 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use bulrushward_protocol::Fingerprint;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     model::{Route, RouteKind, Service},
@@ -31,6 +33,8 @@
     pub(crate) prompt: Vec<PromptPart>,
     /// Last event that the caller has, where it resumes a stream itself.
     pub(crate) last_event: Option<String>,
+    /// Names path, caller and body, to know a content that crashes servers.
+    pub(crate) content: Fingerprint,
     /// Versions of the configuration that decided, for the log.
     pub(crate) config_version: u64,
 }
@@ -60,6 +64,20 @@
     }
 }
 
+/// Names a content by its path, caller and body.
+pub(crate) fn fingerprint(target: &str, organisation: Option<&str>, body: &[u8]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for part in [
+        target.as_bytes(),
+        organisation.unwrap_or_default().as_bytes(),
+        body,
+    ] {
+        hash.update(&part.len().to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest128()
+}
+
 /// Returns the part of a prompt that a session's requests share: the last but one.
 pub(crate) fn session(prompt: &[PromptPart]) -> Option<u64> {
     let shared = prompt.len().saturating_sub(2);
--- a/bulrushward_direct/src/knowledge.rs
+++ b/bulrushward_direct/src/knowledge.rs
@@ -1,21 +1,45 @@
 //! What a router knows that lasts: configuration and registered servers, with where it has them from.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Instant,
 };
 
 use bulrushward_policy::server_registry::{ServerRegistry, StoreRevision};
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    model::{FleetConfig, ServerId, ServerRecord},
+    model::{ConfigVersion, FleetConfig, ServerId, ServerRecord},
     ports::{ServerChanges, ServerListing},
     servers::ServerSet,
     shared::Shared,
 };
 
+/// Digest of the registered servers; equal ones mean equal views.
+pub(crate) type ServersDigest = u64;
+
+/// How far a router's knowledge goes, as its peers compare it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Extent {
+    pub(crate) config: Option<ConfigVersion>,
+    pub(crate) as_of: StoreRevision,
+    pub(crate) servers: ServersDigest,
+}
+
+impl Extent {
+    /// Returns whether there is something here that the other does not have.
+    ///
+    /// Revisions alone do not tell: they also count changes of other things.
+    pub(crate) fn is_ahead_of(&self, other: &Self) -> bool {
+        self.config > other.config || (self.as_of > other.as_of && self.servers != other.servers)
+    }
+}
+
 /// What a peer hands to a router that is behind.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct KnowledgeCopy {
@@ -37,6 +61,7 @@
 pub(crate) struct Knowledge {
     shared: Arc<Shared>,
     registry: Mutex<ServerRegistry<ServerRecord>>,
+    digest: AtomicU64,
 }
 
 impl Knowledge {
@@ -44,6 +69,7 @@
         Arc::new(Self {
             shared: Arc::clone(shared),
             registry: Mutex::default(),
+            digest: AtomicU64::new(0),
         })
     }
 
@@ -52,6 +78,15 @@
         self.lock().as_of()
     }
 
+    /// Returns how far the knowledge goes.
+    pub(crate) fn extent(&self) -> Extent {
+        Extent {
+            config: self.shared.config_version(),
+            as_of: self.servers_as_of(),
+            servers: self.digest.load(Ordering::Relaxed),
+        }
+    }
+
     /// Takes in that the store answered a call about servers.
     pub(crate) fn store_answered(&self) {
         self.lock().store_answered(Instant::now());
@@ -114,16 +149,19 @@
         }
     }
 
-    /// Returns a copy for a peer.
-    pub(crate) fn copy(&self) -> KnowledgeCopy {
+    /// Returns a copy for a peer that has a version of the configuration already.
+    pub(crate) fn copy(&self, known: Option<ConfigVersion>) -> KnowledgeCopy {
         let registry = self.lock();
         let servers = registry
             .records()
             .map(|(id, record)| (id.to_owned(), record.clone()))
             .collect();
         let table = self.shared.routes.load();
+        let config = table.as_ref().map(|table| table.config());
         KnowledgeCopy {
-            config: table.as_ref().map(|table| table.config().clone()),
+            config: config
+                .filter(|config| Some(config.version) > known)
+                .cloned(),
             servers,
             as_of: registry.as_of(),
         }
@@ -144,6 +182,11 @@
     }
 
     fn publish(&self, registry: &ServerRegistry<ServerRecord>, source: Source) {
+        let records: Vec<_> = registry.records().collect();
+        match postcard::to_stdvec(&records) {
+            Ok(bytes) => self.digest.store(xxh3_64(&bytes), Ordering::Relaxed),
+            Err(error) => warn!(event = "servers-digest-failed", %error),
+        }
         let before = self.shared.servers.load();
         let set = ServerSet::new(registry.records(), &before);
         let servers = set.all().count();
--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -8,7 +8,8 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use bulrushward_policy::{server_load::PeerShare, server_registry::StoreRevision};
+use bulrushward_policy::server_load::PeerShare;
+use bulrushward_protocol::QuarantineRecord;
 use hyper::StatusCode;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
@@ -21,27 +22,32 @@
 use crate::{
     call,
     connection::drop_expired,
-    knowledge::{Knowledge, KnowledgeCopy},
+    knowledge::{Extent, Knowledge, KnowledgeCopy},
     model::ConfigVersion,
     news::Placement,
     servers::ServerHash,
     shared::Shared,
 };
 
-/// Path at which a router hands out what it knows.
-pub(crate) const KNOWLEDGE_PATH: &str = "/knowledge";
+/// Path at which a router hands out what it knows; the version of the configuration follows that the
+/// asking router has.
+pub(crate) const KNOWLEDGE_PATH: &str = "/knowledge/";
 /// Time between two rounds of datagrams.
 const ROUND: Duration = Duration::from_millis(250);
 /// Peers that get a datagram in each round; bounds the traffic of a large fleet.
 const PEERS_A_ROUND: usize = 4;
 /// Time without a datagram after which a peer counts as gone.
 const PEER_GONE: Duration = Duration::from_secs(3);
+/// Time for which a datagram of a process that has started again may be on its way.
+const LATE_DATAGRAM: Duration = Duration::from_secs(1);
 /// Time after which a peer that is gone is not written to any more.
 const PEER_FORGOTTEN: Duration = Duration::from_secs(30);
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8 << 10;
 /// Servers that one datagram tells of, the busiest first.
 const MAX_SERVERS: usize = 256;
+/// Contents that crash servers that one datagram tells of.
+const MAX_CRASHES: usize = 8;
 /// Peers that one datagram tells of.
 const MAX_PEERS: usize = 8;
 /// Time for a peer to hand out what it knows.
@@ -55,10 +61,11 @@
     node: String,
     started_ms: u64,
     knowledge: SocketAddr,
-    config: Option<ConfigVersion>,
-    servers_as_of: StoreRevision,
+    extent: Extent,
     in_progress: Vec<ServerInProgress>,
     placements: Vec<Placement>,
+    /// Contents that crash servers.
+    crashes: Vec<QuarantineRecord>,
     /// Knowledge addresses of other routers that were heard lately.
     others: Vec<SocketAddr>,
 }
@@ -86,8 +93,8 @@
     socket: UdpSocket,
     started_ms: u64,
     by_node: HashMap<String, Peer>,
-    /// Since when a peer has been ahead of this router.
-    behind_since: Option<Instant>,
+    /// Since when a peer has been ahead of this router, and how far this one went then.
+    behind: Option<(Instant, Extent)>,
 }
 
 impl Peers {
@@ -107,7 +114,7 @@
             socket,
             started_ms: now.as_millis() as u64,
             by_node: HashMap::new(),
-            behind_since: None,
+            behind: None,
         })
     }
 
@@ -152,12 +159,18 @@
             return;
         }
         let known = self.by_node.get(&digest.node);
-        if known.is_some_and(|peer| peer.digest.started_ms > digest.started_ms) {
+        // Time of day may have jumped back between two starts, so an older one counts once the other is
+        // silent.
+        let is_late = |peer: &Peer| {
+            peer.digest.started_ms > digest.started_ms && peer.heard.elapsed() < LATE_DATAGRAM
+        };
+        if known.is_some_and(is_late) {
             return;
         }
         if known.is_none_or(|peer| !peer.is_alive) {
             info!(event = "peer-known", peer = digest.node, address = %digest.knowledge);
         }
+        self.shared.learn_crashes(&digest.crashes);
         for placement in &digest.placements {
             self.shared.note_home(placement.session, placement.server);
         }
@@ -267,47 +280,52 @@
             node: self.shared.settings().node.clone(),
             started_ms: self.started_ms,
             knowledge: self.shared.settings().knowledge_address,
-            config: self.shared.config_version(),
-            servers_as_of: self.knowledge.servers_as_of(),
+            extent: self.knowledge.extent(),
             in_progress,
             placements: self.shared.take_news(),
+            crashes: self.shared.crash_records(now, MAX_CRASHES),
             others,
         }
     }
 
     /// Fetches from a peer what the own store does not bring.
     async fn catch_up(&mut self, now: Instant) {
-        let Some(from) = self.most_ahead() else {
-            self.behind_since = None;
+        let own = self.knowledge.extent();
+        let Some(from) = self.most_ahead(&own) else {
+            self.behind = None;
             return;
         };
-        let since = *self.behind_since.get_or_insert(now);
+        let since = match self.behind {
+            Some((since, then)) if then == own => since,
+            // Knowledge that advances shows that the store brings it.
+            _ => now,
+        };
+        self.behind = Some((since, own));
         let store_may_bring = self.shared.store_answers()
-            && self.shared.config_version().is_some()
+            && own.config.is_some()
             && now.saturating_duration_since(since) < STORE_FIRST;
         if store_may_bring {
             return;
         }
-        self.behind_since = None;
-        match fetch(from).await {
+        match fetch(from, own.config).await {
             Ok(copy) => self.knowledge.merge(copy),
             Err(error) => info!(event = "fetch-failed", %from, error),
         }
     }
 
     /// Returns the address of the living peer that knows most beyond this router.
-    fn most_ahead(&self) -> Option<SocketAddr> {
-        let config = self.shared.config_version();
-        let as_of = self.knowledge.servers_as_of();
+    fn most_ahead(&self, own: &Extent) -> Option<SocketAddr> {
         self.alive()
-            .filter(|peer| peer.digest.config > config || peer.digest.servers_as_of > as_of)
-            .max_by_key(|peer| (peer.digest.config, peer.digest.servers_as_of))
+            .filter(|peer| peer.digest.extent.is_ahead_of(own))
+            .max_by_key(|peer| (peer.digest.extent.config, peer.digest.extent.as_of))
             .map(|peer| peer.digest.knowledge)
     }
 }
 
-async fn fetch(from: SocketAddr) -> Result<KnowledgeCopy, String> {
-    let (status, bytes) = call::get(from, KNOWLEDGE_PATH, FETCH_TIMEOUT)
+async fn fetch(from: SocketAddr, known: Option<ConfigVersion>) -> Result<KnowledgeCopy, String> {
+    let known = known.map_or_else(String::new, |version| version.to_string());
+    let path = format!("{KNOWLEDGE_PATH}{known}");
+    let (status, bytes) = call::get(from, &path, FETCH_TIMEOUT)
         .await
         .map_err(|error| error.to_string())?;
     if status != StatusCode::OK {
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::hop::{HopHistory, NextHop};
+use bulrushward_policy::hop::{HopFailure, HopHistory, NextHop};
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::HOST};
@@ -168,7 +168,9 @@
         .uri
         .path_and_query()
         .map_or("/", |target| target.as_str());
+    let name = organisation.map(|organisation| organisation.name.clone());
     Ok(Job {
+        content: job::fingerprint(target, name.as_deref(), &body),
         request_id: facts.request_id,
         received,
         due,
@@ -178,7 +180,7 @@
         body,
         route: route.clone(),
         service: service.clone(),
-        organisation: organisation.map(|organisation| organisation.name.clone()),
+        organisation: name,
         urgency: Some(
             organisation
                 .and_then(|organisation| organisation.priority)
@@ -237,6 +239,12 @@
     let mut tried = Vec::new();
     let mut last_error: Option<HopError> = None;
     loop {
+        if let Some(left) = shared.quarantined(job.content) {
+            return match history.outcome() {
+                NextHop::Unknown => Err(OwnAnswer::unknown(Reason::Quarantined)),
+                _ => Err(OwnAnswer::not_run(Reason::Quarantined, left)),
+            };
+        }
         if Instant::now() >= job.due {
             return give_up(&history, last_error, Reason::TimeOver);
         }
@@ -260,6 +268,9 @@
         shared.metrics.hop_failed(error.failure.into());
         trail.detail.clone_from(&error.detail);
         log_failed_hop(&job, &server.id, &error);
+        if error.failure == HopFailure::Broken {
+            shared.crashed(job.content);
+        }
         let next = history.failed(error.failure);
         let reason = reason(&error);
         last_error = Some(error);
@@ -292,7 +303,6 @@
 }
 
 fn reason(error: &HopError) -> Reason {
-    use bulrushward_policy::hop::HopFailure;
     match error.failure {
         HopFailure::NotSent => Reason::NoServer,
         HopFailure::Rejected | HopFailure::Misdirected => Reason::ServersRefused,
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -164,7 +164,10 @@
         }
     };
     let answer = move |path: String| {
-        let copied = (path == KNOWLEDGE_PATH).then(|| postcard::to_stdvec(&knowledge.copy()));
+        let known = path
+            .strip_prefix(KNOWLEDGE_PATH)
+            .map(|version| version.parse().ok());
+        let copied = known.map(|known| postcard::to_stdvec(&knowledge.copy(known)));
         async move {
             match copied {
                 Some(Ok(bytes)) => plain(StatusCode::OK, "application/octet-stream", bytes.into()),
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -7,13 +7,16 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushward_policy::{
     prompt_homes::{PromptHomes, SessionKey},
+    quarantine::{Quarantine, Verdict},
     retry_budget::RetryBudget,
 };
+use bulrushward_protocol::{Fingerprint, QuarantineRecord};
 
 use crate::{
     metrics::DirectMetrics,
@@ -34,6 +37,13 @@
 /// Sessions whose servers are remembered; some hundred bytes each.
 const MAX_SESSIONS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
+/// Crashes after which a content is not sent to servers any more; a single one may be chance.
+const CRASHES: u8 = 3;
+/// Time for which crashes of a content are remembered; callers that retry come back within seconds.
+const CRASH_MEMORY: Duration = Duration::from_secs(30);
+/// Contents whose crashes are remembered.
+const MAX_CRASHED: usize = 1_024;
+
 /// State of a direct router that both threads use.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -50,6 +60,7 @@
     homes: Mutex<PromptHomes>,
     /// Placements that peers are still to be told.
     news: Mutex<News>,
+    quarantine: Mutex<Quarantine>,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -71,6 +82,7 @@
             budgets: Mutex::default(),
             homes: Mutex::new(PromptHomes::new(MAX_SESSIONS)),
             news: Mutex::default(),
+            quarantine: Mutex::new(Quarantine::new(CRASHES, CRASH_MEMORY, MAX_CRASHED)),
             metrics: DirectMetrics::new(),
         })
     }
@@ -177,6 +189,29 @@
         }
     }
 
+    /// Takes in that a server's connection broke while it ran a content.
+    pub(crate) fn crashed(&self, content: Fingerprint) {
+        lock(&self.quarantine).crashed(content, Instant::now());
+    }
+
+    /// Returns the time for which a content is not sent to servers, if it crashed too many.
+    pub(crate) fn quarantined(&self, content: Fingerprint) -> Option<Duration> {
+        let now = Instant::now();
+        let quarantine = lock(&self.quarantine);
+        let is_quarantined = quarantine.verdict(content, now) == Verdict::Quarantined;
+        is_quarantined.then(|| quarantine.remaining(content, now))
+    }
+
+    /// Returns the contents that peers are told of.
+    pub(crate) fn crash_records(&self, now: Instant, limit: usize) -> Vec<QuarantineRecord> {
+        lock(&self.quarantine).records(now, limit)
+    }
+
+    /// Takes in the contents that a peer tells of.
+    pub(crate) fn learn_crashes(&self, records: &[QuarantineRecord]) {
+        lock(&self.quarantine).merge(records, Instant::now());
+    }
+
     /// Takes the placements for the next round of datagrams.
     pub(crate) fn take_news(&self) -> Vec<Placement> {
         lock(&self.news).take()
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -213,3 +213,47 @@
     let line = "bulrushward_direct_requests_total{kind=\"lookup\",outcome=\"answered\"} 1";
     assert!(text.contains(line), "{text}");
 }
+
+/// Closes the connection on one body, as if it had crashed, and serves all others.
+fn crashes_on_poison(id: &str) -> TestServer {
+    TestServer::start(id, |req| {
+        if req.body == b"poison" {
+            return vec![Act::Reset];
+        }
+        vec![ok(req, "fine")]
+    })
+}
+
+fn poisoned(servers: &[TestServer]) -> usize {
+    let received = servers.iter().flat_map(TestServer::received);
+    received.filter(|req| req.body == b"poison").count()
+}
+
+#[test]
+fn a_request_that_crashes_servers_is_contained_across_the_fleet() {
+    let servers = [
+        crashes_on_poison("s-1"),
+        crashes_on_poison("s-2"),
+        crashes_on_poison("s-3"),
+    ];
+    let router = router_before("plain", &servers.iter().collect::<Vec<_>>());
+    let store = Arc::clone(&router.store);
+    let second = TestRouter::start_at(own_ip(), &store, &[router.ip]);
+    second.wait_ready();
+    for index in 0..6 {
+        let answer = router.ask(&request("GET", "lookup", &format!("a-{index}"), "poison"));
+        assert!([502, 503].contains(&answer.status), "{}", answer.status);
+    }
+    assert!(poisoned(&servers) <= 4, "{}", poisoned(&servers));
+    wait_until("the second router has heard of it", || {
+        let answer = second.ask(&request("GET", "lookup", "b", "poison"));
+        answer.status == 503 && answer.header("retry-after").is_some()
+    });
+    assert!(poisoned(&servers) <= 6, "{}", poisoned(&servers));
+    for router in [&router, &second] {
+        assert_eq!(
+            router.ask(&request("GET", "lookup", "c", "good")).text(),
+            "fine"
+        );
+    }
+}
