--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -7,6 +7,7 @@
 };
 
 use bulrushward_policy::hop::{HopFailure, HopHistory, NextHop};
+use bulrushward_protocol::format_id;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::HOST};
@@ -24,6 +25,7 @@
     ports::CallerFacts,
     relay,
     routes::RouteTable,
+    servers::Server,
     shared::Shared,
 };
 
@@ -268,9 +270,7 @@
         shared.metrics.hop_failed(error.failure.into());
         trail.detail.clone_from(&error.detail);
         log_failed_hop(&job, &server.id, &error);
-        if error.failure == HopFailure::Broken {
-            shared.crashed(job.content);
-        }
+        note_crash(shared, &job, server, &error);
         let next = history.failed(error.failure);
         let reason = reason(&error);
         last_error = Some(error);
@@ -290,6 +290,28 @@
     }
 }
 
+/// Counts the crashes of contents: connections that break do not tell, as a server may lose an answer, but
+/// one that cannot be reached after that has crashed.
+fn note_crash(shared: &Shared, job: &Job, server: &Server, error: &HopError) {
+    let now = Instant::now();
+    let crashed = match error.failure {
+        HopFailure::Broken => {
+            server.state().broke(job.content, now);
+            return;
+        }
+        HopFailure::NotSent => server.state().crashed(now),
+        _ => return,
+    };
+    for content in crashed {
+        info!(
+            event = "crash-suspected",
+            server = server.id,
+            content = format_id(content)
+        );
+        shared.crashed(content);
+    }
+}
+
 fn log_failed_hop(job: &Job, server: &str, error: &HopError) {
     info!(
         event = "hop-failed",
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -6,12 +6,13 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bulrushward_policy::{
     prompt_homes::ServerKey, server_health::ServerHealth, server_load::ServerLoad,
 };
+use bulrushward_protocol::Fingerprint;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -22,6 +23,11 @@
 /// Short name of one incarnation of a server in datagrams.
 pub(crate) type ServerHash = ServerKey;
 
+/// Time within which a server that crashed is found unreachable by a further request.
+const CRASH_NOTICED: Duration = Duration::from_secs(2);
+/// Contents that are remembered for a server; more than it runs at once are not needed.
+const MAX_BROKEN: usize = 64;
+
 /// What changes with each request to a server.
 #[derive(Debug, Default)]
 pub(crate) struct ServerState {
@@ -29,6 +35,27 @@
     pub(crate) health: ServerHealth,
     /// Connections without a request, the newest last.
     pub(crate) idle: Vec<IdleConnection>,
+    /// Contents whose connections broke lately; the server crashed if it cannot be reached after that.
+    broken: Vec<(Fingerprint, Instant)>,
+}
+
+impl ServerState {
+    /// Takes in that a connection broke while the server ran a content.
+    pub(crate) fn broke(&mut self, content: Fingerprint, now: Instant) {
+        self.broken
+            .retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_NOTICED);
+        if self.broken.len() < MAX_BROKEN {
+            self.broken.push((content, now));
+        }
+    }
+
+    /// Takes in that the server cannot be reached; returns the contents that it ran when it crashed.
+    pub(crate) fn crashed(&mut self, now: Instant) -> Vec<Fingerprint> {
+        let broken = std::mem::take(&mut self.broken);
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_NOTICED;
+        let recent = broken.into_iter().filter(|(_, at)| recent(at));
+        recent.map(|(content, _)| content).collect()
+    }
 }
 
 /// One incarnation of a backend server.
