--- a/bulrushward_ctl/src/cli.rs
+++ b/bulrushward_ctl/src/cli.rs
@@ -116,6 +116,16 @@
         #[bpaf(external)]
         backend: String,
     },
+    /// Tells what the logs of routers say of one request, and what the routers believed then
+    #[bpaf(command)]
+    Explain {
+        /// Id of the request
+        #[bpaf(positional::<String>("REQUEST"))]
+        request: String,
+        /// Logs of routers
+        #[bpaf(positional::<PathBuf>("LOG"), some("at least one LOG is needed"))]
+        logs: Vec<PathBuf>,
+    },
 }
 
 /// How routers are reached.
--- a/bulrushward_ctl/src/commands/mod.rs
+++ b/bulrushward_ctl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod drain;
+mod explain;
 mod read;
 mod submit;
 mod wait;
@@ -87,5 +88,6 @@
             let edit = drain::Edit::undrain(backend);
             drain::submit_edit(&client, &edit, &note, wait, format.json).await
         }
+        Command::Explain { request, logs } => explain::explain(&request, &logs),
     }
 }
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -1,6 +1,9 @@
 //! One hop: sends a request to one server and reads the beginning of its answer.
 
-use std::time::{Duration, Instant};
+use std::{
+    error::Error,
+    time::{Duration, Instant},
+};
 
 use bulrushward_policy::{hop::HopFailure, server_health::ServerHealth};
 use bytes::Bytes;
@@ -100,6 +103,18 @@
     }
 }
 
+/// Returns an error with its causes, which the library leaves out.
+fn chain(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text.push_str(": ");
+        text.push_str(&error.to_string());
+        cause = error.source();
+    }
+    text
+}
+
 /// Sends a request to a server and returns its answer, plain ones whole and streams from their first event.
 ///
 /// # Errors
@@ -159,7 +174,7 @@
             } else {
                 HopFailure::Broken
             };
-            return Err(HopError::new(failure, &error.error()));
+            return Err(HopError::new(failure, &chain(error.error())));
         }
         Err(_elapsed) => return Err(HopError::new(HopFailure::Silent, &"no head in time")),
     };
@@ -232,7 +247,7 @@
     let limited = Limited::new(body, MAX_HELD_BYTES);
     let collected = match timeout_at(until, limited.collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(HopError::new(HopFailure::Broken, &error)),
+        Ok(Err(error)) => Err(HopError::new(HopFailure::Broken, &chain(&*error))),
         Err(_elapsed) => Err(HopError::new(HopFailure::Silent, &"the body is not whole")),
     };
     let body = match collected {
@@ -310,7 +325,9 @@
                 Err(_elapsed) => {
                     return Err(HopError::new(HopFailure::Silent, &"no event in time"));
                 }
-                Ok(Some(Err(error))) => return Err(HopError::new(HopFailure::Broken, &error)),
+                Ok(Some(Err(error))) => {
+                    return Err(HopError::new(HopFailure::Broken, &chain(&error)));
+                }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => return self.end(),
             };
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -38,9 +38,12 @@
 /// Shortest and longest time after which a caller may come back for a server with room.
 const SERVER_RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
 
-/// What the log says of a request.
-#[derive(Debug, Default)]
+/// What the log says of a request; says so as well if its caller leaves without an answer.
+#[derive(Debug)]
 struct Trail {
+    request: String,
+    received: Instant,
+    is_answered: bool,
     kind: String,
     hops: u32,
     server: String,
@@ -53,12 +56,52 @@
     detail: String,
 }
 
+impl Trail {
+    fn new(request: String, received: Instant) -> Self {
+        Self {
+            request,
+            received,
+            is_answered: false,
+            kind: String::new(),
+            hops: 0,
+            server: String::new(),
+            load: 0.0,
+            report_age_ms: None,
+            usable: 0,
+            has_prompt: false,
+            unread_tokens: 0,
+            copy_from: None,
+            detail: String::new(),
+        }
+    }
+
+    fn ms(&self) -> u64 {
+        self.received.elapsed().as_millis() as u64
+    }
+}
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            info!(
+                event = "caller-left",
+                request = self.request,
+                route = self.kind,
+                server = self.server,
+                hops = self.hops,
+                load = self.load,
+                report_age_ms = self.report_age_ms,
+                ms = self.ms(),
+            );
+        }
+    }
+}
+
 /// Answers one request of a caller.
 pub(crate) async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let received = Instant::now();
     let facts = shared.dialect.caller(req.headers());
-    let request_id = facts.request_id.clone();
-    let mut trail = Trail::default();
+    let mut trail = Trail::new(facts.request_id.clone(), received);
     shared.metrics.in_progress.inc();
     let in_progress = shared.metrics.in_progress.clone();
     let _counted = OnDrop(move || {
@@ -68,13 +111,14 @@
         Ok(job) => hops(&shared, Arc::new(job), &mut trail).await,
         Err(own) => Err(own),
     };
+    trail.is_answered = true;
     let (res, outcome) = match answered {
         Ok(res) => {
-            log_answer(&request_id, &trail, received, res.status());
+            log_answer(&trail, res.status());
             (res, "answered")
         }
         Err(own) => {
-            log_own_answer(&request_id, &trail, received, &own);
+            log_own_answer(&trail, &own);
             (own.response(), own.reason.into())
         }
     };
@@ -93,10 +137,10 @@
     }
 }
 
-fn log_answer(request: &str, trail: &Trail, received: Instant, status: StatusCode) {
+fn log_answer(trail: &Trail, status: StatusCode) {
     info!(
         event = "answered",
-        request,
+        request = trail.request,
         route = trail.kind,
         server = trail.server,
         status = status.as_u16(),
@@ -107,14 +151,14 @@
         has_prompt = trail.has_prompt,
         unread_tokens = trail.unread_tokens,
         copy_from = trail.copy_from.map(tracing::field::display),
-        ms = received.elapsed().as_millis() as u64,
+        ms = trail.ms(),
     );
 }
 
-fn log_own_answer(request: &str, trail: &Trail, received: Instant, own: &OwnAnswer) {
+fn log_own_answer(trail: &Trail, own: &OwnAnswer) {
     warn!(
         event = "refused",
-        request,
+        request = trail.request,
         route = trail.kind,
         server = trail.server,
         status = own.status.as_u16(),
@@ -124,7 +168,7 @@
         hops = trail.hops,
         usable = trail.usable,
         detail = trail.detail,
-        ms = received.elapsed().as_millis() as u64,
+        ms = trail.ms(),
     );
 }
 
