--- a/bulrushward_direct/src/knowledge.rs
+++ b/bulrushward_direct/src/knowledge.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     model::{ConfigVersion, FleetConfig, ServerId, ServerRecord},
+    news::Placement,
     ports::{ServerChanges, ServerListing},
     servers::ServerSet,
     shared::Shared,
@@ -46,6 +47,8 @@
     pub(crate) config: Option<FleetConfig>,
     pub(crate) servers: Vec<(ServerId, ServerRecord)>,
     pub(crate) as_of: StoreRevision,
+    /// Where sessions have their prompts, for a router that has just started.
+    pub(crate) placements: Vec<Placement>,
 }
 
 /// Where knowledge came from, for the log.
@@ -149,7 +152,8 @@
         }
     }
 
-    /// Returns a copy for a peer that has a version of the configuration already.
+    /// Returns a copy for a peer that has a version of the configuration already; without one it has just
+    /// started and gets the placements as well.
     pub(crate) fn copy(&self, known: Option<ConfigVersion>) -> KnowledgeCopy {
         let registry = self.lock();
         let servers = registry
@@ -164,11 +168,16 @@
                 .cloned(),
             servers,
             as_of: registry.as_of(),
+            placements: match known {
+                Some(_) => Vec::new(),
+                None => self.shared.placements(),
+            },
         }
     }
 
     /// Takes in what a peer knows, where it is newer.
     pub(crate) fn merge(&self, copy: KnowledgeCopy) {
+        self.shared.learn_placements(&copy.placements);
         if let Some(config) = copy.config {
             self.adopt(config, Source::Peer);
         }
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -36,6 +36,7 @@
     pub(crate) servers: Gauge,
     pub(crate) routers: Gauge,
     pub(crate) in_progress: Gauge,
+    pub(crate) sessions: Gauge,
     answer_seconds: Histogram,
 }
 
@@ -53,6 +54,7 @@
             servers: Gauge::default(),
             routers: Gauge::default(),
             in_progress: Gauge::default(),
+            sessions: Gauge::default(),
             answer_seconds: Histogram::new(ANSWER_BOUNDS),
         };
         metrics.register();
@@ -105,6 +107,12 @@
             "Requests in progress",
             self.in_progress.clone(),
         );
+        let sessions = self.sessions.clone();
+        r.register(
+            "sessions",
+            "Sessions whose servers are remembered",
+            sessions,
+        );
         let seconds = self.answer_seconds.clone();
         r.register(
             "answer_seconds",
--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -95,6 +95,8 @@
     by_node: HashMap<String, Peer>,
     /// Since when a peer has been ahead of this router, and how far this one went then.
     behind: Option<(Instant, Extent)>,
+    /// Whether this router has what its peers knew when it started.
+    has_started: bool,
 }
 
 impl Peers {
@@ -115,6 +117,7 @@
             started_ms: now.as_millis() as u64,
             by_node: HashMap::new(),
             behind: None,
+            has_started: false,
         })
     }
 
@@ -144,9 +147,27 @@
             drop_expired(server, now);
         }
         self.tell(now).await;
+        if !self.has_started {
+            self.learn_at_start().await;
+        }
         self.catch_up(now).await;
     }
 
+    /// Fetches all that a peer knows once after the start, as datagrams tell changes only.
+    async fn learn_at_start(&mut self) {
+        let Some(from) = self.alive().next().map(|peer| peer.digest.knowledge) else {
+            return;
+        };
+        match fetch(from, None).await {
+            Ok(copy) => {
+                self.has_started = true;
+                info!(event = "peer-copied", %from, placements = copy.placements.len());
+                self.knowledge.merge(copy);
+            }
+            Err(error) => info!(event = "fetch-failed", %from, error),
+        }
+    }
+
     fn hear(&mut self, datagram: &[u8], from: SocketAddr) {
         let digest: Digest = match postcard::from_bytes(datagram) {
             Ok(digest) => digest,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -37,6 +37,8 @@
 /// Sessions whose servers are remembered; some hundred bytes each.
 const MAX_SESSIONS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
+/// Placements that a router that has just started gets; some 20 KB.
+const MAX_COPIED: usize = 2_048;
 /// Crashes after which a content is not sent to servers any more; a single one may be chance.
 const CRASHES: u8 = 3;
 /// Time for which crashes of a content are remembered; callers that retry come back within seconds.
@@ -184,11 +186,35 @@
 
     /// Takes in that a server reads a session's prompt, and tells peers if that is news.
     pub(crate) fn note_home(&self, session: SessionKey, server: ServerHash) {
-        if lock(&self.homes).note(session, server) {
+        let mut homes = lock(&self.homes);
+        if homes.note(session, server) {
+            self.note_sessions(&homes);
             lock(&self.news).add(Placement { session, server });
         }
     }
 
+    /// Returns the latest placements of sessions, for a router that has just started.
+    pub(crate) fn placements(&self) -> Vec<Placement> {
+        let homes = lock(&self.homes);
+        let latest = homes.latest().take(MAX_COPIED);
+        latest
+            .map(|(session, server)| Placement { session, server })
+            .collect()
+    }
+
+    /// Takes in the placements that a peer copied, the latest first.
+    pub(crate) fn learn_placements(&self, placements: &[Placement]) {
+        let mut homes = lock(&self.homes);
+        for placement in placements.iter().rev() {
+            homes.note(placement.session, placement.server);
+        }
+        self.note_sessions(&homes);
+    }
+
+    fn note_sessions(&self, homes: &PromptHomes) {
+        self.metrics.sessions.set(homes.len().cast_signed() as i64);
+    }
+
     /// Takes in that a server's connection broke while it ran a content.
     pub(crate) fn crashed(&self, content: Fingerprint) {
         lock(&self.quarantine).crashed(content, Instant::now());
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -293,3 +293,27 @@
     let last = other.received().pop().expect("it was asked");
     assert_eq!(last.header("copy-from"), None);
 }
+
+#[test]
+fn a_router_that_starts_again_learns_where_sessions_are() {
+    let first = [named("s-1"), named("s-2"), named("s-3")];
+    let later = [named("s-4"), named("s-5"), named("s-6")];
+    let router = router_before("engines", &first.iter().collect::<Vec<_>>());
+    let homes: Vec<_> = (10..40)
+        .map(|session| ask_session(&router, session, &format!("a-{session}")))
+        .collect();
+    for server in &later {
+        let record = support::record("engines", server.address);
+        router.store.put(&server.id, record);
+    }
+    let fresh = TestRouter::start_at(support::own_ip(), &router.store, &[router.ip]);
+    fresh.wait_ready();
+    wait_until("it has learnt", || {
+        let metrics = caller::get(fresh.address(7_341), "/metrics").expect("it listens");
+        metrics.text().contains("bulrushward_direct_sessions 30")
+    });
+    for (session, home) in (10..40).zip(homes) {
+        let id = format!("b-{session}");
+        assert_eq!(ask_session(&fresh, session, &id), home, "session {session}");
+    }
+}
--- a/bulrushward_policy/src/prompt_homes.rs
+++ b/bulrushward_policy/src/prompt_homes.rs
@@ -51,6 +51,19 @@
             .filter_map(|home| *home)
     }
 
+    /// Returns sessions with their servers, the sessions used last first and the servers latest first.
+    pub fn latest(&self) -> impl Iterator<Item = (SessionKey, ServerKey)> {
+        let pairs = |(session, homes): (&SessionKey, &[Option<ServerKey>; HOMES])| {
+            let session = *session;
+            homes
+                .iter()
+                .flatten()
+                .map(move |server| (session, *server))
+                .collect::<Vec<_>>()
+        };
+        self.by_session.iter().flat_map(pairs)
+    }
+
     /// Returns the number of sessions that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
