--- a/bulrushward_direct/src/knowledge.rs
+++ b/bulrushward_direct/src/knowledge.rs
@@ -203,7 +203,7 @@
             .metrics
             .servers
             .set(servers.cast_signed() as i64);
-        self.shared.servers.store(Arc::new(set));
+        self.shared.set_servers(set);
         info!(event = "servers-known", servers, as_of = registry.as_of(), %source);
     }
 
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -58,6 +58,7 @@
     routers: AtomicU32,
     is_stopping: AtomicBool,
     store_answers: AtomicBool,
+    has_servers: AtomicBool,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     homes: Mutex<PromptHomes>,
     /// Placements that peers are still to be told.
@@ -81,6 +82,7 @@
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
+            has_servers: AtomicBool::new(false),
             budgets: Mutex::default(),
             homes: Mutex::new(PromptHomes::new(MAX_SESSIONS)),
             news: Mutex::default(),
@@ -119,9 +121,16 @@
             .map(|table| table.config().version)
     }
 
-    /// Returns whether requests are taken.
+    /// Returns whether requests are taken: where they go is known, and the process is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routes.load().is_some()
+        let has_servers = self.has_servers.load(Ordering::Relaxed);
+        has_servers && !self.is_stopping() && self.routes.load().is_some()
+    }
+
+    /// Puts a view of the registered servers in force.
+    pub(crate) fn set_servers(&self, servers: ServerSet) {
+        self.servers.store(Arc::new(servers));
+        self.has_servers.store(true, Ordering::Relaxed);
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -122,6 +122,23 @@
     assert_eq!(router.readiness(), 200);
 }
 
+#[test]
+fn a_router_that_knows_no_servers_yet_is_not_ready() {
+    let server = TestServer::echo("s-1");
+    let store = MemoryStore::with(config(1));
+    store.put("s-1", record("plain", server.address));
+    store.hide_servers(true);
+    let router = TestRouter::start_at(own_ip(), &store, &[]);
+    wait_until("it has a configuration", || {
+        status(&router, "lookup") == 503
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(router.readiness(), 503);
+    store.hide_servers(false);
+    router.wait_ready();
+    assert_eq!(status(&router, "lookup"), 200);
+}
+
 #[test]
 fn a_router_that_starts_without_the_store_learns_from_a_peer() {
     let server = TestServer::echo("s-1");
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -116,6 +116,7 @@
 pub struct MemoryStore {
     contents: Mutex<Contents>,
     is_down: AtomicBool,
+    hides_servers: AtomicBool,
     changed: Notify,
 }
 
@@ -146,6 +147,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets calls for servers fail while others are served.
+    pub fn hide_servers(&self, hides: bool) {
+        self.hides_servers.store(hides, Ordering::SeqCst);
+    }
+
     /// Forgets all changes, so that waiting calls have to read everything again.
     pub fn drop_history(&self) {
         let mut contents = self.lock();
@@ -226,6 +232,9 @@
 
     async fn servers(&self) -> Result<ServerListing, StoreError> {
         self.check()?;
+        if self.hides_servers.load(Ordering::SeqCst) {
+            return Err(StoreError::Refused { status: 429 });
+        }
         let contents = self.lock();
         Ok(ServerListing {
             servers: contents.servers.clone().into_iter().collect(),
