Take no answer that does not name its request

Found by bytes_after_an_answer_reach_nobody, which failed once: a server's second answer without an id, arriving after the next request was written, became that request's answer. A test without a race shows it and failed before.

--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -194,12 +194,18 @@
 }
 
 /// Checks that an answer belongs to the request and that the request has run.
+///
+/// A server may send more than it was asked for, so an answer without the request's id is not its answer;
+/// only a refusal may come without it.
 fn check_head(job: &Job, res: &Response<Incoming>, facts: &ServerFacts) -> Result<(), HopError> {
-    if let Some(id) = facts
+    let is_other = facts
         .request_id
         .as_ref()
-        .filter(|id| **id != job.request_id)
-    {
+        .is_some_and(|id| *id != job.request_id);
+    let is_refusal = facts.is_not_run || res.status() == StatusCode::MISDIRECTED_REQUEST;
+    let is_unnamed = facts.request_id.is_none() && !job.request_id.is_empty();
+    if is_other || (is_unnamed && !is_refusal) {
+        let id = facts.request_id.as_deref().unwrap_or("none");
         let detail = format!("the answer is for request {id}");
         return Err(HopError::new(HopFailure::Broken, &detail));
     }
--- a/bulrushward_direct/tests/answers.rs
+++ b/bulrushward_direct/tests/answers.rs
@@ -327,6 +327,16 @@
     }
 }
 
+#[test]
+fn an_answer_that_names_no_request_is_nobodys() {
+    let extra = "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 5\r\n\r\nextra";
+    let server = TestServer::start("s-1", move |req| vec![text(extra), ok(req, "mine")]);
+    let router = router_before("plain", &[&server]);
+    let answer = router.ask(&request("POST", "action", "r-1", ""));
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.header("x-bulrushward-outcome"), Some("unknown"));
+}
+
 #[test]
 fn a_server_that_hangs_is_given_up_when_the_time_is_over() {
     let server = TestServer::start("s-1", |_| vec![Act::Hang]);
