--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -130,9 +130,10 @@
     store.hide_servers(true);
     let router = TestRouter::start_at(own_ip(), &store, &[]);
     wait_until("it has a configuration", || {
-        status(&router, "lookup") == 503
+        let metrics = caller::get(router.address(7_341), "/metrics");
+        let line = "bulrushward_direct_config_version 1\n";
+        metrics.is_some_and(|answer| answer.text().contains(line))
     });
-    std::thread::sleep(Duration::from_millis(300));
     assert_eq!(router.readiness(), 503);
     store.hide_servers(false);
     router.wait_ready();
