Free a server whose stream nobody reads when the request's time is over

A caller that stops reading fills the buffers and the relay is not polled any more, so its deadline never fired.

--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -48,6 +48,32 @@
     }
 }
 
+/// Closes a connection at a time, also while nobody reads from it.
+#[derive(Debug)]
+pub(crate) struct Expiry {
+    timer: AbortHandle,
+}
+
+impl Expiry {
+    /// Closes a connection at a time unless this is dropped before.
+    pub(crate) fn new(connection: &Connection, at: Instant) -> Self {
+        let connection = connection.task.clone();
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep_until(at.into()).await;
+            connection.abort();
+        });
+        Self {
+            timer: timer.abort_handle(),
+        }
+    }
+}
+
+impl Drop for Expiry {
+    fn drop(&mut self) {
+        self.timer.abort();
+    }
+}
+
 /// A connection without a request.
 #[derive(Debug)]
 pub(crate) struct IdleConnection {
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     choose::Choice,
-    connection::{self, Connection},
+    connection::{self, Connection, Expiry},
     events::EventCutter,
     job::Job,
     ports::{Delivery, ServerFacts},
@@ -29,6 +29,8 @@
 const MAX_HELD_BYTES: usize = 8 << 20;
 /// Shortest time without a byte after which an idempotent request goes elsewhere.
 const MIN_SILENCE: Duration = Duration::from_millis(400);
+/// Time beyond the end of a request's time after which its stream is closed whatever its caller does.
+const EXPIRY_SLACK: Duration = Duration::from_millis(300);
 /// Multiple of the target latency without a byte after which an idempotent request goes elsewhere.
 const SILENCE_TARGETS: u32 = 4;
 
@@ -72,6 +74,8 @@
     pub(crate) cutter: EventCutter,
     pub(crate) progress: InProgress,
     connection: Option<Connection>,
+    /// A caller that does not read its stream must not hold the server for ever.
+    expiry: Option<Expiry>,
     keeps: Option<Duration>,
     is_over: bool,
 }
@@ -243,6 +247,7 @@
             body,
             cutter: EventCutter::default(),
             progress,
+            expiry: Some(Expiry::new(&connection, job.due + EXPIRY_SLACK)),
             connection: Some(connection),
             keeps: facts.keeps_idle,
             is_over: false,
@@ -351,6 +356,7 @@
             return Err(HopError::new(HopFailure::Broken, &"the last event is cut"));
         }
         self.is_over = true;
+        self.expiry = None;
         self.progress.note_health(ServerHealth::served);
         if let Some(connection) = self.connection.take() {
             connection::give_back(self.progress.server(), connection, self.keeps);
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -187,6 +187,24 @@
     assert_eq!(answer.text(), events(1, 2));
 }
 
+#[test]
+fn a_caller_that_does_not_read_holds_its_server_no_longer_than_its_time() {
+    let server = TestServer::start("s-1", |req| {
+        let large = format!("id: 1\ndata: {}\n\n", "x".repeat(60_000));
+        let bytes = format!("{:x}\r\n{large}\r\n", large.len());
+        vec![stream_head(req), Act::SendForEver(bytes.into_bytes())]
+    });
+    let router = router_before("engines", &[&server]);
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    let sent = request("POST", "stream", "r-1", "").replace("2500", "800");
+    let start = Instant::now();
+    stream.write_all(sent.as_bytes()).expect("the router reads");
+    wait_until("the server is freed", || server.hung_up() == 1);
+    let took = start.elapsed();
+    assert!(took >= Duration::from_millis(800), "{took:?}");
+    assert!(took < Duration::from_millis(1_600), "{took:?}");
+}
+
 #[test]
 fn a_stream_that_ends_within_an_event_does_not_look_complete() {
     let server = TestServer::start("s-1", |req| {
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -33,6 +33,8 @@
 pub enum Act {
     Send(Vec<u8>),
     Pause(Duration),
+    /// Sends these bytes again and again until the other end closes.
+    SendForEver(Vec<u8>),
     /// Sends nothing until the other end closes.
     Hang,
     /// Closes the connection.
@@ -165,6 +167,11 @@
 fn play(mut stream: &TcpStream, act: Act, closed: &AtomicUsize, crashed: &AtomicBool) -> bool {
     match act {
         Act::Send(bytes) => stream.write_all(&bytes).is_ok(),
+        Act::SendForEver(bytes) => {
+            while stream.write_all(&bytes).is_ok() {}
+            closed.fetch_add(1, Ordering::SeqCst);
+            false
+        }
         Act::Pause(time) => {
             std::thread::sleep(time);
             true
