--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -17,10 +17,10 @@
 
 use crate::{
     choose::Choice,
-    connection::{self, Connection, Expiry},
-    events::EventCutter,
+    connection::{self, Connection},
     job::Job,
     ports::{Delivery, ServerFacts},
+    server_stream::{Piece, ServerStream},
     servers::InProgress,
     shared::Shared,
 };
@@ -29,8 +29,6 @@
 const MAX_HELD_BYTES: usize = 8 << 20;
 /// Shortest time without a byte after which an idempotent request goes elsewhere.
 const MIN_SILENCE: Duration = Duration::from_millis(400);
-/// Time beyond the end of a request's time after which its stream is closed whatever its caller does.
-const EXPIRY_SLACK: Duration = Duration::from_millis(300);
 /// Multiple of the target latency without a byte after which an idempotent request goes elsewhere.
 const SILENCE_TARGETS: u32 = 4;
 
@@ -67,28 +65,6 @@
     pub(crate) rest: ServerStream,
 }
 
-/// The rest of a server's stream; closes its connection when it is dropped before its end.
-#[derive(Debug)]
-pub(crate) struct ServerStream {
-    body: Incoming,
-    pub(crate) cutter: EventCutter,
-    pub(crate) progress: InProgress,
-    connection: Option<Connection>,
-    /// A caller that does not read its stream must not hold the server for ever.
-    expiry: Option<Expiry>,
-    keeps: Option<Duration>,
-    is_over: bool,
-}
-
-/// What a server's stream brought next.
-#[derive(Debug)]
-pub(crate) enum Piece {
-    /// Whole events.
-    Events(Bytes),
-    /// The stream is complete.
-    End,
-}
-
 /// How a hop failed, with the server's own answer if that may be passed on.
 #[derive(Debug)]
 pub(crate) struct HopError {
@@ -108,7 +84,7 @@
 }
 
 /// Returns an error with its causes, which the library leaves out.
-fn chain(error: &dyn Error) -> String {
+pub(crate) fn chain(error: &dyn Error) -> String {
     let mut text = error.to_string();
     let mut cause = error.source();
     while let Some(error) = cause {
@@ -243,15 +219,7 @@
     let mut headers = head.headers;
     drop_connection_headers(&mut headers);
     if job.is_stream() && head.status.is_success() {
-        let rest = ServerStream {
-            body,
-            cutter: EventCutter::default(),
-            progress,
-            expiry: Some(Expiry::new(&connection, job.due + EXPIRY_SLACK)),
-            connection: Some(connection),
-            keeps: facts.keeps_idle,
-            is_over: false,
-        };
+        let rest = ServerStream::new(body, progress, connection, facts.keeps_idle, job.due);
         return first_events(job, head.status, headers, rest).await;
     }
     let until = TokioInstant::from_std(job.due);
@@ -320,51 +288,6 @@
     })))
 }
 
-impl ServerStream {
-    /// Returns the next whole events.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`HopError`] if the stream broke, or brought nothing until `until`.
-    pub(crate) async fn next(&mut self, until: Instant) -> Result<Piece, HopError> {
-        if self.is_over {
-            return Ok(Piece::End);
-        }
-        loop {
-            let frame = timeout_at(TokioInstant::from_std(until), self.body.frame()).await;
-            let piece = match frame {
-                Err(_elapsed) => {
-                    return Err(HopError::new(HopFailure::Silent, &"no event in time"));
-                }
-                Ok(Some(Err(error))) => {
-                    return Err(HopError::new(HopFailure::Broken, &chain(&error)));
-                }
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) => return self.end(),
-            };
-            let whole = self.cutter.push(&piece).map_err(|_too_large| {
-                HopError::new(HopFailure::Broken, &"an event is too large")
-            })?;
-            if !whole.is_empty() {
-                return Ok(Piece::Events(whole));
-            }
-        }
-    }
-
-    fn end(&mut self) -> Result<Piece, HopError> {
-        if self.cutter.has_rest() {
-            return Err(HopError::new(HopFailure::Broken, &"the last event is cut"));
-        }
-        self.is_over = true;
-        self.expiry = None;
-        self.progress.note_health(ServerHealth::served);
-        if let Some(connection) = self.connection.take() {
-            connection::give_back(self.progress.server(), connection, self.keeps);
-        }
-        Ok(Piece::End)
-    }
-}
-
 /// Takes the failure of a hop into the server's health.
 pub(crate) fn note_failure(progress: &InProgress, error: &HopError) {
     progress.note_health(|health, now| match error.failure {
--- /dev/null
+++ b/bulrushward_direct/src/intake.rs
@@ -0,0 +1,122 @@
+//! Finds out what a request is and reads it whole.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{Request, StatusCode, body::Incoming, header::HOST};
+use tokio::time::{Instant as TokioInstant, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    answer::{OwnAnswer, Reason},
+    hop::drop_connection_headers,
+    job::{self, Job},
+    model::Organisation,
+    ports::CallerFacts,
+    retry_after,
+    routes::RouteTable,
+    shared::Shared,
+    trail::Trail,
+};
+
+/// Finds out what a request is and reads it whole.
+pub(crate) async fn read(
+    shared: &Shared,
+    req: Request<Incoming>,
+    facts: CallerFacts,
+    received: Instant,
+    trail: &mut Trail,
+) -> Result<Job, OwnAnswer> {
+    let Some(table) = shared.routes.load_full() else {
+        let retry = retry_after::for_configuration(shared);
+        return Err(OwnAnswer::not_run(Reason::NoConfiguration, retry));
+    };
+    let (head, body) = req.into_parts();
+    let host = head
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| head.uri.host())
+        .unwrap_or_default();
+    let route = table
+        .route(host, head.uri.path())
+        .ok_or_else(|| OwnAnswer::wrong(StatusCode::NOT_FOUND, Reason::UnknownRoute))?;
+    trail.kind.clone_from(&route.name);
+    let organisation = organisation(&table, facts.key.as_deref(), route.is_public)?;
+    let timeout = facts
+        .patience
+        .map_or(route.timeout, |patience| patience.min(route.timeout));
+    let due = received + timeout;
+    let body = read_body(body, table.config().limits.body_bytes, due).await?;
+    let session = job::session(&facts.prompt);
+    let key = session.unwrap_or_else(|| xxh3_64(facts.request_id.as_bytes()));
+    let service = route
+        .service_for(key)
+        .and_then(|name| table.service(name))
+        .ok_or_else(|| OwnAnswer::not_run(Reason::UnknownService, retry_after::START_RETRY))?;
+    let mut headers = head.headers;
+    drop_connection_headers(&mut headers);
+    shared.dialect.strip(&mut headers);
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let name = organisation.map(|organisation| organisation.name.clone());
+    Ok(Job {
+        content: job::fingerprint(target, name.as_deref(), &body),
+        request_id: facts.request_id,
+        received,
+        due,
+        method: head.method,
+        target: target.to_owned(),
+        headers,
+        body,
+        route: route.clone(),
+        service: service.clone(),
+        organisation: name,
+        urgency: Some(
+            organisation
+                .and_then(|organisation| organisation.priority)
+                .unwrap_or(route.priority),
+        ),
+        session,
+        prompt: facts.prompt,
+        last_event: facts.last_event,
+        config_version: table.config().version,
+    })
+}
+
+fn organisation<'a>(
+    table: &'a RouteTable,
+    key: Option<&str>,
+    is_public: bool,
+) -> Result<Option<&'a Organisation>, OwnAnswer> {
+    let found = key.and_then(|key| table.organisation(key));
+    if found.is_none() && table.asks_for_keys() && !is_public {
+        return Err(OwnAnswer::wrong(
+            StatusCode::UNAUTHORIZED,
+            Reason::UnknownKey,
+        ));
+    }
+    Ok(found)
+}
+
+async fn read_body(body: Incoming, limit: usize, due: Instant) -> Result<Bytes, OwnAnswer> {
+    let collected = timeout_at(
+        TokioInstant::from_std(due),
+        Limited::new(body, limit).collect(),
+    );
+    match collected.await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::wrong(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BodyTooLarge,
+        )),
+        Ok(Err(_cut)) => Err(OwnAnswer::wrong(StatusCode::BAD_REQUEST, Reason::BodyCut)),
+        Err(_elapsed) => Err(OwnAnswer::wrong(
+            StatusCode::REQUEST_TIMEOUT,
+            Reason::TimeOver,
+        )),
+    }
+}
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod events;
 mod follow;
 mod hop;
+mod intake;
 mod job;
 mod knowledge;
 mod listener;
@@ -20,11 +21,14 @@
 mod ports;
 mod relay;
 mod request;
+mod retry_after;
 mod routes;
 mod run;
+mod server_stream;
 mod servers;
 mod settings;
 mod shared;
+mod trail;
 
 pub use events::{EventCutter, EventTooLarge};
 pub use model::{
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -35,7 +35,7 @@
     pub(crate) config_version: Gauge,
     pub(crate) servers: Gauge,
     pub(crate) routers: Gauge,
-    pub(crate) in_progress: Gauge,
+    in_progress: Gauge,
     pub(crate) sessions: Gauge,
     answer_seconds: Histogram,
 }
@@ -131,6 +131,12 @@
         self.answer_seconds.observe(time.as_secs_f64());
     }
 
+    /// Counts a request or stream in progress until the guard is dropped.
+    pub(crate) fn begin(&self) -> Counted {
+        self.in_progress.inc();
+        Counted(self.in_progress.clone())
+    }
+
     /// Counts a failed hop.
     pub(crate) fn hop_failed(&self, reason: &'static str) {
         self.hops_failed
@@ -151,3 +157,13 @@
         text
     }
 }
+
+/// Something in progress that is counted.
+#[derive(Debug)]
+pub(crate) struct Counted(Gauge);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -15,8 +15,10 @@
 use crate::{
     answer::{Body, StreamCut},
     choose,
-    hop::{self, HopAnswer, HopError, OpenStream, Piece, ServerStream, note_failure},
+    hop::{self, HopAnswer, HopError, OpenStream, note_failure},
     job::Job,
+    metrics::Counted,
+    server_stream::{Piece, ServerStream},
     shared::Shared,
 };
 
@@ -27,6 +29,7 @@
 
 /// A stream on its way to the caller.
 struct Relay {
+    _counted: Counted,
     shared: Arc<Shared>,
     job: Arc<Job>,
     history: HopHistory,
@@ -47,8 +50,8 @@
     first: Bytes,
     source: ServerStream,
 ) -> Body {
-    shared.metrics.in_progress.inc();
     let relay = Relay {
+        _counted: shared.metrics.begin(),
         shared: Arc::clone(shared),
         job,
         history,
@@ -162,7 +165,6 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.shared.metrics.in_progress.dec();
         if !self.is_over {
             self.log_end("left", "the caller closed its connection");
         }
--- /dev/null
+++ b/bulrushward_direct/src/trail.rs
@@ -0,0 +1,106 @@
+//! What the log says of a request.
+
+use std::{net::SocketAddr, time::Instant};
+
+use hyper::StatusCode;
+use tracing::{info, warn};
+
+use crate::answer::OwnAnswer;
+
+/// What the log says of a request; says so as well if its caller leaves without an answer.
+#[derive(Debug)]
+pub(crate) struct Trail {
+    request: String,
+    received: Instant,
+    is_answered: bool,
+    pub(crate) kind: String,
+    pub(crate) hops: u32,
+    pub(crate) server: String,
+    pub(crate) load: f64,
+    pub(crate) report_age_ms: Option<u64>,
+    pub(crate) usable: usize,
+    pub(crate) has_prompt: bool,
+    pub(crate) unread_tokens: u64,
+    pub(crate) copy_from: Option<SocketAddr>,
+    pub(crate) detail: String,
+}
+
+impl Trail {
+    pub(crate) fn new(request: String, received: Instant) -> Self {
+        Self {
+            request,
+            received,
+            is_answered: false,
+            kind: String::new(),
+            hops: 0,
+            server: String::new(),
+            load: 0.0,
+            report_age_ms: None,
+            usable: 0,
+            has_prompt: false,
+            unread_tokens: 0,
+            copy_from: None,
+            detail: String::new(),
+        }
+    }
+
+    /// Notes that an answer of a server begins to go to the caller.
+    pub(crate) fn answered(&mut self, status: StatusCode) {
+        self.is_answered = true;
+        info!(
+            event = "answered",
+            request = self.request,
+            route = self.kind,
+            server = self.server,
+            status = status.as_u16(),
+            hops = self.hops,
+            load = self.load,
+            report_age_ms = self.report_age_ms,
+            usable = self.usable,
+            has_prompt = self.has_prompt,
+            unread_tokens = self.unread_tokens,
+            copy_from = self.copy_from.map(tracing::field::display),
+            ms = self.ms(),
+        );
+    }
+
+    /// Notes an answer of the router's own.
+    pub(crate) fn refused(&mut self, own: &OwnAnswer) {
+        self.is_answered = true;
+        warn!(
+            event = "refused",
+            request = self.request,
+            route = self.kind,
+            server = self.server,
+            status = own.status.as_u16(),
+            reason = %own.reason,
+            outcome = %own.outcome,
+            retry_after_ms = own.retry_after.map(|time| time.as_millis() as u64),
+            hops = self.hops,
+            usable = self.usable,
+            detail = self.detail,
+            ms = self.ms(),
+        );
+    }
+
+    fn ms(&self) -> u64 {
+        self.received.elapsed().as_millis() as u64
+    }
+}
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            info!(
+                event = "caller-left",
+                request = self.request,
+                route = self.kind,
+                server = self.server,
+                hops = self.hops,
+                load = self.load,
+                report_age_ms = self.report_age_ms,
+                ms = self.ms(),
+            );
+        }
+    }
+}
