Keep within a router's share of a server's connections, and try another idle one where one was closed

A connection's place is taken first now. A crowded server is no longer taken for one that cannot be reached, and an idle connection that the server had closed no longer sends the request elsewhere.

--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{call::probe_silence, servers::Server};
@@ -36,7 +37,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    count: Arc<AtomicU32>,
+    _place: Place,
     /// Whether it served a request before.
     pub(crate) is_reused: bool,
 }
@@ -44,10 +45,43 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
-        self.count.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
+/// One of the connections that this router may have to a server.
+#[derive(Debug)]
+struct Place {
+    taken: Arc<AtomicU32>,
+}
+
+impl Place {
+    /// Takes a place before the connection is made, so that no more are made at the same time.
+    fn take(server: &Server, share: u32) -> Option<Self> {
+        let taken = Arc::clone(&server.connections);
+        let is_free = |taken: u32| (taken < share).then_some(taken + 1);
+        let took = taken.fetch_update(Ordering::Relaxed, Ordering::Relaxed, is_free);
+        // Made only if it was taken, as dropping it gives it back.
+        took.is_ok().then(|| Self { taken })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.taken.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Why there is no connection.
+#[derive(Debug, Snafu)]
+pub(crate) enum ConnectError {
+    /// All connections that this router may have are in use.
+    #[snafu(display("{share} connections are in use"))]
+    Crowded { share: u32 },
+    /// The server could not be reached in time.
+    #[snafu(display("{source}"))]
+    Unreachable { source: io::Error },
+}
+
 /// Closes a connection at a time, also while nobody reads from it.
 #[derive(Debug)]
 pub(crate) struct Expiry {
@@ -81,19 +115,21 @@
     until: Instant,
 }
 
-/// Takes an idle connection or opens one.
+/// Takes an idle connection, or opens one of the `share` that this router may have.
 ///
 /// # Errors
 ///
-/// Returns the error of the system if no connection can be made in time.
-pub(crate) async fn take(server: &Server) -> io::Result<Connection> {
+/// Returns [`ConnectError`] if all are in use or none can be made in time.
+pub(crate) async fn take(server: &Server, share: u32) -> Result<Connection, ConnectError> {
     if let Some(connection) = take_idle(server) {
         return Ok(connection);
     }
-    match timeout(CONNECT_TIMEOUT, open(server)).await {
+    let place = Place::take(server, share).context(CrowdedSnafu { share })?;
+    match timeout(CONNECT_TIMEOUT, open(server, place)).await {
         Ok(opened) => opened,
         Err(_elapsed) => Err(io::ErrorKind::TimedOut.into()),
     }
+    .context(UnreachableSnafu)
 }
 
 fn take_idle(server: &Server) -> Option<Connection> {
@@ -127,7 +163,7 @@
     server.state().idle.retain(|idle| now < idle.until);
 }
 
-async fn open(server: &Server) -> io::Result<Connection> {
+async fn open(server: &Server, place: Place) -> io::Result<Connection> {
     let stream = TcpStream::connect(server.record.address).await?;
     stream.set_nodelay(true)?;
     probe_silence(&stream, SILENCE)?;
@@ -136,8 +172,6 @@
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
-    server.connections.fetch_add(1, Ordering::Relaxed);
-    let count = Arc::clone(&server.connections);
     let task = tokio::spawn(async move {
         // How a connection ended is told to the request that it carried.
         let _ended = connection.await;
@@ -145,7 +179,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
-        count,
+        _place: place,
         is_reused: false,
     })
 }
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     choose::Choice,
-    connection::{self, Connection},
+    connection::{self, ConnectError, Connection},
     job::Job,
     ports::{Delivery, ServerFacts},
     server_stream::{Piece, ServerStream},
@@ -131,32 +131,14 @@
     last_event: Option<&str>,
     progress: &mut InProgress,
 ) -> Result<Exchanged, HopError> {
-    let server = &choice.server;
-    let share = shared.connection_share(job.service.connection_limit);
-    if server.state().idle.is_empty() && server.open_connections() >= share {
-        let detail = format!("{share} connections are open");
-        return Err(HopError::new(HopFailure::NotSent, &detail));
-    }
-    let mut connection = connection::take(server)
-        .await
-        .map_err(|error| HopError::new(HopFailure::NotSent, &error))?;
-    if !connection.is_reused {
-        shared.metrics.connections_opened.inc();
-    }
-    let req = request(shared, job, choice, last_event)?;
-    let until = TokioInstant::from_std(silent_until(job));
-    let answered = timeout_at(until, connection.sender.try_send_request(req)).await;
-    let res = match answered {
-        Ok(Ok(res)) => res,
-        Ok(Err(error)) => {
-            let failure = if error.message().is_some() {
-                HopFailure::NotSent
-            } else {
-                HopFailure::Broken
-            };
-            return Err(HopError::new(failure, &chain(error.error())));
+    let (res, connection) = loop {
+        let connection = connect(shared, job, choice).await?;
+        let is_reused = connection.is_reused;
+        match write(shared, job, choice, last_event, connection).await {
+            // An idle connection that the server has closed says nothing about the server.
+            Err(error) if is_reused && error.failure == HopFailure::NotSent => {}
+            written => break written?,
         }
-        Err(_elapsed) => return Err(HopError::new(HopFailure::Silent, &"no head in time")),
     };
     let facts = shared.dialect.server(res.headers());
     if let Some(load) = facts.load {
@@ -173,6 +155,47 @@
     })
 }
 
+/// Takes a connection to a server within this router's share.
+async fn connect(shared: &Shared, job: &Job, choice: &Choice) -> Result<Connection, HopError> {
+    let share = shared.connection_share(job.service.connection_limit);
+    let taken = connection::take(&choice.server, share).await;
+    let connection = taken.map_err(|error| {
+        let failure = match error {
+            ConnectError::Crowded { .. } => HopFailure::Crowded,
+            ConnectError::Unreachable { .. } => HopFailure::NotSent,
+        };
+        HopError::new(failure, &error)
+    })?;
+    if !connection.is_reused {
+        shared.metrics.connections_opened.inc();
+    }
+    Ok(connection)
+}
+
+/// Writes a request on a connection and waits for the head of its answer.
+async fn write(
+    shared: &Shared,
+    job: &Job,
+    choice: &Choice,
+    last_event: Option<&str>,
+    mut connection: Connection,
+) -> Result<(Response<Incoming>, Connection), HopError> {
+    let req = request(shared, job, choice, last_event)?;
+    let until = TokioInstant::from_std(silent_until(job));
+    match timeout_at(until, connection.sender.try_send_request(req)).await {
+        Ok(Ok(res)) => Ok((res, connection)),
+        Ok(Err(error)) => {
+            let failure = if error.message().is_some() {
+                HopFailure::NotSent
+            } else {
+                HopFailure::Broken
+            };
+            Err(HopError::new(failure, &chain(error.error())))
+        }
+        Err(_elapsed) => Err(HopError::new(HopFailure::Silent, &"no head in time")),
+    }
+}
+
 /// Checks that an answer belongs to the request and that the request has run.
 ///
 /// A server may send more than it was asked for, so an answer without the request's id is not its answer;
@@ -291,6 +314,7 @@
 /// Takes the failure of a hop into the server's health.
 pub(crate) fn note_failure(progress: &InProgress, error: &HopError) {
     progress.note_health(|health, now| match error.failure {
+        HopFailure::Crowded => {}
         HopFailure::NotSent | HopFailure::Misdirected => health.unreachable(now),
         HopFailure::Rejected
         | HopFailure::ServerError
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -143,7 +143,7 @@
 
 fn reason(error: &HopError) -> Reason {
     match error.failure {
-        HopFailure::NotSent => Reason::NoServer,
+        HopFailure::NotSent | HopFailure::Crowded => Reason::NoServer,
         HopFailure::Rejected | HopFailure::Misdirected => Reason::ServersRefused,
         HopFailure::ServerError | HopFailure::Broken => Reason::ServerBroke,
         HopFailure::Silent => Reason::ServerSilent,
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -2,10 +2,7 @@
 
 use std::{
     collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU32},
     time::{Duration, Instant},
 };
 
@@ -65,7 +62,7 @@
     pub(crate) hash: ServerHash,
     pub(crate) record: ServerRecord,
     state: Arc<Mutex<ServerState>>,
-    /// Connections that are open, with or without a request.
+    /// Connections that are open or being made, with or without a request.
     pub(crate) connections: Arc<AtomicU32>,
 }
 
@@ -87,11 +84,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the open connections of this router.
-    pub(crate) fn open_connections(&self) -> u32 {
-        self.connections.load(Ordering::Relaxed)
-    }
-
     fn is_same_incarnation(&self, record: &ServerRecord) -> bool {
         self.record.address == record.address && self.record.started_ms == record.started_ms
     }
--- a/bulrushward_direct/tests/answers.rs
+++ b/bulrushward_direct/tests/answers.rs
@@ -382,6 +382,40 @@
     assert!(left.elapsed() < Duration::from_millis(500));
 }
 
+#[test]
+fn a_router_stays_within_its_share_of_a_servers_connections() {
+    let server = TestServer::start("s-1", |req| {
+        vec![Act::Pause(Duration::from_millis(400)), ok(req, "done")]
+    });
+    let store = MemoryStore::default();
+    let mut narrow = config(1);
+    narrow.services[0].connection_limit = 4;
+    store.set_config(narrow);
+    store.put("s-1", record("plain", server.address));
+    let router = TestRouter::start(&store.into());
+    let answers: Vec<_> = std::thread::scope(|scope| {
+        let ask = |index| {
+            let router = &router;
+            scope.spawn(move || router.ask(&request("POST", "action", &format!("r-{index}"), "")))
+        };
+        let asked: Vec<_> = (0..6).map(ask).collect();
+        asked
+            .into_iter()
+            .map(|asked| asked.join().expect("no caller panics"))
+            .collect()
+    });
+    // One router of two that are assumed has half of the four connections.
+    let answered = answers.iter().filter(|answer| answer.status == 200).count();
+    assert_eq!(answered, 2);
+    let refused = answers.iter().filter(|answer| answer.status == 503);
+    for answer in refused.clone() {
+        assert_eq!(answer.header("x-bulrushward-outcome"), Some("not-run"));
+        assert!(answer.header("retry-after").is_some());
+    }
+    assert_eq!(refused.count(), 4);
+    assert_eq!(server.received().len(), 2);
+}
+
 #[test]
 fn a_server_that_cannot_be_reached_costs_no_request() {
     let gone = TestServer::echo("s-1");
--- a/bulrushward_policy/src/hop.rs
+++ b/bulrushward_policy/src/hop.rs
@@ -11,6 +11,8 @@
 pub enum HopFailure {
     /// The request was never written, as no connection could be made or the idle one had closed.
     NotSent,
+    /// All connections to the server that this router may have are in use.
+    Crowded,
     /// The server says that it did not run the request.
     Rejected,
     /// Another server has the address now and did not run the request.
@@ -27,13 +29,16 @@
     /// Returns whether it is certain that the server has not run and will not run the request.
     #[must_use]
     pub fn is_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::Rejected | Self::Misdirected)
+        matches!(
+            self,
+            Self::NotSent | Self::Crowded | Self::Rejected | Self::Misdirected
+        )
     }
 
     /// Returns whether the server received the request.
     #[must_use]
     pub fn has_arrived(self) -> bool {
-        self != Self::NotSent
+        !matches!(self, Self::NotSent | Self::Crowded)
     }
 }
 
--- a/bulrushward_policy/tests/hop.rs
+++ b/bulrushward_policy/tests/hop.rs
@@ -3,8 +3,9 @@
 use bulrushward_policy::hop::{HopFailure, HopHistory, NextHop};
 use proptest::prelude::*;
 
-const ALL: [HopFailure; 6] = [
+const ALL: [HopFailure; 7] = [
     HopFailure::NotSent,
+    HopFailure::Crowded,
     HopFailure::Rejected,
     HopFailure::Misdirected,
     HopFailure::ServerError,
