Remove a method that nothing calls, a default that can be derived and a filter that is always true

EventCutter::drop_rest had no caller; ServerHealth's Default wrote out the derived one; a peer in a digest is alive, which already means that it was heard within PEER_GONE.

--- a/bulrushward_direct/src/events.rs
+++ b/bulrushward_direct/src/events.rs
@@ -44,11 +44,6 @@
         !self.buf.is_empty()
     }
 
-    /// Drops the beginning of an event that will not be finished.
-    pub fn drop_rest(&mut self) {
-        self.buf.clear();
-    }
-
     /// Returns the id of the last whole event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -146,7 +146,7 @@
         for server in self.shared.servers.load().all() {
             drop_expired(server, now);
         }
-        self.tell(now).await;
+        self.tell().await;
         if !self.has_started {
             self.learn_at_start().await;
         }
@@ -238,8 +238,8 @@
         }
     }
 
-    async fn tell(&self, now: Instant) {
-        let digest = self.digest(now);
+    async fn tell(&self) {
+        let digest = self.digest();
         let bytes = match postcard::to_stdvec(&digest) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -274,7 +274,7 @@
             .collect()
     }
 
-    fn digest(&self, now: Instant) -> Digest {
+    fn digest(&self) -> Digest {
         let mut in_progress: Vec<_> = self
             .shared
             .servers
@@ -291,11 +291,7 @@
             .collect();
         in_progress.sort_unstable_by_key(|told| std::cmp::Reverse(told.requests));
         in_progress.truncate(MAX_SERVERS);
-        let mut others: Vec<_> = self
-            .alive()
-            .filter(|peer| now.saturating_duration_since(peer.heard) < PEER_GONE)
-            .map(|peer| peer.digest.knowledge)
-            .collect();
+        let mut others: Vec<_> = self.alive().map(|peer| peer.digest.knowledge).collect();
         others.truncate(MAX_PEERS);
         Digest {
             node: self.shared.settings().node.clone(),
@@ -304,7 +300,7 @@
             extent: self.knowledge.extent(),
             in_progress,
             placements: self.shared.take_news(),
-            crashes: self.shared.crash_records(now, MAX_CRASHES),
+            crashes: self.shared.crash_records(Instant::now(), MAX_CRASHES),
             others,
         }
     }
--- a/bulrushward_policy/src/server_health.rs
+++ b/bulrushward_policy/src/server_health.rs
@@ -19,7 +19,7 @@
 const ORDINARY_FAILURES: f64 = 0.2;
 
 /// What a router has seen of one server's health.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct ServerHealth {
     failures: f64,
     at: Option<Instant>,
@@ -27,17 +27,6 @@
     rests_until: Option<Instant>,
 }
 
-impl Default for ServerHealth {
-    fn default() -> Self {
-        Self {
-            failures: 0.0,
-            at: None,
-            unreachable: 0,
-            rests_until: None,
-        }
-    }
-}
-
 impl ServerHealth {
     /// Takes in an answer that served its request.
     pub fn served(&mut self, now: Instant) {
