--- a/bulrushward/src/logging.rs
+++ b/bulrushward/src/logging.rs
@@ -1,29 +1,32 @@
 //! Logs: one line of key=value pairs for each event, on standard output.
 
-use std::panic::PanicHookInfo;
+use std::{io, panic::PanicHookInfo};
 
 use tracing::error;
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
-use tracing_logfmt::{EventsFormatter, FieldsFormatter};
-use tracing_subscriber::{EnvFilter, fmt, layer::SubscriberExt, util::SubscriberInitExt};
+use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
+
+use crate::log_queue::{Gathering, LogQueue};
 
 /// Directive that silences the HTTP library, whose lines are no events of the fleet.
 const QUIET_LIBRARY: &str = "salvo_core=error";
-/// Lines that wait for a slow reader; further ones are dropped and counted. A few seconds of a busy router.
-const WAITING_LINES: usize = 4_096;
 
 /// Writes the last lines when it is dropped.
 #[derive(Debug)]
 pub struct LogGuard {
-    _worker: WorkerGuard,
-    dropped: ErrorCounter,
+    queue: LogQueue,
 }
 
 impl LogGuard {
-    /// Returns the lines that were dropped because the reader was too slow.
+    /// Returns the queue of the log.
     #[must_use]
-    pub fn dropped_lines(&self) -> usize {
-        self.dropped.dropped_lines()
+    pub fn queue(&self) -> &LogQueue {
+        &self.queue
+    }
+}
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.queue.close();
     }
 }
 
@@ -32,29 +35,24 @@
 /// A filter that cannot be parsed is replaced by `info`. Calls after the first have no effect.
 /// From the first call on, a panic is an event like any other. Logging never waits for the reader
 /// of standard output.
-#[must_use]
-pub fn start_logging(filter: &str) -> LogGuard {
+///
+/// # Errors
+///
+/// Returns the error of the system if the thread that writes cannot be started.
+pub fn start_logging(filter: &str) -> io::Result<LogGuard> {
     let filter = format!("{QUIET_LIBRARY},{filter}");
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let (writer, worker) = NonBlockingBuilder::default()
-        .lossy(true)
-        .buffered_lines_limit(WAITING_LINES)
-        .thread_name("log")
-        .finish(std::io::stdout());
-    let dropped = writer.error_counter();
-    let layer = fmt::layer()
-        .event_format(EventsFormatter::default())
-        .fmt_fields(FieldsFormatter::default())
-        .with_writer(writer);
+    let queue = LogQueue::start(io::stdout(), Gathering::default())?;
+    let layer = tracing_logfmt::builder()
+        .with_target(false)
+        .layer()
+        .with_writer(queue.clone());
     let _already_started = tracing_subscriber::registry()
         .with(filter)
         .with(layer)
         .try_init();
     std::panic::set_hook(Box::new(log_panic));
-    LogGuard {
-        _worker: worker,
-        dropped,
-    }
+    Ok(LogGuard { queue })
 }
 
 fn log_panic(panic: &PanicHookInfo<'_>) {
--- a/bulrushward/src/main.rs
+++ b/bulrushward/src/main.rs
@@ -2,7 +2,8 @@
 
 use std::{process::ExitCode, sync::Arc};
 
-use bulrushward::{Command, DaemonError, parse_arguments, run};
+use bulrushward::{Command, DaemonError, LogQueue, parse_arguments, run};
+use bulrushward_direct::{LogState, Surroundings};
 use bulrushward_platform::{PlatformHeaders, PlatformStore};
 
 fn main() -> ExitCode {
@@ -10,13 +11,17 @@
         Ok(command) => command,
         Err(exit) => return exit,
     };
-    let log = bulrushward::start_logging(command.log_filter());
-    let ended = run_to_end(command);
-    if log.dropped_lines() > 0 {
-        eprintln!(
-            "bulrushwardd: {} lines of the log were dropped",
-            log.dropped_lines()
-        );
+    let log = match bulrushward::start_logging(command.log_filter()) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("bulrushwardd: the log did not start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = run_to_end(command, log.queue());
+    let dropped = log.queue().dropped_lines();
+    if dropped > 0 {
+        eprintln!("bulrushwardd: {dropped} lines of the log were dropped");
     }
     match ended {
         Ok(()) => ExitCode::SUCCESS,
@@ -27,12 +32,14 @@
     }
 }
 
-fn run_to_end(command: Command) -> Result<(), DaemonError> {
+fn run_to_end(command: Command, log: &LogQueue) -> Result<(), DaemonError> {
     if let Command::Direct(settings, path) = command {
-        let store = Arc::new(PlatformStore::new(settings.store_address));
-        let dialect = Arc::new(PlatformHeaders);
-        return bulrushward_direct::run(*settings, &path, dialect, store)
-            .map_err(DaemonError::from);
+        let surroundings = Surroundings {
+            dialect: Arc::new(PlatformHeaders),
+            store: Arc::new(PlatformStore::new(settings.store_address)),
+            log: Arc::new(log.clone()),
+        };
+        return bulrushward_direct::run(*settings, &path, surroundings).map_err(DaemonError::from);
     }
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/bulrushward_ctl/src/commands/explain.rs
+++ b/bulrushward_ctl/src/commands/explain.rs
@@ -17,6 +17,9 @@
 
 /// Time before a request's first line from which on changes of what its process believed are shown.
 const BEFORE: Duration = Duration::from_secs(5);
+/// Time after a request's last line in which a start of its process is shown: what the process carried before
+/// is lost, and no line says so.
+const AFTER: Duration = Duration::from_secs(30);
 /// Changes that are shown at most, the latest ones.
 const MAX_CHANGES: usize = 60;
 /// Lines of one request that are shown at most.
@@ -38,6 +41,8 @@
     name: String,
     lines: Vec<Line>,
     changes: Vec<Line>,
+    /// First start of the process after the request's last line.
+    restart: Option<Line>,
 }
 
 /// Prints what the logs say of a request, in order of time, and what its processes believed then.
@@ -59,10 +64,14 @@
         let changes = read_lines(path, &mut 0, MAX_CHANGES, |line| {
             (from..=to).contains(&line.at) && is_change(&line.text)
         })?;
+        let starts = read_lines(path, &mut 0, MAX_CHANGES, |line| {
+            line.at > to && line.at <= to + AFTER && has_field(&line.text, "event", "started")
+        })?;
         excerpts.push(Excerpt {
             name: path.display().to_string(),
             lines,
             changes,
+            restart: starts.into_iter().next(),
         });
     }
     if excerpts.is_empty() {
@@ -95,6 +104,14 @@
         if self.changes.is_empty() {
             told.push("  nothing".to_owned());
         }
+        let restart = self.restart.as_ref().map(|line| {
+            let name = &self.name;
+            format!(
+                "{name} started again at {}; requests before that were lost with it",
+                line.at
+            )
+        });
+        told.extend(restart);
         told
     }
 }
--- a/bulrushward_ctl/tests/explain.rs
+++ b/bulrushward_ctl/tests/explain.rs
@@ -54,6 +54,28 @@
     assert!(text.contains("2 unreadable lines skipped"), "{text}");
 }
 
+#[test]
+fn a_process_that_died_with_the_request_is_told() {
+    let restarted = "\
+ts=2026-01-03T10:00:00.000000Z level=info event=started node=r-1
+ts=2026-01-03T10:00:09.000000Z level=info event=answered request=abc server=s-1 status=200
+ts=2026-01-03T10:00:09.500000Z level=info event=answered request=def server=s-1 status=200
+ts=2026-01-03T10:00:12.000000Z level=info event=started node=r-1
+ts=2026-01-03T10:01:09.000000Z level=info event=answered request=ghi server=s-1 status=200
+";
+    let path = log("restarted", restarted);
+    let told = |request: &str| {
+        let output = explain(request, &[&path]);
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    };
+    let text = told("abc");
+    assert!(
+        text.contains("started again at 2026-01-03T10:00:12Z"),
+        "{text}"
+    );
+    assert!(!told("ghi").contains("started again"));
+}
+
 #[test]
 fn an_unknown_request_or_file_is_an_error() {
     let first = log("third", FIRST);
--- a/bulrushward_direct/src/choose.rs
+++ b/bulrushward_direct/src/choose.rs
@@ -1,6 +1,10 @@
 //! Gathers what is known of a service's servers and chooses one for a request.
 
-use std::{net::SocketAddr, sync::Arc, time::Instant};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushward_policy::server_choice::{self, ServerView, SessionRequest};
 
@@ -18,8 +22,10 @@
 pub(crate) struct Choice {
     pub(crate) server: Arc<Server>,
     pub(crate) load: f64,
-    /// Age of the server's report in milliseconds; nothing if it never reported.
-    pub(crate) report_age_ms: Option<u64>,
+    /// Least load among the servers that could have been chosen.
+    pub(crate) least_load: f64,
+    /// Age of the server's report; nothing if it never reported.
+    pub(crate) report_age: Option<Duration>,
     /// Servers that could have been chosen.
     pub(crate) usable: usize,
     /// Whether the server is believed to have the session's prompt cached.
@@ -47,7 +53,11 @@
             view.usable = is_candidate(server, tried);
         }
     }
-    let usable = views.iter().filter(|view| view.usable).count();
+    let usable_loads = views.iter().filter(|view| view.usable);
+    let usable_loads = usable_loads.map(|view| view.load);
+    let (usable, least_load) = usable_loads.fold((0, f64::MAX), |(count, least), load| {
+        (count + 1, load.min(least))
+    });
     let source = copy_source(servers, job, &homes, now);
     let index = match session {
         Some(session) => {
@@ -71,10 +81,11 @@
     if let Some(session) = session {
         shared.note_home(session, chosen.hash);
     }
-    let age = chosen.state().load.report_age(now);
+    let report_age = chosen.state().load.report_age(now);
     Some(Choice {
         load: views[index].load,
-        report_age_ms: age.map(|age| age.as_millis() as u64),
+        least_load,
+        report_age,
         usable,
         has_prompt,
         unread_tokens: job.own_tokens() + again,
--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     knowledge::{Knowledge, Source},
+    metrics::StoreCall,
     ports::{FleetStore, StoreError},
     shared::Shared,
 };
@@ -43,13 +44,16 @@
     let mut pauses = Pauses::default();
     let mut after = None;
     loop {
-        let reading = match after {
-            None => shared.store.config().await,
-            Some(after) => shared.store.next_config(after, WAIT).await,
+        let (call, reading) = match after {
+            None => (StoreCall::Config, shared.store.config().await),
+            Some(after) => {
+                let reading = shared.store.next_config(after, WAIT).await;
+                (StoreCall::ConfigChanges, reading)
+            }
         };
         match reading {
             Ok(reading) => {
-                note_answer(&shared);
+                note_answer(&shared, call);
                 pauses = Pauses::default();
                 after = Some(reading.as_of);
                 if let Some(config) = reading.config {
@@ -59,7 +63,7 @@
             }
             Err(error) => {
                 after = None;
-                note_failure(&shared, &error);
+                note_failure(&shared, call, &error);
                 pauses.pause().await;
             }
         }
@@ -71,14 +75,17 @@
     let mut pauses = Pauses::default();
     let mut is_listed = false;
     loop {
-        let done = if is_listed {
-            next_servers(shared.store.as_ref(), &knowledge).await
+        let store = shared.store.as_ref();
+        let (call, done) = if is_listed {
+            let done = next_servers(store, &knowledge).await;
+            (StoreCall::ServerChanges, done)
         } else {
-            list_servers(shared.store.as_ref(), &knowledge).await
+            let done = list_servers(store, &knowledge).await;
+            (StoreCall::Servers, done)
         };
         match done {
             Ok(has_changes) => {
-                note_answer(&shared);
+                note_answer(&shared, call);
                 pauses = Pauses::default();
                 if is_listed && has_changes {
                     tokio::time::sleep(GATHERING).await;
@@ -90,24 +97,24 @@
                 if !matches!(error, StoreError::HistoryGone { .. }) {
                     knowledge.store_failed();
                 }
-                note_failure(&shared, &error);
+                note_failure(&shared, call, &error);
                 pauses.pause().await;
             }
         }
     }
 }
 
-fn note_answer(shared: &Shared) {
-    if !shared.note_store(true) {
+fn note_answer(shared: &Shared, call: StoreCall) {
+    if shared.store_answered(call) {
         info!(event = "store-regained");
     }
 }
 
-fn note_failure(shared: &Shared, error: &StoreError) {
-    shared.metrics.store_call_failed();
+fn note_failure(shared: &Shared, call: StoreCall, error: &StoreError) {
+    shared.metrics.store_call(call, error.into());
     if matches!(error, StoreError::HistoryGone { .. }) {
         info!(event = "store-history-gone", %error);
-    } else if shared.note_store(false) {
+    } else if shared.store_failed() {
         warn!(event = "store-lost", %error);
     }
 }
--- a/bulrushward_direct/src/intake.rs
+++ b/bulrushward_direct/src/intake.rs
@@ -4,7 +4,11 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{Request, StatusCode, body::Incoming, header::HOST};
+use hyper::{
+    Request, StatusCode,
+    body::{Body, Incoming},
+    header::HOST,
+};
 use tokio::time::{Instant as TokioInstant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -43,7 +47,9 @@
         .route(host, head.uri.path())
         .ok_or_else(|| OwnAnswer::wrong(StatusCode::NOT_FOUND, Reason::UnknownRoute))?;
     trail.kind.clone_from(&route.name);
+    trail.config = Some(table.config().version);
     let organisation = organisation(&table, facts.key.as_deref(), route.is_public)?;
+    trail.organisation = organisation.map(|organisation| organisation.name.clone());
     let timeout = facts
         .patience
         .map_or(route.timeout, |patience| patience.min(route.timeout));
@@ -103,16 +109,18 @@
 }
 
 async fn read_body(body: Incoming, limit: usize, due: Instant) -> Result<Bytes, OwnAnswer> {
+    let too_large = OwnAnswer::wrong(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge);
+    if body.size_hint().lower() > limit as u64 {
+        // The length is declared, so there is no need to read what is thrown away.
+        return Err(too_large);
+    }
     let collected = timeout_at(
         TokioInstant::from_std(due),
         Limited::new(body, limit).collect(),
     );
     match collected.await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(OwnAnswer::wrong(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            Reason::BodyTooLarge,
-        )),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large),
         Ok(Err(_cut)) => Err(OwnAnswer::wrong(StatusCode::BAD_REQUEST, Reason::BodyCut)),
         Err(_elapsed) => Err(OwnAnswer::wrong(
             StatusCode::REQUEST_TIMEOUT,
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -36,8 +36,8 @@
     ServerId, ServerRecord, Service, ServiceName, Target,
 };
 pub use ports::{
-    CallerFacts, ConfigReading, Delivery, Dialect, FleetStore, PromptPart, ReportedLoad,
-    ServerChanges, ServerFacts, ServerListing, StoreError,
+    CallerFacts, ConfigReading, Delivery, Dialect, FleetStore, LogState, PromptPart, ReportedLoad,
+    ServerChanges, ServerFacts, ServerListing, StoreError, Surroundings,
 };
 pub use routes::RouteTable;
 pub use run::{DirectError, run, run_until};
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -5,11 +5,14 @@
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
-    registry::Registry,
+    registry::{Metric, Registry},
 };
+use strum::IntoStaticStr;
 
-/// Upper bounds of the histogram of answer times, in seconds.
+/// Upper bounds of the histograms of answer times, in seconds.
 const ANSWER_BOUNDS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 10.0];
+/// Upper bounds of the histogram of the ages of servers' reports, in seconds.
+const AGE_BOUNDS: [f64; 7] = [0.05, 0.1, 0.3, 1.0, 2.0, 5.0, 30.0];
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct OutcomeLabels {
@@ -22,14 +25,60 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndLabel {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct StoreLabels {
+    call: &'static str,
+    result: &'static str,
+}
+
+/// A call to the store.
+#[derive(Clone, Copy, Debug, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum StoreCall {
+    Config,
+    ConfigChanges,
+    Servers,
+    ServerChanges,
+}
+
+/// What is read at the moment at which the metrics are asked for.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Snapshot {
+    pub(crate) connections_open: u32,
+    pub(crate) connections_idle: u32,
+    /// Time since the configuration in force was taken in.
+    pub(crate) config_age: Duration,
+    /// Time since the store last confirmed the configuration, and the registered servers.
+    pub(crate) config_view_age: Duration,
+    pub(crate) servers_view_age: Duration,
+    /// Repeats that may be sent at once, by service.
+    pub(crate) budgets: Vec<(String, u32)>,
+    pub(crate) log_lines_dropped: u64,
+    /// Resident memory in bytes; nothing where the system does not tell.
+    pub(crate) memory_bytes: Option<usize>,
+}
+
 /// Metrics of one direct router.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct DirectMetrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
+    pub(crate) hops: Counter,
     hops_failed: Family<ReasonLabel, Counter>,
-    store_calls_failed: Counter,
+    streams: Family<EndLabel, Counter>,
+    store_calls: Family<StoreLabels, Counter>,
     pub(crate) repeats: Counter,
+    pub(crate) repeats_refused: Counter,
     pub(crate) resumes: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) config_version: Gauge,
@@ -37,98 +86,138 @@
     pub(crate) routers: Gauge,
     in_progress: Gauge,
     pub(crate) sessions: Gauge,
-    answer_seconds: Histogram,
+    connections_open: Gauge,
+    connections_idle: Gauge,
+    config_age: Gauge,
+    config_view_age: Gauge,
+    servers_view_age: Gauge,
+    repeats_left: Family<ServiceLabel, Gauge>,
+    log_lines_dropped: Gauge,
+    memory: Gauge,
+    answer_seconds: Times,
+    first_event_seconds: Times,
+    report_age_seconds: Ages,
+}
+
+#[derive(Debug)]
+struct Times(Histogram);
+
+impl Default for Times {
+    fn default() -> Self {
+        Self(Histogram::new(ANSWER_BOUNDS))
+    }
+}
+
+#[derive(Debug)]
+struct Ages(Histogram);
+
+impl Default for Ages {
+    fn default() -> Self {
+        Self(Histogram::new(AGE_BOUNDS))
+    }
 }
 
 impl DirectMetrics {
     pub(crate) fn new() -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("bulrushward_direct"),
-            requests: Family::default(),
-            hops_failed: Family::default(),
-            store_calls_failed: Counter::default(),
-            repeats: Counter::default(),
-            resumes: Counter::default(),
-            connections_opened: Counter::default(),
-            config_version: Gauge::default(),
-            servers: Gauge::default(),
-            routers: Gauge::default(),
-            in_progress: Gauge::default(),
-            sessions: Gauge::default(),
-            answer_seconds: Histogram::new(ANSWER_BOUNDS),
+            ..Self::default()
         };
-        metrics.register();
+        metrics.register_counters();
+        metrics.register_state();
         metrics
     }
 
-    fn register(&mut self) {
-        let r = &mut self.registry;
-        r.register(
-            "requests",
-            "Requests by kind and outcome",
-            self.requests.clone(),
-        );
-        r.register(
-            "hops_failed",
-            "Failed hops by reason",
-            self.hops_failed.clone(),
-        );
-        let failed = self.store_calls_failed.clone();
-        r.register(
-            "store_calls_failed",
-            "Store calls without usable answer",
-            failed,
-        );
-        r.register(
-            "repeats",
-            "Requests sent to a further server",
-            self.repeats.clone(),
-        );
-        r.register(
-            "resumes",
-            "Streams resumed at another server",
-            self.resumes.clone(),
-        );
+    fn register_counters(&mut self) {
+        let requests = self.requests.clone();
+        self.add("requests", "Requests by kind and outcome", requests);
+        let hops = self.hops.clone();
+        self.add("hops", "Requests sent to a server, repeats included", hops);
+        let failed = self.hops_failed.clone();
+        self.add("hops_failed", "Failed hops by reason", failed);
+        let streams = self.streams.clone();
+        self.add("streams", "Streams that ended, by outcome", streams);
+        let calls = self.store_calls.clone();
+        self.add("store_calls", "Store calls by kind and result", calls);
+        let repeats = self.repeats.clone();
+        self.add("repeats", "Requests sent to a further server", repeats);
+        let refused = self.repeats_refused.clone();
+        let help = "Repeats that the budget did not allow";
+        self.add("repeats_refused", help, refused);
+        let resumes = self.resumes.clone();
+        self.add("resumes", "Streams resumed at another server", resumes);
         let opened = self.connections_opened.clone();
-        r.register(
-            "connections_opened",
-            "Connections opened to servers",
-            opened,
-        );
-        r.register(
-            "config_version",
-            "Version in force",
-            self.config_version.clone(),
-        );
-        r.register("servers", "Registered servers", self.servers.clone());
-        r.register("routers", "Routers believed alive", self.routers.clone());
-        r.register(
-            "in_progress",
-            "Requests in progress",
-            self.in_progress.clone(),
-        );
+        let help = "Connections opened to servers";
+        self.add("connections_opened", help, opened);
+        let answers = self.answer_seconds.0.clone();
+        let help = "Time to a plain answer";
+        self.add("answer_seconds", help, answers);
+        let events = self.first_event_seconds.0.clone();
+        let help = "Time to the first event of a stream";
+        self.add("first_event_seconds", help, events);
+        let ages = self.report_age_seconds.0.clone();
+        let help = "Age of the report of a server when it was chosen";
+        self.add("report_age_seconds", help, ages);
+    }
+
+    fn register_state(&mut self) {
+        let version = self.config_version.clone();
+        self.add("config_version", "Version in force", version);
+        let age = self.config_age.clone();
+        let help = "Time since the version in force was taken in";
+        self.add("config_age_ms", help, age);
+        let view = self.config_view_age.clone();
+        let help = "Time since the store last confirmed the configuration";
+        self.add("config_view_age_ms", help, view);
+        let view = self.servers_view_age.clone();
+        let help = "Time since the store last confirmed the servers";
+        self.add("servers_view_age_ms", help, view);
+        let servers = self.servers.clone();
+        self.add("servers", "Registered servers", servers);
+        let routers = self.routers.clone();
+        self.add("routers", "Routers believed alive", routers);
+        let in_progress = self.in_progress.clone();
+        self.add("in_progress", "Requests in progress", in_progress);
         let sessions = self.sessions.clone();
-        r.register(
-            "sessions",
-            "Sessions whose servers are remembered",
-            sessions,
-        );
-        let seconds = self.answer_seconds.clone();
-        r.register(
-            "answer_seconds",
-            "Time to the first byte of an answer",
-            seconds,
-        );
+        let help = "Sessions whose servers are remembered";
+        self.add("sessions", help, sessions);
+        let open = self.connections_open.clone();
+        self.add("connections_open", "Connections to servers", open);
+        let idle = self.connections_idle.clone();
+        self.add("connections_idle", "Idle ones among them", idle);
+        let left = self.repeats_left.clone();
+        let help = "Repeats that may be sent at once";
+        self.add("repeats_left", help, left);
+        let dropped = self.log_lines_dropped.clone();
+        let help = "Lines of the log that were dropped";
+        self.add("log_lines_dropped", help, dropped);
+        let memory = self.memory.clone();
+        self.add("resident_memory_bytes", "Resident memory", memory);
+    }
+
+    fn add(&mut self, name: &str, help: &str, metric: impl Metric) {
+        self.registry.register(name, help, metric);
     }
 
     /// Counts a request and its time to the first byte of the answer.
-    pub(crate) fn answered(&self, kind: &str, outcome: &'static str, time: Duration) {
+    pub(crate) fn answered(
+        &self,
+        kind: &str,
+        outcome: &'static str,
+        is_stream: bool,
+        time: Duration,
+    ) {
         let labels = OutcomeLabels {
             kind: kind.to_owned(),
             outcome,
         };
         self.requests.get_or_create(&labels).inc();
-        self.answer_seconds.observe(time.as_secs_f64());
+        let times = if is_stream {
+            &self.first_event_seconds
+        } else {
+            &self.answer_seconds
+        };
+        times.0.observe(time.as_secs_f64());
     }
 
     /// Counts a request or stream in progress until the guard is dropped.
@@ -137,6 +226,14 @@
         Counted(self.in_progress.clone())
     }
 
+    /// Counts a request that is sent to a server, with the age of that server's report.
+    pub(crate) fn hop(&self, report_age: Option<Duration>) {
+        self.hops.inc();
+        if let Some(age) = report_age {
+            self.report_age_seconds.0.observe(age.as_secs_f64());
+        }
+    }
+
     /// Counts a failed hop.
     pub(crate) fn hop_failed(&self, reason: &'static str) {
         self.hops_failed
@@ -144,18 +241,48 @@
             .inc();
     }
 
-    /// Counts a call to the store that gave nothing.
-    pub(crate) fn store_call_failed(&self) {
-        self.store_calls_failed.inc();
+    /// Counts a stream that ended.
+    pub(crate) fn stream_ended(&self, outcome: &'static str) {
+        self.streams.get_or_create(&EndLabel { outcome }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn store_call(&self, call: StoreCall, result: &'static str) {
+        let call = call.into();
+        let labels = StoreLabels { call, result };
+        self.store_calls.get_or_create(&labels).inc();
     }
 
     /// Writes all metrics as text.
-    pub(crate) fn text(&self) -> String {
+    pub(crate) fn text(&self, snapshot: &Snapshot) -> String {
+        self.set(snapshot);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _written = encode(&mut text, &self.registry);
         text
     }
+
+    fn set(&self, snapshot: &Snapshot) {
+        self.connections_open.set(snapshot.connections_open.into());
+        self.connections_idle.set(snapshot.connections_idle.into());
+        self.config_age.set(millis(snapshot.config_age));
+        self.config_view_age.set(millis(snapshot.config_view_age));
+        self.servers_view_age.set(millis(snapshot.servers_view_age));
+        for (service, left) in &snapshot.budgets {
+            let service = service.clone();
+            let label = ServiceLabel { service };
+            self.repeats_left.get_or_create(&label).set((*left).into());
+        }
+        let dropped = snapshot.log_lines_dropped.cast_signed();
+        self.log_lines_dropped.set(dropped);
+        if let Some(bytes) = snapshot.memory_bytes {
+            self.memory.set(bytes.cast_signed() as i64);
+        }
+    }
+}
+
+fn millis(time: Duration) -> i64 {
+    time.as_millis() as i64
 }
 
 /// Something in progress that is counted.
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -1,11 +1,12 @@
 //! What the router asks of a platform: headers to read and write, and a store to follow.
 
-use std::{fmt::Debug, net::SocketAddr, time::Duration};
+use std::{fmt::Debug, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use bulrushward_policy::server_registry::StoreRevision;
 use hyper::HeaderMap;
 use snafu::Snafu;
+use strum::IntoStaticStr;
 
 use crate::model::{FleetConfig, ServerId, ServerRecord};
 
@@ -118,8 +119,9 @@
 }
 
 /// Why a call to the store gave nothing.
-#[derive(Clone, Debug, Snafu)]
+#[derive(Clone, Debug, IntoStaticStr, Snafu)]
 #[snafu(visibility(pub))]
+#[strum(serialize_all = "kebab-case")]
 pub enum StoreError {
     /// No usable answer came.
     #[snafu(display("no usable answer of the store: {detail}"))]
@@ -141,6 +143,23 @@
     },
 }
 
+/// What a router needs of its surroundings.
+#[derive(Clone, Debug)]
+pub struct Surroundings {
+    /// Headers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Store to follow.
+    pub store: Arc<dyn FleetStore>,
+    /// Log of the process.
+    pub log: Arc<dyn LogState>,
+}
+
+/// The log, as far as its own metrics need it.
+pub trait LogState: Debug + Send + Sync {
+    /// Returns the lines that were dropped since the start because their reader was too slow.
+    fn dropped_lines(&self) -> u64;
+}
+
 /// The store that holds the configuration and the registered servers.
 #[async_trait]
 pub trait FleetStore: Debug + Send + Sync {
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -10,6 +10,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use strum::IntoStaticStr;
 use tracing::{info, warn};
 
 use crate::{
@@ -18,6 +19,7 @@
     hop::{self, HopAnswer, HopError, OpenStream, note_failure},
     job::Job,
     metrics::Counted,
+    request::log_failed_hop,
     server_stream::{Piece, ServerStream},
     shared::Shared,
 };
@@ -38,9 +40,23 @@
     /// Servers that had the request, which it does not go to again.
     tried: Vec<String>,
     last_event: Option<String>,
+    /// When the latest events went to the caller.
+    passed: Instant,
+    longest_pause: Duration,
     is_over: bool,
 }
 
+/// How a stream ended for the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum End {
+    Complete,
+    /// Broken off, visibly for the caller.
+    Cut,
+    /// The caller closed it.
+    Left,
+}
+
 /// Returns a body that passes on a stream from its first events.
 pub(crate) fn body(
     shared: &Arc<Shared>,
@@ -59,6 +75,8 @@
         source,
         tried,
         last_event: None,
+        passed: Instant::now(),
+        longest_pause: Duration::ZERO,
         is_over: false,
     };
     let frames = stream::unfold(relay, async |mut relay| {
@@ -77,15 +95,19 @@
             return None;
         }
         match self.source.next(self.silent_until()).await {
-            Ok(Piece::Events(events)) => Some(Ok(events)),
+            Ok(Piece::Events(events)) => {
+                self.note_pause();
+                Some(Ok(events))
+            }
             Ok(Piece::End) => {
                 self.is_over = true;
-                self.log_end("complete", "");
+                self.log_end(End::Complete, "");
                 None
             }
             Err(error) => {
                 let resumed = self.resume(error).await;
                 self.is_over = resumed.is_none();
+                self.note_pause();
                 Some(resumed.ok_or(StreamCut))
             }
         }
@@ -94,18 +116,20 @@
     /// Goes on at another server; returns its first events, or nothing if the stream is cut.
     async fn resume(&mut self, mut error: HopError) -> Option<Bytes> {
         note_failure(&self.source.progress, &error);
-        self.shared.metrics.hop_failed(error.failure.into());
         if let Some(id) = self.source.cutter.last_id() {
             self.last_event = Some(id.to_owned());
         }
         loop {
+            self.shared.metrics.hop_failed(error.failure.into());
+            let server = self.tried.last().map_or("", String::as_str);
+            log_failed_hop(&self.job, server, &error);
             let next = self.history.failed(error.failure);
             let may_resume = matches!(next, NextHop::Send { .. })
                 && Instant::now() < self.job.due
                 && self.last_event.is_some()
                 && self.shared.withdraw(&self.job.service.name);
             if !may_resume {
-                self.log_end("cut", &error.detail);
+                self.log_end(End::Cut, &error.detail);
                 return None;
             }
             match self.go_on().await {
@@ -122,11 +146,13 @@
         let server = &choice.server;
         self.tried.push(server.id.clone());
         self.shared.metrics.resumes.inc();
+        self.shared.metrics.hop(choice.report_age);
         info!(
             event = "stream-resumed",
             request = self.job.request_id,
             server = server.id,
             load = choice.load,
+            usable = choice.usable,
             after_event = self.last_event.as_deref().unwrap_or_default(),
         );
         let last_event = self.last_event.as_deref();
@@ -151,14 +177,36 @@
         job.due.min(Instant::now() + patience)
     }
 
-    fn log_end(&self, outcome: &'static str, detail: &str) {
+    fn note_pause(&mut self) {
+        let now = Instant::now();
+        let pause = now.saturating_duration_since(self.passed);
+        self.longest_pause = self.longest_pause.max(pause);
+        self.passed = now;
+    }
+
+    /// Logs the end of a stream, unless it was an ordinary one: those are most lines of a busy router.
+    fn log_end(&self, end: End, detail: &str) {
+        let outcome = end.into();
+        self.shared.metrics.stream_ended(outcome);
+        let is_on_time = self.longest_pause <= self.job.route.target_pause;
+        let is_resumed = self.last_event.is_some();
+        if end == End::Complete && is_on_time && !is_resumed {
+            return;
+        }
         let ms = self.job.received.elapsed().as_millis() as u64;
+        let longest_pause_ms = self.longest_pause.as_millis() as u64;
         let request = &self.job.request_id;
         let server = &self.source.progress.server().id;
-        if detail.is_empty() {
-            info!(event = "stream-ended", request, server, outcome, ms);
+        if end == End::Cut {
+            warn!(
+                event = "stream-ended",
+                request, server, outcome, longest_pause_ms, ms, detail
+            );
         } else {
-            warn!(event = "stream-ended", request, server, outcome, ms, detail);
+            info!(
+                event = "stream-ended",
+                request, server, outcome, longest_pause_ms, ms, detail
+            );
         }
     }
 }
@@ -166,7 +214,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.is_over {
-            self.log_end("left", "the caller closed its connection");
+            self.log_end(End::Left, "the caller closed its connection");
         }
     }
 }
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -42,7 +42,7 @@
     };
     shared
         .metrics
-        .answered(&trail.kind, outcome, received.elapsed());
+        .answered(&trail.kind, outcome, trail.is_stream, received.elapsed());
     res
 }
 
@@ -54,6 +54,7 @@
 ) -> Result<Response<Body>, OwnAnswer> {
     let service = &job.service.name;
     shared.deposit(service);
+    trail.is_stream = job.is_stream();
     let mut history = HopHistory::new(job.route.is_idempotent(), job.route.max_servers);
     let mut tried = Vec::new();
     let mut last_error: Option<HopError> = None;
@@ -74,12 +75,14 @@
         trail.hops = history.hops() + 1;
         trail.server.clone_from(&server.id);
         trail.load = choice.load;
-        trail.report_age_ms = choice.report_age_ms;
+        trail.report_age = choice.report_age;
+        trail.least_load = choice.least_load;
         trail.usable = choice.usable;
         trail.has_prompt = choice.has_prompt;
         trail.unread_tokens = choice.unread_tokens;
         trail.copy_from = choice.copy_from;
         tried.push(server.id.clone());
+        shared.metrics.hop(choice.report_age);
         let error = match hop::send(shared, &job, &choice, None).await {
             Ok(answer) => return Ok(respond(shared, &job, answer, history, tried)),
             Err(error) => error,
@@ -129,7 +132,8 @@
     }
 }
 
-fn log_failed_hop(job: &Job, server: &str, error: &HopError) {
+/// Logs that a server failed a request.
+pub(crate) fn log_failed_hop(job: &Job, server: &str, error: &HopError) {
     info!(
         event = "hop-failed",
         request = job.request_id,
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -25,7 +25,7 @@
     knowledge::Knowledge,
     listener::{self, plain},
     peers::{KNOWLEDGE_PATH, Peers},
-    ports::{Dialect, FleetStore},
+    ports::Surroundings,
     settings::DirectSettings,
     shared::Shared,
 };
@@ -67,8 +67,7 @@
 pub fn run(
     settings: DirectSettings,
     settings_path: &Path,
-    dialect: Arc<dyn Dialect>,
-    store: Arc<dyn FleetStore>,
+    surroundings: Surroundings,
 ) -> Result<(), DirectError> {
     let traffic = single_thread()?;
     let stop = CancellationToken::new();
@@ -81,7 +80,7 @@
         terminate.recv().await;
         told.cancel();
     });
-    run_on(&traffic, settings, settings_path, dialect, store, stop)
+    run_on(&traffic, settings, settings_path, surroundings, stop)
 }
 
 /// Runs a direct router until `stop` fires.
@@ -92,16 +91,14 @@
 pub fn run_until(
     settings: DirectSettings,
     settings_path: &Path,
-    dialect: Arc<dyn Dialect>,
-    store: Arc<dyn FleetStore>,
+    surroundings: Surroundings,
     stop: CancellationToken,
 ) -> Result<(), DirectError> {
     run_on(
         &single_thread()?,
         settings,
         settings_path,
-        dialect,
-        store,
+        surroundings,
         stop,
     )
 }
@@ -110,11 +107,10 @@
     traffic: &Runtime,
     settings: DirectSettings,
     settings_path: &Path,
-    dialect: Arc<dyn Dialect>,
-    store: Arc<dyn FleetStore>,
+    surroundings: Surroundings,
     stop: CancellationToken,
 ) -> Result<(), DirectError> {
-    let shared = Shared::new(settings, dialect, store);
+    let shared = Shared::new(settings, surroundings);
     let control = single_thread()?;
     let for_control = Arc::clone(&shared);
     let ended = CancellationToken::new();
@@ -257,7 +253,7 @@
 
 async fn serve_metrics(shared: Arc<Shared>, listener: TcpListener, close: CancellationToken) {
     let answer = move |path: String| {
-        let text = (path == "/metrics").then(|| shared.metrics.text());
+        let text = (path == "/metrics").then(|| shared.metrics.text(&shared.snapshot()));
         async move {
             match text {
                 Some(text) => plain(
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -17,12 +17,13 @@
     retry_budget::RetryBudget,
 };
 use bulrushward_protocol::{Fingerprint, QuarantineRecord};
+use memory_stats::memory_stats;
 
 use crate::{
-    metrics::DirectMetrics,
+    metrics::{DirectMetrics, Snapshot, StoreCall},
     model::{FleetConfig, ServiceName},
     news::{News, Placement},
-    ports::{Dialect, FleetStore},
+    ports::{Dialect, FleetStore, LogState, Surroundings},
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
     settings::DirectSettings,
@@ -46,12 +47,34 @@
 /// Contents whose crashes are remembered.
 const MAX_CRASHED: usize = 1_024;
 
+/// When this router last had its views confirmed; the start of the process until then.
+#[derive(Debug)]
+struct Views {
+    /// The configuration in force was taken in.
+    config_adopted: Instant,
+    /// The store last confirmed the configuration.
+    config: Instant,
+    /// The store last confirmed the registered servers.
+    servers: Instant,
+}
+
+impl Views {
+    fn new(now: Instant) -> Self {
+        Self {
+            config_adopted: now,
+            config: now,
+            servers: now,
+        }
+    }
+}
+
 /// State of a direct router that both threads use.
 #[derive(Debug)]
 pub(crate) struct Shared {
     settings: ArcSwap<DirectSettings>,
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) store: Arc<dyn FleetStore>,
+    log: Arc<dyn LogState>,
     pub(crate) routes: ArcSwapOption<RouteTable>,
     pub(crate) servers: ArcSwap<ServerSet>,
     /// Routers that are believed alive, this one included.
@@ -59,6 +82,7 @@
     is_stopping: AtomicBool,
     store_answers: AtomicBool,
     has_servers: AtomicBool,
+    views: Mutex<Views>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     homes: Mutex<PromptHomes>,
     /// Placements that peers are still to be told.
@@ -68,21 +92,19 @@
 }
 
 impl Shared {
-    pub(crate) fn new(
-        settings: DirectSettings,
-        dialect: Arc<dyn Dialect>,
-        store: Arc<dyn FleetStore>,
-    ) -> Arc<Self> {
+    pub(crate) fn new(settings: DirectSettings, surroundings: Surroundings) -> Arc<Self> {
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
-            dialect,
-            store,
+            dialect: surroundings.dialect,
+            store: surroundings.store,
+            log: surroundings.log,
             routes: ArcSwapOption::empty(),
             servers: ArcSwap::default(),
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
             has_servers: AtomicBool::new(false),
+            views: Mutex::new(Views::new(Instant::now())),
             budgets: Mutex::default(),
             homes: Mutex::new(PromptHomes::new(MAX_SESSIONS)),
             news: Mutex::default(),
@@ -109,6 +131,7 @@
         self.metrics
             .config_version
             .set(config.version.cast_signed());
+        lock(&self.views).config_adopted = Instant::now();
         self.routes.store(Some(Arc::new(RouteTable::new(config))));
         true
     }
@@ -146,9 +169,45 @@
         self.store_answers.load(Ordering::Relaxed)
     }
 
-    /// Notes whether a call to the store had a usable answer; returns whether the one before had.
-    pub(crate) fn note_store(&self, answers: bool) -> bool {
-        self.store_answers.swap(answers, Ordering::Relaxed)
+    /// Notes a usable answer of the store; returns whether the call before had none.
+    pub(crate) fn store_answered(&self, call: StoreCall) -> bool {
+        self.metrics.store_call(call, "answered");
+        let now = Instant::now();
+        let mut views = lock(&self.views);
+        match call {
+            StoreCall::Config | StoreCall::ConfigChanges => views.config = now,
+            StoreCall::Servers | StoreCall::ServerChanges => views.servers = now,
+        }
+        !self.store_answers.swap(true, Ordering::Relaxed)
+    }
+
+    /// Notes that a call to the store had no usable answer; returns whether the one before had.
+    pub(crate) fn store_failed(&self) -> bool {
+        self.store_answers.swap(false, Ordering::Relaxed)
+    }
+
+    /// Returns what the metrics tell of this moment.
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        let (mut open, mut idle) = (0, 0);
+        for server in self.servers.load().all() {
+            open += server.connections.load(Ordering::Relaxed);
+            idle += server.state().idle.len() as u32;
+        }
+        let budgets = lock(&self.budgets);
+        let views = lock(&self.views);
+        Snapshot {
+            connections_open: open,
+            connections_idle: idle,
+            config_age: views.config_adopted.elapsed(),
+            config_view_age: views.config.elapsed(),
+            servers_view_age: views.servers.elapsed(),
+            budgets: budgets
+                .iter()
+                .map(|(service, budget)| (service.clone(), budget.available()))
+                .collect(),
+            log_lines_dropped: self.log.dropped_lines(),
+            memory_bytes: memory_stats().map(|stats| stats.physical_mem),
+        }
     }
 
     pub(crate) fn set_routers(&self, routers: u32) {
@@ -167,7 +226,11 @@
 
     /// Pays for a repeat at a service; returns whether it may be sent.
     pub(crate) fn withdraw(&self, service: &str) -> bool {
-        self.with_budget(service, RetryBudget::withdraw)
+        let may_repeat = self.with_budget(service, RetryBudget::withdraw);
+        if !may_repeat {
+            self.metrics.repeats_refused.inc();
+        }
+        may_repeat
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/bulrushward_direct/src/trail.rs
+++ b/bulrushward_direct/src/trail.rs
@@ -1,6 +1,9 @@
 //! What the log says of a request.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use hyper::StatusCode;
 use tracing::{info, warn};
@@ -13,11 +16,17 @@
     request: String,
     received: Instant,
     is_answered: bool,
+    pub(crate) is_stream: bool,
     pub(crate) kind: String,
+    pub(crate) organisation: Option<String>,
+    /// Version of the configuration that decided.
+    pub(crate) config: Option<u64>,
     pub(crate) hops: u32,
     pub(crate) server: String,
     pub(crate) load: f64,
-    pub(crate) report_age_ms: Option<u64>,
+    /// Least load among the servers that could be chosen.
+    pub(crate) least_load: f64,
+    pub(crate) report_age: Option<Duration>,
     pub(crate) usable: usize,
     pub(crate) has_prompt: bool,
     pub(crate) unread_tokens: u64,
@@ -31,11 +40,15 @@
             request,
             received,
             is_answered: false,
+            is_stream: false,
             kind: String::new(),
+            organisation: None,
+            config: None,
             hops: 0,
             server: String::new(),
             load: 0.0,
-            report_age_ms: None,
+            least_load: 0.0,
+            report_age: None,
             usable: 0,
             has_prompt: false,
             unread_tokens: 0,
@@ -51,11 +64,14 @@
             event = "answered",
             request = self.request,
             route = self.kind,
+            organisation = self.organisation,
+            config = self.config,
             server = self.server,
             status = status.as_u16(),
             hops = self.hops,
             load = self.load,
-            report_age_ms = self.report_age_ms,
+            least_load = self.least_load,
+            report_age_ms = self.report_age_ms(),
             usable = self.usable,
             has_prompt = self.has_prompt,
             unread_tokens = self.unread_tokens,
@@ -71,6 +87,8 @@
             event = "refused",
             request = self.request,
             route = self.kind,
+            organisation = self.organisation,
+            config = self.config,
             server = self.server,
             status = own.status.as_u16(),
             reason = %own.reason,
@@ -83,6 +101,10 @@
         );
     }
 
+    fn report_age_ms(&self) -> Option<u64> {
+        self.report_age.map(|age| age.as_millis() as u64)
+    }
+
     fn ms(&self) -> u64 {
         self.received.elapsed().as_millis() as u64
     }
@@ -95,10 +117,12 @@
                 event = "caller-left",
                 request = self.request,
                 route = self.kind,
+                organisation = self.organisation,
+                config = self.config,
                 server = self.server,
                 hops = self.hops,
                 load = self.load,
-                report_age_ms = self.report_age_ms,
+                report_age_ms = self.report_age_ms(),
                 ms = self.ms(),
             );
         }
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -228,8 +228,52 @@
     assert_eq!(status(&router, "lookup"), 200);
     let answer = caller::get(router.address(7_341), "/metrics").expect("it listens");
     let text = answer.text();
-    let line = "bulrushward_direct_requests_total{kind=\"lookup\",outcome=\"answered\"} 1";
-    assert!(text.contains(line), "{text}");
+    for line in [
+        "requests_total{kind=\"lookup\",outcome=\"answered\"} 1",
+        "hops_total 1",
+        "connections_open 1",
+        "connections_idle 1",
+        "connections_opened_total 1",
+        "answer_seconds_count 1",
+        "repeats_total 0",
+        "repeats_refused_total 0",
+        "repeats_left{service=\"plain\"}",
+        "store_calls_total{call=\"config\",result=\"answered\"} 1",
+        "store_calls_total{call=\"servers\",result=\"answered\"} 1",
+        "config_age_ms",
+        "config_view_age_ms",
+        "servers_view_age_ms",
+        "log_lines_dropped 0",
+        "resident_memory_bytes",
+    ] {
+        let line = format!("bulrushward_direct_{line}");
+        assert!(text.contains(&line), "{line} in {text}");
+    }
+    let memory = text
+        .lines()
+        .find_map(|line| line.strip_prefix("bulrushward_direct_resident_memory_bytes "));
+    assert!(memory.is_some_and(|bytes| bytes != "0"));
+}
+
+#[test]
+fn a_store_that_fails_shows_in_the_metrics() {
+    let server = TestServer::echo("s-1");
+    let router = router_before("plain", &[&server]);
+    router.store.set_down(true);
+    wait_until("failed calls are counted", || {
+        let metrics = caller::get(router.address(7_341), "/metrics").expect("it listens");
+        let line = "store_calls_total{call=\"config\",result=\"refused\"}";
+        metrics.text().contains(line)
+    });
+    wait_until("the view grows old", || {
+        let metrics = caller::get(router.address(7_341), "/metrics").expect("it listens");
+        let text = metrics.text();
+        let age = text
+            .lines()
+            .find_map(|line| line.strip_prefix("bulrushward_direct_servers_view_age_ms "));
+        age.and_then(|age| age.parse().ok())
+            .is_some_and(|age: u64| age > 300)
+    });
 }
 
 /// Crashes on one body and serves all others.
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -9,39 +9,12 @@
 
 use support::{
     CALLERS_PORT, HOST, KEY, TestRouter, caller, request, router_before,
-    server::{Act, Received, TestServer, answer, chunk, event, stream_head, text},
+    server::{
+        Act, Received, TestServer, answer, broken, chunk, event, events, stream_head, text, whole,
+    },
     wait_until,
 };
 
-fn events(from: u32, to: u32) -> String {
-    (from..=to).map(event).collect()
-}
-
-/// Streams events 1 to 6, or from the one after the caller's last.
-fn whole(req: &Received) -> Vec<Act> {
-    let after = req
-        .header("last-event")
-        .and_then(|id| id.parse().ok())
-        .unwrap_or(0);
-    let mut acts = vec![stream_head(req)];
-    acts.extend((after + 1..=6).map(|id| chunk(&event(id))));
-    acts.push(text("0\r\n\r\n"));
-    acts
-}
-
-/// Streams three events and the beginning of the fourth, then breaks.
-fn broken(req: &Received) -> Vec<Act> {
-    vec![
-        stream_head(req),
-        chunk(&event(1)),
-        Act::Pause(Duration::from_millis(20)),
-        chunk(&events(2, 3)),
-        chunk("id: 4\ndata: wo"),
-        Act::Pause(Duration::from_millis(20)),
-        Act::Close,
-    ]
-}
-
 #[test]
 fn events_arrive_as_they_come() {
     let server = TestServer::start("s-1", |req| {
--- /dev/null
+++ b/bulrushward_direct/tests/support/log.rs
@@ -0,0 +1,60 @@
+//! The log of all routers of this test process, line by line.
+
+use std::{
+    io::{self, Write},
+    sync::{Mutex, MutexGuard, OnceLock, PoisonError},
+};
+
+use tracing_subscriber::{filter::LevelFilter, layer::SubscriberExt, util::SubscriberInitExt};
+
+use super::wait_until;
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+struct Lines;
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        lock().push(String::from_utf8_lossy(line).trim_end().to_owned());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn lock() -> MutexGuard<'static, Vec<String>> {
+    LINES.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Keeps all lines from now on, those of libraries and of the finest level included.
+pub fn keep() {
+    static STARTED: OnceLock<()> = OnceLock::new();
+    STARTED.get_or_init(|| {
+        tracing_subscriber::registry()
+            .with(LevelFilter::TRACE)
+            .with(tracing_logfmt::builder().layer().with_writer(|| Lines))
+            .init();
+    });
+}
+
+/// Returns the lines so far.
+pub fn lines() -> Vec<String> {
+    lock().clone()
+}
+
+/// Waits until one line has all of these fields; a field without value may have any.
+pub fn wait_line(fields: &str) {
+    let has = |line: &str, field: &str| {
+        line.split(' ').any(|told| {
+            let name = told.split_once('=').map_or("", |(name, _)| name);
+            told == field || name == field
+        })
+    };
+    wait_until(&format!("a line with {fields}"), || {
+        let lines = lock();
+        let all = |line: &String| fields.split(' ').all(|field| has(line, field));
+        lines.iter().any(all)
+    });
+}
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod caller;
+pub mod log;
 pub mod platform;
 pub mod server;
 
@@ -19,13 +20,13 @@
 
 use bulrushward_direct::{
     CallerLimits, DirectError, DirectSettings, FleetConfig, Organisation, Route, RouteKind,
-    ServerRecord, Service, Target, run_until,
+    ServerRecord, Service, Surroundings, Target, run_until,
 };
 use tokio_util::sync::CancellationToken;
 
 use self::{
     caller::Answer,
-    platform::{MemoryStore, TestHeaders},
+    platform::{MemoryStore, NoLog, TestHeaders},
     server::TestServer,
 };
 
@@ -71,13 +72,12 @@
         let (store, for_router) = (Arc::clone(store), Arc::clone(store));
         let thread = std::thread::spawn(move || {
             let path = Path::new("/nonexistent");
-            run_until(
-                settings,
-                path,
-                Arc::new(TestHeaders),
-                for_router,
-                for_thread,
-            )
+            let surroundings = Surroundings {
+                dialect: Arc::new(TestHeaders),
+                store: for_router,
+                log: Arc::new(NoLog),
+            };
+            run_until(settings, path, surroundings, for_thread)
         });
         Self {
             ip,
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -11,12 +11,22 @@
 
 use async_trait::async_trait;
 use bulrushward_direct::{
-    CallerFacts, ConfigReading, Delivery, Dialect, FleetConfig, FleetStore, PromptPart,
+    CallerFacts, ConfigReading, Delivery, Dialect, FleetConfig, FleetStore, LogState, PromptPart,
     ReportedLoad, ServerChanges, ServerFacts, ServerId, ServerListing, ServerRecord, StoreError,
 };
 use hyper::HeaderMap;
 use tokio::{sync::Notify, time::timeout};
 
+/// A log that drops nothing.
+#[derive(Debug)]
+pub struct NoLog;
+
+impl LogState for NoLog {
+    fn dropped_lines(&self) -> u64 {
+        0
+    }
+}
+
 /// Headers with plain names.
 #[derive(Debug)]
 pub struct TestHeaders;
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -222,3 +222,32 @@
     reader.read_exact(&mut req.body).ok()?;
     Some(req)
 }
+
+pub fn events(from: u32, to: u32) -> String {
+    (from..=to).map(event).collect()
+}
+
+/// Streams events 1 to 6, or from the one after the caller's last.
+pub fn whole(req: &Received) -> Vec<Act> {
+    let after = req
+        .header("last-event")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
+    let mut acts = vec![stream_head(req)];
+    acts.extend((after + 1..=6).map(|id| chunk(&event(id))));
+    acts.push(text("0\r\n\r\n"));
+    acts
+}
+
+/// Streams three events and the beginning of the fourth, then breaks.
+pub fn broken(req: &Received) -> Vec<Act> {
+    vec![
+        stream_head(req),
+        chunk(&event(1)),
+        Act::Pause(Duration::from_millis(20)),
+        chunk(&events(2, 3)),
+        chunk("id: 4\ndata: wo"),
+        Act::Pause(Duration::from_millis(20)),
+        Act::Close,
+    ]
+}
