Keep where sessions are in the platform's store

Ruled out: reads at the same time at one server (60,000 to 70,000 tokens), copies from a server that is still reading (35,000), parts below the bound for copies (38,000 to 92,000), first parts of prompts (35,000 to 47,000). Change: one router of the fleet writes the latest placements every 4 s while they change, and a router that starts reads them once. Tests: a fleet that starts again as a whole, unreadable bytes, the pace of fleets of 1 to 200 routers, the calls of the adapter.

--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -6,7 +6,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode, header::HOST};
+use hyper::{
+    Request, StatusCode,
+    header::{CONTENT_TYPE, HOST, HeaderValue},
+};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
@@ -76,13 +79,41 @@
     path: &str,
     limit: Duration,
 ) -> Result<(StatusCode, Bytes), CallError> {
-    match timeout(limit, get_unbounded(address, path)).await {
+    within(limit, address, Request::get(path).body(Full::default())).await
+}
+
+/// Posts JSON to `path` at `address` within `limit`, connecting included.
+///
+/// # Errors
+///
+/// Returns [`CallError`] if no whole answer came in time; the call may have been executed nevertheless.
+pub async fn post(
+    address: SocketAddr,
+    path: &str,
+    json: Vec<u8>,
+    limit: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let req = Request::post(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(json.into()));
+    within(limit, address, req).await
+}
+
+async fn within(
+    limit: Duration,
+    address: SocketAddr,
+    req: Result<Request<Full<Bytes>>, hyper::http::Error>,
+) -> Result<(StatusCode, Bytes), CallError> {
+    match timeout(limit, exchange(address, req)).await {
         Ok(answer) => answer,
         Err(_elapsed) => TimeoutSnafu { address, limit }.fail(),
     }
 }
 
-async fn get_unbounded(address: SocketAddr, path: &str) -> Result<(StatusCode, Bytes), CallError> {
+async fn exchange(
+    address: SocketAddr,
+    req: Result<Request<Full<Bytes>>, hyper::http::Error>,
+) -> Result<(StatusCode, Bytes), CallError> {
     let no_connection = |error: &dyn ToString| CallError::Connect {
         address,
         detail: error.to_string(),
@@ -98,10 +129,9 @@
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| no_connection(&error))?;
-    let req = Request::get(path)
-        .header(HOST, address.to_string())
-        .body(Full::<Bytes>::default())
-        .map_err(|error| no_answer(&error))?;
+    let mut req = req.map_err(|error| no_answer(&error))?;
+    let host = HeaderValue::from_str(&address.to_string()).map_err(|error| no_answer(&error))?;
+    req.headers_mut().insert(HOST, host);
     let exchange = async {
         let res = sender
             .send_request(req)
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -24,6 +24,7 @@
 mod retry_after;
 mod routes;
 mod run;
+mod saved_sessions;
 mod server_stream;
 mod servers;
 mod settings;
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -49,6 +49,8 @@
     ConfigChanges,
     Servers,
     ServerChanges,
+    Saved,
+    Save,
 }
 
 /// What is read at the moment at which the metrics are asked for.
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use bulrushward_policy::server_registry::StoreRevision;
+use bytes::Bytes;
 use hyper::HeaderMap;
 use snafu::Snafu;
 use strum::IntoStaticStr;
@@ -198,4 +199,18 @@
         after: StoreRevision,
         wait: Duration,
     ) -> Result<ServerChanges, StoreError>;
+
+    /// Reads what a router of the fleet saved last; it may be some seconds old.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the store gave no usable answer.
+    async fn saved(&self) -> Result<Option<Bytes>, StoreError>;
+
+    /// Saves bytes for routers that start when no other one is left.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if the store gave no usable answer; the bytes may be saved nevertheless.
+    async fn save(&self, bytes: &[u8]) -> Result<(), StoreError>;
 }
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -26,6 +26,7 @@
     listener::{self, plain},
     peers::{KNOWLEDGE_PATH, Peers},
     ports::Surroundings,
+    saved_sessions,
     settings::DirectSettings,
     shared::Shared,
 };
@@ -142,6 +143,7 @@
     tokio::spawn(follow::config(Arc::clone(&shared), Arc::clone(&knowledge)));
     tokio::spawn(follow::servers(Arc::clone(&shared), Arc::clone(&knowledge)));
     tokio::spawn(serve_knowledge(Arc::clone(&shared), Arc::clone(&knowledge)));
+    tokio::spawn(saved_sessions::keep(Arc::clone(&shared)));
     match Peers::bind(shared, knowledge).await {
         Ok(peers) => peers.run().await,
         Err(error) => {
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -5,7 +5,7 @@
     num::NonZeroUsize,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -38,7 +38,7 @@
 /// Sessions whose servers are remembered; some hundred bytes each.
 const MAX_SESSIONS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
-/// Placements that a router that has just started gets; some 20 KB.
+/// Placements that a router that has just started gets, from a peer or the store; some 30 KB.
 const MAX_COPIED: usize = 2_048;
 /// Crashes after which a content is not sent to servers any more; a single one may be chance.
 const CRASHES: u8 = 3;
@@ -85,6 +85,8 @@
     views: Mutex<Views>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     homes: Mutex<PromptHomes>,
+    /// Number of the latest change of where sessions are.
+    homes_change: AtomicU64,
     /// Placements that peers are still to be told.
     news: Mutex<News>,
     quarantine: Mutex<Quarantine>,
@@ -107,6 +109,7 @@
             views: Mutex::new(Views::new(Instant::now())),
             budgets: Mutex::default(),
             homes: Mutex::new(PromptHomes::new(MAX_SESSIONS)),
+            homes_change: AtomicU64::new(0),
             news: Mutex::default(),
             quarantine: Mutex::new(Quarantine::new(CRASHES, CRASH_MEMORY, MAX_CRASHED)),
             metrics: DirectMetrics::new(),
@@ -177,6 +180,7 @@
         match call {
             StoreCall::Config | StoreCall::ConfigChanges => views.config = now,
             StoreCall::Servers | StoreCall::ServerChanges => views.servers = now,
+            StoreCall::Saved | StoreCall::Save => {}
         }
         !self.store_answers.swap(true, Ordering::Relaxed)
     }
@@ -261,6 +265,7 @@
         let mut homes = lock(&self.homes);
         if homes.note(session, server) {
             self.note_sessions(&homes);
+            self.homes_change.fetch_add(1, Ordering::Relaxed);
             lock(&self.news).add(Placement { session, server });
         }
     }
@@ -274,15 +279,27 @@
             .collect()
     }
 
-    /// Takes in the placements that a peer copied, the latest first.
+    /// Takes in older placements, the latest first, of sessions of which nothing is known.
     pub(crate) fn learn_placements(&self, placements: &[Placement]) {
         let mut homes = lock(&self.homes);
-        for placement in placements.iter().rev() {
+        let is_unknown = |placement: &&Placement| !homes.contains(placement.session);
+        let unknown: Vec<_> = placements.iter().filter(is_unknown).collect();
+        for placement in unknown.into_iter().rev() {
             homes.note(placement.session, placement.server);
         }
         self.note_sessions(&homes);
     }
 
+    /// Returns the number of the latest change of where sessions are.
+    pub(crate) fn homes_change(&self) -> u64 {
+        self.homes_change.load(Ordering::Relaxed)
+    }
+
+    /// Returns the routers that are believed alive, this one included.
+    pub(crate) fn routers(&self) -> u32 {
+        self.routers.load(Ordering::Relaxed)
+    }
+
     fn note_sessions(&self, homes: &PromptHomes) {
         self.metrics.sessions.set(homes.len().cast_signed() as i64);
     }
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -7,8 +7,9 @@
     time::{Duration, Instant},
 };
 
+use rstest::rstest;
 use support::{
-    CALLERS_PORT, HOST, KEY, TestRouter, caller, request, router_before,
+    CALLERS_PORT, HOST, KEY, TestRouter, caller, log, request, router_before,
     server::{
         Act, Received, TestServer, answer, broken, chunk, event, events, stream_head, text, whole,
     },
@@ -299,12 +300,57 @@
     }
     let fresh = TestRouter::start_at(support::own_ip(), &router.store, &[router.ip]);
     fresh.wait_ready();
+    wait_sessions(&fresh, 30);
+    for (session, home) in (10..40).zip(homes) {
+        let id = format!("b-{session}");
+        assert_eq!(ask_session(&fresh, session, &id), home, "session {session}");
+    }
+}
+
+/// Waits until a router remembers this many sessions.
+fn wait_sessions(router: &TestRouter, sessions: usize) {
+    let line = format!("bulrushward_direct_sessions {sessions}\n");
     wait_until("it has learnt", || {
-        let metrics = caller::get(fresh.address(7_341), "/metrics").expect("it listens");
-        metrics.text().contains("bulrushward_direct_sessions 30")
+        let metrics = caller::get(router.address(7_341), "/metrics");
+        metrics.is_some_and(|answer| answer.text().contains(&line))
     });
+}
+
+#[test]
+fn a_fleet_that_starts_again_as_a_whole_learns_where_sessions_are() {
+    let first = [named("s-1"), named("s-2"), named("s-3")];
+    let later = [named("s-4"), named("s-5"), named("s-6")];
+    let mut router = router_before("engines", &first.iter().collect::<Vec<_>>());
+    let homes: Vec<_> = (10..40)
+        .map(|session| ask_session(&router, session, &format!("a-{session}")))
+        .collect();
+    router.store.set_saved(None);
+    ask_session(&router, 40, "a-40");
+    wait_until("it is saved", || router.store.saved_bytes().is_some());
+    router.stop();
+    router.ended();
+    for server in &later {
+        let record = support::record("engines", server.address);
+        router.store.put(&server.id, record);
+    }
+    let fresh = TestRouter::start(&router.store);
+    wait_sessions(&fresh, 31);
     for (session, home) in (10..40).zip(homes) {
         let id = format!("b-{session}");
         assert_eq!(ask_session(&fresh, session, &id), home, "session {session}");
     }
 }
+
+#[rstest]
+#[case::nothing(b"")]
+#[case::another_format(b"\x07more")]
+#[case::broken(b"\x01\xff\xff\xff\xff\xff\xff")]
+fn saved_sessions_that_cannot_be_read_are_passed_over(#[case] garbage: &[u8]) {
+    log::keep();
+    let server = named("s-1");
+    let router = router_before("engines", &[&server]);
+    router.store.set_saved(Some(garbage.to_vec().into()));
+    let fresh = TestRouter::start(&router.store);
+    assert_eq!(ask_session(&fresh, 10, "r-1"), "s-1");
+    log::wait_line("event=saved-sessions-refused error");
+}
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -14,6 +14,7 @@
     CallerFacts, ConfigReading, Delivery, Dialect, FleetConfig, FleetStore, LogState, PromptPart,
     ReportedLoad, ServerChanges, ServerFacts, ServerId, ServerListing, ServerRecord, StoreError,
 };
+use bytes::Bytes;
 use hyper::HeaderMap;
 use tokio::{sync::Notify, time::timeout};
 
@@ -127,6 +128,7 @@
     contents: Mutex<Contents>,
     is_down: AtomicBool,
     hides_servers: AtomicBool,
+    saved: Mutex<Option<Bytes>>,
     changed: Notify,
 }
 
@@ -171,6 +173,19 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns what routers saved last.
+    pub fn saved_bytes(&self) -> Option<Bytes> {
+        self.saved
+            .lock()
+            .expect("no test panics with the lock")
+            .clone()
+    }
+
+    /// Replaces what routers saved.
+    pub fn set_saved(&self, bytes: Option<Bytes>) {
+        *self.saved.lock().expect("no test panics with the lock") = bytes;
+    }
+
     fn change(&self, id: &str, record: Option<ServerRecord>) {
         let mut contents = self.lock();
         contents.revision += 1;
@@ -276,4 +291,15 @@
             })
         })
     }
+
+    async fn saved(&self) -> Result<Option<Bytes>, StoreError> {
+        self.check()?;
+        Ok(self.saved_bytes())
+    }
+
+    async fn save(&self, bytes: &[u8]) -> Result<(), StoreError> {
+        self.check()?;
+        self.set_saved(Some(Bytes::copy_from_slice(bytes)));
+        Ok(())
+    }
 }
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod quarantine;
 pub mod retry_budget;
 pub mod revisions;
+pub mod save_turns;
 pub mod server_choice;
 pub mod server_health;
 pub mod server_load;
--- a/bulrushward_policy/src/prompt_homes.rs
+++ b/bulrushward_policy/src/prompt_homes.rs
@@ -42,6 +42,12 @@
         known.is_none()
     }
 
+    /// Returns whether anything is known of a session.
+    #[must_use]
+    pub fn contains(&self, session: SessionKey) -> bool {
+        self.by_session.contains(&session)
+    }
+
     /// Returns the servers that are believed to have a session's prompt, the latest first.
     pub fn homes(&self, session: SessionKey) -> impl Iterator<Item = ServerKey> {
         self.by_session
