--- a/bulrushward_direct/src/choose.rs
+++ b/bulrushward_direct/src/choose.rs
@@ -15,7 +15,7 @@
 };
 
 /// Prompt tokens from which on a copy is asked for; setting one up takes as long as reading some hundred.
-const MIN_COPY_TOKENS: u64 = 1_000;
+const MIN_COPY_TOKENS: u64 = 300;
 
 /// A server for a request, with what decided.
 #[derive(Debug)]
