Wait longer for changes of the store and gather them by the time in which they must be known

Ruled out: one watch for both prefixes (they share none but the empty one, which returns everything); few routers that watch for all, as a router that is cut off from its peers but not from the store must still follow it. Change: a watch waits 12 s (the store keeps 20 s of history, probes find a silent connection after 3 s). Changes are gathered for two fifths of the time in which they must be known, which is now a setting, instead of 600 ms anywhere: sooner where a deployment asks for it, later where it allows it.

--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -12,12 +12,12 @@
     shared::Shared,
 };
 
-/// Time for which one call waits for changes; calls are priced, and probes of the system notice a
-/// connection that went silent sooner.
-const WAIT: Duration = Duration::from_secs(4);
-/// Pause after changes, so that a series of them takes few calls; a third of the time in which a leaving
-/// server and a new configuration must be known.
-const GATHERING: Duration = Duration::from_millis(600);
+/// Time for which one call waits for changes; calls are priced, stores keep their history for longer, and
+/// probes of the system notice a connection that went silent sooner.
+const WAIT: Duration = Duration::from_secs(12);
+/// Share of the time in which a change must be known for which further ones are gathered, so that a series of
+/// them takes few calls; the rest is for the call, its repeat and requests on their way.
+const GATHERING_SHARE: f64 = 0.4;
 /// Pause after the first failed call; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause between calls while the store does not answer.
@@ -58,7 +58,7 @@
                 after = Some(reading.as_of);
                 if let Some(config) = reading.config {
                     knowledge.adopt(config, Source::Store);
-                    tokio::time::sleep(GATHERING).await;
+                    gather(shared.settings().config_known).await;
                 }
             }
             Err(error) => {
@@ -88,7 +88,7 @@
                 note_answer(&shared, call);
                 pauses = Pauses::default();
                 if is_listed && has_changes {
-                    tokio::time::sleep(GATHERING).await;
+                    gather(shared.settings().leaving_known).await;
                 }
                 is_listed = true;
             }
@@ -104,6 +104,11 @@
     }
 }
 
+/// Pauses after changes that must be known within a time.
+async fn gather(known: Duration) {
+    tokio::time::sleep(known.mul_f64(GATHERING_SHARE)).await;
+}
+
 fn note_answer(shared: &Shared, call: StoreCall) {
     if shared.store_answered(call) {
         info!(event = "store-regained");
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -14,6 +14,9 @@
 /// Largest settings file that is read, in bytes.
 const MAX_FILE_BYTES: u64 = 64 << 10;
 
+/// Shortest time in which a change must be known; a call of a slow store takes as long.
+const MIN_KNOWN: Duration = Duration::from_millis(100);
+
 /// Why settings were not accepted.
 #[derive(Debug, Snafu)]
 pub enum SettingsError {
@@ -73,6 +76,14 @@
     #[serde(rename = "stop_grace_ms")]
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     pub stop_grace: Duration,
+    /// Milliseconds in which a leaving server must be known, from the answer of the store to its entry.
+    #[serde(rename = "leaving_known_ms")]
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    pub leaving_known: Duration,
+    /// Milliseconds in which a configuration must be in force, from the answer of the store to its writer.
+    #[serde(rename = "config_known_ms")]
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    pub config_known: Duration,
     /// Repeats that the fleet may send for each request.
     pub repeat_ratio: f64,
     /// Repeats that the fleet may send beyond that in any window of the budget.
@@ -153,6 +164,12 @@
             self.stop_grace >= Duration::from_secs(1),
             "at least 1000",
         )?;
+        for (name, time) in [
+            ("leaving_known_ms", self.leaving_known),
+            ("config_known_ms", self.config_known),
+        ] {
+            require(name, &time.as_millis(), time >= MIN_KNOWN, "at least 100")?;
+        }
         require(
             "repeat_ratio",
             &self.repeat_ratio,
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -40,6 +40,34 @@
     assert_eq!(status(&router, "new"), 200);
 }
 
+#[test]
+fn changes_are_known_sooner_where_they_must_be() {
+    let known = Duration::from_millis(500);
+    let mut settings = support::settings(own_ip(), &[]);
+    settings.config_known = known;
+    settings.leaving_known = known;
+    let store = MemoryStore::with(config(1));
+    let router = TestRouter::start_with(settings, &store);
+    router.wait_ready();
+    let metrics = || {
+        let answer = caller::get(router.address(7_341), "/metrics");
+        answer.expect("it listens").text()
+    };
+    let server = TestServer::echo("s-1");
+    for version in 2..6 {
+        store.set_config(config(version));
+        store.put(&format!("s-{version}"), record("plain", server.address));
+        let start = Instant::now();
+        let config = format!("bulrushward_direct_config_version {version}\n");
+        let servers = format!("bulrushward_direct_servers {}\n", version - 1);
+        wait_until("it is known", || {
+            let text = metrics();
+            text.contains(&config) && text.contains(&servers)
+        });
+        assert!(start.elapsed() < known, "version {version}");
+    }
+}
+
 #[test]
 fn a_revoked_key_is_refused_within_its_time() {
     let server = TestServer::echo("s-1");
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -66,7 +66,12 @@
 
     /// Starts a router at an address with seeds.
     pub fn start_at(ip: IpAddr, store: &Arc<MemoryStore>, seeds: &[IpAddr]) -> Self {
-        let settings = settings(ip, seeds);
+        Self::start_with(settings(ip, seeds), store)
+    }
+
+    /// Starts a router with settings.
+    pub fn start_with(settings: DirectSettings, store: &Arc<MemoryStore>) -> Self {
+        let ip = settings.callers_address.ip();
         let stop = CancellationToken::new();
         let for_thread = stop.clone();
         let (store, for_router) = (Arc::clone(store), Arc::clone(store));
@@ -125,7 +130,8 @@
     }
 }
 
-fn settings(ip: IpAddr, seeds: &[IpAddr]) -> DirectSettings {
+/// Returns the usual settings of a router at an address.
+pub fn settings(ip: IpAddr, seeds: &[IpAddr]) -> DirectSettings {
     DirectSettings {
         node: format!("router-{ip}"),
         failure_domain: "a".to_owned(),
@@ -140,6 +146,8 @@
             .collect(),
         store_address: SocketAddr::new(ip, 1),
         stop_grace: Duration::from_secs(8),
+        leaving_known: Duration::from_secs(2),
+        config_known: Duration::from_secs(2),
         repeat_ratio: 0.2,
         extra_repeats: 50.0,
         log: "info".to_owned(),
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -70,7 +70,8 @@
              knowledge_address = \"{ip}:{KNOWLEDGE_PORT}\"\n\
              datagram_port = 7340\nmetrics_port = 7341\n\
              seeds = [\"{first}:{KNOWLEDGE_PORT}\"]\nstore_address = \"{store}\"\n\
-             stop_grace_ms = {STOP_GRACE_MS}\nrepeat_ratio = 0.2\nextra_repeats = 50.0\n",
+             stop_grace_ms = {STOP_GRACE_MS}\nleaving_known_ms = 2000.0\n\
+             config_known_ms = 2000.0\nrepeat_ratio = 0.2\nextra_repeats = 50.0\n",
             first = self::ip(0),
         );
         fs::create_dir_all(folder)?;
