Do not take over what lapsed for a peer that was cut off

Ruled out: a watch that was lost or late (the revisions seen by the router are complete); the time of gathering, which only made copies from peers more frequent, as they were asked for after 0.7 s. Change: copies say which entries lapsed; a router that saw no outage itself takes them as gone. Changes of a watch that a copy has overtaken are not applied to it, as they would undo newer ones (found by reading). Peers are asked only after the own store had time to bring the change. Tests: three in bulrushward_policy/tests/server_registry.rs; the first and the last fail without the change.

--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -17,7 +17,7 @@
 const WAIT: Duration = Duration::from_secs(12);
 /// Share of the time in which a change must be known for which further ones are gathered, so that a series of
 /// them takes few calls; the rest is for the call, its repeat and requests on their way.
-const GATHERING_SHARE: f64 = 0.4;
+pub(crate) const GATHERING_SHARE: f64 = 0.4;
 /// Pause after the first failed call; doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause between calls while the store does not answer.
@@ -127,15 +127,16 @@
 async fn list_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<bool, StoreError> {
     let listing = store.servers().await?;
     knowledge.store_answered();
-    knowledge.replace_servers(listing, Source::Store);
+    knowledge.replace_servers(listing);
     Ok(true)
 }
 
 /// Waits for changes; returns whether there were any.
 async fn next_servers(store: &dyn FleetStore, knowledge: &Knowledge) -> Result<bool, StoreError> {
-    let changes = store.next_servers(knowledge.servers_as_of(), WAIT).await?;
+    let after = knowledge.servers_as_of();
+    let changes = store.next_servers(after, WAIT).await?;
     let has_changes = !changes.changes.is_empty();
     knowledge.store_answered();
-    knowledge.change_servers(&changes);
+    knowledge.change_servers(after, &changes);
     Ok(has_changes)
 }
--- a/bulrushward_direct/src/knowledge.rs
+++ b/bulrushward_direct/src/knowledge.rs
@@ -8,13 +8,13 @@
     time::Instant,
 };
 
-use bulrushward_policy::server_registry::{ServerRegistry, StoreRevision};
+use bulrushward_policy::server_registry::{CopiedEntry, ServerRegistry, StoreRevision};
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    model::{ConfigVersion, FleetConfig, ServerId, ServerRecord},
+    model::{ConfigVersion, FleetConfig, ServerRecord},
     news::Placement,
     ports::{ServerChanges, ServerListing},
     servers::ServerSet,
@@ -45,7 +45,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct KnowledgeCopy {
     pub(crate) config: Option<FleetConfig>,
-    pub(crate) servers: Vec<(ServerId, ServerRecord)>,
+    pub(crate) servers: Vec<CopiedEntry<ServerRecord>>,
     pub(crate) as_of: StoreRevision,
     /// Where sessions have their prompts, for a router that has just started.
     pub(crate) placements: Vec<Placement>,
@@ -109,20 +109,28 @@
         }
     }
 
-    /// Replaces the registered servers by a full listing.
-    pub(crate) fn replace_servers(&self, listing: ServerListing, source: Source) {
+    /// Replaces the registered servers by a full listing of the store.
+    pub(crate) fn replace_servers(&self, listing: ServerListing) {
         let mut registry = self.lock();
         if listing.as_of < registry.as_of() {
             return;
         }
         registry.replace(listing.servers, listing.as_of, Instant::now());
-        self.publish(&registry, source);
+        self.publish(&registry, Source::Store);
     }
 
-    /// Takes in changes of the registered servers.
-    pub(crate) fn change_servers(&self, changes: &ServerChanges) {
+    /// Takes in changes of the registered servers after a revision.
+    pub(crate) fn change_servers(&self, after: StoreRevision, changes: &ServerChanges) {
         let mut registry = self.lock();
         let now = Instant::now();
+        if !registry.change(after, &changes.changes, changes.as_of, now) {
+            info!(
+                event = "server-changes-overtaken",
+                after,
+                revision = changes.as_of
+            );
+            return;
+        }
         for (id, record) in &changes.changes {
             let state = match record {
                 Some(record) if record.is_leaving => "leaving",
@@ -135,9 +143,7 @@
                 state,
                 revision = changes.as_of
             );
-            registry.change(id, record.clone(), now);
         }
-        registry.advance(changes.as_of);
         if !changes.changes.is_empty() {
             self.publish(&registry, Source::Store);
         }
@@ -156,17 +162,13 @@
     /// started and gets the placements as well.
     pub(crate) fn copy(&self, known: Option<ConfigVersion>) -> KnowledgeCopy {
         let registry = self.lock();
-        let servers = registry
-            .records()
-            .map(|(id, record)| (id.to_owned(), record.clone()))
-            .collect();
         let table = self.shared.routes.load();
         let config = table.as_ref().map(|table| table.config());
         KnowledgeCopy {
             config: config
                 .filter(|config| Some(config.version) > known)
                 .cloned(),
-            servers,
+            servers: registry.copy(),
             as_of: registry.as_of(),
             placements: match known {
                 Some(_) => Vec::new(),
@@ -181,12 +183,10 @@
         if let Some(config) = copy.config {
             self.adopt(config, Source::Peer);
         }
-        if copy.as_of > self.servers_as_of() {
-            let listing = ServerListing {
-                servers: copy.servers,
-                as_of: copy.as_of,
-            };
-            self.replace_servers(listing, Source::Peer);
+        let mut registry = self.lock();
+        if copy.as_of > registry.as_of() {
+            registry.replace_by_copy(copy.servers, copy.as_of, Instant::now());
+            self.publish(&registry, Source::Peer);
         }
     }
 
--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::{
     call,
     connection::drop_expired,
+    follow::GATHERING_SHARE,
     knowledge::{Extent, Knowledge, KnowledgeCopy},
     model::ConfigVersion,
     news::Placement,
@@ -52,8 +53,9 @@
 const MAX_PEERS: usize = 8;
 /// Time for a peer to hand out what it knows.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time for which the own store may bring what a peer has already before it is fetched from the peer.
-const STORE_FIRST: Duration = Duration::from_millis(700);
+/// Share of the time in which a change must be known for which the own store may bring what a peer has
+/// already, before it is fetched from the peer; beyond the time for which changes are gathered.
+const STORE_FIRST_SHARE: f64 = GATHERING_SHARE + 0.2;
 
 /// What a router tells its peers in each round.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -320,7 +322,7 @@
         self.behind = Some((since, own));
         let store_may_bring = self.shared.store_answers()
             && own.config.is_some()
-            && now.saturating_duration_since(since) < STORE_FIRST;
+            && now.saturating_duration_since(since) < self.store_first();
         if store_may_bring {
             return;
         }
@@ -330,6 +332,12 @@
         }
     }
 
+    fn store_first(&self) -> Duration {
+        let settings = self.shared.settings();
+        let known = settings.leaving_known.min(settings.config_known);
+        known.mul_f64(STORE_FIRST_SHARE)
+    }
+
     /// Returns the address of the living peer that knows most beyond this router.
     fn most_ahead(&self, own: &Extent) -> Option<SocketAddr> {
         self.alive()
--- a/bulrushward_policy/src/server_registry.rs
+++ b/bulrushward_policy/src/server_registry.rs
@@ -1,13 +1,16 @@
 //! The backend servers that registered themselves in a store with outages.
 //!
 //! Patterns answered: entries lapse while the store is down and come back soon after it; servers leave in
-//! a gap of the store's history; a peer's newer view stands in while the store turns this router away.
+//! a gap of the store's history; a peer's newer view stands in while the store turns this router away, and
+//! the peer itself may have been cut off until just now.
 
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
+use serde::{Deserialize, Serialize};
+
 /// Time after the store's return in which a lapsed entry may come back; servers renew theirs within it.
 const RETURN_TIME: Duration = Duration::from_millis(2_100);
 /// Time without an answer from which on the store counts as having been away; shorter gaps let no entry
@@ -24,6 +27,17 @@
     has_lapsed: bool,
 }
 
+/// An entry as one router tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopiedEntry<R> {
+    /// Id.
+    pub id: String,
+    /// Content.
+    pub record: R,
+    /// Whether it went missing around an outage that the teller saw, and may come back.
+    pub has_lapsed: bool,
+}
+
 /// Registered servers by id, with what outages of the store mean for them.
 #[derive(Clone, Debug)]
 pub struct ServerRegistry<R> {
@@ -91,17 +105,68 @@
         }
     }
 
-    /// Takes in one changed entry; `None` means that it was removed.
-    pub fn change(&mut self, id: &str, record: Option<R>, now: Instant) {
-        match record {
-            Some(record) => self.put(id.to_owned(), record),
-            None => self.remove(id, now),
+    /// Replaces all entries by what a peer knows.
+    ///
+    /// Entries that have lapsed for the peer are kept only by a router that saw an outage itself; for any other
+    /// one the store went on, and they are gone.
+    pub fn replace_by_copy(
+        &mut self,
+        mut copy: Vec<CopiedEntry<R>>,
+        as_of: StoreRevision,
+        now: Instant,
+    ) {
+        if as_of < self.as_of {
+            return;
+        }
+        let saw_outage = self.failing_since.is_some() || self.may_return(now);
+        copy.retain(|entry| saw_outage || !entry.has_lapsed);
+        let lapsed: Vec<_> = copy
+            .iter()
+            .filter(|entry| entry.has_lapsed)
+            .map(|entry| entry.id.clone())
+            .collect();
+        let records = copy.into_iter().map(|entry| (entry.id, entry.record));
+        self.replace(records.collect(), as_of, now);
+        for id in lapsed {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.has_lapsed = true;
+            }
         }
     }
 
-    /// Takes in that all changes up to a revision are known.
-    pub fn advance(&mut self, as_of: StoreRevision) {
+    /// Returns all entries for a peer.
+    #[must_use]
+    pub fn copy(&self) -> Vec<CopiedEntry<R>> {
+        let copied = |(id, entry): (&String, &Entry<R>)| CopiedEntry {
+            id: id.clone(),
+            record: entry.record.clone(),
+            has_lapsed: entry.has_lapsed,
+        };
+        self.entries.iter().map(copied).collect()
+    }
+
+    /// Takes in the changes from one revision up to another; `None` means that an entry was removed.
+    ///
+    /// Returns whether they were taken in: a copy of a peer may have overtaken them, and applying them to it
+    /// would undo newer ones.
+    pub fn change(
+        &mut self,
+        after: StoreRevision,
+        changes: &[(String, Option<R>)],
+        as_of: StoreRevision,
+        now: Instant,
+    ) -> bool {
+        if after != self.as_of {
+            return false;
+        }
+        for (id, record) in changes {
+            match record {
+                Some(record) => self.put(id.clone(), record.clone()),
+                None => self.remove(id, now),
+            }
+        }
         self.as_of = self.as_of.max(as_of);
+        true
     }
 
     /// Drops the entries that did not come back in time; returns whether there were any.
--- a/bulrushward_policy/tests/server_registry.rs
+++ b/bulrushward_policy/tests/server_registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_policy::server_registry::ServerRegistry;
+use bulrushward_policy::server_registry::{CopiedEntry, ServerRegistry};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -16,11 +16,16 @@
     registry
 }
 
+fn change(registry: &mut ServerRegistry<u32>, id: &str, record: Option<u32>, now: Instant) {
+    let after = registry.as_of();
+    assert!(registry.change(after, &[(id.to_owned(), record)], after + 1, now));
+}
+
 #[test]
 fn a_removed_entry_is_gone_at_once_while_the_store_answers() {
     let start = Instant::now();
     let mut registry = listed(start);
-    registry.change("a", None, start + MS);
+    change(&mut registry, "a", None, start + MS);
     assert_eq!(known(&registry), ["b"]);
 }
 
@@ -47,7 +52,7 @@
     let back = start + 5_000 * MS;
     registry.store_answered(back);
     registry.replace(vec![("b".into(), 2)], 11, back);
-    registry.change("a", Some(3), back + 1_000 * MS);
+    change(&mut registry, "a", Some(3), back + 1_000 * MS);
     assert!(!registry.drop_lapsed(back + 9_000 * MS));
     assert_eq!(known(&registry), ["a", "b"]);
 }
@@ -60,7 +65,7 @@
     let back = start + 5_000 * MS;
     registry.store_answered(back);
     // A server that leaves for good just after the store's return.
-    registry.change("a", None, back + 1_600 * MS);
+    change(&mut registry, "a", None, back + 1_600 * MS);
     assert!(registry.drop_lapsed(back + 2_200 * MS));
     assert_eq!(known(&registry), ["b"]);
 }
@@ -78,7 +83,7 @@
     );
     let back = start + 5_000 * MS;
     registry.store_answered(back);
-    registry.change("a", None, back + 100 * MS);
+    change(&mut registry, "a", None, back + 100 * MS);
     assert_eq!(known(&registry), ["b"]);
 }
 
@@ -88,7 +93,7 @@
     let mut registry = listed(start);
     registry.store_failed(start);
     registry.store_answered(start + 500 * MS);
-    registry.change("a", None, start + 600 * MS);
+    change(&mut registry, "a", None, start + 600 * MS);
     assert_eq!(known(&registry), ["b"]);
 }
 
@@ -113,3 +118,53 @@
     assert_eq!(known(&registry), ["a", "b"]);
     assert_eq!(registry.as_of(), 10);
 }
+
+/// Returns what a peer tells that was cut off until `back` and in the meantime missed the removal of `a`.
+fn copy_of_returned_peer(start: Instant, back: Instant) -> Vec<CopiedEntry<u32>> {
+    let mut peer = listed(start);
+    peer.store_failed(start);
+    peer.store_answered(back);
+    peer.replace(vec![("b".into(), 2)], 20, back);
+    assert_eq!(known(&peer), ["a", "b"]);
+    peer.copy()
+}
+
+#[test]
+fn what_lapsed_for_a_peer_that_was_cut_off_is_gone_for_a_router_that_was_not() {
+    let start = Instant::now();
+    let back = start + 5_000 * MS;
+    let mut registry = listed(start);
+    registry.replace_by_copy(copy_of_returned_peer(start, back), 20, back + 500 * MS);
+    assert_eq!(known(&registry), ["b"]);
+}
+
+#[test]
+fn what_lapsed_for_a_peer_stays_with_a_router_whose_store_is_still_away() {
+    let start = Instant::now();
+    let back = start + 5_000 * MS;
+    let mut registry = listed(start);
+    registry.store_failed(start + 100 * MS);
+    registry.replace_by_copy(copy_of_returned_peer(start, back), 20, back + 500 * MS);
+    assert_eq!(known(&registry), ["a", "b"]);
+    let own_return = back + 3_000 * MS;
+    registry.store_answered(own_return);
+    assert!(registry.drop_lapsed(own_return + 2_200 * MS));
+    assert_eq!(known(&registry), ["b"]);
+}
+
+#[test]
+fn changes_that_a_copy_has_overtaken_do_not_undo_it() {
+    let start = Instant::now();
+    let mut registry = listed(start);
+    let asked_after = registry.as_of();
+    let copy = |id: &str, record| CopiedEntry {
+        id: id.to_owned(),
+        record,
+        has_lapsed: false,
+    };
+    registry.replace_by_copy(vec![copy("b", 2)], 13, start);
+    let older = [("a".to_owned(), Some(7))];
+    assert!(!registry.change(asked_after, &older, 11, start + MS));
+    assert_eq!(known(&registry), ["b"]);
+    assert_eq!(registry.as_of(), 13);
+}
