Give direct routers a daemon of their own, and check their pages against the sources

Cause: the daemon of direct routers carried the libraries of the agent fleet (salvo, reqwest, nng), and the platform's build needed cmake for them. Filters of the log are plain targets and levels.

The check that all events of the agent fleet stand on its page now also reads the package that the log moved to.

--- a/bulrushward/src/cli.rs
+++ b/bulrushward/src/cli.rs
@@ -4,10 +4,9 @@
 mod checks;
 mod conversions;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
 use bpaf::ParseFailure;
-use bulrushward_direct::DirectSettings;
 
 use self::arguments::arguments;
 use crate::settings::{AgentSettings, RouterSettings};
@@ -24,8 +23,6 @@
     Router(Box<RouterSettings>, String),
     /// An agent, with its log filter.
     Agent(Box<AgentSettings>, String),
-    /// A router without agents, with the file that its settings come from.
-    Direct(Box<DirectSettings>, PathBuf),
 }
 
 impl Command {
@@ -34,7 +31,6 @@
     pub fn log_filter(&self) -> &str {
         match self {
             Self::Router(_, filter) | Self::Agent(_, filter) => filter,
-            Self::Direct(settings, _) => &settings.log,
         }
     }
 }
--- a/bulrushward/src/cli/arguments.rs
+++ b/bulrushward/src/cli/arguments.rs
@@ -208,19 +208,6 @@
     pub(super) answer_retention_seconds: String,
 }
 
-/// Settings of a router without agents
-#[derive(Clone, Debug, Bpaf)]
-pub(super) struct DirectArguments {
-    /// Settings file in TOML, read again when it changes; required
-    #[bpaf(
-        long,
-        env("BULRUSHWARD_SETTINGS"),
-        argument("PATH"),
-        fallback(String::new())
-    )]
-    pub(super) settings: String,
-}
-
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 /// Router fleet for very many returning chats
@@ -231,7 +218,4 @@
     /// Stands before one backend server
     #[bpaf(command)]
     Agent(#[bpaf(external(agent_arguments))] AgentArguments),
-    /// Takes callers' requests and calls registered backend servers itself
-    #[bpaf(command)]
-    Direct(#[bpaf(external(direct_arguments))] DirectArguments),
 }
--- a/bulrushward/src/cli/checks.rs
+++ b/bulrushward/src/cli/checks.rs
@@ -2,8 +2,6 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use tracing_subscriber::EnvFilter;
-
 use crate::error::{MissingSnafu, SettingError, ValueSnafu};
 
 /// Longest accepted time in milliseconds: one day.
@@ -74,7 +72,7 @@
     variable: &'static str,
     value: &str,
 ) -> Result<String, SettingError> {
-    if !value.is_empty() && EnvFilter::try_new(value).is_ok() {
+    if bulrushward_logging::check_filter(value).is_ok() {
         return Ok(value.to_owned());
     }
     bad(name, variable, value, "info, debug or MODULE=LEVEL,…")
--- a/bulrushward/src/cli/conversions.rs
+++ b/bulrushward/src/cli/conversions.rs
@@ -1,17 +1,12 @@
 //! Turns the arguments as written into settings.
 
-use std::path::PathBuf;
-
-use bulrushward_direct::DirectSettings;
-use snafu::ResultExt;
-
 use super::{
     Command,
-    arguments::{AgentArguments, Arguments, CommonArguments, DirectArguments, RouterArguments},
-    checks::{address, bytes, filter, milliseconds, name, path, require, seconds, url},
+    arguments::{AgentArguments, Arguments, CommonArguments, RouterArguments},
+    checks::{address, bytes, filter, milliseconds, name, path, seconds, url},
 };
 use crate::{
-    error::{FileSnafu, SettingError},
+    error::SettingError,
     settings::{AgentSettings, CommonSettings, RouterSettings},
 };
 
@@ -26,21 +21,10 @@
                 let filter = filter("--log", "BULRUSHWARD_LOG", &arguments.common_arguments.log)?;
                 Ok(Command::Agent(Box::new(arguments.check()?), filter))
             }
-            Self::Direct(arguments) => arguments.check(),
         }
     }
 }
 
-impl DirectArguments {
-    fn check(self) -> Result<Command, SettingError> {
-        require("--settings", "BULRUSHWARD_SETTINGS", &self.settings)?;
-        let path = PathBuf::from(self.settings);
-        let settings = DirectSettings::read(&path).context(FileSnafu)?;
-        filter("log", "settings file", &settings.log)?;
-        Ok(Command::Direct(Box::new(settings), path))
-    }
-}
-
 impl CommonArguments {
     fn check(self) -> Result<CommonSettings, SettingError> {
         Ok(CommonSettings {
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -47,7 +47,6 @@
     match command {
         Command::Router(settings, _) => run_router(*settings, stop).await,
         Command::Agent(settings, _) => run_agent(*settings, stop).await,
-        Command::Direct(..) => unreachable!("main runs a router without agents itself"),
     }
 }
 
--- a/bulrushward/src/error.rs
+++ b/bulrushward/src/error.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use bulrushward_clients::KvError;
-use bulrushward_direct::{DirectError, SettingsError};
 use bulrushward_protocol::transport::TransportError;
 use snafu::Snafu;
 
@@ -31,12 +30,6 @@
         /// What would have been accepted.
         expected: &'static str,
     },
-    /// A settings file is not accepted.
-    #[snafu(display("{source}"))]
-    File {
-        /// Error that names the file or the setting.
-        source: SettingsError,
-    },
 }
 
 /// Why the daemon could not start or go on.
@@ -77,10 +70,4 @@
         /// Error of the client.
         source: KvError,
     },
-    /// A router without agents could not start.
-    #[snafu(display("{source}"), context(false))]
-    Direct {
-        /// Error of the router.
-        source: DirectError,
-    },
 }
--- a/bulrushward/tests/admin.rs
+++ b/bulrushward/tests/admin.rs
@@ -140,6 +140,7 @@
     let own = Path::new(env!("CARGO_MANIFEST_DIR"));
     events_of(&own.join("src"), &mut names);
     events_of(&own.join("../bulrushward_claims/src"), &mut names);
+    events_of(&own.join("../bulrushward_logging/src"), &mut names);
     assert_eq!(listed("Events"), names);
 }
 
--- a/bulrushward_fakes/src/main.rs
+++ b/bulrushward_fakes/src/main.rs
@@ -9,7 +9,11 @@
 };
 use mimalloc::MiMalloc;
 use tokio::signal::unix::{SignalKind, signal};
-use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
+use tracing_subscriber::{
+    filter::{LevelFilter, Targets},
+    layer::SubscriberExt,
+    util::SubscriberInitExt,
+};
 
 use crate::cli::Command;
 
@@ -22,8 +26,10 @@
         Ok(command) => command,
         Err(code) => return code,
     };
+    let asked = std::env::var("RUST_LOG").ok();
+    let filter = asked.and_then(|filter| filter.parse().ok());
     tracing_subscriber::registry()
-        .with(EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info")))
+        .with(filter.unwrap_or_else(|| Targets::new().with_default(LevelFilter::INFO)))
         .with(tracing_logfmt::builder().layer().with_writer(io::stderr))
         .init();
     match run(command).await {
--- a/bulrushward_logging/src/queue.rs
+++ b/bulrushward_logging/src/queue.rs
@@ -10,7 +10,6 @@
     time::Duration,
 };
 
-use bulrushward_direct::LogState;
 use tracing::{Level, Metadata, warn};
 use tracing_subscriber::fmt::MakeWriter;
 
@@ -106,6 +105,12 @@
         }
     }
 
+    /// Returns the lines that were dropped since the start.
+    #[must_use]
+    pub fn dropped_lines(&self) -> u64 {
+        self.shared.dropped.load(Ordering::Relaxed)
+    }
+
     /// Writes the lines that wait, within a bounded time, and ends the thread.
     pub fn close(&self) {
         let mut waiting = self.lock();
@@ -182,12 +187,6 @@
     }
 }
 
-impl LogState for LogQueue {
-    fn dropped_lines(&self) -> u64 {
-        self.shared.dropped.load(Ordering::Relaxed)
-    }
-}
-
 /// Writer of one line.
 #[derive(Debug)]
 pub struct LineWriter<'a> {
--- a/bulrushward_logging/src/start.rs
+++ b/bulrushward_logging/src/start.rs
@@ -1,14 +1,26 @@
-//! Logs: one line of key=value pairs for each event, on standard output.
+//! Starts the log: one line of key=value pairs for each event, on standard output.
 
 use std::{io, panic::PanicHookInfo};
 
+use snafu::Snafu;
 use tracing::error;
-use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
+use tracing_subscriber::{
+    filter::{LevelFilter, ParseError, Targets},
+    layer::SubscriberExt,
+    util::SubscriberInitExt,
+};
 
-use crate::log_queue::{Gathering, LogQueue};
+use crate::queue::{Gathering, LogQueue};
 
-/// Directive that silences the HTTP library, whose lines are no events of the fleet.
-const QUIET_LIBRARY: &str = "salvo_core=error";
+/// Library whose lines are no events of the fleet, unless they are errors.
+const QUIET_LIBRARY: &str = "salvo_core";
+
+/// Why a filter of the log makes no sense.
+#[derive(Debug, Snafu)]
+#[snafu(display("value {text:?}, expected info, debug or MODULE=LEVEL,…"))]
+pub struct FilterError {
+    text: String,
+}
 
 /// Writes the last lines when it is dropped.
 #[derive(Debug)]
@@ -30,6 +42,27 @@
     }
 }
 
+/// Checks a filter such as `info` or `bulrushward=debug`.
+///
+/// # Errors
+///
+/// Returns [`FilterError`] if it cannot be read.
+pub fn check_filter(text: &str) -> Result<(), FilterError> {
+    if text.is_empty() || targets(text).is_err() {
+        return FilterSnafu { text }.fail();
+    }
+    Ok(())
+}
+
+fn targets(filter: &str) -> Result<Targets, ParseError> {
+    let targets: Targets = filter.parse()?;
+    let has_library = targets.iter().any(|(name, _)| name == QUIET_LIBRARY);
+    if has_library {
+        return Ok(targets);
+    }
+    Ok(targets.with_target(QUIET_LIBRARY, LevelFilter::ERROR))
+}
+
 /// Starts logging with a filter such as `info` or `bulrushward=debug`.
 ///
 /// A filter that cannot be parsed is replaced by `info`. Calls after the first have no effect.
@@ -40,8 +73,7 @@
 ///
 /// Returns the error of the system if the thread that writes cannot be started.
 pub fn start_logging(filter: &str) -> io::Result<LogGuard> {
-    let filter = format!("{QUIET_LIBRARY},{filter}");
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter = targets(filter).unwrap_or_else(|_| Targets::new().with_default(LevelFilter::INFO));
     let queue = LogQueue::start(io::stdout(), Gathering::default())?;
     let layer = tracing_logfmt::builder()
         .with_target(false)
--- a/bulrushward_logging/tests/queue.rs
+++ b/bulrushward_logging/tests/queue.rs
@@ -6,8 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward::{Gathering, LogQueue};
-use bulrushward_direct::LogState;
+use bulrushward_logging::{Gathering, LogQueue};
 
 /// Time for which a condition is waited for.
 const PATIENCE: Duration = Duration::from_secs(10);
--- a/bulrushward_soak/src/main.rs
+++ b/bulrushward_soak/src/main.rs
@@ -10,7 +10,7 @@
 #[bpaf(options)]
 struct Arguments {
     /// The daemon
-    #[bpaf(argument("PATH"), fallback("target/release/bulrushwardd".into()))]
+    #[bpaf(argument("PATH"), fallback("target/release/bulrushward-directd".into()))]
     daemon: PathBuf,
     /// First seed
     #[bpaf(argument("N"), fallback(1))]
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -99,7 +99,6 @@
             .append(true)
             .open(self.folder.join(format!("router-{}.log", self.index)))?;
         let child = Command::new(&self.daemon)
-            .arg("direct")
             .arg("--settings")
             .arg(self.folder.join(format!("router-{}.toml", self.index)))
             .stdin(Stdio::null())
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -15,7 +15,7 @@
 async fn a_seed_breaks_no_promise(#[case] seed: u64) {
     let target = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target");
     let settings = SoakSettings {
-        daemon: target.join("debug/bulrushwardd"),
+        daemon: target.join("debug/bulrushward-directd"),
         logs: target.join("soak-tests").join(seed.to_string()),
         seed,
         duration: DURATION,
