Tell onwards which routers are alive

In a fleet of 400 a router would know a tenth of it, and take ten times its share of the connections of a server. Ruled out: writing to all (traffic grows with the square), a longer time alone (25 s between two datagrams at 400). Change: datagrams carry the ages of the latest signs of life of up to 96 routers; a router is gone 8 s after its last one. Loads of peers are scaled up where only a part of the fleet was heard lately.

--- a/bulrushward_direct/src/peers.rs
+++ b/bulrushward_direct/src/peers.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use bulrushward_policy::server_load::PeerShare;
+use bulrushward_policy::{fleet_liveness::FleetLiveness, server_load::PeerShare};
 use bulrushward_protocol::QuarantineRecord;
 use hyper::StatusCode;
 use rand::seq::IndexedRandom;
@@ -37,11 +37,11 @@
 const ROUND: Duration = Duration::from_millis(250);
 /// Peers that get a datagram in each round; bounds the traffic of a large fleet.
 const PEERS_A_ROUND: usize = 4;
-/// Time without a datagram after which a peer counts as gone.
-const PEER_GONE: Duration = Duration::from_secs(3);
+/// Age up to which a datagram tells what a peer has in progress and how far its knowledge goes.
+const DIGEST_FRESH: Duration = Duration::from_secs(3);
 /// Time for which a datagram of a process that has started again may be on its way.
 const LATE_DATAGRAM: Duration = Duration::from_secs(1);
-/// Time after which a peer that is gone is not written to any more.
+/// Time without a datagram after which a peer is not written to any more.
 const PEER_FORGOTTEN: Duration = Duration::from_secs(30);
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM: usize = 8 << 10;
@@ -49,8 +49,6 @@
 const MAX_SERVERS: usize = 256;
 /// Contents that crash servers that one datagram tells of.
 const MAX_CRASHES: usize = 8;
-/// Peers that one datagram tells of.
-const MAX_PEERS: usize = 8;
 /// Time for a peer to hand out what it knows.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Share of the time in which a change must be known for which the own store may bring what a peer has
@@ -68,8 +66,15 @@
     placements: Vec<Placement>,
     /// Contents that crash servers.
     crashes: Vec<QuarantineRecord>,
-    /// Knowledge addresses of other routers that were heard lately.
-    others: Vec<SocketAddr>,
+    /// Other routers that are alive.
+    others: Vec<SignOfLife>,
+}
+
+/// When a router was last heard.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct SignOfLife {
+    knowledge: SocketAddr,
+    age_ms: u32,
 }
 
 /// Requests of one router in progress at one server.
@@ -85,7 +90,12 @@
 struct Peer {
     digest: Digest,
     heard: Instant,
-    is_alive: bool,
+}
+
+impl Peer {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard) < DIGEST_FRESH
+    }
 }
 
 /// The exchange with peers.
@@ -95,6 +105,8 @@
     socket: UdpSocket,
     started_ms: u64,
     by_node: HashMap<String, Peer>,
+    /// Peers that are alive, by knowledge address.
+    liveness: FleetLiveness<SocketAddr>,
     /// Since when a peer has been ahead of this router, and how far this one went then.
     behind: Option<(Instant, Extent)>,
     /// Whether this router has what its peers knew when it started.
@@ -118,6 +130,7 @@
             socket,
             started_ms: now.as_millis() as u64,
             by_node: HashMap::new(),
+            liveness: FleetLiveness::default(),
             behind: None,
             has_started: false,
         })
@@ -157,7 +170,7 @@
 
     /// Fetches all that a peer knows once after the start, as datagrams tell changes only.
     async fn learn_at_start(&mut self) {
-        let Some(from) = self.alive().next().map(|peer| peer.digest.knowledge) else {
+        let Some(from) = self.fresh().next().map(|peer| peer.digest.knowledge) else {
             return;
         };
         match fetch(from, None).await {
@@ -190,8 +203,9 @@
         if known.is_some_and(is_late) {
             return;
         }
-        if known.is_none_or(|peer| !peer.is_alive) {
-            info!(event = "peer-known", peer = digest.node, address = %digest.knowledge);
+        self.saw(digest.knowledge, Duration::ZERO);
+        for other in &digest.others {
+            self.saw(other.knowledge, Duration::from_millis(other.age_ms.into()));
         }
         self.shared.learn_crashes(&digest.crashes);
         for placement in &digest.placements {
@@ -199,44 +213,53 @@
         }
         let peer = Peer {
             heard: Instant::now(),
-            is_alive: true,
             digest,
         };
         self.by_node.insert(peer.digest.node.clone(), peer);
     }
 
+    /// Takes in a sign of life of a peer.
+    fn saw(&mut self, peer: SocketAddr, age: Duration) {
+        let is_other = peer != self.shared.settings().knowledge_address;
+        if is_other && self.liveness.saw(peer, age, Instant::now()) {
+            info!(event = "peer-known", %peer);
+        }
+    }
+
     fn note_gone(&mut self, now: Instant) {
-        for peer in self.by_node.values_mut() {
-            if peer.is_alive && now.saturating_duration_since(peer.heard) > PEER_GONE {
-                peer.is_alive = false;
-                warn!(event = "peer-lost", peer = peer.digest.node);
-            }
+        for peer in self.liveness.take_gone(now) {
+            warn!(event = "peer-lost", %peer);
         }
         self.by_node
             .retain(|_, peer| now.saturating_duration_since(peer.heard) < PEER_FORGOTTEN);
-        let routers = 1 + self.alive().count() as u32;
+        let routers = 1 + self.liveness.count() as u32;
         self.shared.set_routers(routers);
         self.shared.metrics.routers.set(routers.into());
     }
 
-    fn alive(&self) -> impl Iterator<Item = &Peer> {
-        self.by_node.values().filter(|peer| peer.is_alive)
+    /// Returns the peers of which a fresh datagram is known.
+    fn fresh(&self) -> impl Iterator<Item = &Peer> {
+        let now = Instant::now();
+        self.by_node.values().filter(move |peer| peer.is_fresh(now))
     }
 
     /// Sums up what peers have in progress at each server.
     fn share_loads(&self, now: Instant) {
-        if self.alive().next().is_none() {
+        let fresh = self.fresh().count();
+        if fresh == 0 {
             return;
         }
+        // In a large fleet the fresh datagrams are a sample of all routers.
+        let scale = (self.liveness.count() as f64 / fresh as f64).max(1.0);
         let mut sums: HashMap<ServerHash, PeerShare> = HashMap::new();
-        for told in self.alive().flat_map(|peer| &peer.digest.in_progress) {
+        for told in self.fresh().flat_map(|peer| &peer.digest.in_progress) {
             let sum = sums.entry(told.server).or_default();
             sum.requests += told.requests;
             sum.unread_tokens += told.unread_tokens;
         }
         for server in self.shared.servers.load().all() {
             let sum = sums.get(&server.hash).copied().unwrap_or_default();
-            server.state().load.set_peers(sum, now);
+            server.state().load.set_peers(sum.scaled(scale), now);
         }
     }
 
@@ -260,10 +283,9 @@
     /// Draws the peers that get this round's datagram.
     fn receivers(&self) -> Vec<SocketAddr> {
         let settings = self.shared.settings();
-        let mut known: Vec<SocketAddr> = self
-            .by_node
-            .values()
-            .flat_map(|peer| peer.digest.others.iter().chain([&peer.digest.knowledge]))
+        let heard = self.by_node.values().map(|peer| &peer.digest.knowledge);
+        let mut known: Vec<SocketAddr> = heard
+            .chain(self.liveness.alive())
             .chain(&settings.seeds)
             .copied()
             .filter(|address| *address != settings.knowledge_address)
@@ -293,8 +315,11 @@
             .collect();
         in_progress.sort_unstable_by_key(|told| std::cmp::Reverse(told.requests));
         in_progress.truncate(MAX_SERVERS);
-        let mut others: Vec<_> = self.alive().map(|peer| peer.digest.knowledge).collect();
-        others.truncate(MAX_PEERS);
+        let told = self.liveness.told(Instant::now(), &mut rand::rng());
+        let others = told.into_iter().map(|(knowledge, age)| SignOfLife {
+            knowledge,
+            age_ms: age.as_millis() as u32,
+        });
         Digest {
             node: self.shared.settings().node.clone(),
             started_ms: self.started_ms,
@@ -303,7 +328,7 @@
             in_progress,
             placements: self.shared.take_news(),
             crashes: self.shared.crash_records(Instant::now(), MAX_CRASHES),
-            others,
+            others: others.collect(),
         }
     }
 
@@ -340,7 +365,7 @@
 
     /// Returns the address of the living peer that knows most beyond this router.
     fn most_ahead(&self, own: &Extent) -> Option<SocketAddr> {
-        self.alive()
+        self.fresh()
             .filter(|peer| peer.digest.extent.is_ahead_of(own))
             .max_by_key(|peer| (peer.digest.extent.config, peer.digest.extent.as_of))
             .map(|peer| peer.digest.knowledge)
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod chat_key;
 pub mod claim;
 mod fair_queue;
+pub mod fleet_liveness;
 pub mod hop;
 pub mod load_bound;
 pub mod mean_load;
--- a/bulrushward_policy/src/server_load.rs
+++ b/bulrushward_policy/src/server_load.rs
@@ -30,6 +30,17 @@
     pub unread_tokens: u64,
 }
 
+impl PeerShare {
+    /// Returns the share of all peers, of which this one comes from a sample.
+    #[must_use]
+    pub fn scaled(self, by: f64) -> Self {
+        Self {
+            requests: (f64::from(self.requests) * by).round() as u32,
+            unread_tokens: (self.unread_tokens as f64 * by).round() as u64,
+        }
+    }
+}
+
 /// The load of one backend server as one router sees it.
 #[derive(Clone, Debug, Default)]
 pub struct ServerLoad {
--- /dev/null
+++ b/bulrushward_policy/tests/fleet_liveness.rs
@@ -0,0 +1,129 @@
+//! Tests of a simulated fleet whose routers tell each other who is alive.
+
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::fleet_liveness::FleetLiveness;
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+/// Time between two rounds of datagrams.
+const ROUND: Duration = Duration::from_millis(250);
+/// Routers that one writes to in a round.
+const RECEIVERS: usize = 4;
+/// Routers that each one knows at its start.
+const SEEDS: usize = 3;
+/// Share of the datagrams that are lost.
+const LOSS: f64 = 0.1;
+
+struct Fleet {
+    routers: Vec<FleetLiveness<usize>>,
+    dead: HashSet<usize>,
+    now: Instant,
+    rng: Pcg64,
+}
+
+impl Fleet {
+    fn new(size: usize, seed: u64) -> Self {
+        Self {
+            routers: vec![FleetLiveness::default(); size],
+            dead: HashSet::new(),
+            now: Instant::now(),
+            rng: Pcg64::seed_from_u64(seed),
+        }
+    }
+
+    fn living(&self) -> Vec<usize> {
+        let all = 0..self.routers.len();
+        all.filter(|index| !self.dead.contains(index)).collect()
+    }
+
+    /// Lets each living router write to a few of those it knows.
+    fn round(&mut self) {
+        self.now += ROUND;
+        for from in self.living() {
+            let _gone = self.routers[from].take_gone(self.now);
+            let known = self.routers[from].alive().copied();
+            let receivers: Vec<_> = known
+                .chain((0..SEEDS).filter(|seed| *seed != from))
+                .collect();
+            let chosen: Vec<_> = receivers
+                .sample(&mut self.rng, RECEIVERS)
+                .copied()
+                .collect();
+            for to in chosen {
+                if self.dead.contains(&to) || self.rng.random_bool(LOSS) {
+                    continue;
+                }
+                let told = self.routers[from].told(self.now, &mut self.rng);
+                self.routers[to].saw(from, Duration::ZERO, self.now);
+                for (router, age) in told.into_iter().filter(|(router, _)| *router != to) {
+                    self.routers[to].saw(router, age, self.now);
+                }
+            }
+        }
+    }
+
+    fn rounds(&mut self, time: Duration) {
+        for _round in 0..time.as_millis() / ROUND.as_millis() {
+            self.round();
+        }
+    }
+
+    /// Returns the views that are not exactly the living routers.
+    fn wrong_views(&self) -> usize {
+        let living = self.living();
+        let expected = living.len() - 1;
+        let is_wrong = |index: &&usize| {
+            let view = &self.routers[**index];
+            view.count() != expected || view.alive().any(|known| self.dead.contains(known))
+        };
+        living.iter().filter(is_wrong).count()
+    }
+}
+
+#[rstest]
+fn living_routers_stay_known_and_dead_ones_do_not(
+    #[values(4, 25, 100)] size: usize,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut fleet = Fleet::new(size, seed);
+    fleet.rounds(Duration::from_secs(10));
+    for _round in 0..80 {
+        fleet.round();
+        assert_eq!(fleet.wrong_views(), 0);
+    }
+    // The seeds stay, so that the fleet does not fall apart.
+    fleet.dead = (SEEDS..size).step_by(5).collect();
+    fleet.rounds(Duration::from_secs(12));
+    for _round in 0..20 {
+        fleet.round();
+        assert_eq!(fleet.wrong_views(), 0);
+    }
+}
+
+#[test]
+fn a_fleet_of_the_planned_size_knows_itself() {
+    let mut fleet = Fleet::new(410, 1);
+    fleet.rounds(Duration::from_secs(10));
+    for _round in 0..8 {
+        fleet.round();
+        assert_eq!(fleet.wrong_views(), 0);
+    }
+}
+
+#[test]
+fn an_old_sign_of_life_does_not_bring_a_router_back() {
+    let now = Instant::now();
+    let mut view = FleetLiveness::default();
+    assert!(!view.saw(1, Duration::from_secs(9), now));
+    assert_eq!(view.count(), 0);
+    assert!(view.saw(1, Duration::from_secs(3), now));
+    assert!(!view.saw(1, Duration::ZERO, now));
+    assert!(view.take_gone(now + Duration::from_secs(7)).is_empty());
+    assert_eq!(view.take_gone(now + Duration::from_secs(9)), [1]);
+    assert!(!view.saw(1, Duration::from_secs(9), now + Duration::from_secs(9)));
+}
