Save where sessions are every two seconds

Cause: what moved after the last save is read again after a start of all routers. Ruled out: news that do not reach the router that saves; they are told onwards by each router that hears them.

--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -16,7 +16,7 @@
 const CHECK: Duration = Duration::from_secs(1);
 /// Time in which one router of the fleet saves, on average: each save is a priced call, and prompts that moved
 /// after the last one are read again after a start of all routers.
-const INTERVAL: Duration = Duration::from_secs(4);
+const INTERVAL: Duration = Duration::from_secs(2);
 /// Pause before the saved sessions are asked for again after a failed call.
 const PAUSE: Duration = Duration::from_millis(500);
 
