--- a/bulrushward_soak/src/promises.rs
+++ b/bulrushward_soak/src/promises.rs
@@ -72,14 +72,22 @@
     }
     for (id, of_request) in ledger {
         let is_known = sent.contains_key(id.as_str()) || id.starts_with("probe");
+        let about = |run: &Run| {
+            let named = run.named_server.as_deref().unwrap_or("none");
+            format!("target={:?} named_server={named}", run.target)
+        };
         if !is_known {
-            broken.push(format!("request={id} promise=runs-only-what-was-sent"));
+            let first = of_request.first().map(about).unwrap_or_default();
+            broken.push(format!(
+                "request={id} promise=runs-only-what-was-sent {first}"
+            ));
         }
-        let others = of_request
+        let other = of_request
             .iter()
-            .any(|run| run.organisation.as_deref() != Some("org-1"));
-        if others {
-            broken.push(format!("request={id} promise=names-the-organisation"));
+            .find(|run| run.organisation.as_deref() != Some("org-1"));
+        if let Some(run) = other {
+            let run = about(run);
+            broken.push(format!("request={id} promise=names-the-organisation {run}"));
         }
     }
     broken
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -11,6 +11,8 @@
 #[rstest]
 #[case::first(1)]
 #[case::second(2)]
+// Once a server ran a request without id and organisation, of which no router's log knows (KNOWN-RED.txt).
+#[case::stranger(32_020)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_breaks_no_promise(#[case] seed: u64) {
     let target = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target");
