Keep nng out of the build of direct routers

Cause: bulrushward_protocol held the nng transport of the agent fleet, so the daemon of direct routers was still built with nng and cmake, while the deploy file had stopped listing cmake. Change: the transport is a package of its own, which only the agent fleet uses.

--- a/bulrushward/src/cli/checks.rs
+++ b/bulrushward/src/cli/checks.rs
@@ -134,11 +134,7 @@
     (1..=max).contains(&number).then_some(number)
 }
 
-pub(super) fn require(
-    name: &'static str,
-    variable: &'static str,
-    value: &str,
-) -> Result<(), SettingError> {
+fn require(name: &'static str, variable: &'static str, value: &str) -> Result<(), SettingError> {
     if value.is_empty() {
         return MissingSnafu { name, variable }.fail();
     }
--- a/bulrushward/src/control/exchange.rs
+++ b/bulrushward/src/control/exchange.rs
@@ -10,10 +10,8 @@
     time::Duration,
 };
 
-use bulrushward_protocol::{
-    Exchange,
-    transport::{self, Listener},
-};
+use bulrushward_protocol::Exchange;
+use bulrushward_transport::{self as transport, Listener};
 use tokio::sync::{mpsc, oneshot};
 use tracing::debug;
 
--- a/bulrushward/src/control/fetch.rs
+++ b/bulrushward/src/control/fetch.rs
@@ -7,11 +7,9 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_protocol::{
-    Chunk, CodecError, ConfigurationMessage, Exchange, Revision,
-    transport::{self, TransportError},
-};
+use bulrushward_protocol::{Chunk, CodecError, ConfigurationMessage, Exchange, Revision};
 use bulrushward_revisions::{Accepted, AssembleError, Digest, MAX_TEXT_BYTES, Manifest};
+use bulrushward_transport::{self as transport, TransportError};
 use snafu::{ResultExt, Snafu, ensure};
 
 use super::exchange::CALL_TIMEOUT;
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -11,8 +11,9 @@
 };
 
 use bulrushward_clients::{Vm, VmList, VmState};
-use bulrushward_protocol::{Exchange, MemberRecord, NodeId, transport::Listener};
+use bulrushward_protocol::{Exchange, MemberRecord, NodeId};
 use bulrushward_revisions::{Accepted, RevisionStore};
+use bulrushward_transport::Listener;
 use snafu::ResultExt;
 use tokio::sync::{mpsc, watch};
 use tracing::{error, info};
--- a/bulrushward/src/error.rs
+++ b/bulrushward/src/error.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bulrushward_clients::KvError;
-use bulrushward_protocol::transport::TransportError;
+use bulrushward_transport::TransportError;
 use snafu::Snafu;
 
 /// A setting that is missing or has a bad value.
--- a/bulrushward/tests/control_exchange.rs
+++ b/bulrushward/tests/control_exchange.rs
@@ -12,11 +12,9 @@
     time::Duration,
 };
 
-use bulrushward_protocol::{
-    Chunk, ConfigurationMessage, Exchange, decode, encode,
-    transport::{Listener, MAX_MESSAGE_BYTES},
-};
+use bulrushward_protocol::{Chunk, ConfigurationMessage, Exchange, decode, encode};
 use bulrushward_revisions::{Accepted, Manifest};
+use bulrushward_transport::{Listener, MAX_MESSAGE_BYTES};
 use nng::{
     Protocol, Socket,
     options::{Options, RecvTimeout},
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -28,8 +28,9 @@
 };
 use bulrushward_protocol::{
     ActionKey, AttemptId, Exchange, Frame, FrameDecoder, Incarnation, MemberRecord, MemberState,
-    Role, RunRequest, encode, transport,
+    Role, RunRequest, encode,
 };
+use bulrushward_transport as transport;
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
--- a/bulrushward_protocol/src/lib.rs
+++ b/bulrushward_protocol/src/lib.rs
@@ -1,4 +1,4 @@
-//! The inner protocol of the fleet: ids, messages, codec and transport.
+//! The inner protocol of the fleet: ids, messages and codec.
 //!
 //! Routers and agents speak two channels. Requests and their answers travel over HTTP as a
 //! [`RunRequest`] and a stream of [`Frame`]s, because token streams need flow control and
@@ -12,7 +12,6 @@
 mod ids;
 mod outcome;
 mod run;
-pub mod transport;
 
 pub use codec::{CodecError, decode, encode};
 pub use exchange::{
--- a/bulrushward_protocol/src/transport.rs
+++ b/bulrushward_transport/src/control.rs
@@ -2,14 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bulrushward_protocol::{CodecError, Exchange, decode, encode};
 use nng::{
     Protocol, Socket,
     options::{Options, RecvMaxSize, RecvTimeout, SendTimeout},
 };
 use snafu::{ResultExt, Snafu};
 
-use crate::{CodecError, Exchange, decode, encode};
-
 /// Largest accepted control message in bytes: a few chunks of the configuration and the records.
 pub const MAX_MESSAGE_BYTES: usize = 64 << 10;
 /// Largest message in bytes that is read in order to refuse it; nng ends the connection above.
