--- a/bulrushward/src/http.rs
+++ b/bulrushward/src/http.rs
@@ -3,7 +3,6 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use salvo::{Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
-use tokio::net::{TcpListener, TcpSocket};
 
 use crate::error::DaemonError;
 
@@ -13,8 +12,6 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest head of a request in bytes, which is also the size of the connection's buffer.
 const MAX_HEADER_BYTES: usize = 64 << 10;
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
 
 /// Builds a client that keeps connections for reuse.
 pub(crate) fn pooled_client() -> Result<reqwest::Client, DaemonError> {
@@ -86,7 +83,7 @@
         address,
         detail: error.to_string(),
     };
-    let acceptor = bind(address)
+    let acceptor = bulrushward_net::listen(address)
         .and_then(TcpAcceptor::try_from)
         .map_err(failed)?;
     let address = acceptor.local_addr().map_err(failed)?;
@@ -100,18 +97,3 @@
         task,
     })
 }
-
-/// Binds a listening socket whose connections send small pieces at once.
-///
-/// Without it, a piece waits until the other end acknowledges the one before, which it delays by
-/// 40 ms. Connections take the option from the listening socket on Linux.
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
--- a/bulrushward_clients/src/answer.rs
+++ b/bulrushward_clients/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bulrushward_net::with_causes;
 use bytes::{Bytes, BytesMut};
 use reqwest::{Client, Response};
 use snafu::{ResultExt, Snafu};
@@ -10,7 +11,7 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum AnswerError {
-    #[snafu(display("the connection failed: {}", chain(source)))]
+    #[snafu(display("the connection failed: {}", with_causes(source)))]
     Broken { source: reqwest::Error },
     #[snafu(display("the answer is larger than {limit} bytes"))]
     TooLarge { limit: usize },
@@ -41,15 +42,3 @@
     }
     Ok(body.freeze())
 }
-
-/// Formats an error with its causes; the HTTP client's own text leaves them out.
-pub(crate) fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(error) = cause {
-        text.push_str(": ");
-        text.push_str(&error.to_string());
-        cause = error.source();
-    }
-    text
-}
--- a/bulrushward_clients/src/etcd.rs
+++ b/bulrushward_clients/src/etcd.rs
@@ -6,13 +6,14 @@
 };
 
 use async_trait::async_trait;
+use bulrushward_net::with_causes;
 use bytes::Bytes;
 use reqwest::{Client, Response, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    answer::{chain, http_client, read_body},
+    answer::{http_client, read_body},
     gateway::{
         GatewayError, RangeAnswer, RangeRequest, StoredKey, TxnAnswer, TxnOperationAnswer,
         TxnRequest,
@@ -117,9 +118,9 @@
                 Ok(Ok(answer)) => return self.accept(answer, deadline).await,
                 Ok(Err(error)) if error.is_connect() || error.is_builder() => {
                     self.prefer_next();
-                    not_sent = format!("the request was not sent: {}", chain(&error));
+                    not_sent = format!("the request was not sent: {}", with_causes(&error));
                 }
-                Ok(Err(error)) => return Err(self.no_usable_answer(chain(&error))),
+                Ok(Err(error)) => return Err(self.no_usable_answer(with_causes(&error))),
                 Err(_elapsed) => return Err(self.no_usable_answer(self.timeout_text())),
             }
         }
--- a/bulrushward_clients/src/http_sd.rs
+++ b/bulrushward_clients/src/http_sd.rs
@@ -3,12 +3,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
+use bulrushward_net::with_causes;
 use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use crate::{
-    answer::{chain, http_client, read_body},
+    answer::{http_client, read_body},
     vm_list::{Vm, VmList, VmListError, VmListSnafu, VmState},
 };
 
@@ -61,7 +62,7 @@
             .get(&self.url)
             .send()
             .await
-            .map_err(|error| chain(&error))?;
+            .map_err(|error| with_causes(&error))?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()));
         }
--- a/bulrushward_clients/src/watch.rs
+++ b/bulrushward_clients/src/watch.rs
@@ -1,11 +1,11 @@
 //! One waiting call for changes of a key.
 
+use bulrushward_net::with_causes;
 use bytes::{Bytes, BytesMut};
 use reqwest::Response;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    answer::chain,
     etcd::{CallError, EtcdKeyValue, key_bytes},
     gateway::{WatchCreateRequest, WatchEventKind, WatchLine, WatchRequest, WatchResult},
     key_value::{Entry, Version},
@@ -121,7 +121,9 @@
             match self.answer.chunk().await {
                 Ok(Some(chunk)) => self.buf.extend_from_slice(&chunk),
                 Ok(None) => return Err("the service ended the watch".to_owned()),
-                Err(error) => return Err(format!("the connection failed: {}", chain(&error))),
+                Err(error) => {
+                    return Err(format!("the connection failed: {}", with_causes(&error)));
+                }
             }
         }
     }
--- a/bulrushward_direct/src/choose.rs
+++ b/bulrushward_direct/src/choose.rs
@@ -21,6 +21,13 @@
 #[derive(Debug)]
 pub(crate) struct Choice {
     pub(crate) server: Arc<Server>,
+    pub(crate) beliefs: Beliefs,
+}
+
+/// What a router believed when it chose a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Beliefs {
+    /// Requests in progress at the server, with what its failures stand for.
     pub(crate) load: f64,
     /// Least load among the servers that could have been chosen.
     pub(crate) least_load: f64,
@@ -82,7 +89,7 @@
         shared.note_home(session, chosen.hash);
     }
     let report_age = chosen.state().load.report_age(now);
-    Some(Choice {
+    let beliefs = Beliefs {
         load: views[index].load,
         least_load,
         report_age,
@@ -90,7 +97,10 @@
         has_prompt,
         unread_tokens: job.own_tokens() + again,
         copy_from,
+    };
+    Some(Choice {
         server: chosen,
+        beliefs,
     })
 }
 
--- a/bulrushward_direct/src/follow.rs
+++ b/bulrushward_direct/src/follow.rs
@@ -9,7 +9,7 @@
     knowledge::{Knowledge, Source},
     metrics::StoreCall,
     ports::{FleetStore, StoreError},
-    shared::Shared,
+    shared::{Shared, View},
 };
 
 /// Time for which one call waits for changes; calls are priced, stores keep their history for longer, and
@@ -51,9 +51,10 @@
                 (StoreCall::ConfigChanges, reading)
             }
         };
+        shared.metrics.store_call(call, &reading);
         match reading {
             Ok(reading) => {
-                note_answer(&shared, call);
+                note_answer(&shared, View::Config);
                 pauses = Pauses::default();
                 after = Some(reading.as_of);
                 if let Some(config) = reading.config {
@@ -63,7 +64,7 @@
             }
             Err(error) => {
                 after = None;
-                note_failure(&shared, call, &error);
+                note_failure(&shared, &error);
                 pauses.pause().await;
             }
         }
@@ -83,9 +84,10 @@
             let done = list_servers(store, &knowledge).await;
             (StoreCall::Servers, done)
         };
+        shared.metrics.store_call(call, &done);
         match done {
             Ok(has_changes) => {
-                note_answer(&shared, call);
+                note_answer(&shared, View::Servers);
                 pauses = Pauses::default();
                 if is_listed && has_changes {
                     gather(shared.settings().leaving_known).await;
@@ -97,7 +99,7 @@
                 if !matches!(error, StoreError::HistoryGone { .. }) {
                     knowledge.store_failed();
                 }
-                note_failure(&shared, call, &error);
+                note_failure(&shared, &error);
                 pauses.pause().await;
             }
         }
@@ -109,14 +111,13 @@
     tokio::time::sleep(known.mul_f64(GATHERING_SHARE)).await;
 }
 
-fn note_answer(shared: &Shared, call: StoreCall) {
-    if shared.store_answered(call) {
+fn note_answer(shared: &Shared, view: View) {
+    if shared.store_confirmed(view) {
         info!(event = "store-regained");
     }
 }
 
-fn note_failure(shared: &Shared, call: StoreCall, error: &StoreError) {
-    shared.metrics.store_call(call, error.into());
+fn note_failure(shared: &Shared, error: &StoreError) {
     if matches!(error, StoreError::HistoryGone { .. }) {
         info!(event = "store-history-gone", %error);
     } else if shared.store_failed() {
--- a/bulrushward_direct/src/hop.rs
+++ b/bulrushward_direct/src/hop.rs
@@ -1,10 +1,8 @@
 //! One hop: sends a request to one server and reads the beginning of its answer.
 
-use std::{
-    error::Error,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
+use bulrushward_net::with_causes;
 use bulrushward_policy::{hop::HopFailure, server_health::ServerHealth};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -83,18 +81,6 @@
     }
 }
 
-/// Returns an error with its causes, which the library leaves out.
-pub(crate) fn chain(error: &dyn Error) -> String {
-    let mut text = error.to_string();
-    let mut cause = error.source();
-    while let Some(error) = cause {
-        text.push_str(": ");
-        text.push_str(&error.to_string());
-        cause = error.source();
-    }
-    text
-}
-
 /// Sends a request to a server and returns its answer, plain ones whole and streams from their first event.
 ///
 /// # Errors
@@ -106,7 +92,7 @@
     choice: &Choice,
     last_event: Option<&str>,
 ) -> Result<HopAnswer, HopError> {
-    let mut progress = InProgress::new(&choice.server, choice.unread_tokens);
+    let mut progress = InProgress::new(&choice.server, choice.beliefs.unread_tokens);
     let sent = exchange(shared, job, choice, last_event, &mut progress).await;
     match sent {
         Ok(exchanged) => finish(job, exchanged, progress).await,
@@ -190,7 +176,7 @@
             } else {
                 HopFailure::Broken
             };
-            Err(HopError::new(failure, &chain(error.error())))
+            Err(HopError::new(failure, &with_causes(error.error())))
         }
         Err(_elapsed) => Err(HopError::new(HopFailure::Silent, &"no head in time")),
     }
@@ -249,7 +235,7 @@
     let limited = Limited::new(body, MAX_HELD_BYTES);
     let collected = match timeout_at(until, limited.collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(HopError::new(HopFailure::Broken, &chain(&*error))),
+        Ok(Err(error)) => Err(HopError::new(HopFailure::Broken, &with_causes(&*error))),
         Err(_elapsed) => Err(HopError::new(HopFailure::Silent, &"the body is not whole")),
     };
     let body = match collected {
@@ -345,7 +331,7 @@
         organisation: job.organisation.as_deref(),
         urgency: job.urgency,
         last_event: last_event.or(job.last_event.as_deref()),
-        copy_from: choice.copy_from,
+        copy_from: choice.beliefs.copy_from,
     };
     shared.dialect.deliver(&mut headers, &delivery);
     let mut req = Request::builder()
--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -1,6 +1,6 @@
 //! Listeners: callers' requests, readiness, metrics.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
@@ -9,7 +9,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpStream},
     task::JoinSet,
 };
 use tokio_util::sync::CancellationToken;
@@ -22,29 +22,11 @@
     shared::Shared,
 };
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
 /// Pause after a connection could not be accepted, as when no descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Buffer of a caller's connection in bytes beyond the largest head; the library needs 8 KiB.
 const MIN_BUFFER: usize = 8 << 10;
 
-/// Binds a listening socket whose connections send small pieces at once.
-///
-/// # Errors
-///
-/// Returns the error of the system.
-pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.set_nodelay(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Serves callers until `close` fires and the last of their requests has its answer.
 ///
 /// From `drain` on, connections close after the request that they carry.
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -9,6 +9,8 @@
 };
 use strum::IntoStaticStr;
 
+use crate::ports::StoreError;
+
 /// Upper bounds of the histograms of answer times, in seconds.
 const ANSWER_BOUNDS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 10.0];
 /// Upper bounds of the histogram of the ages of servers' reports, in seconds.
@@ -71,7 +73,7 @@
 }
 
 /// Metrics of one direct router.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct DirectMetrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
@@ -83,122 +85,89 @@
     pub(crate) repeats_refused: Counter,
     pub(crate) resumes: Counter,
     pub(crate) connections_opened: Counter,
+    answer_seconds: Histogram,
+    first_event_seconds: Histogram,
+    report_age_seconds: Histogram,
     pub(crate) config_version: Gauge,
+    config_age: Gauge,
+    config_view_age: Gauge,
+    servers_view_age: Gauge,
     pub(crate) servers: Gauge,
     pub(crate) routers: Gauge,
     in_progress: Gauge,
     pub(crate) sessions: Gauge,
     connections_open: Gauge,
     connections_idle: Gauge,
-    config_age: Gauge,
-    config_view_age: Gauge,
-    servers_view_age: Gauge,
     repeats_left: Family<ServiceLabel, Gauge>,
     log_lines_dropped: Gauge,
     memory: Gauge,
-    answer_seconds: Times,
-    first_event_seconds: Times,
-    report_age_seconds: Ages,
 }
 
-#[derive(Debug)]
-struct Times(Histogram);
+/// Makes metrics and registers them.
+struct Registrar(Registry);
 
-impl Default for Times {
-    fn default() -> Self {
-        Self(Histogram::new(ANSWER_BOUNDS))
+impl Registrar {
+    fn add<M: Metric + Clone + Default>(&mut self, name: &str, help: &str) -> M {
+        let metric = M::default();
+        self.0.register(name, help, metric.clone());
+        metric
     }
-}
 
-#[derive(Debug)]
-struct Ages(Histogram);
-
-impl Default for Ages {
-    fn default() -> Self {
-        Self(Histogram::new(AGE_BOUNDS))
+    fn histogram<const N: usize>(&mut self, name: &str, help: &str, bounds: [f64; N]) -> Histogram {
+        let metric = Histogram::new(bounds);
+        self.0.register(name, help, metric.clone());
+        metric
     }
 }
 
 impl DirectMetrics {
     pub(crate) fn new() -> Self {
-        let mut metrics = Self {
-            registry: Registry::with_prefix("bulrushward_direct"),
-            ..Self::default()
-        };
-        metrics.register_counters();
-        metrics.register_state();
-        metrics
-    }
-
-    fn register_counters(&mut self) {
-        let requests = self.requests.clone();
-        self.add("requests", "Requests by kind and outcome", requests);
-        let hops = self.hops.clone();
-        self.add("hops", "Requests sent to a server, repeats included", hops);
-        let failed = self.hops_failed.clone();
-        self.add("hops_failed", "Failed hops by reason", failed);
-        let streams = self.streams.clone();
-        self.add("streams", "Streams that ended, by outcome", streams);
-        let calls = self.store_calls.clone();
-        self.add("store_calls", "Store calls by kind and result", calls);
-        let repeats = self.repeats.clone();
-        self.add("repeats", "Requests sent to a further server", repeats);
-        let refused = self.repeats_refused.clone();
-        let help = "Repeats that the budget did not allow";
-        self.add("repeats_refused", help, refused);
-        let resumes = self.resumes.clone();
-        self.add("resumes", "Streams resumed at another server", resumes);
-        let opened = self.connections_opened.clone();
-        let help = "Connections opened to servers";
-        self.add("connections_opened", help, opened);
-        let answers = self.answer_seconds.0.clone();
-        let help = "Time to a plain answer";
-        self.add("answer_seconds", help, answers);
-        let events = self.first_event_seconds.0.clone();
-        let help = "Time to the first event of a stream";
-        self.add("first_event_seconds", help, events);
-        let ages = self.report_age_seconds.0.clone();
-        let help = "Age of the report of a server when it was chosen";
-        self.add("report_age_seconds", help, ages);
-    }
-
-    fn register_state(&mut self) {
-        let version = self.config_version.clone();
-        self.add("config_version", "Version in force", version);
-        let age = self.config_age.clone();
-        let help = "Time since the version in force was taken in";
-        self.add("config_age_ms", help, age);
-        let view = self.config_view_age.clone();
-        let help = "Time since the store last confirmed the configuration";
-        self.add("config_view_age_ms", help, view);
-        let view = self.servers_view_age.clone();
-        let help = "Time since the store last confirmed the servers";
-        self.add("servers_view_age_ms", help, view);
-        let servers = self.servers.clone();
-        self.add("servers", "Registered servers", servers);
-        let routers = self.routers.clone();
-        self.add("routers", "Routers believed alive", routers);
-        let in_progress = self.in_progress.clone();
-        self.add("in_progress", "Requests in progress", in_progress);
-        let sessions = self.sessions.clone();
-        let help = "Sessions whose servers are remembered";
-        self.add("sessions", help, sessions);
-        let open = self.connections_open.clone();
-        self.add("connections_open", "Connections to servers", open);
-        let idle = self.connections_idle.clone();
-        self.add("connections_idle", "Idle ones among them", idle);
-        let left = self.repeats_left.clone();
-        let help = "Repeats that may be sent at once";
-        self.add("repeats_left", help, left);
-        let dropped = self.log_lines_dropped.clone();
-        let help = "Lines of the log that were dropped";
-        self.add("log_lines_dropped", help, dropped);
-        let memory = self.memory.clone();
-        self.add("resident_memory_bytes", "Resident memory", memory);
-    }
-
-    fn add(&mut self, name: &str, help: &str, metric: impl Metric) {
-        self.registry.register(name, help, metric);
+        let mut r = Registrar(Registry::with_prefix("bulrushward_direct"));
+        Self {
+            requests: r.add("requests", "Requests by kind and outcome"),
+            hops: r.add("hops", "Requests sent to a server, repeats included"),
+            hops_failed: r.add("hops_failed", "Failed hops by reason"),
+            streams: r.add("streams", "Streams that ended, by outcome"),
+            store_calls: r.add("store_calls", "Store calls by kind and result"),
+            repeats: r.add("repeats", "Requests sent to a further server"),
+            repeats_refused: r.add("repeats_refused", "Repeats that the budget did not allow"),
+            resumes: r.add("resumes", "Streams resumed at another server"),
+            connections_opened: r.add("connections_opened", "Connections opened to servers"),
+            answer_seconds: r.histogram("answer_seconds", "Time to a plain answer", ANSWER_BOUNDS),
+            first_event_seconds: r.histogram(
+                "first_event_seconds",
+                "Time to the first event of a stream",
+                ANSWER_BOUNDS,
+            ),
+            report_age_seconds: r.histogram(
+                "report_age_seconds",
+                "Age of the report of a server when it was chosen",
+                AGE_BOUNDS,
+            ),
+            config_version: r.add("config_version", "Version in force"),
+            config_age: r.add(
+                "config_age_ms",
+                "Time since the version in force was taken in",
+            ),
+            config_view_age: r.add(
+                "config_view_age_ms",
+                "Time since the store last confirmed the configuration",
+            ),
+            servers_view_age: r.add(
+                "servers_view_age_ms",
+                "Time since the store last confirmed the servers",
+            ),
+            servers: r.add("servers", "Registered servers"),
+            routers: r.add("routers", "Routers believed alive"),
+            in_progress: r.add("in_progress", "Requests in progress"),
+            sessions: r.add("sessions", "Sessions whose servers are remembered"),
+            connections_open: r.add("connections_open", "Connections to servers"),
+            connections_idle: r.add("connections_idle", "Idle ones among them"),
+            repeats_left: r.add("repeats_left", "Repeats that may be sent at once"),
+            log_lines_dropped: r.add("log_lines_dropped", "Lines of the log that were dropped"),
+            memory: r.add("resident_memory_bytes", "Resident memory"),
+            registry: r.0,
+        }
     }
 
     /// Counts a request and its time to the first byte of the answer.
@@ -219,7 +188,7 @@
         } else {
             &self.answer_seconds
         };
-        times.0.observe(time.as_secs_f64());
+        times.observe(time.as_secs_f64());
     }
 
     /// Counts a request or stream in progress until the guard is dropped.
@@ -232,7 +201,7 @@
     pub(crate) fn hop(&self, report_age: Option<Duration>) {
         self.hops.inc();
         if let Some(age) = report_age {
-            self.report_age_seconds.0.observe(age.as_secs_f64());
+            self.report_age_seconds.observe(age.as_secs_f64());
         }
     }
 
@@ -249,8 +218,9 @@
     }
 
     /// Counts a call to the store.
-    pub(crate) fn store_call(&self, call: StoreCall, result: &'static str) {
+    pub(crate) fn store_call<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
         let call = call.into();
+        let result = result.as_ref().map_or_else(Into::into, |_| "answered");
         let labels = StoreLabels { call, result };
         self.store_calls.get_or_create(&labels).inc();
     }
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -146,13 +146,13 @@
         let server = &choice.server;
         self.tried.push(server.id.clone());
         self.shared.metrics.resumes.inc();
-        self.shared.metrics.hop(choice.report_age);
+        self.shared.metrics.hop(choice.beliefs.report_age);
         info!(
             event = "stream-resumed",
             request = self.job.request_id,
             server = server.id,
-            load = choice.load,
-            usable = choice.usable,
+            load = choice.beliefs.load,
+            usable = choice.beliefs.usable,
             after_event = self.last_event.as_deref().unwrap_or_default(),
         );
         let last_event = self.last_event.as_deref();
--- a/bulrushward_direct/src/request.rs
+++ b/bulrushward_direct/src/request.rs
@@ -74,15 +74,9 @@
         let server = &choice.server;
         trail.hops = history.hops() + 1;
         trail.server.clone_from(&server.id);
-        trail.load = choice.load;
-        trail.report_age = choice.report_age;
-        trail.least_load = choice.least_load;
-        trail.usable = choice.usable;
-        trail.has_prompt = choice.has_prompt;
-        trail.unread_tokens = choice.unread_tokens;
-        trail.copy_from = choice.copy_from;
+        trail.beliefs = choice.beliefs;
         tried.push(server.id.clone());
-        shared.metrics.hop(choice.report_age);
+        shared.metrics.hop(choice.beliefs.report_age);
         let error = match hop::send(shared, &job, &choice, None).await {
             Ok(answer) => return Ok(respond(shared, &job, answer, history, tried)),
             Err(error) => error,
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -154,7 +154,7 @@
 }
 
 async fn serve_knowledge(shared: Arc<Shared>, knowledge: Arc<Knowledge>) {
-    let listener = match listener::bind(shared.settings().knowledge_address) {
+    let listener = match bulrushward_net::listen(shared.settings().knowledge_address) {
         Ok(listener) => listener,
         Err(error) => {
             error!(event = "knowledge-listener-failed", %error);
@@ -236,7 +236,7 @@
 }
 
 fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, DirectError> {
-    listener::bind(address).context(ListenSnafu { listener, address })
+    bulrushward_net::listen(address).context(ListenSnafu { listener, address })
 }
 
 async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener, close: CancellationToken) {
--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -53,9 +53,10 @@
 
 async fn learn(shared: &Shared) {
     loop {
-        match shared.store.saved().await {
+        let saved = shared.store.saved().await;
+        shared.metrics.store_call(StoreCall::Saved, &saved);
+        match saved {
             Ok(saved) => {
-                shared.metrics.store_call(StoreCall::Saved, "answered");
                 if let Some(bytes) = saved {
                     take_in(shared, &bytes);
                 }
@@ -63,8 +64,6 @@
             }
             Err(error) => {
                 debug!(event = "saved-sessions-not-read", %error);
-                let result = (&error).into();
-                shared.metrics.store_call(StoreCall::Saved, result);
                 tokio::time::sleep(PAUSE).await;
             }
         }
@@ -101,15 +100,15 @@
             return false;
         }
     };
-    match shared.store.save(&bytes).await {
+    let acknowledged = shared.store.save(&bytes).await;
+    shared.metrics.store_call(StoreCall::Save, &acknowledged);
+    match acknowledged {
         Ok(()) => {
-            shared.metrics.store_call(StoreCall::Save, "answered");
             debug!(event = "sessions-saved", bytes = bytes.len());
             true
         }
         Err(error) => {
             info!(event = "sessions-not-saved", %error);
-            shared.metrics.store_call(StoreCall::Save, (&error).into());
             false
         }
     }
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bulrushward_net::with_causes;
 use bulrushward_policy::{hop::HopFailure, server_health::ServerHealth};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -11,7 +12,7 @@
 use crate::{
     connection::{self, Connection, Expiry},
     events::EventCutter,
-    hop::{HopError, chain},
+    hop::HopError,
     servers::InProgress,
 };
 
@@ -75,7 +76,7 @@
                     return Err(HopError::new(HopFailure::Silent, &"no event in time"));
                 }
                 Ok(Some(Err(error))) => {
-                    return Err(HopError::new(HopFailure::Broken, &chain(&error)));
+                    return Err(HopError::new(HopFailure::Broken, &with_causes(&error)));
                 }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => return self.end(),
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -20,7 +20,7 @@
 use memory_stats::memory_stats;
 
 use crate::{
-    metrics::{DirectMetrics, Snapshot, StoreCall},
+    metrics::{DirectMetrics, Snapshot},
     model::{FleetConfig, ServiceName},
     news::{News, Placement},
     ports::{Dialect, FleetStore, LogState, Surroundings},
@@ -58,6 +58,13 @@
     servers: Instant,
 }
 
+/// A view of the store that a router follows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum View {
+    Config,
+    Servers,
+}
+
 impl Views {
     fn new(now: Instant) -> Self {
         Self {
@@ -172,15 +179,13 @@
         self.store_answers.load(Ordering::Relaxed)
     }
 
-    /// Notes a usable answer of the store; returns whether the call before had none.
-    pub(crate) fn store_answered(&self, call: StoreCall) -> bool {
-        self.metrics.store_call(call, "answered");
+    /// Notes that the store confirmed a view; returns whether the call before had no usable answer.
+    pub(crate) fn store_confirmed(&self, view: View) -> bool {
         let now = Instant::now();
         let mut views = lock(&self.views);
-        match call {
-            StoreCall::Config | StoreCall::ConfigChanges => views.config = now,
-            StoreCall::Servers | StoreCall::ServerChanges => views.servers = now,
-            StoreCall::Saved | StoreCall::Save => {}
+        match view {
+            View::Config => views.config = now,
+            View::Servers => views.servers = now,
         }
         !self.store_answers.swap(true, Ordering::Relaxed)
     }
@@ -220,7 +225,7 @@
 
     /// Returns this router's share of the connections that a server accepts.
     pub(crate) fn connection_share(&self, limit: u32) -> u32 {
-        (limit / (self.routers.load(Ordering::Relaxed) + 1)).max(1)
+        (limit / (self.routers() + 1)).max(1)
     }
 
     /// Counts a request for a service.
@@ -248,7 +253,7 @@
     }
 
     fn new_budget(&self) -> RetryBudget {
-        let routers = self.routers.load(Ordering::Relaxed).max(MIN_ROUTERS);
+        let routers = self.routers().max(MIN_ROUTERS);
         // Half is left for routers that start again with a full balance.
         let settings = self.settings();
         let balance = settings.extra_repeats * BUDGET_SHARE / 2.0 / f64::from(routers);
--- a/bulrushward_direct/src/trail.rs
+++ b/bulrushward_direct/src/trail.rs
@@ -1,14 +1,11 @@
 //! What the log says of a request.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::time::Instant;
 
 use hyper::StatusCode;
 use tracing::{info, warn};
 
-use crate::answer::OwnAnswer;
+use crate::{answer::OwnAnswer, choose::Beliefs};
 
 /// What the log says of a request; says so as well if its caller leaves without an answer.
 #[derive(Debug)]
@@ -23,14 +20,7 @@
     pub(crate) config: Option<u64>,
     pub(crate) hops: u32,
     pub(crate) server: String,
-    pub(crate) load: f64,
-    /// Least load among the servers that could be chosen.
-    pub(crate) least_load: f64,
-    pub(crate) report_age: Option<Duration>,
-    pub(crate) usable: usize,
-    pub(crate) has_prompt: bool,
-    pub(crate) unread_tokens: u64,
-    pub(crate) copy_from: Option<SocketAddr>,
+    pub(crate) beliefs: Beliefs,
     pub(crate) detail: String,
 }
 
@@ -46,13 +36,7 @@
             config: None,
             hops: 0,
             server: String::new(),
-            load: 0.0,
-            least_load: 0.0,
-            report_age: None,
-            usable: 0,
-            has_prompt: false,
-            unread_tokens: 0,
-            copy_from: None,
+            beliefs: Beliefs::default(),
             detail: String::new(),
         }
     }
@@ -69,13 +53,13 @@
             server = self.server,
             status = status.as_u16(),
             hops = self.hops,
-            load = self.load,
-            least_load = self.least_load,
+            load = self.beliefs.load,
+            least_load = self.beliefs.least_load,
             report_age_ms = self.report_age_ms(),
-            usable = self.usable,
-            has_prompt = self.has_prompt,
-            unread_tokens = self.unread_tokens,
-            copy_from = self.copy_from.map(tracing::field::display),
+            usable = self.beliefs.usable,
+            has_prompt = self.beliefs.has_prompt,
+            unread_tokens = self.beliefs.unread_tokens,
+            copy_from = self.beliefs.copy_from.map(tracing::field::display),
             ms = self.ms(),
         );
     }
@@ -95,14 +79,14 @@
             outcome = %own.outcome,
             retry_after_ms = own.retry_after.map(|time| time.as_millis() as u64),
             hops = self.hops,
-            usable = self.usable,
+            usable = self.beliefs.usable,
             detail = self.detail,
             ms = self.ms(),
         );
     }
 
     fn report_age_ms(&self) -> Option<u64> {
-        self.report_age.map(|age| age.as_millis() as u64)
+        self.beliefs.report_age.map(|age| age.as_millis() as u64)
     }
 
     fn ms(&self) -> u64 {
@@ -121,7 +105,7 @@
                 config = self.config,
                 server = self.server,
                 hops = self.hops,
-                load = self.load,
+                load = self.beliefs.load,
                 report_age_ms = self.report_age_ms(),
                 ms = self.ms(),
             );
--- a/bulrushward_direct/tests/answers.rs
+++ b/bulrushward_direct/tests/answers.rs
@@ -231,17 +231,8 @@
 }
 
 #[rstest]
-#[case(0)]
-#[case(1)]
-#[case(2)]
-#[case(3)]
-#[case(4)]
-#[case(5)]
-#[case(6)]
-#[case(7)]
-#[case(8)]
 fn a_non_idempotent_request_that_may_have_run_is_sent_once_and_called_unknown(
-    #[case] index: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8)] index: usize,
 ) {
     let (failure, script) = failures()[index];
     let (one, two) = (
@@ -261,16 +252,9 @@
 }
 
 #[rstest]
-#[case(0)]
-#[case(1)]
-#[case(2)]
-#[case(3)]
-#[case(4)]
-#[case(5)]
-#[case(6)]
-#[case(7)]
-#[case(8)]
-fn an_idempotent_request_is_repeated_elsewhere_whatever_failed(#[case] index: usize) {
+fn an_idempotent_request_is_repeated_elsewhere_whatever_failed(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8)] index: usize,
+) {
     let (failure, script) = failures()[index];
     let (one, two) = (TestServer::start("s-1", script), TestServer::echo("s-2"));
     let router = router_before("plain", &[&one, &two]);
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -219,6 +219,21 @@
         .to_owned()
 }
 
+/// Asks for thirty sessions and returns where they are served, in order.
+fn homes(router: &TestRouter, round: &str) -> Vec<String> {
+    (10..40)
+        .map(|session| ask_session(router, session, &format!("{round}-{session}")))
+        .collect()
+}
+
+/// Registers further servers in the store that a router follows.
+fn register(router: &TestRouter, servers: &[TestServer]) {
+    for server in servers {
+        let record = support::record("engines", server.address);
+        router.store.put(&server.id, record);
+    }
+}
+
 /// Streams one event and names the server in a header.
 fn named(id: &'static str) -> TestServer {
     TestServer::start(id, move |req| {
@@ -236,28 +251,15 @@
     let first = [named("s-1"), named("s-2"), named("s-3")];
     let later = [named("s-4"), named("s-5"), named("s-6")];
     let router = router_before("engines", &first.iter().collect::<Vec<_>>());
-    let homes: Vec<_> = (10..40)
-        .map(|session| ask_session(&router, session, &format!("a-{session}")))
-        .collect();
-    for server in &later {
-        router
-            .store
-            .put(&server.id, support::record("engines", server.address));
-    }
+    let homes = homes(&router, "a");
+    register(&router, &later);
     wait_until("the others get new sessions", || {
         let new = (100..130).map(|session| ask_session(&router, session, &format!("n-{session}")));
         new.filter(|home| ["s-4", "s-5", "s-6"].contains(&home.as_str()))
             .count()
             > 3
     });
-    for (session, home) in (10..40).zip(homes) {
-        let id = format!("b-{session}");
-        assert_eq!(
-            ask_session(&router, session, &id),
-            home,
-            "session {session}"
-        );
-    }
+    assert_eq!(self::homes(&router, "b"), homes);
 }
 
 #[test]
@@ -291,20 +293,12 @@
     let first = [named("s-1"), named("s-2"), named("s-3")];
     let later = [named("s-4"), named("s-5"), named("s-6")];
     let router = router_before("engines", &first.iter().collect::<Vec<_>>());
-    let homes: Vec<_> = (10..40)
-        .map(|session| ask_session(&router, session, &format!("a-{session}")))
-        .collect();
-    for server in &later {
-        let record = support::record("engines", server.address);
-        router.store.put(&server.id, record);
-    }
+    let homes = homes(&router, "a");
+    register(&router, &later);
     let fresh = TestRouter::start_at(support::own_ip(), &router.store, &[router.ip]);
     fresh.wait_ready();
     wait_sessions(&fresh, 30);
-    for (session, home) in (10..40).zip(homes) {
-        let id = format!("b-{session}");
-        assert_eq!(ask_session(&fresh, session, &id), home, "session {session}");
-    }
+    assert_eq!(self::homes(&fresh, "b"), homes);
 }
 
 /// Waits until a router remembers this many sessions.
@@ -321,24 +315,16 @@
     let first = [named("s-1"), named("s-2"), named("s-3")];
     let later = [named("s-4"), named("s-5"), named("s-6")];
     let mut router = router_before("engines", &first.iter().collect::<Vec<_>>());
-    let homes: Vec<_> = (10..40)
-        .map(|session| ask_session(&router, session, &format!("a-{session}")))
-        .collect();
+    let homes = homes(&router, "a");
     router.store.set_saved(None);
     ask_session(&router, 40, "a-40");
     wait_until("it is saved", || router.store.saved_bytes().is_some());
     router.stop();
     router.ended();
-    for server in &later {
-        let record = support::record("engines", server.address);
-        router.store.put(&server.id, record);
-    }
+    register(&router, &later);
     let fresh = TestRouter::start(&router.store);
     wait_sessions(&fresh, 31);
-    for (session, home) in (10..40).zip(homes) {
-        let id = format!("b-{session}");
-        assert_eq!(ask_session(&fresh, session, &id), home, "session {session}");
-    }
+    assert_eq!(self::homes(&fresh, "b"), homes);
 }
 
 #[rstest]
--- a/bulrushward_directd/tests/pages.rs
+++ b/bulrushward_directd/tests/pages.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fs, path::Path};
 
-/// Collects what stands between quotes after `before` in the sources of a directory.
+/// Collects the texts in quotes that follow `before` in the sources of a directory.
 fn quoted(directory: &Path, before: &str, names: &mut BTreeSet<String>) {
     for entry in fs::read_dir(directory).expect("the sources are there") {
         let path = entry.expect("the entry can be read").path();
@@ -12,7 +12,8 @@
         }
         let text = fs::read_to_string(&path).expect("a source is text");
         let found = text.split(before).skip(1);
-        names.extend(found.filter_map(|rest| Some(rest.split_once('"')?.0.to_owned())));
+        let texts = found.filter_map(|rest| rest.trim_start().strip_prefix('"')?.split('"').next());
+        names.extend(texts.map(str::to_owned));
     }
 }
 
@@ -49,12 +50,13 @@
 
 #[test]
 fn every_event_is_on_the_page_and_the_other_way_round() {
-    assert_eq!(listed("OPERATIONS.md", "Events"), sources("event = \""));
+    assert_eq!(listed("OPERATIONS.md", "Events"), sources("event = "));
 }
 
 #[test]
 fn every_metric_is_on_the_page_and_the_other_way_round() {
-    let registered: BTreeSet<_> = sources("self.add(\"").into_iter().collect();
+    let mut registered = sources("r.add(");
+    registered.extend(sources("r.histogram("));
     let without_suffix = |name: String| name.trim_end_matches("_total").to_owned();
     let listed: BTreeSet<_> = listed("OPERATIONS.md", "Metrics")
         .into_iter()
--- a/bulrushward_policy/tests/server_registry.rs
+++ b/bulrushward_policy/tests/server_registry.rs
@@ -16,6 +16,15 @@
     registry
 }
 
+/// Returns a registry whose store was away for five seconds, and the time of its return.
+fn back_from_outage(start: Instant) -> (ServerRegistry<u32>, Instant) {
+    let mut registry = listed(start);
+    registry.store_failed(start);
+    let back = start + 5_000 * MS;
+    registry.store_answered(back);
+    (registry, back)
+}
+
 fn change(registry: &mut ServerRegistry<u32>, id: &str, record: Option<u32>, now: Instant) {
     let after = registry.as_of();
     assert!(registry.change(after, &[(id.to_owned(), record)], after + 1, now));
@@ -31,11 +40,7 @@
 
 #[test]
 fn an_entry_that_lapsed_in_an_outage_stays_until_it_could_have_come_back() {
-    let start = Instant::now();
-    let mut registry = listed(start);
-    registry.store_failed(start);
-    let back = start + 5_000 * MS;
-    registry.store_answered(back);
+    let (mut registry, back) = back_from_outage(Instant::now());
     registry.replace(vec![("b".into(), 2)], 11, back);
     assert_eq!(known(&registry), ["a", "b"]);
     assert!(!registry.drop_lapsed(back + 1_900 * MS));
@@ -46,11 +51,7 @@
 
 #[test]
 fn an_entry_that_came_back_stays() {
-    let start = Instant::now();
-    let mut registry = listed(start);
-    registry.store_failed(start);
-    let back = start + 5_000 * MS;
-    registry.store_answered(back);
+    let (mut registry, back) = back_from_outage(Instant::now());
     registry.replace(vec![("b".into(), 2)], 11, back);
     change(&mut registry, "a", Some(3), back + 1_000 * MS);
     assert!(!registry.drop_lapsed(back + 9_000 * MS));
@@ -59,11 +60,7 @@
 
 #[test]
 fn an_entry_removed_after_the_return_is_kept_no_longer_than_one_that_lapsed_before_it() {
-    let start = Instant::now();
-    let mut registry = listed(start);
-    registry.store_failed(start);
-    let back = start + 5_000 * MS;
-    registry.store_answered(back);
+    let (mut registry, back) = back_from_outage(Instant::now());
     // A server that leaves for good just after the store's return.
     change(&mut registry, "a", None, back + 1_600 * MS);
     assert!(registry.drop_lapsed(back + 2_200 * MS));
@@ -99,11 +96,7 @@
 
 #[test]
 fn nothing_is_dropped_while_the_store_is_away() {
-    let start = Instant::now();
-    let mut registry = listed(start);
-    registry.store_failed(start);
-    let back = start + 5_000 * MS;
-    registry.store_answered(back);
+    let (mut registry, back) = back_from_outage(Instant::now());
     registry.replace(vec![("b".into(), 2)], 11, back);
     registry.store_failed(back + 100 * MS);
     assert!(!registry.drop_lapsed(back + 4_000 * MS));
@@ -119,32 +112,30 @@
     assert_eq!(registry.as_of(), 10);
 }
 
-/// Returns what a peer tells that was cut off until `back` and in the meantime missed the removal of `a`.
-fn copy_of_returned_peer(start: Instant, back: Instant) -> Vec<CopiedEntry<u32>> {
-    let mut peer = listed(start);
-    peer.store_failed(start);
-    peer.store_answered(back);
+/// Returns what a peer tells that was cut off and in the meantime missed the removal of `a`, and when.
+fn copy_of_returned_peer(start: Instant) -> (Vec<CopiedEntry<u32>>, Instant) {
+    let (mut peer, back) = back_from_outage(start);
     peer.replace(vec![("b".into(), 2)], 20, back);
     assert_eq!(known(&peer), ["a", "b"]);
-    peer.copy()
+    (peer.copy(), back)
 }
 
 #[test]
 fn what_lapsed_for_a_peer_that_was_cut_off_is_gone_for_a_router_that_was_not() {
     let start = Instant::now();
-    let back = start + 5_000 * MS;
+    let (copy, back) = copy_of_returned_peer(start);
     let mut registry = listed(start);
-    registry.replace_by_copy(copy_of_returned_peer(start, back), 20, back + 500 * MS);
+    registry.replace_by_copy(copy, 20, back + 500 * MS);
     assert_eq!(known(&registry), ["b"]);
 }
 
 #[test]
 fn what_lapsed_for_a_peer_stays_with_a_router_whose_store_is_still_away() {
     let start = Instant::now();
-    let back = start + 5_000 * MS;
+    let (copy, back) = copy_of_returned_peer(start);
     let mut registry = listed(start);
     registry.store_failed(start + 100 * MS);
-    registry.replace_by_copy(copy_of_returned_peer(start, back), 20, back + 500 * MS);
+    registry.replace_by_copy(copy, 20, back + 500 * MS);
     assert_eq!(known(&registry), ["a", "b"]);
     let own_return = back + 3_000 * MS;
     registry.store_answered(own_return);
