Accept whole numbers and fractions in the settings of direct routers

Change: stop_grace_ms becomes stop_grace_s, so that the template appends nothing; errors name file, line, setting and value; extra_repeats has an upper bound.

--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -10,12 +10,14 @@
 };
 
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, serde_as};
-use snafu::{ResultExt, Snafu};
+use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
+use snafu::{IntoError, ResultExt, Snafu};
 
 /// Largest settings file that is read, in bytes.
 const MAX_FILE_BYTES: u64 = 64 << 10;
 
+/// Largest number of extra retries that may be set.
+const MAX_EXTRA_REPEATS: f64 = 1e6;
 /// Smallest propagation limit that may be set; one call to a slow store takes as long.
 const MIN_PROPAGATION_LIMIT: Duration = Duration::from_millis(100);
 
@@ -30,17 +32,37 @@
         /// Error of the operating system.
         source: io::Error,
     },
-    /// The file is not TOML or lacks a setting.
-    #[snafu(display("settings file {}: {}", path.display(), source.message()))]
+    /// The file is too large to be settings.
+    #[snafu(display("settings file {} has {size} bytes, expected at most {MAX_FILE_BYTES}", path.display()))]
+    TooLarge {
+        /// Path.
+        path: PathBuf,
+        /// Size in bytes.
+        size: u64,
+    },
+    /// The file is not TOML, lacks a setting or has one of another type.
+    #[snafu(display(
+        "settings file {}, line {line}: {}, in `{text}`", path.display(), source.message()
+    ))]
     Parse {
         /// Path.
         path: PathBuf,
-        /// Error of the TOML parser, which names the setting.
+        /// Number of the line, from 1.
+        line: usize,
+        /// Text of the line.
+        text: String,
+        /// Error of the TOML parser.
         source: Box<toml::de::Error>,
     },
     /// A setting has an invalid value.
-    #[snafu(display("setting {name} has value {value}, expected {expected}"))]
+    #[snafu(display(
+        "settings file {}, line {line}: {name} has value {value}, expected {expected}", path.display()
+    ))]
     Value {
+        /// Path.
+        path: PathBuf,
+        /// Number of the line, from 1.
+        line: usize,
         /// Name of the setting.
         name: &'static str,
         /// Value in the file.
@@ -50,6 +72,13 @@
     },
 }
 
+/// A setting with an invalid value, before it is located in its file.
+struct InvalidValue {
+    name: &'static str,
+    value: String,
+    expected: &'static str,
+}
+
 /// Settings of a direct router.
 #[serde_as]
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -74,21 +103,21 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
-    /// Milliseconds from the stop signal until the platform kills the process.
-    #[serde(rename = "stop_grace_ms")]
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    /// Seconds from the stop signal until the platform kills the process.
+    #[serde(rename = "stop_grace_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub stop_grace: Duration,
     /// Propagation limit of a leaving server in milliseconds.
     ///
     /// It runs from the store's acknowledgement of the entry until all routers know that the server is leaving.
     #[serde(rename = "leaving_known_ms")]
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub leaving_known: Duration,
     /// Propagation limit of a configuration in milliseconds.
     ///
     /// It runs from the store's acknowledgement of the write until the configuration is active at all routers.
     #[serde(rename = "config_known_ms")]
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub config_known: Duration,
     /// Largest ratio of retries to requests in the fleet.
     pub repeat_ratio: f64,
@@ -112,12 +141,7 @@
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
         let size = fs::metadata(path).context(ReadSnafu { path })?.len();
         if size > MAX_FILE_BYTES {
-            return ValueSnafu {
-                name: "(file)",
-                value: format!("{size} bytes"),
-                expected: "at most 64 KiB",
-            }
-            .fail();
+            return TooLargeSnafu { path, size }.fail();
         }
         let text = fs::read_to_string(path).context(ReadSnafu { path })?;
         Self::parse(&text, path)
@@ -127,12 +151,31 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SettingsError`] if a setting is invalid; the error names the setting.
+    /// Returns [`SettingsError`] if a setting is invalid; the error names the line and the setting.
     pub fn parse(text: &str, path: &Path) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text)
-            .map_err(Box::new)
-            .context(ParseSnafu { path })?;
-        settings.check()?;
+        let settings: Self = toml::from_str(text).map_err(|error| {
+            let start = error.span().map_or(0, |span| span.start);
+            let line = line_at(text, start);
+            let text = text.lines().nth(line - 1).unwrap_or_default().to_owned();
+            let source = Box::new(error);
+            ParseSnafu { path, line, text }.into_error(source)
+        })?;
+        settings.check().map_err(|invalid| {
+            let InvalidValue {
+                name,
+                value,
+                expected,
+            } = invalid;
+            let line = line_of_setting(text, name);
+            ValueSnafu {
+                path,
+                line,
+                name,
+                value,
+                expected,
+            }
+            .build()
+        })?;
         Ok(settings)
     }
 
@@ -162,13 +205,13 @@
         self.knowledge_address.ip()
     }
 
-    fn check(&self) -> Result<(), SettingsError> {
+    fn check(&self) -> Result<(), InvalidValue> {
         require("node", &self.node, !self.node.is_empty(), "a name")?;
         require(
-            "stop_grace_ms",
-            &self.stop_grace.as_millis(),
+            "stop_grace_s",
+            &self.stop_grace.as_secs_f64(),
             self.stop_grace >= Duration::from_secs(1),
-            "at least 1000",
+            "at least 1",
         )?;
         for (name, time) in [
             ("leaving_known_ms", self.leaving_known),
@@ -176,7 +219,7 @@
         ] {
             require(
                 name,
-                &time.as_millis(),
+                &(time.as_secs_f64() * 1e3),
                 time >= MIN_PROPAGATION_LIMIT,
                 "at least 100",
             )?;
@@ -190,8 +233,8 @@
         require(
             "extra_repeats",
             &self.extra_repeats,
-            self.extra_repeats >= 0.0,
-            "0 or more",
+            (0.0..=MAX_EXTRA_REPEATS).contains(&self.extra_repeats),
+            "0 to 1000000",
         )?;
         require(
             "metrics_port",
@@ -207,15 +250,30 @@
     value: &dyn ToString,
     is_valid: bool,
     expected: &'static str,
-) -> Result<(), SettingsError> {
+) -> Result<(), InvalidValue> {
     if is_valid {
         return Ok(());
     }
-    let value = value.to_string();
-    ValueSnafu {
+    Err(InvalidValue {
         name,
-        value,
+        value: value.to_string(),
         expected,
-    }
-    .fail()
+    })
+}
+
+/// Returns the number of the line, from 1, that contains a byte offset.
+fn line_at(text: &str, offset: usize) -> usize {
+    let before = text.bytes().take(offset);
+    1 + before.filter(|byte| *byte == b'\n').count()
+}
+
+/// Returns the number of the line, from 1, that sets `name`.
+fn line_of_setting(text: &str, name: &str) -> usize {
+    let sets_name = |line: &str| {
+        line.split_once('=')
+            .is_some_and(|(key, _)| key.trim() == name)
+    };
+    text.lines()
+        .position(sets_name)
+        .map_or(1, |index| index + 1)
 }
--- a/bulrushward_directd/tests/settings.rs
+++ b/bulrushward_directd/tests/settings.rs
@@ -24,8 +24,8 @@
         "node = \"n\"\nfailure_domain = \"a\"\ncallers_address = \"{ip}:8227\"\n\
          readiness_address = \"{ip}:8220\"\nknowledge_address = \"{ip}:8229\"\n\
          datagram_port = 7340\nmetrics_port = 7341\nstore_address = \"{ip}:1\"\n\
-         stop_grace_ms = 8000.0\nleaving_known_ms = 2000.0\nconfig_known_ms = 2000.0\n\
-         repeat_ratio = 0.2\nextra_repeats = 50.0\n"
+         stop_grace_s = 8\nleaving_known_ms = 2000\nconfig_known_ms = 2000.5\n\
+         repeat_ratio = 0.2\nextra_repeats = 50\n"
     )
 }
 
@@ -71,28 +71,58 @@
 }
 
 #[rstest]
-#[case::node("node = \"n\"", "node = \"\"", "node")]
-#[case::missing("datagram_port = 7340\n", "", "datagram_port")]
-#[case::unknown("metrics_port", "metric_port", "metric_port")]
-#[case::not_an_address(":8227", ":none", "callers_address")]
-#[case::grace("8000.0", "10.0", "stop_grace_ms")]
+#[case::node(
+    "node = \"n\"",
+    "node = \"\"",
+    "line 1: node has value , expected a name"
+)]
+#[case::missing("datagram_port = 7340\n", "", "missing field `datagram_port`")]
+#[case::unknown("metrics_port", "metric_port", "line 7: unknown field `metric_port`")]
+#[case::not_an_address(":8227", ":none", "line 3: invalid socket address syntax")]
+#[case::grace(
+    "stop_grace_s = 8",
+    "stop_grace_s = 0.5",
+    "line 9: stop_grace_s has value 0.5"
+)]
+#[case::negative_grace("stop_grace_s = 8", "stop_grace_s = -8", "line 9: ")]
+#[case::no_number(
+    "stop_grace_s = 8",
+    "stop_grace_s = \"8\"",
+    "in `stop_grace_s = \"8\"`"
+)]
 #[case::leaving(
-    "leaving_known_ms = 2000.0",
-    "leaving_known_ms = 5.0",
-    "leaving_known_ms"
+    "leaving_known_ms = 2000",
+    "leaving_known_ms = 5.25",
+    "line 10: leaving_known_ms has value 5.25, expected at least 100"
 )]
-#[case::config("config_known_ms = 2000.0", "config_known_ms = 0.0", "config_known_ms")]
-#[case::ratio("0.2", "1.5", "repeat_ratio")]
-#[case::extra("50.0", "-1.0", "extra_repeats")]
-#[case::ports("7341", "7340", "metrics_port")]
+#[case::config(
+    "config_known_ms = 2000.5",
+    "config_known_ms = 0",
+    "line 11: config_known_ms has value 0, expected at least 100"
+)]
+#[case::ratio("0.2", "1.5", "line 12: repeat_ratio has value 1.5, expected 0 to 1")]
+#[case::extra(
+    "= 50",
+    "= -1",
+    "line 13: extra_repeats has value -1, expected 0 to 1000000"
+)]
+#[case::endless_extra("= 50", "= inf", "line 13: extra_repeats has value inf")]
+#[case::ports("7341", "7340", "line 7: metrics_port has value 7340")]
 #[case::log("node =", "log = \"info=loud\"\nnode =", "log")]
-fn an_invalid_setting_is_named(#[case] valid: &str, #[case] invalid: &str, #[case] name: &str) {
+fn an_invalid_setting_is_named_with_its_file_and_line(
+    #[case] valid: &str,
+    #[case] invalid: &str,
+    #[case] expected: &str,
+) {
     let text = settings();
     assert!(text.contains(valid), "the case changes something");
-    let path = write_file(name, &text.replace(valid, invalid));
+    let path = write_file("invalid", &text.replace(valid, invalid));
     let output = daemon().arg("--settings").arg(&path).output();
     let error = error_line(&output.expect("the daemon starts"));
-    assert!(error.contains(name), "{error}");
+    assert!(error.contains(expected), "{error}");
+    if expected != "log" {
+        assert!(error.contains(&path.display().to_string()), "{error}");
+    }
 }
 
 #[rstest]
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -18,7 +18,7 @@
 pub(crate) const READINESS_PORT: u16 = 8_220;
 const FLEET_STATE_PORT: u16 = 8_229;
 /// Grace period of a stopping router, in milliseconds.
-const STOP_GRACE_MS: u64 = 6_000;
+const STOP_GRACE_S: u64 = 6;
 /// Number of loopback addresses reserved for the routers of one soak process.
 const MAX_ROUTERS: u32 = 64;
 
@@ -70,8 +70,8 @@
              knowledge_address = \"{ip}:{FLEET_STATE_PORT}\"\n\
              datagram_port = 7340\nmetrics_port = 7341\n\
              seeds = [\"{first}:{FLEET_STATE_PORT}\"]\nstore_address = \"{store}\"\n\
-             stop_grace_ms = {STOP_GRACE_MS}\nleaving_known_ms = 2000.0\n\
-             config_known_ms = 2000.0\nrepeat_ratio = 0.2\nextra_repeats = 50.0\n",
+             stop_grace_s = {STOP_GRACE_S}\nleaving_known_ms = 2000\n\
+             config_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\n",
             first = self::ip(0),
         );
         fs::create_dir_all(folder)?;
