Rename the schedule of saves to that of turns in the fleet

For a second task that some router of the fleet does at a time. List: module save_schedule to fleet_schedule, SaveSchedule to FleetSchedule, and the test file of the same name.

--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushward_policy::save_schedule::SaveSchedule;
+use bulrushward_policy::fleet_schedule::FleetSchedule;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
@@ -42,7 +42,7 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     restore(&shared).await;
     let mut saved_changes = 0;
-    let mut schedule = SaveSchedule::new(SAVE_INTERVAL, &mut rand::rng());
+    let mut schedule = FleetSchedule::new(SAVE_INTERVAL, &mut rand::rng());
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let changes = shared.location_changes();
--- a/bulrushward_policy/src/save_schedule.rs
+++ b/bulrushward_policy/src/fleet_schedule.rs
@@ -1,7 +1,7 @@
-//! When a router saves the state that all routers of the fleet share.
+//! When a router does its share of a task that some router of the fleet does at a time.
 //!
-//! Handles: a fleet of any size that writes to a store at the rate of one process, without leader
-//! election. Routers may join and leave; the cost of a missed or duplicate save is one call.
+//! Handles: a fleet of any size that calls a store at the rate of one process, without leader
+//! election. Routers may join and leave; the cost of a missed or duplicate turn is one call.
 
 use std::time::Duration;
 
@@ -10,21 +10,21 @@
 /// Random deviation from a cycle, as a fraction of it, so that routers do not synchronise.
 const JITTER: f64 = 0.5;
 
-/// Schedule of one router's saves.
+/// Schedule of one router's turns.
 ///
-/// A router saves once in a cycle on average. A cycle is `interval` times the number of live
+/// A router has one turn in a cycle on average. A cycle is `interval` times the number of live
 /// routers.
 #[derive(Clone, Debug)]
-pub struct SaveSchedule {
+pub struct FleetSchedule {
     interval: Duration,
-    /// Time since the last save, in cycles.
+    /// Time since the last turn, in cycles.
     elapsed: f64,
-    /// Time from the last save to the next one, in cycles.
+    /// Time from the last turn to the next one, in cycles.
     due: f64,
 }
 
-impl SaveSchedule {
-    /// Creates a schedule for a fleet in which some router saves once per `interval` on average.
+impl FleetSchedule {
+    /// Creates a schedule for a fleet in which some router has a turn once per `interval` on average.
     #[must_use]
     pub fn new(interval: Duration, rng: &mut impl Rng) -> Self {
         Self {
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Advances the schedule by a period with `routers` alive; returns whether to save now.
+    /// Advances the schedule by a period with `routers` alive; returns whether it is this router's turn.
     pub fn advance(&mut self, elapsed_time: Duration, routers: u32, rng: &mut impl Rng) -> bool {
         let cycle = self.interval.as_secs_f64() * f64::from(routers.max(1));
         self.elapsed += elapsed_time.as_secs_f64() / cycle;
--- a/bulrushward_policy/tests/save_schedule.rs
+++ b/bulrushward_policy/tests/fleet_schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushward_policy::save_schedule::SaveSchedule;
+use bulrushward_policy::fleet_schedule::FleetSchedule;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -15,7 +15,7 @@
 fn saves(routers: u32, seed: u64) -> Vec<u32> {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut fleet: Vec<_> = (0..routers)
-        .map(|_| SaveSchedule::new(INTERVAL, &mut rng))
+        .map(|_| FleetSchedule::new(INTERVAL, &mut rng))
         .collect();
     let mut saves = Vec::new();
     for second in 0..SECONDS {
@@ -50,6 +50,6 @@
 #[test]
 fn zero_known_routers_count_as_one() {
     let mut rng = Pcg64::seed_from_u64(1);
-    let mut schedule = SaveSchedule::new(INTERVAL, &mut rng);
+    let mut schedule = FleetSchedule::new(INTERVAL, &mut rng);
     assert!((0..5).any(|_| schedule.advance(CHECK_INTERVAL, 0, &mut rng)));
 }
