Notice that the store has forgotten a waiting call, and send it again

Meanwhile the call for servers was answered, so the store counted as available, and each change of the servers started the wait for a peer's configuration anew. The calls of other routers were lost in the same way. Ruled out: the connection (keepalive probes are answered), the decoding of the 1,244 routes (0.13 s elsewhere). Change: some router of the fleet probes the store twice a second with its cheapest call. A router that gets a response after calls without one sends its waiting calls again and tells its peers, which do the same, once for each outage. Configuration and servers have lags of their own behind the peers. While the configuration is in doubt, a request that it does not allow is answered 503 with Retry-After instead of 401 or 404. The wait for the own store before a peer is asked is half of the propagation limit instead of six tenths.

--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -36,12 +36,11 @@
 }
 
 impl StateVersion {
-    /// Returns whether this state contains something that the other one lacks.
+    /// Returns whether this state contains changes to the servers that the other one lacks.
     ///
     /// Revisions alone do not show that, as they also count changes to other keys of the store.
-    pub(crate) fn is_ahead_of(&self, other: &Self) -> bool {
-        self.config > other.config
-            || (self.revision > other.revision && self.servers != other.servers)
+    pub(crate) fn has_newer_servers_than(&self, other: &Self) -> bool {
+        self.revision > other.revision && self.servers != other.servers
     }
 }
 
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -11,7 +11,10 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use bulrushward_policy::{fleet_liveness::FleetLiveness, server_load::PeerLoad};
+use bulrushward_policy::{
+    fleet_liveness::FleetLiveness, server_load::PeerLoad, server_registry::StoreRevision,
+    store_recovery::RecoveryReport, view_lag::ViewLag,
+};
 use bulrushward_protocol::QuarantineRecord;
 use hyper::StatusCode;
 use rand::seq::IndexedRandom;
@@ -58,7 +61,7 @@
 /// Fraction of the propagation limit for which a router that is behind waits for its own store.
 ///
 /// After that it fetches the state from a peer. The wait exceeds the time for which changes are coalesced.
-const STORE_PREFERENCE_FRACTION: f64 = COALESCING_FRACTION + 0.2;
+const STORE_PREFERENCE_FRACTION: f64 = COALESCING_FRACTION + 0.1;
 
 /// Message that a router sends to its peers in each round.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -79,6 +82,13 @@
     others: Vec<PeerSighting>,
 }
 
+/// Second part of a datagram, which routers of earlier versions neither send nor read.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+struct GossipTail {
+    /// Latest return of the store from an outage.
+    recovery: Option<RecoveryReport>,
+}
+
 /// Age of the last sign of life of a router.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct PeerSighting {
@@ -118,8 +128,8 @@
     by_node: HashMap<String, Peer>,
     /// Liveness of peers, identified by the address of their fleet state.
     liveness: FleetLiveness<SocketAddr>,
-    /// Time since which a peer has been ahead while this router stayed at one version, and that version.
-    behind: Option<(Instant, StateVersion)>,
+    config_lag: ViewLag<Option<ConfigVersion>>,
+    servers_lag: ViewLag<StoreRevision>,
     /// Whether this router has fetched a snapshot from a peer since its start.
     has_initial_state: bool,
 }
@@ -145,7 +155,8 @@
             started_ms: now.as_millis() as u64,
             by_node: HashMap::new(),
             liveness: FleetLiveness::default(),
-            behind: None,
+            config_lag: ViewLag::default(),
+            servers_lag: ViewLag::default(),
             has_initial_state: false,
         })
     }
@@ -204,8 +215,8 @@
 
     /// Records a received datagram, unless it is from an earlier process of the same node.
     fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
-        let message: GossipMessage = match postcard::from_bytes(datagram) {
-            Ok(message) => message,
+        let (message, tail): (GossipMessage, _) = match postcard::take_from_bytes(datagram) {
+            Ok(parts) => parts,
             Err(error) => {
                 debug!(event = "datagram-unreadable", %from, %error);
                 return;
@@ -224,6 +235,11 @@
         if known.is_some_and(is_late) {
             return;
         }
+        // A router of an earlier version sends no tail.
+        let tail: GossipTail = postcard::from_bytes(tail).unwrap_or_default();
+        if let Some(recovery) = tail.recovery {
+            self.shared.store_state.merge_recovery(recovery);
+        }
         self.record_sighting(message.fleet_state_address, Duration::ZERO);
         for other in &message.others {
             self.record_sighting(
@@ -292,8 +308,10 @@
     }
 
     async fn send_message(&self) {
-        let message = self.build_message();
-        let bytes = match postcard::to_stdvec(&message) {
+        let tail = GossipTail {
+            recovery: self.shared.store_state.recovery_report(),
+        };
+        let bytes = match postcard::to_stdvec(&(self.build_message(), tail)) {
             Ok(bytes) => bytes,
             Err(error) => {
                 warn!(event = "digest-failed", %error);
@@ -370,22 +388,25 @@
     /// Fetches the state from a peer that is ahead, unless this router's store may still deliver it.
     async fn catch_up(&mut self, now: Instant) {
         let own = self.fleet_state.version();
-        let Some(from) = self.most_advanced_peer(&own) else {
-            self.behind = None;
+        let peer_versions = || self.fresh_peers().map(|peer| peer.message.state_version);
+        let is_config_behind = peer_versions().any(|peer| peer.config > own.config);
+        let are_servers_behind = peer_versions().any(|peer| peer.has_newer_servers_than(&own));
+        let store_state = &self.shared.store_state;
+        store_state.set_config_behind(is_config_behind);
+        let may_wait_for_store = store_state.is_available() && own.config.is_some();
+        let config_lag = self.config_lag.observe(own.config, is_config_behind, now);
+        let servers_lag = self
+            .servers_lag
+            .observe(own.revision, are_servers_behind, now);
+        let Some(lag) = config_lag.max(servers_lag) else {
             return;
         };
-        let since = match self.behind {
-            Some((since, previous_version)) if previous_version == own => since,
-            // A version that advances shows that the store is delivering changes.
-            _ => now,
-        };
-        self.behind = Some((since, own));
-        let may_wait_for_store = self.shared.is_store_available()
-            && own.config.is_some()
-            && now.saturating_duration_since(since) < self.store_grace_period();
-        if may_wait_for_store {
+        if may_wait_for_store && lag < self.store_grace_period() {
             return;
         }
+        let Some(from) = self.most_advanced_peer(config_lag >= servers_lag) else {
+            return;
+        };
         match fetch(from, own.config).await {
             Ok(snapshot) => self.fleet_state.merge(snapshot),
             Err(error) => info!(event = "fetch-failed", %from, error),
@@ -398,17 +419,16 @@
         limit.mul_f64(STORE_PREFERENCE_FRACTION)
     }
 
-    /// Returns the fleet state address of the most advanced peer, if any peer is ahead of this router.
-    fn most_advanced_peer(&self, own: &StateVersion) -> Option<SocketAddr> {
-        self.fresh_peers()
-            .filter(|peer| peer.message.state_version.is_ahead_of(own))
-            .max_by_key(|peer| {
-                (
-                    peer.message.state_version.config,
-                    peer.message.state_version.revision,
-                )
-            })
-            .map(|peer| peer.message.fleet_state_address)
+    /// Returns the fleet state address of the peer with the newest configuration, or else the newest servers.
+    fn most_advanced_peer(&self, by_config: bool) -> Option<SocketAddr> {
+        let rank = |peer: &&Peer| {
+            let StateVersion {
+                config, revision, ..
+            } = peer.message.state_version;
+            (config.filter(|_| by_config), revision, config)
+        };
+        let newest = self.fresh_peers().max_by_key(rank)?;
+        Some(newest.message.fleet_state_address)
     }
 }
 
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -29,6 +29,8 @@
 mod servers;
 mod settings;
 mod shared;
+mod store_probe;
+mod store_state;
 mod store_watch;
 
 pub use events::{EventSplitter, EventTooLarge};
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -31,6 +31,7 @@
 #[strum(serialize_all = "kebab-case")]
 pub(crate) enum Reason {
     NoConfiguration,
+    ConfigurationInDoubt,
     UnknownRoute,
     UnknownKey,
     BodyTooLarge,
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -56,6 +56,7 @@
     ServerChanges,
     Saved,
     Save,
+    Probe,
 }
 
 /// Values of the gauges that are computed when the metrics are scraped.
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -201,6 +201,13 @@
         wait: Duration,
     ) -> Result<ServerChanges, StoreError>;
 
+    /// Checks at the least cost whether the store responds.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] if there is no usable response.
+    async fn probe(&self) -> Result<(), StoreError>;
+
     /// Reads the bytes that a router of the fleet saved last; they may be a few seconds old.
     ///
     /// # Errors
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -49,10 +49,10 @@
         .unwrap_or_default();
     let route = table
         .route(host, head.uri.path())
-        .ok_or_else(|| LocalResponse::client_error(StatusCode::NOT_FOUND, Reason::UnknownRoute))?;
+        .ok_or_else(|| denial(shared, StatusCode::NOT_FOUND, Reason::UnknownRoute))?;
     request_log.route.clone_from(&route.name);
     request_log.config = Some(table.config().version);
-    let organisation = organisation(&table, metadata.key.as_deref(), route.is_public)?;
+    let organisation = organisation(shared, &table, metadata.key.as_deref(), route.is_public)?;
     request_log.organisation = organisation.map(|organisation| organisation.name.clone());
     let timeout = metadata
         .caller_timeout
@@ -99,17 +99,26 @@
     })
 }
 
+/// Returns the response to a request that the configuration does not allow.
+///
+/// While a newer configuration may allow it, the caller is told to come back instead.
+fn denial(shared: &Shared, status: StatusCode, reason: Reason) -> LocalResponse {
+    if shared.store_state.is_config_in_doubt() {
+        let retry = retry_after::for_configuration(shared);
+        return LocalResponse::not_run(Reason::ConfigurationInDoubt, retry);
+    }
+    LocalResponse::client_error(status, reason)
+}
+
 fn organisation<'a>(
+    shared: &Shared,
     table: &'a RouteTable,
     key: Option<&str>,
     is_public: bool,
 ) -> Result<Option<&'a Organisation>, LocalResponse> {
     let found = key.and_then(|key| table.organisation(key));
     if found.is_none() && table.requires_keys() && !is_public {
-        return Err(LocalResponse::client_error(
-            StatusCode::UNAUTHORIZED,
-            Reason::UnknownKey,
-        ));
+        return Err(denial(shared, StatusCode::UNAUTHORIZED, Reason::UnknownKey));
     }
     Ok(found)
 }
--- a/bulrushward_direct/src/retry_after.rs
+++ b/bulrushward_direct/src/retry_after.rs
@@ -18,7 +18,7 @@
 
 /// Returns the retry delay of a request refused for lack of a configuration.
 pub(crate) fn for_configuration(shared: &Shared) -> Duration {
-    if shared.is_store_available() {
+    if shared.store_state.is_available() {
         START_RETRY
     } else {
         jittered(OUTAGE_RETRY)
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -28,7 +28,7 @@
     saved_sessions,
     settings::DirectSettings,
     shared::Shared,
-    store_watch,
+    store_probe, store_watch,
 };
 
 /// Time after the stop signal in which new connections are still accepted.
@@ -139,7 +139,7 @@
         .context(ThreadSnafu)
 }
 
-/// Runs the control thread: store watches, gossip, the fleet state listener and saved sessions.
+/// Runs the control thread: store watches and probes, gossip, the fleet state listener and saved sessions.
 async fn run_control(shared: Arc<Shared>) {
     let fleet_state = FleetState::new(&shared);
     tokio::spawn(store_watch::watch_config(
@@ -155,6 +155,7 @@
         Arc::clone(&fleet_state),
     ));
     tokio::spawn(saved_sessions::run(Arc::clone(&shared)));
+    tokio::spawn(store_probe::run(Arc::clone(&shared)));
     match Gossip::bind(shared, fleet_state).await {
         Ok(gossip) => gossip.run().await,
         Err(error) => {
--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -47,7 +47,10 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         let changes = shared.location_changes();
         let is_turn = schedule.advance(CHECK_INTERVAL, shared.routers(), &mut rand::rng());
-        if changes != saved_changes && is_turn && shared.is_store_available() && save(&shared).await
+        if changes != saved_changes
+            && is_turn
+            && shared.store_state.is_available()
+            && save(&shared).await
         {
             saved_changes = changes;
         }
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -28,6 +28,7 @@
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
     settings::DirectSettings,
+    store_state::{StoreState, StoreView},
 };
 
 /// Fraction of the fleet's retry budget that routers spend.
@@ -50,34 +51,6 @@
 /// Largest number of requests whose crashes are remembered.
 const MAX_CRASH_RECORDS: usize = 1_024;
 
-/// Times at which this router's view of the store was last confirmed; initially the start of the process.
-#[derive(Debug)]
-struct ViewTimes {
-    /// Activation of the current configuration.
-    config_activated: Instant,
-    /// Last successful store call for the configuration.
-    config: Instant,
-    /// Last successful store call for the registered servers.
-    servers: Instant,
-}
-
-/// The part of the store that a call refers to.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum StoreView {
-    Config,
-    Servers,
-}
-
-impl ViewTimes {
-    fn new(now: Instant) -> Self {
-        Self {
-            config_activated: now,
-            config: now,
-            servers: now,
-        }
-    }
-}
-
 /// State of a direct router that is used by both threads.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -90,9 +63,10 @@
     /// Number of routers believed to be alive, including this one.
     routers: AtomicU32,
     is_stopping: AtomicBool,
-    is_store_available: AtomicBool,
+    pub(crate) store_state: StoreState,
     has_servers: AtomicBool,
-    view_times: Mutex<ViewTimes>,
+    /// Time at which the current configuration was activated; initially the start of the process.
+    config_activated: Mutex<Instant>,
     budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     session_locations: Mutex<SessionLocations>,
     /// Number of changes of session locations so far.
@@ -114,9 +88,9 @@
             servers: ArcSwap::default(),
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
-            is_store_available: AtomicBool::new(true),
+            store_state: StoreState::default(),
             has_servers: AtomicBool::new(false),
-            view_times: Mutex::new(ViewTimes::new(Instant::now())),
+            config_activated: Mutex::new(Instant::now()),
             budgets: Mutex::default(),
             session_locations: Mutex::new(SessionLocations::new(MAX_SESSIONS)),
             location_changes: AtomicU64::new(0),
@@ -148,7 +122,7 @@
         self.metrics
             .config_version
             .set(config.version.cast_signed());
-        lock(&self.view_times).config_activated = Instant::now();
+        *lock(&self.config_activated) = Instant::now();
         self.routes.store(Some(Arc::new(RouteTable::new(config))));
         true
     }
@@ -181,27 +155,6 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether the last call to the store succeeded.
-    pub(crate) fn is_store_available(&self) -> bool {
-        self.is_store_available.load(Ordering::Relaxed)
-    }
-
-    /// Records a successful call to the store; returns whether the call before it had failed.
-    pub(crate) fn record_store_success(&self, view: StoreView) -> bool {
-        let now = Instant::now();
-        let mut view_times = lock(&self.view_times);
-        match view {
-            StoreView::Config => view_times.config = now,
-            StoreView::Servers => view_times.servers = now,
-        }
-        !self.is_store_available.swap(true, Ordering::Relaxed)
-    }
-
-    /// Records a failed call to the store; returns whether the call before it had succeeded.
-    pub(crate) fn record_store_failure(&self) -> bool {
-        self.is_store_available.swap(false, Ordering::Relaxed)
-    }
-
     /// Returns the current values of the gauges that are computed when metrics are scraped.
     pub(crate) fn gauge_snapshot(&self) -> GaugeSnapshot {
         let (mut open, mut idle) = (0, 0);
@@ -210,13 +163,12 @@
             idle += server.state().idle.len() as u32;
         }
         let budgets = lock(&self.budgets);
-        let view_times = lock(&self.view_times);
         GaugeSnapshot {
             connections_open: open,
             connections_idle: idle,
-            config_age: view_times.config_activated.elapsed(),
-            config_view_age: view_times.config.elapsed(),
-            servers_view_age: view_times.servers.elapsed(),
+            config_age: lock(&self.config_activated).elapsed(),
+            config_view_age: self.store_state.view_age(StoreView::Config),
+            servers_view_age: self.store_state.view_age(StoreView::Servers),
             budgets: budgets
                 .iter()
                 .map(|(service, budget)| (service.clone(), budget.available()))
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -1,15 +1,19 @@
 //! Watches the configuration and the registered servers in the platform's store by long polling.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rand::RngExt;
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::{
     fleet_state::{FleetState, Source},
     metrics::StoreCall,
     ports::{FleetStore, StoreError},
-    shared::{Shared, StoreView},
+    shared::Shared,
+    store_state::StoreView,
 };
 
 /// Time for which one call waits for changes.
@@ -44,6 +48,23 @@
     }
 }
 
+/// Waits for the response to a long poll; returns `None` if the call has to be sent again.
+async fn poll<T>(
+    shared: &Shared,
+    view: StoreView,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Option<Result<T, StoreError>> {
+    let sent = Instant::now();
+    tokio::select! {
+        result = call => Some(result),
+        () = shared.store_state.resend_due(sent) => {
+            let waited_ms = sent.elapsed().as_millis() as u64;
+            info!(event = "store-call-resent", view = <&str>::from(view), waited_ms);
+            None
+        }
+    }
+}
+
 /// Watches the configuration until cancelled.
 pub(crate) async fn watch_config(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
@@ -52,14 +73,17 @@
         let (call, result) = match after {
             None => (StoreCall::Config, shared.store.config().await),
             Some(after) => {
-                let result = shared.store.next_config(after, LONG_POLL_TIMEOUT).await;
+                let call = shared.store.next_config(after, LONG_POLL_TIMEOUT);
+                let Some(result) = poll(&shared, StoreView::Config, call).await else {
+                    continue;
+                };
                 (StoreCall::ConfigChanges, result)
             }
         };
         shared.metrics.record_store_call(call, &result);
         match result {
             Ok(update) => {
-                record_success(&shared, StoreView::Config);
+                shared.store_state.record_view(StoreView::Config);
                 backoff = Backoff::default();
                 after = Some(update.revision);
                 if let Some(config) = update.config {
@@ -69,7 +93,7 @@
             }
             Err(error) => {
                 after = None;
-                record_failure(&shared, &error);
+                shared.store_state.record_failure(&error);
                 backoff.pause().await;
             }
         }
@@ -83,7 +107,10 @@
     loop {
         let store = shared.store.as_ref();
         let (call, result) = if has_listing {
-            let result = next_servers(store, &fleet_state).await;
+            let call = next_servers(store, &fleet_state);
+            let Some(result) = poll(&shared, StoreView::Servers, call).await else {
+                continue;
+            };
             (StoreCall::ServerChanges, result)
         } else {
             let result = list_servers(store, &fleet_state).await;
@@ -92,7 +119,7 @@
         shared.metrics.record_store_call(call, &result);
         match result {
             Ok(has_changes) => {
-                record_success(&shared, StoreView::Servers);
+                shared.store_state.record_view(StoreView::Servers);
                 backoff = Backoff::default();
                 if has_listing && has_changes {
                     coalesce(shared.settings().leaving_known).await;
@@ -104,7 +131,7 @@
                 if !matches!(error, StoreError::HistoryGone { .. }) {
                     fleet_state.record_store_failure();
                 }
-                record_failure(&shared, &error);
+                shared.store_state.record_failure(&error);
                 backoff.pause().await;
             }
         }
@@ -116,20 +143,6 @@
     tokio::time::sleep(limit.mul_f64(COALESCING_FRACTION)).await;
 }
 
-fn record_success(shared: &Shared, view: StoreView) {
-    if shared.record_store_success(view) {
-        info!(event = "store-regained");
-    }
-}
-
-fn record_failure(shared: &Shared, error: &StoreError) {
-    if matches!(error, StoreError::HistoryGone { .. }) {
-        info!(event = "store-history-gone", %error);
-    } else if shared.record_store_failure() {
-        warn!(event = "store-lost", %error);
-    }
-}
-
 async fn list_servers(
     store: &dyn FleetStore,
     fleet_state: &FleetState,
--- /dev/null
+++ b/bulrushward_direct/tests/store_outages.rs
@@ -0,0 +1,188 @@
+//! A router follows the store through outages in which calls that wait there are lost.
+//!
+//! Pattern: a store in trouble forgets the long polls that it holds, or takes new ones and never responds to them, while
+//! their connections stay alive. A change after its return must be known within the limit, whatever happened to the call
+//! that should have told of it.
+
+mod support;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bulrushward_direct::RouteKind;
+use rstest::rstest;
+use support::{
+    TestRouter, config,
+    platform::{MemoryStore, Trouble},
+    record, request, route, router_with_servers,
+    server::TestServer,
+    unique_loopback_ip, wait_until,
+};
+
+/// Time within which a change must be known after the store has returned.
+const ACTIVATION_LIMIT: Duration = Duration::from_secs(2);
+/// Duration of a trouble; a router has sent several calls by then.
+const TROUBLE_TIME: Duration = Duration::from_millis(2_500);
+/// Time between the end of a trouble and the next event.
+const PAUSE: Duration = Duration::from_millis(700);
+
+/// The part of the store's contents that changes after the trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum View {
+    Config,
+    Servers,
+}
+
+/// What happens while the calls after the first trouble are waiting.
+#[derive(Clone, Copy, Debug)]
+enum Further {
+    Nothing,
+    Silence,
+    HistoryGone,
+}
+
+/// Changes both views, so that a router sends new calls for both after it has gathered the changes.
+fn change_both(store: &MemoryStore, version: u64, server: &TestServer) {
+    store.set_config(config(version));
+    store.put(
+        &format!("extra-{version}"),
+        record("engines", server.address),
+    );
+}
+
+/// Changes a view and asserts that the router acts on the change within the limit.
+fn assert_followed(router: &TestRouter, view: View, second: &TestServer) {
+    let store = &router.store;
+    let start = Instant::now();
+    match view {
+        View::Config => {
+            let mut newer = config(9);
+            newer.routes.push(route("new", RouteKind::Idempotent));
+            store.set_config(newer);
+            wait_until("the new route is served", || {
+                router.send(&request("GET", "new", "r", "")).status == 200
+            });
+        }
+        View::Servers => {
+            store.put("s-2", record("plain", second.address));
+            store.remove("s-1");
+            wait_until("the new server is used", || {
+                router.send(&request("GET", "lookup", "r", "")).text() == "s-2"
+            });
+        }
+    }
+    let elapsed = start.elapsed();
+    assert!(
+        elapsed < ACTIVATION_LIMIT,
+        "{view:?} is known after {elapsed:?}"
+    );
+}
+
+#[rstest]
+fn a_change_after_lost_calls_is_known_in_time(
+    #[values(View::Config, View::Servers)] view: View,
+    #[values(
+        Trouble::Silent,
+        Trouble::Reset,
+        Trouble::Refused(503),
+        Trouble::Refused(429)
+    )]
+    trouble: Trouble,
+    #[values(false, true)] forgets_waiting: bool,
+    #[values(Further::Nothing, Further::Silence, Further::HistoryGone)] further: Further,
+) {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let router = router_with_servers("plain", &[&one]);
+    let store = Arc::clone(&router.store);
+    change_both(&store, 2, &one);
+    // The router waits for further changes and then sends its next calls, which the trouble meets.
+    std::thread::sleep(Duration::from_millis(100));
+    store.set_trouble(trouble);
+    if forgets_waiting {
+        store.forget_waiting();
+    }
+    std::thread::sleep(TROUBLE_TIME);
+    store.set_trouble(Trouble::None);
+    std::thread::sleep(PAUSE);
+    match further {
+        Further::Nothing => {}
+        Further::Silence => {
+            store.set_trouble(Trouble::Silent);
+            store.forget_waiting();
+            std::thread::sleep(TROUBLE_TIME);
+            store.set_trouble(Trouble::None);
+        }
+        Further::HistoryGone => store.discard_history(),
+    }
+    assert_followed(&router, view, &two);
+}
+
+#[test]
+fn calls_that_all_routers_lost_are_sent_again() {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let router = router_with_servers("plain", &[&one]);
+    let second = TestRouter::start_at(unique_loopback_ip(), &router.store, &[router.ip]);
+    second.wait_ready();
+    router.store.forget_waiting();
+    router.store.set_trouble(Trouble::Silent);
+    std::thread::sleep(TROUBLE_TIME);
+    router.store.set_trouble(Trouble::None);
+    for router in [&router, &second] {
+        assert_followed(router, View::Config, &two);
+    }
+}
+
+#[test]
+fn a_stale_configuration_is_fetched_from_a_peer_although_servers_change_all_the_time() {
+    let server = TestServer::echo("s-1");
+    let router = router_with_servers("plain", &[&server]);
+    let store = MemoryStore::with(config(1));
+    store.put("s-1", record("plain", server.address));
+    let second = TestRouter::start_at(unique_loopback_ip(), &store, &[router.ip]);
+    second.wait_ready();
+    // Each router waits for further changes after its first configuration.
+    std::thread::sleep(Duration::from_secs(1));
+    let mut newer = config(2);
+    newer.routes.push(route("new", RouteKind::Idempotent));
+    router.store.set_config(newer);
+    let start = Instant::now();
+    let mut changes = 0;
+    wait_until("the new route is served", || {
+        changes += 1;
+        store.put(
+            &format!("extra-{changes}"),
+            record("engines", server.address),
+        );
+        std::thread::sleep(Duration::from_millis(100));
+        second.send(&request("GET", "new", "r", "")).status == 200
+    });
+    let elapsed = start.elapsed();
+    assert!(
+        elapsed < ACTIVATION_LIMIT,
+        "the route is known after {elapsed:?}"
+    );
+}
+
+#[test]
+fn a_request_is_not_denied_while_the_configuration_is_in_doubt() {
+    let server = TestServer::echo("s-1");
+    let router = router_with_servers("plain", &[&server]);
+    let unknown_route = || router.send(&request("GET", "unknown", "r", ""));
+    let unknown_key = || router.send(&request("GET", "lookup", "r", "").replace("key-1", "key-2"));
+    assert_eq!((unknown_route().status, unknown_key().status), (404, 401));
+    router.store.forget_waiting();
+    router.store.set_trouble(Trouble::Silent);
+    wait_until("the router is in doubt", || unknown_route().status == 503);
+    for response in [unknown_route(), unknown_key()] {
+        assert_eq!(response.status, 503);
+        assert_eq!(response.header("x-bulrushward-outcome"), Some("not-run"));
+        assert!(response.header("retry-after").is_some());
+    }
+    assert_eq!(router.send(&request("GET", "lookup", "r", "")).status, 200);
+    router.store.set_trouble(Trouble::None);
+    wait_until("the configuration is confirmed", || {
+        (unknown_route().status, unknown_key().status) == (404, 401)
+    });
+}
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -123,11 +123,31 @@
     discarded_revision: u64,
 }
 
+/// Time after which a client of the store stops waiting for a response.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What the store does with calls that it receives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// Serves them.
+    #[default]
+    None,
+    /// Never responds to them, not even after the trouble has ended.
+    Silent,
+    /// Resets their connections.
+    Reset,
+    /// Refuses them with a status.
+    Refused(u16),
+}
+
 /// An in-memory store.
 #[derive(Debug, Default)]
 pub struct MemoryStore {
     contents: Mutex<Contents>,
     is_down: AtomicBool,
+    trouble: Mutex<Trouble>,
+    /// Number of times that the store forgot the calls that were waiting.
+    forgotten: AtomicU32,
     fails_server_listing: AtomicBool,
     saved: Mutex<Option<Bytes>>,
     changed: Notify,
@@ -160,6 +180,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets what the store does with the calls that it receives from now on.
+    pub fn set_trouble(&self, trouble: Trouble) {
+        *self
+            .trouble
+            .lock()
+            .expect("no test panics while holding the lock") = trouble;
+    }
+
+    /// Makes the store never respond to the calls that are waiting for changes.
+    pub fn forget_waiting(&self) {
+        self.forgotten.fetch_add(1, Ordering::SeqCst);
+        self.changed.notify_waiters();
+    }
+
     /// Makes calls that list servers fail while others succeed.
     pub fn fail_server_listing(&self, fails: bool) {
         self.fails_server_listing.store(fails, Ordering::SeqCst);
@@ -210,6 +244,22 @@
             .expect("no test panics while holding the lock")
     }
 
+    /// Lets a call through, or fails it as the current trouble does; `limit` is how long its client waits.
+    async fn enter(&self, limit: Duration) -> Result<(), StoreError> {
+        let trouble = *self
+            .trouble
+            .lock()
+            .expect("no test panics while holding the lock");
+        match trouble {
+            Trouble::None => self.check(),
+            Trouble::Silent => Err(time_out(limit).await),
+            Trouble::Reset => Err(StoreError::Unavailable {
+                detail: "connection reset".to_owned(),
+            }),
+            Trouble::Refused(status) => Err(StoreError::Refused { status }),
+        }
+    }
+
     fn check(&self) -> Result<(), StoreError> {
         if self.is_down.load(Ordering::SeqCst) {
             return Err(StoreError::Refused { status: 503 });
@@ -223,9 +273,16 @@
         wait: Duration,
         find: impl Fn(&Contents) -> Option<T>,
     ) -> Result<Option<T>, StoreError> {
+        let limit = wait + CALL_TIMEOUT;
+        self.enter(limit).await?;
+        let forgotten = self.forgotten.load(Ordering::SeqCst);
+        let is_forgotten = || self.forgotten.load(Ordering::SeqCst) != forgotten;
         let found = timeout(wait, async {
             loop {
                 let changed = self.changed.notified();
+                if is_forgotten() {
+                    return Err(time_out(limit).await);
+                }
                 self.check()?;
                 if let Some(found) = find(&self.lock()) {
                     return Ok(found);
@@ -233,14 +290,26 @@
                 changed.await;
             }
         });
-        found.await.map_or(Ok(None), |found| found.map(Some))
+        match found.await {
+            Ok(found) => found.map(Some),
+            Err(_elapsed) if is_forgotten() => Err(time_out(CALL_TIMEOUT).await),
+            Err(_elapsed) => Ok(None),
+        }
+    }
+}
+
+/// Returns the error of a client that waited for a response in vain.
+async fn time_out(limit: Duration) -> StoreError {
+    tokio::time::sleep(limit).await;
+    StoreError::Unavailable {
+        detail: format!("no response within {limit:?}"),
     }
 }
 
 #[async_trait]
 impl FleetStore for MemoryStore {
     async fn config(&self) -> Result<ConfigUpdate, StoreError> {
-        self.check()?;
+        self.enter(CALL_TIMEOUT).await?;
         let contents = self.lock();
         Ok(ConfigUpdate {
             config: contents.config.as_ref().map(|(config, _)| config.clone()),
@@ -262,7 +331,7 @@
     }
 
     async fn servers(&self) -> Result<ServerListing, StoreError> {
-        self.check()?;
+        self.enter(CALL_TIMEOUT).await?;
         if self.fails_server_listing.load(Ordering::SeqCst) {
             return Err(StoreError::Refused { status: 429 });
         }
@@ -298,13 +367,17 @@
         })
     }
 
+    async fn probe(&self) -> Result<(), StoreError> {
+        self.enter(CALL_TIMEOUT).await
+    }
+
     async fn read_saved(&self) -> Result<Option<Bytes>, StoreError> {
-        self.check()?;
+        self.enter(CALL_TIMEOUT).await?;
         Ok(self.saved_bytes())
     }
 
     async fn save(&self, bytes: &[u8]) -> Result<(), StoreError> {
-        self.check()?;
+        self.enter(CALL_TIMEOUT).await?;
         self.set_saved(Some(Bytes::copy_from_slice(bytes)));
         Ok(())
     }
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -25,3 +25,5 @@
 pub mod server_registry;
 mod service_time;
 pub mod session_locations;
+pub mod store_recovery;
+pub mod view_lag;
