Divide the retry budget so that it works in fleets of any size

Cause: a router's balance was capped at extra x 0.35 / routers, 0.91 with 68 routers, while a retry takes 1.0: no retry was granted once the fleet was known, and the balance kept the fleet size of its creation. Ruled out: a floor of 1.0 for each router, as 1,000 routers that restart would hold 1,000. Change: each request earns a fraction of a retry that has to be used within a quarter of the window; the first one is earned after a random fraction, so that many routers with few requests earn together what their requests allow. Half of the extra retries are divided among the routers as whole retries, by draw where a share is not whole; each returns one window after its use. A router that has just started holds fewer, and none before it knows the fleet. A cause whose retries succeed less often leaves the last spare retry to the others. Connections to a server are divided by the same function; a fleet larger than the limit uses some servers each.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -149,7 +149,8 @@
     request: &RoutedRequest,
     choice: &ServerChoice,
 ) -> Result<Connection, AttemptError> {
-    let share = shared.connection_share(request.service.connection_limit);
+    let limit = request.service.connection_limit;
+    let share = shared.connection_share(limit, choice.server.hash);
     let acquired = connection::acquire(&choice.server, share).await;
     let connection = acquired.map_err(|error| {
         let failure = match error {
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -133,7 +133,9 @@
             let may_resume = matches!(next, NextAttempt::Send { .. })
                 && Instant::now() < self.request.deadline
                 && self.last_event_id.is_some()
-                && self.shared.withdraw_retry(&self.request.service.name);
+                && self
+                    .shared
+                    .withdraw_retry(&self.request.service.name, error.failure.retry_cause());
             if !may_resume {
                 self.record_end(StreamEnd::Cut, &error.detail);
                 return None;
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -62,6 +62,7 @@
     let mut history = AttemptHistory::new(request.route.is_idempotent(), request.route.max_servers);
     let mut tried = Vec::new();
     let mut last_error: Option<AttemptError> = None;
+    let mut retry_cause = None;
     loop {
         if let Some(time_left) = shared.quarantine_time_left(request.fingerprint) {
             return match history.outcome() {
@@ -81,7 +82,11 @@
         request_log.inputs = choice.inputs;
         tried.push(server.id.clone());
         shared.metrics.record_attempt(choice.inputs.report_age);
-        let error = match attempt::send(shared, &request, &choice, None).await {
+        let result = attempt::send(shared, &request, &choice, None).await;
+        if let Some(cause) = retry_cause.take() {
+            shared.record_retry_result(service, cause, result.is_ok());
+        }
+        let error = match result {
             Ok(response) => return Ok(respond(shared, &request, response, history, tried)),
             Err(error) => error,
         };
@@ -91,14 +96,14 @@
         record_suspected_crash(shared, &request, server, &error);
         let next = history.record_failure(error.failure);
         let reason = failure_reason(&error);
+        let cause = error.failure.retry_cause();
         last_error = Some(error);
         match next {
-            NextAttempt::Send { retry } if !retry || shared.withdraw_retry(service) => {
-                if retry {
-                    shared.metrics.retries.inc();
-                }
+            NextAttempt::Send { retry: false } => {}
+            NextAttempt::Send { retry: true } if shared.withdraw_retry(service, cause) => {
+                retry_cause = Some(cause);
             }
-            NextAttempt::Send { .. } => {
+            NextAttempt::Send { retry: true } => {
                 return final_response(&history, last_error, Reason::RetryBudget);
             }
             NextAttempt::NotRun | NextAttempt::Unknown => {
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -56,14 +56,21 @@
     let now = Instant::now();
     let session = request.session.filter(|_| request.service.is_engine);
     let locations = session.map_or_else(Vec::new, |session| shared.session_locations(session));
+    let may_connect = |server: &Server| {
+        let limit = request.service.connection_limit;
+        limit > shared.routers() || shared.connection_share(limit, server.hash) > 0
+    };
+    let is_candidate = |server: &Server| {
+        !server.record.is_leaving && !tried.contains(&server.id) && may_connect(server)
+    };
     let mut views: Vec<_> = servers
         .iter()
-        .map(|server| server_view(server, tried, &locations, now))
+        .map(|server| server_view(server, is_candidate(server), &locations, now))
         .collect();
     if !views.iter().any(|view| view.usable) {
         // All servers are in backoff: one of them is tried rather than refusing the request outright.
         for (view, server) in views.iter_mut().zip(servers) {
-            view.usable = is_candidate(server, tried);
+            view.usable = is_candidate(server);
         }
     }
     let usable_loads = views.iter().filter(|view| view.usable);
@@ -129,7 +136,7 @@
 
 fn server_view<'a>(
     server: &'a Server,
-    tried: &[String],
+    is_candidate: bool,
     locations: &[ServerHash],
     now: Instant,
 ) -> ServerView<'a> {
@@ -139,11 +146,7 @@
         load: f64::from(state.load.total_requests(now)) + state.health.load_penalty(now),
         unread_tokens: state.load.total_unread_tokens(now),
         slots: server.record.slots,
-        usable: is_candidate(server, tried) && !state.health.is_backing_off(now),
+        usable: is_candidate && !state.health.is_backing_off(now),
         has_prompt: locations.contains(&server.hash),
     }
 }
-
-fn is_candidate(server: &Server, tried: &[String]) -> bool {
-    !server.record.is_leaving && !tried.contains(&server.id)
-}
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bulrushward_policy::fleet_retry_budget::RetryAllowance;
 use serde::Deserialize;
 use serde_with::{DurationMilliSecondsWithFrac, DurationSecondsWithFrac, serde_as};
 use snafu::{IntoError, ResultExt, Snafu};
@@ -18,6 +19,10 @@
 
 /// Largest number of extra retries that may be set.
 const MAX_EXTRA_REPEATS: f64 = 1e6;
+/// Time in which gossip tells a router that has just started of nearly all others.
+const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(1);
+/// Smallest window of the retry budget that may be set.
+const MIN_REPEAT_WINDOW: Duration = Duration::from_secs(1);
 /// Smallest propagation limit that may be set; one call to a slow store takes as long.
 const MIN_PROPAGATION_LIMIT: Duration = Duration::from_millis(100);
 
@@ -123,6 +128,10 @@
     pub repeat_ratio: f64,
     /// Retries that the fleet may send beyond that ratio in any window of the retry budget.
     pub extra_repeats: f64,
+    /// Window of the retry budget in seconds.
+    #[serde(rename = "repeat_window_s")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    pub repeat_window: Duration,
     /// Log filter, such as `info`.
     #[serde(default = "default_log")]
     pub log: String,
@@ -191,6 +200,28 @@
         SocketAddr::new(self.own_ip(), self.metrics_port)
     }
 
+    /// Returns the retries that the fleet may send for each service.
+    pub(crate) fn retry_allowance(&self) -> RetryAllowance {
+        RetryAllowance {
+            ratio: self.repeat_ratio,
+            extra: self.extra_repeats,
+            window: self.repeat_window,
+        }
+    }
+
+    /// Returns the time from the start until gossip has told the number of routers.
+    pub(crate) fn peer_discovery_time(&self) -> Duration {
+        let has_peers = self
+            .seeds
+            .iter()
+            .any(|seed| *seed != self.knowledge_address);
+        if has_peers {
+            PEER_DISCOVERY_TIME
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Returns whether all addresses and ports equal those of other settings.
     pub(crate) fn has_addresses_of(&self, other: &Self) -> bool {
         self.callers_address == other.callers_address
@@ -236,6 +267,12 @@
             (0.0..=MAX_EXTRA_REPEATS).contains(&self.extra_repeats),
             "0 to 1000000",
         )?;
+        require(
+            "repeat_window_s",
+            &self.repeat_window.as_secs_f64(),
+            self.repeat_window >= MIN_REPEAT_WINDOW,
+            "at least 1",
+        )?;
         require(
             "metrics_port",
             &self.metrics_port,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -13,12 +13,14 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushward_policy::{
+    fleet_retry_budget::{FleetRetryBudget, RetryCause},
+    fleet_share::whole_share,
     quarantine::{Quarantine, Verdict},
-    retry_budget::RetryBudget,
     session_locations::{SessionKey, SessionLocations},
 };
 use bulrushward_protocol::{Fingerprint, QuarantineRecord};
 use memory_stats::memory_stats;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     location_updates::{LocationUpdates, SessionLocation},
@@ -31,14 +33,6 @@
     store_state::{StoreState, StoreView},
 };
 
-/// Fraction of the fleet's retry budget that routers spend.
-///
-/// The rest covers restarted routers, which begin with a fresh balance, and routers whose views of the fleet
-/// differ.
-const RETRY_BUDGET_FRACTION: f64 = 0.7;
-/// Smallest fleet size assumed when the extra retries are divided among the routers.
-const MIN_ROUTERS: u32 = 4;
-
 /// Largest number of sessions whose locations are remembered, at roughly a hundred bytes each.
 const MAX_SESSIONS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 
@@ -62,12 +56,14 @@
     pub(crate) servers: ArcSwap<ServerSet>,
     /// Number of routers believed to be alive, including this one.
     routers: AtomicU32,
+    /// Time from which the number of routers is known.
+    fleet_known: Instant,
     is_stopping: AtomicBool,
     pub(crate) store_state: StoreState,
     has_servers: AtomicBool,
     /// Time at which the current configuration was activated; initially the start of the process.
     config_activated: Mutex<Instant>,
-    budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
+    budgets: Mutex<HashMap<ServiceName, FleetRetryBudget>>,
     session_locations: Mutex<SessionLocations>,
     /// Number of changes of session locations so far.
     location_changes: AtomicU64,
@@ -79,7 +75,9 @@
 
 impl Shared {
     pub(crate) fn new(settings: DirectSettings, dependencies: RouterDependencies) -> Arc<Self> {
+        let fleet_known = Instant::now() + settings.peer_discovery_time();
         Arc::new(Self {
+            fleet_known,
             settings: ArcSwap::from_pointee(settings),
             conventions: dependencies.conventions,
             store: dependencies.store,
@@ -162,7 +160,8 @@
             open += server.connections.load(Ordering::Relaxed);
             idle += server.state().idle.len() as u32;
         }
-        let budgets = lock(&self.budgets);
+        let (routers, now) = (self.routers(), Instant::now());
+        let mut budgets = lock(&self.budgets);
         GaugeSnapshot {
             connections_open: open,
             connections_idle: idle,
@@ -170,8 +169,8 @@
             config_view_age: self.store_state.view_age(StoreView::Config),
             servers_view_age: self.store_state.view_age(StoreView::Servers),
             budgets: budgets
-                .iter()
-                .map(|(service, budget)| (service.clone(), budget.available()))
+                .iter_mut()
+                .map(|(service, budget)| (service.clone(), budget.available(routers, now)))
                 .collect(),
             log_lines_dropped: self.log.dropped_lines(),
             memory_bytes: memory_stats().map(|stats| stats.physical_mem),
@@ -184,44 +183,47 @@
 
     /// Returns this router's share of the connections that a server accepts.
     ///
-    /// The limit is divided by one router more than is known, so the shares of all routers add up to less than
-    /// the limit.
-    pub(crate) fn connection_share(&self, limit: u32) -> u32 {
-        (limit / (self.routers() + 1)).max(1)
+    /// The limit is divided by one router more than is known, so that the shares of all routers add up to less
+    /// than the limit. In a fleet of more routers than that, each connects to some of the servers.
+    pub(crate) fn connection_share(&self, limit: u32, server: ServerHash) -> u32 {
+        let node_hash = xxh3_64_with_seed(self.settings.load().node.as_bytes(), server.into());
+        let draw = f64::from(node_hash as u32) / f64::from(u32::MAX);
+        whole_share(f64::from(limit), self.routers() + 1, draw)
     }
 
     /// Deposits one request into the retry budget of a service.
     pub(crate) fn deposit_request(&self, service: &str) {
-        self.with_budget(service, RetryBudget::deposit);
+        self.with_budget(service, |budget| budget.deposit(Instant::now()));
     }
 
     /// Withdraws one retry from the budget of a service; returns whether the retry may be sent.
-    pub(crate) fn withdraw_retry(&self, service: &str) -> bool {
-        let is_allowed = self.with_budget(service, RetryBudget::withdraw);
-        if !is_allowed {
+    pub(crate) fn withdraw_retry(&self, service: &str, cause: RetryCause) -> bool {
+        let routers = self.routers();
+        let is_allowed = self.with_budget(service, |budget| {
+            budget.withdraw(cause, routers, Instant::now())
+        });
+        if is_allowed {
+            self.metrics.retries.inc();
+        } else {
             self.metrics.retries_refused.inc();
         }
         is_allowed
     }
 
-    fn with_budget<T>(&self, service: &str, update: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    /// Records whether a retry succeeded.
+    pub(crate) fn record_retry_result(&self, service: &str, cause: RetryCause, is_success: bool) {
+        self.with_budget(service, |budget| budget.record_result(cause, is_success));
+    }
+
+    fn with_budget<T>(&self, service: &str, update: impl FnOnce(&mut FleetRetryBudget) -> T) -> T {
+        let allowance = self.settings().retry_allowance();
         let mut budgets = lock(&self.budgets);
         if let Some(budget) = budgets.get_mut(service) {
+            budget.set_allowance(allowance);
             return update(budget);
         }
-        update(
-            budgets
-                .entry(service.to_owned())
-                .or_insert_with(|| self.new_budget()),
-        )
-    }
-
-    fn new_budget(&self) -> RetryBudget {
-        let routers = self.routers().max(MIN_ROUTERS);
-        // Half is reserved for restarted routers, which begin with a full balance.
-        let settings = self.settings();
-        let balance = settings.extra_repeats * RETRY_BUDGET_FRACTION / 2.0 / f64::from(routers);
-        RetryBudget::with_balance(settings.repeat_ratio * RETRY_BUDGET_FRACTION, balance)
+        let budget = FleetRetryBudget::new(allowance, self.fleet_known, &mut rand::rng());
+        update(budgets.entry(service.to_owned()).or_insert(budget))
     }
 
     /// Returns the servers that are believed to have the prompt of a session cached.
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -150,6 +150,7 @@
         config_known: Duration::from_secs(2),
         repeat_ratio: 0.2,
         extra_repeats: 50.0,
+        repeat_window: Duration::from_secs(10),
         log: "info".to_owned(),
     }
 }
--- a/bulrushward_directd/tests/settings.rs
+++ b/bulrushward_directd/tests/settings.rs
@@ -25,7 +25,7 @@
          readiness_address = \"{ip}:8220\"\nknowledge_address = \"{ip}:8229\"\n\
          datagram_port = 7340\nmetrics_port = 7341\nstore_address = \"{ip}:1\"\n\
          stop_grace_s = 8\nleaving_known_ms = 2000\nconfig_known_ms = 2000.5\n\
-         repeat_ratio = 0.2\nextra_repeats = 50\n"
+         repeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n"
     )
 }
 
@@ -100,13 +100,22 @@
     "config_known_ms = 0",
     "line 11: config_known_ms has value 0, expected at least 100"
 )]
-#[case::ratio("0.2", "1.5", "line 12: repeat_ratio has value 1.5, expected 0 to 1")]
+#[case::ratio(
+    "repeat_ratio = 0.2",
+    "repeat_ratio = 1.5",
+    "line 12: repeat_ratio has value 1.5, expected 0 to 1"
+)]
 #[case::extra(
     "= 50",
     "= -1",
     "line 13: extra_repeats has value -1, expected 0 to 1000000"
 )]
 #[case::endless_extra("= 50", "= inf", "line 13: extra_repeats has value inf")]
+#[case::window(
+    "repeat_window_s = 10",
+    "repeat_window_s = 0.5",
+    "line 14: repeat_window_s has value 0.5, expected at least 1"
+)]
 #[case::ports("7341", "7340", "line 7: metrics_port has value 7340")]
 #[case::log("node =", "log = \"info=loud\"\nnode =", "log")]
 fn an_invalid_setting_is_named_with_its_file_and_line(
--- a/bulrushward_policy/src/retry_budget.rs
+++ b/bulrushward_policy/src/retry_budget.rs
@@ -14,7 +14,6 @@
 pub struct RetryBudget {
     fraction: f64,
     balance: f64,
-    max_balance: f64,
 }
 
 impl RetryBudget {
@@ -24,17 +23,6 @@
         Self {
             fraction: fraction.clamp(0.0, 1.0),
             balance: INITIAL_BALANCE,
-            max_balance: MAX_BALANCE,
-        }
-    }
-
-    /// Creates a budget that starts with `max_balance` retries and accumulates no more than that.
-    #[must_use]
-    pub fn with_balance(fraction: f64, max_balance: f64) -> Self {
-        Self {
-            fraction: fraction.clamp(0.0, 1.0),
-            balance: max_balance,
-            max_balance,
         }
     }
 
@@ -45,7 +33,7 @@
 
     /// Adds the deposit of one request.
     pub fn deposit(&mut self) {
-        self.balance = (self.balance + self.fraction).min(self.max_balance);
+        self.balance = (self.balance + self.fraction).min(MAX_BALANCE);
     }
 
     /// Withdraws one retry; returns whether it may be sent.
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -8,6 +8,8 @@
 
 use strum::{Display, IntoStaticStr};
 
+use crate::fleet_retry_budget::RetryCause;
+
 /// How an attempt at one server failed.
 #[derive(Clone, Copy, Debug, Display, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
@@ -38,6 +40,15 @@
         )
     }
 
+    /// Returns the cause of a retry after this failure.
+    #[must_use]
+    pub fn retry_cause(self) -> RetryCause {
+        match self {
+            Self::ServerError => RetryCause::ErrorResponse,
+            _ => RetryCause::ServerUnusable,
+        }
+    }
+
     /// Returns whether the server received the request.
     #[must_use]
     pub fn reached_server(self) -> bool {
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -71,7 +71,7 @@
              datagram_port = 7340\nmetrics_port = 7341\n\
              seeds = [\"{first}:{FLEET_STATE_PORT}\"]\nstore_address = \"{store}\"\n\
              stop_grace_s = {STOP_GRACE_S}\nleaving_known_ms = 2000\n\
-             config_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\n",
+             config_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n",
             first = self::ip(0),
         );
         fs::create_dir_all(folder)?;
