--- a/bulrushward_policy/src/fleet_retry_budget.rs
+++ b/bulrushward_policy/src/fleet_retry_budget.rs
@@ -21,9 +21,9 @@
 ///
 /// Retries that were earned before a window are used in it, so a window has more of them than its own
 /// requests earn.
-const EARNED_FRACTION: f64 = 0.65;
+const EARNED_FRACTION: f64 = 0.6;
 /// Fraction of the window for which an earned retry may be used.
-const EARNED_LIFETIME_FRACTION: f64 = 0.25;
+const EARNED_LIFETIME_FRACTION: f64 = 0.35;
 /// Fraction of the extra retries that the routers divide; the rest covers restarts and counts of the
 /// fleet that differ.
 const SPARE_FRACTION: f64 = 0.5;
