Tell peers of servers whose addresses belong to others

After a backoff of 0.4 to 3 s a router tried the same server again. Ruled out: sending such a request to a second server, as its route allows one.

--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -83,10 +83,12 @@
 }
 
 /// Second part of a datagram, which routers of earlier versions neither send nor read.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct GossipTail {
     /// Latest return of the store from an outage.
     recovery: Option<RecoveryReport>,
+    /// Servers of which another server has the address.
+    replaced_servers: Vec<ServerHash>,
 }
 
 /// Age of the last sign of life of a router.
@@ -240,6 +242,18 @@
         if let Some(recovery) = tail.recovery {
             self.shared.store_state.merge_recovery(recovery);
         }
+        let mut replaced = self.shared.replaced_servers();
+        let now = Instant::now();
+        let new = tail.replaced_servers.iter();
+        let new = new.filter(|server| replaced.record(**server, now)).count();
+        drop(replaced);
+        if new > 0 {
+            info!(
+                event = "servers-replaced-heard",
+                servers = new,
+                from = message.node
+            );
+        }
         self.record_sighting(message.fleet_state_address, Duration::ZERO);
         for other in &message.others {
             self.record_sighting(
@@ -310,6 +324,7 @@
     async fn send_message(&self) {
         let tail = GossipTail {
             recovery: self.shared.store_state.recovery_report(),
+            replaced_servers: self.shared.replaced_servers().report(Instant::now()),
         };
         let bytes = match postcard::to_stdvec(&(self.build_message(), tail)) {
             Ok(bytes) => bytes,
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -94,6 +94,11 @@
         request_log.detail.clone_from(&error.detail);
         log_failed_attempt(&request, &server.id, &error);
         record_suspected_crash(shared, &request, server, &error);
+        if error.failure == AttemptFailure::Misdirected {
+            shared
+                .replaced_servers()
+                .record(server.hash, Instant::now());
+        }
         let next = history.record_failure(error.failure);
         let reason = failure_reason(&error);
         let cause = error.failure.retry_cause();
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -63,12 +63,15 @@
     let is_candidate = |server: &Server| {
         !server.record.is_leaving && !tried.contains(&server.id) && may_connect(server)
     };
+    let replaced = shared.replaced_servers();
+    let is_usable = |server: &Server| is_candidate(server) && !replaced.contains(server.hash, now);
     let mut views: Vec<_> = servers
         .iter()
-        .map(|server| server_view(server, is_candidate(server), &locations, now))
+        .map(|server| server_view(server, is_usable(server), &locations, now))
         .collect();
+    drop(replaced);
     if !views.iter().any(|view| view.usable) {
-        // All servers are in backoff: one of them is tried rather than refusing the request outright.
+        // All servers are in backoff or replaced: one of them is tried rather than refusing the request outright.
         for (view, server) in views.iter_mut().zip(servers) {
             view.usable = is_candidate(server);
         }
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -16,6 +16,7 @@
     fleet_retry_budget::{FleetRetryBudget, RetryCause},
     fleet_share::whole_share,
     quarantine::{Quarantine, Verdict},
+    replaced_servers::ReplacedServers,
     session_locations::{SessionKey, SessionLocations},
 };
 use bulrushward_protocol::{Fingerprint, QuarantineRecord};
@@ -70,6 +71,7 @@
     /// Session locations still to be sent to peers.
     location_updates: Mutex<LocationUpdates>,
     quarantine: Mutex<Quarantine>,
+    replaced_servers: Mutex<ReplacedServers>,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -98,6 +100,7 @@
                 CRASH_RECORD_TTL,
                 MAX_CRASH_RECORDS,
             )),
+            replaced_servers: Mutex::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -279,6 +282,11 @@
             .set(locations.len().cast_signed() as i64);
     }
 
+    /// Locks the servers of which another server has the address.
+    pub(crate) fn replaced_servers(&self) -> MutexGuard<'_, ReplacedServers> {
+        lock(&self.replaced_servers)
+    }
+
     /// Records a server crash that a request is suspected to have caused.
     pub(crate) fn record_crash(&self, fingerprint: Fingerprint) {
         lock(&self.quarantine).record_crash(fingerprint, Instant::now());
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -384,6 +384,32 @@
     assert!(refused.header("retry-after").is_some());
 }
 
+/// Time in which gossip reaches the other router.
+const GOSSIP_TIME: Duration = Duration::from_secs(1);
+
+#[test]
+fn a_replaced_server_receives_one_request_of_the_fleet() {
+    let other = |req: &support::server::Received| {
+        vec![support::server::response(req, "421 Misdirected", "", "")]
+    };
+    let (one, two) = (TestServer::start("s-1", other), TestServer::echo("s-2"));
+    let router = router_with_servers("plain", &[&one, &two]);
+    let second = TestRouter::start_at(unique_loopback_ip(), &router.store, &[router.ip]);
+    second.wait_ready();
+    wait_until("a request meets the replaced server", || {
+        assert_eq!(status(&router, "lookup"), 200);
+        !one.received().is_empty()
+    });
+    std::thread::sleep(GOSSIP_TIME);
+    for _round in 0..20 {
+        for router in [&router, &second] {
+            assert_eq!(status(router, "lookup"), 200);
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(one.received().len(), 1);
+}
+
 #[test]
 fn lost_responses_do_not_quarantine_a_request() {
     let resets = |_: &support::server::Received| vec![Step::Reset];
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod organisation_limit;
 pub mod placement;
 pub mod quarantine;
+pub mod replaced_servers;
 pub mod retry_budget;
 pub mod server_attempt;
 pub mod server_choice;
