Admit to an overloaded plain service what it can answer in time

The servers do not report their load, and a router has half a request in progress there. All queues are full: certificates and lookups are answered after 290 ms at the median, with a target of 300 ms, and 85 to 287 a second are rejected by the servers. Ruled out: choosing servers better (the busiest has 1.01 times the mean), a queue at the router (68 short queues add to the wait that is there already). Change: routers exchange the response times of the servers of plain services. While the median of the servers is above four fifths of the target, routers admit less and refuse the rest at once with Retry-After, organisations that send much first; a slow server among others changes nothing. A request that has less time left than the servers need is refused.

--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -31,6 +31,7 @@
     fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
     location_updates::SessionLocation,
     model::ConfigVersion,
+    overload::ServerTime,
     servers::ServerHash,
     shared::Shared,
     store_watch::COALESCING_FRACTION,
@@ -89,6 +90,8 @@
     recovery: Option<RecoveryReport>,
     /// Servers of which another server has the address.
     replaced_servers: Vec<ServerHash>,
+    /// Response times of the servers of plain services.
+    response_times: Vec<ServerTime>,
 }
 
 /// Age of the last sign of life of a router.
@@ -242,6 +245,9 @@
         if let Some(recovery) = tail.recovery {
             self.shared.store_state.merge_recovery(recovery);
         }
+        self.shared
+            .overload
+            .merge(&tail.response_times, &self.shared.servers.load());
         let mut replaced = self.shared.replaced_servers();
         let now = Instant::now();
         let new = tail.replaced_servers.iter();
@@ -325,6 +331,7 @@
         let tail = GossipTail {
             recovery: self.shared.store_state.recovery_report(),
             replaced_servers: self.shared.replaced_servers().report(Instant::now()),
+            response_times: self.shared.overload.report(),
         };
         let bytes = match postcard::to_stdvec(&(self.build_message(), tail)) {
             Ok(bytes) => bytes,
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod location_updates;
 mod metrics;
 mod model;
+mod overload;
 mod ports;
 mod relay;
 mod request_handler;
--- /dev/null
+++ b/bulrushward_direct/src/overload.rs
@@ -0,0 +1,159 @@
+//! Overload of plain services, which servers do not report and routers see in response times.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::{
+    overload_admission::{OverloadAdmission, ReportedTime},
+    server_attempt::AttemptFailure,
+};
+use serde::{Deserialize, Serialize};
+use tracing::{info, warn};
+
+use crate::{
+    model::ServiceName,
+    routed_request::RoutedRequest,
+    servers::{Server, ServerHash, ServerSet},
+};
+
+/// Largest number of servers whose response times one datagram reports.
+const MAX_REPORTED: usize = 32;
+/// Admitted fraction below which a service is logged as overloaded.
+const OVERLOADED_BELOW: f64 = 0.9;
+
+/// Average response time of a server in a datagram.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct ServerTime {
+    server: ServerHash,
+    ms: u32,
+}
+
+/// Admission to one service.
+#[derive(Debug)]
+struct ServiceAdmission {
+    admission: OverloadAdmission,
+    /// Whether the service was last logged as overloaded.
+    is_overloaded: bool,
+}
+
+/// Admission to all plain services.
+#[derive(Debug, Default)]
+pub(crate) struct OverloadControl {
+    by_service: Mutex<HashMap<ServiceName, ServiceAdmission>>,
+}
+
+impl OverloadControl {
+    /// Decides whether a request is sent to its service, which has `servers` servers.
+    ///
+    /// A request is not sent either if the servers need longer than it has left.
+    pub(crate) fn admits(&self, request: &RoutedRequest, servers: usize) -> bool {
+        if request.service.is_engine {
+            // Engines order their queues by priority, and a prompt's length determines the response time.
+            return true;
+        }
+        let now = Instant::now();
+        let organisation = request.organisation.as_deref().unwrap_or_default();
+        let target = request.route.target_latency;
+        let mut by_service = self.lock();
+        let service = by_service
+            .entry(request.service.name.clone())
+            .or_insert_with(|| ServiceAdmission {
+                admission: OverloadAdmission::new(now),
+                is_overloaded: false,
+            });
+        let admission = &mut service.admission;
+        let is_admitted = admission.admit(organisation, target, servers, now, &mut rand::rng());
+        let response_time = admission.response_time(servers, now);
+        let admitted = admission.admitted();
+        service.log(&request.service.name, admitted, response_time);
+        is_admitted && response_time < request.time_left()
+    }
+
+    /// Records the result of an attempt that took `time`.
+    pub(crate) fn record_attempt(
+        &self,
+        request: &RoutedRequest,
+        server: &Server,
+        time: Duration,
+        failure: Option<AttemptFailure>,
+    ) {
+        if request.service.is_engine {
+            return;
+        }
+        let now = Instant::now();
+        let mut by_service = self.lock();
+        let Some(service) = by_service.get_mut(&request.service.name) else {
+            return;
+        };
+        match failure {
+            None | Some(AttemptFailure::ServerError) => {
+                service.admission.record_response(server.hash, time, now);
+            }
+            Some(AttemptFailure::Rejected) => {
+                let target = request.route.target_latency;
+                service.admission.record_rejection(server.hash, target, now);
+            }
+            Some(_) => {}
+        }
+    }
+
+    /// Merges the response times that a peer reports.
+    pub(crate) fn merge(&self, reported: &[ServerTime], servers: &ServerSet) {
+        if reported.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let mut by_service = self.lock();
+        for (name, service) in by_service.iter_mut() {
+            for server in servers.of_service(name) {
+                let found = reported.iter().find(|time| time.server == server.hash);
+                if let Some(time) = found {
+                    let time = Duration::from_millis(time.ms.into());
+                    service.admission.merge((server.hash, time), now);
+                }
+            }
+        }
+    }
+
+    /// Returns the response times to report to peers.
+    pub(crate) fn report(&self) -> Vec<ServerTime> {
+        let now = Instant::now();
+        let by_service = self.lock();
+        let times = by_service
+            .values()
+            .flat_map(|service| service.admission.report(now));
+        times.map(ServerTime::from).take(MAX_REPORTED).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<ServiceName, ServiceAdmission>> {
+        self.by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ServiceAdmission {
+    /// Logs the begin and end of an overload.
+    fn log(&mut self, service: &str, admitted: f64, response_time: Duration) {
+        let response_ms = response_time.as_millis() as u64;
+        if !self.is_overloaded && admitted < OVERLOADED_BELOW {
+            self.is_overloaded = true;
+            warn!(event = "service-overloaded", service, admitted, response_ms);
+        } else if self.is_overloaded && admitted >= 1.0 {
+            self.is_overloaded = false;
+            info!(event = "service-overload-ended", service, response_ms);
+        }
+    }
+}
+
+impl From<ReportedTime> for ServerTime {
+    fn from((server, time): ReportedTime) -> Self {
+        Self {
+            server,
+            ms: time.as_millis() as u32,
+        }
+    }
+}
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -59,6 +59,11 @@
     let service = &request.service.name;
     shared.deposit_request(service);
     request_log.is_stream = request.is_stream();
+    let servers = shared.servers.load().of_service(service).len();
+    if !shared.overload.admits(&request, servers) {
+        let retry = retry_after::for_overload();
+        return Err(LocalResponse::not_run(Reason::Overloaded, retry));
+    }
     let mut history = AttemptHistory::new(request.route.is_idempotent(), request.route.max_servers);
     let mut tried = Vec::new();
     let mut last_error: Option<AttemptError> = None;
@@ -82,7 +87,12 @@
         request_log.inputs = choice.inputs;
         tried.push(server.id.clone());
         shared.metrics.record_attempt(choice.inputs.report_age);
+        let sent = Instant::now();
         let result = attempt::send(shared, &request, &choice, None).await;
+        let failure = result.as_ref().err().map(|error| error.failure);
+        shared
+            .overload
+            .record_attempt(&request, server, sent.elapsed(), failure);
         if let Some(cause) = retry_cause.take() {
             shared.record_retry_result(service, cause, result.is_ok());
         }
--- a/bulrushward_direct/src/retry_after.rs
+++ b/bulrushward_direct/src/retry_after.rs
@@ -16,6 +16,12 @@
 /// Range of the retry delay while no server has capacity.
 const SERVER_RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(600));
 
+/// Range of the retry delay while all servers of a service are overloaded.
+///
+/// Surges last seconds, and callers that return later spread over more of that time.
+const OVERLOAD_RETRY: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(900));
+
 /// Returns the retry delay of a request refused for lack of a configuration.
 pub(crate) fn for_configuration(shared: &Shared) -> Duration {
     if shared.store_state.is_available() {
@@ -30,6 +36,11 @@
     jittered(SERVER_RETRY)
 }
 
+/// Returns the retry delay of a request refused because its service is overloaded.
+pub(crate) fn for_overload() -> Duration {
+    jittered(OVERLOAD_RETRY)
+}
+
 /// Returns a random delay, so that callers refused together do not retry together.
 fn jittered((least, most): (Duration, Duration)) -> Duration {
     rand::rng().random_range(least..most)
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -27,6 +27,7 @@
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
+    overload::OverloadControl,
     ports::{FleetStore, HttpConventions, LogStats, RouterDependencies},
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
@@ -72,6 +73,7 @@
     location_updates: Mutex<LocationUpdates>,
     quarantine: Mutex<Quarantine>,
     replaced_servers: Mutex<ReplacedServers>,
+    pub(crate) overload: OverloadControl,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -101,6 +103,7 @@
                 MAX_CRASH_RECORDS,
             )),
             replaced_servers: Mutex::default(),
+            overload: OverloadControl::default(),
             metrics: DirectMetrics::new(),
         })
     }
--- a/bulrushward_direct/tests/responses.rs
+++ b/bulrushward_direct/tests/responses.rs
@@ -188,6 +188,33 @@
     }
 }
 
+#[test]
+fn an_overloaded_service_refuses_a_part_of_the_requests_at_once() {
+    let server = TestServer::start("s-1", |req| {
+        vec![
+            Step::Pause(Duration::from_millis(200)),
+            ok_response(req, "slow"),
+        ]
+    });
+    let router = router_with_servers("plain", &[&server]);
+    let refused = (0..60).find_map(|index| {
+        let id = format!("r-{index}");
+        let start = Instant::now();
+        let response = router.send(&request("GET", "lookup", &id, ""));
+        (response.status == 503).then(|| (id, response, start.elapsed()))
+    });
+    let (id, response, elapsed) = refused.expect("a request is refused");
+    assert!(elapsed < Duration::from_millis(100));
+    assert_eq!(response.header("x-bulrushward-outcome"), Some("not-run"));
+    assert!(response.header("retry-after").is_some());
+    let received = server.received();
+    assert!(
+        received
+            .iter()
+            .all(|req| req.header("request") != Some(&id))
+    );
+}
+
 type Failure = (&'static str, fn(&Received) -> Vec<Step>);
 
 /// Number of requests in the test of the retry budget.
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod mean_load;
 pub mod membership;
 pub mod organisation_limit;
+pub mod overload_admission;
 pub mod placement;
 pub mod quarantine;
 pub mod replaced_servers;
--- /dev/null
+++ b/bulrushward_policy/src/overload_admission.rs
@@ -0,0 +1,223 @@
+//! Admission to a service whose servers are all overloaded.
+//!
+//! Handles: a plain service with few places that many routers share, each of which has less than one
+//! request in progress there; servers that do not report their load; an organisation that sends many
+//! times its usual requests. Without admission the queues of all servers stay full, so that every
+//! response is late and the surplus is rejected anyway.
+//!
+//! The response times of all servers tell of overload. Routers exchange theirs, so that each of them
+//! admits about the same fraction of requests. A slow server among others is no overload.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use rand::{Rng, RngExt};
+
+use crate::session_locations::ServerKey;
+
+/// Weight of an own response time in the moving average of a server.
+const OWN_WEIGHT: f64 = 0.3;
+/// Weight of a peer's average in the moving average of a server.
+const PEER_WEIGHT: f64 = 0.1;
+/// Age from which the average of a server is ignored.
+const AVERAGE_MAX_AGE: Duration = Duration::from_secs(2);
+/// Response time that a rejected request counts as, in multiples of the target latency.
+const REJECTION_TARGETS: f64 = 1.5;
+/// Ratio of response time to target latency above which fewer requests are admitted.
+const HIGH_PRESSURE: f64 = 0.8;
+/// Ratio of response time to target latency below which more requests are admitted.
+const LOW_PRESSURE: f64 = 0.65;
+/// Interval at which the admitted fraction is adapted.
+const ADAPT_INTERVAL: Duration = Duration::from_millis(250);
+/// Factor of the admitted fraction in an interval of high pressure.
+const DECREASE: f64 = 0.96;
+/// Addition to the admitted fraction in an interval of low pressure.
+const INCREASE: f64 = 0.03;
+/// Smallest admitted fraction.
+const MIN_ADMITTED: f64 = 0.2;
+/// Time in which the request count of an organisation halves.
+const COUNT_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Smallest ratio of an organisation's admitted fraction to that of all.
+const MIN_ORGANISATION_RATIO: f64 = 0.5;
+/// Largest number of organisations that are told apart.
+const MAX_ORGANISATIONS: usize = 256;
+
+/// Average response time of a server as routers tell it to each other.
+pub type ReportedTime = (ServerKey, Duration);
+
+#[derive(Clone, Copy, Debug)]
+struct Average {
+    seconds: f64,
+    updated: Instant,
+}
+
+impl Average {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.updated) < AVERAGE_MAX_AGE
+    }
+}
+
+/// Admission of one router to one service.
+#[derive(Clone, Debug)]
+pub struct OverloadAdmission {
+    /// Response times that this router measured.
+    own_times: HashMap<ServerKey, Average>,
+    /// Response times that this router and its peers measured.
+    all_times: HashMap<ServerKey, Average>,
+    /// Fraction of the requests that is admitted.
+    admitted: f64,
+    adapted: Instant,
+    /// Decaying numbers of requests by organisation.
+    counts: HashMap<String, f64>,
+    counts_decayed: Instant,
+}
+
+impl OverloadAdmission {
+    /// Creates the admission to a service of which nothing is known.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            own_times: HashMap::new(),
+            all_times: HashMap::new(),
+            admitted: 1.0,
+            adapted: now,
+            counts: HashMap::new(),
+            counts_decayed: now,
+        }
+    }
+
+    /// Records the time in which a server responded.
+    pub fn record_response(&mut self, server: ServerKey, time: Duration, now: Instant) {
+        let seconds = time.as_secs_f64();
+        update(&mut self.own_times, server, seconds, OWN_WEIGHT, now);
+        update(&mut self.all_times, server, seconds, OWN_WEIGHT, now);
+    }
+
+    /// Records that a server rejected a request because it was full.
+    pub fn record_rejection(&mut self, server: ServerKey, target: Duration, now: Instant) {
+        self.record_response(server, target.mul_f64(REJECTION_TARGETS), now);
+    }
+
+    /// Merges the average response time that a peer measured.
+    pub fn merge(&mut self, (server, time): ReportedTime, now: Instant) {
+        let seconds = time.as_secs_f64();
+        update(&mut self.all_times, server, seconds, PEER_WEIGHT, now);
+    }
+
+    /// Returns the average response times that this router measured a short time ago.
+    pub fn report(&self, now: Instant) -> impl Iterator<Item = ReportedTime> {
+        let fresh = self.own_times.iter();
+        let fresh = fresh.filter(move |(_, average)| average.is_fresh(now));
+        fresh.map(|(server, average)| (*server, Duration::from_secs_f64(average.seconds)))
+    }
+
+    /// Returns the median of the servers' average response times, or zero if too few are known.
+    ///
+    /// `servers` is the number of servers that the service has.
+    #[must_use]
+    pub fn response_time(&self, servers: usize, now: Instant) -> Duration {
+        let fresh = self.all_times.values();
+        let fresh = fresh.filter(|average| average.is_fresh(now));
+        let mut seconds: Vec<_> = fresh.map(|average| average.seconds).collect();
+        if seconds.len() * 2 <= servers {
+            return Duration::ZERO;
+        }
+        seconds.sort_unstable_by(f64::total_cmp);
+        Duration::from_secs_f64(seconds[(seconds.len() - 1) / 2])
+    }
+
+    /// Decides whether a request of an organisation is sent to the service.
+    ///
+    /// `target` is the time in which the response should arrive, `servers` the number of servers.
+    pub fn admit(
+        &mut self,
+        organisation: &str,
+        target: Duration,
+        servers: usize,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> bool {
+        self.count(organisation, now);
+        self.adapt(target, servers, now);
+        self.admitted >= 1.0 || rng.random_bool(self.admitted_of(organisation))
+    }
+
+    /// Returns the fraction of the requests that is admitted.
+    #[must_use]
+    pub fn admitted(&self) -> f64 {
+        self.admitted
+    }
+
+    fn adapt(&mut self, target: Duration, servers: usize, now: Instant) {
+        if now.saturating_duration_since(self.adapted) < ADAPT_INTERVAL {
+            return;
+        }
+        self.adapted = now;
+        let pressure = self
+            .response_time(servers, now)
+            .div_duration_f64(target.max(Duration::from_millis(1)));
+        if pressure > HIGH_PRESSURE {
+            self.admitted = (self.admitted * DECREASE).max(MIN_ADMITTED);
+        } else if pressure < LOW_PRESSURE {
+            self.admitted = (self.admitted + INCREASE).min(1.0);
+        }
+    }
+
+    fn count(&mut self, organisation: &str, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.counts_decayed);
+        if elapsed >= ADAPT_INTERVAL {
+            self.counts_decayed = now;
+            let factor = 0.5_f64.powf(elapsed.div_duration_f64(COUNT_HALF_LIFE));
+            self.counts.retain(|_, count| {
+                *count *= factor;
+                *count > 0.01
+            });
+        }
+        if let Some(count) = self.counts.get_mut(organisation) {
+            *count += 1.0;
+        } else if self.counts.len() < MAX_ORGANISATIONS {
+            self.counts.insert(organisation.to_owned(), 1.0);
+        }
+    }
+
+    /// Returns the admitted fraction of an organisation's requests.
+    ///
+    /// Organisations share what is admitted fairly: those that send little are admitted before those
+    /// that send much.
+    fn admitted_of(&self, organisation: &str) -> f64 {
+        let Some(own) = self.counts.get(organisation) else {
+            return self.admitted;
+        };
+        let mut counts: Vec<_> = self.counts.values().copied().collect();
+        counts.sort_unstable_by(f64::total_cmp);
+        let mut left = self.admitted * counts.iter().sum::<f64>();
+        let mut fair_share = f64::INFINITY;
+        for (index, count) in counts.iter().enumerate() {
+            let equal_share = left / (counts.len() - index) as f64;
+            if *count > equal_share {
+                fair_share = equal_share;
+                break;
+            }
+            left -= count;
+        }
+        (fair_share / own).clamp(self.admitted * MIN_ORGANISATION_RATIO, 1.0)
+    }
+}
+
+fn update(
+    averages: &mut HashMap<ServerKey, Average>,
+    server: ServerKey,
+    seconds: f64,
+    weight: f64,
+    now: Instant,
+) {
+    averages.retain(|_, average| average.is_fresh(now));
+    let average = averages.entry(server).or_insert(Average {
+        seconds,
+        updated: now,
+    });
+    average.seconds += weight * (seconds - average.seconds);
+    average.updated = now;
+}
