Adapt the admitted fraction by a proportional and an integral term

Change: the fraction follows the pressure above a set point at once, and its integral over the time that has passed.

--- a/bulrushward_policy/src/overload_admission.rs
+++ b/bulrushward_policy/src/overload_admission.rs
@@ -25,16 +25,16 @@
 const AVERAGE_MAX_AGE: Duration = Duration::from_secs(2);
 /// Response time that a rejected request counts as, in multiples of the target latency.
 const REJECTION_TARGETS: f64 = 1.5;
-/// Ratio of response time to target latency above which fewer requests are admitted.
-const HIGH_PRESSURE: f64 = 0.8;
-/// Ratio of response time to target latency below which more requests are admitted.
-const LOW_PRESSURE: f64 = 0.65;
+/// Largest number of intervals that one adaptation makes up for, as a router may have few requests.
+const MAX_INTERVALS: f64 = 8.0;
+/// Pressure, the ratio of response time to target latency, at which the admitted fraction stays.
+const SET_POINT: f64 = 0.72;
 /// Interval at which the admitted fraction is adapted.
 const ADAPT_INTERVAL: Duration = Duration::from_millis(250);
-/// Factor of the admitted fraction in an interval of high pressure.
-const DECREASE: f64 = 0.96;
-/// Addition to the admitted fraction in an interval of low pressure.
-const INCREASE: f64 = 0.03;
+/// Change of the admitted fraction for each unit by which the pressure above the set point has risen.
+const PROPORTIONAL_GAIN: f64 = 0.5;
+/// Change of the admitted fraction in an interval for each unit of pressure above the set point.
+const INTEGRAL_GAIN: f64 = 0.07;
 /// Smallest admitted fraction.
 const MIN_ADMITTED: f64 = 0.2;
 /// Time in which the request count of an organisation halves.
@@ -68,6 +68,8 @@
     all_times: HashMap<ServerKey, Average>,
     /// Fraction of the requests that is admitted.
     admitted: f64,
+    /// Pressure above the set point when the admitted fraction was last adapted.
+    excess: f64,
     adapted: Instant,
     /// Decaying numbers of requests by organisation.
     counts: HashMap<String, f64>,
@@ -82,6 +84,7 @@
             own_times: HashMap::new(),
             all_times: HashMap::new(),
             admitted: 1.0,
+            excess: 0.0,
             adapted: now,
             counts: HashMap::new(),
             counts_decayed: now,
@@ -151,18 +154,20 @@
     }
 
     fn adapt(&mut self, target: Duration, servers: usize, now: Instant) {
-        if now.saturating_duration_since(self.adapted) < ADAPT_INTERVAL {
+        let elapsed = now.saturating_duration_since(self.adapted);
+        if elapsed < ADAPT_INTERVAL {
             return;
         }
         self.adapted = now;
+        let intervals = elapsed.div_duration_f64(ADAPT_INTERVAL).min(MAX_INTERVALS);
         let pressure = self
             .response_time(servers, now)
             .div_duration_f64(target.max(Duration::from_millis(1)));
-        if pressure > HIGH_PRESSURE {
-            self.admitted = (self.admitted * DECREASE).max(MIN_ADMITTED);
-        } else if pressure < LOW_PRESSURE {
-            self.admitted = (self.admitted + INCREASE).min(1.0);
-        }
+        let excess = (pressure - SET_POINT).max(0.0);
+        let change = PROPORTIONAL_GAIN * (excess - self.excess)
+            + INTEGRAL_GAIN * intervals * (pressure - SET_POINT);
+        self.excess = excess;
+        self.admitted = (self.admitted - change).clamp(MIN_ADMITTED, 1.0);
     }
 
     fn count(&mut self, organisation: &str, now: Instant) {
