--- a/bulrushward_policy/tests/overload_admission.rs
+++ b/bulrushward_policy/tests/overload_admission.rs
@@ -94,13 +94,17 @@
                 server.running.push((ms + work as u64, job));
             }
         }
+        let surplus_rate = if SURGE_MS.contains(&ms) {
+            run.hot_rate
+        } else {
+            0.0
+        };
         for (rate, organisation) in [
             (run.usual_rate, rng.random_range(0..ORGANISATIONS)),
-            (run.hot_rate, HOT),
+            (surplus_rate, HOT),
         ] {
             let expected = rate / 1e3;
-            let is_sent = organisation != HOT || rate == run.usual_rate || SURGE_MS.contains(&ms);
-            if !is_sent || !rng.random_bool(expected.min(1.0)) {
+            if !rng.random_bool(expected.min(1.0)) {
                 continue;
             }
             let router = rng.random_range(0..run.routers);
