--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -51,6 +51,8 @@
 const MAX_DATAGRAM_DELAY: Duration = Duration::from_secs(1);
 /// Time without a message after which a peer is forgotten, so that it receives no more datagrams.
 const PEER_TTL: Duration = Duration::from_secs(30);
+/// Largest number of peers whose latest messages are kept.
+const MAX_PEERS: usize = 4_096;
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Largest number of servers in one message; the busiest are included.
@@ -223,7 +225,7 @@
         let (message, tail): (GossipMessage, _) = match postcard::take_from_bytes(datagram) {
             Ok(parts) => parts,
             Err(error) => {
-                debug!(event = "datagram-unreadable", %from, %error);
+                info!(event = "datagram-unreadable", %from, bytes = datagram.len(), %error);
                 return;
             }
         };
@@ -231,6 +233,14 @@
             return;
         }
         let known = self.by_node.get(&message.node);
+        if known.is_none() && self.by_node.len() >= MAX_PEERS {
+            warn!(
+                event = "peer-ignored",
+                node = message.node,
+                peers = MAX_PEERS
+            );
+            return;
+        }
         // The clock may have been set back between two starts, so an earlier start time is accepted once no
         // messages with the later one arrive any more.
         let is_late = |peer: &Peer| {
--- a/bulrushward_policy/src/fleet_liveness.rs
+++ b/bulrushward_policy/src/fleet_liveness.rs
@@ -19,6 +19,10 @@
 const LIVENESS_TIMEOUT: Duration = Duration::from_secs(8);
 /// Largest number of routers reported in one datagram, which bounds its size.
 const MAX_SAMPLE: usize = 96;
+/// Largest number of routers that are remembered, several times the size of the largest fleets.
+///
+/// Datagrams that name routers which do not exist would otherwise fill the memory.
+const MAX_ROUTERS: usize = 4_096;
 
 /// When each other router was last known to be alive.
 #[derive(Clone, Debug)]
@@ -41,6 +45,9 @@
             return false;
         };
         let known = self.last_seen.get(&router).copied();
+        if known.is_none() && self.last_seen.len() >= MAX_ROUTERS {
+            return false;
+        }
         if known.is_none_or(|known| seen > known) {
             self.last_seen.insert(router, seen);
         }
--- a/bulrushward_policy/tests/fleet_liveness.rs
+++ b/bulrushward_policy/tests/fleet_liveness.rs
@@ -127,3 +127,20 @@
     assert_eq!(view.remove_expired(now + Duration::from_secs(9)), [1]);
     assert!(!view.record(1, Duration::from_secs(9), now + Duration::from_secs(9)));
 }
+
+#[test]
+fn what_datagrams_claim_is_bounded() {
+    let now = Instant::now();
+    let mut fleet = FleetLiveness::default();
+    for router in 0..10_000 {
+        fleet.record(router, Duration::ZERO, now);
+    }
+    assert_eq!(fleet.count(), 4_096);
+    // A router that is known stays so, and others are remembered once there is room.
+    assert!(!fleet.record(1, Duration::ZERO, now + Duration::from_secs(5)));
+    assert_eq!(
+        fleet.remove_expired(now + Duration::from_secs(9)).len(),
+        4_095
+    );
+    assert!(fleet.record(9_999, Duration::ZERO, now + Duration::from_secs(9)));
+}
