Judge overload by successful responses of bounded length

Change: the time to a failure does not count, and a response counts as 1.5 times the target at most.

--- a/bulrushward_direct/src/overload.rs
+++ b/bulrushward_direct/src/overload.rs
@@ -84,19 +84,18 @@
         if request.service.is_engine {
             return;
         }
-        let now = Instant::now();
+        let (now, target) = (Instant::now(), request.route.target_latency);
         let mut by_service = self.lock();
         let Some(service) = by_service.get_mut(&request.service.name) else {
             return;
         };
+        let admission = &mut service.admission;
         match failure {
-            None | Some(AttemptFailure::ServerError) => {
-                service.admission.record_response(server.hash, time, now);
-            }
+            None => admission.record_response(server.hash, time, target, now),
             Some(AttemptFailure::Rejected) => {
-                let target = request.route.target_latency;
-                service.admission.record_rejection(server.hash, target, now);
+                admission.record_rejection(server.hash, target, now);
             }
+            // The time to a failure does not depend on the length of the queue.
             Some(_) => {}
         }
     }
--- a/bulrushward_policy/src/overload_admission.rs
+++ b/bulrushward_policy/src/overload_admission.rs
@@ -29,8 +29,9 @@
 const MAX_REPORT_ROUNDS: u32 = 8;
 /// Age from which the average of a server is ignored.
 const AVERAGE_MAX_AGE: Duration = Duration::from_secs(2);
-/// Response time that a rejected request counts as, in multiples of the target latency.
-const REJECTION_TARGETS: f64 = 1.5;
+/// Longest response time that counts, in multiples of the target latency, as single requests take much
+/// longer than others; a rejected request counts as this.
+const LONGEST_TARGETS: f64 = 1.5;
 /// Largest number of intervals that one adaptation makes up for, as a router may have few requests.
 const MAX_INTERVALS: f64 = 8.0;
 /// Pressure, the ratio of response time to target latency, at which the admitted fraction stays.
@@ -112,8 +113,15 @@
         }
     }
 
-    /// Records the time in which a server responded.
-    pub fn record_response(&mut self, server: ServerKey, time: Duration, now: Instant) {
+    /// Records the time in which a server responded to a request of a target latency.
+    pub fn record_response(
+        &mut self,
+        server: ServerKey,
+        time: Duration,
+        target: Duration,
+        now: Instant,
+    ) {
+        let time = time.min(target.mul_f64(LONGEST_TARGETS));
         self.update(server, time, 1, now);
         if let Some(current) = self.measured.back_mut() {
             let sum = current.entry(server).or_default();
@@ -124,7 +132,7 @@
 
     /// Records that a server rejected a request because it was full.
     pub fn record_rejection(&mut self, server: ServerKey, target: Duration, now: Instant) {
-        self.record_response(server, target.mul_f64(REJECTION_TARGETS), now);
+        self.record_response(server, Duration::MAX, target, now);
     }
 
     /// Merges the response times that a peer measured.
