--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -251,10 +251,8 @@
             return;
         }
         // A router of an earlier version sends no tail.
-        self.merge_tail(
-            postcard::from_bytes(tail).unwrap_or_default(),
-            &message.node,
-        );
+        let tail: GossipTail = postcard::from_bytes(tail).unwrap_or_default();
+        self.merge_tail(&tail, &message.node);
         self.record_sighting(message.fleet_state_address, Duration::ZERO);
         for other in &message.others {
             self.record_sighting(
@@ -274,7 +272,7 @@
         self.by_node.insert(peer.message.node.clone(), peer);
     }
 
-    fn merge_tail(&self, tail: GossipTail, node: &str) {
+    fn merge_tail(&self, tail: &GossipTail, node: &str) {
         if let Some(recovery) = tail.recovery {
             self.shared.store_state.merge_recovery(recovery);
         }
