Let the soak's stop of a router wait for the process that it asked to stop

Cause: soak did not end. Two stops of router 1 overlapped; the first started the router again, and the second waited for the new process. Traced with a line at the begin and end of each fault, which hung in the same place. Ruled out: a busy machine, the routers (all served, none was asked to stop a second time). Change: a stop waits for the process that it signalled.

--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -282,9 +282,11 @@
 }
 
 async fn stop_router(harness: &Harness, router: usize) -> io::Result<()> {
+    let process = harness.routers()[router].process_id();
     harness.routers()[router].signal(Signal::SIGTERM);
-    // The process ends by itself; `check_process` reports it if that takes too long.
-    while harness.routers()[router].has_ended() == Some(false) {
+    // The process ends by itself; `check_process` reports it if that takes too long. An overlapping fault may
+    // already have started another process, which was not asked to stop.
+    while harness.routers()[router].is_running(process) {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     start_router(harness, router)
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -147,6 +147,16 @@
         Some(status.is_some())
     }
 
+    /// Returns the id of the process, if there is one.
+    pub(crate) fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Returns whether the process with this id has not ended.
+    pub(crate) fn is_running(&mut self, process: Option<u32>) -> bool {
+        self.process_id() == process && self.has_ended() == Some(false)
+    }
+
     /// Returns the peak resident memory of the process in kilobytes.
     pub(crate) fn peak_memory_kb(&self) -> Option<u64> {
         let pid = self.child.as_ref()?.id();
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -15,6 +15,8 @@
 // A server once ran a request without id and organisation that no router had logged
 // (KNOWN-RED.txt).
 #[case::unlogged_request(32_020)]
+// Two stops of one router overlapped, and the second waited for the process that the first had started.
+#[case::overlapping_stops(1_796_360_009)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_violates_no_invariant(#[case] seed: u64) {
     let target = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target");
