Log abandoned requests, why a stream was not resumed, and stalls of the router itself

The logs could not tell the hypotheses apart: a request that the router abandoned at the end of its grace time was logged as if its caller had left, a stream that was cut did not say why no other server took over, and a server that was silent looked the same as a router that had not run.

- `abandoned` and `stream-ended outcome=abandoned`; `stopping` and `stopped` count requests in progress.
- `stream-ended outcome=cut not_resumed=route|time-over|no-event|retry-budget`.

No decision changes.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -30,6 +30,7 @@
 mod servers;
 mod settings;
 mod shared;
+mod stall_watch;
 mod store_probe;
 mod store_state;
 mod store_watch;
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -89,6 +89,7 @@
     pub(crate) retries: Counter,
     pub(crate) retries_refused: Counter,
     pub(crate) resumes: Counter,
+    pub(crate) stalls: Counter,
     pub(crate) connections_opened: Counter,
     response_seconds: Histogram,
     first_event_seconds: Histogram,
@@ -142,6 +143,7 @@
             retries: r.add("repeats", "Requests sent to a further server"),
             retries_refused: r.add("repeats_refused", "Retries refused by the retry budget"),
             resumes: r.add("resumes", "Streams resumed at another server"),
+            stalls: r.add("stalls", "Times at which the traffic thread ran late"),
             connections_opened: r.add("connections_opened", "Connections opened to servers"),
             response_seconds: r.histogram(
                 "answer_seconds",
@@ -214,6 +216,11 @@
         InProgressGuard(self.in_progress.clone())
     }
 
+    /// Returns the number of requests and streams in progress.
+    pub(crate) fn in_progress(&self) -> i64 {
+        self.in_progress.get()
+    }
+
     /// Counts a request sent to a server and records the age of that server's load report.
     pub(crate) fn record_attempt(&self, report_age: Option<Duration>) {
         self.attempts.inc();
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -43,6 +43,8 @@
     /// Time at which the latest events were sent to the caller.
     last_forwarded: Instant,
     longest_pause: Duration,
+    /// Reason why a stream that was cut was not resumed.
+    not_resumed: &'static str,
     is_finished: bool,
 }
 
@@ -55,6 +57,20 @@
     Cut,
     /// Closed by the caller.
     Left,
+    /// Still in progress at the end of the grace time of a stop.
+    Abandoned,
+}
+
+/// Why a stream is not resumed at another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum ResumeRefusal {
+    /// The route allows no further server.
+    Route,
+    TimeOver,
+    /// No event has been sent after which it could be resumed.
+    NoEvent,
+    RetryBudget,
 }
 
 /// Returns a response body that relays a stream, beginning with its first events.
@@ -77,6 +93,7 @@
         last_event_id: None,
         last_forwarded: Instant::now(),
         longest_pause: Duration::ZERO,
+        not_resumed: "",
         is_finished: false,
     };
     let frames = stream::unfold(relay, async |mut relay| {
@@ -129,14 +146,8 @@
                 .record_failed_attempt(error.failure.into());
             let server = self.tried.last().map_or("", String::as_str);
             log_failed_attempt(&self.request, server, &error);
-            let next = self.history.record_failure(error.failure);
-            let may_resume = matches!(next, NextAttempt::Send { .. })
-                && Instant::now() < self.request.deadline
-                && self.last_event_id.is_some()
-                && self
-                    .shared
-                    .withdraw_retry(&self.request.service.name, error.failure.retry_cause());
-            if !may_resume {
+            if let Err(refusal) = self.permit_resume(error.failure) {
+                self.not_resumed = refusal.into();
                 self.record_end(StreamEnd::Cut, &error.detail);
                 return None;
             }
@@ -147,6 +158,32 @@
         }
     }
 
+    /// Records a failed attempt and withdraws a retry for the next one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream may not be resumed.
+    fn permit_resume(&mut self, failure: AttemptFailure) -> Result<(), ResumeRefusal> {
+        let next = self.history.record_failure(failure);
+        if !matches!(next, NextAttempt::Send { .. }) {
+            return Err(ResumeRefusal::Route);
+        }
+        if Instant::now() >= self.request.deadline {
+            return Err(ResumeRefusal::TimeOver);
+        }
+        if self.last_event_id.is_none() {
+            return Err(ResumeRefusal::NoEvent);
+        }
+        let cause = failure.retry_cause();
+        if !self
+            .shared
+            .withdraw_retry(&self.request.service.name, cause)
+        {
+            return Err(ResumeRefusal::RetryBudget);
+        }
+        Ok(())
+    }
+
     async fn resume_at_next_server(&mut self) -> Result<Bytes, AttemptError> {
         let Some(choice) = server_selection::select(&self.shared, &self.request, &self.tried)
         else {
@@ -219,10 +256,11 @@
         let longest_pause_ms = self.longest_pause.as_millis() as u64;
         let request = &self.request.request_id;
         let server = &self.source.progress.server().id;
-        if end == StreamEnd::Cut {
+        if matches!(end, StreamEnd::Cut | StreamEnd::Abandoned) {
+            let not_resumed = self.not_resumed;
             warn!(
                 event = "stream-ended",
-                request, server, outcome, longest_pause_ms, ms, detail
+                request, server, outcome, longest_pause_ms, ms, not_resumed, detail
             );
         } else {
             info!(
@@ -235,7 +273,12 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if !self.is_finished {
+        if self.is_finished {
+            return;
+        }
+        if self.shared.is_abandoning() {
+            self.record_end(StreamEnd::Abandoned, "the grace time of the stop is over");
+        } else {
             self.record_end(StreamEnd::Left, "the caller closed its connection");
         }
     }
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -24,7 +24,7 @@
 pub(crate) async fn serve(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let received = Instant::now();
     let metadata = shared.conventions.parse_request_headers(req.headers());
-    let mut request_log = RequestLog::new(metadata.request_id.clone(), received);
+    let mut request_log = RequestLog::new(&shared, metadata.request_id.clone(), received);
     let _in_progress = shared.metrics.track_in_progress();
     let result =
         match request_reader::read(&shared, req, metadata, received, &mut request_log).await {
--- a/bulrushward_direct/src/request_log.rs
+++ b/bulrushward_direct/src/request_log.rs
@@ -1,17 +1,19 @@
 //! Log lines of a request.
 
-use std::time::Instant;
+use std::{sync::Arc, time::Instant};
 
 use hyper::StatusCode;
 use tracing::{info, warn};
 
-use crate::{local_response::LocalResponse, server_selection::ChoiceInputs};
+use crate::{local_response::LocalResponse, server_selection::ChoiceInputs, shared::Shared};
 
 /// Collects what is logged about a request.
 ///
-/// If it is dropped before a response was logged, it logs that the caller left.
+/// If it is dropped before a response was logged, it logs that the caller left or that the router abandoned the
+/// request.
 #[derive(Debug)]
 pub(crate) struct RequestLog {
+    shared: Arc<Shared>,
     request: String,
     received: Instant,
     is_logged: bool,
@@ -27,8 +29,9 @@
 }
 
 impl RequestLog {
-    pub(crate) fn new(request: String, received: Instant) -> Self {
+    pub(crate) fn new(shared: &Arc<Shared>, request: String, received: Instant) -> Self {
         Self {
+            shared: Arc::clone(shared),
             request,
             received,
             is_logged: false,
@@ -98,7 +101,21 @@
 
 impl Drop for RequestLog {
     fn drop(&mut self) {
-        if !self.is_logged {
+        if self.is_logged {
+            return;
+        }
+        if self.shared.is_abandoning() {
+            warn!(
+                event = "abandoned",
+                request = self.request,
+                route = self.route,
+                organisation = self.organisation,
+                config = self.config,
+                server = self.server,
+                hops = self.attempts,
+                ms = self.ms(),
+            );
+        } else {
             info!(
                 event = "caller-left",
                 request = self.request,
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -28,7 +28,7 @@
     saved_sessions,
     settings::DirectSettings,
     shared::Shared,
-    store_probe, store_watch,
+    stall_watch, store_probe, store_watch,
 };
 
 /// Time after the stop signal in which new connections are still accepted.
@@ -217,6 +217,7 @@
     ));
     tokio::spawn(serve_metrics(Arc::clone(&shared), metrics, close.clone()));
     tokio::spawn(watch_settings(Arc::clone(&shared), settings_path, hangup));
+    tokio::spawn(stall_watch::run(Arc::clone(&shared)));
     let mut serving = tokio::spawn(listener::serve_callers(
         Arc::clone(&shared),
         callers,
@@ -232,7 +233,11 @@
     );
     stop.cancelled().await;
     let stop_requested = Instant::now();
-    info!(event = "stopping", node = shared.settings().node);
+    info!(
+        event = "stopping",
+        node = shared.settings().node,
+        in_progress = shared.metrics.in_progress(),
+    );
     shared.begin_stop();
     drain.cancel();
     tokio::time::sleep(ACCEPT_WHILE_STOPPING).await;
@@ -242,10 +247,14 @@
         .stop_grace
         .saturating_sub(STOP_MARGIN + stop_requested.elapsed());
     let is_complete = tokio::time::timeout(time_left, &mut serving).await.is_ok();
+    if !is_complete {
+        shared.begin_abandoning();
+    }
     info!(
         event = "stopped",
         node = shared.settings().node,
         complete = is_complete,
+        in_progress = shared.metrics.in_progress(),
         ms = stop_requested.elapsed().as_millis() as u64,
     );
     Ok(())
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -61,6 +61,7 @@
     /// Time from which the number of routers is known.
     fleet_known: Instant,
     is_stopping: AtomicBool,
+    is_abandoning: AtomicBool,
     pub(crate) store_state: StoreState,
     has_servers: AtomicBool,
     /// Time at which the current configuration was activated; initially the start of the process.
@@ -90,6 +91,7 @@
             servers: ArcSwap::default(),
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
+            is_abandoning: AtomicBool::new(false),
             store_state: StoreState::default(),
             has_servers: AtomicBool::new(false),
             config_activated: Mutex::new(Instant::now()),
@@ -159,6 +161,15 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the requests still in progress are abandoned because the grace time of a stop is over.
+    pub(crate) fn is_abandoning(&self) -> bool {
+        self.is_abandoning.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_abandoning(&self) {
+        self.is_abandoning.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the current values of the gauges that are computed when metrics are scraped.
     pub(crate) fn gauge_snapshot(&self) -> GaugeSnapshot {
         let (mut open, mut idle) = (0, 0);
--- a/bulrushward_direct/tests/log_lines.rs
+++ b/bulrushward_direct/tests/log_lines.rs
@@ -94,7 +94,7 @@
 #[case::stream_truncated(vec![BROKEN], get("stream"), &[
     "event=answered request=r-1",
     "event=hop-failed request=r-1 failure=broken",
-    "event=stream-ended request=r-1 server=s-0 outcome=cut detail",
+    "event=stream-ended request=r-1 server=s-0 outcome=cut not_resumed=route detail",
 ])]
 #[case::stream_resumed(vec![BREAKS_ONCE, BREAKS_ONCE], get("resumable"), &[
     "event=hop-failed request=r-1 failure=broken",
@@ -204,8 +204,65 @@
     log::wait_for_line("event=peer-lost peer");
     router.stop();
     router.join();
-    log::wait_for_line("event=stopping node");
-    log::wait_for_line("event=stopped complete=true ms");
+    log::wait_for_line("event=stopping node in_progress=0");
+    log::wait_for_line("event=stopped complete=true in_progress=0 ms");
+}
+
+#[rstest]
+#[case::before_the_response("action", HANGS, "event=abandoned request=r-1 server=s-0 hops=1")]
+#[case::in_a_stream(
+    "stream",
+    HANGS_AFTER_FIRST_EVENT,
+    "event=stream-ended request=r-1 outcome=abandoned"
+)]
+fn a_request_that_outlasts_the_grace_time_of_a_stop_is_logged(
+    #[case] route: &str,
+    #[case] script: Script,
+    #[case] fields: &str,
+) {
+    log::capture();
+    let server = TestServer::start("s-0", script);
+    let service = if route == "stream" {
+        "engines"
+    } else {
+        "plain"
+    };
+    let store = MemoryStore::with(config(1));
+    store.put(&server.id, record(service, server.address));
+    let mut settings = support::settings(unique_loopback_ip(), &[]);
+    settings.stop_grace = Duration::from_secs(1);
+    let mut router = TestRouter::start_with(settings, &store);
+    router.wait_ready();
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    let sent = get(route).replace("2500", "60000");
+    stream
+        .write_all(sent.as_bytes())
+        .expect("the request can be sent");
+    wait_until("the request arrives", || !server.received().is_empty());
+    if route == "stream" {
+        log::wait_for_line("event=answered request=r-1");
+    }
+    router.stop();
+    router.join();
+    log::wait_for_line("event=stopping in_progress=1");
+    log::wait_for_line("event=stopped complete=false in_progress=1");
+    log::wait_for_line(fields);
+}
+
+#[test]
+fn a_stall_of_the_router_is_logged_and_counted() {
+    log::capture();
+    let server = TestServer::start("s-1", SERVED);
+    let router = router_with_servers("plain", &[&server]);
+    let sent = get("lookup").replace("Key:", "Stall-Ms: 900\r\nKey:");
+    assert_eq!(router.send(&sent).status, 200);
+    log::wait_for_line("event=traffic-stalled ms");
+    let metrics = caller::get(router.address(7_341), "/metrics").expect("metrics are served");
+    let stalls = metrics.text().lines().any(|line| {
+        line.strip_prefix("bulrushward_direct_stalls_total ")
+            .is_some_and(|count| count != "0")
+    });
+    assert!(stalls);
 }
 
 #[test]
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -38,7 +38,11 @@
 }
 
 impl HttpConventions for TestConventions {
+    /// Parses the headers; a request with `Stall-Ms` blocks the traffic thread for this time.
     fn parse_request_headers(&self, headers: &HeaderMap) -> RequestMetadata {
+        if let Some(ms) = text(headers, "stall-ms").and_then(|ms| ms.parse().ok()) {
+            std::thread::sleep(Duration::from_millis(ms));
+        }
         let prompt = text(headers, "prompt").unwrap_or_default();
         RequestMetadata {
             request_id: text(headers, "request").unwrap_or_default().to_owned(),
