--- a/bulrushward_direct/tests/responses.rs
+++ b/bulrushward_direct/tests/responses.rs
@@ -387,6 +387,26 @@
     });
 }
 
+// Guards against an error response to an idempotent request although a slow server would still have answered it.
+#[rstest]
+#[case::the_only_server(1)]
+#[case::both_servers_that_the_route_allows(2)]
+fn an_idempotent_request_waits_for_slow_servers_if_no_other_can_take_it(#[case] servers: usize) {
+    let servers: Vec<_> = (0..servers)
+        .map(|index| {
+            TestServer::start(&format!("s-{index}"), |req| {
+                vec![
+                    Step::Pause(Duration::from_millis(700)),
+                    ok_response(req, "slow"),
+                ]
+            })
+        })
+        .collect();
+    let router = router_with_servers("plain", &servers.iter().collect::<Vec<_>>());
+    let response = router.send(&request("GET", "lookup", "r-1", ""));
+    assert_eq!((response.status, response.text().as_str()), (200, "slow"));
+}
+
 #[test]
 fn the_request_is_cancelled_at_the_server_when_the_caller_leaves() {
     let server = TestServer::start("s-1", |_| vec![Step::Hang]);
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -17,6 +17,12 @@
     wait_until,
 };
 
+type Script = fn(&Received) -> Vec<Step>;
+
+const HANGS: Script = |_| vec![Step::Hang];
+const CLOSES: Script = |_| vec![Step::Close];
+const REFUSES: Script = |req| vec![response(req, "503 Full", "Not-Run: 1\r\n", "")];
+
 #[test]
 fn events_are_forwarded_immediately() {
     let server = TestServer::start("s-1", |req| {
@@ -166,6 +172,85 @@
     assert_eq!(response.text(), events(1, 2));
 }
 
+/// Streams two events, pauses beyond the read timeout of a resumable stream, and completes the stream; a resumed
+/// stream is handled by `resumed`.
+fn pausing_stream(req: &Received, resumed: Script) -> Vec<Step> {
+    if req.header("last-event").is_some() {
+        return resumed(req);
+    }
+    vec![
+        stream_head(req),
+        chunk(&events(1, 2)),
+        Step::Pause(Duration::from_millis(1_600)),
+        chunk(&events(3, 6)),
+        send_text("0\r\n\r\n"),
+    ]
+}
+
+// Guards against cutting a stream whose server pauses although no other server can continue it.
+#[test]
+fn a_pausing_server_keeps_a_stream_that_no_other_server_can_continue() {
+    let server = TestServer::start("s-1", |req| pausing_stream(req, complete_stream));
+    let router = router_with_servers("engines", &[&server]);
+    let response = router.send(&request("POST", "resumable", "r-1", ""));
+    assert!(response.is_complete);
+    assert_eq!(response.text(), events(1, 6));
+    assert_eq!(server.received().len(), 1);
+}
+
+// Guards against cutting the streams of pausing servers once the retry budget is used up.
+#[test]
+fn pausing_servers_keep_their_streams_when_the_retry_budget_is_used_up() {
+    let script = |req: &Received| pausing_stream(req, complete_stream);
+    let servers = [
+        TestServer::start("s-1", script),
+        TestServer::start("s-2", script),
+    ];
+    let router = router_with_servers("engines", &servers.iter().collect::<Vec<_>>());
+    let responses: Vec<_> = std::thread::scope(|scope| {
+        let router = &router;
+        let send =
+            |index| move || router.send(&request("POST", "resumable", &format!("r-{index}"), ""));
+        let callers: Vec<_> = (0..24).map(|index| scope.spawn(send(index))).collect();
+        callers
+            .into_iter()
+            .map(|caller| caller.join().expect("the caller does not panic"))
+            .collect()
+    });
+    let truncated = responses
+        .iter()
+        .filter(|response| !response.is_complete || response.text() != events(1, 6));
+    assert_eq!(truncated.count(), 0);
+}
+
+// Guards against cutting a stream whose server pauses if the server that was to continue it fails.
+#[rstest]
+#[case::hangs(HANGS)]
+#[case::closes(CLOSES)]
+#[case::refuses(REFUSES)]
+fn a_pausing_server_keeps_a_stream_that_the_next_server_does_not_continue(#[case] resumed: Script) {
+    let servers =
+        ["s-1", "s-2"].map(|id| TestServer::start(id, move |req| pausing_stream(req, resumed)));
+    let router = router_with_servers("engines", &servers.iter().collect::<Vec<_>>());
+    let response = router.send(&request("POST", "resumable", "r-1", ""));
+    assert!(response.is_complete);
+    assert_eq!(response.text(), events(1, 6));
+}
+
+// Guards against an error response to a stream request whose server is slow to start and the only one.
+#[test]
+fn a_slow_server_keeps_a_stream_request_that_no_other_server_can_take() {
+    let server = TestServer::start("s-1", |req| {
+        let mut steps = vec![Step::Pause(Duration::from_millis(700))];
+        steps.extend(complete_stream(req));
+        steps
+    });
+    let router = router_with_servers("engines", &[&server]);
+    let response = router.send(&request("POST", "resumable", "r-1", ""));
+    assert_eq!(response.status, 200);
+    assert_eq!(response.text(), events(1, 6));
+}
+
 #[test]
 fn a_caller_that_does_not_read_occupies_its_server_only_until_the_deadline() {
     let server = TestServer::start("s-1", |req| {
