Leave a silent server only for one that has sent an event of its stream

In the record only resumable streams are named, and two of another router were cut 1 s after their last event.

Cause: a router took a second without an event from a resumable stream's server for the server's failure. It gave the server up first and looked for another one then. If there was none to take over (retry budget used up, number of servers reached, no other server, or the next one failed), the stream was cut, though its server was still open and working. A busy or paused server does that to all of its streams at once, and the budget is not made for that.

Change: the silence starts the search for another server, it ends nothing. The silent server keeps the stream if no other one may take over, and is read from until the other one has sent an event; whoever sends first has the stream. At the request's deadline it is cut as before. A connection that broke is handed over or cut as before.

Why it works: no decision depends any more on telling a slow server from a dead one; the number of servers that a route allows and the retry budget bound the attempts as before (a_stream_that_pauses_repeatedly_...).

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -9,6 +9,7 @@
 mod events;
 mod fleet_state;
 mod gossip;
+mod handover;
 mod listener;
 mod local_response;
 mod location_updates;
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -15,11 +15,12 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse, OpenStream, record_failure},
+    handover::{self, HandoverRefusal},
     local_response::{Body, StreamTruncated},
     metrics::InProgressGuard,
     request_handler::log_failed_attempt,
     routed_request::RoutedRequest,
-    server_selection,
+    server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
     shared::Shared,
 };
@@ -45,6 +46,8 @@
     longest_pause: Duration,
     /// Reason why a stream that was cut was not resumed.
     not_resumed: &'static str,
+    /// Whether it was logged that a silent server keeps the stream.
+    is_kept_logged: bool,
     is_finished: bool,
 }
 
@@ -61,16 +64,14 @@
     Abandoned,
 }
 
-/// Why a stream is not resumed at another server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-enum ResumeRefusal {
-    /// The route allows no further server.
-    Route,
-    TimeOver,
-    /// No event has been sent after which it could be resumed.
-    NoEvent,
-    RetryBudget,
+/// Result of looking for another server that continues a stream.
+enum Handover {
+    /// The stream goes on, at another server or at a silent one that has sent something meanwhile.
+    Continued(StreamItem),
+    /// A silent server keeps the stream.
+    Kept,
+    /// No server continues the stream.
+    Failed,
 }
 
 /// Returns a response body that relays a stream, beginning with its first events.
@@ -94,6 +95,7 @@
         last_forwarded: Instant::now(),
         longest_pause: Duration::ZERO,
         not_resumed: "",
+        is_kept_logged: false,
         is_finished: false,
     };
     let frames = stream::unfold(relay, async |mut relay| {
@@ -115,98 +117,119 @@
         if self.is_finished {
             return None;
         }
-        match self.source.next(self.read_deadline()).await {
-            Ok(StreamItem::Events(events)) => {
-                self.record_pause();
-                Some(Ok(events))
-            }
-            Ok(StreamItem::End) => {
-                self.is_finished = true;
-                self.record_end(StreamEnd::Complete, "");
-                None
-            }
-            Err(error) => {
-                let resumed = self.resume(error).await;
-                self.is_finished = resumed.is_none();
-                self.record_pause();
-                Some(resumed.ok_or(StreamTruncated))
+        loop {
+            let item = match self.source.next(self.read_deadline()).await {
+                Ok(item) => item,
+                Err(error) => match self.hand_over(error).await {
+                    Handover::Continued(item) => item,
+                    Handover::Kept => continue,
+                    Handover::Failed => {
+                        self.is_finished = true;
+                        return Some(Err(StreamTruncated));
+                    }
+                },
+            };
+            self.record_pause();
+            match item {
+                StreamItem::Events(events) => return Some(Ok(events)),
+                StreamItem::End => {
+                    self.is_finished = true;
+                    self.record_end(StreamEnd::Complete, "");
+                    return None;
+                }
             }
         }
     }
 
-    /// Resumes the stream at another server; returns its first events, or `None` if the stream is aborted.
-    async fn resume(&mut self, mut error: AttemptError) -> Option<Bytes> {
+    /// Looks for another server that continues the stream after its server was silent or failed.
+    ///
+    /// A silent server may still go on. It keeps the stream if no other server may take over, and it is read from
+    /// until another one has sent an event.
+    async fn hand_over(&mut self, mut error: AttemptError) -> Handover {
+        let mut is_source_open =
+            error.failure == AttemptFailure::Silent && Instant::now() < self.request.deadline;
         record_failure(&self.source.progress, &error);
         if let Some(id) = self.source.splitter.last_id() {
             self.last_event_id = Some(id.to_owned());
         }
+        let mut failed_server = self.source.progress.server().id.clone();
+        let mut history = self.history.clone();
         loop {
-            self.shared
-                .metrics
-                .record_failed_attempt(error.failure.into());
-            let server = self.tried.last().map_or("", String::as_str);
-            log_failed_attempt(&self.request, server, &error);
-            if let Err(refusal) = self.permit_resume(error.failure) {
-                self.not_resumed = refusal.into();
-                self.record_end(StreamEnd::Cut, &error.detail);
-                return None;
-            }
-            match self.resume_at_next_server().await {
-                Ok(events) => return Some(events),
-                Err(next_error) => error = next_error,
-            }
+            let next = history.record_failure(error.failure);
+            let choice = match self.select_next(next, error.failure) {
+                Ok(choice) => choice,
+                Err(refusal) if is_source_open => {
+                    self.record_kept(refusal.into());
+                    return Handover::Kept;
+                }
+                Err(refusal) => {
+                    self.log_failed_attempt(&failed_server, &error);
+                    self.not_resumed = refusal.into();
+                    self.record_end(StreamEnd::Cut, &error.detail);
+                    return Handover::Failed;
+                }
+            };
+            self.log_failed_attempt(&failed_server, &error);
+            self.history = history.clone();
+            failed_server.clone_from(&choice.server.id);
+            error = match self.resume_at(choice, &mut is_source_open).await {
+                Ok(item) => {
+                    if self.source.progress.server().id != failed_server {
+                        self.record_kept("went-on");
+                    }
+                    return Handover::Continued(item);
+                }
+                Err(error) => error,
+            };
         }
     }
 
-    /// Records a failed attempt and withdraws a retry for the next one.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the stream may not be resumed.
-    fn permit_resume(&mut self, failure: AttemptFailure) -> Result<(), ResumeRefusal> {
-        let next = self.history.record_failure(failure);
-        if !matches!(next, NextAttempt::Send { .. }) {
-            return Err(ResumeRefusal::Route);
-        }
-        if Instant::now() >= self.request.deadline {
-            return Err(ResumeRefusal::TimeOver);
-        }
+    fn select_next(
+        &self,
+        next: NextAttempt,
+        failure: AttemptFailure,
+    ) -> Result<ServerChoice, HandoverRefusal> {
         if self.last_event_id.is_none() {
-            return Err(ResumeRefusal::NoEvent);
+            return Err(HandoverRefusal::NoEvent);
         }
-        let cause = failure.retry_cause();
-        if !self
-            .shared
-            .withdraw_retry(&self.request.service.name, cause)
-        {
-            return Err(ResumeRefusal::RetryBudget);
-        }
-        Ok(())
+        handover::select_next(&self.shared, &self.request, next, failure, &self.tried)
     }
 
-    async fn resume_at_next_server(&mut self) -> Result<Bytes, AttemptError> {
-        let Some(choice) = server_selection::select(&self.shared, &self.request, &self.tried)
-        else {
-            return Err(AttemptError::new(
-                AttemptFailure::Silent,
-                &"no other server",
-            ));
-        };
-        let server = &choice.server;
-        self.tried.push(server.id.clone());
+    /// Resumes the stream at a server, unless the current one goes on first while it is open.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptError`] if the stream could not be resumed; `is_source_open` is cleared if the current server
+    /// has failed meanwhile.
+    async fn resume_at(
+        &mut self,
+        choice: ServerChoice,
+        is_source_open: &mut bool,
+    ) -> Result<StreamItem, AttemptError> {
+        self.tried.push(choice.server.id.clone());
         self.shared.metrics.resumes.inc();
         self.shared.metrics.record_attempt(choice.inputs.report_age);
         info!(
             event = "stream-resumed",
             request = self.request.request_id,
-            server = server.id,
+            server = choice.server.id,
             load = choice.inputs.load,
             usable = choice.inputs.usable,
             after_event = self.last_event_id.as_deref().unwrap_or_default(),
         );
         let last_event_id = self.last_event_id.as_deref();
-        let response = attempt::send(&self.shared, &self.request, &choice, last_event_id).await?;
-        match response {
+        let attempt = attempt::send(&self.shared, &self.request, &choice, last_event_id);
+        let mut attempt = std::pin::pin!(attempt);
+        let response = loop {
+            tokio::select! {
+                response = &mut attempt => break response,
+                item = self.source.next(self.request.deadline), if *is_source_open => match item {
+                    Ok(item) => return Ok(item),
+                    Err(_closed) => *is_source_open = false,
+                }
+            }
+        };
+        match response? {
             AttemptResponse::Stream(open) => {
                 let OpenStream {
                     first_events,
@@ -214,7 +237,7 @@
                     ..
                 } = *open;
                 self.source = stream;
-                Ok(first_events)
+                Ok(StreamItem::Events(first_events))
             }
             AttemptResponse::Complete { status, .. } => {
                 Err(AttemptError::new(AttemptFailure::ServerError, &status))
@@ -222,9 +245,34 @@
         }
     }
 
+    fn log_failed_attempt(&self, server: &str, error: &AttemptError) {
+        let metrics = &self.shared.metrics;
+        metrics.record_failed_attempt(error.failure.into());
+        log_failed_attempt(&self.request, server, error);
+    }
+
+    /// Records that a silent server keeps the stream, and logs it the first time.
+    fn record_kept(&mut self, reason: &'static str) {
+        let server = self.source.progress.server();
+        if let Some(session) = self.request.session {
+            self.shared.record_session_location(session, server.hash);
+        }
+        if std::mem::replace(&mut self.is_kept_logged, true) {
+            return;
+        }
+        info!(
+            event = "silent-server-kept",
+            request = self.request.request_id,
+            server = server.id,
+            reason,
+            ms = self.request.received.elapsed().as_millis() as u64,
+        );
+    }
+
     /// Returns the time by which the server must send something.
     ///
-    /// Only streams that may be resumed at another server have a read timeout of their own.
+    /// Only streams that may be resumed at another server have a read timeout of their own. It starts the search for
+    /// such a server.
     fn read_deadline(&self) -> Instant {
         let request = &self.request;
         if !request.route.is_idempotent() {
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -45,6 +45,27 @@
     pub(crate) copy_from: Option<SocketAddr>,
 }
 
+/// Returns whether there is a server that was not tried yet.
+pub(crate) fn has_candidate(shared: &Shared, request: &RoutedRequest, tried: &[String]) -> bool {
+    let set = shared.servers.load();
+    let mut servers = set.of_service(&request.service.name).iter();
+    servers.any(|server| is_candidate(shared, request, tried, server))
+}
+
+/// Returns whether a server may be selected if it is healthy.
+fn is_candidate(
+    shared: &Shared,
+    request: &RoutedRequest,
+    tried: &[String],
+    server: &Server,
+) -> bool {
+    let limit = request.service.connection_limit;
+    // Only a fleet that is larger than the limit divides it into shares of which some are zero.
+    let may_connect =
+        || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
+    !server.record.is_leaving && !tried.contains(&server.id) && may_connect()
+}
+
 /// Selects a server that was not tried yet.
 pub(crate) fn select(
     shared: &Shared,
@@ -56,14 +77,7 @@
     let now = Instant::now();
     let session = request.session.filter(|_| request.service.is_engine);
     let locations = session.map_or_else(Vec::new, |session| shared.session_locations(session));
-    // Only a fleet that is larger than the limit divides it into shares of which some are zero.
-    let may_connect = |server: &Server| {
-        let limit = request.service.connection_limit;
-        limit > shared.routers() || shared.connection_share(limit, server.hash) > 0
-    };
-    let is_candidate = |server: &Server| {
-        !server.record.is_leaving && !tried.contains(&server.id) && may_connect(server)
-    };
+    let is_candidate = |server: &Server| is_candidate(shared, request, tried, server);
     let replaced = shared.replaced_servers();
     let is_usable = |server: &Server| is_candidate(server) && !replaced.contains(server.hash, now);
     let mut views: Vec<_> = servers
--- a/bulrushward_direct/tests/log_lines.rs
+++ b/bulrushward_direct/tests/log_lines.rs
@@ -36,6 +36,16 @@
 const COMPLETE: Script = complete_stream;
 const BROKEN: Script = broken_stream;
 const HANGS_AFTER_FIRST_EVENT: Script = |req| vec![stream_head(req), chunk(&event(1)), Step::Hang];
+const PAUSES_OR_HANGS: Script = |req| match req.header("last-event") {
+    Some(_) => HANGS(req),
+    None => vec![
+        stream_head(req),
+        chunk(&event(1)),
+        Step::Pause(Duration::from_millis(1_300)),
+        chunk(&event(2)),
+        send_text("0\r\n\r\n"),
+    ],
+};
 const BREAKS_ONCE: Script = |req| match req.header("last-event") {
     Some(_) => complete_stream(req),
     None => broken_stream(req),
@@ -101,6 +111,17 @@
     "event=stream-resumed request=r-1 server load usable after_event=3",
     "event=stream-ended request=r-1 outcome=complete",
 ])]
+#[case::silent_server_kept(vec![HANGS_AFTER_FIRST_EVENT], get("resumable"), &[
+    "event=silent-server-kept request=r-1 server=s-0 reason=no-server ms",
+    "event=hop-failed request=r-1 server=s-0 failure=silent",
+    "event=stream-ended request=r-1 server=s-0 outcome=cut not_resumed=time-over",
+])]
+#[case::silent_server_went_on(vec![PAUSES_OR_HANGS, PAUSES_OR_HANGS], get("resumable"), &[
+    "event=hop-failed request=r-1 failure=silent",
+    "event=stream-resumed request=r-1 after_event=1",
+    "event=silent-server-kept request=r-1 reason=went-on",
+    "event=stream-ended request=r-1 outcome=complete longest_pause_ms",
+])]
 fn each_decision_on_a_request_is_logged(
     #[case] scripts: Vec<Script>,
     #[case] sent: String,
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -9,7 +9,9 @@
 
 use rstest::rstest;
 use support::{
-    CALLERS_PORT, HOST, KEY, TestRouter, caller, log, request, router_with_servers,
+    CALLERS_PORT, HOST, KEY, TestRouter, caller, config, log,
+    platform::MemoryStore,
+    request, router_with_servers,
     server::{
         Received, Step, TestServer, broken_stream, chunk, complete_stream, event, events, response,
         send_text, stream_head,
@@ -237,6 +239,35 @@
     assert_eq!(response.text(), events(1, 6));
 }
 
+// Guards against asking more servers than the route allows each time that a stream pauses.
+#[test]
+fn a_stream_that_pauses_repeatedly_reaches_no_more_servers_than_its_route_allows() {
+    let script = |req: &Received| {
+        if req.header("last-event").is_some() {
+            return HANGS(req);
+        }
+        let pause = Step::Pause(Duration::from_millis(1_200));
+        let mut steps = vec![stream_head(req)];
+        steps.extend((1..=4).flat_map(|id| [chunk(&event(id)), pause.clone()]));
+        steps.push(send_text("0\r\n\r\n"));
+        steps
+    };
+    let servers = ["s-1", "s-2", "s-3", "s-4"].map(|id| TestServer::start(id, script));
+    let mut config = config(1);
+    config.routes[3].timeout = Duration::from_secs(10);
+    let store = MemoryStore::with(config);
+    for server in &servers {
+        store.put(&server.id, support::record("engines", server.address));
+    }
+    let router = TestRouter::start(&store);
+    let sent = request("POST", "resumable", "r-1", "").replace("2500", "10000");
+    let response = router.send(&sent);
+    assert_eq!(response.text(), events(1, 4));
+    assert!(response.is_complete);
+    let arrivals: usize = servers.iter().map(|server| server.received().len()).sum();
+    assert_eq!(arrivals, 2);
+}
+
 // Guards against an error response to a stream request whose server is slow to start and the only one.
 #[test]
 fn a_slow_server_keeps_a_stream_request_that_no_other_server_can_take() {
