Keep waiting for a slow server if no other one takes over its request

What callers saw: error responses (504) to requests that may be repeated, 400 ms after they were sent, though the server would have answered a little later; also to stream requests whose first event was late.

Cause: the read timeout of an attempt is short (four times the route's target, 400 ms at least) so that another server can be tried. It ended the attempt also if the route allowed no further server, none was left, or the fleet's retry budget was used up.

Change: when the timeout is reached, the next server and the retry are looked for first. The attempt is given up only for them, or when the request's time is over; otherwise it waits for another such period. The server's health records each period of silence, so that other requests avoid it. The retry is no longer withdrawn if there is no server.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -2,7 +2,10 @@
 //!
 //! Metrics and log lines call an attempt a hop.
 
-use std::time::{Duration, Instant};
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
 
 use bulrushward_net::with_causes;
 use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
@@ -17,6 +20,7 @@
 
 use crate::{
     connection::{self, ConnectError, Connection},
+    handover::SilenceWatch,
     ports::{ForwardingMetadata, ResponseMetadata},
     routed_request::RoutedRequest,
     server_selection::ServerChoice,
@@ -85,6 +89,8 @@
 
 /// Sends a request to a server and returns its complete response, or its stream from the first events on.
 ///
+/// A silent server is given up only if another one takes over or if the time of the request is over.
+///
 /// # Errors
 ///
 /// Returns [`AttemptError`] if there is no response that may be passed on as a success.
@@ -93,11 +99,12 @@
     request: &RoutedRequest,
     choice: &ServerChoice,
     last_event_id: Option<&str>,
+    silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
-    let mut progress = InProgress::new(&choice.server, choice.inputs.unread_tokens);
-    let head = fetch_head(shared, request, choice, last_event_id, &mut progress).await;
+    let progress = InProgress::new(&choice.server, choice.inputs.unread_tokens);
+    let head = fetch_head(shared, request, choice, last_event_id, &progress, silence).await;
     match head {
-        Ok(received) => read_response(request, received, progress).await,
+        Ok(received) => read_response(request, received, progress, silence).await,
         Err(error) => {
             record_failure(&progress, &error);
             Err(error)
@@ -117,12 +124,14 @@
     request: &RoutedRequest,
     choice: &ServerChoice,
     last_event_id: Option<&str>,
-    progress: &mut InProgress,
+    progress: &InProgress,
+    silence: &mut SilenceWatch<'_>,
 ) -> Result<ReceivedHead, AttemptError> {
     let (res, connection) = loop {
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
-        match send_on(shared, request, choice, last_event_id, connection).await {
+        let req = build_request(shared, request, choice, last_event_id)?;
+        match send_on(request, req, connection, progress, silence).await {
             // A server may close idle connections, so this is no failure of the server.
             Err(error) if is_reused && error.failure == AttemptFailure::NotSent => {}
             result => break result?,
@@ -167,30 +176,35 @@
 
 /// Sends a request on a connection and waits for the response head.
 async fn send_on(
-    shared: &Shared,
     request: &RoutedRequest,
-    choice: &ServerChoice,
-    last_event_id: Option<&str>,
+    req: Request<Full<Bytes>>,
     mut connection: Connection,
+    progress: &InProgress,
+    silence: &mut SilenceWatch<'_>,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
-    let req = build_request(shared, request, choice, last_event_id)?;
-    let deadline = TokioInstant::from_std(read_deadline(request));
-    match timeout_at(deadline, connection.sender.try_send_request(req)).await {
-        Ok(Ok(res)) => Ok((res, connection)),
-        Ok(Err(error)) => {
-            // hyper returns the request if it has sent nothing of it.
-            let failure = if error.message().is_some() {
-                AttemptFailure::NotSent
-            } else {
-                AttemptFailure::Broken
-            };
-            Err(AttemptError::new(failure, &with_causes(error.error())))
+    let received = {
+        let mut response = pin!(connection.sender.try_send_request(req));
+        loop {
+            let deadline = TokioInstant::from_std(read_deadline(request));
+            match timeout_at(deadline, response.as_mut()).await {
+                Ok(received) => break received,
+                Err(_elapsed) if silence.waits_on(progress) => {}
+                Err(_elapsed) => {
+                    let detail = "no response head in time";
+                    return Err(AttemptError::new(AttemptFailure::Silent, &detail));
+                }
+            }
         }
-        Err(_elapsed) => Err(AttemptError::new(
-            AttemptFailure::Silent,
-            &"no response head in time",
-        )),
-    }
+    };
+    received.map(|res| (res, connection)).map_err(|error| {
+        // hyper returns the request if it has sent nothing of it.
+        let failure = if error.message().is_some() {
+            AttemptFailure::NotSent
+        } else {
+            AttemptFailure::Broken
+        };
+        AttemptError::new(failure, &with_causes(error.error()))
+    })
 }
 
 /// Checks that a response belongs to the request and that the server ran the request.
@@ -236,6 +250,7 @@
     request: &RoutedRequest,
     received: ReceivedHead,
     progress: InProgress,
+    silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
     let ReceivedHead {
         res,
@@ -253,7 +268,7 @@
             metadata.keep_alive_timeout,
             request.deadline,
         );
-        return read_first_events(request, head.status, headers, stream).await;
+        return read_first_events(request, head.status, headers, stream, silence).await;
     }
     let deadline = TokioInstant::from_std(request.deadline);
     let limited = Limited::new(body, MAX_BUFFERED_BYTES);
@@ -310,13 +325,19 @@
     status: StatusCode,
     headers: HeaderMap,
     mut stream: ServerStream,
+    silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
-    let first_events = match stream.next(read_deadline(request)).await {
-        Ok(StreamItem::Events(first_events)) => first_events,
-        Ok(StreamItem::End) => Bytes::new(),
-        Err(error) => {
-            record_failure(&stream.progress, &error);
-            return Err(error);
+    let first_events = loop {
+        match stream.next(read_deadline(request)).await {
+            Ok(StreamItem::Events(first_events)) => break first_events,
+            Ok(StreamItem::End) => break Bytes::new(),
+            Err(error)
+                if error.failure == AttemptFailure::Silent
+                    && silence.waits_on(&stream.progress) => {}
+            Err(error) => {
+                record_failure(&stream.progress, &error);
+                return Err(error);
+            }
         }
     };
     stream.progress.record_prefill();
@@ -342,7 +363,7 @@
 
 /// Returns the time by which the server must send something.
 ///
-/// For idempotent requests it is early enough to send them to another server.
+/// For idempotent requests it is early enough to send them to another server; without one, the server may take longer.
 fn read_deadline(request: &RoutedRequest) -> Instant {
     if !request.route.is_idempotent() || request.route.max_servers < 2 {
         return request.deadline;
--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -2,12 +2,17 @@
 
 use std::time::Instant;
 
-use bulrushward_policy::server_attempt::{AttemptFailure, NextAttempt};
+use bulrushward_policy::{
+    server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
+    server_health::ServerHealth,
+};
 use strum::IntoStaticStr;
+use tracing::info;
 
 use crate::{
     routed_request::RoutedRequest,
     server_selection::{self, ServerChoice},
+    servers::{InProgress, Server},
     shared::Shared,
 };
 
@@ -39,12 +44,12 @@
     failure: AttemptFailure,
     tried: &[String],
 ) -> Result<ServerChoice, HandoverRefusal> {
-    let NextAttempt::Send { retry } = next else {
-        return Err(HandoverRefusal::Route);
-    };
     if Instant::now() >= request.deadline {
         return Err(HandoverRefusal::TimeOver);
     }
+    let NextAttempt::Send { retry } = next else {
+        return Err(HandoverRefusal::Route);
+    };
     if !server_selection::has_candidate(shared, request, tried) {
         return Err(HandoverRefusal::NoServer);
     }
@@ -53,3 +58,77 @@
     }
     server_selection::select(shared, request, tried).ok_or(HandoverRefusal::NoServer)
 }
+
+/// Looks for another server while the server of an attempt is silent.
+#[derive(Debug)]
+pub(crate) struct SilenceWatch<'a> {
+    shared: &'a Shared,
+    request: &'a RoutedRequest,
+    /// Failed attempts before the present one.
+    history: &'a AttemptHistory,
+    /// Servers that have received the request, the one of the present attempt last.
+    tried: &'a [String],
+    successor: Option<ServerChoice>,
+    is_logged: bool,
+}
+
+impl<'a> SilenceWatch<'a> {
+    pub(crate) fn new(
+        shared: &'a Shared,
+        request: &'a RoutedRequest,
+        history: &'a AttemptHistory,
+        tried: &'a [String],
+    ) -> Self {
+        Self {
+            shared,
+            request,
+            history,
+            tried,
+            successor: None,
+            is_logged: false,
+        }
+    }
+
+    /// Returns whether the attempt waits on, as its time is not over and no other server takes over.
+    pub(crate) fn waits_on(&mut self, progress: &InProgress) -> bool {
+        let next = self.history.clone().record_failure(AttemptFailure::Silent);
+        let selected = select_next(
+            self.shared,
+            self.request,
+            next,
+            AttemptFailure::Silent,
+            self.tried,
+        );
+        match selected {
+            Ok(successor) => {
+                self.successor = Some(successor);
+                false
+            }
+            Err(HandoverRefusal::TimeOver) => false,
+            Err(refusal) => {
+                // Other requests should avoid the server meanwhile.
+                progress.update_health(ServerHealth::record_failure);
+                if !std::mem::replace(&mut self.is_logged, true) {
+                    log_kept(self.request, progress.server(), refusal.into());
+                }
+                true
+            }
+        }
+    }
+
+    /// Returns the server that takes over, if the attempt was given up for one.
+    pub(crate) fn into_successor(self) -> Option<ServerChoice> {
+        self.successor
+    }
+}
+
+/// Logs that a silent server keeps a request or stream.
+pub(crate) fn log_kept(request: &RoutedRequest, server: &Server, reason: &'static str) {
+    info!(
+        event = "silent-server-kept",
+        request = request.request_id,
+        server = server.id,
+        reason,
+        ms = request.received.elapsed().as_millis() as u64,
+    );
+}
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -1,6 +1,7 @@
 //! Relays a server's stream to the caller and resumes it at another server where that is allowed.
 
 use std::{
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,7 +16,7 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse, OpenStream, record_failure},
-    handover::{self, HandoverRefusal},
+    handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{Body, StreamTruncated},
     metrics::InProgressGuard,
     request_handler::log_failed_attempt,
@@ -154,9 +155,14 @@
         }
         let mut failed_server = self.source.progress.server().id.clone();
         let mut history = self.history.clone();
+        let mut successor = None;
         loop {
             let next = history.record_failure(error.failure);
-            let choice = match self.select_next(next, error.failure) {
+            let selected = match successor.take() {
+                Some(successor) => Ok(successor),
+                None => self.select_next(next, error.failure),
+            };
+            let choice = match selected {
                 Ok(choice) => choice,
                 Err(refusal) if is_source_open => {
                     self.record_kept(refusal.into());
@@ -172,7 +178,10 @@
             self.log_failed_attempt(&failed_server, &error);
             self.history = history.clone();
             failed_server.clone_from(&choice.server.id);
-            error = match self.resume_at(choice, &mut is_source_open).await {
+            let resumed = self
+                .resume_at(choice, &mut is_source_open, &mut successor)
+                .await;
+            error = match resumed {
                 Ok(item) => {
                     if self.source.progress.server().id != failed_server {
                         self.record_kept("went-on");
@@ -199,12 +208,13 @@
     ///
     /// # Errors
     ///
-    /// Returns [`AttemptError`] if the stream could not be resumed; `is_source_open` is cleared if the current server
-    /// has failed meanwhile.
+    /// Returns [`AttemptError`] if the stream could not be resumed, with the `successor` if another server takes over.
+    /// `is_source_open` is cleared if the current server has failed meanwhile.
     async fn resume_at(
         &mut self,
         choice: ServerChoice,
         is_source_open: &mut bool,
+        successor: &mut Option<ServerChoice>,
     ) -> Result<StreamItem, AttemptError> {
         self.tried.push(choice.server.id.clone());
         self.shared.metrics.resumes.inc();
@@ -218,17 +228,22 @@
             after_event = self.last_event_id.as_deref().unwrap_or_default(),
         );
         let last_event_id = self.last_event_id.as_deref();
-        let attempt = attempt::send(&self.shared, &self.request, &choice, last_event_id);
-        let mut attempt = std::pin::pin!(attempt);
-        let response = loop {
-            tokio::select! {
-                response = &mut attempt => break response,
-                item = self.source.next(self.request.deadline), if *is_source_open => match item {
-                    Ok(item) => return Ok(item),
-                    Err(_closed) => *is_source_open = false,
+        let (shared, request) = (&*self.shared, &*self.request);
+        let mut silence = SilenceWatch::new(shared, request, &self.history, &self.tried);
+        let response = {
+            let attempt = attempt::send(shared, request, &choice, last_event_id, &mut silence);
+            let mut attempt = pin!(attempt);
+            loop {
+                tokio::select! {
+                    response = &mut attempt => break response,
+                    item = self.source.next(request.deadline), if *is_source_open => match item {
+                        Ok(item) => return Ok(item),
+                        Err(_closed) => *is_source_open = false,
+                    }
                 }
             }
         };
+        *successor = silence.into_successor();
         match response? {
             AttemptResponse::Stream(open) => {
                 let OpenStream {
@@ -260,13 +275,7 @@
         if std::mem::replace(&mut self.is_kept_logged, true) {
             return;
         }
-        info!(
-            event = "silent-server-kept",
-            request = self.request.request_id,
-            server = server.id,
-            reason,
-            ms = self.request.received.elapsed().as_millis() as u64,
-        );
+        handover::log_kept(&self.request, server, reason);
     }
 
     /// Returns the time by which the server must send something.
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse},
+    handover::SilenceWatch,
     local_response::{self, Body, LocalResponse, Reason},
     relay,
     request_log::RequestLog,
@@ -68,6 +69,7 @@
     let mut tried = Vec::new();
     let mut last_error: Option<AttemptError> = None;
     let mut retry_cause = None;
+    let mut successor = None;
     loop {
         if let Some(time_left) = shared.quarantine_time_left(request.fingerprint) {
             return match history.outcome() {
@@ -78,7 +80,10 @@
         if Instant::now() >= request.deadline {
             return final_response(&history, last_error, Reason::TimeOver);
         }
-        let Some(choice) = server_selection::select(shared, &request, &tried) else {
+        let choice = successor
+            .take()
+            .or_else(|| server_selection::select(shared, &request, &tried));
+        let Some(choice) = choice else {
             return final_response(&history, last_error, Reason::NoServer);
         };
         let server = &choice.server;
@@ -88,7 +93,9 @@
         tried.push(server.id.clone());
         shared.metrics.record_attempt(choice.inputs.report_age);
         let sent = Instant::now();
-        let result = attempt::send(shared, &request, &choice, None).await;
+        let mut silence = SilenceWatch::new(shared, &request, &history, &tried);
+        let result = attempt::send(shared, &request, &choice, None, &mut silence).await;
+        successor = silence.into_successor();
         let failure = result.as_ref().err().map(|error| error.failure);
         shared
             .overload
@@ -115,6 +122,8 @@
         last_error = Some(error);
         match next {
             NextAttempt::Send { retry: false } => {}
+            // Its retry is withdrawn already.
+            NextAttempt::Send { retry: true } if successor.is_some() => retry_cause = Some(cause),
             NextAttempt::Send { retry: true } if shared.withdraw_retry(service, cause) => {
                 retry_cause = Some(cause);
             }
