Close unused connections when a stopping router accepts no more

A caller that opened a connection in the first 2.6 s of a stop and sent its first request seconds later had its answer abandoned at the end of the grace time, though the request was sent later than 3 s after SIGTERM.

Cause: a stopping router closed connections after their requests, but one without a request stayed open until the process ended, and kept it running until then.

Change: connections accepted during a stop have until the listener closes to begin their only request. A caller whose connection is closed unused sends its request elsewhere. Bytes that have arrived are read before a connection is taken for unused.

--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -29,7 +29,8 @@
 
 /// Serves callers until `close` is cancelled and all of their requests are completed.
 ///
-/// Once `drain` is cancelled, each connection closes after its current request.
+/// Once `drain` is cancelled, each connection closes after its current request. Connections accepted from then on have
+/// until `close` is cancelled to begin their only request.
 pub(crate) async fn serve_callers(
     shared: Arc<Shared>,
     listener: TcpListener,
@@ -41,7 +42,15 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _peer)) => {
-                    connections.spawn(serve_caller(Arc::clone(&shared), stream, drain.clone()));
+                    // Connections accepted while draining have keep-alive disabled and close after one request.
+                    let is_draining = drain.is_cancelled();
+                    let close_unused = if is_draining { &close } else { &drain };
+                    connections.spawn(serve_caller(
+                        Arc::clone(&shared),
+                        stream,
+                        !is_draining,
+                        close_unused.clone(),
+                    ));
                 }
                 Err(error) => log_and_wait(&error).await,
             },
@@ -58,7 +67,13 @@
     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
 }
 
-async fn serve_caller(shared: Arc<Shared>, stream: TcpStream, drain: CancellationToken) {
+/// Serves the requests of a connection; once `close_unused` is cancelled, it closes after its current request.
+async fn serve_caller(
+    shared: Arc<Shared>,
+    stream: TcpStream,
+    keep_alive: bool,
+    close_unused: CancellationToken,
+) {
     let limits = shared
         .routes
         .load()
@@ -73,10 +88,9 @@
         let shared = Arc::clone(&shared);
         async move { Ok::<_, Infallible>(request_handler::serve(shared, req).await) }
     });
-    let is_draining = drain.is_cancelled();
     let mut builder = http1::Builder::new();
     builder
-        .keep_alive(!is_draining)
+        .keep_alive(keep_alive)
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
@@ -84,9 +98,10 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
+        // A request that has already arrived is read first.
+        biased;
         ended = connection.as_mut() => ended,
-        // Connections accepted while draining have keep-alive disabled and close after one request.
-        () = drain.cancelled(), if !is_draining => {
+        () = close_unused.cancelled() => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use std::{
-    io::Write,
+    io::{Read, Write},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -246,6 +246,22 @@
     );
 }
 
+// Guards against abandoning a request that came late on a connection opened during a stop.
+#[test]
+fn a_stopping_router_closes_unused_connections_when_it_accepts_no_more() {
+    let server = TestServer::echo("s-1");
+    let mut router = router_with_servers("plain", &[&server]);
+    router.stop();
+    wait_until("the router is not ready", || router.readiness() == 503);
+    let mut unused = caller::connect(router.address(CALLERS_PORT));
+    let start = Instant::now();
+    let end = unused.read(&mut [0; 16]);
+    assert_eq!(end.expect("the connection is closed in order"), 0);
+    assert!(start.elapsed() < Duration::from_secs(4));
+    router.join();
+    assert!(start.elapsed() < Duration::from_secs(4));
+}
+
 #[test]
 fn a_connection_serves_many_requests() {
     let server = TestServer::echo("s-1");
