Leave a silent server as soon as another one begins to respond

A silent server that could be reached kept working beside the one that continues its stream until that one had sent an event, without a bound: 900 ms in a trial, 1,500 ms if neither sent anything.

Cause: the race between both servers ended with the first event, but a server begins to run a request before that.

Change: the head of a successful response ends it. A response that refuses or fails leaves the silent server the stream, as before. A silent server that breaks meanwhile now counts in its health.

If both servers send nothing at all, both still wait: neither can be known to run the stream.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -101,10 +101,46 @@
     last_event_id: Option<&str>,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
+    let head = send_head(shared, request, choice, last_event_id, silence).await?;
+    read_response(request, head, silence).await
+}
+
+/// Response head of a server; the body is not read yet.
+#[derive(Debug)]
+pub(crate) struct ReceivedHead {
+    res: Response<Incoming>,
+    metadata: ResponseMetadata,
+    connection: Connection,
+    progress: InProgress,
+}
+
+impl ReceivedHead {
+    pub(crate) fn is_success(&self) -> bool {
+        self.res.status().is_success()
+    }
+}
+
+/// Sends a request to a server and returns the head of its response.
+///
+/// # Errors
+///
+/// Returns [`AttemptError`] if there is no valid head.
+pub(crate) async fn send_head(
+    shared: &Shared,
+    request: &RoutedRequest,
+    choice: &ServerChoice,
+    last_event_id: Option<&str>,
+    silence: &mut SilenceWatch<'_>,
+) -> Result<ReceivedHead, AttemptError> {
     let progress = InProgress::new(&choice.server, choice.inputs.unread_tokens);
     let head = fetch_head(shared, request, choice, last_event_id, &progress, silence).await;
     match head {
-        Ok(received) => read_response(request, received, progress, silence).await,
+        Ok((res, metadata, connection)) => Ok(ReceivedHead {
+            res,
+            metadata,
+            connection,
+            progress,
+        }),
         Err(error) => {
             record_failure(&progress, &error);
             Err(error)
@@ -112,13 +148,6 @@
     }
 }
 
-/// Response head of a server; the body is not read yet.
-struct ReceivedHead {
-    res: Response<Incoming>,
-    metadata: ResponseMetadata,
-    connection: Connection,
-}
-
 async fn fetch_head(
     shared: &Shared,
     request: &RoutedRequest,
@@ -126,7 +155,7 @@
     last_event_id: Option<&str>,
     progress: &InProgress,
     silence: &mut SilenceWatch<'_>,
-) -> Result<ReceivedHead, AttemptError> {
+) -> Result<(Response<Incoming>, ResponseMetadata, Connection), AttemptError> {
     let (res, connection) = loop {
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
@@ -145,11 +174,7 @@
             .record_report(load.running + load.waiting, Instant::now());
     }
     validate_head(request, &res, &metadata)?;
-    Ok(ReceivedHead {
-        res,
-        metadata,
-        connection,
-    })
+    Ok((res, metadata, connection))
 }
 
 /// Acquires a connection to a server within this router's share of its connections.
@@ -246,16 +271,21 @@
     Ok(())
 }
 
-async fn read_response(
+/// Reads the complete response, or a stream up to its first events.
+///
+/// # Errors
+///
+/// Returns [`AttemptError`] if there is no response that may be passed on as a success.
+pub(crate) async fn read_response(
     request: &RoutedRequest,
     received: ReceivedHead,
-    progress: InProgress,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
     let ReceivedHead {
         res,
         metadata,
         connection,
+        progress,
     } = received;
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -145,7 +145,7 @@
     /// Looks for another server that continues the stream after its server was silent or failed.
     ///
     /// A silent server may still go on. It keeps the stream if no other server may take over, and it is read from
-    /// until another one has sent an event.
+    /// until another one begins to respond.
     async fn hand_over(&mut self, mut error: AttemptError) -> Handover {
         let mut is_source_open =
             error.failure == AttemptFailure::Silent && Instant::now() < self.request.deadline;
@@ -230,19 +230,33 @@
         let last_event_id = self.last_event_id.as_deref();
         let (shared, request) = (&*self.shared, &*self.request);
         let mut silence = SilenceWatch::new(shared, request, &self.history, &self.tried);
-        let response = {
-            let attempt = attempt::send(shared, request, &choice, last_event_id, &mut silence);
-            let mut attempt = pin!(attempt);
+        let head = {
+            let head = attempt::send_head(shared, request, &choice, last_event_id, &mut silence);
+            let mut head = pin!(head);
             loop {
                 tokio::select! {
-                    response = &mut attempt => break response,
+                    head = &mut head => break head,
                     item = self.source.next(request.deadline), if *is_source_open => match item {
                         Ok(item) => return Ok(item),
-                        Err(_closed) => *is_source_open = false,
+                        Err(closed) => {
+                            *is_source_open = false;
+                            record_failure(&self.source.progress, &closed);
+                        }
                     }
                 }
             }
         };
+        let response = match head {
+            Ok(head) => {
+                if head.is_success() {
+                    // Two servers must not run the stream side by side.
+                    self.source.close();
+                    *is_source_open = false;
+                }
+                attempt::read_response(request, head, &mut silence).await
+            }
+            Err(error) => Err(error),
+        };
         *successor = silence.into_successor();
         match response? {
             AttemptResponse::Stream(open) => {
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Closes the connection, so that the server stops its work.
+    pub(crate) fn close(&mut self) {
+        self.close_timer = None;
+        self.connection = None;
+    }
+
     fn finish(&mut self) -> Result<StreamItem, AttemptError> {
         if self.splitter.has_partial_event() {
             return Err(AttemptError::new(
