Withdraw a retry only for an attempt that is made

The more requests wait for a slow server, the more of them reach their deadline.

Cause: after a failed attempt the retry was withdrawn first; whether time was left and another server was there was found out after that.

Change: the check that silent servers use selects the next server for all failures: route, time, server, then budget. A request whose time is over keeps the reason of its last failure (server-silent) instead of time-over.

--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -10,6 +10,7 @@
 use tracing::info;
 
 use crate::{
+    local_response::Reason,
     routed_request::RoutedRequest,
     server_selection::{self, ServerChoice},
     servers::{InProgress, Server},
@@ -32,6 +33,17 @@
     RetryBudget,
 }
 
+impl HandoverRefusal {
+    /// Returns the reason of a local response if it is this refusal and not the failure before it.
+    pub(crate) fn reason(self) -> Option<Reason> {
+        match self {
+            Self::NoServer => Some(Reason::NoServer),
+            Self::RetryBudget => Some(Reason::RetryBudget),
+            Self::Route | Self::TimeOver | Self::NoEvent => None,
+        }
+    }
+}
+
 /// Selects the server of the next attempt after `failure`, and withdraws a retry if the attempt is one.
 ///
 /// # Errors
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse},
-    handover::SilenceWatch,
+    handover::{self, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
     relay,
     request_log::RequestLog,
@@ -116,19 +116,23 @@
                 .replaced_servers()
                 .record(server.hash, Instant::now());
         }
-        let next = history.record_failure(error.failure);
+        let failure = error.failure;
+        let next = history.record_failure(failure);
         let reason = failure_reason(&error);
-        let cause = error.failure.retry_cause();
+        let cause = failure.retry_cause();
         last_error = Some(error);
         match next {
-            NextAttempt::Send { retry: false } => {}
-            // Its retry is withdrawn already.
-            NextAttempt::Send { retry: true } if successor.is_some() => retry_cause = Some(cause),
-            NextAttempt::Send { retry: true } if shared.withdraw_retry(service, cause) => {
-                retry_cause = Some(cause);
-            }
-            NextAttempt::Send { retry: true } => {
-                return final_response(&history, last_error, Reason::RetryBudget);
+            NextAttempt::Send { retry } => {
+                if successor.is_none() {
+                    match handover::select_next(shared, &request, next, failure, &tried) {
+                        Ok(choice) => successor = Some(choice),
+                        Err(refusal) => {
+                            let reason = refusal.reason().unwrap_or(reason);
+                            return final_response(&history, last_error, reason);
+                        }
+                    }
+                }
+                retry_cause = retry.then_some(cause);
             }
             NextAttempt::NotRun | NextAttempt::Unknown => {
                 return final_response(&history, last_error, reason);
--- a/bulrushward_direct/tests/handover.rs
+++ b/bulrushward_direct/tests/handover.rs
@@ -16,7 +16,7 @@
 use support::{
     CALLERS_PORT, TestRouter, caller, config,
     platform::MemoryStore,
-    record, request,
+    record, request, router_with_servers,
     server::{Received, Step, TestServer, chunk, complete_stream, event, events, stream_head},
     wait_until,
 };
@@ -129,3 +129,21 @@
         servers.iter().all(|server| server.disconnects() == 1)
     });
 }
+
+// Guards against taking a retry from the fleet's budget for an attempt that is not made.
+#[rstest]
+#[case::hangs(Step::Hang)]
+#[case::closes(Step::Close)]
+fn no_retry_is_withdrawn_without_another_server(#[case] step: Step) {
+    let server = TestServer::start("s-1", move |_| vec![step.clone()]);
+    let router = router_with_servers("plain", &[&server]);
+    let sent = request("GET", "lookup", "r-1", "").replace("2500", "900");
+    assert!(router.send(&sent).status >= 500);
+    assert_eq!(server.received().len(), 1);
+    let metrics = caller::get(router.address(7_341), "/metrics").expect("metrics are served");
+    let text = metrics.text();
+    assert!(
+        text.contains("bulrushward_direct_repeats_total 0\n"),
+        "{text}"
+    );
+}
