Refuse requests that are complete only late in a stop

A caller that had sent a part of its head or body when the stop began, and the rest seconds later, had its request passed on to a server and abandoned at the end of the grace time.

Cause: only unused connections were closed when a stopping router accepts no more; one on which a request had begun stayed open, and the request was sent to a server whenever it was complete.

Change: from that moment on a request that becomes complete is answered 503 with Retry-After (reason=stopping). It has not run, so every caller may send it elsewhere.

--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -45,6 +45,7 @@
     ServerBroke,
     ServerSilent,
     Quarantined,
+    Stopping,
 }
 
 /// A response that the router generates itself.
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -29,6 +29,10 @@
     let _in_progress = shared.metrics.track_in_progress();
     let result =
         match request_reader::read(&shared, req, metadata, received, &mut request_log).await {
+            Ok(_) if shared.is_refusing() => Err(LocalResponse::not_run(
+                Reason::Stopping,
+                retry_after::STOP_RETRY,
+            )),
             Ok(request) => send_with_retries(&shared, Arc::new(request), &mut request_log).await,
             Err(local) => Err(local),
         };
--- a/bulrushward_direct/src/retry_after.rs
+++ b/bulrushward_direct/src/retry_after.rs
@@ -8,6 +8,8 @@
 
 /// Retry delay while the configuration is missing or incomplete, as when this router starts.
 pub(crate) const START_RETRY: Duration = Duration::from_millis(300);
+/// Retry delay while this router stops; others take the request.
+pub(crate) const STOP_RETRY: Duration = Duration::from_millis(50);
 /// Range of the retry delay while the store that holds the configuration is unavailable.
 ///
 /// Outages last seconds, and most callers retry only once.
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -241,6 +241,7 @@
     shared.begin_stop();
     drain.cancel();
     tokio::time::sleep(ACCEPT_WHILE_STOPPING).await;
+    shared.begin_refusing();
     close.cancel();
     let time_left = shared
         .settings()
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -61,6 +61,7 @@
     /// Time from which the number of routers is known.
     fleet_known: Instant,
     is_stopping: AtomicBool,
+    is_refusing: AtomicBool,
     is_abandoning: AtomicBool,
     pub(crate) store_state: StoreState,
     has_servers: AtomicBool,
@@ -91,6 +92,7 @@
             servers: ArcSwap::default(),
             routers: AtomicU32::new(1),
             is_stopping: AtomicBool::new(false),
+            is_refusing: AtomicBool::new(false),
             is_abandoning: AtomicBool::new(false),
             store_state: StoreState::default(),
             has_servers: AtomicBool::new(false),
@@ -161,6 +163,15 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether requests are refused because too little of a stop's grace time is left to serve them.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.is_refusing.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_refusing(&self) {
+        self.is_refusing.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether the requests still in progress are abandoned because the grace time of a stop is over.
     pub(crate) fn is_abandoning(&self) -> bool {
         self.is_abandoning.load(Ordering::Relaxed)
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -4,11 +4,13 @@
 
 use std::{
     io::{Read, Write},
+    net::TcpStream,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use bulrushward_direct::RouteKind;
+use rstest::rstest;
 use support::{
     CALLERS_PORT, TestRouter, caller, config,
     platform::MemoryStore,
@@ -262,6 +264,40 @@
     assert!(start.elapsed() < Duration::from_secs(4));
 }
 
+// Guards against abandoning a request that was complete only late in a stop.
+#[rstest]
+#[case::in_its_head(12)]
+#[case::in_its_body(usize::MAX)]
+fn a_request_that_is_complete_only_late_in_a_stop_is_refused(#[case] split: usize) {
+    let server = TestServer::echo("s-1");
+    let mut config = config(1);
+    config.routes[1].timeout = Duration::from_secs(9);
+    let store = MemoryStore::with(config);
+    store.put("s-1", record("plain", server.address));
+    let mut router = TestRouter::start(&store);
+    let sent = request("POST", "action", "r-1", "body").replace("2500", "9000");
+    let (early, late) = sent.split_at(split.min(sent.len() - 2));
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    stream
+        .write_all(early.as_bytes())
+        .expect("the first part can be sent");
+    // The router reads the first part before a later request.
+    assert_eq!(status(&router, "lookup"), 200);
+    router.stop();
+    wait_until("the router accepts no more", || {
+        TcpStream::connect(router.address(CALLERS_PORT)).is_err()
+    });
+    stream
+        .write_all(late.as_bytes())
+        .expect("the rest can be sent");
+    let response = caller::read_response(&mut stream);
+    assert_eq!(response.status, 503);
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(response.header("x-bulrushward-outcome"), Some("not-run"));
+    assert_eq!(server.received().len(), 1);
+    router.join();
+}
+
 #[test]
 fn a_connection_serves_many_requests() {
     let server = TestServer::echo("s-1");
