Close callers' connections only when their last response has been delivered

Callers that did not send ahead lost nothing.

Cause: the router closed the socket once the response was in the kernel's buffer. Bytes that arrive at a closed socket reset the connection, and the reset discards what is still in the buffer.

Change: after the end of the last response the router shuts down its sending side only, discards what still arrives, and closes the socket when the caller has closed its side, after 2 s at the latest. Unused connections are closed at once, as before.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet_state;
 mod gossip;
 mod handover;
+mod lingering_stream;
 mod listener;
 mod local_response;
 mod location_updates;
--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -16,6 +16,7 @@
 use tracing::{debug, warn};
 
 use crate::{
+    lingering_stream::LingeringStream,
     local_response::{self, Body},
     model::CallerLimits,
     request_handler,
@@ -95,7 +96,8 @@
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
         .auto_date_header(false);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let stream = TokioIo::new(LingeringStream::new(stream));
+    let connection = builder.serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         // A request that has already arrived is read first.
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -11,6 +11,7 @@
 
 use bulrushward_direct::RouteKind;
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 use support::{
     CALLERS_PORT, TestRouter, caller, config,
     platform::MemoryStore,
@@ -298,6 +299,45 @@
     router.join();
 }
 
+// Guards against losing the end of a response in the kernel when its caller sends the next request early.
+#[test]
+fn a_slow_caller_that_sends_ahead_receives_its_response_when_the_router_stops() {
+    const BODY_BYTES: usize = 300_000;
+    let server = TestServer::start("s-1", |req| vec![ok_response(req, &"x".repeat(BODY_BYTES))]);
+    let mut router = router_with_servers("plain", &[&server]);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket can be created");
+    socket
+        .set_recv_buffer_size(4 << 10)
+        .expect("the buffer size can be set");
+    let address = router.address(CALLERS_PORT);
+    socket.connect(&address.into()).expect("the router listens");
+    let mut stream = TcpStream::from(socket);
+    let sent = request("POST", "action", "r-1", "");
+    stream
+        .write_all(sent.as_bytes())
+        .expect("the request can be sent");
+    let mut received = vec![0; 1_024];
+    stream
+        .read_exact(&mut received)
+        .expect("the response begins");
+    router.stop();
+    wait_until("the router is not ready", || router.readiness() == 503);
+    let next = request("POST", "action", "r-2", "");
+    stream
+        .write_all(next.as_bytes())
+        .expect("the next request can be sent");
+    // Any response to the next request has arrived when the router has ended its other work.
+    wait_until("the router accepts no more", || {
+        TcpStream::connect(address).is_err()
+    });
+    let end = stream.read_to_end(&mut received);
+    assert!(end.is_ok(), "{end:?} after {} bytes", received.len());
+    assert!(received.ends_with(&[b'x'; 1_024]));
+    assert!(received.len() > BODY_BYTES);
+    drop(stream);
+    router.join();
+}
+
 #[test]
 fn a_connection_serves_many_requests() {
     let server = TestServer::echo("s-1");
