Give the stand-in's servers long streams and pauses

Streams have 8 to 139 events, by the request's id, so that any server can resume them and the check of completeness knows the number. A server can pause for 1.2 to 2 s and then complete the response.

--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -220,6 +220,7 @@
                 truncated: share(),
                 server_error: share(),
                 hung: share() / 4.0,
+                paused: share(),
             });
             tokio::time::sleep(time).await;
             server.fake_server.set_fault_rates(FaultRates::default());
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_platform_stand_in::{EVENTS_PER_STREAM, Execution, plain_body};
+use bulrushward_platform_stand_in::{Execution, event_count, plain_body};
 
 use crate::{
     callers::{Attempt, AttemptResult, Kind, ReceivedResponse, events},
@@ -166,7 +166,7 @@
         }
         let is_complete = if attempt.kind.is_stream() {
             let (ids, has_last) = events(&response.body);
-            is_consecutive(&ids) && has_last && ids.len() == EVENTS_PER_STREAM as usize
+            is_consecutive(&ids) && has_last && ids.len() == event_count(&attempt.id) as usize
         } else {
             let server = response
                 .signature
