Check in the soak that planned stops cut no responses

Each series of faults ends with rolling stops of all routers while servers pause. An executed attempt around a stop must get a complete response, with the excuses of the rule LOST. Callers choose routers by readiness, use connections that were idle, and read slowly.

--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::Range,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -9,32 +10,61 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_platform_stand_in::{CallerRequest, is_signed, parse_event, server_signature};
+use bulrushward_platform_stand_in::{
+    CallerRequest, PLAIN_TIMEOUT, READINESS_PATH, STREAM_TIMEOUT, is_signed, parse_event,
+    server_signature,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    client::conn::http1::{SendRequest, handshake},
+};
 use hyper_util::rt::TokioIo;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    net::TcpStream,
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
 
 use crate::harness::Harness;
 
-/// Timeout that a caller announces to the router, in milliseconds.
-const CALLER_TIMEOUT_MS: u64 = 2_500;
+/// Timeout that a caller announces to the router for a plain request.
+const PLAIN_CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Timeout that a caller announces to the router for a stream.
+const STREAM_CALLER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Additional time for which a caller waits after that timeout.
 const CALLER_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time before a caller connects again after a request without a complete response, in milliseconds.
+const RECONNECT_DELAY_MS: Range<u64> = 100..400;
+/// Share of new connections that are idle before their first request.
+const IDLE_CONNECTION_RATE: f64 = 0.15;
+/// Time for which they are idle, in milliseconds.
+const IDLE_TIME_MS: Range<u64> = 500..4_000;
+/// Share of streams that are read slowly.
+const SLOW_READER_RATE: f64 = 0.15;
+/// Time before each read of a slow reader, in milliseconds.
+const READ_DELAY_MS: Range<u64> = 20..150;
+/// Time after which a slow reader reads on without delay.
+const MAX_SLOW_TIME: Duration = Duration::from_millis(1_500);
 /// Number of sessions that stream requests are spread over.
 const SESSIONS: u64 = 20;
 
 /// Kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
-pub(crate) enum Kind {
+pub enum Kind {
+    /// An idempotent plain request.
     Lookup,
+    /// A plain request that runs once at most.
     Action,
+    /// A stream that runs once at most.
     Stream,
+    /// A stream that another server can resume.
     Resumable,
 }
 
@@ -51,11 +81,28 @@
     pub(crate) fn is_stream(self) -> bool {
         matches!(self, Self::Stream | Self::Resumable)
     }
+
+    fn caller_timeout(self) -> Duration {
+        if self.is_stream() {
+            STREAM_CALLER_TIMEOUT
+        } else {
+            PLAIN_CALLER_TIMEOUT
+        }
+    }
+
+    fn route_timeout(self) -> Duration {
+        if self.is_stream() {
+            STREAM_TIMEOUT
+        } else {
+            PLAIN_TIMEOUT
+        }
+    }
 }
 
 /// How an attempt ended, as its caller observed it.
-#[derive(Clone, Debug)]
-pub(crate) enum AttemptResult {
+#[derive(Clone, Debug, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AttemptResult {
     /// A complete response.
     Complete(ReceivedResponse),
     /// A response that was truncated after its head.
@@ -68,22 +115,34 @@
 
 /// The received part of a response.
 #[derive(Clone, Debug)]
-pub(crate) struct ReceivedResponse {
-    pub(crate) status: u16,
-    pub(crate) is_signed: bool,
+pub struct ReceivedResponse {
+    /// Status of the response.
+    pub status: u16,
+    /// Whether the response carries a server's signature.
+    pub is_signed: bool,
     /// Server id and request id in the server's signature.
-    pub(crate) signature: Option<(String, String)>,
-    pub(crate) body: String,
+    pub signature: Option<(String, String)>,
+    /// The received part of the body.
+    pub body: String,
 }
 
 /// One request of a caller and its result.
 #[derive(Clone, Debug)]
-pub(crate) struct Attempt {
-    pub(crate) id: String,
-    pub(crate) kind: Kind,
-    pub(crate) router: usize,
-    pub(crate) ended: Instant,
-    pub(crate) result: AttemptResult,
+pub struct Attempt {
+    /// Request id.
+    pub id: String,
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Index of the router that the request was sent to.
+    pub router: usize,
+    /// When the caller sent the request.
+    pub sent: Instant,
+    /// When the response was complete or the connection closed.
+    pub ended: Instant,
+    /// The shorter of the caller's and the route's timeout.
+    pub time_limit: Duration,
+    /// How the attempt ended.
+    pub result: AttemptResult,
 }
 
 /// Attempts of all callers.
@@ -128,13 +187,13 @@
     let mut router = 0;
     let mut connection = None;
     while !attempts.is_over.load(Ordering::Relaxed) {
-        tokio::time::sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        sleep(random_ms(&mut rng, 5..60)).await;
         if connection.is_none() {
-            router = rng.random_range(0..harness.caller_links.len());
-            if !harness.routers()[router].is_up() {
-                continue;
-            }
+            router = harness.balancer.choose(&mut rng);
             connection = connect(harness.caller_address(router)).await;
+            if rng.random_bool(IDLE_CONNECTION_RATE) {
+                sleep(random_ms(&mut rng, IDLE_TIME_MS)).await;
+            }
         }
         let Some(mut open) = connection.take() else {
             continue;
@@ -154,34 +213,45 @@
             id: id.clone(),
             path: kind.path().to_owned(),
             key,
-            timeout_ms: CALLER_TIMEOUT_MS,
+            timeout_ms: kind.caller_timeout().as_millis() as u64,
             session: kind
                 .is_stream()
                 .then(|| rng.random_range(100..100 + SESSIONS)),
         };
-        let abandon_after_ms = rng.random_bool(0.04).then(|| rng.random_range(5..300));
-        let limit = abandon_after_ms.map_or(
-            Duration::from_millis(CALLER_TIMEOUT_MS) + CALLER_TIMEOUT_MARGIN,
-            Duration::from_millis,
-        );
-        let outcome = match timeout(limit, send(&mut open, &req)).await {
+        let abandon_after = rng.random_bool(0.04).then(|| random_ms(&mut rng, 5..300));
+        let limit = abandon_after.unwrap_or(kind.caller_timeout() + CALLER_TIMEOUT_MARGIN);
+        let read_delay = (kind.is_stream() && rng.random_bool(SLOW_READER_RATE))
+            .then(|| random_ms(&mut rng, READ_DELAY_MS));
+        let sent = Instant::now();
+        let result = match timeout(limit, send(&mut open, &req, read_delay)).await {
             Ok(result) => result,
-            Err(_elapsed) if abandon_after_ms.is_some() => AttemptResult::Abandoned,
+            Err(_elapsed) if abandon_after.is_some() => AttemptResult::Abandoned,
             Err(_elapsed) => AttemptResult::NoResponse,
         };
-        if matches!(outcome, AttemptResult::Complete(_)) && !open.sender.is_closed() {
-            connection = Some(open);
-        }
+        let ended = Instant::now();
+        let is_complete = matches!(result, AttemptResult::Complete(_));
         attempts.add(Attempt {
             id,
             kind,
             router,
-            ended: Instant::now(),
-            result: outcome,
+            sent,
+            ended,
+            time_limit: kind.caller_timeout().min(kind.route_timeout()),
+            result,
         });
+        if is_complete && !open.sender.is_closed() {
+            connection = Some(open);
+        } else if !is_complete {
+            drop(open);
+            sleep(random_ms(&mut rng, RECONNECT_DELAY_MS)).await;
+        }
     }
 }
 
+fn random_ms(rng: &mut Pcg64Mcg, ms: Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(ms))
+}
+
 async fn connect(address: SocketAddr) -> Option<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -198,7 +268,12 @@
     })
 }
 
-async fn send(connection: &mut Connection, req: &CallerRequest) -> AttemptResult {
+/// Sends a request and reads the response, with a delay before each read of a slow reader.
+async fn send(
+    connection: &mut Connection,
+    req: &CallerRequest,
+    read_delay: Option<Duration>,
+) -> AttemptResult {
     if connection.sender.ready().await.is_err() {
         return AttemptResult::NoResponse;
     }
@@ -212,7 +287,13 @@
         signature: server_signature(&head.headers),
         body: String::new(),
     };
+    let start = Instant::now();
     loop {
+        if let Some(delay) = read_delay
+            && start.elapsed() < MAX_SLOW_TIME
+        {
+            sleep(delay).await;
+        }
         match body.frame().await {
             None => return AttemptResult::Complete(response),
             Some(Err(_truncated)) => return AttemptResult::Truncated(response),
@@ -230,14 +311,11 @@
         id: id.to_owned(),
         path: path.to_owned(),
         key: key.to_owned(),
-        timeout_ms: CALLER_TIMEOUT_MS,
+        timeout_ms: PLAIN_CALLER_TIMEOUT.as_millis() as u64,
         session: None,
     };
     let mut connection = connect(address).await?;
-    let response = timeout(
-        Duration::from_millis(CALLER_TIMEOUT_MS),
-        send(&mut connection, &req),
-    );
+    let response = timeout(PLAIN_CALLER_TIMEOUT, send(&mut connection, &req, None));
     match response.await.ok()? {
         AttemptResult::Complete(response) | AttemptResult::Truncated(response) => {
             Some(response.status)
@@ -246,6 +324,19 @@
     }
 }
 
+/// Returns whether a router responds within `limit` that it takes new connections.
+pub(crate) async fn is_ready(address: SocketAddr, limit: Duration) -> bool {
+    let res = timeout(limit, get(address, READINESS_PATH)).await;
+    matches!(res, Ok(Some(res)) if res.status() == StatusCode::OK)
+}
+
+async fn get(address: SocketAddr, path: &str) -> Option<Response<Incoming>> {
+    let mut connection = connect(address).await?;
+    let req = Request::get(path).header("host", address.to_string());
+    let req = req.body(Full::default()).ok()?;
+    connection.sender.send_request(req).await.ok()
+}
+
 /// Returns the event ids of a stream in order, and whether the stream includes its last event.
 pub(crate) fn events(body: &str) -> (Vec<u32>, bool) {
     let events: Vec<_> = body
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -1,29 +1,40 @@
 //! Injects overlapping faults: signals to routers, faults of links, store and servers, and changes of the
 //! configuration and of the servers.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, ops::Range, sync::Arc, time::Duration};
 
 use bulrushward_fakes::{Direction, FaultyProxy, NetworkFault};
-use bulrushward_platform_stand_in::FaultRates;
+use bulrushward_platform_stand_in::{FaultRates, STREAM_TIMEOUT};
 use nix::sys::signal::Signal;
-use rand::{Rng, RngExt, SeedableRng, seq::IndexedRandom};
+use rand::{
+    Rng, RngExt, SeedableRng,
+    seq::{IndexedRandom, SliceRandom},
+};
 use rand_pcg::Pcg64Mcg;
 use strum::{Display, EnumIter, IntoEnumIterator};
 
-use crate::harness::Harness;
+use crate::{fault_log::FaultGuard, harness::Harness};
 
 /// Time between the starts of two faults, in milliseconds; shorter than most faults, so that
 /// faults overlap.
-const FAULT_INTERVAL_MS: std::ops::Range<u64> = 150..900;
+const FAULT_INTERVAL_MS: Range<u64> = 150..900;
 /// Number of random faults in a series. After each series, a server leaves and a key is revoked without
-/// other faults, so that the time limits of these changes can be checked.
+/// other faults, so that the time limits of these changes can be checked, and then all routers stop and start
+/// one after another.
 const FAULTS_PER_SERIES: usize = 8;
-/// Time without other faults before and after these changes; longer than the undisturbed time
+/// Time without other faults before and after each of these phases; longer than the undisturbed time
 /// after which the time limits of routers are checked.
 const QUIET_TIME: Duration = Duration::from_millis(3_400);
-/// Time between marking a server as leaving and removing its entry, and then between removing its
-/// entry and stopping it, in milliseconds.
-const LEAVING_TIME_MS: u64 = 2_600;
+/// Time between marking a server as leaving and removing its entry, and shortest time between removing its
+/// entry and stopping it.
+const LEAVING_TIME: Duration = Duration::from_millis(2_600);
+/// Time between the stops of two routers in the rolling stops, in milliseconds; shorter than a stop, so that
+/// stops overlap.
+const STOP_INTERVAL_MS: Range<u64> = 200..1_500;
+/// Share of responses that pause during the rolling stops.
+const PAUSE_RATE: Range<f64> = 0.05..0.3;
+/// Interval at which the end of a process or of a server's work is awaited.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, Display, EnumIter, PartialEq, Eq)]
@@ -92,12 +103,59 @@
                 ));
             }
             tokio::time::sleep(QUIET_TIME).await;
+            roll_stops(harness, &mut rng).await;
+            if tokio::time::Instant::now() < end {
+                tokio::time::sleep(QUIET_TIME).await;
+            }
         }
     }
     while running.join_next().await.is_some() {}
     injected
 }
 
+/// Stops and starts all routers, each before the one before it has ended, while servers pause now and then.
+async fn roll_stops(harness: &Arc<Harness>, rng: &mut Pcg64Mcg) {
+    let set_pause_rate = |paused| {
+        for server in harness.servers() {
+            server.fake_server.set_fault_rates(FaultRates {
+                paused,
+                ..FaultRates::default()
+            });
+        }
+    };
+    set_pause_rate(rng.random_range(PAUSE_RATE));
+    let mut routers: Vec<_> = (0..harness.store_links.len()).collect();
+    routers.shuffle(rng);
+    let mut stops = tokio::task::JoinSet::new();
+    for router in routers {
+        let harness = Arc::clone(harness);
+        stops.spawn(async move {
+            let _logged = log_router_fault(&harness, Fault::RouterStops, router);
+            if let Err(error) = stop_router(&harness, router).await {
+                eprintln!("cannot start router {router}: {error}");
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(rng.random_range(STOP_INTERVAL_MS))).await;
+    }
+    while stops.join_next().await.is_some() {}
+    set_pause_rate(0.0);
+}
+
+/// Logs a fault that concerns a router, the store or the configuration.
+fn log_router_fault(harness: &Harness, fault: Fault, router: usize) -> FaultGuard<'_> {
+    let log = &harness.fault_log;
+    match fault {
+        Fault::AllRoutersKilled => log.begin(fault, "router=all"),
+        Fault::StoreBusy | Fault::StoreForgets | Fault::ConfigChanges | Fault::KeyRevoked => {
+            log.begin(fault, "store")
+        }
+        _ => {
+            let process = harness.routers()[router].process_id().unwrap_or(0);
+            log.begin(fault, format_args!("router={router} process={process}"))
+        }
+    }
+}
+
 async fn inject_or_report(harness: Arc<Harness>, fault: Fault, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     if let Err(error) = inject(&harness, fault, &mut rng).await {
@@ -108,6 +166,32 @@
 async fn inject(harness: &Harness, fault: Fault, rng: &mut Pcg64Mcg) -> io::Result<()> {
     let router = rng.random_range(0..harness.store_links.len());
     let time = Duration::from_millis(rng.random_range(200..2_500));
+    let is_server_fault = matches!(
+        fault,
+        Fault::ServerCrashes
+            | Fault::ServerFails
+            | Fault::ServerLeaves
+            | Fault::ServerLinkSilent
+            | Fault::ServerLinkCut
+            | Fault::ServerLinkOneWay
+            | Fault::ServerLinkSlow
+    );
+    if is_server_fault {
+        inject_server_fault(harness, fault, rng, time).await
+    } else {
+        let _logged = log_router_fault(harness, fault, router);
+        inject_router_fault(harness, fault, router, rng, time).await
+    }
+}
+
+/// Injects a fault of a router, of its links, of the store or of the configuration.
+async fn inject_router_fault(
+    harness: &Harness,
+    fault: Fault,
+    router: usize,
+    rng: &mut Pcg64Mcg,
+    time: Duration,
+) -> io::Result<()> {
     match fault {
         Fault::RouterStops => stop_router(harness, router).await,
         Fault::RouterKilled => kill_router(harness, router, time / 2).await,
@@ -142,7 +226,7 @@
         Fault::StoreLinkHangs | Fault::StoreLinkSlow => {
             let hangs = fault == Fault::StoreLinkHangs;
             disturb_link(harness, &harness.store_links[router], hangs, time).await;
-            harness.routers()[router].record_disturbance();
+            harness.routers()[router].record_disturbance(false);
             Ok(())
         }
         Fault::StoreLinkSilent => {
@@ -154,13 +238,6 @@
             harness.record_disturbance();
             Ok(())
         }
-        Fault::ServerCrashes
-        | Fault::ServerFails
-        | Fault::ServerLeaves
-        | Fault::ServerLinkSilent
-        | Fault::ServerLinkCut
-        | Fault::ServerLinkOneWay
-        | Fault::ServerLinkSlow => inject_server_fault(harness, fault, rng, time).await,
         Fault::CallerLinkCut => {
             harness.record_disturbance();
             harness.caller_links[router].close_connections();
@@ -182,6 +259,7 @@
             harness.write_config(vec![format!("key-{}", rng.next_u32())]);
             Ok(())
         }
+        other => unreachable!("{other} is a fault of a server"),
     }
 }
 
@@ -195,6 +273,8 @@
     let Some(server) = servers.choose(rng) else {
         return Ok(());
     };
+    let id = &server.fake_server.id;
+    let _logged = harness.fault_log.begin(fault, format_args!("server={id}"));
     if fault != Fault::ServerLeaves {
         harness.record_disturbance();
     }
@@ -202,13 +282,12 @@
         Fault::ServerCrashes => {
             server.proxy.take_down().await;
             tokio::time::sleep(time).await;
-            let id = server.fake_server.id.clone();
             // The server either restarts under its id or is replaced by a server with a new id.
             if rng.random_bool(0.5) {
-                return harness.add_server(&id, server.service).await;
+                return harness.add_server(id, server.service).await;
             }
-            harness.store.set_server(&id, None);
-            harness.remove_server(&id);
+            harness.store.set_server(id, None);
+            harness.remove_server(id);
             let other = format!("{}-{}", server.service, rng.next_u32());
             harness.add_server(&other, server.service).await
         }
@@ -229,13 +308,20 @@
         Fault::ServerLeaves => {
             let other = format!("{}-{}", server.service, rng.next_u32());
             harness.add_server(&other, server.service).await?;
-            if harness.remove_server(&server.fake_server.id).is_none() {
+            if harness.remove_server(id).is_none() {
                 return Ok(());
             }
             harness.mark_leaving(server);
-            tokio::time::sleep(Duration::from_millis(LEAVING_TIME_MS)).await;
-            harness.store.set_server(&server.fake_server.id, None);
-            tokio::time::sleep(Duration::from_millis(LEAVING_TIME_MS)).await;
+            tokio::time::sleep(LEAVING_TIME).await;
+            harness.store.set_server(id, None);
+            tokio::time::sleep(LEAVING_TIME).await;
+            let work_ends = async {
+                while harness.execution_log.is_executing(id) {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+            };
+            // A request at a server that hangs ends with the timeout of its route at the latest.
+            let _elapsed = tokio::time::timeout(STREAM_TIMEOUT, work_ends).await;
             Ok(())
         }
         Fault::ServerLinkSilent => {
@@ -288,7 +374,7 @@
     // The process ends by itself; `check_process` reports it if that takes too long. An overlapping fault may
     // already have started another process, which was not asked to stop.
     while harness.routers()[router].is_running(process) {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
     start_router(harness, router)
 }
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -11,12 +11,19 @@
 use bulrushward_platform_stand_in::{ExecutionLog, FakeServer, FakeStore, ServerEntry, TestConfig};
 
 use crate::{
-    router::{RouterProcess, was_undisturbed},
+    balancer::Balancer,
+    fault_log::FaultLog,
+    planned_stops::RouterHistory,
+    router::{MAX_ROUTERS, RouterProcess, was_undisturbed},
     run::SoakSettings,
 };
 
-const PLAIN_SERVERS: usize = 3;
-const ENGINES: usize = 4;
+/// Smallest number of plain servers; large fleets have more.
+const MIN_PLAIN_SERVERS: usize = 3;
+/// Smallest number of engines.
+const MIN_ENGINES: usize = 4;
+/// Number of routers for each server of a kind in a large fleet.
+const ROUTERS_PER_SERVER: usize = 3;
 
 /// A fake server and the proxy through which routers reach it.
 #[derive(Debug)]
@@ -43,6 +50,8 @@
     /// Proxies between callers and each router.
     pub(crate) caller_links: Vec<FaultyProxy>,
     pub(crate) execution_log: ExecutionLog,
+    pub(crate) fault_log: FaultLog,
+    pub(crate) balancer: Balancer,
     routers: Mutex<Vec<RouterProcess>>,
     servers: Mutex<Vec<Arc<SoakServer>>>,
     written_configs: Mutex<Vec<WrittenConfig>>,
@@ -61,8 +70,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if a listener cannot be bound or a process cannot be started.
+    /// Returns an error if there are too many routers, a listener cannot be bound or a process cannot be started.
     pub(crate) async fn start(settings: &SoakSettings) -> io::Result<Arc<Self>> {
+        if settings.routers >= MAX_ROUTERS as usize {
+            let reason = format!("a fleet has fewer than {MAX_ROUTERS} routers");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, reason));
+        }
         let store = FakeStore::start().await?;
         let mut routers = Vec::new();
         let (mut store_links, mut caller_links) = (Vec::new(), Vec::new());
@@ -80,6 +93,8 @@
             store_links,
             caller_links,
             execution_log: ExecutionLog::default(),
+            fault_log: FaultLog::open(&settings.logs)?,
+            balancer: Balancer::new(settings.routers),
             routers: Mutex::new(routers),
             servers: Mutex::default(),
             written_configs: Mutex::default(),
@@ -87,8 +102,10 @@
             disturbances: Mutex::new(vec![Instant::now()]),
         });
         harness.write_config(vec!["key-0".to_owned()]);
-        for index in 0..PLAIN_SERVERS + ENGINES {
-            let service = if index < PLAIN_SERVERS {
+        let plain_servers = MIN_PLAIN_SERVERS.max(settings.routers / ROUTERS_PER_SERVER);
+        let engines = MIN_ENGINES.max(settings.routers / ROUTERS_PER_SERVER);
+        for index in 0..plain_servers + engines {
+            let service = if index < plain_servers {
                 "plain"
             } else {
                 "engines"
@@ -192,6 +209,18 @@
         lock(&self.leaving_since).clone()
     }
 
+    /// Returns the planned stops and unplanned disturbances that concern a router.
+    pub(crate) fn history(&self, router: usize) -> RouterHistory {
+        let mut unplanned = lock(&self.disturbances).clone();
+        let routers = self.routers();
+        unplanned.extend(routers[router].unplanned());
+        unplanned.sort_unstable();
+        RouterHistory {
+            stops: routers[router].stops().to_vec(),
+            unplanned,
+        }
+    }
+
     /// Returns whether store, links and a router were undisturbed for `time` before `moment`.
     pub(crate) fn was_undisturbed(&self, router: usize, moment: Instant, time: Duration) -> bool {
         was_undisturbed(&lock(&self.disturbances), moment, time)
--- a/bulrushward_soak/src/lib.rs
+++ b/bulrushward_soak/src/lib.rs
@@ -3,11 +3,17 @@
 //! Faults are injected from outside the routers, and invariants are checked from outside, from
 //! what callers and servers observe.
 
+mod balancer;
+mod busy;
 mod callers;
+mod fault_log;
 mod faults;
 mod harness;
 mod invariants;
+mod planned_stops;
 mod router;
 mod run;
 
+pub use callers::{Attempt, AttemptResult, Kind, ReceivedResponse};
+pub use planned_stops::{RouterHistory, violated_stop};
 pub use run::{SoakReport, SoakSettings, run};
--- a/bulrushward_soak/src/main.rs
+++ b/bulrushward_soak/src/main.rs
@@ -24,6 +24,9 @@
     /// Number of routers
     #[bpaf(argument("N"), fallback(3))]
     routers: usize,
+    /// Number of threads that are kept busy while faults are injected
+    #[bpaf(argument("N"), fallback(0))]
+    busy: usize,
     /// Directory for the settings and logs of the routers
     #[bpaf(argument("DIR"), fallback("target/soak".into()))]
     logs: PathBuf,
@@ -46,6 +49,7 @@
             seed,
             duration: Duration::from_secs(arguments.seconds),
             routers: arguments.routers,
+            busy_threads: arguments.busy,
         };
         match runtime.block_on(run(settings)) {
             Ok(report) => {
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -17,10 +17,10 @@
 pub(crate) const CALLERS_PORT: u16 = 8_227;
 pub(crate) const READINESS_PORT: u16 = 8_220;
 const FLEET_STATE_PORT: u16 = 8_229;
-/// Grace period of a stopping router, in milliseconds.
-const STOP_GRACE_S: u64 = 6;
+/// Grace period of a stopping router.
+pub(crate) const STOP_GRACE: Duration = Duration::from_secs(6);
 /// Number of loopback addresses reserved for the routers of one soak process.
-const MAX_ROUTERS: u32 = 64;
+pub(crate) const MAX_ROUTERS: u32 = 64;
 
 /// A router process with its index and address in the fleet.
 #[derive(Debug)]
@@ -35,6 +35,10 @@
     is_stopping: bool,
     /// Times at which the process or its link to the store was disturbed, in order.
     disturbances: Vec<Instant>,
+    /// Those that were unplanned.
+    unplanned: Vec<Instant>,
+    /// Times at which its processes received SIGTERM, in order.
+    stops: Vec<Instant>,
 }
 
 /// Returns whether there was no disturbance within `time` before `moment`.
@@ -70,9 +74,10 @@
              knowledge_address = \"{ip}:{FLEET_STATE_PORT}\"\n\
              datagram_port = 7340\nmetrics_port = 7341\n\
              seeds = [\"{first}:{FLEET_STATE_PORT}\"]\nstore_address = \"{store}\"\n\
-             stop_grace_s = {STOP_GRACE_S}\nleaving_known_ms = 2000\n\
+             stop_grace_s = {grace_s}\nleaving_known_ms = 2000\n\
              config_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n",
             first = self::ip(0),
+            grace_s = STOP_GRACE.as_secs(),
         );
         fs::create_dir_all(folder)?;
         fs::write(folder.join(format!("router-{index}.toml")), settings)?;
@@ -85,6 +90,8 @@
             is_paused: false,
             is_stopping: false,
             disturbances: vec![Instant::now()],
+            unplanned: vec![Instant::now()],
+            stops: Vec::new(),
         })
     }
 
@@ -105,19 +112,24 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
+        let is_planned = self.is_stopping;
         self.child = Some(child);
         self.is_paused = false;
         self.is_stopping = false;
-        self.record_disturbance();
+        self.record_disturbance(is_planned);
         Ok(())
     }
 
     pub(crate) fn signal(&mut self, signal: Signal) {
-        self.record_disturbance();
+        self.record_disturbance(matches!(signal, Signal::SIGTERM | Signal::SIGHUP));
         match signal {
             Signal::SIGSTOP => self.is_paused = true,
             Signal::SIGCONT => self.is_paused = false,
-            Signal::SIGTERM => self.is_stopping = true,
+            Signal::SIGKILL => self.is_stopping = false,
+            Signal::SIGTERM if self.child.is_some() && !self.is_stopping => {
+                self.is_stopping = true;
+                self.stops.push(Instant::now());
+            }
             _ => {}
         }
         if let Some(child) = &self.child {
@@ -165,9 +177,23 @@
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
-    /// Records a disturbance.
-    pub(crate) fn record_disturbance(&mut self) {
-        self.disturbances.push(Instant::now());
+    /// Records a disturbance and whether it was planned.
+    pub(crate) fn record_disturbance(&mut self, is_planned: bool) {
+        let now = Instant::now();
+        self.disturbances.push(now);
+        if !is_planned {
+            self.unplanned.push(now);
+        }
+    }
+
+    /// Returns the times at which the router's processes received SIGTERM.
+    pub(crate) fn stops(&self) -> &[Instant] {
+        &self.stops
+    }
+
+    /// Returns the times at which the router was disturbed without a plan.
+    pub(crate) fn unplanned(&self) -> &[Instant] {
+        &self.unplanned
     }
 
     /// Returns the time since the last disturbance.
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -10,13 +10,18 @@
 use tokio::task::JoinSet;
 
 use crate::{
+    balancer,
+    busy::BusyThreads,
     callers::{self, AttemptResult, Attempts},
     faults,
     harness::Harness,
-    invariants,
+    invariants, planned_stops,
 };
 
-const CALLERS: u64 = 24;
+/// Smallest number of callers.
+const MIN_CALLERS: u64 = 48;
+/// Number of callers for each router of a large fleet.
+const CALLERS_PER_ROUTER: u64 = 8;
 /// Time in which all routers must serve, at the start and after the last fault.
 const SERVING_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time without disturbance after which the time limits of a router are checked; the effects of
@@ -44,6 +49,8 @@
     pub duration: Duration,
     /// Number of routers.
     pub routers: usize,
+    /// Number of threads that are kept busy while faults are injected.
+    pub busy_threads: usize,
 }
 
 /// Result of the run of one seed.
@@ -94,16 +101,27 @@
     }
     let attempts = Arc::new(Attempts::default());
     let mut callers = JoinSet::new();
-    for caller in 0..CALLERS {
-        let seed = settings.seed * CALLERS + caller;
+    let routers = harness.caller_links.len();
+    let caller_count = MIN_CALLERS.max(routers as u64 * CALLERS_PER_ROUTER);
+    for caller in 0..caller_count {
+        let seed = settings.seed * caller_count + caller;
         callers.spawn(callers::caller(
             Arc::clone(&harness),
             Arc::clone(&attempts),
             seed,
         ));
     }
+    for router in 0..routers {
+        callers.spawn(balancer::probe_readiness(
+            Arc::clone(&harness),
+            Arc::clone(&attempts),
+            router,
+        ));
+    }
     let monitor = tokio::spawn(monitor_routers(Arc::clone(&harness), Arc::clone(&attempts)));
+    let busy_threads = BusyThreads::start(settings.busy_threads);
     let injected = faults::inject_faults(&harness, settings.seed, settings.duration).await;
+    drop(busy_threads);
     if !wait_until_serving(&harness).await {
         violations.push("promise=routers-serve-again".to_owned());
     }
@@ -117,6 +135,7 @@
     let execution_log = harness.execution_log.all();
     violations.extend(invariants::check(&all, &execution_log));
     violations.extend(invariants::check_leaving(&harness, &all, &execution_log));
+    violations.extend(planned_stops::check(&harness, &all, &execution_log));
     let served = all.iter().filter(|attempt| {
         matches!(&attempt.result, AttemptResult::Complete(response) if response.status == 200)
     });
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -26,6 +26,7 @@
         seed,
         duration: DURATION,
         routers: 3,
+        busy_threads: 0,
     };
     let report = run(settings).await.expect("the fleet starts");
     assert!(report.violations.is_empty(), "{report}");
