--- a/bulrushward_soak/tests/planned_stops.rs
+++ b/bulrushward_soak/tests/planned_stops.rs
@@ -25,12 +25,17 @@
 
 /// A stream that is truncated one second after SIGTERM while its server goes on.
 fn truncated() -> Case {
+    truncated_between(STOP_S - 1.0, STOP_S + 1.0)
+}
+
+/// A stream that is sent and truncated at the given times while its server goes on.
+fn truncated_between(sent: f64, ended: f64) -> Case {
     Case {
-        sent: STOP_S - 1.0,
-        ended: STOP_S + 1.0,
+        sent,
+        ended,
         time_limit: 8.0,
         result: AttemptResult::Truncated(partial_response()),
-        executions: vec![(STOP_S - 1.0, Some(STOP_S + 1.0), false)],
+        executions: vec![(sent, Some(ended), false)],
         stops: vec![STOP_S],
         unplanned: Vec::new(),
     }
@@ -83,22 +88,17 @@
 #[rstest]
 #[case::truncated_in_progress(truncated())]
 #[case::no_response(Case { result: AttemptResult::NoResponse, ..truncated() })]
-#[case::truncated_right_at_the_stop(Case { ended: STOP_S, ..truncated() })]
-#[case::sent_during_the_stop(Case { sent: 11.0, ended: 12.0, executions: vec![(11.0, Some(12.0), false)], ..truncated() })]
-#[case::sent_late_and_cut_at_the_end_of_the_grace_period(Case {
-    sent: 13.1, ended: 15.7, executions: vec![(13.1, Some(15.7), false)], ..truncated()
-})]
-#[case::sent_in_the_second_after_the_grace_period(Case {
-    sent: 16.9, ended: 17.9, executions: vec![(16.9, Some(17.9), false)], ..truncated()
-})]
-#[case::cut_before_the_last_sixth_of_the_grace_period(Case {
-    sent: 10.5, ended: 14.9, executions: vec![(10.5, Some(14.9), false)], ..truncated()
-})]
+#[case::truncated_right_at_the_stop(truncated_between(9.0, STOP_S))]
+#[case::sent_during_the_stop(truncated_between(11.0, 12.0))]
+#[case::sent_late_and_cut_at_the_end_of_the_grace_period(truncated_between(13.1, 15.7))]
+#[case::sent_in_the_second_after_the_grace_period(truncated_between(16.9, 17.9))]
+#[case::cut_before_the_last_sixth_of_the_grace_period(truncated_between(10.5, 14.9))]
 #[case::disturbance_more_than_three_seconds_before(Case { unplanned: vec![5.9], ..truncated() })]
 #[case::disturbance_after_the_end(Case { unplanned: vec![11.1], ..truncated() })]
 #[case::time_limit_nearly_reached(Case { time_limit: 2.1, ..truncated() })]
 #[case::earlier_server_broke_off(Case {
-    executions: vec![(9.0, Some(9.5), true), (9.6, Some(11.0), false)], ..truncated()
+    executions: vec![(9.0, Some(9.5), true), (9.6, Some(11.0), false)],
+    ..truncated()
 })]
 fn an_incomplete_response_is_a_violation(#[case] case: Case) {
     assert_eq!(case.judge(), Some(STOP_S));
@@ -109,25 +109,21 @@
 #[case::abandoned(Case { result: AttemptResult::Abandoned, ..truncated() })]
 #[case::not_executed(Case { executions: Vec::new(), ..truncated() })]
 #[case::no_stop(Case { stops: Vec::new(), ..truncated() })]
-#[case::ended_before_the_stop(Case { ended: 9.9, ..truncated() })]
-#[case::sent_more_than_a_second_after_the_grace_period(Case {
-    sent: 17.1, ended: 18.0, executions: vec![(17.1, Some(18.0), false)], ..truncated()
-})]
+#[case::ended_before_the_stop(truncated_between(9.0, 9.9))]
+#[case::sent_more_than_a_second_after_the_grace_period(truncated_between(17.1, 18.0))]
 #[case::disturbance_just_before(Case { unplanned: vec![6.1], ..truncated() })]
 #[case::disturbance_in_progress(Case { unplanned: vec![10.9], ..truncated() })]
 #[case::server_broke_off(Case { executions: vec![(9.0, Some(11.0), true)], ..truncated() })]
 #[case::last_server_broke_off(Case {
-    executions: vec![(9.0, Some(9.5), false), (9.6, Some(11.0), true)], ..truncated()
+    executions: vec![(9.0, Some(9.5), false), (9.6, Some(11.0), true)],
+    ..truncated()
 })]
 #[case::time_limit_reached(Case { time_limit: 2.0, ..truncated() })]
-#[case::executed_in_the_last_sixth_of_the_grace_period(Case {
-    sent: 13.0, ended: 15.7, executions: vec![(13.0, Some(15.7), false)], ..truncated()
-})]
-#[case::still_executed(Case {
-    ended: 16.0, executions: vec![(9.0, None, false)], ..truncated()
-})]
+#[case::executed_in_the_last_sixth_of_the_grace_period(truncated_between(13.0, 15.7))]
+#[case::still_executed(Case { executions: vec![(9.0, None, false)], ..truncated_between(9.0, 16.0) })]
 #[case::executed_at_the_end_of_an_overlapping_stop(Case {
-    sent: 14.5, ended: 19.7, executions: vec![(14.5, Some(19.7), false)], stops: vec![STOP_S, 14.0], ..truncated()
+    stops: vec![STOP_S, 14.0],
+    ..truncated_between(14.5, 19.7)
 })]
 fn an_excused_or_complete_response_is_no_violation(#[case] case: Case) {
     assert_eq!(case.judge(), None);
