--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -39,8 +39,8 @@
 /// Additional time for which a caller waits after that timeout.
 const CALLER_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time before a caller connects again after a request without a complete response, in milliseconds.
-const RECONNECT_DELAY_MS: Range<u64> = 100..400;
+/// Time for which a caller waits after a request that was not served, in milliseconds.
+const FAILURE_DELAY_MS: Range<u64> = 100..400;
 /// Share of new connections that are idle before their first request.
 const IDLE_CONNECTION_RATE: f64 = 0.15;
 /// Time for which they are idle, in milliseconds.
@@ -229,7 +229,10 @@
             Err(_elapsed) => AttemptResult::NoResponse,
         };
         let ended = Instant::now();
-        let is_complete = matches!(result, AttemptResult::Complete(_));
+        let status = match &result {
+            AttemptResult::Complete(response) => Some(response.status),
+            _ => None,
+        };
         attempts.add(Attempt {
             id,
             kind,
@@ -239,11 +242,13 @@
             time_limit: kind.caller_timeout().min(kind.route_timeout()),
             result,
         });
-        if is_complete && !open.sender.is_closed() {
+        if status.is_some() && !open.sender.is_closed() {
             connection = Some(open);
-        } else if !is_complete {
+        } else {
             drop(open);
-            sleep(random_ms(&mut rng, RECONNECT_DELAY_MS)).await;
+        }
+        if status != Some(StatusCode::OK.as_u16()) {
+            sleep(random_ms(&mut rng, FAILURE_DELAY_MS)).await;
         }
     }
 }
