Judge the end of cancelled work by when the disconnect reaches the server

A link that the soak stalls never carries the router's close to the server, and one that hangs carries it later. The time limit stays, counted from when the close can arrive, and only outages of the link of the server that works are considered.

--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -1,7 +1,12 @@
 //! Injects overlapping faults: signals to routers, faults of links, store and servers, and changes of the
 //! configuration and of the servers.
 
-use std::{io, ops::Range, sync::Arc, time::Duration};
+use std::{
+    io,
+    ops::Range,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushward_fakes::{Direction, FaultyProxy, NetworkFault};
 use bulrushward_platform_stand_in::{FaultRates, STREAM_TIMEOUT};
@@ -13,7 +18,7 @@
 use rand_pcg::Pcg64Mcg;
 use strum::{Display, EnumIter, IntoEnumIterator};
 
-use crate::{fault_log::FaultGuard, harness::Harness};
+use crate::{fault_log::FaultGuard, harness::Harness, invariants::LinkOutage};
 
 /// Time between the starts of two faults, in milliseconds; shorter than most faults, so that
 /// faults overlap.
@@ -325,6 +330,11 @@
             Ok(())
         }
         Fault::ServerLinkSilent => {
+            harness.record_server_link_outage(LinkOutage {
+                server: id.clone(),
+                from: Instant::now(),
+                until: None,
+            });
             stall_link(harness, &server.proxy);
             Ok(())
         }
@@ -338,7 +348,15 @@
         }
         _ => {
             let hangs = rng.random_bool(0.3);
+            let from = Instant::now();
             disturb_link(harness, &server.proxy, hangs, time).await;
+            if hangs {
+                harness.record_server_link_outage(LinkOutage {
+                    server: id.clone(),
+                    from,
+                    until: Some(Instant::now()),
+                });
+            }
             Ok(())
         }
     }
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -13,6 +13,7 @@
 use crate::{
     balancer::Balancer,
     fault_log::FaultLog,
+    invariants::LinkOutage,
     planned_stops::RouterHistory,
     router::{MAX_ROUTERS, RouterProcess, was_undisturbed},
     run::SoakSettings,
@@ -57,6 +58,7 @@
     written_configs: Mutex<Vec<WrittenConfig>>,
     /// Servers marked as leaving, with the time at which the store acknowledged the mark.
     leaving_since: Mutex<Vec<(String, Instant)>>,
+    server_link_outages: Mutex<Vec<LinkOutage>>,
     /// Times at which the store or a link was disturbed, in order.
     disturbances: Mutex<Vec<Instant>>,
 }
@@ -99,6 +101,7 @@
             servers: Mutex::default(),
             written_configs: Mutex::default(),
             leaving_since: Mutex::default(),
+            server_link_outages: Mutex::default(),
             disturbances: Mutex::new(vec![Instant::now()]),
         });
         harness.write_config(vec!["key-0".to_owned()]);
@@ -199,6 +202,14 @@
         lock(&self.disturbances).push(Instant::now());
     }
 
+    pub(crate) fn record_server_link_outage(&self, outage: LinkOutage) {
+        lock(&self.server_link_outages).push(outage);
+    }
+
+    pub(crate) fn server_link_outages(&self) -> Vec<LinkOutage> {
+        lock(&self.server_link_outages).clone()
+    }
+
     /// Marks a server as leaving in the store.
     pub(crate) fn mark_leaving(&self, server: &SoakServer) {
         self.register(server, true);
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -21,6 +21,17 @@
 /// Time without disturbance after which the time limits of a router are checked.
 const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 
+/// A time in which the link of a server held back all bytes.
+#[derive(Clone, Debug)]
+pub struct LinkOutage {
+    /// Id of the server.
+    pub server: String,
+    /// When the outage began.
+    pub from: Instant,
+    /// When it ended; `None` if the connections that were open at its start stalled permanently.
+    pub until: Option<Instant>,
+}
+
 /// Checks that undisturbed routers sent no requests to leaving servers.
 pub(crate) fn check_leaving(
     harness: &Harness,
@@ -64,6 +75,7 @@
 pub(crate) fn check(
     attempts: &[Attempt],
     execution_log: &[(String, Vec<Execution>)],
+    outages: &[LinkOutage],
 ) -> Vec<String> {
     let executions: HashMap<&str, &[Execution]> = execution_log
         .iter()
@@ -79,7 +91,7 @@
             .get(attempt.id.as_str())
             .copied()
             .unwrap_or_default();
-        for invariant in check_attempt(attempt, attempt_executions) {
+        for invariant in check_attempt(attempt, attempt_executions, outages) {
             violations.push(format!(
                 "request={} kind={} router={} promise={invariant}",
                 attempt.id, attempt.kind, attempt.router
@@ -114,7 +126,48 @@
     violations
 }
 
-fn check_attempt(attempt: &Attempt, executions: &[Execution]) -> Vec<&'static str> {
+/// Returns whether a server goes on with an abandoned attempt too long after the disconnect reached it.
+#[must_use]
+pub fn is_cancelled_late(
+    attempt: &Attempt,
+    executions: &[Execution],
+    outages: &[LinkOutage],
+) -> bool {
+    executions.iter().any(|execution| {
+        let Some(disconnected) = disconnect_time(attempt, execution, outages) else {
+            return false;
+        };
+        execution
+            .ended
+            .is_none_or(|ended| ended > disconnected + CANCEL_TIME)
+    })
+}
+
+/// Returns when the disconnect of a caller can reach a server; `None` if the server's link never carries it.
+fn disconnect_time(
+    attempt: &Attempt,
+    execution: &Execution,
+    outages: &[LinkOutage],
+) -> Option<Instant> {
+    let mut time = attempt.ended;
+    for outage in outages {
+        if outage.server != execution.server || outage.from > attempt.ended + CANCEL_TIME {
+            continue;
+        }
+        match outage.until {
+            Some(until) => time = time.max(until),
+            None if execution.started <= outage.from => return None,
+            None => {}
+        }
+    }
+    Some(time)
+}
+
+fn check_attempt(
+    attempt: &Attempt,
+    executions: &[Execution],
+    outages: &[LinkOutage],
+) -> Vec<&'static str> {
     let mut violations = Vec::new();
     let is_idempotent = matches!(attempt.kind, Kind::Lookup | Kind::Resumable);
     if !is_idempotent && executions.len() > 1 {
@@ -131,12 +184,7 @@
             }
         }
         AttemptResult::Abandoned => {
-            let late = executions.iter().any(|execution| {
-                execution
-                    .ended
-                    .is_none_or(|ended| ended > attempt.ended + CANCEL_TIME)
-            });
-            if late {
+            if is_cancelled_late(attempt, executions, outages) {
                 violations.push("work-ends-when-the-caller-leaves");
             }
         }
--- /dev/null
+++ b/bulrushward_soak/tests/cancelled_work.rs
@@ -0,0 +1,72 @@
+//! Judges the end of a server's work after its caller has disconnected.
+
+use std::time::{Duration, Instant};
+
+use bulrushward_platform_stand_in::Execution;
+use bulrushward_soak::{Attempt, AttemptResult, Kind, LinkOutage, is_cancelled_late};
+use rstest::rstest;
+
+/// Server of the execution, and another one.
+const SERVER: &str = "engines-1";
+const OTHER_SERVER: &str = "engines-2";
+
+/// Outage of a server's link, with its start and end in seconds after the start.
+type Outage = (&'static str, f64, Option<f64>);
+
+/// Judges an attempt that is sent at second 10 and abandoned at second 11; its server works until `ended`.
+fn is_late(ended: Option<f64>, outages: &[Outage]) -> bool {
+    let start = Instant::now();
+    let at = |seconds: f64| start + Duration::from_secs_f64(seconds);
+    let attempt = Attempt {
+        id: "1-1".to_owned(),
+        kind: Kind::Stream,
+        router: 0,
+        sent: at(10.0),
+        ended: at(11.0),
+        time_limit: Duration::from_secs(8),
+        result: AttemptResult::Abandoned,
+    };
+    let execution = Execution {
+        server: SERVER.to_owned(),
+        started: at(10.0),
+        ended: ended.map(at),
+        organisation: Some("org-1".to_owned()),
+        method_and_path: "POST /stream/once/x".to_owned(),
+        expected_server: Some(SERVER.to_owned()),
+        is_broken_off: false,
+    };
+    let outages: Vec<_> = outages
+        .iter()
+        .map(|(server, from, until)| LinkOutage {
+            server: (*server).to_owned(),
+            from: at(*from),
+            until: until.map(at),
+        })
+        .collect();
+    is_cancelled_late(&attempt, &[execution], &outages)
+}
+
+#[rstest]
+#[case::no_outage(Some(12.6), &[])]
+#[case::endless_work(None, &[])]
+#[case::stall_before_the_connection_was_used(Some(12.6), &[(SERVER, 9.9, None)])]
+#[case::stall_of_another_link(Some(12.6), &[(OTHER_SERVER, 10.5, None)])]
+#[case::stall_after_the_work_should_have_ended(Some(14.0), &[(SERVER, 12.6, None)])]
+#[case::outage_before_the_disconnect(Some(12.6), &[(SERVER, 10.0, Some(10.9))])]
+#[case::work_long_after_an_outage(Some(13.6), &[(SERVER, 10.5, Some(12.0))])]
+#[case::endless_work_after_an_outage(None, &[(SERVER, 10.5, Some(12.0))])]
+fn work_that_goes_on_is_late(#[case] ended: Option<f64>, #[case] outages: &[Outage]) {
+    assert!(is_late(ended, outages));
+}
+
+#[rstest]
+#[case::work_that_ends_soon(Some(12.4), &[])]
+#[case::permanent_stall_in_progress(None, &[(SERVER, 10.5, None)])]
+#[case::permanent_stall_before_the_disconnect_arrives(None, &[(SERVER, 11.5, None)])]
+#[case::work_that_ends_soon_after_an_outage(Some(13.4), &[(SERVER, 10.5, Some(12.0))])]
+fn work_is_in_time_after_the_disconnect_arrives(
+    #[case] ended: Option<f64>,
+    #[case] outages: &[Outage],
+) {
+    assert!(!is_late(ended, outages));
+}
