Read what has arrived during a pause before a server counts as silent

Streams that may not be resumed were not touched.

Cause, by strace: the signal interrupts epoll_wait, which returns EINTR without events; tokio 1.54 goes on to its timers then, so read timeouts fire before the sockets are read. A stall of the thread without a signal does not do that (ten stalls, none of 155 streams taken for silent).

Change: when a read timeout has fired, the socket gets another 20 ms before the server counts as silent.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -7,27 +7,26 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_net::with_causes;
-use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
-};
-use tokio::time::{Instant as TokioInstant, timeout_at};
-
 use crate::{
     connection::{self, ConnectError, Connection},
     handover::SilenceWatch,
     ports::{ForwardingMetadata, ResponseMetadata},
+    read_timeout,
     routed_request::RoutedRequest,
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
     servers::InProgress,
     shared::Shared,
 };
+use bulrushward_net::with_causes;
+use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
+};
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -210,11 +209,10 @@
     let received = {
         let mut response = pin!(connection.sender.try_send_request(req));
         loop {
-            let deadline = TokioInstant::from_std(read_deadline(request));
-            match timeout_at(deadline, response.as_mut()).await {
-                Ok(received) => break received,
-                Err(_elapsed) if silence.waits_on(progress) => {}
-                Err(_elapsed) => {
+            match read_timeout::until(read_deadline(request), response.as_mut()).await {
+                Some(received) => break received,
+                None if silence.waits_on(progress) => {}
+                None => {
                     let detail = "no response head in time";
                     return Err(AttemptError::new(AttemptFailure::Silent, &detail));
                 }
@@ -300,15 +298,14 @@
         );
         return read_first_events(request, head.status, headers, stream, silence).await;
     }
-    let deadline = TokioInstant::from_std(request.deadline);
     let limited = Limited::new(body, MAX_BUFFERED_BYTES);
-    let collected = match timeout_at(deadline, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) => Err(AttemptError::new(
+    let collected = match read_timeout::until(request.deadline, limited.collect()).await {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(error)) => Err(AttemptError::new(
             AttemptFailure::Broken,
             &with_causes(&*error),
         )),
-        Err(_elapsed) => Err(AttemptError::new(
+        None => Err(AttemptError::new(
             AttemptFailure::Silent,
             &"the response body is incomplete",
         )),
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -18,6 +18,7 @@
 mod model;
 mod overload;
 mod ports;
+mod read_timeout;
 mod relay;
 mod request_handler;
 mod request_log;
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant as TokioInstant, timeout_at};
 
 use crate::{
     attempt::AttemptError,
     connection::{self, CloseTimer, Connection},
     events::EventSplitter,
+    read_timeout,
     servers::InProgress,
 };
 
@@ -73,22 +73,22 @@
             return Ok(StreamItem::End);
         }
         loop {
-            let frame = timeout_at(TokioInstant::from_std(until), self.body.frame()).await;
+            let frame = read_timeout::until(until, self.body.frame()).await;
             let chunk = match frame {
-                Err(_elapsed) => {
+                None => {
                     return Err(AttemptError::new(
                         AttemptFailure::Silent,
                         &"no event in time",
                     ));
                 }
-                Ok(Some(Err(error))) => {
+                Some(Some(Err(error))) => {
                     return Err(AttemptError::new(
                         AttemptFailure::Broken,
                         &with_causes(&error),
                     ));
                 }
-                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Ok(None) => return self.finish(),
+                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Some(None) => return self.finish(),
             };
             let events = self.splitter.push(&chunk).map_err(|_too_large| {
                 AttemptError::new(AttemptFailure::Broken, &"an event is too large")
