Simulate repeated and staggered restarts of the retry budget

No fault seen: the simulation had neither a fleet that is restarted twice within a window, nor routers that start one after the other, nor routers that do not see each other, the cases that the number of spare retries of a new router depends on. Change: tests of the three, with fleets of 1 to 1,000 routers (2 to 4 that do not see each other), 1 to 16 requests a second for each router and all attempts failing for 20 s. The one router of a fleet of one has no peers to discover and uses its spare retries at once, in all simulations. All pass on the present budget.

--- a/bulrushward_policy/tests/fleet_retry_budget.rs
+++ b/bulrushward_policy/tests/fleet_retry_budget.rs
@@ -1,7 +1,8 @@
 //! The retries of all routers stay within the fleet's allowance, and are granted while failures are few.
 //!
-//! Patterns: fleets of 1 to 1,000 routers; a crowd that comes through some of them; all of them restarted at once;
-//! counts of the fleet that differ; servers that fail most requests for a while.
+//! Patterns: fleets of 1 to 1,000 routers; a crowd that comes through some of them; all of them restarted at once,
+//! also twice within a window, or started one after the other; counts of the fleet that differ; routers that do not
+//! see each other; servers that fail most requests for a while.
 
 use std::time::{Duration, Instant};
 
@@ -22,7 +23,7 @@
 const WINDOW_STEPS: usize = 100;
 
 /// One simulated run of a fleet.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Run {
     routers: usize,
     /// Requests a second of the whole fleet.
@@ -32,12 +33,16 @@
     failures: f64,
     /// Fraction of the attempts that fail during the trouble, from second 20 to 40.
     trouble_failures: f64,
-    /// Second at which all routers restart.
-    restart: Option<usize>,
+    /// Steps at which all routers are restarted.
+    restarts: Vec<usize>,
+    /// Steps over which the routers of a fleet start, one after the other.
+    start_steps: usize,
     /// Fraction of the requests that come through a tenth of the routers.
     crowd: f64,
     /// Largest factor by which a router's count of the fleet is wrong.
     count_error: f64,
+    /// Whether the routers do not see each other once they have been restarted.
+    is_divided: bool,
     seed: u64,
 }
 
@@ -48,37 +53,44 @@
     granted: u32,
 }
 
-/// Returns the budgets of routers that have just started and soon know the fleet.
-fn budgets(run: &Run, now: Instant, rng: &mut Pcg64) -> Vec<FleetRetryBudget> {
+/// Returns the budget of a router that has just started and soon knows the fleet.
+fn budget(run: &Run, now: Instant, rng: &mut Pcg64) -> FleetRetryBudget {
     let allowance = RetryAllowance {
         ratio: RATIO,
         extra: run.extra,
         window: WINDOW,
     };
-    (0..run.routers)
-        .map(|_| FleetRetryBudget::new(allowance, now + FLEET_KNOWN_AFTER, rng))
-        .collect()
+    // A router without peers has none to discover.
+    let fleet_known_after = if run.routers == 1 {
+        Duration::ZERO
+    } else {
+        FLEET_KNOWN_AFTER
+    };
+    FleetRetryBudget::new(allowance, now + fleet_known_after, rng)
 }
 
 /// Plays a run; an attempt that fails is retried once.
 fn play(run: &Run) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(run.seed);
     let mut now = Instant::now();
-    let mut fleet = budgets(run, now, &mut rng);
-    let counts: Vec<u32> = (0..run.routers)
-        .map(|_| {
-            let error = run.count_error.powf(rng.random_range(-1.0..=1.0));
-            (run.routers as f64 * error).ceil() as u32
-        })
+    let mut fleet = Vec::new();
+    let count_errors: Vec<f64> = (0..run.routers)
+        .map(|_| run.count_error.powf(rng.random_range(-1.0..=1.0)))
         .collect();
-    let busy = run.routers.div_ceil(10);
+    let mut started = 0;
     let mut steps = Vec::new();
     for index in 0..STEPS {
         now += STEP;
         let second = index / 10;
-        if run.restart == Some(second) && index % 10 == 0 {
-            fleet = budgets(run, now, &mut rng);
+        if run.restarts.contains(&index) {
+            started = index;
+            fleet.clear();
         }
+        let started_routers = run.routers * (index - started + 1) / run.start_steps;
+        for _start in fleet.len()..started_routers.clamp(1, run.routers) {
+            fleet.push(budget(run, now, &mut rng));
+        }
+        let busy = fleet.len().div_ceil(10);
         let failures = if (20..40).contains(&second) {
             run.trouble_failures
         } else {
@@ -94,14 +106,19 @@
             let among = if rng.random_bool(run.crowd) {
                 busy
             } else {
-                run.routers
+                fleet.len()
             };
             let router = rng.random_range(0..among);
+            let count = if run.is_divided && started > 0 {
+                1
+            } else {
+                (fleet.len() as f64 * count_errors[router]).ceil() as u32
+            };
             fleet[router].deposit(now);
             if rng.random_bool(failures) {
                 step.wanted += 1;
                 let cause = RetryCause::ServerUnusable;
-                step.granted += u32::from(fleet[router].withdraw(cause, counts[router], now));
+                step.granted += u32::from(fleet[router].withdraw(cause, count, now));
             }
         }
         steps.push(step);
@@ -165,9 +182,11 @@
             extra: extra(routers),
             failures,
             trouble_failures,
-            restart,
+            restarts: restart.into_iter().map(|second| 10 * second).collect(),
+            start_steps: 1,
             crowd,
             count_error,
+            is_divided: false,
             seed,
         };
         assert_allowance_kept(&run, &play(&run));
@@ -183,15 +202,75 @@
             extra: 176.0,
             failures: 0.02,
             trouble_failures: 1.0,
-            restart: Some(25),
+            restarts: vec![250],
+            start_steps: 1,
             crowd: 0.5,
             count_error: 1.5,
+            is_divided: false,
             seed,
         };
         assert_allowance_kept(&run, &play(&run));
     }
 }
 
+/// Steps at which a fleet is restarted twice within a window, early and late in the trouble.
+const DOUBLE_RESTARTS: [[usize; 2]; 3] = [[240, 265], [330, 370], [350, 375]];
+
+/// Returns runs of a fleet that is restarted twice, each router with few to many requests a second.
+fn double_restarts(routers: usize) -> impl Iterator<Item = Run> {
+    let rates = [1.0, 2.0, 4.0, 8.0, 16.0];
+    let seeds = if routers > 100 { 0..1 } else { 0..10 };
+    DOUBLE_RESTARTS
+        .into_iter()
+        .flat_map(move |restarts| rates.map(|rate_of_each| (restarts, rate_of_each)))
+        .flat_map(move |(restarts, rate_of_each)| {
+            seeds.clone().map(move |seed| Run {
+                routers,
+                rate: (routers as f64 * rate_of_each).min(2_000.0),
+                extra: extra(routers),
+                failures: 0.02,
+                trouble_failures: 1.0,
+                restarts: restarts.to_vec(),
+                start_steps: 1,
+                crowd: 0.0,
+                count_error: 1.0,
+                is_divided: false,
+                seed,
+            })
+        })
+}
+
+#[rstest]
+fn a_fleet_that_restarts_twice_within_a_window_keeps_the_allowance(
+    #[values(1, 2, 3, 4, 5, 10, 25, 68, 300, 1_000)] routers: usize,
+) {
+    for run in double_restarts(routers) {
+        assert_allowance_kept(&run, &play(&run));
+    }
+}
+
+#[rstest]
+fn routers_that_start_one_after_the_other_keep_the_allowance(
+    #[values(2, 3, 4, 5, 10, 25, 68)] routers: usize,
+    #[values(20, 40, 80)] start_steps: usize,
+) {
+    for mut run in double_restarts(routers) {
+        run.restarts.truncate(1);
+        run.start_steps = start_steps;
+        assert_allowance_kept(&run, &play(&run));
+    }
+}
+
+#[rstest]
+fn a_few_routers_that_do_not_see_each_other_after_restarts_keep_the_allowance(
+    #[values(2, 3, 4)] routers: usize,
+) {
+    for mut run in double_restarts(routers) {
+        run.is_divided = true;
+        assert_allowance_kept(&run, &play(&run));
+    }
+}
+
 #[rstest]
 #[case::one(1, 16.0)]
 #[case::three(3, 50.0)]
@@ -208,9 +287,11 @@
         extra: extra(routers),
         failures: 0.03,
         trouble_failures: 0.03,
-        restart: None,
+        restarts: Vec::new(),
+        start_steps: 1,
         crowd: 0.2,
         count_error: 1.1,
+        is_divided: false,
         seed: 3,
     };
     // A router has fewer spare retries in its first window.
@@ -232,9 +313,11 @@
         extra: extra(68),
         failures: 0.03,
         trouble_failures: 0.03,
-        restart: None,
+        restarts: Vec::new(),
+        start_steps: 1,
         crowd: 0.0,
         count_error: 1.0,
+        is_divided: false,
         seed: 5,
     };
     // A router earns its first retry after some requests.
