Divide the first spare retries by the known routers once others had time to appear

Cause: for its first window, a router divided a fifth of the extra retries by four at least, even if it was alone: two or three of 50, while six requests may need six retries. Change: routers that are assumed but were not discovered count less and less in that division, until 0.7 of the window has passed. A router holds an eighth of the extra retries at most in its first window, so that four that do not see each other keep the allowance; the known routers together hold a fifth at most, as before. Fleets of four or more known routers keep their shares. Test without a network: six requests of a router without peers, each to a server that is silent for a second. It fails without the change. Costs: more than four routers that do not see each other for 7 s after a restart hold more than before (docs/design/17).

--- a/bulrushward_policy/src/fleet_retry_budget.rs
+++ b/bulrushward_policy/src/fleet_retry_budget.rs
@@ -32,6 +32,9 @@
 const INITIAL_SPARE_FRACTION: f64 = 0.2;
 /// Routers that are assumed at least, as a router that has just started knows of few others.
 const MIN_ROUTERS: u32 = 4;
+/// Fraction of the first window after which routers that are assumed but were not discovered no longer count
+/// in the division of the first spare retries.
+const DISCOVERY_FRACTION: f64 = 0.7;
 /// Weight of the newest result of a retry in its moving average.
 const RESULT_WEIGHT: f64 = 0.1;
 /// Ratio of success rates below which a retry leaves the last spare one to those that succeed more
@@ -62,7 +65,10 @@
 #[derive(Clone, Debug)]
 pub struct FleetRetryBudget {
     allowance: RetryAllowance,
+    /// Size of the fleet, with routers that are assumed but not known.
     fleet_size: FleetSize,
+    /// Size of the part of the fleet that is known.
+    known_size: FleetSize,
     /// Fraction of the next earned retry; random at first, so that many routers with few requests earn
     /// together what their requests allow.
     next_earned: f64,
@@ -85,6 +91,7 @@
         Self {
             allowance,
             fleet_size: FleetSize::new(MIN_ROUTERS),
+            known_size: FleetSize::new(1),
             next_earned: rng.random(),
             earned: VecDeque::new(),
             spare_draw: rng.random(),
@@ -143,18 +150,28 @@
 
     /// Returns the spare retries that this router holds.
     fn spare(&mut self, routers: u32, now: Instant) -> u32 {
+        let routers = routers.max(1);
         let size = self.fleet_size.observe(routers, now);
+        let known_size = self.known_size.observe(routers, now);
         if now < self.spare_from {
             return 0;
         }
-        let fraction = if now < self.first_window_end {
-            INITIAL_SPARE_FRACTION
-        } else {
-            SPARE_FRACTION
-        };
-        let total = self.allowance.extra * fraction;
-        let share = whole_share(total, size, self.spare_draw);
-        share.saturating_sub(self.used_spare.len() as u32)
+        let mut share = self.allowance.extra * SPARE_FRACTION / f64::from(size);
+        if now < self.first_window_end {
+            let size = self.initial_size(known_size, now);
+            share = share.min(self.allowance.extra * INITIAL_SPARE_FRACTION / size);
+        }
+        whole_share(share, 1, self.spare_draw).saturating_sub(self.used_spare.len() as u32)
+    }
+
+    /// Returns the size of the fleet by which the first spare retries are divided.
+    ///
+    /// Routers that are assumed but not known count less the longer they have not been discovered.
+    fn initial_size(&self, known_size: u32, now: Instant) -> f64 {
+        let discovery_time = self.allowance.window.mul_f64(DISCOVERY_FRACTION);
+        let elapsed = now.saturating_duration_since(self.spare_from);
+        let undiscovered = 1.0 - elapsed.div_duration_f64(discovery_time).min(1.0);
+        f64::from(known_size) + f64::from(MIN_ROUTERS.saturating_sub(known_size)) * undiscovered
     }
 
     /// Returns the spare retries that have to be left to other causes.
--- a/bulrushward_policy/tests/fleet_retry_budget.rs
+++ b/bulrushward_policy/tests/fleet_retry_budget.rs
@@ -330,6 +330,29 @@
     );
 }
 
+#[test]
+fn a_router_without_peers_is_granted_a_retry_of_each_of_its_first_requests() {
+    let start = Instant::now();
+    let allowance = RetryAllowance {
+        ratio: RATIO,
+        extra: 50.0,
+        window: WINDOW,
+    };
+    for seed in 0..200 {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let mut budget = FleetRetryBudget::new(allowance, start, &mut rng);
+        let mut now = start;
+        let mut granted = 0;
+        // Each request is sent when the one before has ended, and its server is silent for a second.
+        for _request in 0..6 {
+            budget.deposit(now);
+            now += Duration::from_secs(1);
+            granted += u32::from(budget.withdraw(RetryCause::ServerUnusable, 1, now));
+        }
+        assert_eq!(granted, 6, "seed {seed}");
+    }
+}
+
 #[test]
 fn the_last_spare_retry_is_left_to_the_cause_whose_retries_succeed() {
     let start = Instant::now();
