List that three restarts within a window exceed the retry allowance

Cause: the processes before hold half of the extra retries and each restarted fleet a fifth, 1.1 times the extra ones in sum after three restarts. All other tests of the package pass.

--- a/bulrushward_policy/tests/fleet_retry_budget.rs
+++ b/bulrushward_policy/tests/fleet_retry_budget.rs
@@ -249,6 +249,16 @@
     }
 }
 
+#[test]
+fn a_fleet_that_restarts_three_times_within_a_window_keeps_the_allowance() {
+    for routers in [1, 2, 3, 4, 5, 10, 25, 68] {
+        for mut run in double_restarts(routers) {
+            run.restarts = vec![230, 255, 280];
+            assert_allowance_kept(&run, &play(&run));
+        }
+    }
+}
+
 #[rstest]
 fn routers_that_start_one_after_the_other_keep_the_allowance(
     #[values(2, 3, 4, 5, 10, 25, 68)] routers: usize,
