Count the routers that the settings name in the division of the retry budget

What callers saw: nothing.

Cause: a router that reaches no other cannot tell whether it is alone.

Change: each router that the settings name as a seed counts, reached or not, so that a router with three seeds never counts as alone.

--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -3,6 +3,7 @@
 //! The names of settings call a retry a repeat and the fleet state knowledge.
 
 use std::{
+    collections::HashSet,
     fs, io,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
@@ -209,13 +210,20 @@
         }
     }
 
-    /// Returns the time from the start until gossip has told the number of routers.
-    pub(crate) fn peer_discovery_time(&self) -> Duration {
-        let has_peers = self
+    /// Returns the number of routers that the settings name, this one included.
+    #[must_use]
+    pub fn configured_routers(&self) -> u32 {
+        let others: HashSet<_> = self
             .seeds
             .iter()
-            .any(|seed| *seed != self.knowledge_address);
-        if has_peers {
+            .filter(|seed| **seed != self.knowledge_address)
+            .collect();
+        others.len() as u32 + 1
+    }
+
+    /// Returns the time from the start until gossip has told the number of routers.
+    pub(crate) fn peer_discovery_time(&self) -> Duration {
+        if self.configured_routers() > 1 {
             PEER_DISCOVERY_TIME
         } else {
             Duration::ZERO
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -188,7 +188,7 @@
             open += server.connections.load(Ordering::Relaxed);
             idle += server.state().idle.len() as u32;
         }
-        let (routers, now) = (self.routers(), Instant::now());
+        let (routers, now) = (self.retry_routers(), Instant::now());
         let mut budgets = lock(&self.budgets);
         GaugeSnapshot {
             connections_open: open,
@@ -219,6 +219,13 @@
         whole_share(f64::from(limit), self.routers() + 1, draw)
     }
 
+    /// Returns the number of routers that share the retry budget.
+    ///
+    /// Routers that the settings name count even if they cannot be reached, as they may still send retries.
+    fn retry_routers(&self) -> u32 {
+        self.routers().max(self.settings().configured_routers())
+    }
+
     /// Deposits one request into the retry budget of a service.
     pub(crate) fn deposit_request(&self, service: &str) {
         self.with_budget(service, |budget| budget.deposit(Instant::now()));
@@ -226,7 +233,7 @@
 
     /// Withdraws one retry from the budget of a service; returns whether the retry may be sent.
     pub(crate) fn withdraw_retry(&self, service: &str, cause: RetryCause) -> bool {
-        let routers = self.routers();
+        let routers = self.retry_routers();
         let is_allowed = self.with_budget(service, |budget| {
             budget.withdraw(cause, routers, Instant::now())
         });
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{IpAddr, TcpStream},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -338,6 +338,17 @@
     router.join();
 }
 
+// Guards against routers that count as alone, and take the retries of a whole fleet, while they are cut off from it.
+#[test]
+fn a_router_counts_each_router_that_its_settings_name_once() {
+    let ips = [1, 2, 3].map(|host| IpAddr::from([127, 0, 0, host]));
+    assert_eq!(support::settings(ips[0], &[]).configured_routers(), 1);
+    assert_eq!(support::settings(ips[0], &ips[..1]).configured_routers(), 1);
+    assert_eq!(support::settings(ips[0], &ips).configured_routers(), 3);
+    let twice = [ips[1], ips[2], ips[1]];
+    assert_eq!(support::settings(ips[0], &twice).configured_routers(), 3);
+}
+
 #[test]
 fn a_connection_serves_many_requests() {
     let server = TestServer::echo("s-1");
