Bound consecutive resumes without progress, not all resumes of a response

What callers would see: a streamed response cut with `answer-cut` at the fourth lost connection or silence between router and agent in its whole life, although agent and server go on and each earlier resume succeeded; for a response that is not streamed, a retry or a refusal.

Cause: the number of resumes of an attempt was never reset.

Change: a new stage of the attempt or new bytes of the body reset it, and so does a heartbeat until the request's deadline: an agent sends it only if there is nothing newer. Repeated frames don't. An agent that delivers nothing new is given up after three resumes as before, one that sends only heartbeats on new connections at the latest after the deadline. The first connection is known by a stage of its own, because a count of zero no longer tells it.

--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -1,6 +1,10 @@
 //! The response stream of one attempt, resumed on a new connection when the old one fails.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushward_protocol::{
     ActionKey, AttemptId, BarRequest, CodecError, Frame, FrameDecoder, Outcome, RunRequest, decode,
@@ -14,7 +18,7 @@
 use super::Router;
 use crate::failpoint;
 
-/// Maximum number of further connections to the agent for one attempt.
+/// Maximum number of consecutive new connections to the agent without progress of the attempt.
 const MAX_RESUMES: u32 = 3;
 /// Delay before the next connection to an agent that did not respond on the last one.
 const RESUME_DELAY: Duration = Duration::from_millis(300);
@@ -50,6 +54,7 @@
 /// Progress of an attempt as known to the router.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Stage {
+    Unsent,
     Sent,
     Admitted,
     Started,
@@ -70,8 +75,10 @@
     stage: Stage,
     /// Number of body bytes received.
     received: u64,
-    /// Number of connections after the first.
+    /// Number of new connections since the attempt last made progress.
     resumes: u32,
+    /// Time until which a heartbeat counts as progress.
+    deadline: Instant,
 }
 
 impl AttemptStream {
@@ -89,9 +96,10 @@
             encoded_request: encode(req)?.into(),
             connection: None,
             decoder: FrameDecoder::default(),
-            stage: Stage::Sent,
+            stage: Stage::Unsent,
             received: 0,
             resumes: 0,
+            deadline: Instant::now() + Duration::from_millis(req.deadline_ms),
         })
     }
 
@@ -105,7 +113,8 @@
     ///
     /// The other frames (admission, start, heartbeat) are handled internally.
     pub(crate) async fn next(&mut self) -> Result<Frame, StreamError> {
-        if self.connection.is_none() && self.resumes == 0 {
+        if self.stage == Stage::Unsent {
+            self.advance_to(Stage::Sent);
             self.connect().await?;
         }
         loop {
@@ -146,7 +155,13 @@
                 self.advance_to(Stage::Admitted);
                 Ok(None)
             }
-            Frame::Heartbeat => Ok(None),
+            Frame::Heartbeat => {
+                // The agent still works on the attempt and has sent all there is so far.
+                if Instant::now() < self.deadline {
+                    self.record_progress();
+                }
+                Ok(None)
+            }
             Frame::Started => {
                 self.advance_to(Stage::Started);
                 Ok(None)
@@ -171,7 +186,14 @@
 
     /// Advances to a stage. A resumed stream repeats earlier stages, which have no effect.
     fn advance_to(&mut self, stage: Stage) {
-        self.stage = self.stage.max(stage);
+        if stage > self.stage {
+            self.stage = stage;
+            self.record_progress();
+        }
+    }
+
+    fn record_progress(&mut self) {
+        self.resumes = 0;
     }
 
     fn process_data(
@@ -193,6 +215,7 @@
         let bytes = bytes.split_off(already_received as usize);
         let offset = self.received;
         self.received += bytes.len() as u64;
+        self.record_progress();
         Ok(Some(Frame::Data { offset, bytes }))
     }
 
