Give a resumed attempt its whole grace time when it loses its reader again

What callers would see: a response that ends as cancelled although its router resumes it at once.

Cause: an agent cancels an attempt 10 s after its reader left, if it has no reader at that moment. A reader that came back in between and was lost again milliseconds before the check left the router no time to resume.

Change: the check that a reader's leaving starts cancels only if no reader was added since. Each later one starts a check of its own.

--- a/bulrushward/src/agent/listener.rs
+++ b/bulrushward/src/agent/listener.rs
@@ -1,9 +1,6 @@
 //! The inner listener of an agent: runs, resumes and bars attempts for routers.
 
-use std::{
-    sync::{Arc, Weak},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bulrushward_protocol::{
     AttemptId, BarRequest, Frame, Header, Outcome, Refusal, RefusalReason, RunRequest, WorkUnits,
@@ -298,19 +295,21 @@
 
 impl Drop for AttemptReader {
     fn drop(&mut self) {
-        if self.attempt.buffer.remove_reader() {
-            cancel_if_abandoned(&Arc::downgrade(&self.attempt));
+        if let Some(readers_added) = self.attempt.buffer.remove_reader() {
+            cancel_if_abandoned(&self.attempt, readers_added);
         }
     }
 }
 
 /// Cancels an idempotent attempt that stays without readers; actions always run to completion.
-fn cancel_if_abandoned(attempt: &Weak<Attempt>) {
-    let attempt = Weak::clone(attempt);
+///
+/// A reader that is added and removed in the meantime starts a grace time of its own.
+fn cancel_if_abandoned(attempt: &Arc<Attempt>, readers_added: u64) {
+    let attempt = Arc::downgrade(attempt);
     tokio::spawn(async move {
         tokio::time::sleep(ABANDONED_GRACE).await;
         if let Some(attempt) = attempt.upgrade()
-            && attempt.buffer.is_abandoned()
+            && attempt.buffer.is_abandoned_since(readers_added)
         {
             attempt.cancelled.cancel();
         }
--- a/bulrushward/src/agent/replay_buffer.rs
+++ b/bulrushward/src/agent/replay_buffer.rs
@@ -44,6 +44,8 @@
     /// Position of the reader that is furthest ahead, in frames.
     read_position: usize,
     readers: usize,
+    /// Number of readers that were added so far.
+    readers_added: u64,
 }
 
 /// The frames of one attempt after its admission, and its progress.
@@ -67,6 +69,7 @@
                 length: 0,
                 read_position: 0,
                 readers: 0,
+                readers_added: 0,
             }),
             written: watch::Sender::new(0),
             consumed: watch::Sender::new(0),
@@ -184,22 +187,26 @@
         self.written.subscribe()
     }
 
-    /// Adds a reader. An attempt without readers counts as abandoned.
+    /// Adds a reader.
     pub(crate) fn add_reader(&self) {
-        self.lock().readers += 1;
+        let mut state = self.lock();
+        state.readers += 1;
+        state.readers_added += 1;
     }
 
-    /// Removes a reader and returns whether the unfinished attempt has no readers left.
-    pub(crate) fn remove_reader(&self) -> bool {
+    /// Removes a reader. If it was the last one of an unfinished attempt, returns the number of
+    /// readers added so far, for [`Self::is_abandoned_since`].
+    pub(crate) fn remove_reader(&self) -> Option<u64> {
         let mut state = self.lock();
         state.readers -= 1;
-        state.readers == 0 && state.phase != Phase::Ended
+        (state.readers == 0 && state.phase != Phase::Ended).then_some(state.readers_added)
     }
 
-    /// Returns whether the attempt is unfinished and has no readers.
-    pub(crate) fn is_abandoned(&self) -> bool {
+    /// Returns whether the attempt is unfinished and has had no reader since the last of
+    /// `readers_added` ones left.
+    pub(crate) fn is_abandoned_since(&self, readers_added: u64) -> bool {
         let state = self.lock();
-        state.readers == 0 && state.phase != Phase::Ended
+        state.readers_added == readers_added && state.phase != Phase::Ended
     }
 
     /// Returns whether the last frame was written.
