Send nothing more to a server that announces its leaving in a response

Change: the adapter reads the header; a response with it (also an error, a rejection, the head of a stream) takes the server out of choice at that router for the rest of its incarnation, whatever the store lists. A 421 of another server at the address does not count.

Not done: peers are not told, and what happens when most servers of a service say so at once is not weighed.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -6,6 +6,7 @@
     pin::pin,
     time::{Duration, Instant},
 };
+use tracing::info;
 
 use crate::{
     connection::{self, ConnectError, Connection},
@@ -166,6 +167,15 @@
         }
     };
     let metadata = shared.conventions.parse_response_headers(res.headers());
+    // Another server that has the address now speaks for itself only.
+    let is_other_server = res.status() == StatusCode::MISDIRECTED_REQUEST;
+    if metadata.is_leaving && !is_other_server && progress.server().state().record_leaving() {
+        info!(
+            event = "leaving-announced",
+            server = progress.server().id,
+            request = request.request_id,
+        );
+    }
     if let Some(load) = metadata.load {
         let mut state = progress.server().state();
         state
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -61,6 +61,8 @@
     pub is_signed: bool,
     /// Whether the server states that it did not run the request.
     pub is_not_run: bool,
+    /// Whether the server announces that it is leaving and takes no new requests.
+    pub is_leaving: bool,
     /// Load of the server.
     pub load: Option<ReportedLoad>,
     /// Time for which the server keeps an idle connection.
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -63,7 +63,7 @@
     // Only a fleet that is larger than the limit divides it into shares of which some are zero.
     let may_connect =
         || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
-    !server.record.is_leaving && !tried.contains(&server.id) && may_connect()
+    !server.is_leaving() && !tried.contains(&server.id) && may_connect()
 }
 
 /// Selects a server that was not tried yet.
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -34,6 +34,9 @@
 pub(crate) struct ServerState {
     pub(crate) load: ServerLoad,
     pub(crate) health: ServerHealth,
+    /// Whether the server has announced that it is leaving. It stays so for this incarnation, even if the store still
+    /// lists it as ready.
+    is_leaving: bool,
     /// Idle connections, the most recently used last.
     pub(crate) idle: Vec<IdleConnection>,
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
@@ -41,6 +44,11 @@
 }
 
 impl ServerState {
+    /// Records that the server announces that it is leaving; returns whether that is new.
+    pub(crate) fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
     /// Records that a connection broke while the server ran a request.
     pub(crate) fn record_broken_connection(&mut self, fingerprint: Fingerprint, now: Instant) {
         self.broken_requests
@@ -89,6 +97,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether the server takes no new requests, according to the store or to itself.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.record.is_leaving || self.state().is_leaving
+    }
+
     fn is_same_incarnation(&self, record: &ServerRecord) -> bool {
         self.record.address == record.address && self.record.started_ms == record.started_ms
     }
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -107,6 +107,7 @@
             request_id: text(headers, "request").map(str::to_owned),
             is_signed: headers.contains_key("signed"),
             is_not_run: headers.contains_key("not-run"),
+            is_leaving: headers.contains_key("leaving"),
             load,
             keep_alive_timeout: None,
         }
