--- a/bulrushward_directd/tests/paused.rs
+++ b/bulrushward_directd/tests/paused.rs
@@ -8,7 +8,7 @@
 };
 
 use bulrushward_platform_stand_in::{
-    ExecutionLog, FakeServer, FakeStore, ServerEntry, TestConfig, event_count,
+    CallerRequest, ExecutionLog, FakeServer, FakeStore, ServerEntry, TestConfig, event_count,
 };
 use nix::{
     sys::signal::{Signal, kill},
@@ -74,12 +74,15 @@
     let Ok(mut stream) = TcpStream::connect(router).await else {
         return String::new();
     };
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nhost: soak.example\r\nx-request-id: {id}\r\nauthorization: Token key\r\n\
-         x-deadline-milliseconds: 8000\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-    );
+    let request = CallerRequest {
+        id: id.to_owned(),
+        path: path.to_owned(),
+        key: "key".to_owned(),
+        timeout_ms: 8_000,
+        session: None,
+    };
     stream
-        .write_all(request.as_bytes())
+        .write_all(request.text().as_bytes())
         .await
         .expect("the request can be sent");
     let mut response = String::new();
