Consider pauses of routers in the check of cancelled work

A paused router can't notice that a caller has disconnected, and a stalled link from the callers never passes that on. The time limit is counted from the end of the pause.

--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -18,7 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use strum::{Display, EnumIter, IntoEnumIterator};
 
-use crate::{fault_log::FaultGuard, harness::Harness, invariants::LinkOutage};
+use crate::{
+    fault_log::FaultGuard,
+    harness::Harness,
+    invariants::{Outage, OutagePlace},
+};
 
 /// Time between the starts of two faults, in milliseconds; shorter than most faults, so that
 /// faults overlap.
@@ -249,6 +253,11 @@
             Ok(())
         }
         Fault::CallerLinkSilent => {
+            harness.record_link_outage(Outage {
+                place: OutagePlace::Router(router),
+                from: Instant::now(),
+                until: None,
+            });
             stall_link(harness, &harness.caller_links[router]);
             Ok(())
         }
@@ -330,8 +339,8 @@
             Ok(())
         }
         Fault::ServerLinkSilent => {
-            harness.record_server_link_outage(LinkOutage {
-                server: id.clone(),
+            harness.record_link_outage(Outage {
+                place: OutagePlace::Server(id.clone()),
                 from: Instant::now(),
                 until: None,
             });
@@ -351,8 +360,8 @@
             let from = Instant::now();
             disturb_link(harness, &server.proxy, hangs, time).await;
             if hangs {
-                harness.record_server_link_outage(LinkOutage {
-                    server: id.clone(),
+                harness.record_link_outage(Outage {
+                    place: OutagePlace::Server(id.clone()),
                     from,
                     until: Some(Instant::now()),
                 });
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -13,7 +13,7 @@
 use crate::{
     balancer::Balancer,
     fault_log::FaultLog,
-    invariants::LinkOutage,
+    invariants::{Outage, OutagePlace},
     planned_stops::RouterHistory,
     router::{MAX_ROUTERS, RouterProcess, was_undisturbed},
     run::SoakSettings,
@@ -58,7 +58,8 @@
     written_configs: Mutex<Vec<WrittenConfig>>,
     /// Servers marked as leaving, with the time at which the store acknowledged the mark.
     leaving_since: Mutex<Vec<(String, Instant)>>,
-    server_link_outages: Mutex<Vec<LinkOutage>>,
+    /// Outages of links.
+    link_outages: Mutex<Vec<Outage>>,
     /// Times at which the store or a link was disturbed, in order.
     disturbances: Mutex<Vec<Instant>>,
 }
@@ -101,7 +102,7 @@
             servers: Mutex::default(),
             written_configs: Mutex::default(),
             leaving_since: Mutex::default(),
-            server_link_outages: Mutex::default(),
+            link_outages: Mutex::default(),
             disturbances: Mutex::new(vec![Instant::now()]),
         });
         harness.write_config(vec!["key-0".to_owned()]);
@@ -202,12 +203,22 @@
         lock(&self.disturbances).push(Instant::now());
     }
 
-    pub(crate) fn record_server_link_outage(&self, outage: LinkOutage) {
-        lock(&self.server_link_outages).push(outage);
+    pub(crate) fn record_link_outage(&self, outage: Outage) {
+        lock(&self.link_outages).push(outage);
     }
 
-    pub(crate) fn server_link_outages(&self) -> Vec<LinkOutage> {
-        lock(&self.server_link_outages).clone()
+    /// Returns the outages of links and the pauses of routers.
+    pub(crate) fn outages(&self) -> Vec<Outage> {
+        let mut outages = lock(&self.link_outages).clone();
+        for router in self.routers().iter() {
+            let pauses = router.pauses().iter().map(|(from, until)| Outage {
+                place: OutagePlace::Router(router.index),
+                from: *from,
+                until: Some(*until),
+            });
+            outages.extend(pauses);
+        }
+        outages
     }
 
     /// Marks a server as leaving in the store.
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -21,11 +21,20 @@
 /// Time without disturbance after which the time limits of a router are checked.
 const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 
-/// A time in which the link of a server held back all bytes.
+/// Where an outage holds back the disconnects of callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OutagePlace {
+    /// A router or its link to the callers.
+    Router(usize),
+    /// The link of the server with this id.
+    Server(String),
+}
+
+/// A time in which a router or a link passed nothing on.
 #[derive(Clone, Debug)]
-pub struct LinkOutage {
-    /// Id of the server.
-    pub server: String,
+pub struct Outage {
+    /// What passed nothing on.
+    pub place: OutagePlace,
     /// When the outage began.
     pub from: Instant,
     /// When it ended; `None` if the connections that were open at its start stalled permanently.
@@ -75,7 +84,7 @@
 pub(crate) fn check(
     attempts: &[Attempt],
     execution_log: &[(String, Vec<Execution>)],
-    outages: &[LinkOutage],
+    outages: &[Outage],
 ) -> Vec<String> {
     let executions: HashMap<&str, &[Execution]> = execution_log
         .iter()
@@ -128,11 +137,7 @@
 
 /// Returns whether a server goes on with an abandoned attempt too long after the disconnect reached it.
 #[must_use]
-pub fn is_cancelled_late(
-    attempt: &Attempt,
-    executions: &[Execution],
-    outages: &[LinkOutage],
-) -> bool {
+pub fn is_cancelled_late(attempt: &Attempt, executions: &[Execution], outages: &[Outage]) -> bool {
     executions.iter().any(|execution| {
         let Some(disconnected) = disconnect_time(attempt, execution, outages) else {
             return false;
@@ -143,20 +148,24 @@
     })
 }
 
-/// Returns when the disconnect of a caller can reach a server; `None` if the server's link never carries it.
+/// Returns when the disconnect of a caller can reach a server; `None` if a stalled connection never carries it.
 fn disconnect_time(
     attempt: &Attempt,
     execution: &Execution,
-    outages: &[LinkOutage],
+    outages: &[Outage],
 ) -> Option<Instant> {
     let mut time = attempt.ended;
     for outage in outages {
-        if outage.server != execution.server || outage.from > attempt.ended + CANCEL_TIME {
+        let (is_on_path, started) = match &outage.place {
+            OutagePlace::Router(router) => (*router == attempt.router, attempt.sent),
+            OutagePlace::Server(server) => (*server == execution.server, execution.started),
+        };
+        if !is_on_path || outage.from > attempt.ended + CANCEL_TIME {
             continue;
         }
         match outage.until {
             Some(until) => time = time.max(until),
-            None if execution.started <= outage.from => return None,
+            None if started <= outage.from => return None,
             None => {}
         }
     }
@@ -166,7 +175,7 @@
 fn check_attempt(
     attempt: &Attempt,
     executions: &[Execution],
-    outages: &[LinkOutage],
+    outages: &[Outage],
 ) -> Vec<&'static str> {
     let mut violations = Vec::new();
     let is_idempotent = matches!(attempt.kind, Kind::Lookup | Kind::Resumable);
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -30,7 +30,8 @@
     daemon: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
-    is_paused: bool,
+    /// When SIGSTOP was sent to the process; `None` while it is not paused.
+    paused_since: Option<Instant>,
     /// Whether SIGTERM was sent to the process.
     is_stopping: bool,
     /// Times at which the process or its link to the store was disturbed, in order.
@@ -39,6 +40,8 @@
     unplanned: Vec<Instant>,
     /// Times at which its processes received SIGTERM, in order.
     stops: Vec<Instant>,
+    /// Starts and ends of its pauses, in order.
+    pauses: Vec<(Instant, Instant)>,
 }
 
 /// Returns whether there was no disturbance within `time` before `moment`.
@@ -87,11 +90,12 @@
             daemon: daemon.to_owned(),
             folder: folder.to_owned(),
             child: None,
-            is_paused: false,
+            paused_since: None,
             is_stopping: false,
             disturbances: vec![Instant::now()],
             unplanned: vec![Instant::now()],
             stops: Vec::new(),
+            pauses: Vec::new(),
         })
     }
 
@@ -114,8 +118,8 @@
             .spawn()?;
         let is_planned = self.is_stopping;
         self.child = Some(child);
-        self.is_paused = false;
         self.is_stopping = false;
+        self.end_pause();
         self.record_disturbance(is_planned);
         Ok(())
     }
@@ -123,9 +127,14 @@
     pub(crate) fn signal(&mut self, signal: Signal) {
         self.record_disturbance(matches!(signal, Signal::SIGTERM | Signal::SIGHUP));
         match signal {
-            Signal::SIGSTOP => self.is_paused = true,
-            Signal::SIGCONT => self.is_paused = false,
-            Signal::SIGKILL => self.is_stopping = false,
+            Signal::SIGSTOP if self.child.is_some() => {
+                self.paused_since.get_or_insert_with(Instant::now);
+            }
+            Signal::SIGCONT => self.end_pause(),
+            Signal::SIGKILL => {
+                self.end_pause();
+                self.is_stopping = false;
+            }
             Signal::SIGTERM if self.child.is_some() && !self.is_stopping => {
                 self.is_stopping = true;
                 self.stops.push(Instant::now());
@@ -139,6 +148,12 @@
         }
     }
 
+    fn end_pause(&mut self) {
+        if let Some(since) = self.paused_since.take() {
+            self.pauses.push((since, Instant::now()));
+        }
+    }
+
     pub(crate) fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
         self.wait();
@@ -146,7 +161,7 @@
 
     /// Returns whether there is a process that is neither paused nor stopping.
     pub(crate) fn is_up(&self) -> bool {
-        self.child.is_some() && !self.is_paused && !self.is_stopping
+        self.child.is_some() && self.paused_since.is_none() && !self.is_stopping
     }
 
     /// Returns whether the process has ended; `None` if there is no process.
@@ -191,6 +206,11 @@
         &self.stops
     }
 
+    /// Returns the starts and ends of the pauses of the router's processes.
+    pub(crate) fn pauses(&self) -> &[(Instant, Instant)] {
+        &self.pauses
+    }
+
     /// Returns the times at which the router was disturbed without a plan.
     pub(crate) fn unplanned(&self) -> &[Instant] {
         &self.unplanned
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -133,11 +133,7 @@
     tokio::time::sleep(UNDISTURBED_TIME / 2).await;
     let all = attempts.all();
     let execution_log = harness.execution_log.all();
-    violations.extend(invariants::check(
-        &all,
-        &execution_log,
-        &harness.server_link_outages(),
-    ));
+    violations.extend(invariants::check(&all, &execution_log, &harness.outages()));
     violations.extend(invariants::check_leaving(&harness, &all, &execution_log));
     violations.extend(planned_stops::check(&harness, &all, &execution_log));
     let served = all.iter().filter(|attempt| {
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -17,6 +17,8 @@
 #[case::unlogged_request(32_020)]
 // Two stops of one router overlapped, and the second waited for the process that the first had started.
 #[case::overlapping_stops(1_796_360_009)]
+// A router was paused for longer than the check of cancelled work allowed.
+#[case::paused_router(1_796_361_012)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_violates_no_invariant(#[case] seed: u64) {
     let target = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target");
