Let requests wait at a router that has just started

Cause: a router without configuration refused at once, though it could not know how long it would be without one. Now a request waits for a quarter of its caller's patience, at most 1.8 s and at most 256 of them, and goes on spread over a quarter of its wait. Refusals then are as before.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod shared;
 mod stall_watch;
+mod start_gate;
 mod store_probe;
 mod store_state;
 mod store_watch;
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -11,7 +11,7 @@
 };
 use strum::IntoStaticStr;
 
-use crate::ports::StoreError;
+use crate::{ports::StoreError, start_gate::WaitEnd};
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY_BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 10.0];
@@ -72,6 +72,8 @@
     pub(crate) servers_view_age: Duration,
     /// Retries currently allowed by the budget of each service.
     pub(crate) budgets: Vec<(String, u32)>,
+    /// Requests that wait for this router to know a configuration and servers.
+    pub(crate) start_waiting: usize,
     pub(crate) log_lines_dropped: u64,
     /// Resident memory in bytes; `None` if the system does not report it.
     pub(crate) memory_bytes: Option<usize>,
@@ -86,6 +88,7 @@
     attempts_failed: Family<ReasonLabel, Counter>,
     streams: Family<EndLabel, Counter>,
     store_calls: Family<StoreLabels, Counter>,
+    start_waits: Family<EndLabel, Counter>,
     pub(crate) retries: Counter,
     pub(crate) retries_refused: Counter,
     pub(crate) resumes: Counter,
@@ -101,6 +104,7 @@
     pub(crate) servers: Gauge,
     pub(crate) routers: Gauge,
     in_progress: Gauge,
+    start_waiting: Gauge,
     pub(crate) sessions: Gauge,
     connections_open: Gauge,
     connections_idle: Gauge,
@@ -140,6 +144,10 @@
             attempts_failed: r.add("hops_failed", "Failed attempts by reason"),
             streams: r.add("streams", "Streams that ended, by outcome"),
             store_calls: r.add("store_calls", "Store calls by kind and result"),
+            start_waits: r.add(
+                "start_waits",
+                "Requests that waited for the router's start, by outcome",
+            ),
             retries: r.add("repeats", "Requests sent to a further server"),
             retries_refused: r.add("repeats_refused", "Retries refused by the retry budget"),
             resumes: r.add("resumes", "Streams resumed at another server"),
@@ -176,6 +184,7 @@
             servers: r.add("servers", "Registered servers"),
             routers: r.add("routers", "Routers believed to be alive"),
             in_progress: r.add("in_progress", "Requests in progress"),
+            start_waiting: r.add("start_waiting", "Requests that wait for the router's start"),
             sessions: r.add("sessions", "Sessions whose servers are remembered"),
             connections_open: r.add("connections_open", "Connections to servers"),
             connections_idle: r.add("connections_idle", "Idle connections to servers"),
@@ -241,6 +250,12 @@
         self.streams.get_or_create(&EndLabel { outcome }).inc();
     }
 
+    /// Counts a request that waited for the start of the router to be completed.
+    pub(crate) fn record_start_wait(&self, end: WaitEnd) {
+        let outcome = end.into();
+        self.start_waits.get_or_create(&EndLabel { outcome }).inc();
+    }
+
     /// Counts a call to the store.
     pub(crate) fn record_store_call<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
         let call = call.into();
@@ -269,6 +284,8 @@
             let label = ServiceLabel { service };
             self.retries_left.get_or_create(&label).set((*left).into());
         }
+        let waiting = snapshot.start_waiting.cast_signed();
+        self.start_waiting.set(waiting as i64);
         let dropped = snapshot.log_lines_dropped.cast_signed();
         self.log_lines_dropped.set(dropped);
         if let Some(bytes) = snapshot.memory_bytes {
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -27,6 +27,9 @@
     let metadata = shared.conventions.parse_request_headers(req.headers());
     let mut request_log = RequestLog::new(&shared, metadata.request_id.clone(), received);
     let _in_progress = shared.metrics.track_in_progress();
+    if let Some(end) = shared.start_gate.pass(metadata.caller_timeout).await {
+        shared.metrics.record_start_wait(end);
+    }
     let result =
         match request_reader::read(&shared, req, metadata, received, &mut request_log).await {
             Ok(_) if shared.is_refusing() => Err(LocalResponse::not_run(
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -32,6 +32,7 @@
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
     settings::DirectSettings,
+    start_gate::StartGate,
     store_state::{StoreState, StoreView},
 };
 
@@ -76,6 +77,7 @@
     quarantine: Mutex<Quarantine>,
     replaced_servers: Mutex<ReplacedServers>,
     pub(crate) overload: OverloadControl,
+    pub(crate) start_gate: StartGate,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -108,6 +110,7 @@
             )),
             replaced_servers: Mutex::default(),
             overload: OverloadControl::default(),
+            start_gate: StartGate::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -132,6 +135,7 @@
             .set(config.version.cast_signed());
         *lock(&self.config_activated) = Instant::now();
         self.routes.store(Some(Arc::new(RouteTable::new(config))));
+        self.open_start_gate();
         true
     }
 
@@ -145,14 +149,26 @@
 
     /// Returns whether requests are accepted: configuration and servers are known and no stop has begun.
     pub(crate) fn is_ready(&self) -> bool {
-        let has_servers = self.has_servers.load(Ordering::Relaxed);
-        has_servers && !self.is_stopping() && self.routes.load().is_some()
+        self.is_informed() && !self.is_stopping()
+    }
+
+    /// Returns whether configuration and servers are known.
+    fn is_informed(&self) -> bool {
+        self.has_servers.load(Ordering::Relaxed) && self.routes.load().is_some()
     }
 
     /// Replaces the set of registered servers that requests are sent to.
     pub(crate) fn publish_servers(&self, servers: ServerSet) {
         self.servers.store(Arc::new(servers));
         self.has_servers.store(true, Ordering::Relaxed);
+        self.open_start_gate();
+    }
+
+    /// Lets waiting requests go on once this router has what it needs to serve them.
+    fn open_start_gate(&self) {
+        if self.is_informed() {
+            self.start_gate.open();
+        }
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
@@ -200,6 +216,7 @@
                 .iter_mut()
                 .map(|(service, budget)| (service.clone(), budget.available(routers, now)))
                 .collect(),
+            start_waiting: self.start_gate.waiting(),
             log_lines_dropped: self.log.dropped_lines(),
             memory_bytes: memory_stats().map(|stats| stats.physical_mem),
         }
--- a/bulrushward_direct/tests/store_outages.rs
+++ b/bulrushward_direct/tests/store_outages.rs
@@ -14,7 +14,7 @@
 use bulrushward_direct::RouteKind;
 use rstest::rstest;
 use support::{
-    TestRouter, config,
+    CALLERS_PORT, METRICS_PORT, TestRouter, caller, config,
     platform::{MemoryStore, Trouble},
     record, request, route, router_with_servers,
     server::TestServer,
@@ -186,3 +186,55 @@
         (unknown_route().status, unknown_key().status) == (404, 401)
     });
 }
+
+/// Returns the request of a caller with this patience.
+fn request_with_patience(ms: u32) -> String {
+    let text = request("GET", "lookup", "r", "");
+    text.replace("Patience-Ms: 2500", &format!("Patience-Ms: {ms}"))
+}
+
+/// Returns the number of requests that wait for the start of a router to be completed.
+fn waiting(router: &TestRouter) -> Option<u32> {
+    let address = router.address(METRICS_PORT);
+    let text = caller::get(address, "/metrics")?.text();
+    let mut values = text
+        .lines()
+        .filter_map(|line| line.split_once("direct_start_waiting "));
+    values.find_map(|(_, value)| value.parse().ok())
+}
+
+// All routers start at once while the store is away: callers that come back once must not be refused because the
+// configuration is known a second later.
+#[test]
+fn a_request_at_the_start_waits_for_the_configuration() {
+    let server = TestServer::echo("s-1");
+    let store = MemoryStore::with(config(1));
+    store.put("s-1", record("plain", server.address));
+    store.set_trouble(Trouble::Silent);
+    let router = TestRouter::start_at(unique_loopback_ip(), &store, &[]);
+    wait_until("the router has started", || waiting(&router) == Some(0));
+    let address = router.address(CALLERS_PORT);
+    let sent =
+        std::thread::spawn(move || caller::send(address, request_with_patience(6_000).as_bytes()));
+    wait_until("the request waits", || waiting(&router) == Some(1));
+    store.set_trouble(Trouble::None);
+    let res = sent.join().expect("the caller gets a response");
+    assert_eq!((res.status, res.text()), (200, "s-1".to_owned()));
+    assert_eq!(waiting(&router), Some(0));
+}
+
+// A request that cannot be served is refused in time, and is told the truth.
+#[test]
+fn a_request_is_refused_if_the_start_takes_long() {
+    let store = MemoryStore::with(config(1));
+    store.set_trouble(Trouble::Silent);
+    let router = TestRouter::start_at(unique_loopback_ip(), &store, &[]);
+    wait_until("the router has started", || waiting(&router) == Some(0));
+    let start = Instant::now();
+    let res = router.send(&request_with_patience(1_200));
+    let elapsed = start.elapsed();
+    assert_eq!(res.status, 503);
+    assert!(res.text().contains("not-run"), "{}", res.text());
+    assert!(res.header("retry-after").is_some());
+    assert!(elapsed < Duration::from_millis(1_200 / 2), "{elapsed:?}");
+}
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -35,6 +35,7 @@
 pub const CALLERS_PORT: u16 = 8_227;
 pub const READINESS_PORT: u16 = 8_220;
 pub const FLEET_STATE_PORT: u16 = 8_229;
+pub const METRICS_PORT: u16 = 7_341;
 pub const HOST: &str = "api.example";
 pub const KEY: &str = "key-1";
 
@@ -139,7 +140,7 @@
         readiness_address: SocketAddr::new(ip, READINESS_PORT),
         knowledge_address: SocketAddr::new(ip, FLEET_STATE_PORT),
         datagram_port: 7_340,
-        metrics_port: 7_341,
+        metrics_port: METRICS_PORT,
         seeds: seeds
             .iter()
             .map(|ip| SocketAddr::new(*ip, FLEET_STATE_PORT))
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod server_registry;
 mod service_time;
 pub mod session_locations;
+pub mod start_wait;
 pub mod store_recovery;
 pub mod view_lag;
