Send the first read of the configuration again while the store is silent

After an outage that ended while a router had no configuration, its read hung for up to 800 ms more, as the store had lost it. A router without configuration now sends up to three calls 250 ms apart once a call was left without response, and a listing of servers that waits is sent again when another call shows that the store is back.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet_state;
 mod gossip;
 mod handover;
+mod hedged_call;
 mod lingering_stream;
 mod listener;
 mod local_response;
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -10,8 +10,9 @@
 
 use crate::{
     fleet_state::{FleetState, Source},
+    hedged_call::hedged,
     metrics::StoreCall,
-    ports::{FleetStore, StoreError},
+    ports::{ConfigUpdate, FleetStore, StoreError},
     shared::Shared,
     store_state::StoreView,
 };
@@ -71,7 +72,7 @@
     let mut after = None;
     loop {
         let (call, result) = match after {
-            None => (StoreCall::Config, shared.store.config().await),
+            None => (StoreCall::Config, read_config(&shared).await),
             Some(after) => {
                 let call = shared.store.next_config(after, LONG_POLL_TIMEOUT);
                 let Some(result) = poll(&shared, StoreView::Config, call).await else {
@@ -100,6 +101,15 @@
     }
 }
 
+/// Reads the configuration; a router that has none sends further calls while an unresponsive store keeps it waiting.
+async fn read_config(shared: &Shared) -> Result<ConfigUpdate, StoreError> {
+    let is_urgent = shared.config_version().is_none() && shared.store_state.is_unresponsive();
+    if is_urgent {
+        return hedged(|| shared.store.config()).await;
+    }
+    shared.store.config().await
+}
+
 /// Watches the registered servers until cancelled.
 pub(crate) async fn watch_servers(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
@@ -113,7 +123,10 @@
             };
             (StoreCall::ServerChanges, result)
         } else {
-            let result = list_servers(store, &fleet_state).await;
+            let call = list_servers(store, &fleet_state);
+            let Some(result) = poll(&shared, StoreView::Servers, call).await else {
+                continue;
+            };
             (StoreCall::Servers, result)
         };
         shared.metrics.record_store_call(call, &result);
--- a/bulrushward_policy/src/start_wait.rs
+++ b/bulrushward_policy/src/start_wait.rs
@@ -9,15 +9,17 @@
 use rand::{Rng, RngExt};
 
 /// Fraction of a caller's patience for which its request may wait; the rest is for serving it.
-const PATIENCE_FRACTION: f64 = 0.25;
-/// Longest wait; callers of streams give up after two seconds without a byte.
-const MAX_WAIT: Duration = Duration::from_millis(1_800);
+const PATIENCE_FRACTION: f64 = 0.2;
+/// Longest wait; callers of streams give up after two seconds without a byte, [`MAX_RELEASE_DELAY`] included.
+const MAX_WAIT: Duration = Duration::from_millis(1_300);
 /// Longest wait of a request that does not state its caller's patience.
 const DEFAULT_WAIT: Duration = Duration::from_millis(250);
 /// Largest number of requests that wait; each holds a connection and up to 64 KiB of its bytes.
 const MAX_WAITING: usize = 256;
 /// Fraction of their wait over which requests that waited are spread when they go on.
-const RELEASE_FRACTION: f64 = 0.25;
+const RELEASE_FRACTION: f64 = 0.5;
+/// Longest time over which they are spread.
+const MAX_RELEASE_DELAY: Duration = Duration::from_millis(600);
 
 /// Requests that wait at a router that has just started.
 #[derive(Clone, Debug, Default)]
@@ -52,5 +54,6 @@
 
 /// Returns the further delay of a request that has waited, so that not all reach the servers at once.
 pub fn release_delay(waited: Duration, rng: &mut impl Rng) -> Duration {
-    waited.mul_f64(RELEASE_FRACTION * rng.random::<f64>())
+    let longest = waited.mul_f64(RELEASE_FRACTION).min(MAX_RELEASE_DELAY);
+    longest.mul_f64(rng.random())
 }
