--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -18,6 +18,8 @@
     NotSent,
     /// All connections that this router may open to the server are in use.
     Crowded,
+    /// The failure domain of the server was emptied before the request was sent.
+    DomainEmptied,
     /// The server responded that it did not run the request.
     Rejected,
     /// The address now belongs to another server, which did not run the request.
@@ -36,7 +38,11 @@
     pub fn is_not_run(self) -> bool {
         matches!(
             self,
-            Self::NotSent | Self::Crowded | Self::Rejected | Self::Misdirected
+            Self::NotSent
+                | Self::Crowded
+                | Self::DomainEmptied
+                | Self::Rejected
+                | Self::Misdirected
         )
     }
 
@@ -52,7 +58,7 @@
     /// Returns whether the server received the request.
     #[must_use]
     pub fn reached_server(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Crowded)
+        !matches!(self, Self::NotSent | Self::Crowded | Self::DomainEmptied)
     }
 }
 
--- a/bulrushward_policy/tests/server_attempt.rs
+++ b/bulrushward_policy/tests/server_attempt.rs
@@ -3,9 +3,10 @@
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
 use proptest::prelude::*;
 
-const ALL: [AttemptFailure; 7] = [
+const ALL: [AttemptFailure; 8] = [
     AttemptFailure::NotSent,
     AttemptFailure::Crowded,
+    AttemptFailure::DomainEmptied,
     AttemptFailure::Rejected,
     AttemptFailure::Misdirected,
     AttemptFailure::ServerError,
