--- a/bulrushward_policy/tests/emptied_domains.rs
+++ b/bulrushward_policy/tests/emptied_domains.rs
@@ -8,7 +8,7 @@
 
 use bulrushward_policy::emptied_domains::{EmptiedDomains, EmptiedReport};
 use proptest::{prelude::*, test_runner::RngSeed};
-use rand::{RngExt, SeedableRng, seq::IndexedRandom};
+use rand::{SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
