--- a/bulrushward_directd/tests/paused.rs
+++ b/bulrushward_directd/tests/paused.rs
@@ -109,6 +109,7 @@
         let entry = ServerEntry {
             service: "engines".to_owned(),
             address: server.address(),
+            failure_domain: "a".to_owned(),
             is_leaving: false,
             started_ms: 1,
         };
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -161,6 +161,7 @@
         let entry = ServerEntry {
             service: server.service.to_owned(),
             address: server.proxy.address(),
+            failure_domain: "a".to_owned(),
             is_leaving,
             started_ms: server.started_ms,
         };
