Send nothing to the servers of failure domains that an operator has emptied

Callers saw nothing of it, but requests went on to servers of a failure domain that the operators had ordered to be left alone: nothing in the code knew of such orders.

With the setting evacuation_known_ms, a router lists the orders beside its first read of the configuration and then waits for changes of both with one call, whose revision is the smaller of the two. After a failed call the configuration is read as before and the watch goes on from the revision of the orders; only a lost history lists them again. Changed orders are applied at once. The pause after a changed configuration is cut to a tenth of the limit of orders.

A configuration is activated only once the orders are known.

Emptied domains are left out of every choice: first attempts, retries, handovers, resumed streams and sources of copied prompts. The domain is checked once more after a connection was opened. If all servers of a service are in emptied domains, its requests are refused at once with 503, not run, Retry-After and the reason failure-domains-emptied. Overload admission counts the servers that are left. An order with an unexpected value holds; it is logged with its key, as are orders that name no domain or one without servers.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -159,6 +159,7 @@
     let (res, connection) = loop {
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
+        check_domain(shared, choice)?;
         let req = build_request(shared, request, choice, last_event_id)?;
         match send_on(request, req, connection, progress, silence).await {
             // A server may close idle connections, so this is no failure of the server.
@@ -208,6 +209,16 @@
     Ok(connection)
 }
 
+/// Checks that the failure domain of a server was not emptied while a connection was opened.
+fn check_domain(shared: &Shared, choice: &ServerChoice) -> Result<(), AttemptError> {
+    let domain = &choice.server.record.failure_domain;
+    if shared.emptied_domains().contains(domain) {
+        let detail = format!("failure domain {domain} is emptied");
+        return Err(AttemptError::new(AttemptFailure::DomainEmptied, &detail));
+    }
+    Ok(())
+}
+
 /// Sends a request on a connection and waits for the response head.
 async fn send_on(
     request: &RoutedRequest,
@@ -389,7 +400,7 @@
 /// Records a failed attempt in the health of its server.
 pub(crate) fn record_failure(progress: &InProgress, error: &AttemptError) {
     progress.update_health(|health, now| match error.failure {
-        AttemptFailure::Crowded => {}
+        AttemptFailure::Crowded | AttemptFailure::DomainEmptied => {}
         AttemptFailure::NotSent | AttemptFailure::Misdirected => health.record_unreachable(now),
         AttemptFailure::Rejected
         | AttemptFailure::ServerError
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -1,8 +1,9 @@
-//! Fleet state: the configuration and the registered servers as this router knows them.
+//! Fleet state: the configuration, the operators' orders and the registered servers as this router knows them.
 //!
 //! Settings, log events and the path at which peers fetch the fleet state call it knowledge.
 
 use std::{
+    collections::BTreeSet,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -10,7 +11,10 @@
     time::Instant,
 };
 
-use bulrushward_policy::server_registry::{EntrySnapshot, ServerRegistry, StoreRevision};
+use bulrushward_policy::{
+    emptied_domains::{DomainChange, EmptiedDomains, EmptiedReport, FailureDomain},
+    server_registry::{EntrySnapshot, ServerRegistry, StoreRevision},
+};
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,7 +22,7 @@
 use crate::{
     location_updates::SessionLocation,
     model::{ConfigVersion, FleetConfig, ServerRecord},
-    ports::{ServerChanges, ServerListing},
+    ports::{DomainOrder, OrderChange, OrderListing, ServerChanges, ServerListing},
     servers::ServerSet,
     shared::Shared,
 };
@@ -53,6 +57,8 @@
     pub(crate) revision: StoreRevision,
     /// Session locations, which are sent to a router that has just started.
     pub(crate) session_locations: Vec<SessionLocation>,
+    /// Emptied failure domains; `None` if the sender does not know the orders.
+    pub(crate) orders: Option<EmptiedReport>,
 }
 
 /// Origin of an update to the fleet state, for the log.
@@ -69,6 +75,10 @@
     shared: Arc<Shared>,
     registry: Mutex<ServerRegistry<ServerRecord>>,
     digest: AtomicU64,
+    /// Configuration that is activated once the orders are known.
+    waiting_config: Mutex<Option<(FleetConfig, Source)>>,
+    /// Emptied domains without servers and keys with unexpected contents that were logged.
+    reported_orders: Mutex<BTreeSet<String>>,
 }
 
 impl FleetState {
@@ -77,12 +87,19 @@
             shared: Arc::clone(shared),
             registry: Mutex::default(),
             digest: AtomicU64::new(0),
+            waiting_config: Mutex::default(),
+            reported_orders: Mutex::default(),
         })
     }
 
     /// Returns the store revision of the registered servers.
     pub(crate) fn servers_revision(&self) -> StoreRevision {
-        self.lock().revision()
+        lock(&self.registry).revision()
+    }
+
+    /// Returns the store revision up to which the orders are known, or `None` if they are not known.
+    pub(crate) fn orders_revision(&self) -> Option<StoreRevision> {
+        self.shared.emptied_domains().revision()
     }
 
     /// Returns the version of the fleet state.
@@ -96,26 +113,146 @@
 
     /// Records a successful store call for the servers.
     pub(crate) fn record_store_success(&self) {
-        self.lock().store_responded(Instant::now());
+        lock(&self.registry).store_responded(Instant::now());
     }
 
     /// Records a failed store call for the servers.
     pub(crate) fn record_store_failure(&self) {
-        self.lock().store_failed(Instant::now());
+        lock(&self.registry).store_failed(Instant::now());
     }
 
     /// Activates a configuration if it is newer.
+    ///
+    /// Where orders are followed, it waits until they are known, so that no request is sent against one.
     pub(crate) fn apply_config(&self, config: FleetConfig, source: Source) {
         let version = config.version;
+        if self.shared.follows_orders && self.orders_revision().is_none() {
+            let mut waiting = lock(&self.waiting_config);
+            let is_newer = |known: &(FleetConfig, Source)| known.0.version < version;
+            if waiting.as_ref().is_none_or(is_newer) {
+                info!(event = "config-waits-for-orders", version, %source);
+                *waiting = Some((config, source));
+            }
+            return;
+        }
         let routes = config.routes.len();
         if self.shared.activate_config(config) {
             info!(event = "config-in-force", version, routes, %source);
         }
     }
 
+    /// Replaces the orders by a complete listing from the store, unless the listing is older.
+    pub(crate) fn replace_orders(&self, listing: &OrderListing) {
+        let domains = listing.orders.iter().filter_map(|order| self.read(order));
+        let domains: Vec<_> = domains.collect();
+        self.update_orders(Source::Store, |emptied, now| {
+            emptied.replace(domains, listing.revision, now)
+        });
+    }
+
+    /// Applies the changed orders of a store response since revision `after`.
+    ///
+    /// Returns whether the orders before `after` are known; otherwise nothing is applied.
+    pub(crate) fn apply_order_changes(
+        &self,
+        after: StoreRevision,
+        changes: &[OrderChange],
+        revision: StoreRevision,
+    ) -> bool {
+        let changes = changes.iter().filter_map(|change| {
+            if !change.is_in_force {
+                lock(&self.reported_orders).remove(&change.order.key);
+                return Some((change.order.domain.clone(), false));
+            }
+            Some((self.read(&change.order)?, true))
+        });
+        let changes: Vec<_> = changes.collect();
+        let mut is_complete = true;
+        self.update_orders(Source::Store, |emptied, now| {
+            let applied = emptied.apply_changes(after, &changes, revision, now);
+            is_complete = applied.is_some();
+            applied.unwrap_or_default()
+        });
+        is_complete
+    }
+
+    /// Merges the orders that a peer reports, unless they are older.
+    pub(crate) fn merge_orders(&self, report: &EmptiedReport) {
+        if self.shared.follows_orders {
+            self.update_orders(Source::Peer, |emptied, now| emptied.merge(report, now));
+        }
+    }
+
+    /// Returns the domain of an order, or `None` if it names none; logs what is wrong with an order once.
+    fn read(&self, order: &DomainOrder) -> Option<FailureDomain> {
+        let is_usable = !order.domain.is_empty();
+        let is_sound = is_usable && order.is_readable;
+        if !is_sound && lock(&self.reported_orders).insert(order.key.clone()) {
+            warn!(
+                event = "order-unreadable",
+                key = order.key,
+                in_force = is_usable
+            );
+        }
+        is_usable.then(|| order.domain.clone())
+    }
+
+    /// Updates the orders, logs what changed, and activates a configuration that waited for them.
+    fn update_orders(
+        &self,
+        source: Source,
+        update: impl FnOnce(&mut EmptiedDomains, Instant) -> Vec<DomainChange>,
+    ) {
+        let mut emptied = self.shared.emptied_domains();
+        let changes = update(&mut emptied, Instant::now());
+        let revision = emptied.revision();
+        let domains = emptied.domains().count();
+        drop(emptied);
+        for change in &changes {
+            let (domain, age_ms) = (&change.domain, change.age.as_millis() as u64);
+            if change.is_emptied {
+                warn!(event = "failure-domain-emptied", domain, revision, age_ms, %source);
+            } else {
+                lock(&self.reported_orders).remove(domain);
+                info!(event = "failure-domain-restored", domain, revision, age_ms, %source);
+            }
+        }
+        if !changes.is_empty() {
+            let gauge = &self.shared.metrics.emptied_domains;
+            gauge.set(domains.cast_signed() as i64);
+            self.report_domains_without_servers();
+        }
+        if revision.is_none() {
+            return;
+        }
+        let waiting = lock(&self.waiting_config).take();
+        if let Some((config, source)) = waiting {
+            self.apply_config(config, source);
+        }
+    }
+
+    /// Logs emptied domains that have no servers, each once, as their names may be wrong.
+    fn report_domains_without_servers(&self) {
+        if !self.shared.has_servers() {
+            return;
+        }
+        let servers = self.shared.servers.load();
+        let has_servers = |domain: &str| {
+            let mut servers = servers.all();
+            servers.any(|server| server.record.failure_domain == domain)
+        };
+        let emptied = self.shared.emptied_domains();
+        let mut reported = lock(&self.reported_orders);
+        for domain in emptied.domains().filter(|domain| !has_servers(domain)) {
+            if reported.insert(domain.to_owned()) {
+                warn!(event = "failure-domain-without-servers", domain);
+            }
+        }
+    }
+
     /// Replaces the registered servers by a complete listing from the store, unless the listing is older.
     pub(crate) fn replace_servers(&self, listing: ServerListing) {
-        let mut registry = self.lock();
+        let mut registry = lock(&self.registry);
         if listing.revision < registry.revision() {
             return;
         }
@@ -127,7 +264,7 @@
     ///
     /// They are dropped if the state is no longer at that revision, for example because of a peer's snapshot.
     pub(crate) fn apply_server_changes(&self, after: StoreRevision, changes: &ServerChanges) {
-        let mut registry = self.lock();
+        let mut registry = lock(&self.registry);
         let now = Instant::now();
         if !registry.apply_changes(after, &changes.changes, changes.revision, now) {
             info!(
@@ -157,7 +294,7 @@
 
     /// Removes the servers whose entries did not return after a store outage.
     pub(crate) fn remove_lapsed_servers(&self) {
-        let mut registry = self.lock();
+        let mut registry = lock(&self.registry);
         if registry.remove_lapsed(Instant::now()) {
             warn!(event = "lapsed-servers-dropped");
             self.publish(&registry, Source::Store);
@@ -168,7 +305,7 @@
     ///
     /// A peer without a version has just started and receives the session locations as well.
     pub(crate) fn snapshot(&self, known_config: Option<ConfigVersion>) -> FleetStateSnapshot {
-        let registry = self.lock();
+        let registry = lock(&self.registry);
         let table = self.shared.routes.load();
         let config = table.as_ref().map(|table| table.config());
         FleetStateSnapshot {
@@ -177,6 +314,7 @@
                 .cloned(),
             servers: registry.snapshot(),
             revision: registry.revision(),
+            orders: self.shared.emptied_domains().report(Instant::now()),
             session_locations: match known_config {
                 Some(_) => Vec::new(),
                 None => self.shared.latest_session_locations(),
@@ -188,10 +326,13 @@
     pub(crate) fn merge(&self, snapshot: FleetStateSnapshot) {
         self.shared
             .merge_session_locations(&snapshot.session_locations);
+        if let Some(orders) = &snapshot.orders {
+            self.merge_orders(orders);
+        }
         if let Some(config) = snapshot.config {
             self.apply_config(config, Source::Peer);
         }
-        let mut registry = self.lock();
+        let mut registry = lock(&self.registry);
         if snapshot.revision > registry.revision() {
             registry.replace_from_snapshot(snapshot.servers, snapshot.revision, Instant::now());
             self.publish(&registry, Source::Peer);
@@ -213,9 +354,10 @@
             .set(servers.cast_signed() as i64);
         self.shared.publish_servers(set);
         info!(event = "servers-known", servers, as_of = registry.revision(), %source);
+        self.report_domains_without_servers();
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, ServerRegistry<ServerRecord>> {
-        self.registry.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -12,8 +12,8 @@
 };
 
 use bulrushward_policy::{
-    fleet_liveness::FleetLiveness, server_load::PeerLoad, server_registry::StoreRevision,
-    store_recovery::RecoveryReport, view_lag::ViewLag,
+    emptied_domains::EmptiedReport, fleet_liveness::FleetLiveness, server_load::PeerLoad,
+    server_registry::StoreRevision, store_recovery::RecoveryReport, view_lag::ViewLag,
 };
 use bulrushward_protocol::QuarantineRecord;
 use hyper::StatusCode;
@@ -40,7 +40,7 @@
 /// Path at which a router serves its fleet state.
 ///
 /// The configuration version that the requesting router has is appended.
-pub(crate) const FLEET_STATE_PATH: &str = "/knowledge/";
+pub(crate) const FLEET_STATE_PATH: &str = "/fleet-state/";
 /// Interval between two gossip rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of peers that receive a datagram in each round, which bounds the traffic in a large fleet.
@@ -96,6 +96,13 @@
     response_times: Vec<ServerTimes>,
 }
 
+/// Third part of a datagram, which routers without it neither send nor read.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct GossipOrders {
+    /// Emptied failure domains; `None` if the sender does not know the orders.
+    emptied: Option<EmptiedReport>,
+}
+
 /// Age of the last sign of life of a router.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct PeerSighting {
@@ -250,9 +257,13 @@
         if known.is_some_and(is_late) {
             return;
         }
-        // A router of an earlier version sends no tail.
-        let tail: GossipTail = postcard::from_bytes(tail).unwrap_or_default();
+        // A router of an earlier version sends no tail or no orders.
+        let (tail, orders): (GossipTail, _) = postcard::take_from_bytes(tail).unwrap_or_default();
+        let orders: GossipOrders = postcard::from_bytes(orders).unwrap_or_default();
         self.merge_tail(&tail, &message.node);
+        if let Some(emptied) = &orders.emptied {
+            self.fleet_state.merge_orders(emptied);
+        }
         self.record_sighting(message.fleet_state_address, Duration::ZERO);
         for other in &message.others {
             self.record_sighting(
@@ -338,7 +349,14 @@
     }
 
     async fn send_message(&self) {
-        let parts = (self.build_message(), self.build_tail());
+        let orders = GossipOrders {
+            emptied: self
+                .shared
+                .emptied_domains()
+                .report(Instant::now())
+                .filter(EmptiedReport::fits_datagram),
+        };
+        let parts = (self.build_message(), self.build_tail(), orders);
         let bytes = match postcard::to_stdvec(&parts) {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -44,9 +44,9 @@
     ServerId, ServerRecord, Service, ServiceName, Target,
 };
 pub use ports::{
-    ConfigUpdate, FleetStore, ForwardingMetadata, HttpConventions, LogStats, PromptPart,
-    ReportedLoad, RequestMetadata, ResponseMetadata, RouterDependencies, ServerChanges,
-    ServerListing, StoreError,
+    ConfigUpdate, DomainOrder, FleetStore, ForwardingMetadata, HttpConventions, LogStats,
+    OrderChange, OrderListing, PromptPart, ReportedLoad, RequestMetadata, ResponseMetadata,
+    RouterDependencies, ServerChanges, ServerListing, StoreError,
 };
 pub use routes::RouteTable;
 pub use run::{DirectError, run, run_until};
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -38,6 +38,7 @@
     BodyCut,
     UnknownService,
     NoServer,
+    FailureDomainsEmptied,
     ServersRefused,
     Overloaded,
     RetryBudget,
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -52,6 +52,7 @@
 pub(crate) enum StoreCall {
     Config,
     ConfigChanges,
+    Orders,
     Servers,
     ServerChanges,
     Saved,
@@ -99,6 +100,7 @@
     config_view_age: Gauge,
     servers_view_age: Gauge,
     pub(crate) servers: Gauge,
+    pub(crate) emptied_domains: Gauge,
     pub(crate) routers: Gauge,
     in_progress: Gauge,
     pub(crate) sessions: Gauge,
@@ -174,6 +176,10 @@
                 "Time since the store last confirmed the servers",
             ),
             servers: r.add("servers", "Registered servers"),
+            emptied_domains: r.add(
+                "emptied_failure_domains",
+                "Failure domains to whose servers nothing is sent",
+            ),
             routers: r.add("routers", "Routers believed to be alive"),
             in_progress: r.add("in_progress", "Requests in progress"),
             sessions: r.add("sessions", "Sessions whose servers are remembered"),
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -3,7 +3,7 @@
 use std::{fmt::Debug, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use bulrushward_policy::server_registry::StoreRevision;
+use bulrushward_policy::{emptied_domains::FailureDomain, server_registry::StoreRevision};
 use bytes::Bytes;
 use hyper::HeaderMap;
 use snafu::Snafu;
@@ -117,6 +117,39 @@
 pub struct ConfigUpdate {
     /// Configuration; `None` if there is none or it did not change.
     pub config: Option<FleetConfig>,
+    /// Changed orders to empty failure domains, in order; empty if they were not waited for.
+    pub orders: Vec<OrderChange>,
+    /// Whether other keys changed, which hold neither a configuration nor an order.
+    pub has_other_changes: bool,
+    /// Revision up to which changes are included.
+    pub revision: StoreRevision,
+}
+
+/// An order of the operators that nothing be sent to the servers of a failure domain, as the store holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DomainOrder {
+    /// Key in the store, for the log.
+    pub key: String,
+    /// Failure domain that the key names; empty if it names none.
+    pub domain: FailureDomain,
+    /// Whether the value is as expected. The order holds whatever the value is.
+    pub is_readable: bool,
+}
+
+/// An order that was written or removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderChange {
+    /// Order; if it was removed, only the names count.
+    pub order: DomainOrder,
+    /// Whether the order is in force, or else withdrawn.
+    pub is_in_force: bool,
+}
+
+/// All orders to empty failure domains.
+#[derive(Clone, Debug)]
+pub struct OrderListing {
+    /// Orders in force.
+    pub orders: Vec<DomainOrder>,
     /// Revision up to which changes are included.
     pub revision: StoreRevision,
 }
@@ -173,15 +206,26 @@
     /// Returns [`StoreError`] if there is no usable response.
     async fn config(&self) -> Result<ConfigUpdate, StoreError>;
 
-    /// Waits up to `wait` for a configuration that was written after a revision.
+    /// Reads all orders to empty failure domains.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] if there is no usable response.
+    async fn orders(&self) -> Result<OrderListing, StoreError>;
+
+    /// Waits up to `wait` for a configuration that was written after a revision.
+    ///
+    /// The call waits for changed orders to empty failure domains as well if `with_orders` is set.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::HistoryGone`] if the store has discarded changes after that revision, or another
+    /// [`StoreError`] if there is no usable response.
     async fn next_config(
         &self,
         after: StoreRevision,
         wait: Duration,
+        with_orders: bool,
     ) -> Result<ConfigUpdate, StoreError>;
 
     /// Reads all registered servers.
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -64,7 +64,11 @@
     let service = &request.service.name;
     shared.deposit_request(service);
     request_log.is_stream = request.is_stream();
-    let servers = shared.servers.load().of_service(service).len();
+    if server_selection::lack_reason(shared, &request) == Reason::FailureDomainsEmptied {
+        let retry = retry_after::for_emptied_domains();
+        return Err(LocalResponse::not_run(Reason::FailureDomainsEmptied, retry));
+    }
+    let servers = server_selection::open_servers(shared, &request);
     if !shared.overload.admits(&request, servers) {
         let retry = retry_after::for_overload();
         return Err(LocalResponse::not_run(Reason::Overloaded, retry));
@@ -88,7 +92,8 @@
             .take()
             .or_else(|| server_selection::select(shared, &request, &tried));
         let Some(choice) = choice else {
-            return final_response(&history, last_error, Reason::NoServer);
+            let reason = server_selection::lack_reason(shared, &request);
+            return final_response(&history, last_error, reason);
         };
         let server = &choice.server;
         request_log.attempts = history.attempts() + 1;
@@ -131,7 +136,12 @@
                     match handover::select_next(shared, &request, next, failure, &tried) {
                         Ok(choice) => successor = Some(choice),
                         Err(refusal) => {
-                            let reason = refusal.reason().unwrap_or(reason);
+                            let reason = match refusal.reason() {
+                                Some(Reason::NoServer) => {
+                                    server_selection::lack_reason(shared, &request)
+                                }
+                                refused => refused.unwrap_or(reason),
+                            };
                             return final_response(&history, last_error, reason);
                         }
                     }
@@ -192,6 +202,7 @@
 fn failure_reason(error: &AttemptError) -> Reason {
     match error.failure {
         AttemptFailure::NotSent | AttemptFailure::Crowded => Reason::NoServer,
+        AttemptFailure::DomainEmptied => Reason::FailureDomainsEmptied,
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
         AttemptFailure::ServerError | AttemptFailure::Broken => Reason::ServerBroke,
         AttemptFailure::Silent => Reason::ServerSilent,
@@ -220,7 +231,11 @@
     match history.outcome() {
         NextAttempt::Unknown => Err(LocalResponse::unknown(reason)),
         NextAttempt::NotRun | NextAttempt::Send { .. } => {
-            Err(LocalResponse::not_run(reason, retry_after::for_server()))
+            let retry = match reason {
+                Reason::FailureDomainsEmptied => retry_after::for_emptied_domains(),
+                _ => retry_after::for_server(),
+            };
+            Err(LocalResponse::not_run(reason, retry))
         }
     }
 }
--- a/bulrushward_direct/src/retry_after.rs
+++ b/bulrushward_direct/src/retry_after.rs
@@ -10,9 +10,10 @@
 pub(crate) const START_RETRY: Duration = Duration::from_millis(300);
 /// Retry delay while this router stops; others take the request.
 pub(crate) const STOP_RETRY: Duration = Duration::from_millis(50);
-/// Range of the retry delay while the store that holds the configuration is unavailable.
+/// Range of the retry delay while the store that holds the configuration is unavailable, or while all failure domains
+/// of a service are emptied.
 ///
-/// Outages last seconds, and most callers retry only once.
+/// Both last seconds, and most callers retry only once.
 const OUTAGE_RETRY: (Duration, Duration) =
     (Duration::from_millis(1_500), Duration::from_millis(2_500));
 /// Range of the retry delay while no server has capacity.
@@ -38,6 +39,11 @@
     jittered(SERVER_RETRY)
 }
 
+/// Returns the retry delay of a request refused because all failure domains of its service are emptied.
+pub(crate) fn for_emptied_domains() -> Duration {
+    jittered(OUTAGE_RETRY)
+}
+
 /// Returns the retry delay of a request refused because its service is overloaded.
 pub(crate) fn for_overload() -> Duration {
     jittered(OVERLOAD_RETRY)
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -298,7 +298,7 @@
 
 /// Applies changed settings, on SIGHUP or when the file is next checked.
 ///
-/// Changed addresses take effect only after a restart.
+/// Changed addresses take effect only after a restart, and so does whether orders are followed.
 async fn watch_settings(shared: Arc<Shared>, path: PathBuf, mut hangup: Signal) {
     loop {
         tokio::select! {
@@ -309,7 +309,7 @@
         match DirectSettings::read(&path) {
             Ok(settings) if settings == *current => {}
             Ok(settings) => {
-                let is_restart_needed = !settings.has_addresses_of(&current);
+                let is_restart_needed = !settings.has_fixed_settings_of(&current);
                 info!(event = "settings-changed", path = %path.display(), needs_restart = is_restart_needed);
                 shared.set_settings(settings);
             }
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -6,9 +6,13 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::server_choice::{self, ServerView, SessionRequest};
+use bulrushward_policy::{
+    emptied_domains::EmptiedDomains,
+    server_choice::{self, ServerView, SessionRequest},
+};
 
 use crate::{
+    local_response::Reason,
     routed_request::RoutedRequest,
     servers::{Server, ServerHash},
     shared::Shared,
@@ -48,8 +52,32 @@
 /// Returns whether there is a server that was not tried yet.
 pub(crate) fn has_candidate(shared: &Shared, request: &RoutedRequest, tried: &[String]) -> bool {
     let set = shared.servers.load();
+    let emptied = shared.emptied_domains();
+    let mut servers = set.of_service(&request.service.name).iter();
+    servers.any(|server| is_candidate(shared, request, tried, server, &emptied))
+}
+
+/// Returns the reason of the refusal if no server can be selected.
+pub(crate) fn lack_reason(shared: &Shared, request: &RoutedRequest) -> Reason {
+    let set = shared.servers.load();
+    let emptied = shared.emptied_domains();
     let mut servers = set.of_service(&request.service.name).iter();
-    servers.any(|server| is_candidate(shared, request, tried, server))
+    let is_emptied = |server: &Arc<Server>| emptied.contains(&server.record.failure_domain);
+    if servers.len() > 0 && servers.all(is_emptied) {
+        Reason::FailureDomainsEmptied
+    } else {
+        Reason::NoServer
+    }
+}
+
+/// Returns the number of servers of the request's service in failure domains that are not emptied.
+pub(crate) fn open_servers(shared: &Shared, request: &RoutedRequest) -> usize {
+    let set = shared.servers.load();
+    let emptied = shared.emptied_domains();
+    let servers = set.of_service(&request.service.name).iter();
+    servers
+        .filter(|server| !emptied.contains(&server.record.failure_domain))
+        .count()
 }
 
 /// Returns whether a server may be selected if it is healthy.
@@ -58,12 +86,14 @@
     request: &RoutedRequest,
     tried: &[String],
     server: &Server,
+    emptied: &EmptiedDomains,
 ) -> bool {
     let limit = request.service.connection_limit;
     // Only a fleet that is larger than the limit divides it into shares of which some are zero.
     let may_connect =
         || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
-    !server.is_leaving() && !tried.contains(&server.id) && may_connect()
+    let is_emptied = emptied.contains(&server.record.failure_domain);
+    !is_emptied && !server.is_leaving() && !tried.contains(&server.id) && may_connect()
 }
 
 /// Selects a server that was not tried yet.
@@ -77,7 +107,8 @@
     let now = Instant::now();
     let session = request.session.filter(|_| request.service.is_engine);
     let locations = session.map_or_else(Vec::new, |session| shared.session_locations(session));
-    let is_candidate = |server: &Server| is_candidate(shared, request, tried, server);
+    let emptied = shared.emptied_domains();
+    let is_candidate = |server: &Server| is_candidate(shared, request, tried, server, &emptied);
     let replaced = shared.replaced_servers();
     let is_usable = |server: &Server| is_candidate(server) && !replaced.contains(server.hash, now);
     let mut views: Vec<_> = servers
@@ -96,7 +127,8 @@
     let (usable, least_load) = usable_loads.fold((0, f64::MAX), |(count, least), load| {
         (count + 1, load.min(least))
     });
-    let source = copy_source(servers, request, &locations, now);
+    let source = copy_source(servers, request, &locations, &emptied, now);
+    drop(emptied);
     let index = match session {
         Some(session) => {
             let req = SessionRequest {
@@ -140,6 +172,7 @@
     servers: &[Arc<Server>],
     request: &RoutedRequest,
     locations: &[ServerHash],
+    emptied: &EmptiedDomains,
     now: Instant,
 ) -> Option<SocketAddr> {
     if !request.service.can_copy_prompts || request.shared_tokens() < MIN_COPY_TOKENS {
@@ -147,7 +180,8 @@
     }
     locations.iter().find_map(|location| {
         let server = servers.iter().find(|server| server.hash == *location)?;
-        let is_reachable = !server.state().health.is_backing_off(now);
+        let is_emptied = emptied.contains(&server.record.failure_domain);
+        let is_reachable = !is_emptied && !server.state().health.is_backing_off(now);
         is_reachable.then_some(server.record.address)
     })
 }
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -125,6 +125,13 @@
     #[serde(rename = "config_known_ms")]
     #[serde_as(as = "DurationMilliSecondsWithFrac<f64>")]
     pub config_known: Duration,
+    /// Propagation limit of an order to empty a failure domain in milliseconds; absent if there are no such orders.
+    ///
+    /// It runs from the store's acknowledgement of the order until no router sends anything to the servers of the
+    /// domain. Whether it is present at the start decides whether orders are followed.
+    #[serde(rename = "evacuation_known_ms", default)]
+    #[serde_as(as = "Option<DurationMilliSecondsWithFrac<f64>>")]
+    pub orders_known: Option<Duration>,
     /// Largest ratio of retries to requests in the fleet.
     pub repeat_ratio: f64,
     /// Retries that the fleet may send beyond that ratio in any window of the retry budget.
@@ -230,9 +237,10 @@
         }
     }
 
-    /// Returns whether all addresses and ports equal those of other settings.
-    pub(crate) fn has_addresses_of(&self, other: &Self) -> bool {
-        self.callers_address == other.callers_address
+    /// Returns whether all settings that are only read at the start equal those of other settings.
+    pub(crate) fn has_fixed_settings_of(&self, other: &Self) -> bool {
+        self.orders_known.is_some() == other.orders_known.is_some()
+            && self.callers_address == other.callers_address
             && self.readiness_address == other.readiness_address
             && self.knowledge_address == other.knowledge_address
             && self.datagram_port == other.datagram_port
@@ -252,10 +260,13 @@
             self.stop_grace >= Duration::from_secs(1),
             "at least 1",
         )?;
-        for (name, time) in [
-            ("leaving_known_ms", self.leaving_known),
-            ("config_known_ms", self.config_known),
-        ] {
+        let limits = [
+            ("leaving_known_ms", Some(self.leaving_known)),
+            ("config_known_ms", Some(self.config_known)),
+            ("evacuation_known_ms", self.orders_known),
+        ];
+        for (name, time) in limits {
+            let Some(time) = time else { continue };
             require(
                 name,
                 &(time.as_secs_f64() * 1e3),
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -13,6 +13,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushward_policy::{
+    emptied_domains::EmptiedDomains,
     fleet_retry_budget::{FleetRetryBudget, RetryCause},
     fleet_share::whole_share,
     quarantine::{Quarantine, Verdict},
@@ -75,6 +76,9 @@
     location_updates: Mutex<LocationUpdates>,
     quarantine: Mutex<Quarantine>,
     replaced_servers: Mutex<ReplacedServers>,
+    /// Whether orders to empty failure domains are followed.
+    pub(crate) follows_orders: bool,
+    emptied_domains: Mutex<EmptiedDomains>,
     pub(crate) overload: OverloadControl,
     pub(crate) metrics: DirectMetrics,
 }
@@ -84,6 +88,7 @@
         let fleet_known = Instant::now() + settings.peer_discovery_time();
         Arc::new(Self {
             fleet_known,
+            follows_orders: settings.orders_known.is_some(),
             settings: ArcSwap::from_pointee(settings),
             conventions: dependencies.conventions,
             store: dependencies.store,
@@ -107,6 +112,7 @@
                 MAX_CRASH_RECORDS,
             )),
             replaced_servers: Mutex::default(),
+            emptied_domains: Mutex::default(),
             overload: OverloadControl::default(),
             metrics: DirectMetrics::new(),
         })
@@ -145,8 +151,12 @@
 
     /// Returns whether requests are accepted: configuration and servers are known and no stop has begun.
     pub(crate) fn is_ready(&self) -> bool {
-        let has_servers = self.has_servers.load(Ordering::Relaxed);
-        has_servers && !self.is_stopping() && self.routes.load().is_some()
+        self.has_servers() && !self.is_stopping() && self.routes.load().is_some()
+    }
+
+    /// Returns whether the registered servers are known.
+    pub(crate) fn has_servers(&self) -> bool {
+        self.has_servers.load(Ordering::Relaxed)
     }
 
     /// Replaces the set of registered servers that requests are sent to.
@@ -319,6 +329,11 @@
         lock(&self.replaced_servers)
     }
 
+    /// Locks the failure domains to whose servers nothing may be sent.
+    pub(crate) fn emptied_domains(&self) -> MutexGuard<'_, EmptiedDomains> {
+        lock(&self.emptied_domains)
+    }
+
     /// Records a server crash that a request is suspected to have caused.
     pub(crate) fn record_crash(&self, fingerprint: Fingerprint) {
         lock(&self.quarantine).record_crash(fingerprint, Instant::now());
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -1,17 +1,18 @@
-//! Watches the configuration and the registered servers in the platform's store by long polling.
+//! Watches the configuration, the operators' orders and the registered servers in the platform's store by long polling.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use bulrushward_policy::server_registry::StoreRevision;
 use rand::RngExt;
 use tracing::info;
 
 use crate::{
     fleet_state::{FleetState, Source},
     metrics::StoreCall,
-    ports::{FleetStore, StoreError},
+    ports::{ConfigUpdate, FleetStore, StoreError},
     shared::Shared,
     store_state::StoreView,
 };
@@ -26,6 +27,10 @@
 /// A series of changes then takes few calls. The rest of the limit is for the call, one retry of it and
 /// requests already on their way.
 pub(crate) const COALESCING_FRACTION: f64 = 0.4;
+/// Fraction of the propagation limit of orders for which an order may wait while further changes are awaited.
+///
+/// The rest is for routers that the store turns away.
+const ORDER_WAIT_FRACTION: f64 = 0.1;
 /// Longest pause after the first failed call; it doubles with each further one up to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 /// Longest pause between calls while the store is unavailable.
@@ -65,34 +70,50 @@
     }
 }
 
-/// Watches the configuration until cancelled.
+/// What a call for the configuration and the orders brought.
+struct WatchStep {
+    /// Revision after which to watch for further changes.
+    after: StoreRevision,
+    /// Whether further changes are awaited before the next call.
+    needs_pause: bool,
+}
+
+/// Watches the configuration, and the orders where they are followed, until cancelled.
 pub(crate) async fn watch_config(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
     let mut after = None;
+    let mut needs_listing = shared.follows_orders;
     loop {
-        let (call, result) = match after {
-            None => (StoreCall::Config, shared.store.config().await),
+        let result = match after {
+            None => read_config(&shared, &fleet_state, needs_listing).await,
             Some(after) => {
-                let call = shared.store.next_config(after, LONG_POLL_TIMEOUT);
+                let call =
+                    shared
+                        .store
+                        .next_config(after, LONG_POLL_TIMEOUT, shared.follows_orders);
                 let Some(result) = poll(&shared, StoreView::Config, call).await else {
                     continue;
                 };
-                (StoreCall::ConfigChanges, result)
+                shared
+                    .metrics
+                    .record_store_call(StoreCall::ConfigChanges, &result);
+                result.and_then(|update| apply_update(&shared, &fleet_state, after, update))
             }
         };
-        shared.metrics.record_store_call(call, &result);
         match result {
-            Ok(update) => {
+            Ok(step) => {
                 shared.store_state.record_view(StoreView::Config);
                 backoff = Backoff::default();
-                after = Some(update.revision);
-                if let Some(config) = update.config {
-                    fleet_state.apply_config(config, Source::Store);
-                    coalesce(shared.settings().config_known).await;
+                after = Some(step.after);
+                needs_listing = false;
+                if step.needs_pause {
+                    tokio::time::sleep(config_pause(&shared)).await;
                 }
             }
             Err(error) => {
                 after = None;
+                let is_history_gone = matches!(error, StoreError::HistoryGone { .. });
+                needs_listing |= is_history_gone && shared.follows_orders;
                 shared.store_state.record_failure(&error);
                 backoff.pause().await;
             }
@@ -100,6 +121,79 @@
     }
 }
 
+/// Reads the configuration, and lists the orders if `needs_listing` is set.
+///
+/// Orders that are known need no new listing after a failed call: the next call waits for changes since their revision.
+async fn read_config(
+    shared: &Shared,
+    fleet_state: &FleetState,
+    needs_listing: bool,
+) -> Result<WatchStep, StoreError> {
+    let config = async {
+        let result = shared.store.config().await;
+        shared.metrics.record_store_call(StoreCall::Config, &result);
+        let update = result?;
+        let has_config = update.config.is_some();
+        if let Some(config) = update.config {
+            fleet_state.apply_config(config, Source::Store);
+        }
+        Ok((update.revision, has_config))
+    };
+    let orders = async {
+        if !needs_listing {
+            return Ok(fleet_state.orders_revision());
+        }
+        let result = shared.store.orders().await;
+        shared.metrics.record_store_call(StoreCall::Orders, &result);
+        let listing = result?;
+        fleet_state.replace_orders(&listing);
+        Ok(Some(listing.revision))
+    };
+    let ((revision, has_config), orders) = if shared.store_state.is_available() {
+        let (config, orders) = tokio::join!(config, orders);
+        (config?, orders?)
+    } else {
+        // A store in trouble gets one call at a time.
+        (config.await?, orders.await?)
+    };
+    Ok(WatchStep {
+        after: orders.map_or(revision, |orders| orders.min(revision)),
+        needs_pause: has_config,
+    })
+}
+
+/// Applies the response to a call that waited for changes since revision `after`.
+fn apply_update(
+    shared: &Shared,
+    fleet_state: &FleetState,
+    after: StoreRevision,
+    update: ConfigUpdate,
+) -> Result<WatchStep, StoreError> {
+    if shared.follows_orders
+        && !fleet_state.apply_order_changes(after, &update.orders, update.revision)
+    {
+        return Err(StoreError::HistoryGone { after });
+    }
+    let needs_pause = update.config.is_some() || update.has_other_changes;
+    if let Some(config) = update.config {
+        fleet_state.apply_config(config, Source::Store);
+    }
+    Ok(WatchStep {
+        after: update.revision,
+        needs_pause,
+    })
+}
+
+/// Returns the pause after a changed configuration, in which an order may have to wait.
+fn config_pause(shared: &Shared) -> Duration {
+    let settings = shared.settings();
+    let pause = settings.config_known.mul_f64(COALESCING_FRACTION);
+    match settings.orders_known {
+        Some(limit) => pause.min(limit.mul_f64(ORDER_WAIT_FRACTION)),
+        None => pause,
+    }
+}
+
 /// Watches the registered servers until cancelled.
 pub(crate) async fn watch_servers(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -148,6 +148,7 @@
         stop_grace: Duration::from_secs(8),
         leaving_known: Duration::from_secs(2),
         config_known: Duration::from_secs(2),
+        orders_known: None,
         repeat_ratio: 0.2,
         extra_repeats: 50.0,
         repeat_window: Duration::from_secs(10),
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -1,7 +1,7 @@
 //! An in-memory platform: simple HTTP conventions and a store that can be unavailable.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -11,9 +11,9 @@
 
 use async_trait::async_trait;
 use bulrushward_direct::{
-    ConfigUpdate, FleetConfig, FleetStore, ForwardingMetadata, HttpConventions, LogStats,
-    PromptPart, ReportedLoad, RequestMetadata, ResponseMetadata, ServerChanges, ServerId,
-    ServerListing, ServerRecord, StoreError,
+    ConfigUpdate, DomainOrder, FleetConfig, FleetStore, ForwardingMetadata, HttpConventions,
+    LogStats, OrderChange, OrderListing, PromptPart, ReportedLoad, RequestMetadata,
+    ResponseMetadata, ServerChanges, ServerId, ServerListing, ServerRecord, StoreError,
 };
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -124,6 +124,9 @@
     config: Option<(FleetConfig, u64)>,
     servers: BTreeMap<ServerId, ServerRecord>,
     changes: Vec<(u64, ServerId, Option<ServerRecord>)>,
+    /// Emptied failure domains.
+    emptied: BTreeSet<String>,
+    order_changes: Vec<(u64, OrderChange)>,
     /// Revision up to which changes have been discarded.
     discarded_revision: u64,
 }
@@ -154,6 +157,8 @@
     /// Number of times that the store forgot the calls that were waiting.
     forgotten: AtomicU32,
     fails_server_listing: AtomicBool,
+    /// Listing of the orders to return instead of the present one.
+    order_listing: Mutex<Option<OrderListing>>,
     saved: Mutex<Option<Bytes>>,
     changed: Notify,
 }
@@ -172,6 +177,49 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes or removes an order to empty a failure domain.
+    pub fn set_emptied(&self, domain: &str, is_emptied: bool) {
+        self.set_order(domain, is_emptied, true);
+    }
+
+    /// Writes or removes an order whose value is readable or not.
+    pub fn set_order(&self, domain: &str, is_in_force: bool, is_readable: bool) {
+        let mut contents = self.lock();
+        contents.revision += 1;
+        let revision = contents.revision;
+        let mut order = domain_order(domain);
+        order.is_readable = is_readable;
+        let change = OrderChange { order, is_in_force };
+        contents.order_changes.push((revision, change));
+        if is_in_force {
+            contents.emptied.insert(domain.to_owned());
+        } else {
+            contents.emptied.remove(domain);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the present listing of the orders.
+    pub fn order_listing(&self) -> OrderListing {
+        let contents = self.lock();
+        OrderListing {
+            orders: contents
+                .emptied
+                .iter()
+                .map(|domain| domain_order(domain))
+                .collect(),
+            revision: contents.revision,
+        }
+    }
+
+    /// Makes calls that list the orders return an older listing.
+    pub fn serve_order_listing(&self, listing: OrderListing) {
+        *self
+            .order_listing
+            .lock()
+            .expect("no test panics while holding the lock") = Some(listing);
+    }
+
     pub fn put(&self, id: &str, record: ServerRecord) {
         self.change(id, Some(record));
     }
@@ -210,6 +258,7 @@
         contents.revision += 1;
         contents.discarded_revision = contents.revision;
         contents.changes.clear();
+        contents.order_changes.clear();
         self.changed.notify_waiters();
     }
 
@@ -303,6 +352,14 @@
     }
 }
 
+fn domain_order(domain: &str) -> DomainOrder {
+    DomainOrder {
+        key: format!("orders/{domain}"),
+        domain: domain.to_owned(),
+        is_readable: true,
+    }
+}
+
 /// Returns the error of a client that waited for a response in vain.
 async fn time_out(limit: Duration) -> StoreError {
     tokio::time::sleep(limit).await;
@@ -318,20 +375,55 @@
         let contents = self.lock();
         Ok(ConfigUpdate {
             config: contents.config.as_ref().map(|(config, _)| config.clone()),
+            orders: Vec::new(),
+            has_other_changes: false,
             revision: contents.revision,
         })
     }
 
-    async fn next_config(&self, after: u64, wait: Duration) -> Result<ConfigUpdate, StoreError> {
+    async fn orders(&self) -> Result<OrderListing, StoreError> {
+        self.enter(CALL_TIMEOUT).await?;
+        let older = self.order_listing.lock();
+        let older = older
+            .expect("no test panics while holding the lock")
+            .clone();
+        Ok(older.unwrap_or_else(|| self.order_listing()))
+    }
+
+    async fn next_config(
+        &self,
+        after: u64,
+        wait: Duration,
+        with_orders: bool,
+    ) -> Result<ConfigUpdate, StoreError> {
         let newer = self.wait(wait, |contents| {
-            let (config, revision) = contents.config.as_ref()?;
-            (*revision > after).then(|| (config.clone(), contents.revision))
+            // Without orders, a lost history shows only in the calls for the servers.
+            if with_orders && contents.discarded_revision > after {
+                return Some(Err(StoreError::HistoryGone { after }));
+            }
+            let config = contents.config.as_ref();
+            let config = config.filter(|(_, revision)| *revision > after);
+            let orders = contents.order_changes.iter();
+            let orders: Vec<_> = orders
+                .filter(|(revision, _)| with_orders && *revision > after)
+                .map(|(_, change)| change.clone())
+                .collect();
+            (config.is_some() || !orders.is_empty()).then(|| {
+                Ok(ConfigUpdate {
+                    config: config.map(|(config, _)| config.clone()),
+                    orders,
+                    has_other_changes: false,
+                    revision: contents.revision,
+                })
+            })
         });
-        let found = newer.await?;
-        let revision = found.as_ref().map_or(after, |(_, revision)| *revision);
-        Ok(ConfigUpdate {
-            config: found.map(|(config, _)| config),
-            revision,
+        newer.await?.unwrap_or_else(|| {
+            Ok(ConfigUpdate {
+                config: None,
+                orders: Vec::new(),
+                has_other_changes: false,
+                revision: after,
+            })
         })
     }
 
