Send cold servers no more than they bear, summed over all routers

Callers saw streams cut and errors while a failure domain returned: its servers were cold, every router found them idle and sent there, and they fell over. Nothing knew that a server can be cold.

A service now says how many requests a second a cold server bears. These are divided among the routers into whole requests by rank, so that routers with the same view agree without messages and the sum is never above it. Entries, response headers, a server that could not be reached and (once called) a failure domain that returns show that a server is cold. Once the units are used up and no other server is usable, requests are refused at once with reason cold-servers. A starting router takes no share until it has discovered the fleet.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 
 use crate::{
+    cold_servers,
     connection::{self, ConnectError, Connection},
     handover::SilenceWatch,
     ports::{ForwardingMetadata, ResponseMetadata},
@@ -176,6 +177,9 @@
             request = request.request_id,
         );
     }
+    if !is_other_server {
+        cold_servers::record_response(shared, request, progress.server(), &metadata);
+    }
     if let Some(load) = metadata.load {
         let mut state = progress.server().state();
         state
@@ -198,7 +202,10 @@
     let connection = acquired.map_err(|error| {
         let failure = match error {
             ConnectError::LimitReached { .. } => AttemptFailure::Crowded,
-            ConnectError::Unreachable { .. } => AttemptFailure::NotSent,
+            ConnectError::Unreachable { .. } => {
+                cold_servers::record_unreachable(request, &choice.server);
+                AttemptFailure::NotSent
+            }
         };
         AttemptError::new(failure, &error)
     })?;
--- /dev/null
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -0,0 +1,232 @@
+//! Cold backend servers: what shows that one is cold, and this router's share of the requests that it bears.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::{
+    cold_server::{ColdAllowance, ColdEvidence, Room},
+    fleet_share::{FleetMembers, FleetPosition},
+};
+use tracing::info;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{
+    model::Service,
+    ports::ResponseMetadata,
+    routed_request::RoutedRequest,
+    servers::{Server, ServerHash, ServerSet, ServerState},
+    shared::Shared,
+};
+
+/// The routers that share the allowances of cold servers, as this router knows them.
+#[derive(Debug, Default)]
+pub(crate) struct FleetView {
+    /// Number that differs between all views of this process.
+    version: u64,
+    /// Hash of this router's address.
+    own: u64,
+    /// Hashes of the addresses of all routers, including this one.
+    members: Vec<u64>,
+    /// Whether the routers have been discovered since the start.
+    is_settled: bool,
+}
+
+impl FleetView {
+    /// Creates the view that follows a previous one.
+    pub(crate) fn new(
+        own: SocketAddr,
+        members: &FleetMembers<SocketAddr>,
+        previous: &Self,
+    ) -> Self {
+        let hash = |address: &SocketAddr| xxh3_64(address.to_string().as_bytes());
+        Self {
+            version: previous.version + 1,
+            own: hash(&own),
+            members: members.members().iter().map(hash).collect(),
+            is_settled: members.is_settled(),
+        }
+    }
+
+    /// Returns the place of this router among those that share a server.
+    ///
+    /// Each server has an order of its own, so that each router has shares of some of the servers.
+    fn position(&self, server: ServerHash) -> FleetPosition {
+        let key = |member: u64| {
+            (
+                xxh3_64_with_seed(&member.to_le_bytes(), server.into()),
+                member,
+            )
+        };
+        let own = key(self.own);
+        let earlier = self.members.iter().filter(|member| key(**member) < own);
+        FleetPosition {
+            rank: earlier.count() as u32,
+            members: self.members.len() as u32,
+        }
+    }
+}
+
+/// Returns what this router may send to a server now.
+pub(crate) fn room(
+    shared: &Shared,
+    service: &Service,
+    server: &Server,
+    state: &mut ServerState,
+    now: Instant,
+) -> Room {
+    let Some(allowance) = allowance(service) else {
+        return Room::Unlimited;
+    };
+    let position = position(shared, server, state);
+    state.cold.room(allowance, position, now)
+}
+
+/// Records that a request is sent to a server.
+pub(crate) fn record_sent(service: &Service, server: &Server, now: Instant) {
+    if let Some(allowance) = allowance(service) {
+        server.state().cold.record_sent(allowance, now);
+    }
+}
+
+/// Records what the entries of servers state that are new or have changed.
+pub(crate) fn record_entries(shared: &Shared, set: &ServerSet, previous: &ServerSet, now: Instant) {
+    let known: HashMap<&str, &Server> = previous
+        .all()
+        .map(|server| (server.id.as_str(), server.as_ref()))
+        .collect();
+    for server in set.all() {
+        let known = known.get(server.id.as_str());
+        if known.is_some_and(|known| known.record == server.record) {
+            continue;
+        }
+        let cold_for = server.record.cold_for;
+        record_statement(shared, server, cold_for, ColdEvidence::Entry, now);
+    }
+}
+
+/// Records what a response shows of a server, which is not misdirected.
+pub(crate) fn record_response(
+    shared: &Shared,
+    request: &RoutedRequest,
+    server: &Server,
+    metadata: &ResponseMetadata,
+) {
+    let Some(cold_start) = request.service.cold_start else {
+        return;
+    };
+    let now = Instant::now();
+    server
+        .state()
+        .cold
+        .record_response(cold_start.duration, now);
+    if let Some(cold_for) = metadata.cold_for {
+        record_statement(shared, server, cold_for, ColdEvidence::Response, now);
+    }
+}
+
+/// Records that a server could not be reached, so that it may be cold when it is back.
+pub(crate) fn record_unreachable(request: &RoutedRequest, server: &Server) {
+    if let Some(cold_start) = request.service.cold_start {
+        let mut state = server.state();
+        state
+            .cold
+            .record_unreachable(cold_start.duration, Instant::now());
+    }
+}
+
+/// Takes the servers of a failure domain to be cold that gets requests again after it was empty.
+#[expect(dead_code, reason = "called once failure domains can be emptied")]
+pub(crate) fn assume_domain_cold(shared: &Shared, failure_domain: &str, now: Instant) {
+    let routes = shared.routes.load();
+    let Some(routes) = routes.as_ref() else {
+        return;
+    };
+    for server in shared.servers.load().all() {
+        let service = routes.service(&server.record.service);
+        let Some(cold_start) = service.and_then(|service| service.cold_start) else {
+            continue;
+        };
+        if server.record.failure_domain == failure_domain {
+            let evidence = ColdEvidence::DomainReturned;
+            server
+                .state()
+                .cold
+                .assume(cold_start.duration, evidence, now);
+        }
+    }
+}
+
+/// Logs which servers are now taken to be cold or warm, and updates the number of cold ones.
+///
+/// It runs in intervals, which bounds the lines of servers that change often.
+pub(crate) fn log_changes(shared: &Shared, now: Instant) {
+    let routes = shared.routes.load();
+    let Some(routes) = routes.as_ref() else {
+        return;
+    };
+    let mut count = 0;
+    for server in shared.servers.load().all() {
+        let Some(allowance) = routes.service(&server.record.service).and_then(allowance) else {
+            continue;
+        };
+        let mut state = server.state();
+        let cold = state.cold.cold(now);
+        count += i64::from(cold.is_some());
+        if cold.is_some() == state.is_cold_logged {
+            continue;
+        }
+        state.is_cold_logged = cold.is_some();
+        let position = position(shared, server, &mut state);
+        drop(state);
+        let Some((until, evidence)) = cold else {
+            info!(event = "server-warm", server = server.id);
+            continue;
+        };
+        info!(
+            event = "server-cold",
+            server = server.id,
+            evidence = <&str>::from(evidence),
+            cold_ms = until.saturating_duration_since(now).as_millis() as u64,
+            share = position.map_or(0, |position| allowance.share(position)),
+            routers = position.map_or(0, |position| position.members),
+        );
+    }
+    shared.metrics.cold_servers.set(count);
+}
+
+fn record_statement(
+    shared: &Shared,
+    server: &Server,
+    cold_for: Duration,
+    evidence: ColdEvidence,
+    now: Instant,
+) {
+    let is_new = server
+        .state()
+        .cold
+        .record_statement(cold_for, evidence, now);
+    if is_new {
+        shared.forget_session_locations(server.hash);
+    }
+}
+
+/// Returns the place of this router among those that share a server, or `None` if they are not known yet.
+fn position(shared: &Shared, server: &Server, state: &mut ServerState) -> Option<FleetPosition> {
+    let view = shared.fleet_view.load();
+    if !view.is_settled {
+        return None;
+    }
+    let known = state
+        .position
+        .filter(|(version, _)| *version == view.version);
+    let position = known.map_or_else(|| view.position(server.hash), |(_, position)| position);
+    state.position = Some((view.version, position));
+    Some(position)
+}
+
+fn allowance(service: &Service) -> Option<ColdAllowance> {
+    ColdAllowance::new(service.cold_start?.requests_per_second)
+}
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -3,11 +3,12 @@
 //! Settings, log events and the path at which peers fetch the fleet state call it knowledge.
 
 use std::{
+    collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bulrushward_policy::server_registry::{EntrySnapshot, ServerRegistry, StoreRevision};
@@ -16,6 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    cold_servers,
     location_updates::SessionLocation,
     model::{ConfigVersion, FleetConfig, ServerRecord},
     ports::{ServerChanges, ServerListing},
@@ -23,6 +25,11 @@
     shared::Shared,
 };
 
+/// Step by which the digest rounds the time for which a server remains cold.
+///
+/// Routers read a different one of its many values at any moment, and need not copy them from each other.
+const COLD_STEP: Duration = Duration::from_secs(4);
+
 /// Digest of the registered servers; routers with equal digests know the same servers.
 pub(crate) type ServersDigest = u64;
 
@@ -55,6 +62,15 @@
     pub(crate) session_locations: Vec<SessionLocation>,
 }
 
+/// Returns a record as the digest contains it.
+fn coarse(record: &ServerRecord) -> ServerRecord {
+    let steps = record.cold_for.div_duration_f64(COLD_STEP).ceil();
+    ServerRecord {
+        cold_for: Duration::from_secs(steps as u64),
+        ..record.clone()
+    }
+}
+
 /// Origin of an update to the fleet state, for the log.
 #[derive(Clone, Copy, Debug, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -137,7 +153,21 @@
             );
             return;
         }
+        let previous = self.shared.servers.load();
+        let known: HashMap<_, _> = previous
+            .all()
+            .map(|server| (&server.id, &server.record))
+            .collect();
         for (id, record) in &changes.changes {
+            let is_known_as = |record: &ServerRecord| {
+                known
+                    .get(id)
+                    .is_some_and(|known| record.equals_but_for_cold(known))
+            };
+            // A cold server writes its entry with each heartbeat.
+            if record.as_ref().is_some_and(is_known_as) {
+                continue;
+            }
             let state = match record {
                 Some(record) if record.is_leaving => "leaving",
                 Some(_) => "registered",
@@ -199,13 +229,17 @@
     }
 
     fn publish(&self, registry: &ServerRegistry<ServerRecord>, source: Source) {
-        let records: Vec<_> = registry.records().collect();
+        let records: Vec<_> = registry
+            .records()
+            .map(|(id, record)| (id, coarse(record)))
+            .collect();
         match postcard::to_stdvec(&records) {
             Ok(bytes) => self.digest.store(xxh3_64(&bytes), Ordering::Relaxed),
             Err(error) => warn!(event = "servers-digest-failed", %error),
         }
         let previous = self.shared.servers.load();
         let set = ServerSet::new(registry.records(), &previous);
+        cold_servers::record_entries(&self.shared, &set, &previous, Instant::now());
         let servers = set.all().count();
         self.shared
             .metrics
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -12,8 +12,8 @@
 };
 
 use bulrushward_policy::{
-    fleet_liveness::FleetLiveness, server_load::PeerLoad, server_registry::StoreRevision,
-    store_recovery::RecoveryReport, view_lag::ViewLag,
+    fleet_liveness::FleetLiveness, fleet_share::FleetMembers, server_load::PeerLoad,
+    server_registry::StoreRevision, store_recovery::RecoveryReport, view_lag::ViewLag,
 };
 use bulrushward_protocol::QuarantineRecord;
 use hyper::StatusCode;
@@ -27,6 +27,7 @@
 
 use crate::{
     call,
+    cold_servers::{self, FleetView},
     connection::close_expired,
     fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
     location_updates::SessionLocation,
@@ -135,6 +136,8 @@
     by_node: HashMap<String, Peer>,
     /// Liveness of peers, identified by the address of their fleet state.
     liveness: FleetLiveness<SocketAddr>,
+    /// Routers that share the allowances of cold servers.
+    members: FleetMembers<SocketAddr>,
     config_lag: ViewLag<Option<ConfigVersion>>,
     servers_lag: ViewLag<StoreRevision>,
     /// Whether this router has fetched a snapshot from a peer since its start.
@@ -155,7 +158,9 @@
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
+        let own = shared.settings().knowledge_address;
         Ok(Self {
+            members: FleetMembers::new(own, Instant::now()),
             shared,
             fleet_state,
             socket,
@@ -194,6 +199,7 @@
         for server in self.shared.servers.load().all() {
             close_expired(server, now);
         }
+        cold_servers::log_changes(&self.shared, now);
         self.send_message().await;
         if !self.has_initial_state {
             self.fetch_initial_state().await;
@@ -306,6 +312,21 @@
         let routers = 1 + self.liveness.count() as u32;
         self.shared.set_routers(routers);
         self.shared.metrics.routers.set(routers.into());
+        self.update_members(now);
+    }
+
+    /// Updates the routers that share the allowances of cold servers.
+    ///
+    /// Routers that the settings name count even if they cannot be reached, as they may still send requests.
+    fn update_members(&mut self, now: Instant) {
+        let settings = self.shared.settings();
+        let own = settings.knowledge_address;
+        let alive = self.liveness.alive().chain(&settings.seeds).chain([&own]);
+        let discovery_time = settings.peer_discovery_time();
+        if self.members.observe(alive.copied(), discovery_time, now) {
+            let view = FleetView::new(own, &self.members, &self.shared.fleet_view.load());
+            self.shared.fleet_view.store(Arc::new(view));
+        }
     }
 
     /// Returns the peers with a recent message.
--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -1,6 +1,6 @@
 //! Decides whether another server may take over a request or stream.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bulrushward_policy::{
     server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
@@ -12,7 +12,7 @@
 use crate::{
     local_response::Reason,
     routed_request::RoutedRequest,
-    server_selection::{self, ServerChoice},
+    server_selection::{self, NoServer, ServerChoice},
     servers::{InProgress, Server},
     shared::Shared,
 };
@@ -29,6 +29,8 @@
     NoEvent,
     /// No other server can be used.
     NoServer,
+    /// All other servers are cold, and this router may send to one of them after this time.
+    ColdServers(Duration),
     /// The fleet may send no more retries.
     RetryBudget,
 }
@@ -38,6 +40,7 @@
     pub(crate) fn reason(self) -> Option<Reason> {
         match self {
             Self::NoServer => Some(Reason::NoServer),
+            Self::ColdServers(_) => Some(Reason::ColdServers),
             Self::RetryBudget => Some(Reason::RetryBudget),
             Self::Route | Self::TimeOver | Self::NoEvent => None,
         }
@@ -62,13 +65,20 @@
     let NextAttempt::Send { retry } = next else {
         return Err(HandoverRefusal::Route);
     };
-    if !server_selection::has_candidate(shared, request, tried) {
-        return Err(HandoverRefusal::NoServer);
-    }
+    server_selection::check_candidates(shared, request, tried)?;
     if retry && !shared.withdraw_retry(&request.service.name, failure.retry_cause()) {
         return Err(HandoverRefusal::RetryBudget);
     }
-    server_selection::select(shared, request, tried).ok_or(HandoverRefusal::NoServer)
+    Ok(server_selection::select(shared, request, tried)?)
+}
+
+impl From<NoServer> for HandoverRefusal {
+    fn from(reason: NoServer) -> Self {
+        match reason {
+            NoServer::NoneUsable => Self::NoServer,
+            NoServer::Cold { next } => Self::ColdServers(next),
+        }
+    }
 }
 
 /// Looks for another server while the server of an attempt is silent.
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod attempt;
 pub mod call;
+mod cold_servers;
 mod connection;
 mod events;
 mod fleet_state;
@@ -40,8 +41,8 @@
 
 pub use events::{EventSplitter, EventTooLarge};
 pub use model::{
-    CallerLimits, ConfigVersion, FleetConfig, Organisation, OrganisationName, Route, RouteKind,
-    ServerId, ServerRecord, Service, ServiceName, Target,
+    CallerLimits, ColdStart, ConfigVersion, FleetConfig, Organisation, OrganisationName, Route,
+    RouteKind, ServerId, ServerRecord, Service, ServiceName, Target,
 };
 pub use ports::{
     ConfigUpdate, FleetStore, ForwardingMetadata, HttpConventions, LogStats, PromptPart,
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -39,6 +39,7 @@
     UnknownService,
     NoServer,
     ServersRefused,
+    ColdServers,
     Overloaded,
     RetryBudget,
     TimeOver,
--- a/bulrushward_direct/src/model.rs
+++ b/bulrushward_direct/src/model.rs
@@ -104,6 +104,17 @@
     pub can_copy_prompts: bool,
     /// Requests that one server runs at once, if the configuration specifies it.
     pub slots: Option<u32>,
+    /// What its servers bear while they are cold; `None` if they need no care then.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What a server bears that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Time from the start of a server for which it is cold.
+    pub duration: Duration,
+    /// Requests per second that it bears from all routers together.
+    pub requests_per_second: f64,
 }
 
 /// Limits on a caller's connections and requests.
@@ -153,4 +164,17 @@
     pub is_leaving: bool,
     /// Start of this incarnation in milliseconds since the epoch; 0 if the server does not report it.
     pub started_ms: u64,
+    /// Time for which the server remains cold after it wrote this entry.
+    pub cold_for: Duration,
+}
+
+impl ServerRecord {
+    /// Returns whether nothing but the time for which the server remains cold differs.
+    pub(crate) fn equals_but_for_cold(&self, other: &Self) -> bool {
+        let adjusted = Self {
+            cold_for: self.cold_for,
+            ..other.clone()
+        };
+        *self == adjusted
+    }
 }
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -65,6 +65,8 @@
     pub is_leaving: bool,
     /// Load of the server.
     pub load: Option<ReportedLoad>,
+    /// Time for which the server remains cold; zero if it states that it is warm.
+    pub cold_for: Option<Duration>,
     /// Time for which the server keeps an idle connection.
     pub keep_alive_timeout: Option<Duration>,
 }
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse},
-    handover::{self, SilenceWatch},
+    handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
     relay,
     request_log::RequestLog,
@@ -86,9 +86,10 @@
         }
         let choice = successor
             .take()
-            .or_else(|| server_selection::select(shared, &request, &tried));
-        let Some(choice) = choice else {
-            return final_response(&history, last_error, Reason::NoServer);
+            .map_or_else(|| server_selection::select(shared, &request, &tried), Ok);
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(no_server) => return refuse(&history, last_error, no_server.into()),
         };
         let server = &choice.server;
         request_log.attempts = history.attempts() + 1;
@@ -130,10 +131,10 @@
                 if successor.is_none() {
                     match handover::select_next(shared, &request, next, failure, &tried) {
                         Ok(choice) => successor = Some(choice),
-                        Err(refusal) => {
-                            let reason = refusal.reason().unwrap_or(reason);
-                            return final_response(&history, last_error, reason);
+                        Err(refusal) if refusal.reason().is_some() => {
+                            return refuse(&history, last_error, refusal);
                         }
+                        Err(_) => return final_response(&history, last_error, reason),
                     }
                 }
                 retry_cause = retry.then_some(cause);
@@ -225,6 +226,25 @@
     }
 }
 
+/// Returns the response to a request for which there is no other server.
+fn refuse(
+    history: &AttemptHistory,
+    last_error: Option<AttemptError>,
+    refusal: HandoverRefusal,
+) -> Result<Response<Body>, LocalResponse> {
+    let reason = refusal.reason().unwrap_or(Reason::NoServer);
+    let response = final_response(history, last_error, reason);
+    let HandoverRefusal::ColdServers(next) = refusal else {
+        return response;
+    };
+    response.map_err(|local| LocalResponse {
+        retry_after: local
+            .retry_after
+            .map(|_| retry_after::for_cold_servers(next)),
+        ..local
+    })
+}
+
 fn respond(
     shared: &Arc<Shared>,
     request: &Arc<RoutedRequest>,
--- a/bulrushward_direct/src/retry_after.rs
+++ b/bulrushward_direct/src/retry_after.rs
@@ -24,6 +24,12 @@
 const OVERLOAD_RETRY: (Duration, Duration) =
     (Duration::from_millis(300), Duration::from_millis(900));
 
+/// Longest retry delay while all servers are cold, before the spread; other routers have units of their own.
+const MAX_COLD_RETRY: Duration = Duration::from_secs(1);
+/// Range that is added to the time of the next unit of a cold server.
+const COLD_RETRY_SPREAD: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(350));
+
 /// Returns the retry delay of a request refused for lack of a configuration.
 pub(crate) fn for_configuration(shared: &Shared) -> Duration {
     if shared.store_state.is_available() {
@@ -38,6 +44,12 @@
     jittered(SERVER_RETRY)
 }
 
+/// Returns the retry delay of a request refused because all servers are cold and this router may send to one
+/// of them after `next`.
+pub(crate) fn for_cold_servers(next: Duration) -> Duration {
+    next.min(MAX_COLD_RETRY) + jittered(COLD_RETRY_SPREAD)
+}
+
 /// Returns the retry delay of a request refused because its service is overloaded.
 pub(crate) fn for_overload() -> Duration {
     jittered(OVERLOAD_RETRY)
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -6,9 +6,13 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::server_choice::{self, ServerView, SessionRequest};
+use bulrushward_policy::{
+    cold_server::Room,
+    server_choice::{self, ServerView, SessionRequest},
+};
 
 use crate::{
+    cold_servers,
     routed_request::RoutedRequest,
     servers::{Server, ServerHash},
     shared::Shared,
@@ -19,6 +23,9 @@
 /// Setting up a copy takes as long as the prefill of a few hundred tokens.
 const MIN_COPY_TOKENS: u64 = 300;
 
+/// Load that a cold server has in addition when servers are compared, in requests in progress, as it is slow.
+const COLD_LOAD: f64 = 3.0;
+
 /// The server selected for a request, with the inputs of the choice.
 #[derive(Debug)]
 pub(crate) struct ServerChoice {
@@ -45,11 +52,143 @@
     pub(crate) copy_from: Option<SocketAddr>,
 }
 
-/// Returns whether there is a server that was not tried yet.
-pub(crate) fn has_candidate(shared: &Shared, request: &RoutedRequest, tried: &[String]) -> bool {
+/// Why no server is selected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NoServer {
+    /// No server can be used.
+    NoneUsable,
+    /// All servers are cold, and this router has used up what it may send to them.
+    Cold {
+        /// Time until it may send again.
+        next: Duration,
+    },
+}
+
+/// Whether a server may get a request; the later ones only if there is no earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Access {
+    Usable,
+    /// It is only assumed to be cold, and this router has used up what it may send there.
+    AssumedCold,
+    /// It is cold, and this router has used up what it may send there.
+    UsedUp,
+    /// It is in backoff, or another server has its address.
+    Avoided,
+    /// As `Avoided`, and it is cold and this router has used up what it may send there.
+    AvoidedUsedUp,
+    Excluded,
+}
+
+/// The servers of a service as a request may use them.
+#[derive(Debug)]
+struct Candidates {
+    /// Access to each server.
+    access: Vec<Access>,
+    /// Servers to select from.
+    best: Access,
+    /// Whether servers were passed over because this router has used up what it may send there.
+    has_used_up: bool,
+    /// Requests that this router may send to the usable servers, if all of them are cold.
+    cold_units: Option<usize>,
+    /// Time until this router may send to one of the servers for which that is used up.
+    next: Duration,
+}
+
+impl Candidates {
+    fn new(
+        shared: &Shared,
+        request: &RoutedRequest,
+        tried: &[String],
+        servers: &[Arc<Server>],
+        now: Instant,
+    ) -> Self {
+        let replaced = shared.replaced_servers();
+        let (mut cold_units, mut has_used_up, mut next) = (Some(0), false, Duration::MAX);
+        let mut access_of = |server: &Server| {
+            if !is_candidate(shared, request, tried, server) {
+                return Access::Excluded;
+            }
+            let mut state = server.state();
+            let is_avoided =
+                state.health.is_backing_off(now) || replaced.contains(server.hash, now);
+            let room = cold_servers::room(shared, &request.service, server, &mut state, now);
+            match room {
+                Room::UsedUp { next: due, .. } => {
+                    has_used_up = true;
+                    next = next.min(due);
+                }
+                Room::Cold { free } if !is_avoided => {
+                    cold_units = cold_units.map(|units| units + free);
+                }
+                Room::Unlimited if !is_avoided => cold_units = None,
+                Room::Cold { .. } | Room::Unlimited => {}
+            }
+            match room {
+                Room::UsedUp { is_assumed, .. } => match (is_avoided, is_assumed) {
+                    (false, true) => Access::AssumedCold,
+                    (false, false) => Access::UsedUp,
+                    (true, true) => Access::Avoided,
+                    (true, false) => Access::AvoidedUsedUp,
+                },
+                Room::Cold { .. } | Room::Unlimited if is_avoided => Access::Avoided,
+                Room::Cold { .. } | Room::Unlimited => Access::Usable,
+            }
+        };
+        let access: Vec<_> = servers.iter().map(|server| access_of(server)).collect();
+        Self {
+            best: access.iter().copied().min().unwrap_or(Access::Excluded),
+            access,
+            has_used_up,
+            cold_units,
+            next,
+        }
+    }
+
+    /// Returns whether no warm server can be used and cold ones limit what is sent.
+    fn is_scarce(&self) -> bool {
+        self.best == Access::UsedUp || (self.best == Access::Usable && self.cold_units.is_some())
+    }
+
+    /// Checks that there is a server for a request that has to leave `reserved` units of cold servers to others.
+    fn check(&self, reserved: usize) -> Result<(), NoServer> {
+        match self.best {
+            Access::Usable if self.cold_units.is_some_and(|units| units <= reserved) => {
+                let next = Duration::ZERO;
+                Err(NoServer::Cold { next })
+            }
+            Access::Usable | Access::AssumedCold | Access::Avoided => Ok(()),
+            Access::UsedUp | Access::AvoidedUsedUp => Err(NoServer::Cold { next: self.next }),
+            Access::Excluded => Err(NoServer::NoneUsable),
+        }
+    }
+}
+
+/// Checks that there is a server that was not tried yet.
+///
+/// # Errors
+///
+/// Returns the reason if there is none.
+pub(crate) fn check_candidates(
+    shared: &Shared,
+    request: &RoutedRequest,
+    tried: &[String],
+) -> Result<(), NoServer> {
     let set = shared.servers.load();
-    let mut servers = set.of_service(&request.service.name).iter();
-    servers.any(|server| is_candidate(shared, request, tried, server))
+    let servers = set.of_service(&request.service.name);
+    let now = Instant::now();
+    let candidates = Candidates::new(shared, request, tried, servers, now);
+    candidates.check(reserved_units(shared, request, now))
+}
+
+/// Returns the units of cold servers that a request has to leave to more urgent ones.
+fn reserved_units(shared: &Shared, request: &RoutedRequest, now: Instant) -> usize {
+    let demand = shared.cold_demand();
+    let demand = demand.get(&request.service.name);
+    demand.map_or(0, |demand| demand.reserved(priority(request), now))
+}
+
+fn priority(request: &RoutedRequest) -> u8 {
+    request.priority.unwrap_or(request.route.priority)
 }
 
 /// Returns whether a server may be selected if it is healthy.
@@ -66,31 +205,44 @@
     !server.is_leaving() && !tried.contains(&server.id) && may_connect()
 }
 
-/// Selects a server that was not tried yet.
+/// Selects a server that was not tried yet, and counts the request as sent there.
+///
+/// # Errors
+///
+/// Returns the reason if there is none.
 pub(crate) fn select(
     shared: &Shared,
     request: &RoutedRequest,
     tried: &[String],
-) -> Option<ServerChoice> {
+) -> Result<ServerChoice, NoServer> {
     let set = shared.servers.load();
     let servers = set.of_service(&request.service.name);
     let now = Instant::now();
     let session = request.session.filter(|_| request.service.is_engine);
     let locations = session.map_or_else(Vec::new, |session| shared.session_locations(session));
-    let is_candidate = |server: &Server| is_candidate(shared, request, tried, server);
-    let replaced = shared.replaced_servers();
-    let is_usable = |server: &Server| is_candidate(server) && !replaced.contains(server.hash, now);
-    let mut views: Vec<_> = servers
+    let candidates = Candidates::new(shared, request, tried, servers, now);
+    if candidates.has_used_up {
+        shared.metrics.cold_skips.inc();
+    }
+    let reserved = reserved_units(shared, request, now);
+    if candidates.is_scarce() {
+        shared
+            .cold_demand()
+            .entry(request.service.name.clone())
+            .or_default()
+            .record(priority(request), now);
+    }
+    candidates.check(reserved)?;
+    // If all servers are in backoff or replaced, one of them is tried rather than refusing the request outright.
+    let usable = candidates
+        .access
         .iter()
-        .map(|server| server_view(server, is_usable(server), &locations, now))
+        .map(|access| *access == candidates.best);
+    let views: Vec<_> = servers
+        .iter()
+        .zip(usable)
+        .map(|(server, is_usable)| server_view(server, is_usable, &locations, now))
         .collect();
-    drop(replaced);
-    if !views.iter().any(|view| view.usable) {
-        // All servers are in backoff or replaced: one of them is tried rather than refusing the request outright.
-        for (view, server) in views.iter_mut().zip(servers) {
-            view.usable = is_candidate(server);
-        }
-    }
     let usable_loads = views.iter().filter(|view| view.usable);
     let usable_loads = usable_loads.map(|view| view.load);
     let (usable, least_load) = usable_loads.fold((0, f64::MAX), |(count, least), load| {
@@ -107,8 +259,10 @@
             server_choice::for_session(&req, &views)
         }
         None => server_choice::for_any(&views, &mut rand::rng()),
-    }?;
+    };
+    let index = index.ok_or(NoServer::NoneUsable)?;
     let chosen = Arc::clone(&servers[index]);
+    cold_servers::record_sent(&request.service, &chosen, now);
     let has_prompt = views[index].has_prompt;
     let copy_from = source.filter(|_| !has_prompt);
     let shared_unread_tokens = if has_prompt || copy_from.is_some() {
@@ -129,7 +283,7 @@
         unread_tokens: request.unshared_tokens() + shared_unread_tokens,
         copy_from,
     };
-    Some(ServerChoice {
+    Ok(ServerChoice {
         server: chosen,
         inputs,
     })
@@ -147,24 +301,30 @@
     }
     locations.iter().find_map(|location| {
         let server = servers.iter().find(|server| server.hash == *location)?;
-        let is_reachable = !server.state().health.is_backing_off(now);
-        is_reachable.then_some(server.record.address)
+        let state = server.state();
+        let is_ready = !state.health.is_backing_off(now) && !state.cold.is_stated(now);
+        is_ready.then_some(server.record.address)
     })
 }
 
 fn server_view<'a>(
     server: &'a Server,
-    is_candidate: bool,
+    usable: bool,
     locations: &[ServerHash],
     now: Instant,
 ) -> ServerView<'a> {
     let state = server.state();
+    let penalty = if state.cold.cold(now).is_some() {
+        COLD_LOAD
+    } else {
+        0.0
+    };
     ServerView {
         name: &server.id,
-        load: f64::from(state.load.total_requests(now)) + state.health.load_penalty(now),
+        load: f64::from(state.load.total_requests(now)) + state.health.load_penalty(now) + penalty,
         unread_tokens: state.load.total_unread_tokens(now),
         slots: server.record.slots,
-        usable: is_candidate && !state.health.is_backing_off(now),
+        usable,
         has_prompt: locations.contains(&server.hash),
     }
 }
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -7,7 +7,8 @@
 };
 
 use bulrushward_policy::{
-    server_health::ServerHealth, server_load::ServerLoad, session_locations::ServerKey,
+    cold_server::ColdServer, fleet_share::FleetPosition, server_health::ServerHealth,
+    server_load::ServerLoad, session_locations::ServerKey,
 };
 use bulrushward_protocol::Fingerprint;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -34,6 +35,11 @@
 pub(crate) struct ServerState {
     pub(crate) load: ServerLoad,
     pub(crate) health: ServerHealth,
+    pub(crate) cold: ColdServer,
+    /// Whether the log says that the server is cold.
+    pub(crate) is_cold_logged: bool,
+    /// Place of this router among those that share the server, and the version of the fleet for which it holds.
+    pub(crate) position: Option<(u64, FleetPosition)>,
     /// Whether the server has announced that it is leaving. It stays so for this incarnation, even if the store still
     /// lists it as ready.
     is_leaving: bool,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -13,6 +13,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushward_policy::{
+    cold_server::ColdDemand,
     fleet_retry_budget::{FleetRetryBudget, RetryCause},
     fleet_share::whole_share,
     quarantine::{Quarantine, Verdict},
@@ -24,6 +25,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    cold_servers::FleetView,
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
@@ -58,6 +60,10 @@
     pub(crate) servers: ArcSwap<ServerSet>,
     /// Number of routers believed to be alive, including this one.
     routers: AtomicU32,
+    /// Routers that share the allowances of cold servers.
+    pub(crate) fleet_view: ArcSwap<FleetView>,
+    /// Requests for services of which all usable servers are cold.
+    cold_demand: Mutex<HashMap<ServiceName, ColdDemand>>,
     /// Time from which the number of routers is known.
     fleet_known: Instant,
     is_stopping: AtomicBool,
@@ -91,6 +97,8 @@
             routes: ArcSwapOption::empty(),
             servers: ArcSwap::default(),
             routers: AtomicU32::new(1),
+            fleet_view: ArcSwap::default(),
+            cold_demand: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             is_refusing: AtomicBool::new(false),
             is_abandoning: AtomicBool::new(false),
@@ -298,6 +306,17 @@
         self.update_session_count(&locations);
     }
 
+    /// Removes the locations at a server that has lost its cached prompts.
+    pub(crate) fn forget_session_locations(&self, server: ServerHash) {
+        lock(&self.session_locations).forget(server);
+        self.location_changes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Locks the requests for services of which all usable servers are cold.
+    pub(crate) fn cold_demand(&self) -> MutexGuard<'_, HashMap<ServiceName, ColdDemand>> {
+        lock(&self.cold_demand)
+    }
+
     /// Returns the number of changes of session locations so far.
     pub(crate) fn location_changes(&self) -> u64 {
         self.location_changes.load(Ordering::Relaxed)
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -203,6 +203,7 @@
         is_engine,
         can_copy_prompts: is_engine,
         slots: None,
+        cold_start: None,
     };
     FleetConfig {
         version,
@@ -231,6 +232,7 @@
         slots: 6,
         is_leaving: false,
         started_ms: 1,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -109,6 +109,9 @@
             is_not_run: headers.contains_key("not-run"),
             is_leaving: headers.contains_key("leaving"),
             load,
+            cold_for: text(headers, "cold-ms")
+                .and_then(|ms| ms.parse().ok())
+                .map(Duration::from_millis),
             keep_alive_timeout: None,
         }
     }
--- a/bulrushward_policy/src/fleet_share.rs
+++ b/bulrushward_policy/src/fleet_share.rs
@@ -3,12 +3,24 @@
 //! Handles: fleets so large that a member's share is less than one unit; members whose counts of the
 //! fleet differ or jump, as after a restart or while some cannot reach each other.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    hash::Hash,
+    time::{Duration, Instant},
+};
 
 /// Time for which a lower count of the fleet must last before shares grow.
 ///
 /// Members that are cut off from each other still share the allowance.
 const LOWER_COUNT_TIME: Duration = Duration::from_secs(30);
+/// Time after its last sign of life for which a lost member keeps its share of a strict allowance.
+const LOST_MEMBER_TIME: Duration = Duration::from_mins(2);
+/// Largest number of members that are remembered, several times the size of the largest fleets.
+const MAX_MEMBERS: usize = 4_096;
+/// Interval at the end of which a member that has just started checks whether it still discovers others.
+const SETTLING_INTERVAL: Duration = Duration::from_millis(600);
+/// Growth within an interval up to which the fleet counts as known, as a divisor of its size.
+const SETTLED_GROWTH_DIVISOR: usize = 8;
 
 /// Returns a member's share of `total` in whole units.
 ///
@@ -54,3 +66,100 @@
         self.size
     }
 }
+
+/// Place of a member among all members, by which allowances are divided into whole units.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetPosition {
+    /// Number of members that come first; all members rank in the same way.
+    pub rank: u32,
+    /// Number of all members.
+    pub members: u32,
+}
+
+impl FleetPosition {
+    /// Returns the member's share; the shares of members with the same view add up to `units`.
+    #[must_use]
+    pub fn share(self, units: u32) -> u32 {
+        let members = self.members.max(1);
+        units / members + u32::from(self.rank < units % members)
+    }
+}
+
+/// The members among which allowances are divided that must never be exceeded.
+///
+/// Members that were lost stay in it for long, as they may only be out of touch.
+#[derive(Clone, Debug)]
+pub struct FleetMembers<K> {
+    last_alive: HashMap<K, Instant>,
+    started: Instant,
+    /// Number of members at the beginning of the current settling interval.
+    settling: (Instant, usize),
+    is_settled: bool,
+}
+
+impl<K: Clone + Eq + Hash + Ord> FleetMembers<K> {
+    /// Creates the fleet of a member that has just started and knows only itself.
+    #[must_use]
+    pub fn new(own: K, now: Instant) -> Self {
+        Self {
+            last_alive: HashMap::from([(own, now)]),
+            started: now,
+            settling: (now, 1),
+            is_settled: false,
+        }
+    }
+
+    /// Records the members that are alive; returns whether the set of members or what is known of it changed.
+    ///
+    /// `discovery_time` is the time from the start until nearly all members are known.
+    pub fn observe(
+        &mut self,
+        alive: impl IntoIterator<Item = K>,
+        discovery_time: Duration,
+        now: Instant,
+    ) -> bool {
+        let mut has_changed = false;
+        for member in alive {
+            let is_known = self.last_alive.contains_key(&member);
+            if is_known || self.last_alive.len() < MAX_MEMBERS {
+                self.last_alive.insert(member, now);
+                has_changed |= !is_known;
+            }
+        }
+        let known = self.last_alive.len();
+        self.last_alive
+            .retain(|_, seen| now.saturating_duration_since(*seen) < LOST_MEMBER_TIME);
+        has_changed |= self.last_alive.len() < known;
+        has_changed | self.settle(discovery_time, now)
+    }
+
+    /// Returns whether the members have been discovered, so that this one may take its shares.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
+    /// Returns the members in ascending order.
+    #[must_use]
+    pub fn members(&self) -> Vec<K> {
+        let mut members: Vec<_> = self.last_alive.keys().cloned().collect();
+        members.sort_unstable();
+        members
+    }
+
+    /// Returns whether the members have become known with this call.
+    fn settle(&mut self, discovery_time: Duration, now: Instant) -> bool {
+        if self.is_settled {
+            return false;
+        }
+        let (since, count) = self.settling;
+        let members = self.last_alive.len();
+        let is_growing = members > count + count / SETTLED_GROWTH_DIVISOR;
+        if now.saturating_duration_since(since) >= SETTLING_INTERVAL.min(discovery_time) {
+            let is_discovered = now.saturating_duration_since(self.started) >= discovery_time;
+            self.is_settled = is_discovered && !is_growing;
+            self.settling = (now, members);
+        }
+        self.is_settled
+    }
+}
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod chat_key;
 pub mod claim;
+pub mod cold_server;
 mod fair_queue;
 pub mod fleet_liveness;
 pub mod fleet_retry_budget;
--- a/bulrushward_policy/src/session_locations.rs
+++ b/bulrushward_policy/src/session_locations.rs
@@ -43,6 +43,15 @@
         known.is_none()
     }
 
+    /// Removes a server that has lost its cached prompts.
+    pub fn forget(&mut self, server: ServerKey) {
+        for (_, servers) in &mut self.by_session {
+            for entry in servers.iter_mut().filter(|entry| **entry == Some(server)) {
+                *entry = None;
+            }
+        }
+    }
+
     /// Returns whether any server is known for a session.
     #[must_use]
     pub fn contains(&self, session: SessionKey) -> bool {
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -163,6 +163,7 @@
             address: server.proxy.address(),
             is_leaving,
             started_ms: server.started_ms,
+            cold_for: Duration::ZERO,
         };
         self.store.set_server(&server.fake_server.id, Some(&entry));
     }
@@ -186,6 +187,7 @@
             version,
             keys,
             marker_prefix: format!("/mark-{version}/"),
+            cold_start: None,
         };
         self.store.set_config(&config);
         written_configs.push(WrittenConfig {
