--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -40,6 +40,7 @@
     NoServer,
     FailureDomainsEmptied,
     ServersRefused,
+    ColdServers,
     Overloaded,
     RetryBudget,
     TimeOver,
--- a/bulrushward_policy/src/emptied_domains.rs
+++ b/bulrushward_policy/src/emptied_domains.rs
@@ -102,6 +102,15 @@
         is_recent(*at, now).then_some(*at)
     }
 
+    /// Returns the domains whose orders were withdrawn in the last minute, with the times of the withdrawals.
+    pub fn recently_emptied(&self, now: Instant) -> impl Iterator<Item = (&str, Instant)> {
+        let recent = self
+            .withdrawn
+            .iter()
+            .filter(move |(_, at)| is_recent(**at, now));
+        recent.map(|(domain, at)| (domain.as_str(), *at))
+    }
+
     /// Replaces the orders by a complete list from the store unless a newer view is known; returns
     /// what changed.
     pub fn replace(
