--- a/bulrushward_direct/src/cold_servers.rs
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -11,7 +11,7 @@
     fleet_share::{FleetMembers, FleetPosition},
 };
 use tracing::info;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     model::Service,
@@ -51,21 +51,8 @@
     }
 
     /// Returns the place of this router among those that share a server.
-    ///
-    /// Each server has an order of its own, so that each router has shares of some of the servers.
     fn position(&self, server: ServerHash) -> FleetPosition {
-        let key = |member: u64| {
-            (
-                xxh3_64_with_seed(&member.to_le_bytes(), server.into()),
-                member,
-            )
-        };
-        let own = key(self.own);
-        let earlier = self.members.iter().filter(|member| key(**member) < own);
-        FleetPosition {
-            rank: earlier.count() as u32,
-            members: self.members.len() as u32,
-        }
+        FleetPosition::ranked(self.own, &self.members, server.into())
     }
 }
 
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -322,8 +322,7 @@
         let settings = self.shared.settings();
         let own = settings.knowledge_address;
         let alive = self.liveness.alive().chain(&settings.seeds).chain([&own]);
-        let discovery_time = settings.peer_discovery_time();
-        if self.members.observe(alive.copied(), discovery_time, now) {
+        if self.members.observe(alive.copied(), now) {
             let view = FleetView::new(own, &self.members, &self.shared.fleet_view.load());
             self.shared.fleet_view.store(Arc::new(view));
         }
--- a/bulrushward_policy/src/fleet_share.rs
+++ b/bulrushward_policy/src/fleet_share.rs
@@ -9,6 +9,8 @@
     time::{Duration, Instant},
 };
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 /// Time for which a lower count of the fleet must last before shares grow.
 ///
 /// Members that are cut off from each other still share the allowance.
@@ -17,6 +19,10 @@
 const LOST_MEMBER_TIME: Duration = Duration::from_mins(2);
 /// Largest number of members that are remembered, several times the size of the largest fleets.
 const MAX_MEMBERS: usize = 4_096;
+/// Time from the start for which a member takes no share of a strict allowance.
+///
+/// What the process before it has taken lies a second back then.
+const START_TIME: Duration = Duration::from_millis(1_050);
 /// Interval at the end of which a member that has just started checks whether it still discovers others.
 const SETTLING_INTERVAL: Duration = Duration::from_millis(600);
 /// Growth within an interval up to which the fleet counts as known, as a divisor of its size.
@@ -77,6 +83,20 @@
 }
 
 impl FleetPosition {
+    /// Returns the place of the member `own` among `members` in the order that belongs to `item`.
+    ///
+    /// Each item has an order of its own, so that each member has a share of some of them.
+    #[must_use]
+    pub fn ranked(own: u64, members: &[u64], item: u64) -> Self {
+        let key = |member: u64| (xxh3_64_with_seed(&member.to_le_bytes(), item), member);
+        let own = key(own);
+        let earlier = members.iter().filter(|member| key(**member) < own);
+        Self {
+            rank: earlier.count() as u32,
+            members: members.len() as u32,
+        }
+    }
+
     /// Returns the member's share; the shares of members with the same view add up to `units`.
     #[must_use]
     pub fn share(self, units: u32) -> u32 {
@@ -110,14 +130,7 @@
     }
 
     /// Records the members that are alive; returns whether the set of members or what is known of it changed.
-    ///
-    /// `discovery_time` is the time from the start until nearly all members are known.
-    pub fn observe(
-        &mut self,
-        alive: impl IntoIterator<Item = K>,
-        discovery_time: Duration,
-        now: Instant,
-    ) -> bool {
+    pub fn observe(&mut self, alive: impl IntoIterator<Item = K>, now: Instant) -> bool {
         let mut has_changed = false;
         for member in alive {
             let is_known = self.last_alive.contains_key(&member);
@@ -130,7 +143,7 @@
         self.last_alive
             .retain(|_, seen| now.saturating_duration_since(*seen) < LOST_MEMBER_TIME);
         has_changed |= self.last_alive.len() < known;
-        has_changed | self.settle(discovery_time, now)
+        has_changed | self.settle(now)
     }
 
     /// Returns whether the members have been discovered, so that this one may take its shares.
@@ -148,16 +161,16 @@
     }
 
     /// Returns whether the members have become known with this call.
-    fn settle(&mut self, discovery_time: Duration, now: Instant) -> bool {
+    fn settle(&mut self, now: Instant) -> bool {
         if self.is_settled {
             return false;
         }
         let (since, count) = self.settling;
         let members = self.last_alive.len();
         let is_growing = members > count + count / SETTLED_GROWTH_DIVISOR;
-        if now.saturating_duration_since(since) >= SETTLING_INTERVAL.min(discovery_time) {
-            let is_discovered = now.saturating_duration_since(self.started) >= discovery_time;
-            self.is_settled = is_discovered && !is_growing;
+        if now.saturating_duration_since(since) >= SETTLING_INTERVAL {
+            let has_started = now.saturating_duration_since(self.started) >= START_TIME;
+            self.is_settled = has_started && !is_growing;
             self.settling = (now, members);
         }
         self.is_settled
--- a/bulrushward_policy/tests/fleet_share.rs
+++ b/bulrushward_policy/tests/fleet_share.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_policy::fleet_share::{FleetSize, whole_share};
+use bulrushward_policy::fleet_share::{FleetMembers, FleetSize, whole_share};
 use rstest::rstest;
 
 #[rstest]
@@ -33,3 +33,44 @@
     assert_eq!(size.observe(14, start + Duration::from_mins(1)), 68);
     assert_eq!(size.observe(13, start + Duration::from_secs(71)), 14);
 }
+
+/// A router that restarts does not yet know the others, and its process before has just taken its share.
+#[test]
+fn a_starting_member_takes_no_share_until_it_stops_discovering_others() {
+    let start = Instant::now();
+    let mut fleet = FleetMembers::new(0, start);
+    let mut settled_at = |count: u32, ms: u64| {
+        fleet.observe(0..count, start + Duration::from_millis(ms));
+        fleet.is_settled()
+    };
+    let rounds = [
+        (1, 0),
+        (8, 250),
+        (16, 500),
+        (16, 750),
+        (16, 1_000),
+        (40, 1_250),
+        (42, 1_500),
+    ];
+    for (count, ms) in rounds {
+        assert!(!settled_at(count, ms), "after {ms} ms");
+    }
+    assert!(settled_at(42, 2_250));
+    let mut alone = FleetMembers::new(0, start);
+    for (ms, is_settled) in [(0, false), (600, false), (1_000, false), (1_200, true)] {
+        alone.observe([0], start + Duration::from_millis(ms));
+        assert_eq!(alone.is_settled(), is_settled, "after {ms} ms");
+    }
+}
+
+/// Routers that are cut off from each other still send to the same servers.
+#[test]
+fn a_lost_member_keeps_its_share_for_long() {
+    let start = Instant::now();
+    let mut fleet = FleetMembers::new(0, start);
+    fleet.observe([0, 1, 2], start);
+    fleet.observe([0, 1], start + Duration::from_secs(119));
+    assert_eq!(fleet.members(), [0, 1, 2]);
+    fleet.observe([0, 1], start + Duration::from_secs(121));
+    assert_eq!(fleet.members(), [0, 1]);
+}
