--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -157,8 +157,8 @@
     /// Number of times that the store forgot the calls that were waiting.
     forgotten: AtomicU32,
     fails_server_listing: AtomicBool,
-    /// Listing of the orders to return instead of the present one.
-    order_listing: Mutex<Option<OrderListing>>,
+    /// Result of calls that list the orders, instead of the present ones.
+    order_listing: Mutex<Option<Result<OrderListing, StoreError>>>,
     saved: Mutex<Option<Bytes>>,
     changed: Notify,
 }
@@ -212,12 +212,12 @@
         }
     }
 
-    /// Makes calls that list the orders return an older listing.
-    pub fn serve_order_listing(&self, listing: OrderListing) {
+    /// Sets the result of calls that list the orders, instead of the present ones.
+    pub fn set_order_listing(&self, result: Option<Result<OrderListing, StoreError>>) {
         *self
             .order_listing
             .lock()
-            .expect("no test panics while holding the lock") = Some(listing);
+            .expect("no test panics while holding the lock") = result;
     }
 
     pub fn put(&self, id: &str, record: ServerRecord) {
@@ -383,11 +383,9 @@
 
     async fn orders(&self) -> Result<OrderListing, StoreError> {
         self.enter(CALL_TIMEOUT).await?;
-        let older = self.order_listing.lock();
-        let older = older
-            .expect("no test panics while holding the lock")
-            .clone();
-        Ok(older.unwrap_or_else(|| self.order_listing()))
+        let result = self.order_listing.lock();
+        let result = result.expect("no test panics while holding the lock");
+        result.clone().unwrap_or_else(|| Ok(self.order_listing()))
     }
 
     async fn next_config(
