--- a/bulrushward_direct/src/cold_servers.rs
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -7,14 +7,14 @@
 };
 
 use bulrushward_policy::{
-    cold_server::{ColdAllowance, ColdEvidence, Room},
+    cold_server::{ColdAllowance, ColdEvidence, MAX_COLD_TIME, Room},
     fleet_share::{FleetMembers, FleetPosition},
 };
 use tracing::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    model::Service,
+    model::{FleetConfig, Service},
     ports::ResponseMetadata,
     routed_request::RoutedRequest,
     servers::{Server, ServerHash, ServerSet, ServerState},
@@ -78,6 +78,19 @@
     }
 }
 
+/// Logs the services whose rate for cold servers is no usable limit.
+pub(crate) fn log_ignored_rates(config: &FleetConfig) {
+    for service in &config.services {
+        let Some(cold_start) = service.cold_start else {
+            continue;
+        };
+        let rate = cold_start.requests_per_second;
+        if rate != 0.0 && allowance(service).is_none() {
+            info!(event = "cold-rate-ignored", service = service.name, rate);
+        }
+    }
+}
+
 /// Records what the entries of servers state that are new or have changed.
 pub(crate) fn record_entries(shared: &Shared, set: &ServerSet, previous: &ServerSet, now: Instant) {
     let known: HashMap<&str, &Server> = previous
@@ -195,6 +208,14 @@
         .state()
         .cold
         .record_statement(cold_for, evidence, now);
+    if is_new && cold_for > MAX_COLD_TIME {
+        info!(
+            event = "cold-time-capped",
+            server = server.id,
+            stated_s = cold_for.as_secs(),
+            cap_s = MAX_COLD_TIME.as_secs(),
+        );
+    }
     if is_new {
         shared.forget_session_locations(server.hash);
     }
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -124,6 +124,9 @@
     pub(crate) fn apply_config(&self, config: FleetConfig, source: Source) {
         let version = config.version;
         let routes = config.routes.len();
+        if self.shared.config_version() < Some(version) {
+            cold_servers::log_ignored_rates(&config);
+        }
         if self.shared.activate_config(config) {
             info!(event = "config-in-force", version, routes, %source);
         }
--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -14,7 +14,7 @@
 use crate::fleet_share::FleetPosition;
 
 /// Longest time for which a server is believed to be cold on one statement.
-const MAX_COLD_TIME: Duration = Duration::from_mins(2);
+pub const MAX_COLD_TIME: Duration = Duration::from_mins(2);
 /// Time after the stated end for which the server still counts as cold, as clocks and delays differ.
 const END_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which the allowance doubles after that, so that requests return by degrees.
