Test servers that were unreachable and prompts of servers that turned cold

A server that was unreachable and is back gets three requests a second of three beside another server, and is used as if it were warm without one.

--- a/bulrushward_direct/tests/cold_servers.rs
+++ b/bulrushward_direct/tests/cold_servers.rs
@@ -2,12 +2,15 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bulrushward_direct::{ColdStart, FleetConfig, ServerRecord};
 use rstest::rstest;
 use support::{
-    TestRouter,
+    HOST, KEY, TestRouter,
     caller::Response,
     config, log,
     platform::MemoryStore,
@@ -160,10 +163,7 @@
 #[test]
 fn requests_beyond_what_a_cold_server_bears_go_to_warm_ones() {
     let cold = TestServer::start("s-1", serve);
-    let warm = TestServer::start("s-2", |req| {
-        let headers = "Signed: s\r\nLoad: 20,0,6\r\n";
-        vec![response(req, "200 OK", headers, "")]
-    });
+    let warm = TestServer::start("s-2", serve_busily);
     let store = MemoryStore::with(config_with(RATE));
     store.put("s-1", cold_record("plain", &cold, LONG));
     store.put("s-2", record("plain", warm.address));
@@ -216,51 +216,96 @@
     assert!(worst as f64 <= SHARED_RATE + 5.0, "{worst}");
 }
 
+/// Serves a request and reports so much load that an idle server is preferred.
+fn serve_busily(req: &Received) -> Vec<Step> {
+    let headers = "Signed: s\r\nLoad: 20,0,6\r\n";
+    vec![response(req, "200 OK", headers, "")]
+}
+
 /// A server that could not be reached may have restarted under its id before its entry says so.
 #[test]
-fn a_server_that_could_not_be_reached_is_taken_to_be_cold_while_there_are_others() {
-    let (other, back) = (
-        TestServer::start("s-2", serve),
-        TestServer::start("s-1", serve),
-    );
+fn a_server_that_was_unreachable_gets_little_while_there_are_others() {
+    let address = SocketAddr::new(unique_loopback_ip(), 9_000);
+    let entry = ServerRecord {
+        address,
+        ..record("plain", address)
+    };
+    let other = TestServer::start("s-2", serve_busily);
     let store = MemoryStore::with(config_with(RATE));
-    let entry = record("plain", back.address);
-    // Nothing listens there, so that the server cannot be reached.
-    let unreachable =
-        std::net::TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
-    let unreachable = unreachable.expect("a port is free");
-    store.put(
-        "s-1",
-        ServerRecord {
-            address: unreachable,
-            ..entry.clone()
-        },
-    );
+    store.put("s-1", entry.clone());
     store.put("s-2", record("plain", other.address));
     let router = TestRouter::start(&store);
+    let is_cold = || metric(&router, "bulrushward_direct_cold_servers").as_deref() == Some("1");
     wait_until("the server is taken to be cold", || {
         assert_eq!(send(&router, "lookup").status, 200);
-        metric(&router, "bulrushward_direct_cold_servers").as_deref() == Some("1")
+        is_cold()
     });
-    // Without another server it is tried as if it were warm.
-    store.remove("s-2");
-    let tries = || metric(&router, "bulrushward_direct_hops_total");
-    let before = tries();
-    wait_until("the server is tried", || {
-        assert!(!send(&router, "lookup").text().contains("cold-servers"));
-        tries() != before
+    let back = TestServer::start_at(address, "s-1", serve);
+    wait_until("the server is back", || {
+        assert_eq!(send(&router, "lookup").status, 200);
+        back.received().len() >= 6
     });
+    assert!(worst_second(&back) <= RATE as usize + 1);
+    // Without another server it is used as if it were warm.
+    store.remove("s-2");
+    let thirty_served = || (0..30).all(|_| send(&router, "lookup").status == 200);
+    let others = || other.received().len();
+    wait_until(
+        "thirty requests in a row are served without the other",
+        || {
+            let before = others();
+            thirty_served() && others() == before
+        },
+    );
+    assert!(is_cold());
     // A new incarnation whose entry says that it is warm has no limit.
+    let started_ms = 2;
     store.put(
         "s-1",
         ServerRecord {
-            started_ms: 2,
+            started_ms,
             ..entry
         },
     );
-    wait_until("thirty requests in a row are served", || {
-        (0..30).all(|_| send(&router, "lookup").status == 200)
+    wait_until("the server is warm", || !is_cold());
+}
+
+/// A server that turns cold has lost the prompts that it had cached.
+#[test]
+fn no_prompt_is_copied_from_a_server_that_has_turned_cold() {
+    let servers = ["s-1", "s-2"].map(|id| TestServer::start(id, serve));
+    let store = MemoryStore::with(config_with(100.0));
+    for server in &servers {
+        store.put(&server.id, record("engines", server.address));
+    }
+    let router = TestRouter::start(&store);
+    let send = |id: &str| {
+        router.send(&format!(
+            "GET /stream/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: {id}\r\nKey: {KEY}\r\nPatience-Ms: 2500\r\n\
+             Prompt: 1:500,2:10000,999:100\r\nContent-Length: 0\r\n\r\n"
+        ))
+    };
+    assert_eq!(send("r-1").status, 200);
+    let (first, other) = match servers[0].received().len() {
+        0 => (&servers[1], &servers[0]),
+        _ => (&servers[0], &servers[1]),
+    };
+    store.put(&first.id, cold_record("engines", first, LONG));
+    wait_until("the server is taken to be cold", || {
+        metric(&router, "bulrushward_direct_cold_servers").as_deref() == Some("1")
+    });
+    store.put(
+        &first.id,
+        ServerRecord {
+            is_leaving: true,
+            ..cold_record("engines", first, Duration::ZERO)
+        },
+    );
+    wait_until("the other server gets a request", || {
+        send("r-2");
+        !other.received().is_empty()
     });
+    assert_eq!(other.received()[0].header("copy-from"), None);
 }
 
 #[test]
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -67,7 +67,16 @@
         script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let any_port = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-        let listener = TcpListener::bind(any_port).expect("an ephemeral port can be bound");
+        Self::start_at(any_port, id, script)
+    }
+
+    /// Starts a server at an address.
+    pub fn start_at(
+        address: SocketAddr,
+        id: &str,
+        script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let listener = TcpListener::bind(address).expect("the port can be bound");
         let address = listener.local_addr().expect("the listener is bound");
         let received = Arc::new(Mutex::new(Vec::new()));
         let disconnects = Arc::new(AtomicUsize::new(0));
