--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -1,6 +1,6 @@
 //! Fleet state: the configuration, the operators' orders and the registered servers as this router knows them.
 //!
-//! Settings, log events and the path at which peers fetch the fleet state call it knowledge.
+//! Settings and log events call it knowledge.
 
 use std::{
     collections::BTreeSet,
