Follow orders while the configuration in the store cannot be read

One call waits for the configuration and the orders, so a configuration that cannot be read made the call fail with the orders in it, again and again. It is now told beside them: the configuration in force stays, the store counts as failed, and the watch goes on. Without the setting the configuration is read again and again, as before.

--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -117,6 +117,8 @@
 pub struct ConfigUpdate {
     /// Configuration; `None` if there is none or it did not change.
     pub config: Option<FleetConfig>,
+    /// Why the configuration in the store cannot be read, if so; there is none then.
+    pub config_error: Option<StoreError>,
     /// Changed orders to empty failure domains, in order; empty if they were not waited for.
     pub orders: Vec<OrderChange>,
     /// Whether other keys changed, which hold neither a configuration nor an order.
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -76,6 +76,8 @@
     after: StoreRevision,
     /// Whether further changes are awaited before the next call.
     needs_pause: bool,
+    /// Why the configuration cannot be read; the orders are followed nevertheless.
+    config_error: Option<StoreError>,
 }
 
 /// Watches the configuration, and the orders where they are followed, until cancelled.
@@ -102,7 +104,10 @@
         };
         match result {
             Ok(step) => {
-                shared.store_state.record_view(StoreView::Config);
+                match &step.config_error {
+                    None => shared.store_state.record_view(StoreView::Config),
+                    Some(error) => shared.store_state.record_failure(error),
+                }
                 backoff = Backoff::default();
                 after = Some(step.after);
                 needs_listing = false;
@@ -133,11 +138,9 @@
         let result = shared.store.config().await;
         shared.metrics.record_store_call(StoreCall::Config, &result);
         let update = result?;
+        let revision = update.revision;
         let has_config = update.config.is_some();
-        if let Some(config) = update.config {
-            fleet_state.apply_config(config, Source::Store);
-        }
-        Ok((update.revision, has_config))
+        apply_config(shared, fleet_state, update).map(|error| (revision, has_config, error))
     };
     let orders = async {
         if !needs_listing {
@@ -149,7 +152,7 @@
         fleet_state.replace_orders(&listing);
         Ok(Some(listing.revision))
     };
-    let ((revision, has_config), orders) = if shared.store_state.is_available() {
+    let ((revision, has_config, config_error), orders) = if shared.store_state.is_available() {
         let (config, orders) = tokio::join!(config, orders);
         (config?, orders?)
     } else {
@@ -159,9 +162,29 @@
     Ok(WatchStep {
         after: orders.map_or(revision, |orders| orders.min(revision)),
         needs_pause: has_config,
+        config_error,
     })
 }
 
+/// Applies the configuration of an update; returns why it cannot be read if the orders are followed nevertheless.
+///
+/// # Errors
+///
+/// Returns that reason where no orders are followed, so that the configuration is read again.
+fn apply_config(
+    shared: &Shared,
+    fleet_state: &FleetState,
+    update: ConfigUpdate,
+) -> Result<Option<StoreError>, StoreError> {
+    if let Some(config) = update.config {
+        fleet_state.apply_config(config, Source::Store);
+    }
+    match update.config_error {
+        Some(error) if !shared.follows_orders => Err(error),
+        error => Ok(error),
+    }
+}
+
 /// Applies the response to a call that waited for changes since revision `after`.
 fn apply_update(
     shared: &Shared,
@@ -174,13 +197,13 @@
     {
         return Err(StoreError::HistoryGone { after });
     }
-    let needs_pause = update.config.is_some() || update.has_other_changes;
-    if let Some(config) = update.config {
-        fleet_state.apply_config(config, Source::Store);
-    }
+    let has_config = update.config.is_some() || update.config_error.is_some();
+    let needs_pause = has_config || update.has_other_changes;
+    let revision = update.revision;
     Ok(WatchStep {
-        after: update.revision,
+        after: revision,
         needs_pause,
+        config_error: apply_config(shared, fleet_state, update)?,
     })
 }
 
--- a/bulrushward_direct/tests/emptied_domains.rs
+++ b/bulrushward_direct/tests/emptied_domains.rs
@@ -12,13 +12,13 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_direct::StoreError;
+use bulrushward_direct::{RouteKind, StoreError};
 use bulrushward_policy::emptied_domains::EmptiedReport;
 use rstest::rstest;
 use support::{
     FLEET_STATE_PORT, TestRouter, caller, config, log,
     platform::{MemoryStore, Trouble},
-    record, request,
+    record, request, route,
     server::{
         Received, Step, TestServer, broken_stream, chunk, complete_stream, event, events, response,
         send_text, stream_head,
@@ -350,6 +350,29 @@
     log::wait_for_line("event=failure-domain-without-servers domain=nowhere");
 }
 
+#[test]
+fn orders_are_followed_while_the_configuration_cannot_be_read() {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let store = store_with("plain", &[(&one, "a"), (&two, "b")]);
+    let router = start_ready(&store, &[]);
+    store.spoil_config();
+    store.set_emptied("b", true);
+    assert!(wait_emptied(&router, 1) < AIM);
+    // The same holds if it is read anew, as after a lost history.
+    store.discard_history();
+    store.set_emptied("b", false);
+    assert!(wait_emptied(&router, 0) < AIM);
+    store.set_emptied("b", true);
+    assert!(wait_emptied(&router, 1) < AIM);
+    assert_only_first_serves(&router);
+    let mut newer = config(2);
+    newer.routes.push(route("new", RouteKind::Idempotent));
+    store.set_config(newer);
+    wait_until("the next configuration is in force", || {
+        router.send(&request("GET", "new", "r", "")).status == 200
+    });
+}
+
 #[test]
 fn without_the_setting_orders_are_neither_read_nor_followed() {
     let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -122,6 +122,8 @@
 struct Contents {
     revision: u64,
     config: Option<(FleetConfig, u64)>,
+    /// Whether the configuration cannot be read.
+    is_config_spoiled: bool,
     servers: BTreeMap<ServerId, ServerRecord>,
     changes: Vec<(u64, ServerId, Option<ServerRecord>)>,
     /// Emptied failure domains.
@@ -131,6 +133,29 @@
     discarded_revision: u64,
 }
 
+impl Contents {
+    fn config_update(
+        &self,
+        config: Option<&(FleetConfig, u64)>,
+        orders: Vec<OrderChange>,
+    ) -> ConfigUpdate {
+        let is_readable = !self.is_config_spoiled;
+        ConfigUpdate {
+            config: config
+                .filter(|_| is_readable)
+                .map(|(config, _)| config.clone()),
+            config_error: config
+                .filter(|_| !is_readable)
+                .map(|_| StoreError::Unavailable {
+                    detail: "not a configuration".to_owned(),
+                }),
+            orders,
+            has_other_changes: false,
+            revision: self.revision,
+        }
+    }
+}
+
 /// Time after which a client of the store stops waiting for a response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -174,6 +199,19 @@
         let mut contents = self.lock();
         contents.revision += 1;
         contents.config = Some((config, contents.revision));
+        contents.is_config_spoiled = false;
+        self.changed.notify_waiters();
+    }
+
+    /// Writes a configuration that cannot be read.
+    pub fn spoil_config(&self) {
+        let mut contents = self.lock();
+        contents.revision += 1;
+        contents.is_config_spoiled = true;
+        let revision = contents.revision;
+        if let Some(config) = &mut contents.config {
+            config.1 = revision;
+        }
         self.changed.notify_waiters();
     }
 
@@ -373,12 +411,7 @@
     async fn config(&self) -> Result<ConfigUpdate, StoreError> {
         self.enter(CALL_TIMEOUT).await?;
         let contents = self.lock();
-        Ok(ConfigUpdate {
-            config: contents.config.as_ref().map(|(config, _)| config.clone()),
-            orders: Vec::new(),
-            has_other_changes: false,
-            revision: contents.revision,
-        })
+        Ok(contents.config_update(contents.config.as_ref(), Vec::new()))
     }
 
     async fn orders(&self) -> Result<OrderListing, StoreError> {
@@ -406,18 +439,13 @@
                 .filter(|(revision, _)| with_orders && *revision > after)
                 .map(|(_, change)| change.clone())
                 .collect();
-            (config.is_some() || !orders.is_empty()).then(|| {
-                Ok(ConfigUpdate {
-                    config: config.map(|(config, _)| config.clone()),
-                    orders,
-                    has_other_changes: false,
-                    revision: contents.revision,
-                })
-            })
+            let has_changes = config.is_some() || !orders.is_empty();
+            has_changes.then(|| Ok(contents.config_update(config, orders)))
         });
         newer.await?.unwrap_or_else(|| {
             Ok(ConfigUpdate {
                 config: None,
+                config_error: None,
                 orders: Vec::new(),
                 has_other_changes: false,
                 revision: after,
