--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -77,16 +77,21 @@
     after: StoreRevision,
     /// Whether further changes are awaited before the next call.
     needs_pause: bool,
+    /// Why the configuration cannot be read; the orders are followed nevertheless.
+    config_error: Option<StoreError>,
 }
 
 /// Watches the configuration, and the orders where they are followed, until cancelled.
 pub(crate) async fn watch_config(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
     let mut after = None;
-    let mut needs_listing = shared.follows_orders;
+    let mut is_history_gone = false;
     loop {
         let result = match after {
-            None => read_config(&shared, &fleet_state, needs_listing).await,
+            None => {
+                let is_unknown = is_history_gone || fleet_state.orders_revision().is_none();
+                read_config(&shared, &fleet_state, shared.follows_orders && is_unknown).await
+            }
             Some(after) => {
                 let call =
                     shared
@@ -103,18 +108,20 @@
         };
         match result {
             Ok(step) => {
-                shared.store_state.record_view(StoreView::Config);
+                match &step.config_error {
+                    None => shared.store_state.record_view(StoreView::Config),
+                    Some(error) => shared.store_state.record_failure(error),
+                }
                 backoff = Backoff::default();
                 after = Some(step.after);
-                needs_listing = false;
+                is_history_gone = false;
                 if step.needs_pause {
                     tokio::time::sleep(config_pause(&shared)).await;
                 }
             }
             Err(error) => {
                 after = None;
-                let is_history_gone = matches!(error, StoreError::HistoryGone { .. });
-                needs_listing |= is_history_gone && shared.follows_orders;
+                is_history_gone |= matches!(error, StoreError::HistoryGone { .. });
                 shared.store_state.record_failure(&error);
                 backoff.pause().await;
             }
@@ -133,7 +140,7 @@
 
 /// Reads the configuration, and lists the orders if `needs_listing` is set.
 ///
-/// Orders that are known need no new listing after a failed call: the next call waits for changes since their revision.
+/// Orders that are known, also from a peer, need no listing: the next call waits for changes since their revision.
 async fn read_config(
     shared: &Shared,
     fleet_state: &FleetState,
@@ -143,11 +150,9 @@
         let result = call_config(shared).await;
         shared.metrics.record_store_call(StoreCall::Config, &result);
         let update = result?;
+        let revision = update.revision;
         let has_config = update.config.is_some();
-        if let Some(config) = update.config {
-            fleet_state.apply_config(config, Source::Store);
-        }
-        Ok((update.revision, has_config))
+        apply_config(shared, fleet_state, update).map(|error| (revision, has_config, error))
     };
     let orders = async {
         if !needs_listing {
@@ -159,7 +164,7 @@
         fleet_state.replace_orders(&listing);
         Ok(Some(listing.revision))
     };
-    let ((revision, has_config), orders) = if shared.store_state.is_available() {
+    let ((revision, has_config, config_error), orders) = if shared.store_state.is_available() {
         let (config, orders) = tokio::join!(config, orders);
         (config?, orders?)
     } else {
@@ -169,9 +174,29 @@
     Ok(WatchStep {
         after: orders.map_or(revision, |orders| orders.min(revision)),
         needs_pause: has_config,
+        config_error,
     })
 }
 
+/// Applies the configuration of an update; returns why it cannot be read if the orders are followed nevertheless.
+///
+/// # Errors
+///
+/// Returns that reason where no orders are followed, so that the configuration is read again.
+fn apply_config(
+    shared: &Shared,
+    fleet_state: &FleetState,
+    update: ConfigUpdate,
+) -> Result<Option<StoreError>, StoreError> {
+    if let Some(config) = update.config {
+        fleet_state.apply_config(config, Source::Store);
+    }
+    match update.config_error {
+        Some(error) if !shared.follows_orders => Err(error),
+        error => Ok(error),
+    }
+}
+
 /// Applies the response to a call that waited for changes since revision `after`.
 fn apply_update(
     shared: &Shared,
@@ -184,13 +209,13 @@
     {
         return Err(StoreError::HistoryGone { after });
     }
-    let needs_pause = update.config.is_some() || update.has_other_changes;
-    if let Some(config) = update.config {
-        fleet_state.apply_config(config, Source::Store);
-    }
+    let has_config = update.config.is_some() || update.config_error.is_some();
+    let needs_pause = has_config || update.has_other_changes;
+    let revision = update.revision;
     Ok(WatchStep {
-        after: update.revision,
+        after: revision,
         needs_pause,
+        config_error: apply_config(shared, fleet_state, update)?,
     })
 }
 
