Count servers that get no requests in the mean of the load bound

Cause: the bound of 1.7 times the mean counted only the servers that may be chosen, whose mean is half as high again as that of all while a third is emptied. Change: servers in emptied failure domains and cold ones without allowance count in the mean with the load that they have.

--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -80,6 +80,18 @@
     /// As `Avoided`, and it is cold and this router has used up what it may send there.
     AvoidedUsedUp,
     Excluded,
+    /// Its failure domain is emptied.
+    Emptied,
+}
+
+impl Access {
+    /// Returns whether the load of a server with this access counts in the mean of its service.
+    fn counts_in_mean(self) -> bool {
+        match self {
+            Self::Usable | Self::AssumedCold | Self::UsedUp | Self::Emptied => true,
+            Self::Avoided | Self::AvoidedUsedUp | Self::Excluded => false,
+        }
+    }
 }
 
 /// The servers of a service as a request may use them.
@@ -95,8 +107,6 @@
     cold_units: Option<usize>,
     /// Time until this router may send to one of the servers for which that is used up.
     next: Duration,
-    /// Whether all servers are in emptied failure domains.
-    are_all_emptied: bool,
 }
 
 impl Candidates {
@@ -111,7 +121,10 @@
         let emptied = shared.emptied_domains();
         let (mut cold_units, mut has_used_up, mut next) = (Some(0), false, Duration::MAX);
         let mut access_of = |server: &Server| {
-            if !is_candidate(shared, request, tried, server, &emptied) {
+            if emptied.contains(&server.record.failure_domain) {
+                return Access::Emptied;
+            }
+            if !is_candidate(shared, request, tried, server) {
                 return Access::Excluded;
             }
             let mut state = server.state();
@@ -147,10 +160,6 @@
             has_used_up,
             cold_units,
             next,
-            are_all_emptied: !servers.is_empty()
-                && servers
-                    .iter()
-                    .all(|server| emptied.contains(&server.record.failure_domain)),
         }
     }
 
@@ -168,8 +177,8 @@
             }
             Access::Usable | Access::AssumedCold | Access::Avoided => Ok(()),
             Access::UsedUp | Access::AvoidedUsedUp => Err(NoServer::Cold { next: self.next }),
-            Access::Excluded if self.are_all_emptied => Err(NoServer::Emptied),
             Access::Excluded => Err(NoServer::NoneUsable),
+            Access::Emptied => Err(NoServer::Emptied),
         }
     }
 }
@@ -225,14 +234,12 @@
     request: &RoutedRequest,
     tried: &[String],
     server: &Server,
-    emptied: &EmptiedDomains,
 ) -> bool {
     let limit = request.service.connection_limit;
     // Only a fleet that is larger than the limit divides it into shares of which some are zero.
     let may_connect =
         || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
-    let is_emptied = emptied.contains(&server.record.failure_domain);
-    !is_emptied && !server.is_leaving() && !tried.contains(&server.id) && may_connect()
+    !server.is_leaving() && !tried.contains(&server.id) && may_connect()
 }
 
 /// Selects a server that was not tried yet, and counts the request as sent there.
@@ -264,14 +271,14 @@
     }
     candidates.check(reserved)?;
     // If all servers are in backoff or replaced, one of them is tried rather than refusing the request outright.
-    let usable = candidates
-        .access
-        .iter()
-        .map(|access| *access == candidates.best);
     let views: Vec<_> = servers
         .iter()
-        .zip(usable)
-        .map(|(server, is_usable)| server_view(server, is_usable, &locations, now))
+        .zip(&candidates.access)
+        .map(|(server, access)| ServerView {
+            usable: *access == candidates.best,
+            counts_in_mean: *access == candidates.best || access.counts_in_mean(),
+            ..server_view(server, &locations, now)
+        })
         .collect();
     let usable_loads = views.iter().filter(|view| view.usable);
     let usable_loads = usable_loads.map(|view| view.load);
@@ -339,12 +346,8 @@
     })
 }
 
-fn server_view<'a>(
-    server: &'a Server,
-    usable: bool,
-    locations: &[ServerHash],
-    now: Instant,
-) -> ServerView<'a> {
+/// Returns the view of a server that may not get the request.
+fn server_view<'a>(server: &'a Server, locations: &[ServerHash], now: Instant) -> ServerView<'a> {
     let state = server.state();
     let penalty = if state.cold.cold(now).is_some() {
         COLD_LOAD
@@ -356,7 +359,8 @@
         load: f64::from(state.load.total_requests(now)) + state.health.load_penalty(now) + penalty,
         unread_tokens: state.load.total_unread_tokens(now),
         slots: server.record.slots,
-        usable,
+        usable: false,
+        counts_in_mean: false,
         has_prompt: locations.contains(&server.hash),
     }
 }
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -85,13 +85,10 @@
 pub(crate) async fn watch_config(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
     let mut after = None;
-    let mut is_history_gone = false;
+    let mut needs_listing = shared.follows_orders;
     loop {
         let result = match after {
-            None => {
-                let is_unknown = is_history_gone || fleet_state.orders_revision().is_none();
-                read_config(&shared, &fleet_state, shared.follows_orders && is_unknown).await
-            }
+            None => read_config(&shared, &fleet_state, needs_listing).await,
             Some(after) => {
                 let call =
                     shared
@@ -114,14 +111,15 @@
                 }
                 backoff = Backoff::default();
                 after = Some(step.after);
-                is_history_gone = false;
+                needs_listing = false;
                 if step.needs_pause {
                     tokio::time::sleep(config_pause(&shared)).await;
                 }
             }
             Err(error) => {
                 after = None;
-                is_history_gone |= matches!(error, StoreError::HistoryGone { .. });
+                let is_history_gone = matches!(error, StoreError::HistoryGone { .. });
+                needs_listing |= is_history_gone && shared.follows_orders;
                 shared.store_state.record_failure(&error);
                 backoff.pause().await;
             }
@@ -140,7 +138,7 @@
 
 /// Reads the configuration, and lists the orders if `needs_listing` is set.
 ///
-/// Orders that are known, also from a peer, need no listing: the next call waits for changes since their revision.
+/// Orders that are known need no new listing after a failed call: the next call waits for changes since their revision.
 async fn read_config(
     shared: &Shared,
     fleet_state: &FleetState,
--- a/bulrushward_policy/src/server_choice.rs
+++ b/bulrushward_policy/src/server_choice.rs
@@ -1,7 +1,8 @@
 //! The choice of a backend server for a request.
 //!
 //! Handles: returning sessions, which go to a server that has their prompt cached; a session or
-//! organisation with much of the traffic, which is spread before it overloads one server; and many
+//! organisation with much of the traffic, which is spread before it overloads one server; a failure
+//! domain that gets no requests for a while, whose load the other servers share evenly; and many
 //! routers, which have to agree on the server of a new session without communicating.
 
 use rand::{Rng, RngExt};
@@ -48,6 +49,8 @@
     pub slots: u32,
     /// Whether the server may get the request.
     pub usable: bool,
+    /// Whether its load counts in the mean of the service, even if it may not get the request.
+    pub counts_in_mean: bool,
     /// Whether the server is expected to have the session's part of the prompt cached.
     pub has_prompt: bool,
 }
@@ -139,9 +142,11 @@
 }
 
 /// Returns the requests that a server may have in progress to be chosen for a session.
+///
+/// Operators compare the busiest server with the mean of all servers of the service, idle ones included.
 fn load_limit(servers: &[ServerView<'_>]) -> f64 {
-    let usable = servers.iter().filter(|server| server.usable);
-    let (count, sum) = usable.fold((0_u32, 0.0), |(count, sum), server| {
+    let counted = servers.iter().filter(|server| server.counts_in_mean);
+    let (count, sum) = counted.fold((0_u32, 0.0), |(count, sum), server| {
         (count + 1, sum + server.load)
     });
     let bound = LoadBound {
