--- a/bulrushward_policy/src/admission.rs
+++ b/bulrushward_policy/src/admission.rs
@@ -198,7 +198,13 @@
         }
         let weight = self.weight(&request.organisation);
         let queue = &mut self.kinds[kind].queue;
-        queue.push(&request.organisation, weight, request.attempt, request.work);
+        queue.push(
+            &request.organisation,
+            weight,
+            request.attempt,
+            request.work,
+            (),
+        );
         Decision::Queue
     }
 
@@ -300,7 +306,7 @@
         let own = &self.kinds[kind];
         let same_kind_work = own
             .queue
-            .work_ahead(&request.organisation, weight, request.work);
+            .work_ahead(&request.organisation, weight, request.work, &());
         let higher_priority_work = self.kinds[..kind].iter().map(|kind| kind.queue.work());
         let shared_wait = self.service_time.estimated_wait(
             self.remaining_work_by_slot(|_| true),
--- a/bulrushward_policy/src/admission/kinds.rs
+++ b/bulrushward_policy/src/admission/kinds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushward_protocol::KindId;
+use bulrushward_protocol::{AttemptId, KindId, OrganisationId};
 
 use super::settings::{AdmissionSettings, KindSettings};
 use crate::fair_queue::FairQueue;
@@ -19,7 +19,7 @@
     /// Slots for waiting attempts that other kinds cannot take.
     pub(super) reserved_queue: usize,
     pub(super) running: usize,
-    pub(super) queue: FairQueue,
+    pub(super) queue: FairQueue<OrganisationId, AttemptId>,
 }
 
 /// Returns the index of a kind; kinds without settings share the last one.
