Lend the places of a scarce service: the routers

A request to a plain service whose places are scarce now asks the router that lends them and waits, instead of being sent to a server of the router's own choice. If no lender answers, requests are admitted and sent as before. A retry is taken from the budget only once it has a place.

The setting `places_port` switches it on; without it nothing changes.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -17,6 +17,7 @@
 mod metrics;
 mod model;
 mod overload;
+mod places;
 mod ports;
 mod read_timeout;
 mod relay;
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -40,6 +40,7 @@
     NoServer,
     ServersRefused,
     Overloaded,
+    NoPlace,
     RetryBudget,
     TimeOver,
     ServerBroke,
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use bulrushward_policy::place_lender::Answer;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -94,6 +95,13 @@
     response_seconds: Histogram,
     first_event_seconds: Histogram,
     report_age_seconds: Histogram,
+    place_asks: Family<EndLabel, Counter>,
+    place_wait_seconds: Histogram,
+    places_granted: Counter,
+    places_refused: Family<ReasonLabel, Counter>,
+    pub(crate) places_expired: Counter,
+    pub(crate) places_waiting: Gauge,
+    pub(crate) places_lent: Gauge,
     pub(crate) config_version: Gauge,
     config_age: Gauge,
     config_view_age: Gauge,
@@ -160,6 +168,17 @@
                 "Age of a server's load report when it was chosen",
                 REPORT_AGE_BUCKETS,
             ),
+            place_asks: r.add("place_asks", "Asks for lent places by outcome"),
+            place_wait_seconds: r.histogram(
+                "place_wait_seconds",
+                "Time for which requests waited for a lent place",
+                LATENCY_BUCKETS,
+            ),
+            places_granted: r.add("places_granted", "Places lent by this router"),
+            places_refused: r.add("places_refused", "Asks refused by this router, by reason"),
+            places_expired: r.add("places_expired", "Lent places taken back without a report"),
+            places_waiting: r.add("places_waiting", "Requests waiting for a lent place"),
+            places_lent: r.add("places_lent", "Places lent by this router now"),
             config_version: r.add("config_version", "Active version"),
             config_age: r.add(
                 "config_age_ms",
@@ -229,6 +248,28 @@
         }
     }
 
+    /// Counts an ask for a lent place that ended after `wait`.
+    pub(crate) fn record_place_ask(&self, outcome: &'static str, wait: Duration) {
+        self.place_asks.get_or_create(&EndLabel { outcome }).inc();
+        self.place_wait_seconds.observe(wait.as_secs_f64());
+    }
+
+    /// Counts the answers of this router to asks for places.
+    pub(crate) fn record_place_answer(&self, answer: Answer) {
+        match answer {
+            Answer::Granted { .. } => {
+                self.places_granted.inc();
+            }
+            Answer::Refused { reason, .. } => {
+                let reason = reason.into();
+                self.places_refused
+                    .get_or_create(&ReasonLabel { reason })
+                    .inc();
+            }
+            Answer::Waiting => {}
+        }
+    }
+
     /// Counts a failed attempt.
     pub(crate) fn record_failed_attempt(&self, reason: &'static str) {
         self.attempts_failed
--- a/bulrushward_direct/src/overload.rs
+++ b/bulrushward_direct/src/overload.rs
@@ -59,12 +59,7 @@
         let organisation = request.organisation.as_deref().unwrap_or_default();
         let target = request.route.target_latency;
         let mut by_service = self.lock();
-        let service = by_service
-            .entry(request.service.name.clone())
-            .or_insert_with(|| ServiceAdmission {
-                admission: OverloadAdmission::new(now),
-                is_overloaded: false,
-            });
+        let service = ServiceAdmission::of(&mut by_service, &request.service.name, now);
         let admission = &mut service.admission;
         let is_admitted = admission.admit(organisation, target, servers, now, &mut rand::rng());
         let response_time = admission.response_time(servers, now);
@@ -73,6 +68,16 @@
         is_admitted && response_time < request.time_left()
     }
 
+    /// Returns the ratio of the service's response time to the target latency of a request.
+    pub(crate) fn pressure(&self, request: &RoutedRequest, servers: usize) -> f64 {
+        let now = Instant::now();
+        let mut by_service = self.lock();
+        let service = ServiceAdmission::of(&mut by_service, &request.service.name, now);
+        let response_time = service.admission.response_time(servers, now);
+        let target = request.route.target_latency.max(Duration::from_millis(1));
+        response_time.div_duration_f64(target)
+    }
+
     /// Records the result of an attempt that took `time`.
     pub(crate) fn record_attempt(
         &self,
@@ -134,6 +139,20 @@
 }
 
 impl ServiceAdmission {
+    /// Returns the admission to a service, which is new if nothing is known of the service.
+    fn of<'a>(
+        by_service: &'a mut HashMap<ServiceName, Self>,
+        service: &str,
+        now: Instant,
+    ) -> &'a mut Self {
+        by_service
+            .entry(service.to_owned())
+            .or_insert_with(|| Self {
+                admission: OverloadAdmission::new(now),
+                is_overloaded: false,
+            })
+    }
+
     /// Logs the begin and end of an overload.
     fn log(&mut self, service: &str, admitted: f64, response_time: Duration) {
         let response_ms = response_time.as_millis() as u64;
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -1,6 +1,9 @@
 //! Handles one request of a caller: reads it, sends it to servers and returns a response.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
 use bulrushward_protocol::format_id;
@@ -12,11 +15,12 @@
     attempt::{self, AttemptError, AttemptResponse},
     handover::{self, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
+    places::{self, Borrowed, Place},
     relay,
     request_log::RequestLog,
     request_reader, retry_after,
     routed_request::RoutedRequest,
-    server_selection,
+    server_selection::{self, ServerChoice},
     servers::Server,
     shared::Shared,
 };
@@ -65,15 +69,20 @@
     shared.deposit_request(service);
     request_log.is_stream = request.is_stream();
     let servers = shared.servers.load().of_service(service).len();
-    if !shared.overload.admits(&request, servers) {
-        let retry = retry_after::for_overload();
-        return Err(LocalResponse::not_run(Reason::Overloaded, retry));
+    shared.places.record_request(shared, &request);
+    let mut needs_admission = shared.places.is_needed(shared, &request);
+    if !needs_admission && !shared.overload.admits(&request, servers) {
+        return Err(refuse_overload());
     }
     let mut history = AttemptHistory::new(request.route.is_idempotent(), request.route.max_servers);
     let mut tried = Vec::new();
     let mut last_error: Option<AttemptError> = None;
     let mut retry_cause = None;
     let mut successor = None;
+    // Failed attempt whose successor is selected once the next one has a place.
+    let mut pending = None;
+    // Whether the successor takes the request over from a silent server.
+    let mut is_taken_over = false;
     loop {
         if let Some(time_left) = shared.quarantine_time_left(request.fingerprint) {
             return match history.outcome() {
@@ -82,11 +91,35 @@
             };
         }
         if Instant::now() >= request.deadline {
-            return final_response(&history, last_error, Reason::TimeOver);
+            let reason = pending.map_or(Reason::TimeOver, |failed: FailedAttempt| failed.reason);
+            return final_response(&history, last_error, reason);
+        }
+        let mut place = None;
+        if !is_taken_over && shared.places.is_needed(shared, &request) {
+            match wait_for_place(shared, &request, &tried, request_log).await {
+                Borrowed::Place(borrowed) => place = Some(borrowed),
+                Borrowed::Refused(retry) => {
+                    return refuse_without_place(&history, last_error, retry);
+                }
+                Borrowed::NoLender if Instant::now() >= request.deadline => continue,
+                Borrowed::NoLender => {}
+            }
         }
-        let choice = successor
-            .take()
-            .or_else(|| server_selection::select(shared, &request, &tried));
+        let is_admitted = place.is_some() || !std::mem::take(&mut needs_admission);
+        if !is_admitted && !shared.overload.admits(&request, servers) {
+            return Err(refuse_overload());
+        }
+        if let Some(failed) = pending.take() {
+            match select_next(shared, &request, failed, &tried) {
+                Ok(choice) => successor = Some(choice),
+                Err(reason) => return final_response(&history, last_error, reason),
+            }
+        }
+        let own_choice = successor.take();
+        let choice = match &place {
+            Some(place) => Some(place.choice()),
+            None => own_choice.or_else(|| server_selection::select(shared, &request, &tried)),
+        };
         let Some(choice) = choice else {
             return final_response(&history, last_error, Reason::NoServer);
         };
@@ -100,10 +133,9 @@
         let mut silence = SilenceWatch::new(shared, &request, &history, &tried);
         let result = attempt::send(shared, &request, &choice, None, &mut silence).await;
         successor = silence.into_successor();
+        is_taken_over = successor.is_some();
         let failure = result.as_ref().err().map(|error| error.failure);
-        shared
-            .overload
-            .record_attempt(&request, server, sent.elapsed(), failure);
+        record_attempt(shared, &request, server, place, sent.elapsed(), failure);
         if let Some(cause) = retry_cause.take() {
             shared.record_retry_result(service, cause, result.is_ok());
         }
@@ -111,37 +143,112 @@
             Ok(response) => return Ok(respond(shared, &request, response, history, tried)),
             Err(error) => error,
         };
-        shared.metrics.record_failed_attempt(error.failure.into());
         request_log.detail.clone_from(&error.detail);
-        log_failed_attempt(&request, &server.id, &error);
-        record_suspected_crash(shared, &request, server, &error);
-        if error.failure == AttemptFailure::Misdirected {
-            shared
-                .replaced_servers()
-                .record(server.hash, Instant::now());
-        }
-        let failure = error.failure;
-        let next = history.record_failure(failure);
-        let reason = failure_reason(&error);
-        let cause = failure.retry_cause();
+        record_failed_attempt(shared, &request, server, &error);
+        let failed = FailedAttempt::new(&error, &mut history);
         last_error = Some(error);
-        match next {
-            NextAttempt::Send { retry } => {
-                if successor.is_none() {
-                    match handover::select_next(shared, &request, next, failure, &tried) {
-                        Ok(choice) => successor = Some(choice),
-                        Err(refusal) => {
-                            let reason = refusal.reason().unwrap_or(reason);
-                            return final_response(&history, last_error, reason);
-                        }
-                    }
-                }
-                retry_cause = retry.then_some(cause);
-            }
-            NextAttempt::NotRun | NextAttempt::Unknown => {
-                return final_response(&history, last_error, reason);
-            }
+        let NextAttempt::Send { retry } = failed.next else {
+            return final_response(&history, last_error, failed.reason);
+        };
+        retry_cause = retry.then_some(failed.failure.retry_cause());
+        if successor.is_some() {
+            continue;
+        }
+        if shared.places.is_needed(shared, &request) {
+            // A retry is taken from the budget only if there is a place for it.
+            pending = Some(failed);
+            continue;
         }
+        match select_next(shared, &request, failed, &tried) {
+            Ok(choice) => successor = Some(choice),
+            Err(reason) => return final_response(&history, last_error, reason),
+        }
+    }
+}
+
+/// A failed attempt and what may follow.
+#[derive(Clone, Copy, Debug)]
+struct FailedAttempt {
+    next: NextAttempt,
+    failure: AttemptFailure,
+    /// Reason of the response if nothing follows.
+    reason: Reason,
+}
+
+impl FailedAttempt {
+    fn new(error: &AttemptError, history: &mut AttemptHistory) -> Self {
+        Self {
+            next: history.record_failure(error.failure),
+            failure: error.failure,
+            reason: failure_reason(error),
+        }
+    }
+}
+
+/// Selects the server of the next attempt, and withdraws a retry if the attempt is one.
+///
+/// # Errors
+///
+/// Returns the reason why there is no next attempt.
+fn select_next(
+    shared: &Shared,
+    request: &RoutedRequest,
+    failed: FailedAttempt,
+    tried: &[String],
+) -> Result<ServerChoice, Reason> {
+    handover::select_next(shared, request, failed.next, failed.failure, tried)
+        .map_err(|refusal| refusal.reason().unwrap_or(failed.reason))
+}
+
+/// Waits for a place at a server.
+async fn wait_for_place(
+    shared: &Arc<Shared>,
+    request: &RoutedRequest,
+    tried: &[String],
+    request_log: &mut RequestLog,
+) -> Borrowed {
+    let begun = Instant::now();
+    let waited = request_log.place_wait.unwrap_or_default();
+    // Logged also if the caller leaves meanwhile.
+    request_log.place_wait = Some(waited);
+    let borrowed = places::borrow(shared, request, tried).await;
+    request_log.place_wait = Some(waited + begun.elapsed());
+    borrowed
+}
+
+/// Records an attempt that took `time`, and gives its place back.
+fn record_attempt(
+    shared: &Shared,
+    request: &RoutedRequest,
+    server: &Server,
+    place: Option<Place>,
+    time: Duration,
+    failure: Option<AttemptFailure>,
+) {
+    shared
+        .overload
+        .record_attempt(request, server, time, failure);
+    if failure == Some(AttemptFailure::Rejected) {
+        shared.places.record_rejection(shared, request);
+    }
+    if let Some(mut place) = place {
+        place.record_attempt(time, failure);
+    }
+}
+
+fn record_failed_attempt(
+    shared: &Shared,
+    request: &RoutedRequest,
+    server: &Server,
+    error: &AttemptError,
+) {
+    shared.metrics.record_failed_attempt(error.failure.into());
+    log_failed_attempt(request, &server.id, error);
+    record_suspected_crash(shared, request, server, error);
+    if error.failure == AttemptFailure::Misdirected {
+        shared
+            .replaced_servers()
+            .record(server.hash, Instant::now());
     }
 }
 
@@ -225,6 +332,24 @@
     }
 }
 
+/// Returns the response to a request that is not admitted to its overloaded service.
+fn refuse_overload() -> LocalResponse {
+    LocalResponse::not_run(Reason::Overloaded, retry_after::for_overload())
+}
+
+/// Returns the response to a request that gets no place.
+fn refuse_without_place(
+    history: &AttemptHistory,
+    last_error: Option<AttemptError>,
+    retry_after: Duration,
+) -> Result<Response<Body>, LocalResponse> {
+    let response = final_response(history, last_error, Reason::NoPlace);
+    response.map_err(|local| LocalResponse {
+        retry_after: local.retry_after.map(|_| retry_after),
+        ..local
+    })
+}
+
 fn respond(
     shared: &Arc<Shared>,
     request: &Arc<RoutedRequest>,
--- a/bulrushward_direct/src/request_log.rs
+++ b/bulrushward_direct/src/request_log.rs
@@ -1,6 +1,9 @@
 //! Log lines of a request.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use hyper::StatusCode;
 use tracing::{info, warn};
@@ -23,6 +26,8 @@
     /// Version of the configuration that was applied.
     pub(crate) config: Option<u64>,
     pub(crate) attempts: u32,
+    /// Time for which the request waited for a place, if it needed a lent one.
+    pub(crate) place_wait: Option<Duration>,
     pub(crate) server: String,
     pub(crate) inputs: ChoiceInputs,
     pub(crate) detail: String,
@@ -40,6 +45,7 @@
             organisation: None,
             config: None,
             attempts: 0,
+            place_wait: None,
             server: String::new(),
             inputs: ChoiceInputs::default(),
             detail: String::new(),
@@ -58,6 +64,7 @@
             server = self.server,
             status = status.as_u16(),
             hops = self.attempts,
+            place_wait_ms = self.place_wait_ms(),
             load = self.inputs.load,
             least_load = self.inputs.least_load,
             report_age_ms = self.report_age_ms(),
@@ -84,6 +91,7 @@
             outcome = %local.outcome,
             retry_after_ms = local.retry_after.map(|time| time.as_millis() as u64),
             hops = self.attempts,
+            place_wait_ms = self.place_wait_ms(),
             usable = self.inputs.usable,
             detail = self.detail,
             ms = self.ms(),
@@ -94,6 +102,10 @@
         self.inputs.report_age.map(|age| age.as_millis() as u64)
     }
 
+    fn place_wait_ms(&self) -> Option<u64> {
+        self.place_wait.map(|wait| wait.as_millis() as u64)
+    }
+
     fn ms(&self) -> u64 {
         self.received.elapsed().as_millis() as u64
     }
@@ -124,6 +136,7 @@
                 config = self.config,
                 server = self.server,
                 hops = self.attempts,
+                place_wait_ms = self.place_wait_ms(),
                 load = self.inputs.load,
                 report_age_ms = self.report_age_ms(),
                 ms = self.ms(),
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     runtime::Runtime,
     signal::unix::{Signal, SignalKind, signal},
 };
@@ -24,6 +24,7 @@
     fleet_state::FleetState,
     gossip::{FLEET_STATE_PATH, Gossip},
     listener::{self, plain_response},
+    places,
     ports::RouterDependencies,
     saved_sessions,
     settings::DirectSettings,
@@ -218,6 +219,13 @@
     tokio::spawn(serve_metrics(Arc::clone(&shared), metrics, close.clone()));
     tokio::spawn(watch_settings(Arc::clone(&shared), settings_path, hangup));
     tokio::spawn(stall_watch::run(Arc::clone(&shared)));
+    if let Some(address) = shared.settings().places_address() {
+        let socket = UdpSocket::bind(address).await.context(ListenSnafu {
+            listener: "places",
+            address,
+        })?;
+        tokio::spawn(places::run(Arc::clone(&shared), socket));
+    }
     let mut serving = tokio::spawn(listener::serve_callers(
         Arc::clone(&shared),
         callers,
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -66,6 +66,47 @@
     !server.is_leaving() && !tried.contains(&server.id) && may_connect()
 }
 
+/// Returns whether a server may be used by any request, as far as this router knows.
+pub(crate) fn is_usable(shared: &Shared, server: &Server, now: Instant) -> bool {
+    !server.is_leaving()
+        && !shared.replaced_servers().contains(server.hash, now)
+        && !server.state().health.is_backing_off(now)
+}
+
+/// Returns the servers that a request may be sent to.
+pub(crate) fn candidates(
+    shared: &Shared,
+    request: &RoutedRequest,
+    tried: &[String],
+) -> Vec<Arc<Server>> {
+    let (set, now) = (shared.servers.load(), Instant::now());
+    let servers = set.of_service(&request.service.name).iter();
+    servers
+        .filter(|server| is_candidate(shared, request, tried, server))
+        .filter(|server| is_usable(shared, server, now))
+        .map(Arc::clone)
+        .collect()
+}
+
+/// Returns the choice of a server that a lender granted.
+pub(crate) fn granted(server: &Arc<Server>, usable: usize) -> ServerChoice {
+    let now = Instant::now();
+    let state = server.state();
+    let load = f64::from(state.load.total_requests(now));
+    let report_age = state.load.report_age(now);
+    drop(state);
+    ServerChoice {
+        server: Arc::clone(server),
+        inputs: ChoiceInputs {
+            load,
+            least_load: load,
+            report_age,
+            usable,
+            ..ChoiceInputs::default()
+        },
+    }
+}
+
 /// Selects a server that was not tried yet.
 pub(crate) fn select(
     shared: &Shared,
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -102,6 +102,9 @@
     pub knowledge_address: SocketAddr,
     /// Port of the gossip datagrams between routers, the same on all VMs.
     pub datagram_port: u16,
+    /// Port of the datagrams about lent places, the same on all VMs; without it no places are lent.
+    #[serde(default)]
+    pub places_port: Option<u16>,
     /// Port of the metrics.
     pub metrics_port: u16,
     /// Bootstrap addresses: the `knowledge_address` of some peers, which may be stale.
@@ -195,6 +198,13 @@
         SocketAddr::new(self.own_ip(), self.datagram_port)
     }
 
+    /// Returns the address at which this router receives datagrams about lent places.
+    #[must_use]
+    pub fn places_address(&self) -> Option<SocketAddr> {
+        let port = self.places_port?;
+        Some(SocketAddr::new(self.own_ip(), port))
+    }
+
     /// Returns the address at which metrics are served.
     #[must_use]
     pub fn metrics_address(&self) -> SocketAddr {
@@ -236,6 +246,7 @@
             && self.readiness_address == other.readiness_address
             && self.knowledge_address == other.knowledge_address
             && self.datagram_port == other.datagram_port
+            && self.places_port == other.places_port
             && self.metrics_port == other.metrics_port
             && self.store_address == other.store_address
     }
@@ -281,6 +292,13 @@
             self.repeat_window >= MIN_REPEAT_WINDOW,
             "at least 1",
         )?;
+        require(
+            "places_port",
+            &self.places_port.unwrap_or_default(),
+            self.places_port
+                .is_none_or(|port| port != self.datagram_port && port != self.metrics_port),
+            "another port than datagram_port and metrics_port",
+        )?;
         require(
             "metrics_port",
             &self.metrics_port,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -28,6 +28,7 @@
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
     overload::OverloadControl,
+    places::Places,
     ports::{FleetStore, HttpConventions, LogStats, RouterDependencies},
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
@@ -76,6 +77,7 @@
     quarantine: Mutex<Quarantine>,
     replaced_servers: Mutex<ReplacedServers>,
     pub(crate) overload: OverloadControl,
+    pub(crate) places: Places,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -108,6 +110,7 @@
             )),
             replaced_servers: Mutex::default(),
             overload: OverloadControl::default(),
+            places: Places::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -219,6 +222,11 @@
         whole_share(f64::from(limit), self.routers() + 1, draw)
     }
 
+    /// Returns whether gossip has had the time to tell of the other routers.
+    pub(crate) fn is_fleet_known(&self) -> bool {
+        Instant::now() >= self.fleet_known
+    }
+
     /// Returns the number of routers that share the retry budget.
     ///
     /// Routers that the settings name count even if they cannot be reached, as they may still send retries.
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -139,6 +139,7 @@
         readiness_address: SocketAddr::new(ip, READINESS_PORT),
         knowledge_address: SocketAddr::new(ip, FLEET_STATE_PORT),
         datagram_port: 7_340,
+        places_port: None,
         metrics_port: 7_341,
         seeds: seeds
             .iter()
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -17,6 +17,7 @@
 
 use bulrushward_protocol::WorkUnits;
 use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
 use self::{
@@ -109,7 +110,7 @@
 }
 
 /// What an ask gets.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// A place at a server.
     Granted {
@@ -130,7 +131,7 @@
 }
 
 /// Reason of a refusal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
 pub enum RefusalReason {
     /// The expected wait does not fit the deadline.
@@ -153,8 +154,7 @@
 }
 
 /// How a router used a place.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PlaceUse {
     /// The server responded.
     Ended {
--- a/bulrushward_policy/src/usual_demand.rs
+++ b/bulrushward_policy/src/usual_demand.rs
@@ -38,8 +38,15 @@
 }
 
 impl UsualDemand {
-    /// Records a request and returns the usual requests per second of its organisation.
-    pub fn record(&mut self, organisation: &str, is_scarce: bool, now: Instant) -> f64 {
+    /// Returns the usual requests per second of an organisation.
+    #[must_use]
+    pub fn rate(&self, organisation: &str) -> f64 {
+        let usual = self.by_organisation.get(organisation);
+        usual.map_or(0.0, |usual| usual.rate)
+    }
+
+    /// Records a request.
+    pub fn record(&mut self, organisation: &str, is_scarce: bool, now: Instant) {
         let memory = if is_scarce {
             SCARCE_MEMORY
         } else {
@@ -48,7 +55,7 @@
         if let Some(usual) = self.by_organisation.get_mut(organisation) {
             usual.rate = usual.decayed(memory, now) + 1.0 / memory.as_secs_f64();
             usual.updated = now;
-            return usual.rate;
+            return;
         }
         if self.by_organisation.len() >= MAX_ORGANISATIONS {
             self.by_organisation
@@ -59,6 +66,5 @@
             let usual = Usual { rate, updated: now };
             self.by_organisation.insert(organisation.to_owned(), usual);
         }
-        rate
     }
 }
--- a/bulrushward_policy/tests/place_lender/simulation.rs
+++ b/bulrushward_policy/tests/place_lender/simulation.rs
@@ -500,9 +500,7 @@
             .or_insert_with(|| PlaceLender::new(now));
         known.set_servers(&self.pools[lender.0 as usize], now);
         let organisation = req.organisation.to_string();
-        let usual_rate = self.routers[req.router]
-            .usual
-            .record(&organisation, true, now);
+        let usual_rate = self.routers[req.router].usual.rate(&organisation);
         let ask = Ask {
             id,
             borrower: req.router,
