Keep a part of scarce places for less urgent kinds

Its expected wait counted the waiting asks of the more urgent kind, although its own part is granted before them.

--- a/bulrushward_direct/tests/places.rs
+++ b/bulrushward_direct/tests/places.rs
@@ -176,7 +176,9 @@
         assert!(metric(router, "place_wait_seconds_count") > 0);
         assert_eq!(metric(router, "places_waiting"), 0);
     }
-    // No place stays lent.
+    // Places are given back when the requests end, not when their time is over.
+    let granted = metric(&routers[0], "places_granted_total");
+    assert!(metric(&routers[0], "places_expired_total") * 10 < granted);
     wait_until("all places are given back", || {
         metric(&routers[0], "places_lent") == 0
     });
@@ -210,7 +212,10 @@
             .iter()
             .map(|router| metric(router, "places_granted_total"))
     };
-    wait_until("another one lends", || lent().sum::<u32>() > 50);
+    wait_until("another one lends", || lent().sum::<u32>() > 0);
+    // It does so before the first one ends.
+    assert!(caller::get(routers[0].address(7_341), "/metrics").is_some());
+    wait_until("another one lends much", || lent().sum::<u32>() > 50);
     crowd.end(&runs);
     routers[0].join();
 }
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -543,14 +543,25 @@
         let weight = self.weight(ask.organisation);
         let urgent = self.lanes.iter().filter(|l| l.precedence < own.precedence);
         let urgent: usize = urgent.map(Lane::waiting).sum();
-        let ahead = own.ahead(timing, ask.organisation, weight, &rank(ask, timing)) + urgent as f64;
+        let ahead = own.ahead(timing, ask.organisation, weight, &rank(ask, timing));
         let rate = self.rate_left(lane, timing, total, now);
+        let mut seconds = (ahead + urgent as f64) / rate;
+        if timing == Timing::InTime && !own.precedence.is_surplus {
+            seconds = seconds.min(ahead / self.reserved_rate(lane, now));
+        }
         let own_ahead = own.backlog(timing, ask.organisation) as f64;
         let own_rate = self.organisation_rate(ask.organisation, total, now);
-        let seconds = (ahead / rate).max(own_ahead / own_rate);
+        let seconds = seconds.max(own_ahead / own_rate);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
+    /// Returns the grants per second that a lane gets whatever more urgent lanes ask for.
+    fn reserved_rate(&self, lane: usize, now: Instant) -> f64 {
+        let asked = self.lanes[lane].asked.per_second(now);
+        let rate = MIN_RELATIVE_FRACTION * self.granted_fraction(now) * asked;
+        rate.max(f64::MIN_POSITIVE)
+    }
+
     /// Returns the grants per second that more urgent asks leave to a line.
     fn rate_left(&self, lane: usize, timing: Timing, total: f64, now: Instant) -> f64 {
         let own = &self.lanes[lane];
@@ -566,12 +577,7 @@
                 }
                 let asked = own.asked.per_second(now);
                 let share = if equal > 0.0 { asked / equal } else { 1.0 };
-                let least = if own.precedence.is_surplus {
-                    0.0
-                } else {
-                    MIN_RELATIVE_FRACTION * self.granted_fraction(now) * asked
-                };
-                ((total - urgent) * share).max(least)
+                (total - urgent) * share
             }
             Timing::Late => own.late_rate(now) + self.free_rate(now),
         };
