--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -42,6 +42,7 @@
     ServersRefused,
     ColdServers,
     Overloaded,
+    NoPlace,
     RetryBudget,
     TimeOver,
     ServerBroke,
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     cold_servers,
+    model::Service,
     routed_request::RoutedRequest,
     servers::{Server, ServerHash},
     shared::Shared,
@@ -242,6 +243,58 @@
     !server.is_leaving() && !tried.contains(&server.id) && may_connect()
 }
 
+/// Returns whether a server may be used by any request, as far as this router knows.
+pub(crate) fn is_usable(shared: &Shared, server: &Server, now: Instant) -> bool {
+    !server.is_leaving()
+        && !shared
+            .emptied_domains()
+            .contains(&server.record.failure_domain)
+        && !shared.replaced_servers().contains(server.hash, now)
+        && !server.state().health.is_backing_off(now)
+}
+
+/// Returns the servers that a request may be sent to.
+pub(crate) fn candidates(
+    shared: &Shared,
+    request: &RoutedRequest,
+    tried: &[String],
+) -> Vec<Arc<Server>> {
+    let (set, now) = (shared.servers.load(), Instant::now());
+    let servers = set.of_service(&request.service.name).iter();
+    servers
+        .filter(|server| is_candidate(shared, request, tried, server))
+        .filter(|server| is_usable(shared, server, now))
+        .filter(|server| !is_used_up(shared, request, server, now))
+        .map(Arc::clone)
+        .collect()
+}
+
+/// Returns whether a server is cold and this router has used up what it may send there.
+fn is_used_up(shared: &Shared, request: &RoutedRequest, server: &Server, now: Instant) -> bool {
+    let room = cold_servers::room(shared, &request.service, server, &mut server.state(), now);
+    matches!(room, Room::UsedUp { .. })
+}
+
+/// Returns the choice of a server that a lender granted, and counts the request as sent there.
+pub(crate) fn granted(service: &Service, server: &Arc<Server>, usable: usize) -> ServerChoice {
+    let now = Instant::now();
+    cold_servers::record_sent(service, server, now);
+    let state = server.state();
+    let load = f64::from(state.load.total_requests(now));
+    let report_age = state.load.report_age(now);
+    drop(state);
+    ServerChoice {
+        server: Arc::clone(server),
+        inputs: ChoiceInputs {
+            load,
+            least_load: load,
+            report_age,
+            usable,
+            ..ChoiceInputs::default()
+        },
+    }
+}
+
 /// Selects a server that was not tried yet, and counts the request as sent there.
 ///
 /// # Errors
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -31,6 +31,7 @@
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
     overload::OverloadControl,
+    places::Places,
     ports::{FleetStore, HttpConventions, LogStats, RouterDependencies},
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
@@ -88,6 +89,7 @@
     emptied_domains: Mutex<EmptiedDomains>,
     pub(crate) overload: OverloadControl,
     pub(crate) start_gate: StartGate,
+    pub(crate) places: Places,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -125,6 +127,7 @@
             emptied_domains: Mutex::default(),
             overload: OverloadControl::default(),
             start_gate: StartGate::default(),
+            places: Places::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -255,6 +258,11 @@
         whole_share(f64::from(limit), self.routers() + 1, draw)
     }
 
+    /// Returns whether gossip has had the time to tell of the other routers.
+    pub(crate) fn is_fleet_known(&self) -> bool {
+        Instant::now() >= self.fleet_known
+    }
+
     /// Returns the number of routers that share the retry budget.
     ///
     /// Routers that the settings name count even if they cannot be reached, as they may still send retries.
