--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -45,6 +45,8 @@
 /// The fleet under test and the history of its disturbances.
 #[derive(Debug)]
 pub(crate) struct Harness {
+    /// First, so that they are killed before the store's ports are free for other processes.
+    routers: Mutex<Vec<RouterProcess>>,
     pub(crate) store: FakeStore,
     /// Proxies between each router and the store.
     pub(crate) store_links: Vec<FaultyProxy>,
@@ -53,7 +55,6 @@
     pub(crate) execution_log: ExecutionLog,
     pub(crate) fault_log: FaultLog,
     pub(crate) balancer: Balancer,
-    routers: Mutex<Vec<RouterProcess>>,
     servers: Mutex<Vec<Arc<SoakServer>>>,
     written_configs: Mutex<Vec<WrittenConfig>>,
     /// Servers marked as leaving, with the time at which the store acknowledged the mark.
@@ -92,13 +93,13 @@
             routers.push(router);
         }
         let harness = Arc::new(Self {
+            routers: Mutex::new(routers),
             store,
             store_links,
             caller_links,
             execution_log: ExecutionLog::default(),
             fault_log: FaultLog::open(&settings.logs)?,
             balancer: Balancer::new(settings.routers),
-            routers: Mutex::new(routers),
             servers: Mutex::default(),
             written_configs: Mutex::default(),
             leaving_since: Mutex::default(),
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -1,6 +1,6 @@
 //! Runs short soaks with fixed seeds, among them seeds that once violated an invariant.
 
-use std::{path::PathBuf, time::Duration};
+use std::{fs, path::PathBuf, time::Duration};
 
 use bulrushward_soak::{SoakSettings, run};
 use rstest::rstest;
@@ -8,6 +8,7 @@
 /// Time during which faults are injected; long enough for each kind of fault to overlap with
 /// others.
 const DURATION: Duration = Duration::from_secs(6);
+const ROUTERS: usize = 3;
 
 #[rstest]
 #[case::first(1)]
@@ -27,10 +28,19 @@
         logs: target.join("soak-tests").join(seed.to_string()),
         seed,
         duration: DURATION,
-        routers: 3,
+        routers: ROUTERS,
         busy_threads: 0,
     };
+    // Logs are appended to.
+    let _removed = fs::remove_dir_all(&settings.logs);
+    let logs = settings.logs.clone();
     let report = run(settings).await.expect("the fleet starts");
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.served > report.attempts / 2, "{report}");
+    for router in 0..ROUTERS {
+        // A router that outlives the store calls a port that may belong to another test by then.
+        let log = fs::read_to_string(logs.join(format!("router-{router}.log"))).expect("a log");
+        let last = log.lines().last().unwrap_or_default();
+        assert!(!last.contains("event=store-lost"), "{last}");
+    }
 }
