--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -165,6 +165,7 @@
             failure_domain: "a".to_owned(),
             is_leaving,
             started_ms: server.started_ms,
+            cold_for: Duration::ZERO,
         };
         self.store.set_server(&server.fake_server.id, Some(&entry));
     }
@@ -188,6 +189,7 @@
             version,
             keys,
             marker_prefix: format!("/mark-{version}/"),
+            cold_start: None,
         };
         self.store.set_config(&config);
         written_configs.push(WrittenConfig {
