Empty failure domains and let servers return cold in the soak

Servers now stand in three failure domains, and servers that start during the traffic are cold for 3 s and bear 2 requests a second. Each series of random faults also has a failure domain that is emptied for 3 to 7 s and one whose servers crash and come back cold together, while callers send up to ten times as fast; another domain is emptied without other faults and while all routers stop in turn.

Invariants: a request reaches no server of an emptied domain once its router has to know the order. It has to after 2 s in which it was not paused, the store responded and some router could read it; restarts excuse nothing. A cold server gets no more than 1.5 times what it bears + 5 requests in any second from all routers, except where its link held requests back.

--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -51,6 +51,8 @@
 const READ_DELAY_MS: Range<u64> = 20..150;
 /// Time after which a slow reader reads on without delay.
 const MAX_SLOW_TIME: Duration = Duration::from_millis(1_500);
+/// Factor by which callers wait less between two requests of a crowd.
+const CROWD_FACTOR: u32 = 10;
 /// Number of sessions that stream requests are spread over.
 const SESSIONS: u64 = 20;
 
@@ -187,7 +189,14 @@
     let mut router = 0;
     let mut connection = None;
     while !attempts.is_over.load(Ordering::Relaxed) {
-        sleep(random_ms(&mut rng, 5..60)).await;
+        let pause = random_ms(&mut rng, 5..60);
+        let is_crowded = harness.is_crowded.load(Ordering::Relaxed);
+        sleep(if is_crowded {
+            pause / CROWD_FACTOR
+        } else {
+            pause
+        })
+        .await;
         if connection.is_none() {
             router = harness.balancer.choose(&mut rng);
             connection = connect(harness.caller_address(router)).await;
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -20,15 +20,15 @@
 
 use crate::{
     fault_log::FaultGuard,
-    harness::Harness,
+    harness::{COLD_TIME, DOMAINS, Harness, failure_domain},
     invariants::{Outage, OutagePlace},
 };
 
 /// Time between the starts of two faults, in milliseconds; shorter than most faults, so that
 /// faults overlap.
 const FAULT_INTERVAL_MS: Range<u64> = 150..900;
-/// Number of random faults in a series. After each series, a server leaves and a key is revoked without
-/// other faults, so that the time limits of these changes can be checked, and then all routers stop and start
+/// Number of random faults in a series. After each series, a server leaves, a key is revoked and a failure domain is
+/// emptied without other faults, so that the time limits of these changes can be checked, and then all routers stop and start
 /// one after another.
 const FAULTS_PER_SERIES: usize = 8;
 /// Time without other faults before and after each of these phases; longer than the undisturbed time
@@ -42,6 +42,8 @@
 const STOP_INTERVAL_MS: Range<u64> = 200..1_500;
 /// Share of responses that pause during the rolling stops.
 const PAUSE_RATE: Range<f64> = 0.05..0.3;
+/// Longest time for which a router waits for a response of the store.
+const LONGEST_STORE_CALL: Duration = Duration::from_millis(12_800);
 /// Interval at which the end of a process or of a server's work is awaited.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -83,8 +85,17 @@
     CallerLinkSilent,
     ConfigChanges,
     KeyRevoked,
+    /// The operator empties a failure domain and takes it back after a while.
+    DomainEmptied,
+    /// All servers of a failure domain crash and come back cold in a crowd.
+    DomainReturnsCold,
 }
 
+/// Faults that each series of random faults has besides; all others are drawn at random.
+const SERIES_FAULTS: [Fault; 2] = [Fault::DomainEmptied, Fault::DomainReturnsCold];
+/// Time for which a failure domain is emptied, in milliseconds; longer than the time limit of the order.
+const EMPTIED_MS: Range<u64> = 3_000..7_000;
+
 /// Injects random faults for `duration`; returns them without the changes that follow each series.
 pub(crate) async fn inject_faults(
     harness: &Arc<Harness>,
@@ -92,13 +103,22 @@
     duration: Duration,
 ) -> Vec<Fault> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let kinds: Vec<_> = Fault::iter().collect();
+    let mut series_rng = Pcg64Mcg::seed_from_u64(seed ^ 1);
+    let kinds: Vec<_> = Fault::iter()
+        .filter(|fault| !SERIES_FAULTS.contains(fault))
+        .collect();
     let end = tokio::time::Instant::now() + duration;
     let mut injected = Vec::new();
     let mut running = tokio::task::JoinSet::new();
     while tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS))).await;
         let fault = *kinds.choose(&mut rng).expect("there are kinds");
+        if injected.len() % FAULTS_PER_SERIES == 0 {
+            for fault in SERIES_FAULTS {
+                let harness = Arc::clone(harness);
+                running.spawn(inject_or_report(harness, fault, series_rng.next_u64()));
+            }
+        }
         injected.push(fault);
         running.spawn(inject_or_report(Arc::clone(harness), fault, rng.next_u64()));
         if injected.len() % FAULTS_PER_SERIES == 0 {
@@ -111,6 +131,12 @@
                     rng.next_u64(),
                 ));
             }
+            // The order outlasts the stops of some routers.
+            running.spawn(inject_or_report(
+                Arc::clone(harness),
+                Fault::DomainEmptied,
+                series_rng.next_u64(),
+            ));
             tokio::time::sleep(QUIET_TIME).await;
             roll_stops(harness, &mut rng).await;
             if tokio::time::Instant::now() < end {
@@ -155,9 +181,11 @@
     let log = &harness.fault_log;
     match fault {
         Fault::AllRoutersKilled => log.begin(fault, "router=all"),
-        Fault::StoreBusy | Fault::StoreForgets | Fault::ConfigChanges | Fault::KeyRevoked => {
-            log.begin(fault, "store")
-        }
+        Fault::StoreBusy
+        | Fault::StoreForgets
+        | Fault::ConfigChanges
+        | Fault::KeyRevoked
+        | Fault::DomainEmptied => log.begin(fault, "store"),
         _ => {
             let process = harness.routers()[router].process_id().unwrap_or(0);
             log.begin(fault, format_args!("router={router} process={process}"))
@@ -225,21 +253,35 @@
             Ok(())
         }
         Fault::StoreBusy => {
+            let from = Instant::now();
             harness.store.set_busy(true);
             harness.record_disturbance();
             tokio::time::sleep(time).await;
             harness.store.set_busy(false);
             harness.record_disturbance();
+            record_outage(harness, OutagePlace::Store, from, Instant::now());
             Ok(())
         }
         Fault::StoreLinkHangs | Fault::StoreLinkSlow => {
             let hangs = fault == Fault::StoreLinkHangs;
+            let from = Instant::now();
             disturb_link(harness, &harness.store_links[router], hangs, time).await;
+            if hangs {
+                record_outage(
+                    harness,
+                    OutagePlace::StoreLink(router),
+                    from,
+                    Instant::now(),
+                );
+            }
             harness.routers()[router].record_disturbance(false);
             Ok(())
         }
         Fault::StoreLinkSilent => {
+            let from = Instant::now();
             stall_link(harness, &harness.store_links[router]);
+            let place = OutagePlace::StoreLink(router);
+            record_outage(harness, place, from, from + LONGEST_STORE_CALL);
             Ok(())
         }
         Fault::StoreForgets => {
@@ -273,10 +315,56 @@
             harness.write_config(vec![format!("key-{}", rng.next_u32())]);
             Ok(())
         }
+        Fault::DomainEmptied => {
+            let domain = DOMAINS.choose(rng).expect("there are failure domains");
+            if harness.empty_domain(domain) {
+                let time = Duration::from_millis(rng.random_range(EMPTIED_MS));
+                tokio::time::sleep(time).await;
+                harness.take_domain_back(domain);
+            }
+            Ok(())
+        }
+        Fault::DomainReturnsCold => return_domain_cold(harness, rng, time).await,
         other => unreachable!("{other} is a fault of a server"),
     }
 }
 
+/// Crashes all servers of a failure domain and starts them again, cold and in a crowd.
+async fn return_domain_cold(
+    harness: &Harness,
+    rng: &mut Pcg64Mcg,
+    time: Duration,
+) -> io::Result<()> {
+    let domain = DOMAINS.choose(rng).expect("there are failure domains");
+    harness.record_disturbance();
+    let mut servers = harness.servers();
+    servers.retain(|server| failure_domain(&server.fake_server.id) == *domain);
+    for server in &servers {
+        server.proxy.take_down().await;
+    }
+    tokio::time::sleep(time).await;
+    harness.set_crowded(true);
+    for server in servers {
+        let id = &server.fake_server.id;
+        // A server that has been marked as leaving meanwhile does not come back.
+        if harness.remove_server(id).is_some() {
+            harness.add_server(id, server.service, true).await?;
+        }
+    }
+    tokio::time::sleep(COLD_TIME).await;
+    harness.set_crowded(false);
+    harness.record_disturbance();
+    Ok(())
+}
+
+fn record_outage(harness: &Harness, place: OutagePlace, from: Instant, until: Instant) {
+    harness.record_link_outage(Outage {
+        place,
+        from,
+        until: Some(until),
+    });
+}
+
 async fn inject_server_fault(
     harness: &Harness,
     fault: Fault,
@@ -298,12 +386,12 @@
             tokio::time::sleep(time).await;
             // The server either restarts under its id or is replaced by a server with a new id.
             if rng.random_bool(0.5) {
-                return harness.add_server(id, server.service).await;
+                return harness.add_server(id, server.service, true).await;
             }
             harness.store.set_server(id, None);
             harness.remove_server(id);
             let other = format!("{}-{}", server.service, rng.next_u32());
-            harness.add_server(&other, server.service).await
+            harness.add_server(&other, server.service, true).await
         }
         Fault::ServerFails => {
             let mut share = || rng.random_range(0.0..0.25);
@@ -321,7 +409,7 @@
         }
         Fault::ServerLeaves => {
             let other = format!("{}-{}", server.service, rng.next_u32());
-            harness.add_server(&other, server.service).await?;
+            harness.add_server(&other, server.service, true).await?;
             if harness.remove_server(id).is_none() {
                 return Ok(());
             }
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -3,7 +3,10 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -25,6 +28,12 @@
 const MIN_ENGINES: usize = 4;
 /// Number of routers for each server of a kind in a large fleet.
 const ROUTERS_PER_SERVER: usize = 3;
+/// Failure domains of the servers.
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Time for which a server is cold after it started during the traffic.
+pub(crate) const COLD_TIME: Duration = Duration::from_secs(3);
+/// Requests per second that a cold server bears; less than the callers send to a server.
+pub(crate) const COLD_REQUESTS_PER_SECOND: f64 = 2.0;
 
 /// A fake server and the proxy through which routers reach it.
 #[derive(Debug)]
@@ -33,6 +42,24 @@
     pub(crate) proxy: FaultyProxy,
     pub(crate) service: &'static str,
     started_ms: u64,
+    /// End of the time for which the server is cold, if its entry says that it is.
+    cold_until: Mutex<Option<Instant>>,
+}
+
+/// A failure domain to whose servers nothing may be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct EmptiedDomain {
+    pub(crate) domain: &'static str,
+    /// When the store acknowledged the order.
+    pub(crate) from: Instant,
+    /// When the order was withdrawn; `None` before that.
+    pub(crate) until: Option<Instant>,
+}
+
+/// Returns the failure domain of a server, by the number at the end of its id.
+pub(crate) fn failure_domain(server: &str) -> &'static str {
+    let number = server.rsplit('-').next().and_then(|text| text.parse().ok());
+    DOMAINS[number.unwrap_or(0_usize) % DOMAINS.len()]
 }
 
 /// A configuration and the time at which the store acknowledged it.
@@ -59,7 +86,12 @@
     written_configs: Mutex<Vec<WrittenConfig>>,
     /// Servers marked as leaving, with the time at which the store acknowledged the mark.
     leaving_since: Mutex<Vec<(String, Instant)>>,
-    /// Outages of links.
+    emptied_domains: Mutex<Vec<EmptiedDomain>>,
+    /// Servers that started cold, with the time of their registration.
+    cold_since: Mutex<Vec<(String, Instant)>>,
+    /// Whether callers send many more requests than usual.
+    pub(crate) is_crowded: AtomicBool,
+    /// Outages of the store and of links.
     link_outages: Mutex<Vec<Outage>>,
     /// Times at which the store or a link was disturbed, in order.
     disturbances: Mutex<Vec<Instant>>,
@@ -103,6 +135,9 @@
             servers: Mutex::default(),
             written_configs: Mutex::default(),
             leaving_since: Mutex::default(),
+            emptied_domains: Mutex::default(),
+            cold_since: Mutex::default(),
+            is_crowded: AtomicBool::new(false),
             link_outages: Mutex::default(),
             disturbances: Mutex::new(vec![Instant::now()]),
         });
@@ -116,7 +151,7 @@
                 "engines"
             };
             harness
-                .add_server(&format!("{service}-{index}"), service)
+                .add_server(&format!("{service}-{index}"), service, false)
                 .await?;
         }
         for router in harness.routers().iter_mut() {
@@ -137,8 +172,13 @@
         self.caller_links[router].address()
     }
 
-    /// Starts a server and registers it; it replaces a server of the same id.
-    pub(crate) async fn add_server(&self, id: &str, service: &'static str) -> io::Result<()> {
+    /// Starts a server, cold or not, and registers it; it replaces a server of the same id.
+    pub(crate) async fn add_server(
+        &self,
+        id: &str,
+        service: &'static str,
+        is_cold: bool,
+    ) -> io::Result<()> {
         let fake_server = FakeServer::start(id, &self.execution_log).await?;
         let proxy = FaultyProxy::start(fake_server.address())?;
         let now = SystemTime::now()
@@ -149,9 +189,13 @@
             proxy,
             service,
             started_ms: now.as_millis() as u64,
+            cold_until: Mutex::new(is_cold.then(|| Instant::now() + COLD_TIME)),
         });
-        self.register(&server, false);
         let mut servers = lock(&self.servers);
+        if is_cold {
+            lock(&self.cold_since).push((id.to_owned(), Instant::now()));
+        }
+        self.register(&server, false);
         servers.retain(|known| known.fake_server.id != id);
         servers.push(server);
         Ok(())
@@ -159,17 +203,68 @@
 
     /// Writes a server's registration entry to the store.
     fn register(&self, server: &SoakServer, is_leaving: bool) {
+        let cold_until = *lock(&server.cold_until);
         let entry = ServerEntry {
             service: server.service.to_owned(),
             address: server.proxy.address(),
-            failure_domain: "a".to_owned(),
+            failure_domain: failure_domain(&server.fake_server.id).to_owned(),
             is_leaving,
             started_ms: server.started_ms,
-            cold_for: Duration::ZERO,
+            cold_for: cold_until.map_or(Duration::ZERO, |until| until - Instant::now()),
         };
         self.store.set_server(&server.fake_server.id, Some(&entry));
     }
 
+    /// Writes the entries of servers that are no longer cold.
+    pub(crate) fn update_warm_servers(&self) {
+        for server in lock(&self.servers).iter() {
+            let is_over = |until: &mut Instant| *until <= Instant::now();
+            if lock(&server.cold_until).take_if(is_over).is_some() {
+                self.register(server, false);
+            }
+        }
+    }
+
+    /// Orders that nothing be sent to the servers of a failure domain, unless this is ordered already.
+    pub(crate) fn empty_domain(&self, domain: &'static str) -> bool {
+        let mut emptied = lock(&self.emptied_domains);
+        if emptied
+            .iter()
+            .any(|order| order.domain == domain && order.until.is_none())
+        {
+            return false;
+        }
+        self.store.set_emptied(domain, true);
+        emptied.push(EmptiedDomain {
+            domain,
+            from: Instant::now(),
+            until: None,
+        });
+        true
+    }
+
+    /// Withdraws the order to empty a failure domain.
+    pub(crate) fn take_domain_back(&self, domain: &str) {
+        let mut emptied = lock(&self.emptied_domains);
+        let order = emptied.iter_mut().rfind(|order| order.domain == domain);
+        if let Some(order) = order {
+            order.until = Some(Instant::now());
+        }
+        self.store.set_emptied(domain, false);
+    }
+
+    pub(crate) fn emptied_domains(&self) -> Vec<EmptiedDomain> {
+        lock(&self.emptied_domains).clone()
+    }
+
+    pub(crate) fn cold_since(&self) -> Vec<(String, Instant)> {
+        lock(&self.cold_since).clone()
+    }
+
+    pub(crate) fn set_crowded(&self, is_crowded: bool) {
+        self.is_crowded.store(is_crowded, Ordering::Relaxed);
+    }
+
     /// Removes a server from the list of servers that faults are injected into.
     pub(crate) fn remove_server(&self, id: &str) -> Option<Arc<SoakServer>> {
         let mut servers = lock(&self.servers);
@@ -189,7 +284,7 @@
             version,
             keys,
             marker_prefix: format!("/mark-{version}/"),
-            cold_start: None,
+            cold_start: Some((COLD_REQUESTS_PER_SECOND, COLD_TIME)),
         };
         self.store.set_config(&config);
         written_configs.push(WrittenConfig {
@@ -211,7 +306,7 @@
         lock(&self.link_outages).push(outage);
     }
 
-    /// Returns the outages of links and the pauses of routers.
+    /// Returns the outages of the store and of links, and the pauses and absences of routers.
     pub(crate) fn outages(&self) -> Vec<Outage> {
         let mut outages = lock(&self.link_outages).clone();
         for router in self.routers().iter() {
@@ -221,6 +316,12 @@
                 until: Some(*until),
             });
             outages.extend(pauses);
+            let absences = router.absences().iter().map(|(from, until)| Outage {
+                place: OutagePlace::RouterProcess(router.index),
+                from: *from,
+                until: Some(*until),
+            });
+            outages.extend(absences);
         }
         outages
     }
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -11,23 +11,38 @@
 
 use crate::{
     callers::{Attempt, AttemptResult, Kind, ReceivedResponse, events},
-    harness::Harness,
+    fault_log::time_of_day,
+    harness::{COLD_REQUESTS_PER_SECOND, COLD_TIME, Harness, failure_domain},
 };
 
 /// Time in which a server's work must end after its caller has disconnected.
 const CANCEL_TIME: Duration = Duration::from_millis(1_500);
 /// Time after which a server marked as leaving must receive no requests.
 const LEAVING_PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which an order to empty a failure domain must be in force.
+const ORDER_PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
+/// Interval at which it is checked whether a router was informed.
+const INFORMED_STEP: Duration = Duration::from_millis(20);
+/// Requests that a cold server may get in a second: a multiple of what it bears, and some more.
+const COLD_OVERRUN: f64 = 1.5;
+const COLD_SLACK: f64 = 5.0;
+const SECOND: Duration = Duration::from_secs(1);
 /// Time without disturbance after which the time limits of a router are checked.
 const UNDISTURBED_TIME: Duration = Duration::from_secs(3);
 
-/// Where an outage holds back the disconnects of callers.
+/// Where an outage holds back disconnects of callers or changes in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OutagePlace {
     /// A router or its link to the callers.
     Router(usize),
     /// The link of the server with this id.
     Server(String),
+    /// The store, for all routers.
+    Store,
+    /// The link between a router and the store.
+    StoreLink(usize),
+    /// The process of a router, which was stopping or absent.
+    RouterProcess(usize),
 }
 
 /// A time in which a router or a link passed nothing on.
@@ -80,6 +95,135 @@
     violations
 }
 
+/// Returns whether a router could learn of changes in the store at `moment`, by itself or from another router.
+fn is_informed(outages: &[Outage], router: usize, routers: usize, moment: Instant) -> bool {
+    let is_out = |place: &OutagePlace| {
+        outages.iter().any(|outage| {
+            outage.place == *place
+                && outage.from <= moment
+                && outage.until.is_some_and(|until| moment <= until)
+        })
+    };
+    let can_talk = |router| {
+        !is_out(&OutagePlace::Router(router)) && !is_out(&OutagePlace::RouterProcess(router))
+    };
+    let can_read = |router| can_talk(router) && !is_out(&OutagePlace::StoreLink(router));
+    !is_out(&OutagePlace::Store)
+        && !is_out(&OutagePlace::Router(router))
+        && (0..routers).any(can_read)
+}
+
+/// Returns whether a router has to know a change that the store acknowledged at `changed`, at `moment`.
+///
+/// A router that was informed for long enough knows it; one that starts after that learns it before it serves.
+#[must_use]
+pub fn has_to_know(
+    outages: &[Outage],
+    router: usize,
+    routers: usize,
+    changed: Instant,
+    moment: Instant,
+) -> bool {
+    let mut informed_since = None;
+    let mut time = changed;
+    while time <= moment {
+        if is_informed(outages, router, routers, time) {
+            let since = *informed_since.get_or_insert(time);
+            if time > since + ORDER_PROPAGATION_LIMIT {
+                return true;
+            }
+        } else {
+            informed_since = None;
+        }
+        time += INFORMED_STEP;
+    }
+    false
+}
+
+/// Checks that routers that had to know of an emptied failure domain sent nothing to its servers.
+pub(crate) fn check_emptied(
+    harness: &Harness,
+    attempts: &[Attempt],
+    execution_log: &[(String, Vec<Execution>)],
+) -> Vec<String> {
+    let senders: HashMap<&str, usize> = attempts
+        .iter()
+        .map(|attempt| (attempt.id.as_str(), attempt.router))
+        .collect();
+    let outages = harness.outages();
+    let orders = harness.emptied_domains();
+    let routers = harness.caller_links.len();
+    let mut violations = Vec::new();
+    for (id, executions) in execution_log {
+        let Some(router) = senders.get(id.as_str()) else {
+            continue;
+        };
+        for execution in executions {
+            let Execution {
+                server, started, ..
+            } = execution;
+            let order = orders.iter().find(|order| {
+                order.domain == failure_domain(server)
+                    && *started > order.from + ORDER_PROPAGATION_LIMIT
+                    && order.until.is_none_or(|until| *started < until)
+            });
+            if let Some(order) = order
+                && has_to_know(&outages, *router, routers, order.from, *started)
+            {
+                violations.push(format!(
+                    "request={id} router={router} server={server} promise=emptied-gets-nothing ordered={} started={}",
+                    time_of_day(order.from),
+                    time_of_day(*started),
+                ));
+            }
+        }
+    }
+    violations
+}
+
+/// Checks that no cold server got more requests in any second than it bears, from all routers together.
+pub(crate) fn check_cold(harness: &Harness) -> Vec<String> {
+    let outages = harness.outages();
+    let mut violations = Vec::new();
+    let cold_since = harness.cold_since();
+    for (server, since) in &cold_since {
+        // A server that crashes again is another one after that.
+        let restarts = cold_since
+            .iter()
+            .filter(|(id, at)| id == server && at > since);
+        let restart = restarts.map(|(_, at)| *at).min();
+        let until = restart.map_or(*since + COLD_TIME, |at| at.min(*since + COLD_TIME));
+        // Requests that a link held back arrive together.
+        let is_held_back = |from: Instant| {
+            outages.iter().any(|outage| {
+                outage.place == OutagePlace::Server(server.clone())
+                    && outage.from <= from + SECOND
+                    && outage.until.is_some_and(|until| from <= until + SECOND)
+            })
+        };
+        let mut arrivals = harness.execution_log.arrivals(server);
+        arrivals.retain(|at| (*since..until).contains(at));
+        let most = (0..arrivals.len())
+            .filter(|first| !is_held_back(arrivals[*first]))
+            .map(|first| {
+                let second = arrivals[first..].iter();
+                let count = second.take_while(|at| **at < arrivals[first] + SECOND);
+                (count.count(), arrivals[first])
+            })
+            .max();
+        if let Some((count, from)) = most
+            && count as f64 > COLD_REQUESTS_PER_SECOND * COLD_OVERRUN + COLD_SLACK
+        {
+            violations.push(format!(
+                "server={server} promise=cold-gets-few requests={count} registered={} second_from={}",
+                time_of_day(*since),
+                time_of_day(from),
+            ));
+        }
+    }
+    violations
+}
+
 /// Checks all attempts against the servers' executions; returns one line for each violation.
 pub(crate) fn check(
     attempts: &[Attempt],
@@ -159,6 +303,9 @@
         let (is_on_path, started) = match &outage.place {
             OutagePlace::Router(router) => (*router == attempt.router, attempt.sent),
             OutagePlace::Server(server) => (*server == execution.server, execution.started),
+            OutagePlace::Store | OutagePlace::StoreLink(_) | OutagePlace::RouterProcess(_) => {
+                continue;
+            }
         };
         if !is_on_path || outage.from > attempt.ended + CANCEL_TIME {
             continue;
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -42,6 +42,10 @@
     stops: Vec<Instant>,
     /// Starts and ends of its pauses, in order.
     pauses: Vec<(Instant, Instant)>,
+    /// When the process was last asked to stop or killed, if it was not started since.
+    absent_since: Option<Instant>,
+    /// Times between the requested end of a process and the start of the next one, in order.
+    absences: Vec<(Instant, Instant)>,
 }
 
 /// Returns whether there was no disturbance within `time` before `moment`.
@@ -78,7 +82,7 @@
              datagram_port = 7340\nmetrics_port = 7341\n\
              seeds = [\"{first}:{FLEET_STATE_PORT}\"]\nstore_address = \"{store}\"\n\
              stop_grace_s = {grace_s}\nleaving_known_ms = 2000\n\
-             config_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n",
+             config_known_ms = 2000\nevacuation_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n",
             first = self::ip(0),
             grace_s = STOP_GRACE.as_secs(),
         );
@@ -96,6 +100,8 @@
             unplanned: vec![Instant::now()],
             stops: Vec::new(),
             pauses: Vec::new(),
+            absent_since: None,
+            absences: Vec::new(),
         })
     }
 
@@ -120,12 +126,18 @@
         self.child = Some(child);
         self.is_stopping = false;
         self.end_pause();
+        if let Some(since) = self.absent_since.take() {
+            self.absences.push((since, Instant::now()));
+        }
         self.record_disturbance(is_planned);
         Ok(())
     }
 
     pub(crate) fn signal(&mut self, signal: Signal) {
         self.record_disturbance(matches!(signal, Signal::SIGTERM | Signal::SIGHUP));
+        if matches!(signal, Signal::SIGTERM | Signal::SIGKILL) {
+            self.absent_since.get_or_insert_with(Instant::now);
+        }
         match signal {
             Signal::SIGSTOP if self.child.is_some() => {
                 self.paused_since.get_or_insert_with(Instant::now);
@@ -211,6 +223,11 @@
         &self.pauses
     }
 
+    /// Returns the times for which there was no process, with those for which it was stopping.
+    pub(crate) fn absences(&self) -> &[(Instant, Instant)] {
+        &self.absences
+    }
+
     /// Returns the times at which the router was disturbed without a plan.
     pub(crate) fn unplanned(&self) -> &[Instant] {
         &self.unplanned
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -135,6 +135,8 @@
     let execution_log = harness.execution_log.all();
     violations.extend(invariants::check(&all, &execution_log, &harness.outages()));
     violations.extend(invariants::check_leaving(&harness, &all, &execution_log));
+    violations.extend(invariants::check_emptied(&harness, &all, &execution_log));
+    violations.extend(invariants::check_cold(&harness));
     violations.extend(planned_stops::check(&harness, &all, &execution_log));
     let served = all.iter().filter(|attempt| {
         matches!(&attempt.result, AttemptResult::Complete(response) if response.status == 200)
@@ -185,6 +187,7 @@
     let mut checked_versions = vec![0; harness.caller_links.len()];
     while !attempts.is_over.load(Ordering::Relaxed) {
         tokio::time::sleep(POLL_INTERVAL).await;
+        harness.update_warm_servers();
         for (router, checked_version) in checked_versions.iter_mut().enumerate() {
             violations.extend(check_process(&harness, router));
             let (was_probed, violation) =
