--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -151,6 +151,9 @@
             return;
         }
         let routes = config.routes.len();
+        if self.shared.config_version() < Some(version) {
+            cold_servers::log_ignored_rates(&config);
+        }
         if self.shared.activate_config(config) {
             info!(event = "config-in-force", version, routes, %source);
         }
