--- a/bulrushward_directd/tests/emptied_domains.rs
+++ b/bulrushward_directd/tests/emptied_domains.rs
@@ -32,6 +32,7 @@
         version: 1,
         keys: vec!["key".to_owned()],
         marker_prefix: "/mark/".to_owned(),
+        cold_start: None,
     });
     let server = FakeServer::start("plain-1", &executions)
         .await
@@ -42,6 +43,7 @@
         failure_domain: "b".to_owned(),
         is_leaving: false,
         started_ms: 1,
+        cold_for: Duration::ZERO,
     };
     store.set_server("plain-1", Some(&entry));
     store.set_emptied("b", true);
