--- a/bulrushward_directd/tests/paused.rs
+++ b/bulrushward_directd/tests/paused.rs
@@ -100,6 +100,7 @@
         version: 1,
         keys: vec!["key".to_owned()],
         marker_prefix: "/mark/".to_owned(),
+        cold_start: None,
     });
     let mut servers = Vec::new();
     for id in ["engines-1", "engines-2"] {
@@ -111,6 +112,7 @@
             address: server.address(),
             is_leaving: false,
             started_ms: 1,
+            cold_for: Duration::ZERO,
         };
         store.set_server(id, Some(&entry));
         servers.push(server);
