--- a/bulrushward_directd/tests/paused.rs
+++ b/bulrushward_directd/tests/paused.rs
@@ -1,25 +1,15 @@
 //! Tests of a router process that is paused while its servers go on.
 
-use std::{
-    fs,
-    net::SocketAddr,
-    process::{Child, Command, Stdio},
-    time::{Duration, Instant},
-};
+mod support;
+
+use std::time::{Duration, Instant};
 
 use bulrushward_platform_stand_in::{
-    CallerRequest, ExecutionLog, FakeServer, FakeStore, ServerEntry, TestConfig, event_count,
-};
-use nix::{
-    sys::signal::{Signal, kill},
-    unistd::Pid,
-};
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    task::JoinSet,
-    time::sleep,
+    ExecutionLog, FakeServer, FakeStore, ServerEntry, TestConfig, event_count,
 };
+use nix::sys::signal::Signal;
+use support::{Router, send};
+use tokio::{task::JoinSet, time::sleep};
 
 /// Longer than the time for which a server may be silent, and shorter than the streams.
 const PAUSE: Duration = Duration::from_millis(1_500);
@@ -27,70 +17,6 @@
 const STREAMS: usize = 8;
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A router process that is killed at the end of its test.
-struct Router {
-    child: Child,
-    callers: SocketAddr,
-}
-
-impl Router {
-    fn start(store: SocketAddr) -> Self {
-        let [_, a, b, c] = std::process::id().to_be_bytes();
-        let ip = format!("127.{a}.{b}.{c}");
-        let settings = format!(
-            "node = \"n\"\nfailure_domain = \"a\"\ncallers_address = \"{ip}:8227\"\n\
-             readiness_address = \"{ip}:8220\"\nknowledge_address = \"{ip}:8229\"\n\
-             datagram_port = 7340\nmetrics_port = 7341\nstore_address = \"{store}\"\n\
-             stop_grace_s = 8\nleaving_known_ms = 2000\nconfig_known_ms = 2000\n\
-             repeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n"
-        );
-        let path = std::env::temp_dir().join(format!("directd-{}-paused", std::process::id()));
-        fs::write(&path, settings).expect("the settings can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_bulrushward-directd"))
-            .arg("--settings")
-            .arg(path)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
-        let callers = format!("{ip}:8227").parse().expect("the address is valid");
-        Self { child, callers }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id().cast_signed());
-        kill(pid, signal).expect("the daemon is running");
-    }
-}
-
-impl Drop for Router {
-    fn drop(&mut self) {
-        let _killed = self.child.kill();
-        let _status = self.child.wait();
-    }
-}
-
-/// Sends a request on a connection of its own and returns the response; it is empty if the router does not listen.
-async fn send(router: SocketAddr, path: &str, id: &str) -> String {
-    let Ok(mut stream) = TcpStream::connect(router).await else {
-        return String::new();
-    };
-    let request = CallerRequest {
-        id: id.to_owned(),
-        path: path.to_owned(),
-        key: "key".to_owned(),
-        timeout_ms: 8_000,
-        session: None,
-    };
-    stream
-        .write_all(request.text().as_bytes())
-        .await
-        .expect("the request can be sent");
-    let mut response = String::new();
-    // A response that ends early is noticed by its missing events.
-    let _end = stream.read_to_string(&mut response).await;
-    response
-}
-
 // Guards against taking servers for silent because timers fire before the sockets are read after a pause.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_paused_router_reads_what_has_arrived_before_it_leaves_its_servers() {
