Bound what servers, the store and peers may send without end

Callers saw: a router whose servers send bodies without end took up to 8 MB for each of them, and one that was sent endless interim responses or digits of a chunk's size answered nobody in time.

Cause: each body was bounded by itself only, chunks of one byte took 32 bytes and more each while a body was collected, and nothing bounded bytes that are no content: hyper parses interim responses and leading zeros of a chunk's size for as long as they come, on the only traffic thread.

Change: BoundedStream fails a connection that has sent more than its content allows (ReceiveAllowance); incomplete bodies and events share 32 MB beyond 64 KB for each (BufferBudget); bodies are collected into one buffer; the search for the end of an event begins where it had ended. Calls to the store and to peers are bounded in the same way.

Streams that never wait for their servers are held back (StreamPace): 1,024 chunks at once and 400 in each second beyond that, read in batches and passed on together.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 
 use crate::{
+    buffered_body::{self, BodyError},
     connection::{self, ConnectError, Connection},
     handover::SilenceWatch,
     ports::{ForwardingMetadata, ResponseMetadata},
@@ -22,7 +23,7 @@
 use bulrushward_net::with_causes;
 use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
@@ -102,7 +103,7 @@
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
     let head = send_head(shared, request, choice, last_event_id, silence).await?;
-    read_response(request, head, silence).await
+    read_response(shared, request, head, silence).await
 }
 
 /// Response head of a server; the body is not read yet.
@@ -216,6 +217,7 @@
     progress: &InProgress,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<(Response<Incoming>, Connection), AttemptError> {
+    connection.stream.allowance().begin();
     let received = {
         let mut response = pin!(connection.sender.try_send_request(req));
         loop {
@@ -285,6 +287,7 @@
 ///
 /// Returns [`AttemptError`] if there is no response that may be passed on as a success.
 pub(crate) async fn read_response(
+    shared: &Shared,
     request: &RoutedRequest,
     received: ReceivedHead,
     silence: &mut SilenceWatch<'_>,
@@ -298,6 +301,7 @@
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
     remove_hop_by_hop_headers(&mut headers);
+    connection.stream.allowance().begin();
     if request.is_stream() && head.status.is_success() {
         let stream = ServerStream::new(
             body,
@@ -305,16 +309,24 @@
             connection,
             metadata.keep_alive_timeout,
             request.deadline,
+            shared.buffers.reservation(),
         );
         return read_first_events(request, head.status, headers, stream, silence).await;
     }
-    let limited = Limited::new(body, MAX_BUFFERED_BYTES);
-    let collected = match read_timeout::until(request.deadline, limited.collect()).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) => Err(AttemptError::new(
+    let mut reservation = shared.buffers.reservation();
+    let collected = buffered_body::collect(
+        body,
+        MAX_BUFFERED_BYTES,
+        |bytes| reservation.resize(bytes),
+        |bytes| connection.stream.allowance().record_content(bytes),
+    );
+    let collected = match read_timeout::until(request.deadline, collected).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(BodyError::Broken { source })) => Err(AttemptError::new(
             AttemptFailure::Broken,
-            &with_causes(&*error),
+            &with_causes(&source),
         )),
+        Some(Err(error)) => Err(AttemptError::new(AttemptFailure::Broken, &error)),
         None => Err(AttemptError::new(
             AttemptFailure::Silent,
             &"the response body is incomplete",
--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -5,7 +5,7 @@
 use std::{io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, StatusCode,
     header::{CONTENT_TYPE, HOST, HeaderValue},
@@ -15,8 +15,12 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
+use crate::{bounded_stream::BoundedStream, buffered_body};
+
 /// Largest response that is read, in bytes: a base64-encoded configuration of a megabyte, or a page of entries.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Largest read buffer, in bytes, which bounds the head of a response too.
+const MAX_BUFFER: usize = 64 << 10;
 
 /// Reason why a call failed.
 #[derive(Debug, Snafu)]
@@ -128,7 +132,10 @@
         .await
         .map_err(|error| connect_error(&error))?;
     enable_keepalive(&stream, KEEPALIVE_INTERVAL).map_err(|error| connect_error(&error))?;
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+    let (stream, handle) = BoundedStream::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(MAX_BUFFER)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| connect_error(&error))?;
     let mut req = req.map_err(|error| response_error(&error))?;
@@ -141,11 +148,16 @@
             .await
             .map_err(|error| response_error(&error))?;
         let status = res.status();
-        let body = Limited::new(res.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|error| response_error(&error))?;
-        Ok((status, body.to_bytes()))
+        handle.allowance().begin();
+        let record_chunk = |len| handle.allowance().record_content(len);
+        let body = buffered_body::collect(
+            res.into_body(),
+            MAX_RESPONSE_BYTES,
+            |_bytes| true,
+            record_chunk,
+        );
+        let body = body.await.map_err(|error| response_error(&error))?;
+        Ok((status, body))
     };
     let mut exchange = std::pin::pin!(exchange);
     tokio::select! {
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -16,7 +16,11 @@
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::{call::enable_keepalive, servers::Server};
+use crate::{
+    bounded_stream::{BoundedStream, BoundedStreamHandle},
+    call::enable_keepalive,
+    servers::Server,
+};
 
 /// Time limit for opening a connection; TCP resends a lost SYN only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -38,6 +42,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    pub(crate) stream: BoundedStreamHandle,
     _permit: ConnectionPermit,
     /// Whether it has carried a request before.
     pub(crate) is_reused: bool,
@@ -177,6 +182,7 @@
     let stream = TcpStream::connect(server.record.address).await?;
     stream.set_nodelay(true)?;
     enable_keepalive(&stream, PROBE_INTERVAL)?;
+    let (stream, handle) = BoundedStream::new(stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MIN_BUFFER * 8)
         .handshake(TokioIo::new(stream))
@@ -189,6 +195,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        stream: handle,
         _permit: permit,
         is_reused: false,
     })
--- a/bulrushward_direct/src/events.rs
+++ b/bulrushward_direct/src/events.rs
@@ -5,6 +5,9 @@
 /// Largest event that is buffered until it is complete, in bytes; a larger one breaks the stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Longest boundary between two events, in bytes.
+const BOUNDARY_BYTES: usize = 4;
+
 /// Error of an event that is larger than a router buffers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EventTooLarge;
@@ -23,8 +26,11 @@
     ///
     /// Returns [`EventTooLarge`] if an incomplete event exceeds the buffer limit.
     pub fn push(&mut self, chunk: &[u8]) -> Result<Bytes, EventTooLarge> {
+        // The bytes before have been searched, except for an event boundary that they begin.
+        let from = self.buf.len().saturating_sub(BOUNDARY_BYTES - 1);
         self.buf.extend_from_slice(chunk);
-        let Some(end) = end_of_last_event(&self.buf) else {
+        let end = end_of_last_event(&self.buf[from..]);
+        let Some(end) = end.map(|end| from + end) else {
             return if self.buf.len() > MAX_EVENT_BYTES {
                 Err(EventTooLarge)
             } else {
@@ -44,6 +50,12 @@
         !self.buf.is_empty()
     }
 
+    /// Returns the memory that an incomplete event takes, in bytes.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Returns the id of the last complete event that had one.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -4,6 +4,8 @@
 //! registered servers. All routing decisions are made in this crate and in `bulrushward_policy`.
 
 mod attempt;
+mod bounded_stream;
+mod buffered_body;
 pub mod call;
 mod connection;
 mod events;
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -253,7 +253,7 @@
                     self.source.close();
                     *is_source_open = false;
                 }
-                attempt::read_response(request, head, &mut silence).await
+                attempt::read_response(shared, request, head, &mut silence).await
             }
             Err(error) => Err(error),
         };
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -3,17 +3,13 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{
-    Request, StatusCode,
-    body::{Body, Incoming},
-    header::HOST,
-};
+use hyper::{Request, StatusCode, body::Incoming, header::HOST};
 use tokio::time::{Instant as TokioInstant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     attempt::remove_hop_by_hop_headers,
+    buffered_body::{self, BodyError},
     local_response::{LocalResponse, Reason},
     model::Organisation,
     ports::RequestMetadata,
@@ -130,17 +126,13 @@
 ) -> Result<Bytes, LocalResponse> {
     let too_large =
         LocalResponse::client_error(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge);
-    if body.size_hint().lower() > limit as u64 {
-        // The declared length is too large, so the body need not be read.
-        return Err(too_large);
-    }
     let collected = timeout_at(
         TokioInstant::from_std(deadline),
-        Limited::new(body, limit).collect(),
+        buffered_body::collect(body, limit, |_bytes| true, |_len| {}),
     );
     match collected.await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(too_large),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge { .. })) => Err(too_large),
         Ok(Err(_aborted)) => Err(LocalResponse::client_error(
             StatusCode::BAD_REQUEST,
             Reason::BodyCut,
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -3,13 +3,18 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_net::with_causes;
-use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
-use bytes::Bytes;
+use bulrushward_policy::{
+    server_attempt::AttemptFailure, server_health::ServerHealth, stream_pace::StreamPace,
+};
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     attempt::AttemptError,
+    bounded_stream::BoundedStreamHandle,
+    buffered_body::Reservation,
     connection::{self, CloseTimer, Connection},
     events::EventSplitter,
     read_timeout,
@@ -18,6 +23,8 @@
 
 /// Time after a request's deadline at which its stream is closed even if the caller does not read it.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
+/// Time for further events to arrive that are passed on together.
+const GATHER_TIME: Duration = Duration::from_millis(5);
 
 /// A server's stream after the response head; closes the connection if dropped before the end of the stream.
 #[derive(Debug)]
@@ -26,6 +33,14 @@
     pub(crate) splitter: EventSplitter,
     pub(crate) progress: InProgress,
     connection: Option<Connection>,
+    handle: BoundedStreamHandle,
+    /// Memory of the incomplete event.
+    reservation: Reservation,
+    pace: StreamPace,
+    /// Events that are passed on together, as the stream is held back.
+    gathered: BytesMut,
+    /// End of the stream that follows the gathered events.
+    end: Option<Result<StreamItem, AttemptError>>,
     /// Keeps a caller that does not read its stream from occupying the server forever.
     close_timer: Option<CloseTimer>,
     keep_alive_timeout: Option<Duration>,
@@ -51,13 +66,19 @@
         connection: Connection,
         keep_alive_timeout: Option<Duration>,
         deadline: Instant,
+        reservation: Reservation,
     ) -> Self {
         Self {
             body,
             splitter: EventSplitter::default(),
             progress,
             close_timer: Some(CloseTimer::new(&connection, deadline + CLOSE_GRACE)),
+            handle: connection.stream.clone(),
             connection: Some(connection),
+            reservation,
+            pace: StreamPace::new(Instant::now()),
+            gathered: BytesMut::new(),
+            end: None,
             keep_alive_timeout,
             is_complete: false,
         }
@@ -69,34 +90,81 @@
     ///
     /// Returns [`AttemptError`] if the stream broke, or if no event was complete by `until`.
     pub(crate) async fn next(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
+        if let Some(end) = self.end.take() {
+            return end;
+        }
         if self.is_complete {
             return Ok(StreamItem::End);
         }
         loop {
-            let frame = read_timeout::until(until, self.body.frame()).await;
-            let chunk = match frame {
-                None => {
-                    return Err(AttemptError::new(
-                        AttemptFailure::Silent,
-                        &"no event in time",
-                    ));
-                }
-                Some(Some(Err(error))) => {
-                    return Err(AttemptError::new(
-                        AttemptFailure::Broken,
-                        &with_causes(&error),
-                    ));
-                }
-                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Some(None) => return self.finish(),
+            let wait = self.pace.wait(Instant::now());
+            if !self.gathered.is_empty() && !wait.is_zero() {
+                return Ok(StreamItem::Events(self.gathered.split().freeze()));
+            }
+            let item = match self.read_frame(wait, until).await {
+                None if self.gathered.is_empty() => Err(AttemptError::new(
+                    AttemptFailure::Silent,
+                    &"no event in time",
+                )),
+                None => return Ok(StreamItem::Events(self.gathered.split().freeze())),
+                Some(Some(Err(error))) => Err(AttemptError::new(
+                    AttemptFailure::Broken,
+                    &with_causes(&error),
+                )),
+                Some(Some(Ok(frame))) => match self.push(&frame.into_data().unwrap_or_default()) {
+                    Ok(events) if events.is_empty() => continue,
+                    Ok(events) if self.pace.is_held_back() => {
+                        self.gathered.extend_from_slice(&events);
+                        continue;
+                    }
+                    Ok(events) => Ok(StreamItem::Events(events)),
+                    Err(error) => Err(error),
+                },
+                Some(None) => self.finish(),
             };
-            let events = self.splitter.push(&chunk).map_err(|_too_large| {
-                AttemptError::new(AttemptFailure::Broken, &"an event is too large")
-            })?;
-            if !events.is_empty() {
-                return Ok(StreamItem::Events(events));
+            if self.gathered.is_empty() {
+                return item;
+            }
+            self.end = Some(item);
+            return Ok(StreamItem::Events(self.gathered.split().freeze()));
+        }
+    }
+
+    /// Reads the next frame after `wait`; returns `None` if there is none in time.
+    async fn read_frame(
+        &mut self,
+        wait: Duration,
+        until: Instant,
+    ) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if !self.gathered.is_empty() {
+            return timeout(GATHER_TIME, self.body.frame()).await.ok();
+        }
+        let frame = async {
+            if !wait.is_zero() {
+                sleep(wait).await;
             }
+            self.body.frame().await
+        };
+        read_timeout::until(until, frame).await
+    }
+
+    /// Returns the events that a chunk completes.
+    fn push(&mut self, chunk: &[u8]) -> Result<Bytes, AttemptError> {
+        self.pace.record_chunk(Instant::now());
+        self.handle.allowance().record_content(chunk.len());
+        let events = self.splitter.push(chunk).map_err(|_too_large| {
+            AttemptError::new(AttemptFailure::Broken, &"an event is too large")
+        })?;
+        if !self.reservation.resize(self.splitter.capacity()) {
+            return Err(AttemptError::new(
+                AttemptFailure::Broken,
+                &"no memory for incomplete responses",
+            ));
+        }
+        if !events.is_empty() {
+            self.handle.allowance().record_event();
         }
+        Ok(events)
     }
 
     /// Closes the connection, so that the server stops its work.
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -24,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    buffered_body::SharedBuffers,
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
@@ -76,6 +77,7 @@
     quarantine: Mutex<Quarantine>,
     replaced_servers: Mutex<ReplacedServers>,
     pub(crate) overload: OverloadControl,
+    pub(crate) buffers: SharedBuffers,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -108,6 +110,7 @@
             )),
             replaced_servers: Mutex::default(),
             overload: OverloadControl::default(),
+            buffers: SharedBuffers::default(),
             metrics: DirectMetrics::new(),
         })
     }
