Send no request on a connection where a copy of an earlier response may be taken for its own

Callers saw: a server that sends a copy of a response late gave it to the next request on the connection as its response (200) if that request had no id, or the id of the earlier one. A request with an id of its own that met a copy which had arrived before it was sent failed with 502, although nothing of it had to be sent there.

Cause: responses are told apart by the id alone, and a connection was taken from the pool without looking at what had arrived on it since.

Change: a connection with unread bytes is not used again (BoundedStreamHandle::is_quiet); a request without an id, or with one of the latest 32 ids that a connection carried, gets another connection. An idle one makes room for it.

Shown by: bulrushward_direct/tests/stale_responses.rs; its three cases fail on the code before (200 "a copy" twice, 502).

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -195,7 +195,7 @@
 ) -> Result<Connection, AttemptError> {
     let limit = request.service.connection_limit;
     let share = shared.connection_share(limit, choice.server.hash);
-    let acquired = connection::acquire(&choice.server, share).await;
+    let acquired = connection::acquire(&choice.server, share, &request.request_id).await;
     let connection = acquired.map_err(|error| {
         let failure = match error {
             ConnectError::LimitReached { .. } => AttemptFailure::Crowded,
--- a/bulrushward_direct/src/bounded_stream.rs
+++ b/bulrushward_direct/src/bounded_stream.rs
@@ -2,8 +2,9 @@
 
 use std::{
     io,
+    mem::MaybeUninit,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     task::{Context, Poll, ready},
 };
 
@@ -20,23 +21,25 @@
 /// A stream that fails once its peer has sent more than its allowance.
 #[derive(Debug)]
 pub(crate) struct BoundedStream {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     allowance: Arc<Mutex<ReceiveAllowance>>,
 }
 
-/// The allowance of a [`BoundedStream`].
+/// The allowance and the socket of a [`BoundedStream`], which it does not keep open.
 #[derive(Clone, Debug)]
 pub(crate) struct BoundedStreamHandle {
+    stream: Weak<TcpStream>,
     allowance: Arc<Mutex<ReceiveAllowance>>,
 }
 
 impl BoundedStream {
     pub(crate) fn new(stream: TcpStream) -> (Self, BoundedStreamHandle) {
         let stream = Self {
-            stream,
+            stream: Arc::new(stream),
             allowance: Arc::default(),
         };
         let handle = BoundedStreamHandle {
+            stream: Arc::downgrade(&stream.stream),
             allowance: Arc::clone(&stream.allowance),
         };
         (stream, handle)
@@ -50,6 +53,15 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns whether the connection is open and nothing has arrived on it that was not read.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else {
+            return false;
+        };
+        let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
 }
 
 impl AsyncRead for BoundedStream {
@@ -110,7 +122,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
 
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers: opened, kept while idle, and closed to cancel their request.
 
 use std::{
+    collections::VecDeque,
     io,
     sync::{
         Arc,
@@ -15,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     bounded_stream::{BoundedStream, BoundedStreamHandle},
@@ -34,6 +36,8 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.5;
 /// Largest number of idle connections that are kept to one server.
 const MAX_IDLE: usize = 16;
+/// Number of requests on a connection whose late responses are told apart from those of later requests.
+const MAX_CARRIED: usize = 32;
 /// Smallest buffer of a connection, in bytes, as required by hyper; connections use eight times as much.
 const MIN_BUFFER: usize = 8 << 10;
 
@@ -46,6 +50,15 @@
     _permit: ConnectionPermit,
     /// Whether it has carried a request before.
     pub(crate) is_reused: bool,
+    /// Hashes of the ids of the latest requests that it has carried, the latest last.
+    carried: VecDeque<u64>,
+}
+
+impl Connection {
+    /// Returns whether the next request may be sent and nothing has arrived that belongs to no request.
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.stream.is_quiet()
+    }
 }
 
 impl Drop for Connection {
@@ -123,14 +136,41 @@
 
 /// Returns an idle connection, or opens a new one within this router's `share`.
 ///
+/// A late response to an earlier request is told by its id, so a request without an id, or with that of an earlier one,
+/// gets a new connection.
+///
 /// # Errors
 ///
 /// Returns [`ConnectError`] if all connections are in use or none can be opened in time.
-pub(crate) async fn acquire(server: &Server, share: u32) -> Result<Connection, ConnectError> {
-    if let Some(connection) = acquire_idle(server) {
-        return Ok(connection);
+pub(crate) async fn acquire(
+    server: &Server,
+    share: u32,
+    request_id: &str,
+) -> Result<Connection, ConnectError> {
+    let id = xxh3_64(request_id.as_bytes());
+    let idle = (!request_id.is_empty())
+        .then(|| acquire_idle(server, id))
+        .flatten();
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => acquire_new(server, share).await?,
+    };
+    if connection.carried.len() >= MAX_CARRIED {
+        connection.carried.pop_front();
     }
-    let permit = ConnectionPermit::acquire(server, share).context(LimitReachedSnafu { share })?;
+    connection.carried.push_back(id);
+    Ok(connection)
+}
+
+async fn acquire_new(server: &Server, share: u32) -> Result<Connection, ConnectError> {
+    let mut permit = ConnectionPermit::acquire(server, share);
+    if permit.is_none() {
+        // An idle connection that does not suit the request makes room for one that does.
+        let idle = server.state().idle.pop();
+        drop(idle);
+        permit = ConnectionPermit::acquire(server, share);
+    }
+    let permit = permit.context(LimitReachedSnafu { share })?;
     match timeout(CONNECT_TIMEOUT, open(server, permit)).await {
         Ok(opened) => opened,
         Err(_elapsed) => Err(io::ErrorKind::TimedOut.into()),
@@ -138,15 +178,15 @@
     .context(UnreachableSnafu)
 }
 
-fn acquire_idle(server: &Server) -> Option<Connection> {
+fn acquire_idle(server: &Server, id: u64) -> Option<Connection> {
     let now = Instant::now();
     let mut state = server.state();
-    while let Some(idle) = state.idle.pop() {
-        if now < idle.usable_until && idle.connection.sender.is_ready() {
-            return Some(idle.connection);
-        }
-    }
-    None
+    state
+        .idle
+        .retain(|idle| now < idle.usable_until && idle.connection.is_usable());
+    let suits = |idle: &IdleConnection| !idle.connection.carried.contains(&id);
+    let index = state.idle.iter().rposition(suits)?;
+    Some(state.idle.remove(index).connection)
 }
 
 /// Keeps a connection whose response is complete for the next request.
@@ -198,5 +238,6 @@
         stream: handle,
         _permit: permit,
         is_reused: false,
+        carried: VecDeque::new(),
     })
 }
--- /dev/null
+++ b/bulrushward_direct/tests/stale_responses.rs
@@ -0,0 +1,81 @@
+//! Tests of servers that send a response again, on a connection that carries the next request by then.
+
+mod support;
+
+use std::time::Duration;
+
+use rstest::rstest;
+use support::{
+    request, router_with_servers,
+    server::{Received, Step, TestServer, ok_response, send_text},
+};
+
+/// Time for which the router is stalled while the second copy arrives.
+const STALL_MS: u64 = 300;
+
+/// Sends a late copy of the response to the first request before the response to each later one on a connection.
+fn late_copy(req: &Received) -> Vec<Step> {
+    let own = ok_response(req, &req.line);
+    if req.earlier == 0 {
+        return vec![own];
+    }
+    vec![
+        send_text("HTTP/1.1 103 Early Hints\r\n\r\n"),
+        ok_response(req, "a copy"),
+        own,
+    ]
+}
+
+// Guards against passing on the late copy of another request's response, which only an id tells apart.
+#[rstest]
+#[case::requests_without_id("Request: same\r\n")]
+#[case::requests_with_the_same_id("")]
+fn a_late_copy_is_no_response_to_the_next_request(#[case] removed: &str) {
+    let server = TestServer::start("s-1", move |req| {
+        let mut steps = late_copy(req);
+        for step in &mut steps {
+            if let Step::Send(bytes) = step {
+                let text = String::from_utf8_lossy(bytes);
+                *bytes = text.replacen("Request: \r\n", "", 1).into_bytes();
+            }
+        }
+        steps
+    });
+    let router = router_with_servers("plain", &[&server]);
+    for number in 0..5 {
+        let sent = request("POST", "action", "same", "")
+            .replacen(removed, "", 1)
+            .replacen("y=1", &format!("y={number}"), 1);
+        let response = router.send(&sent);
+        let own = format!("POST /action/x?y={number} HTTP/1.1");
+        assert_eq!((response.status, response.text()), (200, own));
+    }
+}
+
+// Guards against failing a request because its connection had received bytes that belong to no request before.
+#[test]
+fn a_connection_on_which_a_copy_has_arrived_carries_no_further_request() {
+    let server = TestServer::start("s-1", |req| {
+        vec![
+            ok_response(req, "mine"),
+            Step::Pause(Duration::from_millis(STALL_MS / 3)),
+            ok_response(req, "mine"),
+        ]
+    });
+    let router = router_with_servers("plain", &[&server]);
+    assert_eq!(
+        router.send(&request("POST", "action", "first", "")).status,
+        200
+    );
+    // The copy arrives while the router cannot read it.
+    let stalled = request("POST", "action", "second", "").replacen(
+        "Request:",
+        &format!("Stall-Ms: {STALL_MS}\r\nRequest:"),
+        1,
+    );
+    let response = router.send(&stalled);
+    assert_eq!((response.status, response.text().as_str()), (200, "mine"));
+    let received = server.received();
+    assert_eq!(received.len(), 2);
+    assert_eq!(received[1].earlier, 0, "the connection is a new one");
+}
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -17,6 +17,8 @@
     pub line: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Number of earlier requests on its connection.
+    pub earlier: usize,
 }
 
 impl Received {
@@ -153,7 +155,11 @@
     script: &Script,
 ) {
     let mut reader = BufReader::new(stream);
-    while let Some(req) = read_request(&mut reader) {
+    for earlier in 0.. {
+        let Some(mut req) = read_request(&mut reader) else {
+            return;
+        };
+        req.earlier = earlier;
         requests
             .lock()
             .expect("no test panics while holding the lock")
@@ -214,6 +220,7 @@
         line: line.trim_end().to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
+        earlier: 0,
     };
     loop {
         let mut header = String::new();
