Take comments and empty lines of a stream for no progress

Callers saw: a resumable stream whose server was stalled, but sent a comment or empty lines now and then, was neither resumed at another server nor ended before its deadline, and comments before the first event passed for it, so that the caller got a status 200 for a stream that never began.

Cause: whatever ended with an empty line was a complete event, which began the time of the next one anew. Bytes that are always ready were also read on after that time.

Change: items without a field are comments. They are passed on at once, but an event stays due when it was; before the first event and while another server is asked they are withheld, up to 64 KB.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -377,8 +377,8 @@
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
     let first_events = loop {
-        match stream.next(read_deadline(request)).await {
-            Ok(StreamItem::Events(first_events)) => break first_events,
+        match stream.next_event(read_deadline(request)).await {
+            Ok(StreamItem::Events(events) | StreamItem::Comments(events)) => break events,
             Ok(StreamItem::End) => break Bytes::new(),
             Err(error)
                 if error.failure == AttemptFailure::Silent
--- a/bulrushward_direct/src/events.rs
+++ b/bulrushward_direct/src/events.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// Returns whether complete events hold anything but comments, which servers send to keep connections open.
+pub(crate) fn has_event(events: &[u8]) -> bool {
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 fn end_of_last_event(buf: &[u8]) -> Option<usize> {
     let lf = buf.windows(2).rposition(|pair| pair == b"\n\n");
     let crlf = buf.windows(4).rposition(|four| four == b"\r\n\r\n");
--- a/bulrushward_direct/src/read_timeout.rs
+++ b/bulrushward_direct/src/read_timeout.rs
@@ -10,7 +10,7 @@
 /// Time after a timeout for reading what has arrived before it.
 ///
 /// When a paused process runs again, its timers may fire before its sockets are read.
-const CATCH_UP_TIME: Duration = Duration::from_millis(20);
+pub(crate) const CATCH_UP_TIME: Duration = Duration::from_millis(20);
 
 /// Returns the output of a future that waits for a server; `None` if the server has sent nothing by `deadline`.
 pub(crate) async fn until<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -45,6 +45,8 @@
     /// Time at which the latest events were sent to the caller.
     last_forwarded: Instant,
     longest_pause: Duration,
+    /// Time by which the next event is awaited, whatever comments arrive before it.
+    event_due: Option<Instant>,
     /// Reason why a stream that was cut was not resumed.
     not_resumed: &'static str,
     /// Whether it was logged that a silent server keeps the stream.
@@ -95,6 +97,7 @@
         last_event_id: None,
         last_forwarded: Instant::now(),
         longest_pause: Duration::ZERO,
+        event_due: None,
         not_resumed: "",
         is_kept_logged: false,
         is_finished: false,
@@ -119,21 +122,30 @@
             return None;
         }
         loop {
-            let item = match self.source.next(self.read_deadline()).await {
+            let until = self.event_due.unwrap_or_else(|| self.read_deadline());
+            self.event_due = Some(until);
+            let item = match self.source.next(until).await {
                 Ok(item) => item,
                 Err(error) => match self.hand_over(error).await {
                     Handover::Continued(item) => item,
-                    Handover::Kept => continue,
+                    Handover::Kept => {
+                        self.event_due = None;
+                        continue;
+                    }
                     Handover::Failed => {
                         self.is_finished = true;
                         return Some(Err(StreamTruncated));
                     }
                 },
             };
-            self.record_pause();
             match item {
-                StreamItem::Events(events) => return Some(Ok(events)),
+                StreamItem::Comments(comments) => return Some(Ok(comments)),
+                StreamItem::Events(events) => {
+                    self.record_pause();
+                    return Some(Ok(events));
+                }
                 StreamItem::End => {
+                    self.record_pause();
                     self.is_finished = true;
                     self.record_end(StreamEnd::Complete, "");
                     return None;
@@ -236,7 +248,7 @@
             loop {
                 tokio::select! {
                     head = &mut head => break head,
-                    item = self.source.next(request.deadline), if *is_source_open => match item {
+                    item = self.source.next_event(request.deadline), if *is_source_open => match item {
                         Ok(item) => return Ok(item),
                         Err(closed) => {
                             *is_source_open = false;
@@ -306,6 +318,7 @@
     }
 
     fn record_pause(&mut self) {
+        self.event_due = None;
         let now = Instant::now();
         let pause = now.saturating_duration_since(self.last_forwarded);
         self.longest_pause = self.longest_pause.max(pause);
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -16,13 +16,15 @@
     bounded_stream::BoundedStreamHandle,
     buffered_body::Reservation,
     connection::{self, CloseTimer, Connection},
-    events::EventSplitter,
+    events::{EventSplitter, has_event},
     read_timeout,
     servers::InProgress,
 };
 
 /// Time after a request's deadline at which its stream is closed even if the caller does not read it.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
+/// Largest comments that are held back until the next event, in bytes.
+const MAX_WITHHELD: usize = 64 << 10;
 /// Time for further events to arrive that are passed on together.
 const GATHER_TIME: Duration = Duration::from_millis(5);
 
@@ -39,11 +41,15 @@
     pace: StreamPace,
     /// Events that are passed on together, as the stream is held back.
     gathered: BytesMut,
+    /// Comments that are passed on with the next event.
+    withheld: BytesMut,
     /// End of the stream that follows the gathered events.
     end: Option<Result<StreamItem, AttemptError>>,
     /// Keeps a caller that does not read its stream from occupying the server forever.
     close_timer: Option<CloseTimer>,
     keep_alive_timeout: Option<Duration>,
+    /// Time at which what has arrived is read, if no event was complete in time.
+    overdue: Option<Instant>,
     is_complete: bool,
 }
 
@@ -52,6 +58,8 @@
 pub(crate) enum StreamItem {
     /// Complete events.
     Events(Bytes),
+    /// Comments only, which are no progress.
+    Comments(Bytes),
     /// Regular end of the stream.
     End,
 }
@@ -78,18 +86,57 @@
             reservation,
             pace: StreamPace::new(Instant::now()),
             gathered: BytesMut::new(),
+            withheld: BytesMut::new(),
             end: None,
             keep_alive_timeout,
+            overdue: None,
             is_complete: false,
         }
     }
 
-    /// Returns the next complete events.
+    /// Returns the next complete events or comments.
     ///
     /// # Errors
     ///
-    /// Returns [`AttemptError`] if the stream broke, or if no event was complete by `until`.
+    /// Returns [`AttemptError`] if the stream broke, or if no event was complete by `until` whatever else has arrived.
     pub(crate) async fn next(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
+        if !self.withheld.is_empty() {
+            return Ok(StreamItem::Comments(self.withheld.split().freeze()));
+        }
+        self.read(until).await
+    }
+
+    /// Returns the next complete events together with the comments before them, or comments alone at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptError`] as [`Self::next`] does, or if there are too many comments.
+    pub(crate) async fn next_event(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
+        loop {
+            match self.read(until).await? {
+                StreamItem::Comments(comments) => {
+                    if self.withheld.len() + comments.len() > MAX_WITHHELD {
+                        return Err(AttemptError::new(
+                            AttemptFailure::Broken,
+                            &"too many comments without an event",
+                        ));
+                    }
+                    self.withheld.extend_from_slice(&comments);
+                }
+                item if self.withheld.is_empty() => return Ok(item),
+                StreamItem::End => {
+                    return Ok(StreamItem::Comments(self.withheld.split().freeze()));
+                }
+                StreamItem::Events(events) => {
+                    let mut events_after_comments = self.withheld.split();
+                    events_after_comments.extend_from_slice(&events);
+                    return Ok(StreamItem::Events(events_after_comments.freeze()));
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
         if let Some(end) = self.end.take() {
             return end;
         }
@@ -99,14 +146,20 @@
         loop {
             let wait = self.pace.wait(Instant::now());
             if !self.gathered.is_empty() && !wait.is_zero() {
-                return Ok(StreamItem::Events(self.gathered.split().freeze()));
+                return Ok(self.take_gathered());
+            }
+            if self.is_overdue(until) {
+                return Err(AttemptError::new(
+                    AttemptFailure::Silent,
+                    &"no event in time",
+                ));
             }
             let item = match self.read_frame(wait, until).await {
                 None if self.gathered.is_empty() => Err(AttemptError::new(
                     AttemptFailure::Silent,
                     &"no event in time",
                 )),
-                None => return Ok(StreamItem::Events(self.gathered.split().freeze())),
+                None => return Ok(self.take_gathered()),
                 Some(Some(Err(error))) => Err(AttemptError::new(
                     AttemptFailure::Broken,
                     &with_causes(&error),
@@ -117,7 +170,7 @@
                         self.gathered.extend_from_slice(&events);
                         continue;
                     }
-                    Ok(events) => Ok(StreamItem::Events(events)),
+                    Ok(events) => Ok(self.item(events)),
                     Err(error) => Err(error),
                 },
                 Some(None) => self.finish(),
@@ -126,8 +179,38 @@
                 return item;
             }
             self.end = Some(item);
-            return Ok(StreamItem::Events(self.gathered.split().freeze()));
+            return Ok(self.take_gathered());
+        }
+    }
+
+    fn take_gathered(&mut self) -> StreamItem {
+        let events = self.gathered.split().freeze();
+        self.item(events)
+    }
+
+    fn item(&mut self, events: Bytes) -> StreamItem {
+        if !has_event(&events) {
+            return StreamItem::Comments(events);
+        }
+        self.overdue = None;
+        StreamItem::Events(events)
+    }
+
+    /// Returns whether an event was due by `until` and is not among what had arrived until then.
+    fn is_overdue(&mut self, until: Instant) -> bool {
+        let now = Instant::now();
+        if now < until || !self.gathered.is_empty() {
+            self.overdue = None;
+            return false;
+        }
+        let limit = *self
+            .overdue
+            .get_or_insert(now + read_timeout::CATCH_UP_TIME);
+        let is_overdue = now >= limit;
+        if is_overdue {
+            self.overdue = None;
         }
+        is_overdue
     }
 
     /// Reads the next frame after `wait`; returns `None` if there is none in time.
--- a/bulrushward_directd/tests/endless.rs
+++ b/bulrushward_directd/tests/endless.rs
@@ -163,6 +163,7 @@
     "9\r\ndata: x\n\n\r\n",
     SUCCESS
 )]
+#[case::comments("/stream/once/x", ResponseStart::Chunked, "4\r\n:x\n\n\r\n", UNKNOWN)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn servers_that_send_without_end_cost_neither_memory_nor_other_requests(
     #[case] path: &'static str,
