Bound times and sums that others send, so that they overflow nothing

A sum of peers' loads ended the gossip for good in builds with checks. A setting repeat_window_s of 1e19 was taken and panicked on each request.

Cause: sums with a point in time panic when they overflow; sums of numbers were unchecked.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -181,7 +181,7 @@
         let mut state = progress.server().state();
         state
             .load
-            .record_report(load.running + load.waiting, Instant::now());
+            .record_report(load.running.saturating_add(load.waiting), Instant::now());
     }
     validate_head(request, &res, &metadata)?;
     Ok((res, metadata, connection))
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -30,6 +30,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an idle connection is kept if the server does not announce its own idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest idle timeout of a server that is relied on.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(10);
 /// Fraction of the server's idle timeout after which a connection is not used again.
 ///
 /// Close to the timeout the server may close the connection while the next request is on its way.
@@ -200,7 +202,7 @@
     }
     connection.is_reused = true;
     let idle_timeout = keep_alive_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |time| {
-        time.mul_f64(IDLE_TIMEOUT_FRACTION)
+        time.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_FRACTION)
     });
     let usable_until = Instant::now() + idle_timeout;
     let mut state = server.state();
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -328,8 +328,8 @@
             .flat_map(|peer| &peer.message.in_progress)
         {
             let sum = sums.entry(reported.server).or_default();
-            sum.requests += reported.requests;
-            sum.unread_tokens += reported.unread_tokens;
+            sum.requests = sum.requests.saturating_add(reported.requests);
+            sum.unread_tokens = sum.unread_tokens.saturating_add(reported.unread_tokens);
         }
         for server in self.shared.servers.load().all() {
             let sum = sums.get(&server.hash).copied().unwrap_or_default();
--- a/bulrushward_direct/src/model.rs
+++ b/bulrushward_direct/src/model.rs
@@ -29,6 +29,27 @@
     pub organisations: Vec<Organisation>,
 }
 
+/// Longest time that a configuration may set, which can be added to any point in time.
+const MAX_TIME: Duration = Duration::from_hours(24);
+
+impl FleetConfig {
+    /// Shortens the times that are too long to be added to a point in time.
+    #[must_use]
+    pub(crate) fn with_bounded_times(mut self) -> Self {
+        self.limits.idle = self.limits.idle.min(MAX_TIME);
+        for route in &mut self.routes {
+            for time in [
+                &mut route.timeout,
+                &mut route.target_latency,
+                &mut route.target_pause,
+            ] {
+                *time = (*time).min(MAX_TIME);
+            }
+        }
+        self
+    }
+}
+
 /// A route, which matches requests by host and path.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -22,6 +22,8 @@
 const MAX_EXTRA_REPEATS: f64 = 1e6;
 /// Time in which gossip tells a router that has just started of nearly all others.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(1);
+/// Longest time that may be set.
+const MAX_TIME: Duration = Duration::from_hours(24);
 /// Smallest window of the retry budget that may be set.
 const MIN_REPEAT_WINDOW: Duration = Duration::from_secs(1);
 /// Smallest propagation limit that may be set; one call to a slow store takes as long.
@@ -281,6 +283,15 @@
             self.repeat_window >= MIN_REPEAT_WINDOW,
             "at least 1",
         )?;
+        for (name, time) in [
+            ("stop_grace_s", self.stop_grace),
+            ("leaving_known_ms", self.leaving_known),
+            ("config_known_ms", self.config_known),
+            ("repeat_window_s", self.repeat_window),
+        ] {
+            let value = format!("{time:?}");
+            require(name, &value, time <= MAX_TIME, "at most a day")?;
+        }
         require(
             "metrics_port",
             &self.metrics_port,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -134,7 +134,8 @@
             .config_version
             .set(config.version.cast_signed());
         *lock(&self.config_activated) = Instant::now();
-        self.routes.store(Some(Arc::new(RouteTable::new(config))));
+        self.routes
+            .store(Some(Arc::new(RouteTable::new(config.with_bounded_times()))));
         true
     }
 
--- a/bulrushward_policy/src/server_load.rs
+++ b/bulrushward_policy/src/server_load.rs
@@ -102,7 +102,7 @@
     /// Estimates the requests of all routers in progress at the server.
     #[must_use]
     pub fn total_requests(&self, now: Instant) -> u32 {
-        self.own_requests + self.other_requests(now)
+        self.own_requests.saturating_add(self.other_requests(now))
     }
 
     /// Estimates the prompt tokens of all routers that are not prefilled yet.
@@ -111,7 +111,7 @@
         let peer_load = self
             .fresh_peer_load(now)
             .map_or(0, |peer_load| peer_load.unread_tokens);
-        self.unread_tokens + peer_load
+        self.unread_tokens.saturating_add(peer_load)
     }
 
     /// Returns the age of the server's newest report.
