Start background tasks anew after a panic, and answer the request that panicked

Operators would see: an unexpected error in a watch, the gossip, the store's probe or a listener ended that task for good, without a line in the log: the process went on with a configuration and servers of the past. One in a request closed its caller's connection without an answer.

Change: supervise() logs and counts a panic and starts the task anew after 250 ms; a request that panics is answered 502 with the outcome unknown; addresses of peers that cannot be bound are tried again each second. New: the event task-panicked, the metric panics_total.

Shown by: bulrushward_direct/tests/malformed.rs: background_tasks_start_anew_after_a_panic and a_panic_in_a_request_is_answered_and_counted fail on the code before.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -39,6 +39,7 @@
 mod store_probe;
 mod store_state;
 mod store_watch;
+mod supervision;
 
 pub use events::{EventSplitter, EventTooLarge};
 pub use model::{
--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -1,8 +1,9 @@
 //! Listeners for callers and for internal requests such as readiness probes and metrics.
 
-use std::{convert::Infallible, io, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE, header::HeaderValue,
     server::conn::http1, service::service_fn,
@@ -17,10 +18,11 @@
 
 use crate::{
     lingering_stream::LingeringStream,
-    local_response::{self, Body},
+    local_response::{self, Body, LocalResponse, Reason},
     model::CallerLimits,
     request_handler,
     shared::Shared,
+    supervision::record_panic,
 };
 
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
@@ -55,7 +57,11 @@
                 }
                 Err(error) => log_and_wait(&error).await,
             },
-            Some(_ended) = connections.join_next(), if !connections.is_empty() => {}
+            Some(ended) = connections.join_next(), if !connections.is_empty() => {
+                if let Err(error) = ended && let Ok(panic) = error.try_into_panic() {
+                    record_panic("caller-connection", &shared, panic.as_ref());
+                }
+            }
             () = close.cancelled() => break,
         }
     }
@@ -63,6 +69,18 @@
     while connections.join_next().await.is_some() {}
 }
 
+/// Returns the response to a request of a caller, also after an unexpected error.
+async fn respond(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
+    let response = request_handler::serve(Arc::clone(&shared), req);
+    match AssertUnwindSafe(response).catch_unwind().await {
+        Ok(response) => response,
+        Err(panic) => {
+            record_panic("request", &shared, panic.as_ref());
+            LocalResponse::unknown(Reason::UnexpectedError).http_response()
+        }
+    }
+}
+
 async fn log_and_wait(error: &io::Error) {
     warn!(event = "accept-failed", %error);
     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -87,7 +105,7 @@
     }
     let service = service_fn(move |req| {
         let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(request_handler::serve(shared, req).await) }
+        async move { Ok::<_, Infallible>(respond(shared, req).await) }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -117,7 +135,7 @@
 ///
 /// `respond` returns the response for the path of a request.
 pub(crate) async fn serve_internal<F, R>(
-    listener: TcpListener,
+    listener: &TcpListener,
     close: CancellationToken,
     respond: F,
 ) where
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -46,6 +46,7 @@
     ServerSilent,
     Quarantined,
     Stopping,
+    UnexpectedError,
 }
 
 /// A response that the router generates itself.
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -90,6 +90,7 @@
     pub(crate) retries_refused: Counter,
     pub(crate) resumes: Counter,
     pub(crate) stalls: Counter,
+    pub(crate) panics: Counter,
     pub(crate) connections_opened: Counter,
     response_seconds: Histogram,
     first_event_seconds: Histogram,
@@ -144,6 +145,10 @@
             retries_refused: r.add("repeats_refused", "Retries refused by the retry budget"),
             resumes: r.add("resumes", "Streams resumed at another server"),
             stalls: r.add("stalls", "Times at which the traffic thread ran late"),
+            panics: r.add(
+                "panics",
+                "Tasks and requests that ended in an unexpected error",
+            ),
             connections_opened: r.add("connections_opened", "Connections opened to servers"),
             response_seconds: r.histogram(
                 "answer_seconds",
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -15,7 +15,8 @@
 use tokio::{
     net::TcpListener,
     runtime::Runtime,
-    signal::unix::{Signal, SignalKind, signal},
+    signal::unix::{SignalKind, signal},
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{error, info, warn};
@@ -29,6 +30,7 @@
     settings::DirectSettings,
     shared::Shared,
     stall_watch, store_probe, store_watch,
+    supervision::supervise,
 };
 
 /// Time after the stop signal in which new connections are still accepted.
@@ -37,6 +39,8 @@
 const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(2_600);
 /// Time between abandoning the remaining requests and the platform killing the process.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Pause before an address that could not be bound is tried again.
+const REBIND_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which the settings file is checked, as it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -142,37 +146,61 @@
 /// Runs the control thread: store watches and probes, gossip, the fleet state listener and saved sessions.
 async fn run_control(shared: Arc<Shared>) {
     let fleet_state = FleetState::new(&shared);
-    tokio::spawn(store_watch::watch_config(
-        Arc::clone(&shared),
-        Arc::clone(&fleet_state),
-    ));
-    tokio::spawn(store_watch::watch_servers(
-        Arc::clone(&shared),
-        Arc::clone(&fleet_state),
-    ));
-    tokio::spawn(serve_fleet_state(
-        Arc::clone(&shared),
-        Arc::clone(&fleet_state),
-    ));
-    tokio::spawn(saved_sessions::run(Arc::clone(&shared)));
-    tokio::spawn(store_probe::run(Arc::clone(&shared)));
-    match Gossip::bind(shared, fleet_state).await {
-        Ok(gossip) => gossip.run().await,
-        Err(error) => {
-            error!(event = "peers-failed", %error);
-            std::future::pending::<()>().await;
+    spawn(
+        "config-watch",
+        &shared,
+        &fleet_state,
+        store_watch::watch_config,
+    );
+    spawn(
+        "servers-watch",
+        &shared,
+        &fleet_state,
+        store_watch::watch_servers,
+    );
+    spawn("knowledge", &shared, &fleet_state, serve_fleet_state);
+    spawn("saved-sessions", &shared, &fleet_state, |shared, _| {
+        saved_sessions::run(shared)
+    });
+    spawn("store-probe", &shared, &fleet_state, |shared, _| {
+        store_probe::run(shared)
+    });
+    supervise("peers", &shared, || async {
+        loop {
+            match Gossip::bind(Arc::clone(&shared), Arc::clone(&fleet_state)).await {
+                Ok(gossip) => gossip.run().await,
+                Err(error) => error!(event = "peers-failed", %error),
+            }
+            sleep(REBIND_PAUSE).await;
         }
-    }
+    })
+    .await;
+}
+
+/// Spawns a supervised task of the control thread.
+fn spawn<F>(
+    task: &'static str,
+    shared: &Arc<Shared>,
+    fleet_state: &Arc<FleetState>,
+    start: impl Fn(Arc<Shared>, Arc<FleetState>) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (shared, fleet_state) = (Arc::clone(shared), Arc::clone(fleet_state));
+    tokio::spawn(async move {
+        let start = || start(Arc::clone(&shared), Arc::clone(&fleet_state));
+        supervise(task, &shared, start).await;
+    });
 }
 
 /// Serves snapshots of the fleet state to peers.
 async fn serve_fleet_state(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
-    let listener = match bulrushward_net::listen(shared.settings().knowledge_address) {
-        Ok(listener) => listener,
-        Err(error) => {
-            error!(event = "knowledge-listener-failed", %error);
-            return;
+    let listener = loop {
+        match bulrushward_net::listen(shared.settings().knowledge_address) {
+            Ok(listener) => break listener,
+            Err(error) => error!(event = "knowledge-listener-failed", %error),
         }
+        sleep(REBIND_PAUSE).await;
     };
     let respond = move |path: String| {
         let known_config = path
@@ -197,7 +225,7 @@
             }
         }
     };
-    listener::serve_internal(listener, CancellationToken::new(), respond).await;
+    listener::serve_internal(&listener, CancellationToken::new(), respond).await;
 }
 
 async fn run_traffic(
@@ -205,19 +233,32 @@
     settings_path: PathBuf,
     stop: CancellationToken,
 ) -> Result<(), DirectError> {
-    let hangup = signal(SignalKind::hangup()).context(ThreadSnafu)?;
+    // Without this, a signal that arrives while the watch starts anew would end the process.
+    let _hangup = signal(SignalKind::hangup()).context(ThreadSnafu)?;
     let callers = bind("callers", shared.settings().callers_address)?;
     let readiness = bind("readiness", shared.settings().readiness_address)?;
     let metrics = bind("metrics", shared.settings().metrics_address())?;
     let (drain, close) = (CancellationToken::new(), CancellationToken::new());
-    tokio::spawn(serve_readiness(
-        Arc::clone(&shared),
-        readiness,
-        close.clone(),
-    ));
-    tokio::spawn(serve_metrics(Arc::clone(&shared), metrics, close.clone()));
-    tokio::spawn(watch_settings(Arc::clone(&shared), settings_path, hangup));
-    tokio::spawn(stall_watch::run(Arc::clone(&shared)));
+    let own = Arc::clone(&shared);
+    let own_close = close.clone();
+    tokio::spawn(async move {
+        let (shared, close) = (own, own_close);
+        tokio::join!(
+            supervise("readiness", &shared, || serve_readiness(
+                &shared, &readiness, &close
+            )),
+            supervise("metrics", &shared, || serve_metrics(
+                &shared, &metrics, &close
+            )),
+            supervise("settings-watch", &shared, || watch_settings(
+                &shared,
+                &settings_path
+            )),
+            supervise("stall-watch", &shared, || stall_watch::run(Arc::clone(
+                &shared
+            ))),
+        );
+    });
     let mut serving = tokio::spawn(listener::serve_callers(
         Arc::clone(&shared),
         callers,
@@ -240,7 +281,7 @@
     );
     shared.begin_stop();
     drain.cancel();
-    tokio::time::sleep(ACCEPT_WHILE_STOPPING).await;
+    sleep(ACCEPT_WHILE_STOPPING).await;
     shared.begin_refusing();
     close.cancel();
     let time_left = shared
@@ -265,7 +306,8 @@
     bulrushward_net::listen(address).context(ListenSnafu { listener, address })
 }
 
-async fn serve_readiness(shared: Arc<Shared>, listener: TcpListener, close: CancellationToken) {
+async fn serve_readiness(shared: &Arc<Shared>, listener: &TcpListener, close: &CancellationToken) {
+    let shared = Arc::clone(shared);
     let respond = move |path: String| {
         let status = if path != shared.conventions.readiness_path() {
             StatusCode::NOT_FOUND
@@ -276,10 +318,11 @@
         };
         async move { plain_response(status, "text/plain", Bytes::new()) }
     };
-    listener::serve_internal(listener, close, respond).await;
+    listener::serve_internal(listener, close.clone(), respond).await;
 }
 
-async fn serve_metrics(shared: Arc<Shared>, listener: TcpListener, close: CancellationToken) {
+async fn serve_metrics(shared: &Arc<Shared>, listener: &TcpListener, close: &CancellationToken) {
+    let shared = Arc::clone(shared);
     let respond = move |path: String| {
         let text = (path == "/metrics").then(|| shared.metrics.render(&shared.gauge_snapshot()));
         async move {
@@ -293,20 +336,27 @@
             }
         }
     };
-    listener::serve_internal(listener, close, respond).await;
+    listener::serve_internal(listener, close.clone(), respond).await;
 }
 
 /// Applies changed settings, on SIGHUP or when the file is next checked.
 ///
 /// Changed addresses take effect only after a restart.
-async fn watch_settings(shared: Arc<Shared>, path: PathBuf, mut hangup: Signal) {
+async fn watch_settings(shared: &Shared, path: &Path) {
+    let mut hangup = match signal(SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            error!(event = "settings-watch-failed", %error);
+            return;
+        }
+    };
     loop {
         tokio::select! {
             _signal = hangup.recv() => info!(event = "reload-asked"),
-            () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => {}
+            () = sleep(SETTINGS_POLL_INTERVAL) => {}
         }
         let current = shared.settings();
-        match DirectSettings::read(&path) {
+        match DirectSettings::read(path) {
             Ok(settings) if settings == *current => {}
             Ok(settings) => {
                 let is_restart_needed = !settings.has_addresses_of(&current);
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -38,8 +38,9 @@
 }
 
 impl HttpConventions for TestConventions {
-    /// Parses the headers; a request with `Stall-Ms` blocks the traffic thread for this time.
+    /// Parses the headers; a request with `Stall-Ms` blocks the traffic thread for this time, and one with `Panic` panics.
     fn parse_request_headers(&self, headers: &HeaderMap) -> RequestMetadata {
+        assert!(!headers.contains_key("panic"), "the request asks for it");
         if let Some(ms) = text(headers, "stall-ms").and_then(|ms| ms.parse().ok()) {
             std::thread::sleep(Duration::from_millis(ms));
         }
@@ -109,7 +110,9 @@
             is_not_run: headers.contains_key("not-run"),
             is_leaving: headers.contains_key("leaving"),
             load,
-            keep_alive_timeout: None,
+            keep_alive_timeout: text(headers, "idle-s")
+                .and_then(|seconds| seconds.parse().ok())
+                .map(Duration::from_secs),
         }
     }
 
@@ -143,6 +146,8 @@
     Reset,
     /// Refuses them with a status.
     Refused(u16),
+    /// Makes its client panic.
+    Panic,
 }
 
 /// An in-memory store.
@@ -257,6 +262,7 @@
             .expect("no test panics while holding the lock");
         match trouble {
             Trouble::None => self.check(),
+            Trouble::Panic => panic!("a fault of the store's client"),
             Trouble::Silent => Err(time_out(limit).await),
             Trouble::Reset => Err(StoreError::Unavailable {
                 detail: "connection reset".to_owned(),
