Answer connections that wait to be accepted when a stop accepts no more

Cause: closing a listener resets what waits in its queue; and a connection accepted at the very end was closed as unused before its socket was known to be readable.

Change: the queue is emptied after its length was set to 0, so that hardly any handshake completes meanwhile; connections are read for 50 ms more before they are closed as unused. Their requests are refused with 503.

Shown by: a_stopping_router_answers_the_connections_that_wait_to_be_accepted, 30 connections opened while the router is stalled; it fails without either half of the change.

--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -9,9 +9,11 @@
     server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
+    time::timeout,
 };
 use tokio_util::sync::CancellationToken;
 use tracing::{debug, warn};
@@ -27,6 +29,8 @@
 
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for reading the beginning of a request that has arrived before its connection is closed as unused.
+const LAST_READ_TIME: Duration = Duration::from_millis(50);
 /// Smallest buffer of a caller's connection, in bytes, as required by hyper.
 const MIN_READ_BUFFER: usize = 8 << 10;
 
@@ -65,10 +69,39 @@
             () = close.cancelled() => break,
         }
     }
+    for stream in accept_queued(&listener) {
+        // Each has until its request is read; one that has not arrived yet closes the connection in order.
+        connections.spawn(serve_caller(
+            Arc::clone(&shared),
+            stream,
+            false,
+            close.clone(),
+        ));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+/// Returns the connections that wait to be accepted, which a listener would reset when it is closed.
+fn accept_queued(listener: &TcpListener) -> Vec<TcpStream> {
+    let socket = SockRef::from(listener);
+    // Handshakes that are complete from now on would be reset; without room for them callers wait, or go elsewhere.
+    if let Err(error) = socket.listen(0) {
+        debug!(event = "accept-failed", %error);
+    }
+    let mut streams = Vec::new();
+    while let Ok((stream, _peer)) = socket.accept() {
+        let stream = stream
+            .set_nonblocking(true)
+            .and_then(|()| TcpStream::from_std(stream.into()));
+        match stream {
+            Ok(stream) => streams.push(stream),
+            Err(error) => debug!(event = "accept-failed", %error),
+        }
+    }
+    streams
+}
+
 /// Returns the response to a request of a caller, also after an unexpected error.
 async fn respond(shared: Arc<Shared>, req: Request<Incoming>) -> Response<Body> {
     let response = request_handler::serve(Arc::clone(&shared), req);
@@ -122,8 +155,14 @@
         biased;
         ended = connection.as_mut() => ended,
         () = close_unused.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            // A socket that was accepted just now is not known to be readable before the next turn of the runtime.
+            match timeout(LAST_READ_TIME, connection.as_mut()).await {
+                Ok(ended) => ended,
+                Err(_elapsed) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = ended {
--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -265,6 +265,40 @@
     assert!(start.elapsed() < Duration::from_secs(4));
 }
 
+// Guards against resetting connections that were opened, but not accepted yet, when the router accepts no more.
+#[test]
+fn a_stopping_router_answers_the_connections_that_wait_to_be_accepted() {
+    const CALLERS: usize = 30;
+    let server = TestServer::echo("s-1");
+    let mut router = router_with_servers("plain", &[&server]);
+    let address = router.address(CALLERS_PORT);
+    router.stop();
+    wait_until("the router is not ready", || router.readiness() == 503);
+    std::thread::sleep(Duration::from_secs(2));
+    // The router cannot accept anything until after the time at which it accepts no more.
+    let mut stalling = caller::connect(address);
+    let stall = request("GET", "lookup", "r-0", "").replacen("Key:", "Stall-Ms: 1500\r\nKey:", 1);
+    stalling
+        .write_all(stall.as_bytes())
+        .expect("the request can be sent");
+    std::thread::sleep(Duration::from_millis(100));
+    let waiting: Vec<_> = (0..CALLERS)
+        .map(|index| {
+            let mut stream = caller::connect(address);
+            let sent = request("POST", "action", &format!("r-{index}"), "");
+            stream
+                .write_all(sent.as_bytes())
+                .expect("the request can be sent");
+            stream
+        })
+        .collect();
+    for mut stream in waiting {
+        let response = caller::read_response(&mut stream);
+        assert!([200, 503].contains(&response.status), "{response:?}");
+    }
+    router.join();
+}
+
 // Guards against abandoning a request that was complete only late in a stop.
 #[rstest]
 #[case::in_its_head(12)]
