Keep no connection that has carried a request without an id

Callers saw: a late copy of the response to a request without an id failed the next request on its connection with 502. Cause and change: the copy belongs to no request that can be named, so such connections are closed after their request. Shown by: a_late_copy_without_id_fails_no_request, which fails on the code before.

--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -52,6 +52,8 @@
     _permit: ConnectionPermit,
     /// Whether it has carried a request before.
     pub(crate) is_reused: bool,
+    /// Whether its latest request had an id; a late copy of a response without one would fail the next request.
+    has_id: bool,
     /// Hashes of the ids of the latest requests that it has carried, the latest last.
     carried: VecDeque<u64>,
 }
@@ -157,6 +159,7 @@
         Some(connection) => connection,
         None => acquire_new(server, share).await?,
     };
+    connection.has_id = !request_id.is_empty();
     if connection.carried.len() >= MAX_CARRIED {
         connection.carried.pop_front();
     }
@@ -197,7 +200,7 @@
     mut connection: Connection,
     keep_alive_timeout: Option<Duration>,
 ) {
-    if connection.sender.is_closed() {
+    if connection.sender.is_closed() || !connection.has_id {
         return;
     }
     connection.is_reused = true;
@@ -240,6 +243,7 @@
         stream: handle,
         _permit: permit,
         is_reused: false,
+        has_id: true,
         carried: VecDeque::new(),
     })
 }
--- a/bulrushward_direct/tests/stale_responses.rs
+++ b/bulrushward_direct/tests/stale_responses.rs
@@ -52,6 +52,26 @@
     }
 }
 
+// Guards against failing a request because the one before had no id.
+#[test]
+fn a_late_copy_without_id_fails_no_request() {
+    let server = TestServer::start("s-1", |req| match req.header("request") {
+        Some(_) if req.earlier > 0 => vec![
+            send_text("HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 4\r\n\r\ncopy"),
+            ok_response(req, "mine"),
+        ],
+        Some(_) => vec![ok_response(req, "mine")],
+        None => vec![send_text(
+            "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Length: 5\r\n\r\nfirst",
+        )],
+    });
+    let router = router_with_servers("plain", &[&server]);
+    let first = request("POST", "action", "r-1", "").replacen("Request: r-1\r\n", "", 1);
+    assert_eq!(router.send(&first).text(), "first");
+    let response = router.send(&request("POST", "action", "r-2", ""));
+    assert_eq!((response.status, response.text().as_str()), (200, "mine"));
+}
+
 // Guards against failing a request because its connection had received bytes that belong to no request before.
 #[test]
 fn a_connection_on_which_a_copy_has_arrived_carries_no_further_request() {
