--- a/bulrushward_direct/tests/fleet.rs
+++ b/bulrushward_direct/tests/fleet.rs
@@ -16,7 +16,7 @@
     CALLERS_PORT, TestRouter, caller, config,
     platform::MemoryStore,
     record, request, route, router_with_servers,
-    server::{Step, TestServer, ok_response},
+    server::{Received, Step, TestServer, chunk, event, ok_response, send_text, stream_head},
     unique_loopback_ip, wait_until,
 };
 
@@ -265,6 +265,46 @@
     assert!(start.elapsed() < Duration::from_secs(4));
 }
 
+// Guards against giving up, or running again, the work of a server that has only stopped to report to the store.
+#[rstest]
+#[case::action("plain", "action")]
+#[case::stream("engines", "stream")]
+#[case::resumable_stream("engines", "resumable")]
+fn a_server_whose_entry_is_gone_completes_its_work(#[case] service: &str, #[case] route: &str) {
+    let slow = |req: &Received| {
+        if req.line.contains("action") {
+            return vec![
+                Step::Pause(Duration::from_millis(1_800)),
+                ok_response(req, "done"),
+            ];
+        }
+        let mut steps = vec![stream_head(req)];
+        for id in 1..=6 {
+            steps.extend([chunk(&event(id)), Step::Pause(Duration::from_millis(300))]);
+        }
+        steps.push(send_text("0\r\n\r\n"));
+        steps
+    };
+    let servers = ["s-1", "s-2"].map(|id| TestServer::start(id, slow));
+    let router = router_with_servers(service, &[&servers[0], &servers[1]]);
+    let mut stream = caller::connect(router.address(CALLERS_PORT));
+    stream
+        .write_all(request("POST", route, "r-1", "").as_bytes())
+        .expect("the request can be sent");
+    let runs = || servers.each_ref().map(|server| server.received().len());
+    wait_until("the request arrives", || runs().contains(&1));
+    let at_begin = runs();
+    let running = usize::from(at_begin[1] == 1);
+    router.store.remove(&servers[running].id);
+    wait_until("the router knows one server", || {
+        let metrics = caller::get(router.address(7_341), "/metrics");
+        metrics.is_some_and(|response| response.text().contains("bulrushward_direct_servers 1\n"))
+    });
+    let response = caller::read_response(&mut stream);
+    assert_eq!((response.status, response.is_complete), (200, true));
+    assert_eq!(runs(), at_begin);
+}
+
 // Guards against resetting connections that were opened, but not accepted yet, when the router accepts no more.
 #[test]
 fn a_stopping_router_answers_the_connections_that_wait_to_be_accepted() {
