--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers: opened, kept while idle, and closed to cancel their request.
 
 use std::{
+    collections::VecDeque,
     io,
     sync::{
         Arc,
@@ -15,8 +16,13 @@
 use hyper_util::rt::TokioIo;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{call::enable_keepalive, servers::Server};
+use crate::{
+    bounded_stream::{BoundedStream, BoundedStreamHandle},
+    call::enable_keepalive,
+    servers::Server,
+};
 
 /// Time limit for opening a connection; TCP resends a lost SYN only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -24,12 +30,16 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an idle connection is kept if the server does not announce its own idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest idle timeout of a server that is relied on.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(10);
 /// Fraction of the server's idle timeout after which a connection is not used again.
 ///
 /// Close to the timeout the server may close the connection while the next request is on its way.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.5;
 /// Largest number of idle connections that are kept to one server.
 const MAX_IDLE: usize = 16;
+/// Number of requests on a connection whose late responses are told apart from those of later requests.
+const MAX_CARRIED: usize = 32;
 /// Smallest buffer of a connection, in bytes, as required by hyper; connections use eight times as much.
 const MIN_BUFFER: usize = 8 << 10;
 
@@ -38,9 +48,21 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    pub(crate) stream: BoundedStreamHandle,
     _permit: ConnectionPermit,
     /// Whether it has carried a request before.
     pub(crate) is_reused: bool,
+    /// Whether its latest request had an id; a late copy of a response without one would fail the next request.
+    has_id: bool,
+    /// Hashes of the ids of the latest requests that it has carried, the latest last.
+    carried: VecDeque<u64>,
+}
+
+impl Connection {
+    /// Returns whether the next request may be sent and nothing has arrived that belongs to no request.
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.stream.is_quiet()
+    }
 }
 
 impl Drop for Connection {
@@ -118,14 +140,42 @@
 
 /// Returns an idle connection, or opens a new one within this router's `share`.
 ///
+/// A late response to an earlier request is told by its id, so a request without an id, or with that of an earlier one,
+/// gets a new connection.
+///
 /// # Errors
 ///
 /// Returns [`ConnectError`] if all connections are in use or none can be opened in time.
-pub(crate) async fn acquire(server: &Server, share: u32) -> Result<Connection, ConnectError> {
-    if let Some(connection) = acquire_idle(server) {
-        return Ok(connection);
+pub(crate) async fn acquire(
+    server: &Server,
+    share: u32,
+    request_id: &str,
+) -> Result<Connection, ConnectError> {
+    let id = xxh3_64(request_id.as_bytes());
+    let idle = (!request_id.is_empty())
+        .then(|| acquire_idle(server, id))
+        .flatten();
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => acquire_new(server, share).await?,
+    };
+    connection.has_id = !request_id.is_empty();
+    if connection.carried.len() >= MAX_CARRIED {
+        connection.carried.pop_front();
+    }
+    connection.carried.push_back(id);
+    Ok(connection)
+}
+
+async fn acquire_new(server: &Server, share: u32) -> Result<Connection, ConnectError> {
+    let mut permit = ConnectionPermit::acquire(server, share);
+    if permit.is_none() {
+        // An idle connection that does not suit the request makes room for one that does.
+        let idle = server.state().idle.pop();
+        drop(idle);
+        permit = ConnectionPermit::acquire(server, share);
     }
-    let permit = ConnectionPermit::acquire(server, share).context(LimitReachedSnafu { share })?;
+    let permit = permit.context(LimitReachedSnafu { share })?;
     match timeout(CONNECT_TIMEOUT, open(server, permit)).await {
         Ok(opened) => opened,
         Err(_elapsed) => Err(io::ErrorKind::TimedOut.into()),
@@ -133,11 +183,13 @@
     .context(UnreachableSnafu)
 }
 
-fn acquire_idle(server: &Server) -> Option<Connection> {
+fn acquire_idle(server: &Server, id: u64) -> Option<Connection> {
     let now = Instant::now();
     let mut state = server.state();
-    while let Some(idle) = state.idle.pop() {
-        if now < idle.usable_until && idle.connection.sender.is_ready() {
+    let suits = |idle: &IdleConnection| !idle.connection.carried.contains(&id);
+    while let Some(index) = state.idle.iter().rposition(suits) {
+        let idle = state.idle.remove(index);
+        if now < idle.usable_until && idle.connection.is_usable() {
             return Some(idle.connection);
         }
     }
@@ -150,12 +202,12 @@
     mut connection: Connection,
     keep_alive_timeout: Option<Duration>,
 ) {
-    if connection.sender.is_closed() {
+    if connection.sender.is_closed() || !connection.has_id {
         return;
     }
     connection.is_reused = true;
     let idle_timeout = keep_alive_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |time| {
-        time.mul_f64(IDLE_TIMEOUT_FRACTION)
+        time.min(MAX_IDLE_TIMEOUT).mul_f64(IDLE_TIMEOUT_FRACTION)
     });
     let usable_until = Instant::now() + idle_timeout;
     let mut state = server.state();
@@ -177,6 +229,7 @@
     let stream = TcpStream::connect(server.record.address).await?;
     stream.set_nodelay(true)?;
     enable_keepalive(&stream, PROBE_INTERVAL)?;
+    let (stream, handle) = BoundedStream::new(stream);
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MIN_BUFFER * 8)
         .handshake(TokioIo::new(stream))
@@ -189,7 +242,10 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        stream: handle,
         _permit: permit,
         is_reused: false,
+        has_id: true,
+        carried: VecDeque::new(),
     })
 }
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -3,21 +3,30 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_net::with_causes;
-use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
-use bytes::Bytes;
+use bulrushward_policy::{
+    server_attempt::AttemptFailure, server_health::ServerHealth, stream_pace::StreamPace,
+};
+use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     attempt::AttemptError,
+    bounded_stream::BoundedStreamHandle,
+    buffered_body::Reservation,
     connection::{self, CloseTimer, Connection},
-    events::EventSplitter,
+    events::{EventSplitter, has_event},
     read_timeout,
     servers::InProgress,
 };
 
 /// Time after a request's deadline at which its stream is closed even if the caller does not read it.
 const CLOSE_GRACE: Duration = Duration::from_millis(300);
+/// Largest comments that are held back until the next event, in bytes.
+const MAX_WITHHELD: usize = 64 << 10;
+/// Time for further events to arrive that are passed on together.
+const GATHER_TIME: Duration = Duration::from_millis(5);
 
 /// A server's stream after the response head; closes the connection if dropped before the end of the stream.
 #[derive(Debug)]
@@ -26,9 +35,21 @@
     pub(crate) splitter: EventSplitter,
     pub(crate) progress: InProgress,
     connection: Option<Connection>,
+    handle: BoundedStreamHandle,
+    /// Memory of the incomplete event.
+    reservation: Reservation,
+    pace: StreamPace,
+    /// Events that are passed on together, as the stream is held back.
+    gathered: BytesMut,
+    /// Comments that are passed on with the next event.
+    withheld: BytesMut,
+    /// End of the stream that follows the gathered events.
+    end: Option<Result<StreamItem, AttemptError>>,
     /// Keeps a caller that does not read its stream from occupying the server forever.
     close_timer: Option<CloseTimer>,
     keep_alive_timeout: Option<Duration>,
+    /// Time at which what has arrived is read, if no event was complete in time.
+    overdue: Option<Instant>,
     is_complete: bool,
 }
 
@@ -37,6 +58,8 @@
 pub(crate) enum StreamItem {
     /// Complete events.
     Events(Bytes),
+    /// Comments only, which are no progress.
+    Comments(Bytes),
     /// Regular end of the stream.
     End,
 }
@@ -51,52 +74,180 @@
         connection: Connection,
         keep_alive_timeout: Option<Duration>,
         deadline: Instant,
+        reservation: Reservation,
     ) -> Self {
         Self {
             body,
             splitter: EventSplitter::default(),
             progress,
             close_timer: Some(CloseTimer::new(&connection, deadline + CLOSE_GRACE)),
+            handle: connection.stream.clone(),
             connection: Some(connection),
+            reservation,
+            pace: StreamPace::new(Instant::now()),
+            gathered: BytesMut::new(),
+            withheld: BytesMut::new(),
+            end: None,
             keep_alive_timeout,
+            overdue: None,
             is_complete: false,
         }
     }
 
-    /// Returns the next complete events.
+    /// Returns the next complete events or comments.
     ///
     /// # Errors
     ///
-    /// Returns [`AttemptError`] if the stream broke, or if no event was complete by `until`.
+    /// Returns [`AttemptError`] if the stream broke, or if no event was complete by `until` whatever else has arrived.
     pub(crate) async fn next(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
-        if self.is_complete {
-            return Ok(StreamItem::End);
+        if !self.withheld.is_empty() {
+            return Ok(StreamItem::Comments(self.withheld.split().freeze()));
         }
+        self.read(until).await
+    }
+
+    /// Returns the next complete events together with the comments before them, or comments alone at the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptError`] as [`Self::next`] does, or if there are too many comments.
+    pub(crate) async fn next_event(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
         loop {
-            let frame = read_timeout::until(until, self.body.frame()).await;
-            let chunk = match frame {
-                None => {
-                    return Err(AttemptError::new(
-                        AttemptFailure::Silent,
-                        &"no event in time",
-                    ));
+            match self.read(until).await? {
+                StreamItem::Comments(comments) => {
+                    if self.withheld.len() + comments.len() > MAX_WITHHELD {
+                        return Err(AttemptError::new(
+                            AttemptFailure::Broken,
+                            &"too many comments without an event",
+                        ));
+                    }
+                    self.withheld.extend_from_slice(&comments);
                 }
-                Some(Some(Err(error))) => {
-                    return Err(AttemptError::new(
-                        AttemptFailure::Broken,
-                        &with_causes(&error),
-                    ));
+                item if self.withheld.is_empty() => return Ok(item),
+                StreamItem::End => {
+                    return Ok(StreamItem::Comments(self.withheld.split().freeze()));
                 }
-                Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-                Some(None) => return self.finish(),
+                StreamItem::Events(events) => {
+                    let mut events_after_comments = self.withheld.split();
+                    events_after_comments.extend_from_slice(&events);
+                    return Ok(StreamItem::Events(events_after_comments.freeze()));
+                }
+            }
+        }
+    }
+
+    async fn read(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
+        if let Some(end) = self.end.take() {
+            return end;
+        }
+        if self.is_complete {
+            return Ok(StreamItem::End);
+        }
+        loop {
+            let wait = self.pace.wait(Instant::now());
+            if !self.gathered.is_empty() && !wait.is_zero() {
+                return Ok(self.take_gathered());
+            }
+            if self.is_overdue(until) {
+                return Err(AttemptError::new(
+                    AttemptFailure::Silent,
+                    &"no event in time",
+                ));
+            }
+            let item = match self.read_frame(wait, until).await {
+                None if self.gathered.is_empty() => Err(AttemptError::new(
+                    AttemptFailure::Silent,
+                    &"no event in time",
+                )),
+                None => return Ok(self.take_gathered()),
+                Some(Some(Err(error))) => Err(AttemptError::new(
+                    AttemptFailure::Broken,
+                    &with_causes(&error),
+                )),
+                Some(Some(Ok(frame))) => match self.push(&frame.into_data().unwrap_or_default()) {
+                    Ok(events) if events.is_empty() => continue,
+                    Ok(events) if self.pace.is_held_back() => {
+                        self.gathered.extend_from_slice(&events);
+                        continue;
+                    }
+                    Ok(events) => Ok(self.item(events)),
+                    Err(error) => Err(error),
+                },
+                Some(None) => self.finish(),
             };
-            let events = self.splitter.push(&chunk).map_err(|_too_large| {
-                AttemptError::new(AttemptFailure::Broken, &"an event is too large")
-            })?;
-            if !events.is_empty() {
-                return Ok(StreamItem::Events(events));
+            if self.gathered.is_empty() {
+                return item;
             }
+            self.end = Some(item);
+            return Ok(self.take_gathered());
+        }
+    }
+
+    fn take_gathered(&mut self) -> StreamItem {
+        let events = self.gathered.split().freeze();
+        self.item(events)
+    }
+
+    fn item(&mut self, events: Bytes) -> StreamItem {
+        if !has_event(&events) {
+            return StreamItem::Comments(events);
+        }
+        self.overdue = None;
+        StreamItem::Events(events)
+    }
+
+    /// Returns whether an event was due by `until` and is not among what had arrived until then.
+    fn is_overdue(&mut self, until: Instant) -> bool {
+        let now = Instant::now();
+        if now < until || !self.gathered.is_empty() {
+            self.overdue = None;
+            return false;
+        }
+        let limit = *self
+            .overdue
+            .get_or_insert(now + read_timeout::CATCH_UP_TIME);
+        let is_overdue = now >= limit;
+        if is_overdue {
+            self.overdue = None;
+        }
+        is_overdue
+    }
+
+    /// Reads the next frame after `wait`; returns `None` if there is none in time.
+    async fn read_frame(
+        &mut self,
+        wait: Duration,
+        until: Instant,
+    ) -> Option<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if !self.gathered.is_empty() {
+            return timeout(GATHER_TIME, self.body.frame()).await.ok();
+        }
+        let frame = async {
+            if !wait.is_zero() {
+                sleep(wait).await;
+            }
+            self.body.frame().await
+        };
+        read_timeout::until(until, frame).await
+    }
+
+    /// Returns the events that a chunk completes.
+    fn push(&mut self, chunk: &[u8]) -> Result<Bytes, AttemptError> {
+        self.pace.record_chunk(Instant::now());
+        self.handle.allowance().record_content(chunk.len());
+        let events = self.splitter.push(chunk).map_err(|_too_large| {
+            AttemptError::new(AttemptFailure::Broken, &"an event is too large")
+        })?;
+        if !self.reservation.resize(self.splitter.capacity()) {
+            return Err(AttemptError::new(
+                AttemptFailure::Broken,
+                &"no memory for incomplete responses",
+            ));
+        }
+        if !events.is_empty() {
+            self.handle.allowance().record_event();
         }
+        Ok(events)
     }
 
     /// Closes the connection, so that the server stops its work.
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -26,6 +26,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    buffered_body::SharedBuffers,
     cold_servers::FleetView,
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
@@ -88,6 +89,7 @@
     emptied_domains: Mutex<EmptiedDomains>,
     pub(crate) overload: OverloadControl,
     pub(crate) start_gate: StartGate,
+    pub(crate) buffers: SharedBuffers,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -125,6 +127,7 @@
             emptied_domains: Mutex::default(),
             overload: OverloadControl::default(),
             start_gate: StartGate::default(),
+            buffers: SharedBuffers::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -148,7 +151,8 @@
             .config_version
             .set(config.version.cast_signed());
         *lock(&self.config_activated) = Instant::now();
-        self.routes.store(Some(Arc::new(RouteTable::new(config))));
+        self.routes
+            .store(Some(Arc::new(RouteTable::new(config.with_bounded_times()))));
         self.open_start_gate();
         true
     }
