--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -4,6 +4,8 @@
 //! registered servers. All routing decisions are made in this crate and in `bulrushward_policy`.
 
 mod attempt;
+mod bounded_stream;
+mod buffered_body;
 pub mod call;
 mod cold_servers;
 mod connection;
@@ -41,6 +43,7 @@
 mod store_probe;
 mod store_state;
 mod store_watch;
+mod supervision;
 
 pub use events::{EventSplitter, EventTooLarge};
 pub use model::{
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -388,7 +388,7 @@
 }
 
 /// Exchanges messages about lent places until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>, socket: UdpSocket) {
+pub(crate) async fn run(shared: &Shared, socket: &UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     let Some(own) = shared.settings().places_address() else {
         return;
@@ -398,15 +398,15 @@
         let wake_at = next.map(|at| at.min(Instant::now() + MAX_SLEEP));
         tokio::select! {
             received = socket.recv_from(&mut buf) => match received {
-                Ok((len, from)) => receive(&shared, &buf[..len], from),
+                Ok((len, from)) => receive(shared, &buf[..len], from),
                 // The system also reports here that nothing listens on a peer's port.
                 Err(error) => debug!(event = "places-datagram-failed", %error),
             },
             () = shared.places.changed.notified() => {}
             () = sleep_until(wake_at.unwrap_or_else(Instant::now).into()), if wake_at.is_some() => {}
         }
-        run_due(&shared);
-        send_due(&shared, &socket, own);
+        run_due(shared);
+        send_due(shared, socket, own);
     }
 }
 
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -26,6 +26,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    buffered_body::SharedBuffers,
     cold_servers::FleetView,
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
@@ -90,6 +91,7 @@
     pub(crate) overload: OverloadControl,
     pub(crate) start_gate: StartGate,
     pub(crate) places: Places,
+    pub(crate) buffers: SharedBuffers,
     pub(crate) metrics: DirectMetrics,
 }
 
@@ -128,6 +130,7 @@
             overload: OverloadControl::default(),
             start_gate: StartGate::default(),
             places: Places::default(),
+            buffers: SharedBuffers::default(),
             metrics: DirectMetrics::new(),
         })
     }
@@ -151,7 +154,8 @@
             .config_version
             .set(config.version.cast_signed());
         *lock(&self.config_activated) = Instant::now();
-        self.routes.store(Some(Arc::new(RouteTable::new(config))));
+        self.routes
+            .store(Some(Arc::new(RouteTable::new(config.with_bounded_times()))));
         self.open_start_gate();
         true
     }
