--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -15,7 +15,7 @@
 
 use bulrushward_policy::{
     place_borrower::{BorrowEnd, BorrowStep, PlaceBorrower},
-    place_lender::{Answer, Ask, AskId, NOTICE_RECEIVERS, PlaceUse},
+    place_lender::{Answer, Ask, AskId, PlaceUse, RefusalReason, notice_receivers},
     place_pools::{lenders, pool_count, pool_of},
     placement::Candidate,
     scarcity::Scarcity,
@@ -41,6 +41,7 @@
 use crate::{
     metrics::DirectMetrics,
     model::ServiceName,
+    retry_after,
     routed_request::RoutedRequest,
     server_selection::{self, ServerChoice},
     servers::Server,
@@ -277,7 +278,7 @@
         return Borrowed::NoLender;
     };
     let Some(receiver) = receiver else {
-        return Borrowed::Refused(crate::retry_after::for_overload());
+        return Borrowed::Refused(retry_after::for_overload());
     };
     shared.places.changed.notify_one();
     let mut guard = AskGuard {
@@ -310,7 +311,11 @@
             reason,
         }) => {
             guard.end(reason.into());
-            Borrowed::Refused(retry_after)
+            match reason {
+                // Servers in backoff are tried rather than refusing the request outright.
+                RefusalReason::NoServer => Borrowed::NoLender,
+                RefusalReason::Wait | RefusalReason::LineFull => Borrowed::Refused(retry_after),
+            }
         }
         BorrowEnd::Answered(Answer::Waiting) | BorrowEnd::NoLender => {
             guard.end("no-lender");
@@ -573,10 +578,8 @@
             return;
         };
         for (service, load) in self.lending.take_notices(now) {
-            let receivers = self
-                .routers
-                .iter()
-                .sample(&mut rand::rng(), NOTICE_RECEIVERS);
+            let count = notice_receivers(self.routers.len());
+            let receivers = self.routers.iter().sample(&mut rand::rng(), count);
             for (_, address) in receivers {
                 let to = SocketAddr::new(address.ip(), port);
                 let load = load as f32;
--- a/bulrushward_direct/src/places/message.rs
+++ b/bulrushward_direct/src/places/message.rs
@@ -55,9 +55,9 @@
     /// Returns whether the message is sent twice, because nothing else makes up for its loss in time.
     fn is_sent_twice(&self) -> bool {
         match self {
-            Self::Answer { answer, .. } => *answer != Answer::Waiting,
-            Self::Done { .. } | Self::Withdraw { .. } => true,
-            Self::Ask(_) | Self::Scarce { .. } => false,
+            Self::Answer { answer, .. } => matches!(answer, Answer::Granted { .. }),
+            Self::Done { .. } => true,
+            Self::Ask(_) | Self::Withdraw { .. } | Self::Scarce { .. } => false,
         }
     }
 }
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -47,8 +47,10 @@
 const MAX_ORGANISATIONS: usize = 1_024;
 /// Time after which an organisation that asks for nothing is forgotten.
 const ORGANISATION_TTL: Duration = Duration::from_secs(30);
-/// Weight of the newest report in the usual rate of an organisation.
-const USUAL_WEIGHT: f64 = 0.1;
+/// Smallest weight of the newest report in the usual rate of an organisation.
+///
+/// A router of a large fleet has seen few requests of an organisation, so that single reports differ much.
+const MIN_USUAL_WEIGHT: f64 = 0.02;
 /// Range of the weights of organisations.
 const WEIGHTS: (f64, f64) = (0.1, 20.0);
 /// Fraction of the time until the target that expected wait and service may take.
@@ -63,8 +65,10 @@
 const MIN_RELATIVE_FRACTION: f64 = 0.5;
 /// Smallest fraction of the service rate that a wait is estimated with.
 const MIN_RATE_FRACTION: f64 = 0.01;
-/// Number of random routers that a lender tells at once that places are scarce.
-pub const NOTICE_RECEIVERS: usize = 32;
+/// Smallest number of random routers that a lender tells at once that places are scarce.
+const MIN_NOTICE_RECEIVERS: usize = 32;
+/// Rounds of notices in which as many are sent as there are routers.
+const NOTICE_ROUNDS: usize = 8;
 /// Interval at which a lender tells that places are scarce.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(100);
 /// Ratio of lent and wanted places to slots from which places are scarce.
@@ -194,6 +198,8 @@
 #[derive(Clone, Copy, Debug)]
 struct OrganisationDemand {
     usual_rate: f64,
+    /// Number of reports of the usual rate.
+    reports: u32,
     asked: Instant,
     /// Asks that are no surplus.
     regular: RateMeter,
@@ -343,7 +349,7 @@
         (self.lent.len() + self.waiting.len()) as f64 / f64::from(slots.max(1))
     }
 
-    /// Returns the load to tell to [`NOTICE_RECEIVERS`] random routers now, as many of them have no request that
+    /// Returns the load to tell to [`notice_receivers`] random routers now, as many of them have no request that
     /// tells them how scarce places are.
     pub fn take_notice(&mut self, now: Instant) -> Option<f64> {
         let load = self.load();
@@ -529,8 +535,14 @@
             Timing::Late => (ask.deadline, DEADLINE_FRACTION),
         };
         let left = until.saturating_duration_since(now);
-        let needed = self.expected_wait(ask, lane, timing, now) + self.usual_time();
-        left > Duration::ZERO && needed <= left.mul_f64(fraction)
+        let wait = self.expected_wait(ask, lane, timing, now);
+        // Only estimated waits are uncertain.
+        let usable = if wait.is_zero() {
+            left
+        } else {
+            left.mul_f64(fraction)
+        };
+        left > Duration::ZERO && wait.saturating_add(self.usual_time()) <= usable
     }
 
     /// Estimates how long an ask waits in a line.
@@ -604,8 +616,8 @@
             return total;
         };
         let others = self.granted.per_second(now) - own.granted.per_second(now);
-        let weights: f64 = self.organisations.len() as f64;
-        let fair_share = total * self.weight(organisation) / weights.max(1.0);
+        let weights = self.organisations.len() as f64;
+        let fair_share = total * self.weight(organisation) / weights;
         fair_share.max(total - others)
     }
 
@@ -639,7 +651,9 @@
     fn record_organisation(&mut self, ask: &Ask<B>, now: Instant) {
         let usual_rate = ask.usual_rate.max(0.0);
         if let Some(demand) = self.organisations.get_mut(&ask.organisation) {
-            let change = USUAL_WEIGHT * (usual_rate - demand.usual_rate);
+            demand.reports = demand.reports.saturating_add(1);
+            let weight = (1.0 / f64::from(demand.reports)).max(MIN_USUAL_WEIGHT);
+            let change = weight * (usual_rate - demand.usual_rate);
             demand.usual_rate += change;
             demand.asked = now;
             self.usual_rates += change;
@@ -655,6 +669,7 @@
             let meter = RateMeter::new(GRANT_MEMORY, now);
             let demand = OrganisationDemand {
                 usual_rate,
+                reports: 1,
                 asked: now,
                 regular: meter,
                 granted: meter,
@@ -771,6 +786,14 @@
     }
 }
 
+/// Returns the number of random routers to which a notice of scarce places goes.
+///
+/// Each router of a large fleet has few requests, and would send them before it hears of scarce places.
+#[must_use]
+pub fn notice_receivers(routers: usize) -> usize {
+    (routers / NOTICE_ROUNDS).max(MIN_NOTICE_RECEIVERS)
+}
+
 /// Returns what orders the asks of an organisation in a line.
 fn rank<B>(ask: &Ask<B>, timing: Timing) -> Instant {
     match timing {
--- a/bulrushward_policy/tests/place_lender/lender.rs
+++ b/bulrushward_policy/tests/place_lender/lender.rs
@@ -225,3 +225,11 @@
     routers.remove(first);
     assert_eq!(routers[lenders("a", 0, &routers)[0]].name, next);
 }
+
+#[test]
+fn a_free_place_is_lent_to_an_ask_with_little_time_left() {
+    let mut bench = Bench::new(6);
+    let (id, answer) = bench.ask(0, 1, 0, 70);
+    assert_eq!(answer, Answer::Waiting);
+    assert_eq!(bench.granted(), [id]);
+}
--- a/bulrushward_policy/tests/place_lender/main.rs
+++ b/bulrushward_policy/tests/place_lender/main.rs
@@ -17,10 +17,11 @@
     let lent = play(run);
     for (name, outcome) in [("lent", &lent), ("today", &today)] {
         println!(
-            "{name} worth {:.3}, served {:.3}, others {:.3}, by kind {:.3} {:.3}, {outcome:?}",
+            "{name} worth {:.3}, served {:.3}, others {:.3}, large {:.3}, by kind {:.3} {:.3}, {outcome:?}",
             outcome.worth(),
             outcome.served(),
             outcome.others_served(),
+            outcome.organisation_served(simulation::LARGE),
             outcome.kind_served(0),
             outcome.kind_served(1),
         );
@@ -59,15 +60,22 @@
     assert!(lent.rejected * 4 < today.rejected);
 }
 
-#[test]
-fn the_organisation_that_sends_many_times_its_usual_pays_for_it() {
+#[rstest]
+#[case::equal_organisations(1.0, 14.0)]
+#[case::one_is_large(12.0, 30.0)]
+fn the_organisation_that_sends_many_times_its_usual_pays_for_it(
+    #[case] large: f64,
+    #[case] hot: f64,
+) {
     let (lent, _) = with_and_without(&Run {
         usual_load: 0.8,
         crowd: 1.0,
-        hot: 14.0,
+        hot,
+        large,
         ..Run::default()
     });
     assert!(lent.others_served() >= 0.95);
+    assert!(lent.organisation_served(simulation::LARGE) >= 0.95);
 }
 
 #[test]
--- a/bulrushward_policy/tests/place_lender/simulation.rs
+++ b/bulrushward_policy/tests/place_lender/simulation.rs
@@ -9,12 +9,12 @@
 use bulrushward_policy::{
     overload_admission::OverloadAdmission,
     place_borrower::{BorrowEnd, BorrowStep, PlaceBorrower},
-    place_lender::{Answer, Ask, NOTICE_RECEIVERS, PlaceLender, PlaceUse},
+    place_lender::{Answer, Ask, PlaceLender, PlaceUse, notice_receivers},
     place_pools::{pool_count, pool_of},
     scarcity::Scarcity,
     usual_demand::UsualDemand,
 };
-use rand::{RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64;
 
 pub const SLOTS: usize = 6;
@@ -30,6 +30,7 @@
 /// Time after which a message that matters is sent once more.
 const RESEND: Duration = Duration::from_millis(20);
 pub const HOT: usize = 0;
+pub const LARGE: usize = 1;
 
 /// Lender of a pool: the first or the second in the order that all routers share.
 type Lender = (u32, usize);
@@ -54,6 +55,8 @@
     pub crowd: f64,
     /// Factor of the requests of the hot organisation in the crowd.
     pub hot: f64,
+    /// Factor of the usual requests of the large organisation.
+    pub large: f64,
     /// Seconds of the crowd, and of the whole run.
     pub crowd_s: (f64, f64),
     pub end_s: f64,
@@ -85,6 +88,7 @@
             usual_load: 0.48,
             crowd: 2.5,
             hot: 1.0,
+            large: 1.0,
             crowd_s: (4.0, 14.0),
             end_s: 20.0,
             loss: 0.01,
@@ -135,6 +139,11 @@
         f64::from(served) / f64::from(asked)
     }
 
+    pub fn organisation_served(&self, organisation: usize) -> f64 {
+        let (asked, served) = self.by_organisation[&organisation];
+        f64::from(served) / f64::from(asked)
+    }
+
     pub fn kind_served(&self, kind: usize) -> f64 {
         f64::from(self.by_kind[kind].1) / f64::from(self.by_kind[kind].0)
     }
@@ -401,18 +410,22 @@
         }
         let capacity = (self.run.servers * SLOTS) as f64 / (WORK_MS / 1e3);
         let in_crowd = (self.run.crowd_s.0..self.run.crowd_s.1).contains(&self.second());
-        let usual = self.run.usual_load * capacity / self.run.organisations as f64;
+        let others = (self.run.organisations - 2) as f64;
+        let usual = self.run.usual_load * capacity / (1.0 + self.run.large + others);
         let (crowd, hot) = if in_crowd {
             (self.run.crowd, self.run.hot)
         } else {
             (1.0, 1.0)
         };
-        let others = usual * crowd * (self.run.organisations - 1) as f64;
-        let total = others + usual * crowd * hot;
-        let organisation = if self.demand.random_bool(usual * crowd * hot / total) {
+        let rates = [hot, self.run.large, others].map(|factor| usual * crowd * factor);
+        let total: f64 = rates.iter().sum();
+        let draw = self.demand.random_range(0.0..total);
+        let organisation = if draw < rates[0] {
             HOT
+        } else if draw < rates[0] + rates[1] {
+            LARGE
         } else {
-            self.demand.random_range(1..self.run.organisations)
+            self.demand.random_range(LARGE + 1..self.run.organisations)
         };
         let kind = usize::from(self.demand.random_bool(self.run.lookups));
         let id = self.reqs.len();
@@ -534,10 +547,10 @@
             answer,
             load,
         };
-        if answer == Answer::Waiting {
-            self.send(Duration::ZERO, event);
-        } else {
+        if matches!(answer, Answer::Granted { .. }) {
             self.send_twice(event);
+        } else {
+            self.send(Duration::ZERO, event);
         }
     }
 
@@ -730,7 +743,7 @@
         let asks = self.asks.iter().filter(|(_, req)| **req == id);
         for ask in asks.map(|(ask, _)| *ask).collect::<Vec<_>>() {
             if let Some(lender) = self.routers[router].borrower.withdraw(ask) {
-                self.send_twice(Event::Withdraw { lender, id: ask });
+                self.send(Duration::ZERO, Event::Withdraw { lender, id: ask });
             }
         }
     }
@@ -756,7 +769,7 @@
             self.poll_lender(lender);
             let known = self.lenders.get_mut(&lender);
             let notice = known.and_then(|known| known.take_notice(self.now));
-            for _receiver in 0..notice.map_or(0, |_| NOTICE_RECEIVERS) {
+            for _receiver in 0..notice.map_or(0, |_| notice_receivers(self.run.routers)) {
                 let router = self.rng.random_range(0..self.run.routers);
                 let load = notice.unwrap_or_default();
                 self.send(Duration::ZERO, Event::Notice { router, load });
@@ -767,12 +780,16 @@
 
     fn gossip(&mut self) {
         for from in 0..self.routers.len() {
-            let report = self.routers[from]
-                .admission
-                .take_report(self.run.routers as u32);
+            let admission = &mut self.routers[from].admission;
+            let mut report = admission.take_report(self.run.routers as u32);
+            report.sort_unstable_by_key(|times| times.server);
+            let report: Vec<_> = report
+                .sample(&mut self.rng, MAX_REPORTED)
+                .copied()
+                .collect();
             for _receiver in 0..4 {
                 let to = self.rng.random_range(0..self.run.routers);
-                for times in report.iter().take(MAX_REPORTED) {
+                for times in &report {
                     self.routers[to].admission.merge(*times, self.now);
                 }
             }
--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -75,7 +75,7 @@
              callers_address = \"{ip}:{CALLERS_PORT}\"\n\
              readiness_address = \"{ip}:{READINESS_PORT}\"\n\
              knowledge_address = \"{ip}:{FLEET_STATE_PORT}\"\n\
-             datagram_port = 7340\nmetrics_port = 7341\n\
+             datagram_port = 7340\nplaces_port = 7342\nmetrics_port = 7341\n\
              seeds = [\"{first}:{FLEET_STATE_PORT}\"]\nstore_address = \"{store}\"\n\
              stop_grace_s = {grace_s}\nleaving_known_ms = 2000\n\
              config_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n",
