Test the part of less urgent kinds and the line of late asks more strictly

A late ask whose deadline is before the target of one in time now shows that it waits: the test fails with a single line for both.

--- a/bulrushward_policy/tests/place_lender/lender.rs
+++ b/bulrushward_policy/tests/place_lender/lender.rs
@@ -91,7 +91,7 @@
 fn the_nearest_target_that_can_be_met_goes_first_and_late_asks_last() {
     let mut bench = Bench::new(6);
     let lent = bench.fill();
-    let (late, _) = bench.ask(0, 1, 0, 4_000);
+    let (late, _) = bench.ask(0, 1, 0, 800);
     let (far, _) = bench.ask(0, 1, 900, 4_000);
     let (near, _) = bench.ask(0, 1, 300, 4_000);
     bench.now += Duration::from_millis(10);
--- a/bulrushward_policy/tests/place_lender/main.rs
+++ b/bulrushward_policy/tests/place_lender/main.rs
@@ -82,8 +82,8 @@
 fn a_less_urgent_kind_is_served_less_but_not_starved() {
     let (lent, _) = with_and_without(&Run {
         lookups: 0.2,
-        crowd: 4.0,
-        crowd_s: (2.0, 20.0),
+        crowd: 6.0,
+        crowd_s: (1.0, 20.0),
         ..Run::default()
     });
     assert!(lent.kind_served(1) <= lent.kind_served(0));
