Keep the link of a crashed server closed when its link is disturbed in the soak

A slow link was injected into the link of a server that had crashed; this opened the link again, so the former process served, warm, beside the cold one that came back under its id. The routers had read only the former entry; they log the new one 0.8 s later, with server-cold soon after.

Disturbing a link now keeps its state of refusing.

--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -472,14 +472,19 @@
     } else {
         Duration::from_millis(60)
     };
-    link.set_fault(NetworkFault {
-        refuse: false,
-        hang: hangs,
-        delay,
-    })
-    .await;
+    // The link of a server that has crashed stays closed.
+    let set_fault = async |hang, delay| {
+        let refuse = link.fault().refuse;
+        link.set_fault(NetworkFault {
+            refuse,
+            hang,
+            delay,
+        })
+        .await;
+    };
+    set_fault(hangs, delay).await;
     tokio::time::sleep(time).await;
-    link.set_fault(NetworkFault::default()).await;
+    set_fault(false, Duration::ZERO).await;
     harness.record_disturbance();
 }
 
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -20,6 +20,8 @@
 #[case::overlapping_stops(1_796_360_009)]
 // A router was paused for longer than the check of cancelled work allowed.
 #[case::paused_router(1_796_361_012)]
+// A fault of its link reopened the link of a crashed server, which served beside the one that replaced it.
+#[case::reopened_link(8_103)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_violates_no_invariant(#[case] seed: u64) {
     let target = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../target");
