Count the return of a failure domain once for each server

Cause: each merge and each new list of servers applied the withdrawal anew. Now a server keeps the time of the withdrawal that it has counted. The new test fails without that.

--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -104,6 +104,8 @@
     /// Time until which the server is assumed to be cold.
     assumed: Option<(Instant, ColdEvidence)>,
     is_unreachable: bool,
+    /// When the server's failure domain last got requests again; counts once, as the server may state more since.
+    returned: Option<Instant>,
     /// Times at which requests were sent, the earliest first.
     sent: VecDeque<Instant>,
 }
@@ -148,6 +150,10 @@
         returned: Instant,
         now: Instant,
     ) -> bool {
+        if self.returned >= Some(returned) {
+            return false;
+        }
+        self.returned = Some(returned);
         let end = returned + cold_for.min(MAX_COLD_TIME) + END_MARGIN;
         if now >= end || self.stated.is_some_and(|(known, _)| end <= known) {
             return false;
--- a/bulrushward_policy/tests/cold_server.rs
+++ b/bulrushward_policy/tests/cold_server.rs
@@ -436,3 +436,19 @@
     );
     assert_eq!(demand.reserved(2, now + Duration::from_secs(1)), 0);
 }
+
+// The withdrawal of an order is told again with each datagram; it must not undo what the server has stated since.
+#[test]
+fn a_server_that_states_to_be_warm_after_its_domain_returned_stays_warm() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut server = ColdServer::default();
+    assert!(server.record_domain_returned(Duration::from_secs(6), start, at(10)));
+    assert!(server.is_stated(at(20)));
+    server.record_statement(Duration::ZERO, ColdEvidence::Entry, at(1_500));
+    assert!(!server.record_domain_returned(Duration::from_secs(6), start, at(1_510)));
+    assert!(!server.is_stated(at(1_520)));
+    // A later withdrawal counts.
+    assert!(server.record_domain_returned(Duration::from_secs(6), at(4_000), at(4_010)));
+    assert!(server.is_stated(at(4_020)));
+}
