Learn of withdrawn orders that are older than the own listing

Cause: a report whose revision is not above the own listing's was dropped whole. Its withdrawals are taken now, and so is a second withdrawal of a domain that was missed, unless it is told within a second of the known one.

The new tests fail on the code before, but for the listing that is older than the report.

--- a/bulrushward_policy/src/emptied_domains.rs
+++ b/bulrushward_policy/src/emptied_domains.rs
@@ -18,6 +18,8 @@
 
 /// Time for which a withdrawn order is remembered; servers are warm again earlier.
 const WITHDRAWN_TTL: Duration = Duration::from_mins(1);
+/// Time between two withdrawals of orders for a domain, below which they count as one that was told twice.
+const MIN_ORDER_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest sum of the lengths of the names in a report that is a part of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1 << 10;
 
@@ -158,11 +160,13 @@
 
     /// Merges the report of a peer unless it is older; returns what changed.
     pub fn merge(&mut self, report: &EmptiedReport, now: Instant) -> Vec<DomainChange> {
+        let withdrawn = times(&report.withdrawn, now);
         if self.revision >= Some(report.revision) {
+            // A listing tells nothing of orders that were withdrawn before it.
+            self.remember_withdrawn(&withdrawn);
             return Vec::new();
         }
         let emptied = times(&report.emptied, now);
-        let withdrawn = times(&report.withdrawn, now);
         self.advance(emptied, &withdrawn, report.revision, now)
     }
 
@@ -199,9 +203,7 @@
                 changes.push(change(domain, false, *since, now));
             }
         }
-        for (domain, at) in withdrawn {
-            self.withdrawn.entry(domain.clone()).or_insert(*at);
-        }
+        self.remember_withdrawn(withdrawn);
         for (domain, since) in emptied {
             let known = previous.get(&domain).copied();
             if known.is_none() {
@@ -215,6 +217,21 @@
     }
 }
 
+impl EmptiedDomains {
+    /// Remembers withdrawals of domains that are not emptied, unless they are known.
+    ///
+    /// What a peer tells comes a little later than it was; only a much later one is another withdrawal.
+    fn remember_withdrawn(&mut self, withdrawn: &BTreeMap<FailureDomain, Instant>) {
+        for (domain, at) in withdrawn {
+            let known = self.withdrawn.get(domain);
+            let is_known = known.is_some_and(|known| *at < *known + MIN_ORDER_INTERVAL);
+            if !is_known && !self.emptied.contains_key(domain) {
+                self.withdrawn.insert(domain.clone(), *at);
+            }
+        }
+    }
+}
+
 fn change(domain: &str, is_emptied: bool, since: Instant, now: Instant) -> DomainChange {
     DomainChange {
         domain: domain.to_owned(),
--- a/bulrushward_policy/tests/emptied_domains.rs
+++ b/bulrushward_policy/tests/emptied_domains.rs
@@ -213,3 +213,45 @@
     println!("{routers} routers, {informed} of them informed by the store: {time:?}");
     assert!(time <= Duration::from_millis(limit_ms), "{time:?}");
 }
+
+// A router that starts after a withdrawal lists no order, but must learn from its peers that the servers may be cold.
+#[rstest]
+#[case::listing_before_the_withdrawal_is_told(94)]
+#[case::same_revision(95)]
+#[case::newer_listing(100)]
+fn a_withdrawal_before_the_listing_is_learnt_from_peers(#[case] listed_at: u64) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let domain = "a".to_owned();
+    let mut peer = EmptiedDomains::default();
+    peer.replace([domain.clone()], 90, start);
+    peer.apply_changes(90, &[(domain, false)], 95, at(1_000));
+    let report = peer.report(at(2_000)).expect("the orders are known");
+    let mut own = EmptiedDomains::default();
+    own.replace([], listed_at, at(2_000));
+    assert!(own.merge(&report, at(2_010)).is_empty());
+    let withdrawn = own
+        .recently_emptied_at("a", at(2_020))
+        .expect("it is known");
+    assert!((at(1_000)..=at(1_020)).contains(&withdrawn));
+    // Further datagrams move it no further.
+    own.merge(&report, at(2_300));
+    assert_eq!(own.recently_emptied_at("a", at(2_310)), Some(withdrawn));
+}
+
+// An order that was given and withdrawn again while this router heard nothing is another withdrawal.
+#[test]
+fn a_second_withdrawal_that_was_missed_counts() {
+    let start = Instant::now();
+    let at = |s| start + Duration::from_secs(s);
+    let change = |is_emptied| [("a".to_owned(), is_emptied)];
+    let (mut peer, mut own) = (EmptiedDomains::default(), EmptiedDomains::default());
+    for view in [&mut peer, &mut own] {
+        view.replace(["a".to_owned()], 1, start);
+        view.apply_changes(1, &change(false), 2, at(1));
+    }
+    peer.apply_changes(2, &change(true), 3, at(10));
+    peer.apply_changes(3, &change(false), 4, at(30));
+    own.merge(&peer.report(at(30)).expect("the orders are known"), at(30));
+    assert_eq!(own.recently_emptied_at("a", at(30)), Some(at(30)));
+}
