Limit what one router sends to a cold server that bears many requests

Cause: it remembers 256 requests, so it never saw its share used up. The share is at most that now. The two new cases above 256 fail on the code before.

--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -25,7 +25,7 @@
 const UNIT_WINDOW: Duration = Duration::from_millis(1_050);
 /// Highest rate that is limited, in requests per second.
 const MAX_RATE: f64 = 1e6;
-/// Largest number of requests that are remembered for a server; more in a second use up any share of interest.
+/// Largest number of requests that are remembered for a server, and so the largest share of a router.
 const MAX_SENT: usize = 256;
 /// Time for which requests count towards the demand for the units of cold servers.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
@@ -209,7 +209,7 @@
                 position.share(allowance.units.saturating_mul(factor))
             })
         };
-        let own = share(factor) as usize;
+        let own = (share(factor) as usize).min(MAX_SENT);
         let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < allowance.window;
         let used = self.sent.iter().rev().take_while(is_recent).count();
         if used < own {
--- a/bulrushward_policy/tests/cold_server.rs
+++ b/bulrushward_policy/tests/cold_server.rs
@@ -452,3 +452,24 @@
     assert!(server.record_domain_returned(Duration::from_secs(6), at(4_000), at(4_010)));
     assert!(server.is_stated(at(4_020)));
 }
+
+// A service whose servers bear many requests even when they are cold, in a fleet of one router.
+#[rstest]
+#[case(200.0)]
+#[case(257.0)]
+#[case(1_000.0)]
+fn a_large_share_is_a_limit_too(#[case] rate: f64) {
+    let allowance = ColdAllowance::new(rate).expect("the rate is positive");
+    let (start, mut server) = (Instant::now(), ColdServer::default());
+    server.record_statement(Duration::from_secs(6), ColdEvidence::Entry, start);
+    let sent = (0..5_000)
+        .map(|offered| start + Duration::from_micros(offered * 200))
+        .filter(|now| {
+            let is_sent = matches!(server.room(allowance, ALONE, *now), Room::Cold { .. });
+            if is_sent {
+                server.record_sent(allowance, *now);
+            }
+            is_sent
+        });
+    assert!(sent.count() as f64 <= rate * 1.5 + 5.0);
+}
