Hold the load bound more tightly while servers get no requests

Cause: the engines in use are at 1.5 times that mean, so that estimates that differ between routers exceed the bound of 1.7 more often. It is 1.5 while servers count that get no requests. If no server is within the bound, all routers chose the one that looked least loaded; now each session goes to the best of those with at most the mean load.

--- a/bulrushward_policy/src/server_choice.rs
+++ b/bulrushward_policy/src/server_choice.rs
@@ -17,6 +17,10 @@
 /// Operators allow at most twice the mean; the multiple is lower because load estimates differ
 /// between routers.
 const LOAD_MULTIPLE: f64 = 1.7;
+/// The multiple while servers that count in the mean get no requests.
+///
+/// The others are closer to the bound then, so that estimates that differ exceed it more often.
+const PARTIAL_LOAD_MULTIPLE: f64 = 1.5;
 /// Requests in progress that a server may always have.
 const LOAD_FLOOR: u64 = 5;
 /// Servers that are ranked for each session; all others share the next rank.
@@ -70,7 +74,7 @@
 ///
 /// The cost approximates how soon a server can begin the request and includes prefilling or copying
 /// the session's prompt if the server does not have it cached. If no usable server is within the
-/// bound, the least loaded one is chosen.
+/// bound, those with at most their mean load count as within it.
 ///
 /// Returns an index into `servers`, or `None` if no server is usable.
 #[must_use]
@@ -82,6 +86,12 @@
     (0..servers.len())
         .filter(fits)
         .min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        .or_else(|| {
+            let mean = mean_load(servers.iter().filter(|server| server.usable));
+            let is_below = |index: &usize| servers[*index].usable && servers[*index].load <= mean;
+            let below = (0..servers.len()).filter(is_below);
+            below.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        })
         .or_else(|| least_loaded(servers))
 }
 
@@ -145,13 +155,22 @@
 ///
 /// Operators compare the busiest server with the mean of all servers of the service, idle ones included.
 fn load_limit(servers: &[ServerView<'_>]) -> f64 {
-    let counted = servers.iter().filter(|server| server.counts_in_mean);
-    let (count, sum) = counted.fold((0_u32, 0.0), |(count, sum), server| {
-        (count + 1, sum + server.load)
-    });
+    let counted = || servers.iter().filter(|server| server.counts_in_mean);
+    let multiple = if counted().all(|server| server.usable) {
+        LOAD_MULTIPLE
+    } else {
+        PARTIAL_LOAD_MULTIPLE
+    };
     let bound = LoadBound {
-        multiple: LOAD_MULTIPLE,
+        multiple,
         floor: LOAD_FLOOR,
     };
-    bound.limit(sum / f64::from(count.max(1))) as f64
+    bound.limit(mean_load(counted())) as f64
+}
+
+fn mean_load<'a>(servers: impl Iterator<Item = &'a ServerView<'a>>) -> f64 {
+    let (count, sum) = servers.fold((0_u32, 0.0), |(count, sum), server| {
+        (count + 1, sum + server.load)
+    });
+    sum / f64::from(count.max(1))
 }
