Refuse nothing at servers that are only assumed to be cold

Cause: units that are left to more urgent requests were counted at servers that are only assumed to be cold, too. They are counted at servers that state it, and the refusal says when units come back. The longer test fails on the code before.

--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -7,7 +7,7 @@
 };
 
 use bulrushward_policy::{
-    cold_server::Room,
+    cold_server::{Room, UNIT_WINDOW},
     emptied_domains::EmptiedDomains,
     server_choice::{self, ServerView, SessionRequest},
 };
@@ -104,7 +104,7 @@
     best: Access,
     /// Whether servers were passed over because this router has used up what it may send there.
     has_used_up: bool,
-    /// Requests that this router may send to the usable servers, if all of them are cold.
+    /// Requests that this router may send to the usable servers, if all of them state to be cold.
     cold_units: Option<usize>,
     /// Time until this router may send to one of the servers for which that is used up.
     next: Duration,
@@ -137,10 +137,10 @@
                     has_used_up = true;
                     next = next.min(due);
                 }
-                Room::Cold { free } if !is_avoided => {
+                Room::Cold { free } if !is_avoided && state.cold.is_stated(now) => {
                     cold_units = cold_units.map(|units| units + free);
                 }
-                Room::Unlimited if !is_avoided => cold_units = None,
+                Room::Cold { .. } | Room::Unlimited if !is_avoided => cold_units = None,
                 Room::Cold { .. } | Room::Unlimited => {}
             }
             match room {
@@ -173,8 +173,7 @@
     fn check(&self, reserved: usize) -> Result<(), NoServer> {
         match self.best {
             Access::Usable if self.cold_units.is_some_and(|units| units <= reserved) => {
-                let next = Duration::ZERO;
-                Err(NoServer::Cold { next })
+                Err(NoServer::Cold { next: UNIT_WINDOW })
             }
             Access::Usable | Access::AssumedCold | Access::Avoided => Ok(()),
             Access::UsedUp | Access::AvoidedUsedUp => Err(NoServer::Cold { next: self.next }),
--- a/bulrushward_direct/tests/cold_servers.rs
+++ b/bulrushward_direct/tests/cold_servers.rs
@@ -7,14 +7,14 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_direct::{ColdStart, FleetConfig, ServerRecord};
+use bulrushward_direct::{ColdStart, FleetConfig, RouteKind, ServerRecord};
 use rstest::rstest;
 use support::{
     HOST, KEY, TestRouter,
     caller::Response,
     config, log,
     platform::MemoryStore,
-    record, request,
+    record, request, route,
     server::{Received, Step, TestServer, complete_stream, ok_response, response},
     unique_loopback_ip, wait_until,
 };
@@ -24,6 +24,9 @@
 
 fn config_with(requests_per_second: f64) -> FleetConfig {
     let mut config = config(1);
+    let mut less_urgent = route("less-urgent", RouteKind::Idempotent);
+    less_urgent.priority += 1;
+    config.routes.push(less_urgent);
     for service in &mut config.services {
         service.cold_start = Some(ColdStart {
             duration: Duration::from_secs(30),
@@ -258,6 +261,15 @@
         },
     );
     assert!(is_cold());
+    // No units are left to more urgent requests either, as they come back in a little over a second.
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        for route in ["lookup", "lookup", "less-urgent", "less-urgent"] {
+            assert_eq!(send(&router, route).status, 200, "{route}");
+        }
+        std::thread::sleep(Duration::from_millis(1_100));
+    }
+    assert!(is_cold());
     // A new incarnation whose entry says that it is warm has no limit.
     let started_ms = 2;
     store.put(
--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -22,7 +22,7 @@
 /// Number of times that the allowance doubles before it ends.
 const RAMP_STEPS: u32 = 3;
 /// Time in which a router's units of an allowance are used once; exceeds a second, as delays vary on the way.
-const UNIT_WINDOW: Duration = Duration::from_millis(1_050);
+pub const UNIT_WINDOW: Duration = Duration::from_millis(1_050);
 /// Highest rate that is limited, in requests per second.
 const MAX_RATE: f64 = 1e6;
 /// Largest number of requests that are remembered for a server, and so the largest share of a router.
