--- a/bulrushward_policy/src/server_choice.rs
+++ b/bulrushward_policy/src/server_choice.rs
@@ -20,7 +20,7 @@
 /// The multiple while servers that count in the mean get no requests.
 ///
 /// The others are closer to the bound then, so that estimates that differ exceed it more often.
-const PARTIAL_LOAD_MULTIPLE: f64 = 1.5;
+const PARTIAL_LOAD_MULTIPLE: f64 = 1.3;
 /// Requests in progress that a server may always have.
 const LOAD_FLOOR: u64 = 5;
 /// Servers that are ranked for each session; all others share the next rank.
