--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -22,10 +22,10 @@
 /// Number of times that the allowance doubles before it ends.
 const RAMP_STEPS: u32 = 3;
 /// Time in which a router's units of an allowance are used once; exceeds a second, as delays vary on the way.
-const UNIT_WINDOW: Duration = Duration::from_millis(1_050);
+pub const UNIT_WINDOW: Duration = Duration::from_millis(1_050);
 /// Highest rate that is limited, in requests per second.
 const MAX_RATE: f64 = 1e6;
-/// Largest number of requests that are remembered for a server; more in a second use up any share of interest.
+/// Largest number of requests that are remembered for a server, and so the largest share of a router.
 const MAX_SENT: usize = 256;
 /// Time for which requests count towards the demand for the units of cold servers.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
@@ -104,6 +104,8 @@
     /// Time until which the server is assumed to be cold.
     assumed: Option<(Instant, ColdEvidence)>,
     is_unreachable: bool,
+    /// When the server's failure domain last got requests again; counts once, as the server may state more since.
+    returned: Option<Instant>,
     /// Times at which requests were sent, the earliest first.
     sent: VecDeque<Instant>,
 }
@@ -148,6 +150,10 @@
         returned: Instant,
         now: Instant,
     ) -> bool {
+        if self.returned >= Some(returned) {
+            return false;
+        }
+        self.returned = Some(returned);
         let end = returned + cold_for.min(MAX_COLD_TIME) + END_MARGIN;
         if now >= end || self.stated.is_some_and(|(known, _)| end <= known) {
             return false;
@@ -203,7 +209,7 @@
                 position.share(allowance.units.saturating_mul(factor))
             })
         };
-        let own = share(factor) as usize;
+        let own = (share(factor) as usize).min(MAX_SENT);
         let is_recent = |at: &&Instant| now.saturating_duration_since(**at) < allowance.window;
         let used = self.sent.iter().rev().take_while(is_recent).count();
         if used < own {
