Do not spin while a pool without asks still has lent places

Found by reading: a lender without asks for 5 s whose place is lent for longer (up to 10 s, at a slow server or to a router that died) had a wake-up in the past all the time, so that its traffic thread ran without a pause until the place was taken back. The end of a pool is awaited only once nothing is lent; the lender itself wakes up to take places back. No test shows it.

--- a/bulrushward_direct/src/places/lending.rs
+++ b/bulrushward_direct/src/places/lending.rs
@@ -126,9 +126,10 @@
 
     /// Returns the time of the next call of [`Self::poll`] if there is anything to do.
     pub(super) fn next_poll(&self) -> Option<Instant> {
-        let next = self.pools.values().map(|pool| {
-            let idle = pool.asked + IDLE_TIME;
-            pool.lender.next_poll().map_or(idle, |at| at.min(idle))
+        let next = self.pools.values().flat_map(|pool| {
+            // A pool with lent places ends only after these.
+            let end = (pool.lender.lent() == 0).then(|| pool.asked + IDLE_TIME);
+            pool.lender.next_poll().into_iter().chain(end)
         });
         next.min()
     }
