--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -59,8 +59,6 @@
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Largest number of servers in one message; the busiest are included.
 const MAX_SERVERS_PER_MESSAGE: usize = 256;
-/// Largest number of crash records in one message.
-const MAX_CRASH_RECORDS_PER_MESSAGE: usize = 8;
 /// Time limit for fetching a snapshot from a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Fraction of the propagation limit for which a router that is behind waits for its own store.
@@ -278,7 +276,9 @@
                 Duration::from_millis(other.age_ms.into()),
             );
         }
-        self.shared.merge_crash_records(&message.crashes);
+        self.shared
+            .crash_records
+            .merge(&message.crashes, &message.node);
         for location in &message.session_locations {
             self.shared
                 .record_session_location(location.session, location.server);
@@ -448,9 +448,7 @@
             state_version: self.fleet_state.version(),
             in_progress,
             session_locations: self.shared.take_location_updates(),
-            crashes: self
-                .shared
-                .crash_records(Instant::now(), MAX_CRASH_RECORDS_PER_MESSAGE),
+            crashes: self.shared.crash_records.outgoing(),
             others: others.collect(),
         }
     }
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 mod cold_servers;
 mod connection;
+mod crash_records;
 mod events;
 mod fleet_state;
 mod gossip;
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -76,6 +76,8 @@
     pub(crate) budgets: Vec<(String, u32)>,
     /// Requests that wait for this router to know a configuration and servers.
     pub(crate) start_waiting: usize,
+    /// Request contents that are remembered because servers crashed under them.
+    pub(crate) crash_records: usize,
     pub(crate) log_lines_dropped: u64,
     /// Resident memory in bytes; `None` if the system does not report it.
     pub(crate) memory_bytes: Option<usize>,
@@ -118,6 +120,7 @@
     pub(crate) routers: Gauge,
     in_progress: Gauge,
     start_waiting: Gauge,
+    crash_records: Gauge,
     pub(crate) sessions: Gauge,
     connections_open: Gauge,
     connections_idle: Gauge,
@@ -222,6 +225,10 @@
             routers: r.add("routers", "Routers believed to be alive"),
             in_progress: r.add("in_progress", "Requests in progress"),
             start_waiting: r.add("start_waiting", "Requests that wait for the router's start"),
+            crash_records: r.add(
+                "crash_records",
+                "Request contents that are remembered because servers crashed under them",
+            ),
             sessions: r.add("sessions", "Sessions whose servers are remembered"),
             connections_open: r.add("connections_open", "Connections to servers"),
             connections_idle: r.add("connections_idle", "Idle connections to servers"),
@@ -345,6 +352,8 @@
         }
         let waiting = snapshot.start_waiting.cast_signed();
         self.start_waiting.set(waiting as i64);
+        let crash_records = snapshot.crash_records.cast_signed();
+        self.crash_records.set(crash_records as i64);
         let dropped = snapshot.log_lines_dropped.cast_signed();
         self.log_lines_dropped.set(dropped);
         if let Some(bytes) = snapshot.memory_bytes {
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -174,7 +174,9 @@
     request: &RoutedRequest,
     history: &AttemptHistory,
 ) -> Option<LocalResponse> {
-    let time_left = shared.quarantine_time_left(request.fingerprint)?;
+    let time_left = shared
+        .crash_records
+        .quarantine_time_left(request.fingerprint)?;
     Some(match history.outcome() {
         NextAttempt::Unknown => LocalResponse::unknown(Reason::Quarantined),
         _ => LocalResponse::not_run(Reason::Quarantined, time_left),
@@ -303,12 +305,7 @@
         _ => return,
     };
     for fingerprint in suspects {
-        info!(
-            event = "crash-suspected",
-            server = server.id,
-            content = format_id(fingerprint)
-        );
-        shared.record_crash(fingerprint);
+        shared.crash_records.record_crash(fingerprint, &server.id);
     }
 }
 
@@ -319,6 +316,7 @@
         request = request.request_id,
         server,
         failure = %error.failure,
+        content = format_id(request.fingerprint),
         detail = error.detail,
         config = request.config_version,
         ms = request.received.elapsed().as_millis() as u64,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -17,17 +17,16 @@
     emptied_domains::EmptiedDomains,
     fleet_retry_budget::{FleetRetryBudget, RetryCause},
     fleet_share::whole_share,
-    quarantine::{Quarantine, Verdict},
     replaced_servers::ReplacedServers,
     session_locations::{SessionKey, SessionLocations},
 };
-use bulrushward_protocol::{Fingerprint, QuarantineRecord};
 use memory_stats::memory_stats;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     buffered_body::SharedBuffers,
     cold_servers::FleetView,
+    crash_records::CrashRecords,
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
@@ -46,12 +45,6 @@
 
 /// Largest number of session locations that a starting router receives from a peer or the store; about 30 KB.
 const MAX_COPIED_LOCATIONS: usize = 2_048;
-/// Crashes after which a request is quarantined; a single crash may be a coincidence.
-const QUARANTINE_CRASHES: u8 = 3;
-/// Time for which the crashes caused by a request are remembered; callers retry within seconds.
-const CRASH_RECORD_TTL: Duration = Duration::from_secs(30);
-/// Largest number of requests whose crashes are remembered.
-const MAX_CRASH_RECORDS: usize = 1_024;
 
 /// State of a direct router that is used by both threads.
 #[derive(Debug)]
@@ -83,7 +76,7 @@
     location_changes: AtomicU64,
     /// Session locations still to be sent to peers.
     location_updates: Mutex<LocationUpdates>,
-    quarantine: Mutex<Quarantine>,
+    pub(crate) crash_records: CrashRecords,
     replaced_servers: Mutex<ReplacedServers>,
     /// Whether orders to empty failure domains are followed.
     pub(crate) follows_orders: bool,
@@ -120,11 +113,7 @@
             session_locations: Mutex::new(SessionLocations::new(MAX_SESSIONS)),
             location_changes: AtomicU64::new(0),
             location_updates: Mutex::default(),
-            quarantine: Mutex::new(Quarantine::new(
-                QUARANTINE_CRASHES,
-                CRASH_RECORD_TTL,
-                MAX_CRASH_RECORDS,
-            )),
+            crash_records: CrashRecords::default(),
             replaced_servers: Mutex::default(),
             emptied_domains: Mutex::default(),
             overload: OverloadControl::default(),
@@ -243,6 +232,7 @@
                 .map(|(service, budget)| (service.clone(), budget.available(routers, now)))
                 .collect(),
             start_waiting: self.start_gate.waiting(),
+            crash_records: self.crash_records.len(),
             log_lines_dropped: self.log.dropped_lines(),
             memory_bytes: memory_stats().map(|stats| stats.physical_mem),
         }
@@ -383,29 +373,6 @@
         lock(&self.emptied_domains)
     }
 
-    /// Records a server crash that a request is suspected to have caused.
-    pub(crate) fn record_crash(&self, fingerprint: Fingerprint) {
-        lock(&self.quarantine).record_crash(fingerprint, Instant::now());
-    }
-
-    /// Returns the remaining quarantine of a request, if it has crashed too many servers.
-    pub(crate) fn quarantine_time_left(&self, fingerprint: Fingerprint) -> Option<Duration> {
-        let now = Instant::now();
-        let quarantine = lock(&self.quarantine);
-        let is_quarantined = quarantine.verdict(fingerprint, now) == Verdict::Quarantined;
-        is_quarantined.then(|| quarantine.remaining(fingerprint, now))
-    }
-
-    /// Returns at most `limit` crash records to send to peers.
-    pub(crate) fn crash_records(&self, now: Instant, limit: usize) -> Vec<QuarantineRecord> {
-        lock(&self.quarantine).records(now, limit)
-    }
-
-    /// Merges the crash records received from a peer.
-    pub(crate) fn merge_crash_records(&self, records: &[QuarantineRecord]) {
-        lock(&self.quarantine).merge(records, Instant::now());
-    }
-
     /// Returns the session locations for the next round of datagrams.
     pub(crate) fn take_location_updates(&self) -> Vec<SessionLocation> {
         lock(&self.location_updates).take()
