Add failing tests for crashes that different routers see

Three processes that each see one crash of the same content count one each after they have told each other, so that content that may crash three servers crashes three at every router.

--- /dev/null
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -0,0 +1,70 @@
+//! Content that crashes servers is refused by all routers.
+
+mod support;
+
+use std::{sync::Arc, time::Duration};
+
+use support::{
+    TestRouter, config,
+    platform::MemoryStore,
+    record, request,
+    server::{Received, Step, TestServer, ok_response},
+    unique_loopback_ip, wait_until,
+};
+
+/// Time in which routers tell each other of a crash.
+const GOSSIP_TIME: Duration = Duration::from_millis(1_500);
+
+/// Starts a server that crashes on one body and serves all others.
+fn fragile_server(index: usize) -> TestServer {
+    TestServer::start(&format!("s-{index}"), |req: &Received| {
+        if req.body == b"poison" {
+            return vec![Step::Crash];
+        }
+        vec![ok_response(req, "fine")]
+    })
+}
+
+fn poisoned(servers: &[TestServer]) -> usize {
+    let received = servers.iter().flat_map(TestServer::received);
+    received.filter(|req| req.body == b"poison").count()
+}
+
+/// Starts a store with servers, and routers that know each other.
+fn start_fleet<const N: usize>(servers: &[TestServer]) -> [TestRouter; N] {
+    let store = MemoryStore::with(config(1));
+    for server in servers {
+        store.put(&server.id, record("plain", server.address));
+    }
+    let ips: [_; N] = std::array::from_fn(|_| unique_loopback_ip());
+    let routers = ips.map(|ip| TestRouter::start_at(ip, &store, &ips));
+    for router in &routers {
+        router.wait_ready();
+    }
+    routers
+}
+
+// Guards against routers that each count only the crashes that they saw themselves, so that a request crashes servers at
+// every router anew.
+#[test]
+fn crashes_seen_by_different_routers_bar_a_request() {
+    let servers: Vec<_> = (0..12).map(fragile_server).collect();
+    let routers: [_; 3] = start_fleet(&servers);
+    for (index, router) in routers.iter().enumerate() {
+        // Not idempotent, so the router sends it once.
+        router.send(&request("POST", "action", &format!("p-{index}"), "poison"));
+        // Other requests find the crashed server unreachable.
+        for good in 0..60 {
+            let good = request("GET", "lookup", &format!("g-{index}-{good}"), "good");
+            assert_eq!(router.send(&good).text(), "fine");
+        }
+    }
+    assert_eq!(poisoned(&servers), 3);
+    std::thread::sleep(GOSSIP_TIME);
+    for (index, router) in routers.iter().enumerate() {
+        let refused = router.send(&request("POST", "action", &format!("r-{index}"), "poison"));
+        assert_eq!(refused.status, 503, "at router {index}");
+        assert!(refused.header("retry-after").is_some());
+        assert_eq!(poisoned(&servers), 3);
+    }
+}
--- a/bulrushward_policy/tests/quarantine.rs
+++ b/bulrushward_policy/tests/quarantine.rs
@@ -115,3 +115,22 @@
     assert_eq!(quarantine.verdict(4, later), Verdict::Suspect);
     assert_eq!(quarantine.len(), 3);
 }
+
+// Guards against processes that keep the highest count of their peers instead of adding up the crashes that each has
+// seen, so that content goes on crashing backend servers while every process counts one.
+#[test]
+fn crashes_seen_by_different_processes_add_up() {
+    let now = Instant::now();
+    let mut processes: Vec<_> = (0..3).map(|_| Quarantine::new(3, TTL, 10)).collect();
+    let records: Vec<_> = processes
+        .iter_mut()
+        .flat_map(|process| {
+            process.record_crash(7, now);
+            process.records(now, 10)
+        })
+        .collect();
+    for process in &mut processes {
+        process.merge(&records, now);
+        assert_eq!(process.verdict(7, now), Verdict::Quarantined);
+    }
+}
