--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -162,6 +162,7 @@
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
         check_domain(shared, choice)?;
+        check_content(shared, request)?;
         let req = build_request(shared, request, choice, last_event_id)?;
         match send_on(request, req, connection, progress, silence).await {
             // A server may close idle connections, so this is no failure of the server.
@@ -227,6 +228,16 @@
     Ok(())
 }
 
+/// Checks that the content of a request was not barred while it waited, and records that it is sent.
+fn check_content(shared: &Shared, request: &RoutedRequest) -> Result<(), AttemptError> {
+    if shared.content_refusal(request).is_some() {
+        let detail = "the content crashes servers";
+        return Err(AttemptError::new(AttemptFailure::ContentBarred, &detail));
+    }
+    shared.crash_records.record_sent(request);
+    Ok(())
+}
+
 /// Sends a request on a connection and waits for the response head.
 async fn send_on(
     request: &RoutedRequest,
@@ -358,6 +369,7 @@
         }
     };
     connection::release(progress.server(), connection, metadata.keep_alive_timeout);
+    shared.crash_records.record_served(request);
     let response = AttemptResponse::Complete {
         status: head.status,
         headers,
@@ -419,7 +431,8 @@
 /// Records a failed attempt in the health of its server.
 pub(crate) fn record_failure(progress: &InProgress, error: &AttemptError) {
     progress.update_health(|health, now| match error.failure {
-        AttemptFailure::Crowded | AttemptFailure::DomainEmptied => {}
+        AttemptFailure::Crowded | AttemptFailure::DomainEmptied | AttemptFailure::ContentBarred => {
+        }
         AttemptFailure::NotSent | AttemptFailure::Misdirected => health.record_unreachable(now),
         AttemptFailure::Rejected
         | AttemptFailure::ServerError
--- a/bulrushward_direct/src/cold_servers.rs
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns whether this router comes first of all in the order that belongs to `item`.
+    pub(crate) fn ranks_first(&self, item: u64) -> bool {
+        FleetPosition::ranked(self.own, &self.members, item).rank == 0
+    }
+
     /// Returns the place of this router among those that share a server.
     fn position(&self, server: ServerHash) -> FleetPosition {
         FleetPosition::ranked(self.own, &self.members, server.into())
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -1,94 +1,179 @@
-//! Which request contents crashed servers, as this router has seen it and as its peers tell.
+//! Which content crashed servers, as this router has seen it and as its peers tell.
+//!
+//! The log names content by its hash, so that the lines of all routers can be joined.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::quarantine::{Quarantine, Verdict};
-use bulrushward_protocol::{Fingerprint, QuarantineRecord, format_id};
+use bulrushward_policy::crash_evidence::{BarPolicy, ContentHash, CrashEvidence, OrganisationHash};
+use bulrushward_protocol::format_id;
+use tokio::sync::Notify;
 use tracing::{info, warn};
+use xxhash_rust::xxh3::xxh3_64;
 
-/// Crashes after which a request is quarantined; a single crash may be a coincidence.
-const QUARANTINE_CRASHES: u8 = 3;
-/// Time for which the crashes caused by a request are remembered; callers retry within seconds.
-const CRASH_RECORD_TTL: Duration = Duration::from_secs(30);
-/// Largest number of requests whose crashes are remembered.
-const MAX_CRASH_RECORDS: usize = 1_024;
-/// Largest number of records in one message.
-const MAX_RECORDS_PER_MESSAGE: usize = 8;
+use crate::{
+    cold_servers::FleetView, crash_reports::CrashReports, routed_request::RoutedRequest,
+    servers::Server,
+};
+
+/// Limits of what is remembered of content that crashes servers.
+const POLICY: BarPolicy = BarPolicy {
+    // Fewer may be a coincidence.
+    crashes: 3,
+    // Peers that serve the content tell of it within this time.
+    grace: Duration::from_millis(1_500),
+    period: Duration::from_mins(1),
+    memory: Duration::from_mins(10),
+    capacity: 1_024,
+};
+
+/// A request whose connection broke before its response had begun.
+#[derive(Clone, Debug)]
+pub(crate) struct BrokenRequest {
+    request_id: String,
+    organisation: OrganisationHash,
+    content: ContentHash,
+    pub(crate) at: Instant,
+}
+
+impl BrokenRequest {
+    pub(crate) fn new(request: &RoutedRequest) -> Self {
+        let organisation = request.organisation.as_deref().unwrap_or_default();
+        Self {
+            request_id: request.request_id.clone(),
+            organisation: xxh3_64(organisation.as_bytes()) as OrganisationHash,
+            content: request.fingerprint,
+            at: Instant::now(),
+        }
+    }
+}
 
-/// Records of request contents that crashed servers.
+/// Records of content that crashed servers.
 #[derive(Debug)]
 pub(crate) struct CrashRecords {
-    quarantine: Mutex<Quarantine>,
+    evidence: Mutex<CrashEvidence>,
+    /// Notified if peers should be told at once.
+    news: Notify,
 }
 
 impl Default for CrashRecords {
     fn default() -> Self {
-        let quarantine = Quarantine::new(QUARANTINE_CRASHES, CRASH_RECORD_TTL, MAX_CRASH_RECORDS);
         Self {
-            quarantine: Mutex::new(quarantine),
+            evidence: Mutex::new(CrashEvidence::new(POLICY)),
+            news: Notify::new(),
         }
     }
 }
 
 impl CrashRecords {
-    /// Records a crash of `server` that a request is suspected to have caused.
-    pub(crate) fn record_crash(&self, fingerprint: Fingerprint, server: &str) {
+    /// Records that a server crashed that had begun to run these requests.
+    pub(crate) fn record_crash(&self, server: &Server, suspects: &[BrokenRequest]) {
+        if suspects.is_empty() {
+            return;
+        }
         let now = Instant::now();
-        let mut quarantine = self.lock();
-        let before = quarantine.verdict(fingerprint, now);
-        let crashes = quarantine.record_crash(fingerprint, now);
-        let content = format_id(fingerprint);
-        info!(event = "crash-suspected", server, content, crashes);
-        if before != Verdict::Quarantined
-            && quarantine.verdict(fingerprint, now) == Verdict::Quarantined
-        {
-            warn!(event = "content-barred", content, crashes, source = "own");
+        let mut evidence = self.lock();
+        for suspect in suspects {
+            let (content, organisation) = (suspect.content, suspect.organisation);
+            let crashes = evidence.record_crash(content, organisation, server.hash, now);
+            info!(
+                event = "crash-suspected",
+                request = suspect.request_id,
+                server = server.id,
+                server_key = server.hash,
+                content = format_id(content),
+                crashes,
+            );
         }
+        log_changes(&mut evidence, "own", now);
+        self.news.notify_one();
     }
 
-    /// Returns the remaining quarantine of a request, if it has crashed too many servers.
-    pub(crate) fn quarantine_time_left(&self, fingerprint: Fingerprint) -> Option<Duration> {
+    /// Records a complete response to a request.
+    pub(crate) fn record_served(&self, request: &RoutedRequest) {
         let now = Instant::now();
-        let quarantine = self.lock();
-        let is_quarantined = quarantine.verdict(fingerprint, now) == Verdict::Quarantined;
-        is_quarantined.then(|| quarantine.remaining(fingerprint, now))
+        let mut evidence = self.lock();
+        if evidence.record_served(request.fingerprint, now) {
+            log_changes(&mut evidence, "own", now);
+            self.news.notify_one();
+        }
     }
 
-    /// Returns the records for the next message to peers.
-    pub(crate) fn outgoing(&self) -> Vec<QuarantineRecord> {
-        self.lock().records(Instant::now(), MAX_RECORDS_PER_MESSAGE)
+    /// Returns the time for which a request is refused because its content crashes servers.
+    ///
+    /// Of the routers in `fleet`, one tries the content once its time is over.
+    pub(crate) fn refusal(&self, request: &RoutedRequest, fleet: &FleetView) -> Option<Duration> {
+        let evidence = self.lock();
+        if evidence.is_empty() {
+            return None;
+        }
+        let content = request.fingerprint;
+        evidence.refusal(content, fleet.ranks_first(content as u64), Instant::now())
     }
 
-    /// Merges the records that `peer` has sent.
-    pub(crate) fn merge(&self, records: &[QuarantineRecord], peer: &str) {
+    /// Records that a request is sent to a server.
+    pub(crate) fn record_sent(&self, request: &RoutedRequest) {
+        let mut evidence = self.lock();
+        if !evidence.is_empty() {
+            evidence.record_sent(request.fingerprint, Instant::now());
+        }
+    }
+
+    /// Returns the message for peers.
+    pub(crate) fn message(&self) -> CrashReports {
         let now = Instant::now();
-        let mut quarantine = self.lock();
-        for record in records {
-            let before = quarantine.verdict(record.fingerprint, now);
-            quarantine.merge(std::slice::from_ref(record), now);
-            let verdict = quarantine.verdict(record.fingerprint, now);
-            if verdict == before {
-                continue;
-            }
-            let (content, crashes) = (format_id(record.fingerprint), record.crashes);
+        let mut evidence = self.lock();
+        log_changes(&mut evidence, "own", now);
+        CrashReports::new(|limit| evidence.reports(now, limit))
+    }
+
+    /// Merges the message of a peer.
+    pub(crate) fn merge(&self, message: &CrashReports, peer: &str) {
+        if message.reports.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let mut evidence = self.lock();
+        for content in evidence.merge(&message.reports, now) {
+            let crashes = evidence.crashes(content);
+            let content = format_id(content);
             info!(event = "crash-heard", content, crashes, from = peer);
-            if verdict == Verdict::Quarantined {
-                warn!(event = "content-barred", content, crashes, source = peer);
-            }
+        }
+        if log_changes(&mut evidence, peer, now) {
+            self.news.notify_one();
         }
     }
 
-    /// Returns the number of contents that are remembered.
-    pub(crate) fn len(&self) -> usize {
-        self.lock().len()
+    /// Waits until peers should be told at once.
+    pub(crate) async fn wait_for_news(&self) {
+        self.news.notified().await;
     }
 
-    fn lock(&self) -> MutexGuard<'_, Quarantine> {
-        self.quarantine
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    /// Returns the numbers of contents that are remembered and that are refused.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let evidence = self.lock();
+        (evidence.len(), evidence.convicted(Instant::now()))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CrashEvidence> {
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Logs what is refused from now on or no longer; returns whether there is any.
+///
+/// `source` is the peer whose message decided it, or `own`.
+fn log_changes(evidence: &mut CrashEvidence, source: &str, now: Instant) -> bool {
+    let changes = evidence.take_changes(now);
+    for change in &changes {
+        let (content, crashes) = (format_id(change.content), change.crashes);
+        if change.is_barred {
+            warn!(event = "content-barred", content, crashes, source);
+        } else {
+            info!(event = "content-freed", content, source);
+        }
     }
+    !changes.is_empty()
 }
--- /dev/null
+++ b/bulrushward_direct/src/crash_reports.rs
@@ -0,0 +1,22 @@
+//! Message with which routers tell each other of content that crashes servers.
+
+use bulrushward_policy::crash_evidence::CrashReport;
+use serde::{Deserialize, Serialize};
+
+/// Largest number of contents in one message, at roughly a hundred bytes each.
+const MAX_REPORTS: usize = 12;
+
+/// Part of a datagram, which routers of earlier versions neither send nor read.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct CrashReports {
+    pub(crate) reports: Vec<CrashReport>,
+}
+
+impl CrashReports {
+    /// Creates a message with the reports that `take` returns up to a limit.
+    pub(crate) fn new(take: impl FnOnce(usize) -> Vec<CrashReport>) -> Self {
+        Self {
+            reports: take(MAX_REPORTS),
+        }
+    }
+}
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -3,6 +3,8 @@
 //! Each round, a router sends some peers a datagram with its fleet state version and its requests in progress.
 //! A router whose fleet state is behind fetches a snapshot from a peer.
 
+mod message;
+
 use std::{
     collections::HashMap,
     io,
@@ -13,27 +15,24 @@
 
 use bulrushward_policy::{
     emptied_domains::EmptiedReport, fleet_liveness::FleetLiveness, fleet_share::FleetMembers,
-    server_load::PeerLoad, server_registry::StoreRevision, store_recovery::RecoveryReport,
-    view_lag::ViewLag,
+    server_load::PeerLoad, server_registry::StoreRevision, view_lag::ViewLag,
 };
-use bulrushward_protocol::QuarantineRecord;
 use hyper::StatusCode;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use tokio::{
     net::UdpSocket,
     time::{MissedTickBehavior, interval},
 };
 use tracing::{debug, info, warn};
 
+use self::message::{GossipMessage, GossipOrders, GossipTail, PeerSighting, ServerInProgress};
 use crate::{
     call,
     cold_servers::{self, FleetView},
     connection::close_expired,
+    crash_reports::CrashReports,
     fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
-    location_updates::SessionLocation,
     model::ConfigVersion,
-    overload::ServerTimes,
     servers::ServerHash,
     shared::Shared,
     store_watch::COALESCING_FRACTION,
@@ -47,6 +46,10 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of peers that receive a datagram in each round, which bounds the traffic in a large fleet.
 const PEERS_PER_ROUND: usize = 4;
+/// Number of peers that are told at once of content that crashes servers.
+const PEERS_AT_ONCE: usize = 6;
+/// Shortest time between two datagrams that are sent at once.
+const NEWS_INTERVAL: Duration = Duration::from_millis(50);
 /// Age up to which the requests in progress and the state version in a message are used.
 const MESSAGE_MAX_AGE: Duration = Duration::from_secs(3);
 /// Time for which a datagram of a process may still arrive after the process was restarted.
@@ -66,60 +69,6 @@
 /// After that it fetches the state from a peer. The wait exceeds the time for which changes are coalesced.
 const STORE_PREFERENCE_FRACTION: f64 = COALESCING_FRACTION + 0.1;
 
-/// Message that a router sends to its peers in each round.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct GossipMessage {
-    node: String,
-    /// Start of the process in milliseconds since the epoch.
-    started_ms: u64,
-    /// Address at which the sender serves its fleet state.
-    fleet_state_address: SocketAddr,
-    /// Version of the sender's fleet state.
-    state_version: StateVersion,
-    in_progress: Vec<ServerInProgress>,
-    /// Session locations that the sender has recently learnt.
-    session_locations: Vec<SessionLocation>,
-    /// Requests that crash servers.
-    crashes: Vec<QuarantineRecord>,
-    /// Sample of the other routers that are alive.
-    others: Vec<PeerSighting>,
-}
-
-/// Second part of a datagram, which routers of earlier versions neither send nor read.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct GossipTail {
-    /// Latest return of the store from an outage.
-    recovery: Option<RecoveryReport>,
-    /// Servers of which another server has the address.
-    replaced_servers: Vec<ServerHash>,
-    /// Response times of the servers of plain services.
-    response_times: Vec<ServerTimes>,
-}
-
-/// Third part of a datagram, which routers without it neither send nor read.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct GossipOrders {
-    /// Emptied failure domains; `None` if the sender does not know the orders.
-    emptied: Option<EmptiedReport>,
-}
-
-/// Age of the last sign of life of a router.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct PeerSighting {
-    /// Address at which the router serves its fleet state.
-    fleet_state_address: SocketAddr,
-    age_ms: u32,
-}
-
-/// Requests of one router in progress at one server.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct ServerInProgress {
-    server: ServerHash,
-    requests: u32,
-    /// Prompt tokens of these requests that the server has not prefilled yet.
-    unread_tokens: u64,
-}
-
 /// A peer with its latest message.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -184,9 +133,15 @@
         let mut rounds = interval(ROUND_INTERVAL);
         rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let shared = Arc::clone(&self.shared);
+        let mut next_news = Instant::now();
         loop {
             tokio::select! {
                 _tick = rounds.tick() => self.round().await,
+                () = wait_for_news(&shared, next_news) => {
+                    self.send_message(PEERS_AT_ONCE).await;
+                    next_news = Instant::now() + NEWS_INTERVAL;
+                }
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.receive(&buf[..len], from),
                     // The system also reports here that nothing listens on a peer's port.
@@ -206,7 +161,7 @@
             close_expired(server, now);
         }
         cold_servers::log_changes(&self.shared, now);
-        self.send_message().await;
+        self.send_message(PEERS_PER_ROUND).await;
         if !self.has_initial_state {
             self.fetch_initial_state().await;
         }
@@ -262,10 +217,13 @@
         if known.is_some_and(is_late) {
             return;
         }
-        // A router of an earlier version sends no tail or no orders.
+        // Routers of earlier versions send fewer parts.
         let (tail, orders): (GossipTail, _) = postcard::take_from_bytes(tail).unwrap_or_default();
-        let orders: GossipOrders = postcard::from_bytes(orders).unwrap_or_default();
+        let (orders, crashes): (GossipOrders, _) =
+            postcard::take_from_bytes(orders).unwrap_or_default();
+        let crashes: CrashReports = postcard::from_bytes(crashes).unwrap_or_default();
         self.merge_tail(&tail, &message.node);
+        self.shared.crash_records.merge(&crashes, &message.node);
         if let Some(emptied) = &orders.emptied {
             self.fleet_state.merge_orders(emptied);
         }
@@ -276,9 +234,6 @@
                 Duration::from_millis(other.age_ms.into()),
             );
         }
-        self.shared
-            .crash_records
-            .merge(&message.crashes, &message.node);
         for location in &message.session_locations {
             self.shared
                 .record_session_location(location.session, location.server);
@@ -372,7 +327,8 @@
         }
     }
 
-    async fn send_message(&self) {
+    /// Sends a datagram to some random peers.
+    async fn send_message(&self, peers: usize) {
         let orders = GossipOrders {
             emptied: self
                 .shared
@@ -380,7 +336,8 @@
                 .report(Instant::now())
                 .filter(EmptiedReport::fits_datagram),
         };
-        let parts = (self.build_message(), self.build_tail(), orders);
+        let crashes = self.shared.crash_records.message();
+        let parts = (self.build_message(), self.build_tail(), orders, crashes);
         let bytes = match postcard::to_stdvec(&parts) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -388,7 +345,7 @@
                 return;
             }
         };
-        for address in self.choose_receivers() {
+        for address in self.choose_receivers(peers) {
             let to = SocketAddr::new(address.ip(), self.shared.settings().datagram_port);
             if let Err(error) = self.socket.send_to(&bytes, to).await {
                 debug!(event = "datagram-failed", %to, %error);
@@ -396,8 +353,8 @@
         }
     }
 
-    /// Chooses random peers as receivers of this round's datagram.
-    fn choose_receivers(&self) -> Vec<SocketAddr> {
+    /// Chooses random peers as receivers of a datagram.
+    fn choose_receivers(&self, peers: usize) -> Vec<SocketAddr> {
         let settings = self.shared.settings();
         let message_senders = self
             .by_node
@@ -412,7 +369,7 @@
         known_addresses.sort_unstable();
         known_addresses.dedup();
         known_addresses
-            .sample(&mut rand::rng(), PEERS_PER_ROUND)
+            .sample(&mut rand::rng(), peers)
             .copied()
             .collect()
     }
@@ -448,7 +405,7 @@
             state_version: self.fleet_state.version(),
             in_progress,
             session_locations: self.shared.take_location_updates(),
-            crashes: self.shared.crash_records.outgoing(),
+            crashes: Vec::new(),
             others: others.collect(),
         }
     }
@@ -508,6 +465,12 @@
     }
 }
 
+/// Waits until peers should be told of content that crashes servers, and `earliest` has come.
+async fn wait_for_news(shared: &Shared, earliest: Instant) {
+    tokio::time::sleep_until(earliest.into()).await;
+    shared.crash_records.wait_for_news().await;
+}
+
 async fn fetch(
     from: SocketAddr,
     known_config: Option<ConfigVersion>,
--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -33,6 +33,8 @@
     FailureDomainsEmptied,
     /// All other servers are cold, and this router may send to one of them after this time.
     ColdServers(Duration),
+    /// The content of the request crashes servers and is refused for this time.
+    ContentBarred(Duration),
     /// The fleet may send no more retries.
     RetryBudget,
 }
@@ -44,6 +46,7 @@
             Self::NoServer => Some(Reason::NoServer),
             Self::ColdServers(_) => Some(Reason::ColdServers),
             Self::FailureDomainsEmptied => Some(Reason::FailureDomainsEmptied),
+            Self::ContentBarred(_) => Some(Reason::Quarantined),
             Self::RetryBudget => Some(Reason::RetryBudget),
             Self::Route | Self::TimeOver | Self::NoEvent => None,
         }
@@ -68,6 +71,9 @@
     let NextAttempt::Send { retry } = next else {
         return Err(HandoverRefusal::Route);
     };
+    if let Some(retry) = shared.content_refusal(request) {
+        return Err(HandoverRefusal::ContentBarred(retry));
+    }
     server_selection::check_candidates(shared, request, tried)?;
     if retry && !shared.withdraw_retry(&request.service.name, failure.retry_cause()) {
         return Err(HandoverRefusal::RetryBudget);
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -10,6 +10,7 @@
 mod cold_servers;
 mod connection;
 mod crash_records;
+mod crash_reports;
 mod events;
 mod fleet_state;
 mod gossip;
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -76,8 +76,8 @@
     pub(crate) budgets: Vec<(String, u32)>,
     /// Requests that wait for this router to know a configuration and servers.
     pub(crate) start_waiting: usize,
-    /// Request contents that are remembered because servers crashed under them.
-    pub(crate) crash_records: usize,
+    /// Contents that are remembered because servers crashed under them, and those of them that are refused.
+    pub(crate) crash_records: (usize, usize),
     pub(crate) log_lines_dropped: u64,
     /// Resident memory in bytes; `None` if the system does not report it.
     pub(crate) memory_bytes: Option<usize>,
@@ -121,6 +121,7 @@
     in_progress: Gauge,
     start_waiting: Gauge,
     crash_records: Gauge,
+    contents_barred: Gauge,
     pub(crate) sessions: Gauge,
     connections_open: Gauge,
     connections_idle: Gauge,
@@ -227,7 +228,11 @@
             start_waiting: r.add("start_waiting", "Requests that wait for the router's start"),
             crash_records: r.add(
                 "crash_records",
-                "Request contents that are remembered because servers crashed under them",
+                "Contents that are remembered because servers crashed under them",
+            ),
+            contents_barred: r.add(
+                "contents_barred",
+                "Contents that are refused because servers crashed under them",
             ),
             sessions: r.add("sessions", "Sessions whose servers are remembered"),
             connections_open: r.add("connections_open", "Connections to servers"),
@@ -352,8 +357,10 @@
         }
         let waiting = snapshot.start_waiting.cast_signed();
         self.start_waiting.set(waiting as i64);
-        let crash_records = snapshot.crash_records.cast_signed();
-        self.crash_records.set(crash_records as i64);
+        let (crash_records, contents_barred) = snapshot.crash_records;
+        self.crash_records.set(crash_records.cast_signed() as i64);
+        self.contents_barred
+            .set(contents_barred.cast_signed() as i64);
         let dropped = snapshot.log_lines_dropped.cast_signed();
         self.log_lines_dropped.set(dropped);
         if let Some(bytes) = snapshot.memory_bytes {
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -91,7 +91,11 @@
         self.used = match failure {
             None | Some(AttemptFailure::ServerError) => PlaceUse::Ended { response: time },
             Some(AttemptFailure::Rejected) => PlaceUse::Rejected,
-            Some(AttemptFailure::Crowded | AttemptFailure::DomainEmptied) => PlaceUse::NotUsed,
+            Some(
+                AttemptFailure::Crowded
+                | AttemptFailure::DomainEmptied
+                | AttemptFailure::ContentBarred,
+            ) => PlaceUse::NotUsed,
             Some(
                 AttemptFailure::NotSent
                 | AttemptFailure::Misdirected
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -147,6 +147,7 @@
                 StreamItem::End => {
                     self.record_pause();
                     self.is_finished = true;
+                    self.shared.crash_records.record_served(&self.request);
                     self.record_end(StreamEnd::Complete, "");
                     return None;
                 }
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse},
+    crash_records::BrokenRequest,
     handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
     places::{self, Borrowed, Place},
@@ -91,7 +92,7 @@
     // Whether the successor takes the request over from a silent server.
     let mut is_taken_over = false;
     loop {
-        if let Some(refusal) = refuse_quarantined(shared, &request, &history) {
+        if let Some(refusal) = refuse_barred(shared, &request, &history) {
             return Err(refusal);
         }
         if Instant::now() >= request.deadline {
@@ -146,6 +147,10 @@
             Err(error) => error,
         };
         request_log.detail.clone_from(&error.detail);
+        if error.failure == AttemptFailure::ContentBarred {
+            // It was barred after the check above.
+            continue;
+        }
         record_failed_attempt(shared, &request, server, &error);
         let failed = FailedAttempt::new(&error, &mut history);
         last_error = Some(error);
@@ -168,18 +173,16 @@
     }
 }
 
-/// Returns the refusal of a request that has crashed too many servers.
-fn refuse_quarantined(
+/// Returns the refusal of a request whose content crashes servers.
+fn refuse_barred(
     shared: &Shared,
     request: &RoutedRequest,
     history: &AttemptHistory,
 ) -> Option<LocalResponse> {
-    let time_left = shared
-        .crash_records
-        .quarantine_time_left(request.fingerprint)?;
+    let retry = shared.content_refusal(request)?;
     Some(match history.outcome() {
         NextAttempt::Unknown => LocalResponse::unknown(Reason::Quarantined),
-        _ => LocalResponse::not_run(Reason::Quarantined, time_left),
+        _ => LocalResponse::not_run(Reason::Quarantined, retry),
     })
 }
 
@@ -293,19 +296,16 @@
     server: &Server,
     error: &AttemptError,
 ) {
-    let now = Instant::now();
-    let suspects = match error.failure {
+    match error.failure {
         AttemptFailure::Broken => {
-            server
-                .state()
-                .record_broken_connection(request.fingerprint, now);
-            return;
+            let broken = BrokenRequest::new(request);
+            server.state().record_broken_request(broken);
         }
-        AttemptFailure::NotSent => server.state().take_crash_suspects(now),
-        _ => return,
-    };
-    for fingerprint in suspects {
-        shared.crash_records.record_crash(fingerprint, &server.id);
+        AttemptFailure::NotSent => {
+            let suspects = server.state().take_crash_suspects(Instant::now());
+            shared.crash_records.record_crash(server, &suspects);
+        }
+        _ => {}
     }
 }
 
@@ -329,6 +329,7 @@
         AttemptFailure::DomainEmptied => Reason::FailureDomainsEmptied,
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
         AttemptFailure::ServerError | AttemptFailure::Broken => Reason::ServerBroke,
+        AttemptFailure::ContentBarred => Reason::Quarantined,
         AttemptFailure::Silent => Reason::ServerSilent,
     }
 }
@@ -378,13 +379,13 @@
 ) -> Result<Response<Body>, LocalResponse> {
     let reason = refusal.reason().unwrap_or(default);
     let response = final_response(history, last_error, reason);
-    let HandoverRefusal::ColdServers(next) = refusal else {
-        return response;
+    let retry = match refusal {
+        HandoverRefusal::ColdServers(next) => retry_after::for_cold_servers(next),
+        HandoverRefusal::ContentBarred(retry) => retry,
+        _ => return response,
     };
     response.map_err(|local| LocalResponse {
-        retry_after: local
-            .retry_after
-            .map(|_| retry_after::for_cold_servers(next)),
+        retry_after: local.retry_after.map(|_| retry),
         ..local
     })
 }
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -10,11 +10,11 @@
     cold_server::ColdServer, fleet_share::FleetPosition, server_health::ServerHealth,
     server_load::ServerLoad, session_locations::ServerKey,
 };
-use bulrushward_protocol::Fingerprint;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     connection::IdleConnection,
+    crash_records::BrokenRequest,
     model::{ServerId, ServerRecord, ServiceName},
 };
 
@@ -46,7 +46,7 @@
     /// Idle connections, the most recently used last.
     pub(crate) idle: Vec<IdleConnection>,
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
-    broken_requests: Vec<(Fingerprint, Instant)>,
+    broken_requests: Vec<BrokenRequest>,
 }
 
 impl ServerState {
@@ -55,21 +55,23 @@
         !std::mem::replace(&mut self.is_leaving, true)
     }
 
-    /// Records that a connection broke while the server ran a request.
-    pub(crate) fn record_broken_connection(&mut self, fingerprint: Fingerprint, now: Instant) {
-        self.broken_requests
-            .retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_DETECTION_WINDOW);
+    /// Records that a connection broke before the server responded to a request.
+    pub(crate) fn record_broken_request(&mut self, request: BrokenRequest) {
+        self.remove_old_broken_requests(request.at);
         if self.broken_requests.len() < MAX_BROKEN_REQUESTS {
-            self.broken_requests.push((fingerprint, now));
+            self.broken_requests.push(request);
         }
     }
 
     /// Returns the requests that an unreachable server was running when it crashed.
-    pub(crate) fn take_crash_suspects(&mut self, now: Instant) -> Vec<Fingerprint> {
-        let broken_requests = std::mem::take(&mut self.broken_requests);
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < CRASH_DETECTION_WINDOW;
-        let recent = broken_requests.into_iter().filter(|(_, at)| recent(at));
-        recent.map(|(fingerprint, _)| fingerprint).collect()
+    pub(crate) fn take_crash_suspects(&mut self, now: Instant) -> Vec<BrokenRequest> {
+        self.remove_old_broken_requests(now);
+        std::mem::take(&mut self.broken_requests)
+    }
+
+    fn remove_old_broken_requests(&mut self, now: Instant) {
+        self.broken_requests
+            .retain(|broken| now.saturating_duration_since(broken.at) < CRASH_DETECTION_WINDOW);
     }
 }
 
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -33,6 +33,7 @@
     overload::OverloadControl,
     places::Places,
     ports::{FleetStore, HttpConventions, LogStats, RouterDependencies},
+    routed_request::RoutedRequest,
     routes::RouteTable,
     servers::{ServerHash, ServerSet},
     settings::DirectSettings,
@@ -232,7 +233,7 @@
                 .map(|(service, budget)| (service.clone(), budget.available(routers, now)))
                 .collect(),
             start_waiting: self.start_gate.waiting(),
-            crash_records: self.crash_records.len(),
+            crash_records: self.crash_records.counts(),
             log_lines_dropped: self.log.dropped_lines(),
             memory_bytes: memory_stats().map(|stats| stats.physical_mem),
         }
@@ -373,6 +374,11 @@
         lock(&self.emptied_domains)
     }
 
+    /// Returns the time for which a request is refused because its content crashes servers.
+    pub(crate) fn content_refusal(&self, request: &RoutedRequest) -> Option<Duration> {
+        self.crash_records.refusal(request, &self.fleet_view.load())
+    }
+
     /// Returns the session locations for the next round of datagrams.
     pub(crate) fn take_location_updates(&self) -> Vec<SessionLocation> {
         lock(&self.location_updates).take()
--- a/bulrushward_direct/tests/barred_content.rs
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -2,14 +2,14 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use support::{
     TestRouter, config,
     platform::MemoryStore,
     record, request,
     server::{Received, Step, TestServer, ok_response},
-    unique_loopback_ip, wait_until,
+    unique_loopback_ip,
 };
 
 /// Time in which routers tell each other of a crash.
--- /dev/null
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -0,0 +1,479 @@
+//! Which content crashes backend servers, from the crashes and responses that all processes have seen.
+//!
+//! Handles: content that arrives at any process and crashes each server that begins to run it; crashes
+//! that different processes see; sound content that runs beside it; lost, late and repeated messages;
+//! processes that restart; content that returns after minutes; callers that send much of it.
+
+use std::{
+    collections::HashMap,
+    num::NonZeroUsize,
+    time::{Duration, Instant},
+};
+
+use lru::LruCache;
+use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
+
+use crate::session_locations::ServerKey;
+
+/// Hash of content.
+pub type ContentHash = u128;
+/// Hash of the organisation that sent content.
+pub type OrganisationHash = u32;
+
+/// Crashes that are kept for one content: the first ones and the latest.
+const MAX_CRASHES: usize = 8;
+/// Contents whose latest complete response is remembered, so that the ones that most requests share are among them.
+const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
+/// Longest time for which content is barred at once.
+const MAX_BAR: Duration = Duration::from_mins(30);
+/// Ratio of the time for which content is barred to the time over which it has crashed servers.
+///
+/// Content that still crashes servers at each trial thus gets fewer and fewer of them.
+const BAR_GROWTH: u32 = 2;
+/// Time after which a trial without a result counts as failed to show anything.
+const TRIAL_TIME: Duration = Duration::from_secs(10);
+/// Times that a record is sent after its latest change; barred content is always sent.
+const MAX_SENDS: u32 = 10;
+
+/// Limits of [`CrashEvidence`].
+#[derive(Clone, Copy, Debug)]
+pub struct BarPolicy {
+    /// Crashes of different servers after which content is barred.
+    pub crashes: usize,
+    /// Time for which content that was served before is not barred yet, as a peer may have served it again.
+    pub grace: Duration,
+    /// Shortest time for which content is barred.
+    pub period: Duration,
+    /// Time for which crashes are remembered after the latest one or after the bar.
+    pub memory: Duration,
+    /// Largest number of contents that are remembered.
+    pub capacity: usize,
+}
+
+/// What is known about content.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Verdict {
+    /// It is not known to crash servers.
+    Clear,
+    /// Servers that began to run it have crashed, but too few to bar it.
+    Suspect,
+    /// It is not sent to any server.
+    Barred {
+        /// Time until it may be tried again.
+        remaining: Duration,
+    },
+    /// Its time is over; one request shows whether it still crashes servers.
+    OnTrial,
+}
+
+impl Verdict {
+    /// Returns whether content is barred or on trial.
+    #[must_use]
+    pub fn is_convicted(self) -> bool {
+        matches!(self, Self::Barred { .. } | Self::OnTrial)
+    }
+}
+
+/// Content that is refused from now on, or no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BarChange {
+    /// Content.
+    pub content: ContentHash,
+    /// Crashes since the content was last served.
+    pub crashes: usize,
+    /// Whether it is refused.
+    pub is_barred: bool,
+}
+
+/// A crash of a server that had begun to run content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Crash {
+    server: ServerKey,
+    at: Instant,
+}
+
+/// What a process tells its peers about content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// Content.
+    pub content: ContentHash,
+    /// Organisation that sent it.
+    pub organisation: OrganisationHash,
+    /// Servers that crashed, with the age of each crash in milliseconds.
+    pub crashes: Vec<(ServerKey, u32)>,
+    /// Age of the latest complete response to a request with the content, in milliseconds.
+    pub served_ms: Option<u32>,
+    /// Age of the trial in progress, in milliseconds.
+    pub trial_ms: Option<u32>,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    organisation: OrganisationHash,
+    /// Crashes since the content was last served, in order of time.
+    crashes: Vec<Crash>,
+    /// Latest complete response; earlier crashes had other causes.
+    served: Option<Instant>,
+    trial: Option<Instant>,
+    /// Whether it was reported as barred.
+    is_reported: bool,
+    /// Number of messages that included the record since it last changed.
+    times_sent: u32,
+}
+
+impl Record {
+    fn new(organisation: OrganisationHash, served: Option<Instant>) -> Self {
+        Self {
+            organisation,
+            crashes: Vec::new(),
+            served,
+            trial: None,
+            is_reported: false,
+            times_sent: 0,
+        }
+    }
+
+    /// Returns the times from which and until which the content is barred, if there are enough crashes.
+    fn bar(&self, policy: &BarPolicy) -> Option<(Instant, Instant)> {
+        let (first, last) = (self.crashes.first()?, self.crashes.last()?);
+        let deciding = self.crashes.get(policy.crashes.saturating_sub(1))?;
+        let grace = self.served.map_or(Duration::ZERO, |_| policy.grace);
+        let span = last.at.saturating_duration_since(first.at);
+        let period = (span * BAR_GROWTH).clamp(policy.period, MAX_BAR.max(policy.period));
+        Some((deciding.at + grace, last.at + period))
+    }
+
+    fn verdict(&self, policy: &BarPolicy, now: Instant) -> Verdict {
+        match self.bar(policy) {
+            _ if self.crashes.is_empty() => Verdict::Clear,
+            Some((_, until)) if now >= until => Verdict::OnTrial,
+            Some((from, until)) if now >= from => Verdict::Barred {
+                remaining: until - now,
+            },
+            _ => Verdict::Suspect,
+        }
+    }
+
+    fn expires(&self, policy: &BarPolicy) -> Option<Instant> {
+        let latest = self.crashes.last().map(|crash| crash.at);
+        let bar = self.bar(policy).map(|(_, until)| until);
+        let latest = latest.max(self.served).max(bar)?;
+        Some(latest + policy.memory)
+    }
+
+    /// Adds a crash; returns whether it is new.
+    fn add_crash(&mut self, crash: Crash) -> bool {
+        let is_known = self
+            .crashes
+            .iter()
+            .any(|known| known.server == crash.server);
+        if is_known || self.served.is_some_and(|served| crash.at <= served) {
+            return false;
+        }
+        let index = self.crashes.partition_point(|known| known.at <= crash.at);
+        if self.crashes.len() < MAX_CRASHES {
+            self.crashes.insert(index, crash);
+        } else if index == MAX_CRASHES {
+            self.crashes[MAX_CRASHES - 1] = crash;
+        } else {
+            return false;
+        }
+        self.times_sent = 0;
+        true
+    }
+
+    /// Records that the content was served; returns whether that refutes crashes.
+    fn record_served(&mut self, at: Instant) -> bool {
+        let crashes = self.crashes.len();
+        self.crashes.retain(|crash| crash.at > at);
+        let is_refuted = self.crashes.len() < crashes;
+        if is_refuted {
+            self.times_sent = 0;
+            self.trial = None;
+        }
+        self.served = self.served.max(Some(at));
+        is_refuted
+    }
+
+    fn report(&self, content: ContentHash, now: Instant) -> CrashReport {
+        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
+        CrashReport {
+            content,
+            organisation: self.organisation,
+            crashes: self
+                .crashes
+                .iter()
+                .map(|crash| (crash.server, age(crash.at)))
+                .collect(),
+            served_ms: self.served.map(age),
+            trial_ms: self.trial.map(age),
+        }
+    }
+}
+
+/// The crashes of backend servers by the content that they had begun to run.
+///
+/// Crashes are a set that grows by merging, so all processes that hear of the same ones agree. A complete response to a
+/// request with the content refutes the crashes before it.
+#[derive(Debug)]
+pub struct CrashEvidence {
+    policy: BarPolicy,
+    records: HashMap<ContentHash, Record>,
+    /// Latest complete responses that this process has seen, by content.
+    served: LruCache<ContentHash, Instant>,
+}
+
+impl CrashEvidence {
+    /// Creates a collection without crashes.
+    #[must_use]
+    pub fn new(policy: BarPolicy) -> Self {
+        Self {
+            policy,
+            records: HashMap::new(),
+            served: LruCache::new(MAX_SERVED),
+        }
+    }
+
+    /// Replaces the limits.
+    pub fn set_policy(&mut self, policy: BarPolicy) {
+        self.policy = policy;
+    }
+
+    /// Records that a server crashed that had begun to run the content; returns the crashes that are known.
+    pub fn record_crash(
+        &mut self,
+        content: ContentHash,
+        organisation: OrganisationHash,
+        server: ServerKey,
+        now: Instant,
+    ) -> usize {
+        self.insert(content, organisation, now);
+        let Some(record) = self.records.get_mut(&content) else {
+            return 0;
+        };
+        record.add_crash(Crash { server, at: now });
+        record.crashes.len()
+    }
+
+    /// Records a complete response to a request with the content; returns whether it refutes crashes.
+    pub fn record_served(&mut self, content: ContentHash, now: Instant) -> bool {
+        self.served.put(content, now);
+        let record = self.records.get_mut(&content);
+        record.is_some_and(|record| record.record_served(now))
+    }
+
+    /// Returns what is known about the content.
+    #[must_use]
+    pub fn verdict(&self, content: ContentHash, now: Instant) -> Verdict {
+        let record = self.records.get(&content);
+        record.map_or(Verdict::Clear, |record| record.verdict(&self.policy, now))
+    }
+
+    /// Returns the time for which a request with the content is refused, if it is.
+    ///
+    /// One process, for which `is_judge` holds, tries content whose bar is over; the others follow if it does not.
+    #[must_use]
+    pub fn refusal(&self, content: ContentHash, is_judge: bool, now: Instant) -> Option<Duration> {
+        let record = self.records.get(&content)?;
+        let mut until = match record.verdict(&self.policy, now) {
+            Verdict::Clear | Verdict::Suspect => return None,
+            Verdict::Barred { .. } | Verdict::OnTrial => record.bar(&self.policy)?.1,
+        };
+        if !is_judge {
+            until += self.policy.period;
+        }
+        let trial = record.trial.map(|begun| begun + TRIAL_TIME);
+        let until = trial.map_or(until, |end| end.max(until));
+        (now < until).then(|| until - now)
+    }
+
+    /// Records that a request with the content is sent; it is a trial if the content was barred.
+    pub fn record_sent(&mut self, content: ContentHash, now: Instant) {
+        let policy = self.policy;
+        let Some(record) = self.records.get_mut(&content) else {
+            return;
+        };
+        if record.verdict(&policy, now) == Verdict::OnTrial {
+            record.trial = Some(now);
+            record.times_sent = 0;
+        }
+    }
+
+    /// Returns the number of crashes of servers since the content was last served.
+    #[must_use]
+    pub fn crashes(&self, content: ContentHash) -> usize {
+        let record = self.records.get(&content);
+        record.map_or(0, |record| record.crashes.len())
+    }
+
+    /// Merges the reports of a peer; returns the contents with new crashes.
+    pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<ContentHash> {
+        let merged = reports
+            .iter()
+            .filter(|report| self.merge_one(report, now))
+            .map(|report| report.content);
+        merged.collect()
+    }
+
+    /// Returns what is refused from now on or no longer, each change once.
+    pub fn take_changes(&mut self, now: Instant) -> Vec<BarChange> {
+        let mut changes = Vec::new();
+        for (content, record) in &mut self.records {
+            let is_barred = record.verdict(&self.policy, now).is_convicted();
+            if is_barred != std::mem::replace(&mut record.is_reported, is_barred) {
+                changes.push(BarChange {
+                    content: *content,
+                    crashes: record.crashes.len(),
+                    is_barred,
+                });
+            }
+        }
+        changes
+    }
+
+    /// Returns up to `limit` reports for peers, those that were sent least often first.
+    pub fn reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
+        self.remove_expired(now);
+        let policy = self.policy;
+        let mut due: Vec<_> = self
+            .records
+            .iter_mut()
+            .filter(|(_, record)| {
+                record.times_sent < MAX_SENDS || record.verdict(&policy, now).is_convicted()
+            })
+            .map(|(content, record)| {
+                let order = (
+                    record.times_sent,
+                    MAX_CRASHES - record.crashes.len(),
+                    *content,
+                );
+                (order, record)
+            })
+            .collect();
+        due.sort_unstable_by_key(|(order, _)| *order);
+        due.into_iter()
+            .take(limit)
+            .map(|((_, _, content), record)| {
+                record.times_sent += 1;
+                record.report(content, now)
+            })
+            .collect()
+    }
+
+    /// Returns the number of contents that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no content is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the number of contents that are barred or on trial.
+    #[must_use]
+    pub fn convicted(&self, now: Instant) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|record| record.verdict(&self.policy, now).is_convicted())
+            .count()
+    }
+
+    /// Merges a report; returns whether it tells of new crashes.
+    fn merge_one(&mut self, report: &CrashReport, now: Instant) -> bool {
+        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+        let served = report.served_ms.and_then(at);
+        let crashes = report.crashes.iter().filter_map(|(key, age_ms)| {
+            Some(Crash {
+                server: *key,
+                at: at(*age_ms)?,
+            })
+        });
+        let crashes: Vec<_> = crashes
+            .filter(|crash| served.is_none_or(|served| crash.at > served))
+            .collect();
+        if !self.records.contains_key(&report.content) {
+            if crashes.is_empty() {
+                return false;
+            }
+            self.insert(report.content, report.organisation, now);
+        }
+        let Some(record) = self.records.get_mut(&report.content) else {
+            return false;
+        };
+        if let Some(served) = served
+            && (record.served.is_none() || record.crashes.iter().any(|crash| crash.at <= served))
+        {
+            // A response that refutes nothing is not taken over, as its age grows less exact with each message.
+            record.record_served(served);
+        }
+        let is_outdated = |crash: &Crash| record.served.is_some_and(|served| crash.at <= served);
+        if crashes.iter().any(is_outdated) {
+            // The peer has not heard of the response.
+            record.times_sent = 0;
+        }
+        let mut is_new = false;
+        for crash in crashes {
+            is_new |= record.add_crash(crash);
+        }
+        if let Some(trial) = report.trial_ms.and_then(at)
+            && record.trial.is_none_or(|known| known + TRIAL_TIME < trial)
+        {
+            record.trial = Some(trial);
+        }
+        is_new
+    }
+
+    fn insert(&mut self, content: ContentHash, organisation: OrganisationHash, now: Instant) {
+        if self.records.contains_key(&content) {
+            return;
+        }
+        if self.records.len() >= self.policy.capacity {
+            self.remove_expired(now);
+        }
+        let served = self.served.peek(&content).copied();
+        self.records
+            .insert(content, Record::new(organisation, served));
+        if self.records.len() > self.policy.capacity {
+            self.evict(content, now);
+        }
+    }
+
+    fn remove_expired(&mut self, now: Instant) {
+        let policy = self.policy;
+        self.records
+            .retain(|_, record| record.expires(&policy).is_some_and(|expires| now < expires));
+    }
+
+    /// Removes a record other than `newest`: one of content that was served, or else of the organisation with the most
+    /// records, whose content that is not barred goes first.
+    fn evict(&mut self, newest: ContentHash, now: Instant) {
+        let mut by_organisation: HashMap<OrganisationHash, usize> = HashMap::new();
+        for record in self.records.values() {
+            *by_organisation.entry(record.organisation).or_default() += 1;
+        }
+        let victim = self
+            .records
+            .iter()
+            .filter(|(content, _)| **content != newest)
+            .min_by_key(|(content, record)| {
+                let latest = record.crashes.last().map(|crash| crash.at);
+                (
+                    !record.crashes.is_empty(),
+                    std::cmp::Reverse(by_organisation[&record.organisation]),
+                    record.verdict(&self.policy, now).is_convicted(),
+                    record.crashes.len(),
+                    latest.max(record.served),
+                    **content,
+                )
+            })
+            .map(|(content, _)| *content);
+        if let Some(victim) = victim {
+            self.records.remove(&victim);
+        }
+    }
+}
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod chat_key;
 pub mod claim;
 pub mod cold_server;
+pub mod crash_evidence;
 pub mod emptied_domains;
 mod fair_queue;
 pub mod fleet_liveness;
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -20,6 +20,8 @@
     Crowded,
     /// The failure domain of the server was emptied before the request was sent.
     DomainEmptied,
+    /// The content of the request was barred before the request was sent.
+    ContentBarred,
     /// The server responded that it did not run the request.
     Rejected,
     /// The address now belongs to another server, which did not run the request.
@@ -41,6 +43,7 @@
             Self::NotSent
                 | Self::Crowded
                 | Self::DomainEmptied
+                | Self::ContentBarred
                 | Self::Rejected
                 | Self::Misdirected
         )
@@ -58,7 +61,10 @@
     /// Returns whether the server received the request.
     #[must_use]
     pub fn reached_server(self) -> bool {
-        !matches!(self, Self::NotSent | Self::Crowded | Self::DomainEmptied)
+        !matches!(
+            self,
+            Self::NotSent | Self::Crowded | Self::DomainEmptied | Self::ContentBarred
+        )
     }
 }
 
@@ -134,7 +140,8 @@
             self.unsent += 1;
         }
         self.may_have_run |= !failure.is_not_run();
-        let safe = self.idempotent || !self.may_have_run;
+        let safe =
+            (self.idempotent || !self.may_have_run) && failure != AttemptFailure::ContentBarred;
         if safe && self.reached < self.max_servers && self.unsent < MAX_UNSENT {
             return NextAttempt::Send {
                 retry: self.is_retry(),
--- /dev/null
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -0,0 +1,267 @@
+//! Evidence of crashes adds up, is refuted by responses, stays bounded and expires.
+
+use std::time::{Duration, Instant};
+
+use bulrushward_policy::crash_evidence::{
+    BarChange, BarPolicy, CrashEvidence, CrashReport, Verdict,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const POLICY: BarPolicy = BarPolicy {
+    crashes: 3,
+    grace: Duration::from_millis(1_500),
+    period: Duration::from_mins(1),
+    memory: Duration::from_mins(10),
+    capacity: 8,
+};
+/// Content that crashes servers.
+const DEADLY: u128 = 7;
+const ORGANISATION: u32 = 1;
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// Returns evidence of crashes of servers 1 to `crashes` by the content.
+fn evidence_of(crashes: u32, now: Instant) -> CrashEvidence {
+    let mut evidence = CrashEvidence::new(POLICY);
+    for server in 1..=crashes {
+        evidence.record_crash(DEADLY, ORGANISATION, server, now);
+    }
+    evidence
+}
+
+fn is_refused(evidence: &CrashEvidence, now: Instant) -> bool {
+    evidence.refusal(DEADLY, true, now).is_some()
+}
+
+#[test]
+fn content_is_suspect_after_a_crash_and_barred_after_the_third() {
+    let now = Instant::now();
+    assert_eq!(evidence_of(0, now).verdict(DEADLY, now), Verdict::Clear);
+    for crashes in 1..=2 {
+        let evidence = evidence_of(crashes, now);
+        assert_eq!(evidence.verdict(DEADLY, now), Verdict::Suspect);
+        assert!(!is_refused(&evidence, now));
+    }
+    let mut evidence = evidence_of(2, now);
+    assert_eq!(evidence.record_crash(DEADLY, ORGANISATION, 3, now), 3);
+    assert_eq!(evidence.refusal(DEADLY, true, now), Some(POLICY.period));
+    let change = BarChange {
+        content: DEADLY,
+        crashes: 3,
+        is_barred: true,
+    };
+    assert_eq!(evidence.take_changes(now), [change]);
+    assert_eq!(evidence.take_changes(now), []);
+}
+
+#[test]
+fn one_crash_that_several_requests_and_processes_report_counts_once() {
+    let now = Instant::now();
+    let mut evidence = evidence_of(2, now);
+    let mut peer = evidence_of(2, now);
+    evidence.record_crash(DEADLY, ORGANISATION, 2, now + seconds(1));
+    evidence.merge(&peer.reports(now, 10), now + seconds(2));
+    assert_eq!(evidence.crashes(DEADLY), 2);
+}
+
+// Guards against processes that keep the highest count of their peers instead of adding up the crashes that each has
+// seen, so that content goes on crashing servers while every process counts one.
+#[test]
+fn crashes_seen_by_different_processes_add_up() {
+    let now = Instant::now();
+    let mut processes: Vec<_> = (0..3).map(|_| CrashEvidence::new(POLICY)).collect();
+    let mut reports = Vec::new();
+    for (server, process) in (1..).zip(&mut processes) {
+        process.record_crash(DEADLY, ORGANISATION, server, now);
+        reports.extend(process.reports(now, 10));
+    }
+    for process in &mut processes {
+        process.merge(&reports, now);
+        assert!(is_refused(process, now));
+    }
+}
+
+// Guards against content that crashes as many servers anew when it returns after its record has lapsed.
+#[test]
+fn content_that_returns_costs_one_server_and_is_barred_for_longer() {
+    let start = Instant::now();
+    let mut evidence = evidence_of(3, start);
+    let mut now = start;
+    let mut barred_for = Vec::new();
+    for server in 10..14 {
+        let refusal = evidence.refusal(DEADLY, true, now).expect("it is barred");
+        barred_for.push(refusal);
+        now += refusal;
+        assert_eq!(evidence.verdict(DEADLY, now), Verdict::OnTrial);
+        assert!(!is_refused(&evidence, now));
+        evidence.record_sent(DEADLY, now);
+        assert!(
+            is_refused(&evidence, now),
+            "one request at a time is a trial"
+        );
+        evidence.record_crash(DEADLY, ORGANISATION, server, now);
+        assert!(is_refused(&evidence, now));
+    }
+    assert!(barred_for.is_sorted());
+    assert!(now - start > seconds(15 * 60), "{barred_for:?}");
+}
+
+#[test]
+fn a_trial_that_is_served_frees_the_content_everywhere() {
+    let start = Instant::now();
+    let mut evidence = evidence_of(3, start);
+    let mut peer = evidence_of(3, start);
+    let now = start + POLICY.period;
+    evidence.record_sent(DEADLY, now);
+    for process in [&mut evidence, &mut peer] {
+        assert!(process.take_changes(now)[0].is_barred);
+    }
+    assert!(evidence.record_served(DEADLY, now));
+    assert_eq!(evidence.verdict(DEADLY, now), Verdict::Clear);
+    // The peer's outdated report changes nothing, and it learns of the response.
+    assert!(evidence.merge(&peer.reports(now, 10), now).is_empty());
+    peer.merge(&evidence.reports(now, 10), now);
+    for process in [&mut evidence, &mut peer] {
+        assert!(!process.take_changes(now)[0].is_barred);
+        assert!(!is_refused(process, now));
+    }
+}
+
+#[test]
+fn one_process_tries_the_content_and_others_follow_only_if_it_does_not() {
+    let start = Instant::now();
+    let mut judge = evidence_of(3, start);
+    let mut other = evidence_of(3, start);
+    let now = start + POLICY.period;
+    assert_eq!(judge.refusal(DEADLY, true, now), None);
+    assert_eq!(other.refusal(DEADLY, false, now), Some(POLICY.period));
+    let later = now + POLICY.period;
+    assert_eq!(other.refusal(DEADLY, false, later), None);
+    judge.record_sent(DEADLY, later);
+    other.merge(&judge.reports(later, 10), later);
+    assert!(
+        other.refusal(DEADLY, false, later).is_some(),
+        "a trial is in progress"
+    );
+}
+
+#[test]
+fn a_response_refutes_only_earlier_crashes() {
+    let now = Instant::now();
+    let mut evidence = evidence_of(2, now);
+    evidence.record_served(DEADLY, now);
+    assert_eq!(evidence.verdict(DEADLY, now), Verdict::Clear);
+    evidence.record_crash(DEADLY, ORGANISATION, 8, now + seconds(1));
+    assert_eq!(evidence.crashes(DEADLY), 1);
+    assert!(
+        !evidence.record_served(9, now),
+        "nothing is known of other content"
+    );
+}
+
+// Guards against barring what all requests of a route share while a router has yet to hear that it was served again.
+#[test]
+fn content_that_was_served_before_is_barred_only_if_it_is_not_served_again() {
+    let start = Instant::now();
+    let mut evidence = CrashEvidence::new(POLICY);
+    evidence.record_served(DEADLY, start);
+    let now = start + seconds(1);
+    for server in 1..=3 {
+        evidence.record_crash(DEADLY, ORGANISATION, server, now);
+    }
+    assert!(!is_refused(&evidence, now + POLICY.grace.mul_f64(0.99)));
+    let later = now + POLICY.grace;
+    assert!(is_refused(&evidence, later));
+    evidence.record_served(DEADLY, later);
+    assert!(!is_refused(&evidence, later));
+}
+
+#[test]
+fn evidence_expires_after_the_bar_and_its_memory() {
+    let now = Instant::now();
+    let mut evidence = evidence_of(3, now);
+    let end = now + POLICY.period + POLICY.memory;
+    assert_eq!(evidence.reports(now + POLICY.memory, 10).len(), 1);
+    assert!(evidence.reports(end, 10).is_empty());
+    assert!(evidence.is_empty());
+}
+
+#[test]
+fn passing_reports_back_and_forth_does_not_prolong_them() {
+    let start = Instant::now();
+    let (mut one, mut two) = (evidence_of(3, start), CrashEvidence::new(POLICY));
+    for round in 0..60 {
+        let sent = start + seconds(round);
+        let received = sent + Duration::from_millis(900);
+        two.merge(&one.reports(sent, 10), received);
+        one.merge(
+            &two.reports(received, 10),
+            received + Duration::from_millis(900),
+        );
+    }
+    let end = start + POLICY.period + seconds(2);
+    assert_eq!(one.verdict(DEADLY, end), Verdict::OnTrial);
+    assert_eq!(two.verdict(DEADLY, end), Verdict::OnTrial);
+}
+
+// Guards against a caller that makes room for its requests by filling the memory with other contents.
+#[test]
+fn many_contents_of_one_organisation_do_not_displace_others() {
+    let now = Instant::now();
+    let mut evidence = evidence_of(3, now);
+    for content in 100..1_000 {
+        for server in 1..=4 {
+            evidence.record_crash(content, 2, server, now + seconds(1));
+        }
+        assert!(evidence.len() <= POLICY.capacity);
+    }
+    assert!(is_refused(&evidence, now + seconds(1)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1_000,
+        rng_seed: RngSeed::Fixed(47),
+        ..ProptestConfig::default()
+    })]
+
+    // Messages are lost, late, repeated and out of order; in the end every process has heard of all others.
+    #[test]
+    fn processes_that_have_heard_of_the_same_crashes_agree(
+        crashes in proptest::collection::vec((0..4_usize, 1..7_u32, 0..2_000_u64), 1..20),
+        exchanges in proptest::collection::vec((0..4_usize, 0..4_usize, any::<bool>()), 0..30),
+    ) {
+        let start = Instant::now();
+        let mut processes: Vec<_> = (0..4).map(|_| CrashEvidence::new(POLICY)).collect();
+        let mut servers = std::collections::BTreeSet::new();
+        for (process, server, ms) in crashes {
+            let at = start + Duration::from_millis(ms);
+            processes[process].record_crash(DEADLY, ORGANISATION, server, at);
+            servers.insert(server);
+        }
+        let now = start + seconds(3);
+        let mut late: Vec<CrashReport> = Vec::new();
+        for (from, to, is_late) in exchanges {
+            let reports = processes[from].reports(now, 10);
+            processes[to].merge(&reports, now);
+            if is_late {
+                late.extend(reports);
+            }
+        }
+        for _round in 0..2 {
+            for from in 0..4 {
+                let reports = processes[from].reports(now, 10);
+                for process in &mut processes {
+                    process.merge(&reports, now);
+                    process.merge(&late, now);
+                }
+            }
+        }
+        for process in &processes {
+            prop_assert_eq!(process.crashes(DEADLY), servers.len());
+            prop_assert_eq!(is_refused(process, now), servers.len() >= POLICY.crashes);
+        }
+    }
+}
--- a/bulrushward_policy/tests/server_attempt.rs
+++ b/bulrushward_policy/tests/server_attempt.rs
@@ -3,10 +3,11 @@
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
 use proptest::prelude::*;
 
-const ALL: [AttemptFailure; 8] = [
+const ALL: [AttemptFailure; 9] = [
     AttemptFailure::NotSent,
     AttemptFailure::Crowded,
     AttemptFailure::DomainEmptied,
+    AttemptFailure::ContentBarred,
     AttemptFailure::Rejected,
     AttemptFailure::Misdirected,
     AttemptFailure::ServerError,
@@ -54,8 +55,13 @@
 }
 
 #[test]
-fn an_idempotent_request_is_retried_after_any_failure() {
+fn an_idempotent_request_is_retried_after_any_failure_unless_its_content_is_barred() {
     for failure in ALL {
+        if failure == AttemptFailure::ContentBarred {
+            let mut history = AttemptHistory::new(true, 2);
+            assert_eq!(history.record_failure(failure), NextAttempt::NotRun);
+            continue;
+        }
         let mut history = AttemptHistory::new(true, 2);
         let retry = failure.reached_server();
         assert_eq!(
