Notice a crash without another request to the server

A router counted a crash only if another of its requests met the crashed server within two seconds. A router now opens a connection to a server whose connection broke before a response began, at most once in half a second, and closes it; a server that cannot be reached has crashed, and gets no further requests for the usual backoff. a_crash_is_noticed_without_other_requests failed before and passes.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -206,7 +206,7 @@
         let failure = match error {
             ConnectError::LimitReached { .. } => AttemptFailure::Crowded,
             ConnectError::Unreachable { .. } => {
-                cold_servers::record_unreachable(request, &choice.server);
+                cold_servers::record_unreachable(&request.service, &choice.server);
                 AttemptFailure::NotSent
             }
         };
--- a/bulrushward_direct/src/cold_servers.rs
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -134,8 +134,8 @@
 }
 
 /// Records that a server could not be reached, so that it may be cold when it is back.
-pub(crate) fn record_unreachable(request: &RoutedRequest, server: &Server) {
-    if let Some(cold_start) = request.service.cold_start {
+pub(crate) fn record_unreachable(service: &Service, server: &Server) {
+    if let Some(cold_start) = service.cold_start {
         let mut state = server.state();
         state
             .cold
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -183,6 +183,15 @@
     .context(UnreachableSnafu)
 }
 
+/// Returns whether a new connection to the server can be opened; it is closed at once.
+///
+/// Returns `None` if all of this router's `share` of the connections are in use.
+pub(crate) async fn is_reachable(server: &Server, share: u32) -> Option<bool> {
+    let _permit = ConnectionPermit::acquire(server, share)?;
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address)).await;
+    Some(matches!(opened, Ok(Ok(_))))
+}
+
 fn acquire_idle(server: &Server, id: u64) -> Option<Connection> {
     let now = Instant::now();
     let mut state = server.state();
--- /dev/null
+++ b/bulrushward_direct/src/crash_check.rs
@@ -0,0 +1,67 @@
+//! Finds out whether servers crashed under requests whose connections broke.
+//!
+//! A broken connection alone proves no crash, as a server may lose a response. A server that cannot be reached
+//! afterwards has crashed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::server_attempt::AttemptFailure;
+use tokio::time::sleep;
+
+use crate::{
+    cold_servers, connection, crash_records::BrokenRequest, routed_request::RoutedRequest,
+    servers::Server, shared::Shared,
+};
+
+/// Time after a connection broke until the server is called; one that crashes may close its listener last.
+const CHECK_DELAY: Duration = Duration::from_millis(10);
+/// Time in which a server is called once at most.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Records how an attempt failed whose response had not begun.
+pub(crate) fn record_failure(
+    shared: &Arc<Shared>,
+    request: &RoutedRequest,
+    server: &Arc<Server>,
+    failure: AttemptFailure,
+) {
+    match failure {
+        AttemptFailure::Broken => {
+            let broken = BrokenRequest::new(request);
+            let mut state = server.state();
+            state.record_broken_request(broken);
+            if !std::mem::replace(&mut state.is_crash_checked, true) {
+                drop(state);
+                start(shared, request, server);
+            }
+        }
+        AttemptFailure::NotSent => record_unreachable(shared, server),
+        _ => {}
+    }
+}
+
+/// Calls a server, so that its crash is noticed without further requests.
+fn start(shared: &Arc<Shared>, request: &RoutedRequest, server: &Arc<Server>) {
+    let (shared, server) = (Arc::clone(shared), Arc::clone(server));
+    let service = request.service.clone();
+    tokio::spawn(async move {
+        sleep(CHECK_DELAY).await;
+        let share = shared.connection_share(service.connection_limit, server.hash);
+        if connection::is_reachable(&server, share).await == Some(false) {
+            cold_servers::record_unreachable(&service, &server);
+            let now = Instant::now();
+            server.state().health.record_unreachable(now);
+            record_unreachable(&shared, &server);
+        }
+        sleep(CHECK_INTERVAL).await;
+        server.state().is_crash_checked = false;
+    });
+}
+
+fn record_unreachable(shared: &Shared, server: &Server) {
+    let suspects = server.state().take_crash_suspects(Instant::now());
+    shared.crash_records.record_crash(server, &suspects);
+}
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 mod cold_servers;
 mod connection;
+mod crash_check;
 mod crash_records;
 mod crash_reports;
 mod events;
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse},
-    crash_records::BrokenRequest,
+    crash_check,
     handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
     places::{self, Borrowed, Place},
@@ -271,14 +271,14 @@
 }
 
 fn record_failed_attempt(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     request: &RoutedRequest,
-    server: &Server,
+    server: &Arc<Server>,
     error: &AttemptError,
 ) {
     shared.metrics.record_failed_attempt(error.failure.into());
     log_failed_attempt(request, &server.id, error);
-    record_suspected_crash(shared, request, server, error);
+    crash_check::record_failure(shared, request, server, error.failure);
     if error.failure == AttemptFailure::Misdirected {
         shared
             .replaced_servers()
@@ -286,29 +286,6 @@
     }
 }
 
-/// Records the server crashes that requests are suspected to have caused.
-///
-/// A broken connection alone proves no crash, as a server may lose a response. A server that cannot be reached
-/// afterwards has crashed.
-fn record_suspected_crash(
-    shared: &Shared,
-    request: &RoutedRequest,
-    server: &Server,
-    error: &AttemptError,
-) {
-    match error.failure {
-        AttemptFailure::Broken => {
-            let broken = BrokenRequest::new(request);
-            server.state().record_broken_request(broken);
-        }
-        AttemptFailure::NotSent => {
-            let suspects = server.state().take_crash_suspects(Instant::now());
-            shared.crash_records.record_crash(server, &suspects);
-        }
-        _ => {}
-    }
-}
-
 /// Logs a failed attempt.
 pub(crate) fn log_failed_attempt(request: &RoutedRequest, server: &str, error: &AttemptError) {
     info!(
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -47,6 +47,8 @@
     pub(crate) idle: Vec<IdleConnection>,
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
     broken_requests: Vec<BrokenRequest>,
+    /// Whether it is being checked if the server has crashed.
+    pub(crate) is_crash_checked: bool,
 }
 
 impl ServerState {
--- a/bulrushward_direct/tests/barred_content.rs
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -15,6 +15,9 @@
 /// Time in which routers tell each other of a crash.
 const GOSSIP_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time in which a router calls a server whose connection broke.
+const CHECK_TIME: Duration = Duration::from_millis(200);
+
 /// Starts a server that crashes on one body and serves all others.
 fn fragile_server(index: usize) -> TestServer {
     TestServer::start(&format!("s-{index}"), |req: &Received| {
@@ -68,3 +71,31 @@
         assert_eq!(poisoned(&servers), 3);
     }
 }
+
+// Guards against routers that notice a crash only if another request meets the crashed server.
+#[test]
+fn a_crash_is_noticed_without_other_requests() {
+    let servers: Vec<_> = (0..12).map(fragile_server).collect();
+    let [router] = start_fleet(&servers);
+    for index in 0..3 {
+        router.send(&request("POST", "action", &format!("p-{index}"), "poison"));
+        std::thread::sleep(CHECK_TIME);
+    }
+    let refused = router.send(&request("POST", "action", "p-3", "poison"));
+    assert_eq!(refused.status, 503);
+    assert_eq!(poisoned(&servers), 3);
+}
+
+// Guards against taking a lost response for a crash.
+#[test]
+fn a_server_that_loses_responses_has_not_crashed() {
+    let servers: Vec<_> = (0..6)
+        .map(|index| TestServer::start(&format!("s-{index}"), |_| vec![Step::Reset]))
+        .collect();
+    let [router] = start_fleet(&servers);
+    for index in 0..6 {
+        let response = router.send(&request("POST", "action", &format!("p-{index}"), "poison"));
+        assert_eq!(response.status, 502);
+        std::thread::sleep(CHECK_TIME);
+    }
+}
