Count servers that crash when a stream is resumed

A stream whose server broke was resumed at the next one, and a crash of that one was recorded nowhere, nor was one of a server that had sent only comments. Content could so crash a server with each stream without ever being refused. Both count now like crashes under a first attempt. crashes_under_resumed_streams_bar_their_content failed before and passes.

--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -16,6 +16,8 @@
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse, OpenStream, record_failure},
+    crash_check,
+    events::has_event,
     handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{Body, StreamTruncated},
     metrics::InProgressGuard,
@@ -42,6 +44,8 @@
     /// Ids of the servers that have received the request; it is not sent to them again.
     tried: Vec<String>,
     last_event_id: Option<String>,
+    /// Whether a server has sent an event.
+    has_begun: bool,
     /// Time at which the latest events were sent to the caller.
     last_forwarded: Instant,
     longest_pause: Duration,
@@ -91,6 +95,7 @@
         shared: Arc::clone(shared),
         request,
         history,
+        has_begun: has_event(&first_events),
         first_events: Some(first_events),
         source,
         tried,
@@ -141,6 +146,7 @@
             match item {
                 StreamItem::Comments(comments) => return Some(Ok(comments)),
                 StreamItem::Events(events) => {
+                    self.has_begun = true;
                     self.record_pause();
                     return Some(Ok(events));
                 }
@@ -163,6 +169,10 @@
         let mut is_source_open =
             error.failure == AttemptFailure::Silent && Instant::now() < self.request.deadline;
         record_failure(&self.source.progress, &error);
+        if !self.has_begun {
+            let server = self.source.progress.server();
+            crash_check::record_failure(&self.shared, &self.request, server, error.failure);
+        }
         if let Some(id) = self.source.splitter.last_id() {
             self.last_event_id = Some(id.to_owned());
         }
@@ -191,6 +201,7 @@
             self.log_failed_attempt(&failed_server, &error);
             self.history = history.clone();
             failed_server.clone_from(&choice.server.id);
+            let server = Arc::clone(&choice.server);
             let resumed = self
                 .resume_at(choice, &mut is_source_open, &mut successor)
                 .await;
@@ -203,6 +214,7 @@
                 }
                 Err(error) => error,
             };
+            crash_check::record_failure(&self.shared, &self.request, &server, error.failure);
         }
     }
 
--- a/bulrushward_direct/tests/barred_content.rs
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -7,9 +7,9 @@
 use support::{
     TestRouter, config,
     platform::MemoryStore,
-    record, request,
-    server::{Received, Step, TestServer, ok_response},
-    unique_loopback_ip,
+    record, request, router_with_servers,
+    server::{Received, Step, TestServer, broken_stream, ok_response},
+    unique_loopback_ip, wait_until,
 };
 
 /// Time in which routers tell each other of a crash.
@@ -99,3 +99,33 @@
         std::thread::sleep(CHECK_TIME);
     }
 }
+
+/// Starts an engine that breaks streams off after three events and crashes when one of them is resumed.
+fn engine_that_crashes_on_resuming(index: usize) -> TestServer {
+    TestServer::start(&format!("s-{index}"), |req| {
+        if req.header("last-event").is_some() {
+            return vec![Step::Crash];
+        }
+        broken_stream(req)
+    })
+}
+
+// Guards against not counting the servers that crash when a stream is resumed.
+#[test]
+fn crashes_under_resumed_streams_bar_their_content() {
+    let servers: Vec<_> = (0..12).map(engine_that_crashes_on_resuming).collect();
+    let router = router_with_servers("engines", &servers.iter().collect::<Vec<_>>());
+    let is_resumed = |req: &Received| req.header("last-event").is_some();
+    let crashes = || {
+        let received = servers.iter().flat_map(TestServer::received);
+        received.filter(is_resumed).count()
+    };
+    // The retry budget does not allow that each stream is resumed.
+    wait_until("three servers have crashed", || {
+        router.send(&request("POST", "resumable", "p-1", "poison"));
+        std::thread::sleep(CHECK_TIME);
+        crashes() == 3
+    });
+    let refused = router.send(&request("POST", "resumable", "p-3", "poison"));
+    assert_eq!(refused.status, 503);
+}
