--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -294,6 +294,7 @@
         server,
         failure = %error.failure,
         content = format_id(request.fingerprint),
+        parts = request.shared_parts(),
         detail = error.detail,
         config = request.config_version,
         ms = request.received.elapsed().as_millis() as u64,
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -55,6 +55,16 @@
         self.prompt.last().map_or(0, |part| part.tokens.into())
     }
 
+    /// Returns the ids of the prompt parts that other requests may share, for the log.
+    pub(crate) fn shared_parts(&self) -> String {
+        let shared = self
+            .prompt
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let ids: Vec<_> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Returns the prompt tokens that the requests of the session share.
     pub(crate) fn shared_tokens(&self) -> u64 {
         let shared = self
