--- a/bulrushward_direct/tests/barred_content.rs
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use support::{
-    TestRouter, config,
+    HOST, KEY, TestRouter, config,
     platform::MemoryStore,
     record, request, router_with_servers,
-    server::{Received, Step, TestServer, broken_stream, ok_response},
+    server::{
+        Received, Step, TestServer, broken_stream, complete_stream, ok_response, stream_head,
+    },
     unique_loopback_ip, wait_until,
 };
 
@@ -35,9 +37,13 @@
 
 /// Starts a store with servers, and routers that know each other.
 fn start_fleet<const N: usize>(servers: &[TestServer]) -> [TestRouter; N] {
+    start_fleet_of("plain", servers)
+}
+
+fn start_fleet_of<const N: usize>(service: &str, servers: &[TestServer]) -> [TestRouter; N] {
     let store = MemoryStore::with(config(1));
     for server in servers {
-        store.put(&server.id, record("plain", server.address));
+        store.put(&server.id, record(service, server.address));
     }
     let ips: [_; N] = std::array::from_fn(|_| unique_loopback_ip());
     let routers = ips.map(|ip| TestRouter::start_at(ip, &store, &ips));
@@ -129,3 +135,57 @@
     let refused = router.send(&request("POST", "resumable", "p-3", "poison"));
     assert_eq!(refused.status, 503);
 }
+
+/// Starts an engine that crashes when it begins to respond to a prompt with a part, and serves all others.
+fn engine_with_deadly_part(index: usize) -> TestServer {
+    TestServer::start(&format!("s-{index}"), |req| {
+        if has_deadly_part(req) {
+            return vec![stream_head(req), Step::Crash];
+        }
+        complete_stream(req)
+    })
+}
+
+fn has_deadly_part(req: &Received) -> bool {
+    req.header("prompt")
+        .is_some_and(|prompt| prompt.contains(",5555:"))
+}
+
+/// Returns a request on a stream route with a prompt of four parts.
+///
+/// Its first part is that of all requests, its last one and its body are its own.
+fn prompt_request(index: usize, session: usize, third: &str) -> String {
+    let body = format!("body-{index}");
+    format!(
+        "POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nRequest: r-{index}\r\nKey: {KEY}\r\nPatience-Ms: 2500\r\n\
+         Prompt: 1:500,{session}:9000,{third}:700,{}:100\r\nContent-Length: {}\r\n\r\n{body}",
+        1_000_000 + index,
+        body.len()
+    )
+}
+
+// Guards against recognising content by whole requests only, so that a prompt part that crashes servers is sent on in
+// one request after the other, and against refusing requests that share the organisation, the route or other parts.
+#[test]
+fn a_prompt_part_that_crashes_servers_is_barred_and_nothing_beside_it() {
+    let servers: Vec<_> = (0..16).map(engine_with_deadly_part).collect();
+    let routers: [_; 3] = start_fleet_of("engines", &servers);
+    let deadly = || {
+        let received = servers.iter().flat_map(TestServer::received);
+        received.filter(has_deadly_part).count()
+    };
+    for index in 0..12 {
+        let router = &routers[index % 3];
+        router.send(&prompt_request(index, 100 + index % 4, "5555"));
+        for sound in 0..4 {
+            let index = 100 + index * 4 + sound;
+            let response = router.send(&prompt_request(index, 100 + sound, "77"));
+            assert_eq!(response.status, 200, "sound request {index}");
+        }
+        std::thread::sleep(CHECK_TIME);
+    }
+    assert!((3..=5).contains(&deadly()), "{} servers crashed", deadly());
+    let refused = routers[0].send(&prompt_request(50, 100, "5555"));
+    assert_eq!(refused.status, 503);
+    assert!(refused.header("retry-after").is_some());
+}
