Bar prompt parts under which servers crash

A request now has several contents: itself, and each prompt part but the last. A server that crashes before its response has begun is evidence against all of them; a complete response refutes it for each content of its request.

--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -7,8 +7,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::crash_evidence::{BarPolicy, ContentHash, CrashEvidence, OrganisationHash};
-use bulrushward_protocol::format_id;
+use bulrushward_policy::crash_evidence::{BarPolicy, Content, CrashEvidence, OrganisationHash};
 use tokio::sync::Notify;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,7 +33,7 @@
 pub(crate) struct BrokenRequest {
     request_id: String,
     organisation: OrganisationHash,
-    content: ContentHash,
+    contents: Vec<Content>,
     pub(crate) at: Instant,
 }
 
@@ -44,7 +43,7 @@
         Self {
             request_id: request.request_id.clone(),
             organisation: xxh3_64(organisation.as_bytes()) as OrganisationHash,
-            content: request.fingerprint,
+            contents: request.contents().collect(),
             at: Instant::now(),
         }
     }
@@ -76,16 +75,17 @@
         let now = Instant::now();
         let mut evidence = self.lock();
         for suspect in suspects {
-            let (content, organisation) = (suspect.content, suspect.organisation);
-            let crashes = evidence.record_crash(content, organisation, server.hash, now);
-            info!(
-                event = "crash-suspected",
-                request = suspect.request_id,
-                server = server.id,
-                server_key = server.hash,
-                content = format_id(content),
-                crashes,
-            );
+            for content in &suspect.contents {
+                let crashes =
+                    evidence.record_crash(*content, suspect.organisation, server.hash, now);
+                info!(
+                    event = "crash-suspected",
+                    request = suspect.request_id,
+                    server = server.id,
+                    %content,
+                    crashes,
+                );
+            }
         }
         log_changes(&mut evidence, "own", now);
         self.news.notify_one();
@@ -95,7 +95,11 @@
     pub(crate) fn record_served(&self, request: &RoutedRequest) {
         let now = Instant::now();
         let mut evidence = self.lock();
-        if evidence.record_served(request.fingerprint, now) {
+        let mut is_refuted = false;
+        for content in request.contents() {
+            is_refuted |= evidence.record_served(content, now);
+        }
+        if is_refuted {
             log_changes(&mut evidence, "own", now);
             self.news.notify_one();
         }
@@ -109,24 +113,47 @@
         if evidence.is_empty() {
             return None;
         }
-        let content = request.fingerprint;
-        evidence.refusal(content, fleet.ranks_first(content as u64), Instant::now())
+        let now = Instant::now();
+        let refusal = |content: Content| {
+            evidence.refusal(content, fleet.ranks_first(content.hash as u64), now)
+        };
+        request.contents().filter_map(refusal).max()
     }
 
     /// Records that a request is sent to a server.
     pub(crate) fn record_sent(&self, request: &RoutedRequest) {
         let mut evidence = self.lock();
-        if !evidence.is_empty() {
-            evidence.record_sent(request.fingerprint, Instant::now());
+        if evidence.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        for content in request.contents() {
+            evidence.record_sent(content, now);
         }
     }
 
+    /// Returns which content of a request is refused and why, for the log.
+    pub(crate) fn describe(&self, request: &RoutedRequest) -> String {
+        let evidence = self.lock();
+        let now = Instant::now();
+        let barred = request.contents().filter_map(|content| {
+            let barred_for = evidence.barred_for(content, now)?;
+            let (crashes, ms) = (evidence.crashes(content), barred_for.as_millis());
+            Some(format!("{content} barred for {ms} ms, {crashes} crashes"))
+        });
+        barred.collect::<Vec<_>>().join("; ")
+    }
+
     /// Returns the message for peers.
     pub(crate) fn message(&self) -> CrashReports {
         let now = Instant::now();
         let mut evidence = self.lock();
         log_changes(&mut evidence, "own", now);
-        CrashReports::new(|limit| evidence.reports(now, limit))
+        let message = CrashReports::new(|limit| evidence.reports(now, limit));
+        if evidence.has_unsent() {
+            self.news.notify_one();
+        }
+        message
     }
 
     /// Merges the message of a peer.
@@ -138,8 +165,7 @@
         let mut evidence = self.lock();
         for content in evidence.merge(&message.reports, now) {
             let crashes = evidence.crashes(content);
-            let content = format_id(content);
-            info!(event = "crash-heard", content, crashes, from = peer);
+            info!(event = "crash-heard", %content, crashes, from = peer);
         }
         if log_changes(&mut evidence, peer, now) {
             self.news.notify_one();
@@ -168,11 +194,11 @@
 fn log_changes(evidence: &mut CrashEvidence, source: &str, now: Instant) -> bool {
     let changes = evidence.take_changes(now);
     for change in &changes {
-        let (content, crashes) = (format_id(change.content), change.crashes);
+        let (content, crashes) = (change.content, change.crashes);
         if change.is_barred {
-            warn!(event = "content-barred", content, crashes, source);
+            warn!(event = "content-barred", %content, crashes, source);
         } else {
-            info!(event = "content-freed", content, source);
+            info!(event = "content-freed", %content, source);
         }
     }
     !changes.is_empty()
--- a/bulrushward_direct/src/crash_reports.rs
+++ b/bulrushward_direct/src/crash_reports.rs
@@ -3,8 +3,8 @@
 use bulrushward_policy::crash_evidence::CrashReport;
 use serde::{Deserialize, Serialize};
 
-/// Largest number of contents in one message, at roughly a hundred bytes each.
-const MAX_REPORTS: usize = 12;
+/// Largest number of contents in one message, at roughly fifty bytes each.
+const MAX_REPORTS: usize = 24;
 
 /// Part of a datagram, which routers of earlier versions neither send nor read.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -6,7 +6,6 @@
 };
 
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
-use bulrushward_protocol::format_id;
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use tracing::info;
@@ -92,7 +91,7 @@
     // Whether the successor takes the request over from a silent server.
     let mut is_taken_over = false;
     loop {
-        if let Some(refusal) = refuse_barred(shared, &request, &history) {
+        if let Some(refusal) = refuse_barred(shared, &request, &history, request_log) {
             return Err(refusal);
         }
         if Instant::now() >= request.deadline {
@@ -178,8 +177,10 @@
     shared: &Shared,
     request: &RoutedRequest,
     history: &AttemptHistory,
+    request_log: &mut RequestLog,
 ) -> Option<LocalResponse> {
     let retry = shared.content_refusal(request)?;
+    request_log.detail = shared.crash_records.describe(request);
     Some(match history.outcome() {
         NextAttempt::Unknown => LocalResponse::unknown(Reason::Quarantined),
         _ => LocalResponse::not_run(Reason::Quarantined, retry),
@@ -293,8 +294,7 @@
         request = request.request_id,
         server,
         failure = %error.failure,
-        content = format_id(request.fingerprint),
-        parts = request.shared_parts(),
+        content = request.content_ids(),
         detail = error.detail,
         config = request.config_version,
         ms = request.received.elapsed().as_millis() as u64,
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bulrushward_policy::crash_evidence::Content;
 use bulrushward_protocol::Fingerprint;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
@@ -55,23 +56,29 @@
         self.prompt.last().map_or(0, |part| part.tokens.into())
     }
 
-    /// Returns the ids of the prompt parts that other requests may share, for the log.
-    pub(crate) fn shared_parts(&self) -> String {
-        let shared = self
-            .prompt
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        let ids: Vec<_> = shared.iter().map(|part| format!("{:x}", part.id)).collect();
+    /// Returns the prompt parts that other requests may share, which are all but the last.
+    fn shared_parts(&self) -> &[PromptPart] {
+        let split = self.prompt.split_last();
+        split.map_or(&[][..], |(_, shared)| shared)
+    }
+
+    /// Returns the content by which requests that crash servers are recognised.
+    pub(crate) fn contents(&self) -> impl Iterator<Item = Content> {
+        let parts = self.shared_parts().iter();
+        let parts = parts.map(|part| Content::part(part.id.into()));
+        std::iter::once(Content::request(self.fingerprint)).chain(parts)
+    }
+
+    /// Returns the ids of its content for the log.
+    pub(crate) fn content_ids(&self) -> String {
+        let ids: Vec<_> = self.contents().map(|content| content.to_string()).collect();
         ids.join(",")
     }
 
     /// Returns the prompt tokens that the requests of the session share.
     pub(crate) fn shared_tokens(&self) -> u64 {
-        let shared = self
-            .prompt
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| u64::from(part.tokens)).sum()
+        let shared = self.shared_parts().iter();
+        shared.map(|part| u64::from(part.tokens)).sum()
     }
 }
 
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -1,4 +1,4 @@
-//! Which content crashes backend servers, from the crashes and responses that all processes have seen.
+//! Which requests and prompt parts crash backend servers, from the crashes and responses that all processes have seen.
 //!
 //! Handles: content that arrives at any process and crashes each server that begins to run it; crashes
 //! that different processes see; sound content that runs beside it; lost, late and repeated messages;
@@ -6,24 +6,73 @@
 
 use std::{
     collections::HashMap,
+    fmt,
     num::NonZeroUsize,
     time::{Duration, Instant},
 };
 
 use lru::LruCache;
 use serde::{Deserialize, Serialize};
-use strum::IntoStaticStr;
+use strum::{Display, IntoStaticStr};
 
 use crate::session_locations::ServerKey;
 
 /// Hash of content.
 pub type ContentHash = u128;
+
+/// Kind of content.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ContentKind {
+    /// A whole request.
+    Request,
+    /// A part of a prompt.
+    Part,
+}
+
+/// Content by which requests that crash servers are recognised.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Content {
+    /// Kind.
+    pub kind: ContentKind,
+    /// Hash.
+    pub hash: ContentHash,
+}
+
+impl Content {
+    /// Returns the content of a whole request.
+    #[must_use]
+    pub fn request(hash: ContentHash) -> Self {
+        Self {
+            kind: ContentKind::Request,
+            hash,
+        }
+    }
+
+    /// Returns a part of a prompt.
+    #[must_use]
+    pub fn part(hash: ContentHash) -> Self {
+        Self {
+            kind: ContentKind::Part,
+            hash,
+        }
+    }
+}
+
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:x}", self.kind, self.hash)
+    }
+}
+
 /// Hash of the organisation that sent content.
 pub type OrganisationHash = u32;
 
 /// Crashes that are kept for one content: the first ones and the latest.
 const MAX_CRASHES: usize = 8;
-/// Contents whose latest complete response is remembered, so that the ones that most requests share are among them.
+/// Prompt parts whose latest complete response is remembered, those that most requests share among them.
 const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
 /// Longest time for which content is barred at once.
 const MAX_BAR: Duration = Duration::from_mins(30);
@@ -80,7 +129,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BarChange {
     /// Content.
-    pub content: ContentHash,
+    pub content: Content,
     /// Crashes since the content was last served.
     pub crashes: usize,
     /// Whether it is refused.
@@ -98,7 +147,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Content.
-    pub content: ContentHash,
+    pub content: Content,
     /// Organisation that sent it.
     pub organisation: OrganisationHash,
     /// Servers that crashed, with the age of each crash in milliseconds.
@@ -197,7 +246,7 @@
         is_refuted
     }
 
-    fn report(&self, content: ContentHash, now: Instant) -> CrashReport {
+    fn report(&self, content: Content, now: Instant) -> CrashReport {
         let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
         CrashReport {
             content,
@@ -220,9 +269,9 @@
 #[derive(Debug)]
 pub struct CrashEvidence {
     policy: BarPolicy,
-    records: HashMap<ContentHash, Record>,
-    /// Latest complete responses that this process has seen, by content.
-    served: LruCache<ContentHash, Instant>,
+    records: HashMap<Content, Record>,
+    /// Latest complete responses that this process has seen, by prompt part.
+    served: LruCache<Content, Instant>,
 }
 
 impl CrashEvidence {
@@ -244,7 +293,7 @@
     /// Records that a server crashed that had begun to run the content; returns the crashes that are known.
     pub fn record_crash(
         &mut self,
-        content: ContentHash,
+        content: Content,
         organisation: OrganisationHash,
         server: ServerKey,
         now: Instant,
@@ -258,15 +307,17 @@
     }
 
     /// Records a complete response to a request with the content; returns whether it refutes crashes.
-    pub fn record_served(&mut self, content: ContentHash, now: Instant) -> bool {
-        self.served.put(content, now);
+    pub fn record_served(&mut self, content: Content, now: Instant) -> bool {
+        if content.kind == ContentKind::Part {
+            self.served.put(content, now);
+        }
         let record = self.records.get_mut(&content);
         record.is_some_and(|record| record.record_served(now))
     }
 
     /// Returns what is known about the content.
     #[must_use]
-    pub fn verdict(&self, content: ContentHash, now: Instant) -> Verdict {
+    pub fn verdict(&self, content: Content, now: Instant) -> Verdict {
         let record = self.records.get(&content);
         record.map_or(Verdict::Clear, |record| record.verdict(&self.policy, now))
     }
@@ -275,7 +326,7 @@
     ///
     /// One process, for which `is_judge` holds, tries content whose bar is over; the others follow if it does not.
     #[must_use]
-    pub fn refusal(&self, content: ContentHash, is_judge: bool, now: Instant) -> Option<Duration> {
+    pub fn refusal(&self, content: Content, is_judge: bool, now: Instant) -> Option<Duration> {
         let record = self.records.get(&content)?;
         let mut until = match record.verdict(&self.policy, now) {
             Verdict::Clear | Verdict::Suspect => return None,
@@ -290,7 +341,7 @@
     }
 
     /// Records that a request with the content is sent; it is a trial if the content was barred.
-    pub fn record_sent(&mut self, content: ContentHash, now: Instant) {
+    pub fn record_sent(&mut self, content: Content, now: Instant) {
         let policy = self.policy;
         let Some(record) = self.records.get_mut(&content) else {
             return;
@@ -303,13 +354,13 @@
 
     /// Returns the number of crashes of servers since the content was last served.
     #[must_use]
-    pub fn crashes(&self, content: ContentHash) -> usize {
+    pub fn crashes(&self, content: Content) -> usize {
         let record = self.records.get(&content);
         record.map_or(0, |record| record.crashes.len())
     }
 
     /// Merges the reports of a peer; returns the contents with new crashes.
-    pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<ContentHash> {
+    pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<Content> {
         let merged = reports
             .iter()
             .filter(|report| self.merge_one(report, now))
@@ -362,6 +413,19 @@
             .collect()
     }
 
+    /// Returns whether a change has not been reported to any peer yet.
+    #[must_use]
+    pub fn has_unsent(&self) -> bool {
+        self.records.values().any(|record| record.times_sent == 0)
+    }
+
+    /// Returns the time since which the content has been barred or on trial, if it is.
+    #[must_use]
+    pub fn barred_for(&self, content: Content, now: Instant) -> Option<Duration> {
+        let (from, _) = self.records.get(&content)?.bar(&self.policy)?;
+        (from <= now).then(|| now - from)
+    }
+
     /// Returns the number of contents that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -428,7 +492,7 @@
         is_new
     }
 
-    fn insert(&mut self, content: ContentHash, organisation: OrganisationHash, now: Instant) {
+    fn insert(&mut self, content: Content, organisation: OrganisationHash, now: Instant) {
         if self.records.contains_key(&content) {
             return;
         }
@@ -451,7 +515,7 @@
 
     /// Removes a record other than `newest`: one of content that was served, or else of the organisation with the most
     /// records, whose content that is not barred goes first.
-    fn evict(&mut self, newest: ContentHash, now: Instant) {
+    fn evict(&mut self, newest: Content, now: Instant) {
         let mut by_organisation: HashMap<OrganisationHash, usize> = HashMap::new();
         for record in self.records.values() {
             *by_organisation.entry(record.organisation).or_default() += 1;
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_policy::crash_evidence::{
-    BarChange, BarPolicy, CrashEvidence, CrashReport, Verdict,
+    BarChange, BarPolicy, Content, ContentKind, CrashEvidence, CrashReport, Verdict,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
@@ -15,7 +15,10 @@
     capacity: 8,
 };
 /// Content that crashes servers.
-const DEADLY: u128 = 7;
+const DEADLY: Content = Content {
+    kind: ContentKind::Part,
+    hash: 7,
+};
 const ORGANISATION: u32 = 1;
 
 fn seconds(seconds: u64) -> Duration {
@@ -156,7 +159,7 @@
     evidence.record_crash(DEADLY, ORGANISATION, 8, now + seconds(1));
     assert_eq!(evidence.crashes(DEADLY), 1);
     assert!(
-        !evidence.record_served(9, now),
+        !evidence.record_served(Content::part(9), now),
         "nothing is known of other content"
     );
 }
@@ -213,7 +216,7 @@
     let mut evidence = evidence_of(3, now);
     for content in 100..1_000 {
         for server in 1..=4 {
-            evidence.record_crash(content, 2, server, now + seconds(1));
+            evidence.record_crash(Content::part(content), 2, server, now + seconds(1));
         }
         assert!(evidence.len() <= POLICY.capacity);
     }
--- a/bulrushward_policy/tests/crash_evidence_fleet.rs
+++ b/bulrushward_policy/tests/crash_evidence_fleet.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::crash_evidence::{BarPolicy, CrashEvidence, CrashReport};
+use bulrushward_policy::crash_evidence::{BarPolicy, Content, CrashEvidence, CrashReport};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
@@ -32,7 +32,7 @@
 /// Time after the crash that bars content from which it may reach few servers.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 const MAX_LATE: usize = 3;
-/// Content of requests that crash servers, and content that all requests share.
+/// Prompt part under which servers crash, and part that all requests share.
 const DEADLY: u128 = 1;
 const SHARED: u128 = 2;
 
@@ -56,11 +56,11 @@
     },
     Crash {
         process: usize,
-        contents: Vec<u128>,
+        contents: Vec<Content>,
     },
     Served {
         process: usize,
-        contents: Vec<u128>,
+        contents: Vec<Content>,
     },
 }
 
@@ -167,7 +167,7 @@
     fn request(&mut self, own: u128, is_deadly: bool) {
         let process = self.rng.random_range(0..self.processes.len());
         let now = self.now();
-        let contents = vec![SHARED, own];
+        let contents = vec![Content::part(SHARED), Content::part(own)];
         let evidence = &mut self.processes[process];
         let is_judge = process == 0;
         let is_refused = contents
