Add up the crashes that different agents see

Agents now use the same record as direct routers; the crashes of an agent's backend server are told apart by the agent's start and a counter, so that requests that fail in one crash count once. After its time quarantined content is suspect instead of clear: it is tried once, alone, and a crash quarantines it again, for longer.

Processes of both versions understand each other as long as they have no crashes to tell; otherwise they refuse the message (control-message-refused) until the upgrade is finished.

--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -20,8 +20,8 @@
 use bulrushward_config::{Config, Service};
 use bulrushward_policy::{
     admission::{AdmissionQueue, AdmissionRequest, AdmissionSettings, Decision, KindSettings},
+    crash_evidence::Verdict,
     load_bound::LoadBound,
-    quarantine::Verdict,
 };
 use bulrushward_protocol::{AttemptId, Refusal, RefusalReason, RunRequest};
 use tokio::sync::Semaphore;
@@ -167,15 +167,14 @@
     fn check_quarantine(&self, req: &mut RunRequest) -> Result<(), Refusal> {
         match self.control.quarantine_verdict(req.fingerprint) {
             Verdict::Clear => Ok(()),
-            Verdict::Suspect => {
+            Verdict::Suspect | Verdict::OnTrial => {
                 req.suspect = true;
                 Ok(())
             }
-            Verdict::Quarantined => {
+            Verdict::Barred { remaining } => {
                 let message = "the request crashed backend servers and is quarantined";
-                let period = self.control.snapshot().config.fleet.quarantine;
                 let reason = RefusalReason::Quarantined;
-                Err(refusals::not_run_retry_after(reason, period, message))
+                Err(refusals::not_run_retry_after(reason, remaining, message))
             }
         }
     }
--- a/bulrushward/src/agent/runner.rs
+++ b/bulrushward/src/agent/runner.rs
@@ -191,7 +191,9 @@
     if suspect_runs && !attempt.req.suspect {
         return RefusalReason::BackendFailed;
     }
-    agent.control.record_crash(attempt.req.fingerprint);
+    agent
+        .control
+        .record_crash(attempt.req.fingerprint, &attempt.req.organisation);
     if attempt.req.suspect {
         // The other requests that failed in the crash must still see the suspect as running, so that
         // it is not attributed to them.
--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod fetch;
 mod members;
+mod quarantine;
 mod revision_pipeline;
 mod store_watch;
 mod thread;
@@ -23,9 +24,7 @@
 use arc_swap::ArcSwap;
 use bulrushward_config::Config;
 use bulrushward_policy::{
-    mean_load::MeanLoadEstimator,
-    membership::LoadReport,
-    quarantine::{Quarantine, Verdict},
+    crash_evidence::Verdict, mean_load::MeanLoadEstimator, membership::LoadReport,
 };
 use bulrushward_protocol::{
     Fingerprint, Incarnation, MemberRecord, MemberState, Revision, Role, WorkUnits,
@@ -33,11 +32,9 @@
 use bulrushward_revisions::AcceptedRevision;
 use tokio::sync::{mpsc, watch};
 
+use self::quarantine::Quarantine;
 pub(crate) use self::thread::{ControlThread, start};
 
-/// Maximum number of request contents whose crashes a process remembers.
-const QUARANTINE_CAPACITY: usize = 4_096;
-
 /// Immutable view of the fleet for the traffic threads.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
@@ -112,11 +109,7 @@
 impl Control {
     fn new(identity: MemberRecord, commands: mpsc::UnboundedSender<Command>) -> Self {
         let fleet = bulrushward_config::Fleet::default();
-        let quarantine = Quarantine::new(
-            fleet.quarantine_crashes,
-            fleet.quarantine,
-            QUARANTINE_CAPACITY,
-        );
+        let quarantine = Quarantine::new(&identity, &fleet);
         Self {
             identity,
             snapshot: ArcSwap::default(),
@@ -241,10 +234,10 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
-    /// Records that a request, identified by its fingerprint, crashed a backend server.
-    pub(crate) fn record_crash(&self, fingerprint: Fingerprint) {
+    /// Records that a request of an organisation, identified by its fingerprint, crashed a backend server.
+    pub(crate) fn record_crash(&self, fingerprint: Fingerprint, organisation: &str) {
         self.lock_quarantine()
-            .record_crash(fingerprint, Instant::now());
+            .record_crash(fingerprint, organisation, Instant::now());
         self.send(Command::Gossip);
     }
 
--- a/bulrushward/src/control/thread.rs
+++ b/bulrushward/src/control/thread.rs
@@ -252,7 +252,7 @@
         exchange.members = self.members.outgoing_records(now);
         exchange.suspects = self.members.outgoing_suspicions(peer, now);
         let mut quarantine = self.control.lock_quarantine();
-        exchange.quarantine = quarantine.records(now, MAX_QUARANTINE_RECORDS);
+        exchange.quarantine = quarantine.reports(now, MAX_QUARANTINE_RECORDS);
         drop(quarantine);
         exchange
     }
@@ -330,9 +330,7 @@
             origin,
         } = parsed;
         let revision = accepted.revision;
-        self.control
-            .lock_quarantine()
-            .reconfigure(config.fleet.quarantine_crashes, config.fleet.quarantine);
+        self.control.lock_quarantine().configure(&config.fleet);
         self.store.cache_revision(&accepted);
         let mut snapshot = self.with_members(&self.control.snapshot());
         snapshot.revision = revision;
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -7,7 +7,8 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::crash_evidence::{BarPolicy, Content, CrashEvidence, OrganisationHash};
+use bulrushward_policy::crash_evidence::{BarPolicy, CrashEvidence};
+use bulrushward_protocol::{Content, OrganisationHash};
 use tokio::sync::Notify;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
--- a/bulrushward_direct/src/crash_reports.rs
+++ b/bulrushward_direct/src/crash_reports.rs
@@ -1,6 +1,6 @@
 //! Message with which routers tell each other of content that crashes servers.
 
-use bulrushward_policy::crash_evidence::CrashReport;
+use bulrushward_protocol::CrashReport;
 use serde::{Deserialize, Serialize};
 
 /// Largest number of contents in one message, at roughly fifty bytes each.
--- a/bulrushward_direct/src/gossip/message.rs
+++ b/bulrushward_direct/src/gossip/message.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use bulrushward_policy::{emptied_domains::EmptiedReport, store_recovery::RecoveryReport};
-use bulrushward_protocol::QuarantineRecord;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -25,7 +24,7 @@
     /// Session locations that the sender has recently learnt.
     pub(super) session_locations: Vec<SessionLocation>,
     /// Always empty; routers of earlier versions send and expect it.
-    pub(super) crashes: Vec<QuarantineRecord>,
+    pub(super) crashes: Vec<EarlierCrashRecord>,
     /// Sample of the other routers that are alive.
     pub(super) others: Vec<PeerSighting>,
 }
@@ -64,3 +63,6 @@
     /// Prompt tokens of these requests that the server has not prefilled yet.
     pub(super) unread_tokens: u64,
 }
+
+/// Content, crashes and seconds to live, as routers of earlier versions send them.
+pub(super) type EarlierCrashRecord = (u128, u8, u32);
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -2,8 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_policy::crash_evidence::Content;
-use bulrushward_protocol::Fingerprint;
+use bulrushward_protocol::{Content, Fingerprint};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
 use xxhash_rust::xxh3::Xxh3;
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -8,8 +8,9 @@
 
 use bulrushward_policy::{
     cold_server::ColdServer, fleet_share::FleetPosition, server_health::ServerHealth,
-    server_load::ServerLoad, session_locations::ServerKey,
+    server_load::ServerLoad,
 };
+use bulrushward_protocol::ServerKey;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
--- a/bulrushward_policy/src/session_locations.rs
+++ b/bulrushward_policy/src/session_locations.rs
@@ -6,12 +6,11 @@
 
 use std::num::NonZeroUsize;
 
+pub use bulrushward_protocol::ServerKey;
 use lru::LruCache;
 
 /// Key of a session, derived from the part of the prompt that its requests share.
 pub type SessionKey = u64;
-/// Short key of one incarnation of a backend server.
-pub type ServerKey = u32;
 
 /// Servers that are kept for each session; more than one, since a hot session spreads over several.
 const MAX_SERVERS: usize = 4;
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -2,9 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_policy::crash_evidence::{
-    BarChange, BarPolicy, Content, ContentKind, CrashEvidence, CrashReport, Verdict,
-};
+use bulrushward_policy::crash_evidence::{BarChange, BarPolicy, CrashEvidence, Verdict};
+use bulrushward_protocol::{Content, ContentKind, CrashReport};
 use proptest::{prelude::*, test_runner::RngSeed};
 
 const POLICY: BarPolicy = BarPolicy {
@@ -223,6 +222,49 @@
     assert!(is_refused(&evidence, now + seconds(1)));
 }
 
+#[test]
+fn the_least_often_sent_reports_go_first_and_barred_content_is_always_sent() {
+    let now = Instant::now();
+    let mut evidence = CrashEvidence::new(BarPolicy {
+        capacity: 100,
+        ..POLICY
+    });
+    for content in 0..20 {
+        evidence.record_crash(Content::part(content), ORGANISATION, 1, now);
+    }
+    assert!(evidence.has_unsent());
+    let reports = (0..4).flat_map(|_| evidence.reports(now, 5));
+    let mut seen: Vec<_> = reports.map(|report| report.content.hash).collect();
+    seen.sort_unstable();
+    assert_eq!(seen, (0..20).collect::<Vec<_>>());
+    assert!(!evidence.has_unsent());
+    for server in 2..=3 {
+        evidence.record_crash(Content::part(5), ORGANISATION, server, now);
+    }
+    for _round in 0..100 {
+        evidence.reports(now, 20);
+    }
+    let reports = evidence.reports(now, 20);
+    assert_eq!(reports.len(), 1);
+    assert_eq!(reports[0].content, Content::part(5));
+}
+
+#[test]
+fn full_evidence_evicts_suspect_before_barred_content() {
+    let now = Instant::now();
+    let mut evidence = evidence_of(3, now);
+    for content in 100..200 {
+        evidence.record_crash(
+            Content::part(content),
+            ORGANISATION,
+            1,
+            now + seconds(content as u64),
+        );
+    }
+    assert_eq!(evidence.len(), POLICY.capacity);
+    assert!(is_refused(&evidence, now + seconds(1)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 1_000,
--- a/bulrushward_policy/tests/crash_evidence_fleet.rs
+++ b/bulrushward_policy/tests/crash_evidence_fleet.rs
@@ -5,7 +5,8 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::crash_evidence::{BarPolicy, Content, CrashEvidence, CrashReport};
+use bulrushward_policy::crash_evidence::{BarPolicy, CrashEvidence};
+use bulrushward_protocol::{Content, CrashReport};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
--- a/bulrushward_protocol/src/exchange.rs
+++ b/bulrushward_protocol/src/exchange.rs
@@ -6,7 +6,7 @@
 use strum::{Display, EnumString};
 
 use crate::{
-    BackendId, ChunkDigest, FailureDomain, Fingerprint, Incarnation, NodeId, Revision, ServiceId,
+    BackendId, ChunkDigest, CrashReport, FailureDomain, Incarnation, NodeId, Revision, ServiceId,
     WorkUnits,
 };
 
@@ -65,18 +65,6 @@
     pub revision: Revision,
 }
 
-/// Crashes of backend servers caused by requests with the same content; after a configured number
-/// of crashes, such requests are refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QuarantineRecord {
-    /// Hash of the request content.
-    pub fingerprint: Fingerprint,
-    /// Number of crashes.
-    pub crashes: u8,
-    /// Seconds until the record expires.
-    pub ttl_seconds: u32,
-}
-
 /// A member that a process could not reach; a record with a newer version refutes the suspicion.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspicion {
@@ -119,8 +107,8 @@
     pub members: Vec<MemberRecord>,
     /// Members that the sender believes unreachable.
     pub suspects: Vec<Suspicion>,
-    /// Quarantine records that the sender received recently.
-    pub quarantine: Vec<QuarantineRecord>,
+    /// Crashes of backend servers by the content of requests.
+    pub quarantine: Vec<CrashReport>,
     /// Newest revision that the sender can transfer; `own` holds the active one.
     pub revision: Revision,
     /// Message of a revision transfer; an exchange that has one carries no records of others.
--- a/bulrushward_protocol/src/lib.rs
+++ b/bulrushward_protocol/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod admin;
 pub mod codec;
+mod content;
 mod exchange;
 mod frame;
 pub mod headers;
@@ -14,9 +15,9 @@
 mod run;
 
 pub use codec::{CodecError, decode, encode};
+pub use content::{Content, ContentHash, ContentKind, CrashReport, OrganisationHash, ServerKey};
 pub use exchange::{
-    Chunk, ConfigurationMessage, Exchange, MemberRecord, MemberState, QuarantineRecord, Role,
-    Suspicion,
+    Chunk, ConfigurationMessage, Exchange, MemberRecord, MemberState, Role, Suspicion,
 };
 pub use frame::{Frame, FrameDecoder, encode_frame};
 pub use ids::{
