Treat a stream without a length that ends before its first event as broken

Responses may have neither a length nor chunks and end with their connection. A server that crashed after such a head closed the connection, which the router took for the end of an empty stream: the caller got an empty success, and the crash was not counted but refuted. A stream that was not resumed must now have an event before its end; a resumed one may have had its last event before. a_stream_without_a_length_that_ends_before_its_first_event_is_broken failed before (200 instead of 502) and passes; 271 tests of the package pass.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -114,6 +114,8 @@
     metadata: ResponseMetadata,
     connection: Connection,
     progress: InProgress,
+    /// Whether the request resumes a stream after an event.
+    is_resumed: bool,
 }
 
 impl ReceivedHead {
@@ -142,6 +144,7 @@
             metadata,
             connection,
             progress,
+            is_resumed: last_event_id.or(request.last_event_id.as_deref()).is_some(),
         }),
         Err(error) => {
             record_failure(&progress, &error);
@@ -326,6 +329,7 @@
         metadata,
         connection,
         progress,
+        is_resumed,
     } = received;
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
@@ -334,6 +338,7 @@
     if request.is_stream() && head.status.is_success() {
         let stream = ServerStream::new(
             body,
+            is_resumed,
             progress,
             connection,
             metadata.keep_alive_timeout,
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -51,6 +51,8 @@
     /// Time at which what has arrived is read, if no event was complete in time.
     overdue: Option<Instant>,
     is_complete: bool,
+    /// Whether the end may come before any event: the stream was resumed, or has had events.
+    may_end: bool,
 }
 
 /// Next item of a server's stream.
@@ -67,9 +69,11 @@
 impl ServerStream {
     /// Wraps the body of a response whose head was read.
     ///
-    /// Its connection is closed soon after `deadline` at the latest.
+    /// A stream that was not resumed (`is_resumed`) must have an event. Its connection is closed soon after `deadline` at
+    /// the latest.
     pub(crate) fn new(
         body: Incoming,
+        is_resumed: bool,
         progress: InProgress,
         connection: Connection,
         keep_alive_timeout: Option<Duration>,
@@ -91,6 +95,7 @@
             keep_alive_timeout,
             overdue: None,
             is_complete: false,
+            may_end: is_resumed,
         }
     }
 
@@ -193,6 +198,7 @@
             return StreamItem::Comments(events);
         }
         self.overdue = None;
+        self.may_end = true;
         StreamItem::Events(events)
     }
 
@@ -263,6 +269,13 @@
                 &"the last event is incomplete",
             ));
         }
+        if !self.may_end && !has_event(&self.gathered) {
+            // Without a length or chunks, this is all that shows of a server that crashed.
+            return Err(AttemptError::new(
+                AttemptFailure::Broken,
+                &"the stream ended without an event",
+            ));
+        }
         self.is_complete = true;
         self.close_timer = None;
         self.progress.update_health(ServerHealth::record_success);
--- a/bulrushward_direct/tests/barred_content.rs
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -9,7 +9,8 @@
     platform::MemoryStore,
     record, request, router_with_servers,
     server::{
-        Received, Step, TestServer, broken_stream, complete_stream, ok_response, stream_head,
+        Received, Step, TestServer, broken_stream, complete_stream, events, ok_response, send_text,
+        stream_head,
     },
     unique_loopback_ip, wait_until,
 };
@@ -189,3 +190,34 @@
     assert_eq!(refused.status, 503);
     assert!(refused.header("retry-after").is_some());
 }
+
+/// Starts an engine whose responses have neither a length nor chunks, and that crashes as above.
+fn unframed_engine_with_deadly_part(index: usize) -> TestServer {
+    TestServer::start(&format!("s-{index}"), |req| {
+        let id = req.header("request").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
+        );
+        if has_deadly_part(req) {
+            return vec![send_text(&head), Step::CrashQuietly];
+        }
+        vec![send_text(&(head + &events(1, 6))), Step::Close]
+    })
+}
+
+// Guards against taking the end of the connection for the end of a stream without a length when the server crashed before
+// the first event: the caller would get an empty success, which would also refute the crashes.
+#[test]
+fn a_stream_without_a_length_that_ends_before_its_first_event_is_broken() {
+    let servers: Vec<_> = (0..8).map(unframed_engine_with_deadly_part).collect();
+    let router = router_with_servers("engines", &servers.iter().collect::<Vec<_>>());
+    for index in 0..3 {
+        let response = router.send(&prompt_request(index, 100 + index, "5555"));
+        assert_eq!(response.status, 502);
+        std::thread::sleep(CHECK_TIME);
+        let sound = router.send(&prompt_request(10 + index, 100 + index, "77"));
+        assert_eq!((sound.status, sound.text()), (200, events(1, 6)));
+    }
+    let refused = router.send(&prompt_request(3, 104, "5555"));
+    assert_eq!(refused.status, 503);
+}
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -45,6 +45,8 @@
     Reset,
     /// Resets the connection and refuses new ones from then on.
     Crash,
+    /// Closes the connection and refuses new ones from then on.
+    CrashQuietly,
 }
 
 pub fn send_text(text: &str) -> Step {
@@ -206,12 +208,13 @@
         }
         Step::Close => false,
         Step::Crash => {
-            crashed.store(true, Ordering::SeqCst);
-            // Wakes the accept loop, which then ends and closes the listener.
-            let own = stream.local_addr().expect("the stream is connected");
-            let _closes = TcpStream::connect(own);
+            stop_listening(stream, crashed);
             run_step(stream, Step::Reset, closed, crashed)
         }
+        Step::CrashQuietly => {
+            stop_listening(stream, crashed);
+            false
+        }
         Step::Reset => {
             socket2::SockRef::from(stream)
                 .set_linger(Some(Duration::ZERO))
@@ -221,6 +224,14 @@
     }
 }
 
+/// Ends the accept loop, which closes the listener.
+fn stop_listening(stream: &TcpStream, crashed: &AtomicBool) {
+    crashed.store(true, Ordering::SeqCst);
+    let own = stream.local_addr().expect("the stream is connected");
+    // Wakes the loop.
+    let _closes = TcpStream::connect(own);
+}
+
 fn read_request(reader: &mut BufReader<&TcpStream>) -> Option<Received> {
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|len| *len > 0)?;
