Move the view of the fleet to a module of its own

It is used for cold servers and for barred content, and needs nothing of the shared state; so the records of crashes do not depend on that state either, nor on the servers. No behaviour changes.

--- a/bulrushward_direct/src/cold_servers.rs
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -2,66 +2,24 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use bulrushward_policy::{
     cold_server::{ColdAllowance, ColdEvidence, MAX_COLD_TIME, Room},
     emptied_domains::EmptiedDomains,
-    fleet_share::{FleetMembers, FleetPosition},
+    fleet_share::FleetPosition,
 };
 use tracing::info;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     model::{FleetConfig, Service},
     ports::ResponseMetadata,
     routed_request::RoutedRequest,
-    servers::{Server, ServerHash, ServerSet, ServerState},
+    servers::{Server, ServerSet, ServerState},
     shared::Shared,
 };
 
-/// The routers that share the allowances of cold servers, as this router knows them.
-#[derive(Debug, Default)]
-pub(crate) struct FleetView {
-    /// Number that differs between all views of this process.
-    version: u64,
-    /// Hash of this router's address.
-    own: u64,
-    /// Hashes of the addresses of all routers, including this one.
-    members: Vec<u64>,
-    /// Whether the routers have been discovered since the start.
-    is_settled: bool,
-}
-
-impl FleetView {
-    /// Creates the view that follows a previous one.
-    pub(crate) fn new(
-        own: SocketAddr,
-        members: &FleetMembers<SocketAddr>,
-        previous: &Self,
-    ) -> Self {
-        let hash = |address: &SocketAddr| xxh3_64(address.to_string().as_bytes());
-        Self {
-            version: previous.version + 1,
-            own: hash(&own),
-            members: members.members().iter().map(hash).collect(),
-            is_settled: members.is_settled(),
-        }
-    }
-
-    /// Returns whether this router comes first of all in the order that belongs to `item`.
-    pub(crate) fn ranks_first(&self, item: u64) -> bool {
-        FleetPosition::ranked(self.own, &self.members, item).rank == 0
-    }
-
-    /// Returns the place of this router among those that share a server.
-    fn position(&self, server: ServerHash) -> FleetPosition {
-        FleetPosition::ranked(self.own, &self.members, server.into())
-    }
-}
-
 /// Returns what this router may send to a server now.
 pub(crate) fn room(
     shared: &Shared,
--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -63,5 +63,7 @@
 
 fn record_unreachable(shared: &Shared, server: &Server) {
     let suspects = server.state().take_crash_suspects(Instant::now());
-    shared.crash_records.record_crash(server, &suspects);
+    shared
+        .crash_records
+        .record_crash(&server.id, server.hash, &suspects);
 }
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -8,15 +8,12 @@
 };
 
 use bulrushward_policy::crash_evidence::{BarPolicy, CrashEvidence};
-use bulrushward_protocol::{Content, OrganisationHash};
+use bulrushward_protocol::{Content, OrganisationHash, ServerKey};
 use tokio::sync::Notify;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{
-    cold_servers::FleetView, crash_reports::CrashReports, routed_request::RoutedRequest,
-    servers::Server,
-};
+use crate::{crash_reports::CrashReports, fleet_view::FleetView, routed_request::RoutedRequest};
 
 /// Limits of what is remembered of content that crashes servers.
 const POLICY: BarPolicy = BarPolicy {
@@ -69,7 +66,7 @@
 
 impl CrashRecords {
     /// Records that a server crashed that had begun to run these requests.
-    pub(crate) fn record_crash(&self, server: &Server, suspects: &[BrokenRequest]) {
+    pub(crate) fn record_crash(&self, server: &str, key: ServerKey, suspects: &[BrokenRequest]) {
         if suspects.is_empty() {
             return;
         }
@@ -77,12 +74,11 @@
         let mut evidence = self.lock();
         for suspect in suspects {
             for content in &suspect.contents {
-                let crashes =
-                    evidence.record_crash(*content, suspect.organisation, server.hash, now);
+                let crashes = evidence.record_crash(*content, suspect.organisation, key, now);
                 info!(
                     event = "crash-suspected",
                     request = suspect.request_id,
-                    server = server.id,
+                    server,
                     %content,
                     crashes,
                 );
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -27,11 +27,11 @@
 
 use self::message::{GossipMessage, GossipOrders, GossipTail, PeerSighting, ServerInProgress};
 use crate::{
-    call,
-    cold_servers::{self, FleetView},
+    call, cold_servers,
     connection::close_expired,
     crash_reports::CrashReports,
     fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
+    fleet_view::FleetView,
     model::ConfigVersion,
     servers::ServerHash,
     shared::Shared,
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -14,6 +14,7 @@
 mod crash_reports;
 mod events;
 mod fleet_state;
+mod fleet_view;
 mod gossip;
 mod handover;
 mod hedged_call;
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -25,8 +25,8 @@
 
 use crate::{
     buffered_body::SharedBuffers,
-    cold_servers::FleetView,
     crash_records::CrashRecords,
+    fleet_view::FleetView,
     location_updates::{LocationUpdates, SessionLocation},
     metrics::{DirectMetrics, GaugeSnapshot},
     model::{FleetConfig, ServiceName},
