Use the terms of the field in the records of crashes

Content whose bar is over is half-open and is probed; content under which servers crash is poison. Who probes is worked out for barred content only, as it takes a hash of each router. No behaviour changes.

--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -167,7 +167,7 @@
     fn check_quarantine(&self, req: &mut RunRequest) -> Result<(), Refusal> {
         match self.control.quarantine_verdict(req.fingerprint) {
             Verdict::Clear => Ok(()),
-            Verdict::Suspect | Verdict::OnTrial => {
+            Verdict::Suspect | Verdict::HalfOpen => {
                 req.suspect = true;
                 Ok(())
             }
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -104,7 +104,7 @@
 
     /// Returns the time for which a request is refused because its content crashes servers.
     ///
-    /// Of the routers in `fleet`, one tries the content once its time is over.
+    /// Of the routers in `fleet`, one probes the content once its time is over.
     pub(crate) fn refusal(&self, request: &RoutedRequest, fleet: &FleetView) -> Option<Duration> {
         let evidence = self.lock();
         if evidence.is_empty() {
@@ -112,7 +112,7 @@
         }
         let now = Instant::now();
         let refusal = |content: Content| {
-            evidence.refusal(content, fleet.ranks_first(content.hash as u64), now)
+            evidence.refusal(content, || fleet.ranks_first(content.hash as u64), now)
         };
         request.contents().filter_map(refusal).max()
     }
@@ -177,7 +177,7 @@
     /// Returns the numbers of contents that are remembered and that are refused.
     pub(crate) fn counts(&self) -> (usize, usize) {
         let evidence = self.lock();
-        (evidence.len(), evidence.convicted(Instant::now()))
+        (evidence.len(), evidence.quarantined_count(Instant::now()))
     }
 
     fn lock(&self) -> MutexGuard<'_, CrashEvidence> {
--- a/bulrushward_direct/tests/barred_content.rs
+++ b/bulrushward_direct/tests/barred_content.rs
@@ -138,16 +138,16 @@
 }
 
 /// Starts an engine that crashes when it begins to respond to a prompt with a part, and serves all others.
-fn engine_with_deadly_part(index: usize) -> TestServer {
+fn engine_with_poison_part(index: usize) -> TestServer {
     TestServer::start(&format!("s-{index}"), |req| {
-        if has_deadly_part(req) {
+        if has_poison_part(req) {
             return vec![stream_head(req), Step::Crash];
         }
         complete_stream(req)
     })
 }
 
-fn has_deadly_part(req: &Received) -> bool {
+fn has_poison_part(req: &Received) -> bool {
     req.header("prompt")
         .is_some_and(|prompt| prompt.contains(",5555:"))
 }
@@ -169,36 +169,36 @@
 // one request after the other, and against refusing requests that share the organisation, the route or other parts.
 #[test]
 fn a_prompt_part_that_crashes_servers_is_barred_and_nothing_beside_it() {
-    let servers: Vec<_> = (0..16).map(engine_with_deadly_part).collect();
+    let servers: Vec<_> = (0..16).map(engine_with_poison_part).collect();
     let routers: [_; 3] = start_fleet_of("engines", &servers);
-    let deadly = || {
+    let poison = || {
         let received = servers.iter().flat_map(TestServer::received);
-        received.filter(has_deadly_part).count()
+        received.filter(has_poison_part).count()
     };
     for index in 0..12 {
         let router = &routers[index % 3];
         router.send(&prompt_request(index, 100 + index % 4, "5555"));
-        for sound in 0..4 {
-            let index = 100 + index * 4 + sound;
-            let response = router.send(&prompt_request(index, 100 + sound, "77"));
-            assert_eq!(response.status, 200, "sound request {index}");
+        for harmless in 0..4 {
+            let index = 100 + index * 4 + harmless;
+            let response = router.send(&prompt_request(index, 100 + harmless, "77"));
+            assert_eq!(response.status, 200, "harmless request {index}");
         }
         std::thread::sleep(CHECK_TIME);
     }
-    assert!((3..=5).contains(&deadly()), "{} servers crashed", deadly());
+    assert!((3..=5).contains(&poison()), "{} servers crashed", poison());
     let refused = routers[0].send(&prompt_request(50, 100, "5555"));
     assert_eq!(refused.status, 503);
     assert!(refused.header("retry-after").is_some());
 }
 
 /// Starts an engine whose responses have neither a length nor chunks, and that crashes as above.
-fn unframed_engine_with_deadly_part(index: usize) -> TestServer {
+fn unframed_engine_with_poison_part(index: usize) -> TestServer {
     TestServer::start(&format!("s-{index}"), |req| {
         let id = req.header("request").unwrap_or_default();
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
         );
-        if has_deadly_part(req) {
+        if has_poison_part(req) {
             return vec![send_text(&head), Step::CrashQuietly];
         }
         vec![send_text(&(head + &events(1, 6))), Step::Close]
@@ -209,14 +209,14 @@
 // the first event: the caller would get an empty success, which would also refute the crashes.
 #[test]
 fn a_stream_without_a_length_that_ends_before_its_first_event_is_broken() {
-    let servers: Vec<_> = (0..8).map(unframed_engine_with_deadly_part).collect();
+    let servers: Vec<_> = (0..8).map(unframed_engine_with_poison_part).collect();
     let router = router_with_servers("engines", &servers.iter().collect::<Vec<_>>());
     for index in 0..3 {
         let response = router.send(&prompt_request(index, 100 + index, "5555"));
         assert_eq!(response.status, 502);
         std::thread::sleep(CHECK_TIME);
-        let sound = router.send(&prompt_request(10 + index, 100 + index, "77"));
-        assert_eq!((sound.status, sound.text()), (200, events(1, 6)));
+        let harmless = router.send(&prompt_request(10 + index, 100 + index, "77"));
+        assert_eq!((harmless.status, harmless.text()), (200, events(1, 6)));
     }
     let refused = router.send(&prompt_request(3, 104, "5555"));
     assert_eq!(refused.status, 503);
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -1,7 +1,7 @@
 //! Which requests and prompt parts crash backend servers, from the crashes and responses that all processes have seen.
 //!
 //! Handles: content that arrives at any process and crashes each server that begins to run it; crashes
-//! that different processes see; sound content that runs beside it; lost, late and repeated messages;
+//! that different processes see; harmless content that runs beside it; lost, late and repeated messages;
 //! processes that restart; content that returns after minutes; callers that send much of it.
 
 use std::{
@@ -22,10 +22,10 @@
 const MAX_BAR: Duration = Duration::from_mins(30);
 /// Ratio of the time for which content is barred to the time over which it has crashed servers.
 ///
-/// Content that still crashes servers at each trial thus gets fewer and fewer of them.
+/// Content that crashes a server at each probe is thus probed less and less often.
 const BAR_GROWTH: u32 = 2;
-/// Time after which a trial without a result counts as failed to show anything.
-const TRIAL_TIME: Duration = Duration::from_secs(10);
+/// Time after which a probe without a result is given up.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Times that a record is sent after its latest change; barred content is always sent.
 const MAX_SENDS: u32 = 10;
 
@@ -58,14 +58,14 @@
         remaining: Duration,
     },
     /// Its time is over; one request shows whether it still crashes servers.
-    OnTrial,
+    HalfOpen,
 }
 
 impl Verdict {
-    /// Returns whether content is barred or on trial.
+    /// Returns whether content is barred, or half-open after its bar.
     #[must_use]
-    pub fn is_convicted(self) -> bool {
-        matches!(self, Self::Barred { .. } | Self::OnTrial)
+    pub fn is_quarantined(self) -> bool {
+        matches!(self, Self::Barred { .. } | Self::HalfOpen)
     }
 }
 
@@ -102,7 +102,7 @@
     crashes: Vec<Crash>,
     /// Latest complete response; earlier crashes had other causes.
     served: Option<Instant>,
-    trial: Option<Instant>,
+    probe: Option<Instant>,
     /// Whether it was reported as barred.
     is_reported: bool,
     /// Number of messages that included the record since it last changed.
@@ -115,7 +115,7 @@
             organisation,
             crashes: Vec::new(),
             served,
-            trial: None,
+            probe: None,
             is_reported: false,
             times_sent: 0,
         }
@@ -123,15 +123,15 @@
 
     /// Returns the times from which and until which the content is barred, if there are enough crashes.
     ///
-    /// Content that was ever served is not blamed for crashes that other content explains.
+    /// Crashes that other content explains do not count against content that was ever served.
     fn bar(&self, limits: &Limits) -> Option<(Instant, Instant)> {
         let policy = &limits.policy;
-        let is_blamed =
+        let is_unexplained =
             |crash: &&Crash| self.served.is_none() || !limits.explained.contains(&crash.server);
-        let mut blamed = self.crashes.iter().filter(is_blamed);
-        let first = blamed.clone().next()?;
-        let deciding = blamed.clone().nth(policy.crashes.saturating_sub(1))?;
-        let last = blamed.next_back()?;
+        let mut unexplained = self.crashes.iter().filter(is_unexplained);
+        let first = unexplained.clone().next()?;
+        let deciding = unexplained.clone().nth(policy.crashes.saturating_sub(1))?;
+        let last = unexplained.next_back()?;
         let grace = self.served.map_or(Duration::ZERO, |_| policy.grace);
         let span = last.at.saturating_duration_since(first.at);
         let period = (span * BAR_GROWTH).clamp(policy.period, MAX_BAR.max(policy.period));
@@ -139,14 +139,14 @@
     }
 
     /// Returns whether the content explains the crashes of its servers, as it was never served.
-    fn is_culprit(&self, policy: &BarPolicy) -> bool {
+    fn explains_crashes(&self, policy: &BarPolicy) -> bool {
         self.served.is_none() && self.crashes.len() >= policy.crashes
     }
 
     fn verdict(&self, limits: &Limits, now: Instant) -> Verdict {
         match self.bar(limits) {
             _ if self.crashes.is_empty() => Verdict::Clear,
-            Some((_, until)) if now >= until => Verdict::OnTrial,
+            Some((_, until)) if now >= until => Verdict::HalfOpen,
             Some((from, until)) if now >= from => Verdict::Barred {
                 remaining: until - now,
             },
@@ -189,7 +189,7 @@
         let is_refuted = self.crashes.len() < crashes;
         if is_refuted {
             self.times_sent = 0;
-            self.trial = None;
+            self.probe = None;
         }
         self.served = self.served.max(Some(at));
         is_refuted
@@ -206,7 +206,7 @@
                 .map(|crash| (crash.server, age(crash.at)))
                 .collect(),
             served_ms: self.served.map(age),
-            trial_ms: self.trial.map(age),
+            probe_ms: self.probe.map(age),
         }
     }
 }
@@ -283,29 +283,35 @@
 
     /// Returns the time for which a request with the content is refused, if it is.
     ///
-    /// One process, for which `is_judge` holds, tries content whose bar is over; the others follow if it does not.
+    /// The process for which `is_prober` returns true probes content whose bar is over; the others follow if it does not.
+    /// It is called for barred content only.
     #[must_use]
-    pub fn refusal(&self, content: Content, is_judge: bool, now: Instant) -> Option<Duration> {
+    pub fn refusal(
+        &self,
+        content: Content,
+        is_prober: impl FnOnce() -> bool,
+        now: Instant,
+    ) -> Option<Duration> {
         let record = self.records.get(&content)?;
-        let mut until = match record.verdict(&self.limits, now) {
-            Verdict::Clear | Verdict::Suspect => return None,
-            Verdict::Barred { .. } | Verdict::OnTrial => record.bar(&self.limits)?.1,
-        };
-        if !is_judge {
+        if !record.verdict(&self.limits, now).is_quarantined() {
+            return None;
+        }
+        let (_, mut until) = record.bar(&self.limits)?;
+        if !is_prober() {
             until += self.limits.policy.period;
         }
-        let trial = record.trial.map(|begun| begun + TRIAL_TIME);
-        let until = trial.map_or(until, |end| end.max(until));
+        let probe = record.probe.map(|begun| begun + PROBE_TIMEOUT);
+        let until = probe.map_or(until, |end| end.max(until));
         (now < until).then(|| until - now)
     }
 
-    /// Records that a request with the content is sent; it is a trial if the content was barred.
+    /// Records that a request with the content is sent; it is a probe if the content was barred.
     pub fn record_sent(&mut self, content: Content, now: Instant) {
         let Some(record) = self.records.get_mut(&content) else {
             return;
         };
-        if record.verdict(&self.limits, now) == Verdict::OnTrial {
-            record.trial = Some(now);
+        if record.verdict(&self.limits, now) == Verdict::HalfOpen {
+            record.probe = Some(now);
             record.times_sent = 0;
         }
     }
@@ -332,7 +338,7 @@
     pub fn take_changes(&mut self, now: Instant) -> Vec<BarChange> {
         let mut changes = Vec::new();
         for (content, record) in &mut self.records {
-            let is_barred = record.verdict(&self.limits, now).is_convicted();
+            let is_barred = record.verdict(&self.limits, now).is_quarantined();
             if is_barred != std::mem::replace(&mut record.is_reported, is_barred) {
                 changes.push(BarChange {
                     content: *content,
@@ -352,7 +358,7 @@
             .records
             .iter_mut()
             .filter(|(_, record)| {
-                record.times_sent < MAX_SENDS || record.verdict(limits, now).is_convicted()
+                record.times_sent < MAX_SENDS || record.verdict(limits, now).is_quarantined()
             })
             .map(|(content, record)| {
                 let order = (
@@ -379,7 +385,7 @@
         self.records.values().any(|record| record.times_sent == 0)
     }
 
-    /// Returns the time since which the content has been barred or on trial, if it is.
+    /// Returns how long the content has been barred, if it is, half-open content included.
     #[must_use]
     pub fn barred_for(&self, content: Content, now: Instant) -> Option<Duration> {
         let (from, _) = self.records.get(&content)?.bar(&self.limits)?;
@@ -398,12 +404,12 @@
         self.records.is_empty()
     }
 
-    /// Returns the number of contents that are barred or on trial.
+    /// Returns the number of contents that are barred or half-open.
     #[must_use]
-    pub fn convicted(&self, now: Instant) -> usize {
+    pub fn quarantined_count(&self, now: Instant) -> usize {
         let records = self.records.values();
         records
-            .filter(|record| record.verdict(&self.limits, now).is_convicted())
+            .filter(|record| record.verdict(&self.limits, now).is_quarantined())
             .count()
     }
 
@@ -444,10 +450,12 @@
         for crash in crashes {
             is_new |= record.add_crash(crash);
         }
-        if let Some(trial) = report.trial_ms.and_then(at)
-            && record.trial.is_none_or(|known| known + TRIAL_TIME < trial)
+        if let Some(probe) = report.probe_ms.and_then(at)
+            && record
+                .probe
+                .is_none_or(|known| known + PROBE_TIMEOUT < probe)
         {
-            record.trial = Some(trial);
+            record.probe = Some(probe);
         }
         is_new
     }
@@ -469,9 +477,9 @@
 
     fn update_explained(&mut self) {
         let policy = &self.limits.policy;
-        let culprits = self.records.values();
-        let culprits = culprits.filter(|record| record.is_culprit(policy));
-        self.limits.explained = culprits
+        let explaining = self.records.values();
+        let explaining = explaining.filter(|record| record.explains_crashes(policy));
+        self.limits.explained = explaining
             .flat_map(|record| record.crashes.iter().map(|crash| crash.server))
             .collect();
     }
@@ -499,7 +507,7 @@
                 (
                     !record.crashes.is_empty(),
                     std::cmp::Reverse(by_organisation[&record.organisation]),
-                    record.verdict(&self.limits, now).is_convicted(),
+                    record.verdict(&self.limits, now).is_quarantined(),
                     record.crashes.len(),
                     latest.max(record.served),
                     **content,
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -14,7 +14,7 @@
     capacity: 8,
 };
 /// Content that crashes servers.
-const DEADLY: Content = Content {
+const POISON: Content = Content {
     kind: ContentKind::Part,
     hash: 7,
 };
@@ -28,29 +28,29 @@
 fn evidence_of(crashes: u32, now: Instant) -> CrashEvidence {
     let mut evidence = CrashEvidence::new(POLICY);
     for server in 1..=crashes {
-        evidence.record_crash(DEADLY, ORGANISATION, server, now);
+        evidence.record_crash(POISON, ORGANISATION, server, now);
     }
     evidence
 }
 
 fn is_refused(evidence: &CrashEvidence, now: Instant) -> bool {
-    evidence.refusal(DEADLY, true, now).is_some()
+    evidence.refusal(POISON, || true, now).is_some()
 }
 
 #[test]
 fn content_is_suspect_after_a_crash_and_barred_after_the_third() {
     let now = Instant::now();
-    assert_eq!(evidence_of(0, now).verdict(DEADLY, now), Verdict::Clear);
+    assert_eq!(evidence_of(0, now).verdict(POISON, now), Verdict::Clear);
     for crashes in 1..=2 {
         let evidence = evidence_of(crashes, now);
-        assert_eq!(evidence.verdict(DEADLY, now), Verdict::Suspect);
+        assert_eq!(evidence.verdict(POISON, now), Verdict::Suspect);
         assert!(!is_refused(&evidence, now));
     }
     let mut evidence = evidence_of(2, now);
-    assert_eq!(evidence.record_crash(DEADLY, ORGANISATION, 3, now), 3);
-    assert_eq!(evidence.refusal(DEADLY, true, now), Some(POLICY.period));
+    assert_eq!(evidence.record_crash(POISON, ORGANISATION, 3, now), 3);
+    assert_eq!(evidence.refusal(POISON, || true, now), Some(POLICY.period));
     let change = BarChange {
-        content: DEADLY,
+        content: POISON,
         crashes: 3,
         is_barred: true,
     };
@@ -63,9 +63,9 @@
     let now = Instant::now();
     let mut evidence = evidence_of(2, now);
     let mut peer = evidence_of(2, now);
-    evidence.record_crash(DEADLY, ORGANISATION, 2, now + seconds(1));
+    evidence.record_crash(POISON, ORGANISATION, 2, now + seconds(1));
     evidence.merge(&peer.reports(now, 10), now + seconds(2));
-    assert_eq!(evidence.crashes(DEADLY), 2);
+    assert_eq!(evidence.crashes(POISON), 2);
 }
 
 // Guards against processes that keep the highest count of their peers instead of adding up the crashes that each has
@@ -76,7 +76,7 @@
     let mut processes: Vec<_> = (0..3).map(|_| CrashEvidence::new(POLICY)).collect();
     let mut reports = Vec::new();
     for (server, process) in (1..).zip(&mut processes) {
-        process.record_crash(DEADLY, ORGANISATION, server, now);
+        process.record_crash(POISON, ORGANISATION, server, now);
         reports.extend(process.reports(now, 10));
     }
     for process in &mut processes {
@@ -93,17 +93,19 @@
     let mut now = start;
     let mut barred_for = Vec::new();
     for server in 10..14 {
-        let refusal = evidence.refusal(DEADLY, true, now).expect("it is barred");
+        let refusal = evidence
+            .refusal(POISON, || true, now)
+            .expect("it is barred");
         barred_for.push(refusal);
         now += refusal;
-        assert_eq!(evidence.verdict(DEADLY, now), Verdict::OnTrial);
+        assert_eq!(evidence.verdict(POISON, now), Verdict::HalfOpen);
         assert!(!is_refused(&evidence, now));
-        evidence.record_sent(DEADLY, now);
+        evidence.record_sent(POISON, now);
         assert!(
             is_refused(&evidence, now),
-            "one request at a time is a trial"
+            "one request at a time is a probe"
         );
-        evidence.record_crash(DEADLY, ORGANISATION, server, now);
+        evidence.record_crash(POISON, ORGANISATION, server, now);
         assert!(is_refused(&evidence, now));
     }
     assert!(barred_for.is_sorted());
@@ -111,17 +113,17 @@
 }
 
 #[test]
-fn a_trial_that_is_served_frees_the_content_everywhere() {
+fn a_probe_that_is_served_frees_the_content_everywhere() {
     let start = Instant::now();
     let mut evidence = evidence_of(3, start);
     let mut peer = evidence_of(3, start);
     let now = start + POLICY.period;
-    evidence.record_sent(DEADLY, now);
+    evidence.record_sent(POISON, now);
     for process in [&mut evidence, &mut peer] {
         assert!(process.take_changes(now)[0].is_barred);
     }
-    assert!(evidence.record_served(DEADLY, now));
-    assert_eq!(evidence.verdict(DEADLY, now), Verdict::Clear);
+    assert!(evidence.record_served(POISON, now));
+    assert_eq!(evidence.verdict(POISON, now), Verdict::Clear);
     // The peer's outdated report changes nothing, and it learns of the response.
     assert!(evidence.merge(&peer.reports(now, 10), now).is_empty());
     peer.merge(&evidence.reports(now, 10), now);
@@ -134,18 +136,18 @@
 #[test]
 fn one_process_tries_the_content_and_others_follow_only_if_it_does_not() {
     let start = Instant::now();
-    let mut judge = evidence_of(3, start);
+    let mut prober = evidence_of(3, start);
     let mut other = evidence_of(3, start);
     let now = start + POLICY.period;
-    assert_eq!(judge.refusal(DEADLY, true, now), None);
-    assert_eq!(other.refusal(DEADLY, false, now), Some(POLICY.period));
+    assert_eq!(prober.refusal(POISON, || true, now), None);
+    assert_eq!(other.refusal(POISON, || false, now), Some(POLICY.period));
     let later = now + POLICY.period;
-    assert_eq!(other.refusal(DEADLY, false, later), None);
-    judge.record_sent(DEADLY, later);
-    other.merge(&judge.reports(later, 10), later);
+    assert_eq!(other.refusal(POISON, || false, later), None);
+    prober.record_sent(POISON, later);
+    other.merge(&prober.reports(later, 10), later);
     assert!(
-        other.refusal(DEADLY, false, later).is_some(),
-        "a trial is in progress"
+        other.refusal(POISON, || false, later).is_some(),
+        "a probe is in progress"
     );
 }
 
@@ -153,10 +155,10 @@
 fn a_response_refutes_only_earlier_crashes() {
     let now = Instant::now();
     let mut evidence = evidence_of(2, now);
-    evidence.record_served(DEADLY, now);
-    assert_eq!(evidence.verdict(DEADLY, now), Verdict::Clear);
-    evidence.record_crash(DEADLY, ORGANISATION, 8, now + seconds(1));
-    assert_eq!(evidence.crashes(DEADLY), 1);
+    evidence.record_served(POISON, now);
+    assert_eq!(evidence.verdict(POISON, now), Verdict::Clear);
+    evidence.record_crash(POISON, ORGANISATION, 8, now + seconds(1));
+    assert_eq!(evidence.crashes(POISON), 1);
     assert!(
         !evidence.record_served(Content::part(9), now),
         "nothing is known of other content"
@@ -168,15 +170,15 @@
 fn content_that_was_served_before_is_barred_only_if_it_is_not_served_again() {
     let start = Instant::now();
     let mut evidence = CrashEvidence::new(POLICY);
-    evidence.record_served(DEADLY, start);
+    evidence.record_served(POISON, start);
     let now = start + seconds(1);
     for server in 1..=3 {
-        evidence.record_crash(DEADLY, ORGANISATION, server, now);
+        evidence.record_crash(POISON, ORGANISATION, server, now);
     }
     assert!(!is_refused(&evidence, now + POLICY.grace.mul_f64(0.99)));
     let later = now + POLICY.grace;
     assert!(is_refused(&evidence, later));
-    evidence.record_served(DEADLY, later);
+    evidence.record_served(POISON, later);
     assert!(!is_refused(&evidence, later));
 }
 
@@ -190,20 +192,20 @@
     let mut now = start;
     for server in 1..=6 {
         now += seconds(1);
-        for content in [session, DEADLY] {
+        for content in [session, POISON] {
             evidence.record_crash(content, ORGANISATION, server, now);
         }
     }
     now += POLICY.grace;
     assert!(is_refused(&evidence, now));
-    assert_eq!(evidence.refusal(session, true, now), None);
+    assert_eq!(evidence.refusal(session, || true, now), None);
     // Crashes of its own are its fault.
     for server in 11..=13 {
         evidence.record_crash(session, ORGANISATION, server, now);
     }
     assert!(
         evidence
-            .refusal(session, true, now + POLICY.grace)
+            .refusal(session, || true, now + POLICY.grace)
             .is_some()
     );
 }
@@ -232,8 +234,8 @@
         );
     }
     let end = start + POLICY.period + seconds(2);
-    assert_eq!(one.verdict(DEADLY, end), Verdict::OnTrial);
-    assert_eq!(two.verdict(DEADLY, end), Verdict::OnTrial);
+    assert_eq!(one.verdict(POISON, end), Verdict::HalfOpen);
+    assert_eq!(two.verdict(POISON, end), Verdict::HalfOpen);
 }
 
 // Guards against a caller that makes room for its requests by filling the memory with other contents.
@@ -311,7 +313,7 @@
         let mut servers = std::collections::BTreeSet::new();
         for (process, server, ms) in crashes {
             let at = start + Duration::from_millis(ms);
-            processes[process].record_crash(DEADLY, ORGANISATION, server, at);
+            processes[process].record_crash(POISON, ORGANISATION, server, at);
             servers.insert(server);
         }
         let now = start + seconds(3);
@@ -333,7 +335,7 @@
             }
         }
         for process in &processes {
-            prop_assert_eq!(process.crashes(DEADLY), servers.len());
+            prop_assert_eq!(process.crashes(POISON), servers.len());
             prop_assert_eq!(is_refused(process, now), servers.len() >= POLICY.crashes);
         }
     }
--- a/bulrushward_policy/tests/crash_evidence_fleet.rs
+++ b/bulrushward_policy/tests/crash_evidence_fleet.rs
@@ -26,17 +26,17 @@
 /// Peers that hear at once of a crash or of a bar.
 const PEERS_AT_ONCE: usize = 6;
 const REPORTS_PER_MESSAGE: usize = 12;
-/// Ticks until a server begins to run a request, and crashes if it is deadly.
+/// Ticks until a server begins to run a request, and crashes if it is poison.
 const START: std::ops::Range<u64> = 2..8;
-/// Ticks until a sound response is complete.
+/// Ticks until a harmless response is complete.
 const RESPONSE: std::ops::Range<u64> = 10..60;
 /// Time after the crash that bars content from which it may reach few servers.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
 const MAX_LATE: usize = 3;
 /// Prompt part under which servers crash, and part that all requests share.
-const DEADLY: u128 = 1;
+const POISON: u128 = 1;
 const SHARED: u128 = 2;
-/// First of the sessions, in which the deadly requests are.
+/// First of the sessions, in which the poison requests are.
 const SESSION: u128 = 100;
 const SESSIONS: u128 = 60;
 
@@ -81,11 +81,11 @@
     news: HashSet<usize>,
     next_server: u32,
     crashes: Vec<Instant>,
-    /// Times at which deadly requests were sent, by processes that have not just restarted.
+    /// Times at which poison requests were sent, by processes that have not just restarted.
     sent: Vec<Instant>,
-    /// Sound requests, those of them that were refused, and both numbers for the session of the deadly ones.
-    sound: usize,
-    sound_refused: usize,
+    /// Sound requests, those of them that were refused, and both numbers for the session of the poison ones.
+    harmless: usize,
+    harmless_refused: usize,
     session: usize,
     session_refused: usize,
 }
@@ -104,8 +104,8 @@
             next_server: 0,
             crashes: Vec::new(),
             sent: Vec::new(),
-            sound: 0,
-            sound_refused: 0,
+            harmless: 0,
+            harmless_refused: 0,
             session: 0,
             session_refused: 0,
         }
@@ -173,19 +173,19 @@
     }
 
     /// A request arrives at a random process, which refuses it or sends it.
-    fn request(&mut self, parts: Vec<u128>, is_deadly: bool) {
+    fn request(&mut self, parts: Vec<u128>, is_poison: bool) {
         let process = self.rng.random_range(0..self.processes.len());
         let now = self.now();
         let in_session = parts[1] == SESSION;
         let contents: Vec<_> = parts.into_iter().map(Content::part).collect();
         let evidence = &mut self.processes[process];
-        let is_judge = process == 0;
+        let is_prober = process == 0;
         let is_refused = contents
             .iter()
-            .any(|content| evidence.refusal(*content, is_judge, now).is_some());
-        if !is_deadly {
-            self.sound += 1;
-            self.sound_refused += usize::from(is_refused);
+            .any(|content| evidence.refusal(*content, || is_prober, now).is_some());
+        if !is_poison {
+            self.harmless += 1;
+            self.harmless_refused += usize::from(is_refused);
             self.session += usize::from(in_session);
             self.session_refused += usize::from(in_session && is_refused);
         }
@@ -195,7 +195,7 @@
         for content in &contents {
             evidence.record_sent(*content, now);
         }
-        if !is_deadly {
+        if !is_poison {
             let delay = self.rng.random_range(RESPONSE);
             return self.schedule(delay, Event::Served { process, contents });
         }
@@ -207,8 +207,8 @@
         self.schedule(delay, Event::Crash { process, contents });
     }
 
-    /// Runs for some seconds with deadly and sound requests at these rates in a second.
-    fn run(&mut self, seconds: u64, deadly: f64, sound: f64) {
+    /// Runs for some seconds with poison and harmless requests at these rates in a second.
+    fn run(&mut self, seconds: u64, poison: f64, harmless: f64) {
         let ticks_per_second = Duration::from_secs(1).div_duration_f64(TICK);
         for _tick in 0..seconds * ticks_per_second as u64 {
             self.tick += 1;
@@ -231,10 +231,10 @@
                     }
                 }
             }
-            for _request in 0..self.arrivals(deadly / ticks_per_second) {
-                self.request(vec![SHARED, SESSION, DEADLY], true);
+            for _request in 0..self.arrivals(poison / ticks_per_second) {
+                self.request(vec![SHARED, SESSION, POISON], true);
             }
-            for _request in 0..self.arrivals(sound / ticks_per_second) {
+            for _request in 0..self.arrivals(harmless / ticks_per_second) {
                 let session = SESSION + self.rng.random_range(0..SESSIONS);
                 self.request(vec![SHARED, session], false);
             }
@@ -245,12 +245,12 @@
         mean as u32 + u32::from(self.rng.random_bool(mean.fract()))
     }
 
-    /// Returns the deadly requests that were sent later than the fleet has to know of the content.
+    /// Returns the poison requests that were sent later than the fleet has to know of the content.
     fn late(&self) -> usize {
-        let Some(convicted) = self.crashes.get(POLICY.crashes - 1) else {
+        let Some(quarantined) = self.crashes.get(POLICY.crashes - 1) else {
             return 0;
         };
-        let due = *convicted + LEARNING_TIME;
+        let due = *quarantined + LEARNING_TIME;
         self.sent.iter().filter(|at| **at > due).count()
     }
 }
@@ -274,15 +274,15 @@
 #[case::thirty(30, 12.0)]
 #[case::three_hundred(300, 12.0)]
 #[case::thousand(1_000, 40.0)]
-fn a_fleet_bars_deadly_content_in_time_and_nothing_beside_it(
+fn a_fleet_bars_poison_in_time_and_nothing_beside_it(
     #[case] size: usize,
-    #[case] deadly: f64,
+    #[case] poison: f64,
     #[values(CALM, ROUGH)] faults: Faults,
 ) {
     for seed in 1..=3 {
         let mut fleet = Fleet::new(size, faults, seed);
-        fleet.run(5, 0.0, deadly * 20.0);
-        fleet.run(15, deadly, deadly * 20.0);
+        fleet.run(5, 0.0, poison * 20.0);
+        fleet.run(15, poison, poison * 20.0);
         assert!(fleet.crashes.len() >= POLICY.crashes);
         assert!(
             fleet.late() <= MAX_LATE,
@@ -290,15 +290,15 @@
             fleet.late(),
             fleet.sent.len()
         );
-        let refused = fleet.sound_refused as f64 / fleet.sound as f64;
+        let refused = fleet.harmless_refused as f64 / fleet.harmless as f64;
         assert!(
             refused < 0.005,
-            "seed {seed}: {refused} of the sound requests refused"
+            "seed {seed}: {refused} of the harmless requests refused"
         );
         let refused = fleet.session_refused as f64 / fleet.session as f64;
         assert!(
             refused < 0.1,
-            "seed {seed}: {refused} of the sound requests of the session refused"
+            "seed {seed}: {refused} of the harmless requests of the session refused"
         );
     }
 }
--- a/bulrushward_protocol/src/content.rs
+++ b/bulrushward_protocol/src/content.rs
@@ -72,6 +72,6 @@
     pub crashes: Vec<(ServerKey, u32)>,
     /// Age of the latest complete response to a request with the content, in milliseconds.
     pub served_ms: Option<u32>,
-    /// Age of the trial in progress, in milliseconds.
-    pub trial_ms: Option<u32>,
+    /// Age of the probe in progress, in milliseconds.
+    pub probe_ms: Option<u32>,
 }
