Keep datagrams with many reports of crashes below their limit

24 reports of 16 crashes each take 3.8 KB, which beside the loads of 256 servers may pass the 8 KB that are read; the whole datagram would be lost. A message now holds 16.

--- a/bulrushward_direct/src/crash_reports.rs
+++ b/bulrushward_direct/src/crash_reports.rs
@@ -3,8 +3,8 @@
 use bulrushward_protocol::CrashReport;
 use serde::{Deserialize, Serialize};
 
-/// Largest number of contents in one message, at roughly fifty bytes each.
-const MAX_REPORTS: usize = 24;
+/// Largest number of contents in one message, at roughly fifty bytes each and 160 at most.
+const MAX_REPORTS: usize = 16;
 
 /// Part of a datagram, which routers of earlier versions neither send nor read.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
