Probe content soon that was served before

Requests that come often, such as lookups without a body, can be at all servers of a service when these fail together, and would then have been refused for a minute though the servers are back after seconds. Content that was ever served is now probed after 5 s; the time still grows with each probe that crashes a server. The latest response is also remembered for whole requests, except those with a prompt, of which no two are alike. content_that_was_served_before_is_probed_soon fails without the change (the shortest time was a minute) and passes.

--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -8,7 +8,7 @@
 };
 
 use bulrushward_policy::crash_evidence::{BarPolicy, CrashEvidence};
-use bulrushward_protocol::{Content, OrganisationHash, ServerKey};
+use bulrushward_protocol::{Content, ContentKind, OrganisationHash, ServerKey};
 use tokio::sync::Notify;
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
@@ -22,6 +22,8 @@
     // Peers that serve the content tell of it within this time.
     grace: Duration::from_millis(1_500),
     period: Duration::from_mins(1),
+    // Servers that failed together are back within a few seconds.
+    served_period: Duration::from_secs(5),
     memory: Duration::from_mins(10),
     capacity: 1_024,
 };
@@ -94,7 +96,11 @@
         let mut evidence = self.lock();
         let mut is_refuted = false;
         for content in request.contents() {
-            is_refuted |= evidence.record_served(content, now);
+            // Each request with a prompt is another one as a whole, and would displace what they have in common.
+            let is_unique = content.kind == ContentKind::Request && !request.prompt.is_empty();
+            if !is_unique || evidence.crashes(content) > 0 {
+                is_refuted |= evidence.record_served(content, now);
+            }
         }
         if is_refuted {
             log_changes(&mut evidence, "own", now);
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -10,13 +10,13 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_protocol::{Content, ContentKind, CrashReport, OrganisationHash, ServerKey};
+use bulrushward_protocol::{Content, CrashReport, OrganisationHash, ServerKey};
 use lru::LruCache;
 use strum::IntoStaticStr;
 
 /// Crashes that are kept for one content: the first ones and the latest.
 const MAX_CRASHES: usize = 16;
-/// Prompt parts whose latest complete response is remembered, those that most requests share among them.
+/// Contents whose latest complete response is remembered, those that most requests share among them.
 const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
 /// Longest time for which content is barred at once.
 const MAX_BAR: Duration = Duration::from_mins(30);
@@ -36,8 +36,12 @@
     pub crashes: usize,
     /// Time for which content that was served before is not barred yet, as a peer may have served it again.
     pub grace: Duration,
-    /// Shortest time for which content is barred.
+    /// Shortest time for which content is barred that was never served.
     pub period: Duration,
+    /// Shortest time for which content is barred that was served before.
+    ///
+    /// It may have been at several servers that failed together for another reason.
+    pub served_period: Duration,
     /// Time for which crashes are remembered after the latest one or after the bar.
     pub memory: Duration,
     /// Largest number of contents that are remembered.
@@ -132,9 +136,12 @@
         let first = unexplained.clone().next()?;
         let deciding = unexplained.clone().nth(policy.crashes.saturating_sub(1))?;
         let last = unexplained.next_back()?;
-        let grace = self.served.map_or(Duration::ZERO, |_| policy.grace);
+        let (grace, shortest) = match self.served {
+            Some(_) => (policy.grace, policy.served_period),
+            None => (Duration::ZERO, policy.period),
+        };
         let span = last.at.saturating_duration_since(first.at);
-        let period = (span * BAR_GROWTH).clamp(policy.period, MAX_BAR.max(policy.period));
+        let period = (span * BAR_GROWTH).clamp(shortest, MAX_BAR.max(shortest));
         Some((deciding.at + grace, last.at + period))
     }
 
@@ -219,7 +226,7 @@
 pub struct CrashEvidence {
     limits: Limits,
     records: HashMap<Content, Record>,
-    /// Latest complete responses that this process has seen, by prompt part.
+    /// Latest complete responses that this process has seen, by content.
     served: LruCache<Content, Instant>,
 }
 
@@ -263,9 +270,7 @@
 
     /// Records a complete response to a request with the content; returns whether it refutes crashes.
     pub fn record_served(&mut self, content: Content, now: Instant) -> bool {
-        if content.kind == ContentKind::Part {
-            self.served.put(content, now);
-        }
+        self.served.put(content, now);
         let record = self.records.get_mut(&content);
         let is_refuted = record.is_some_and(|record| record.record_served(now));
         if is_refuted {
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -10,6 +10,7 @@
     crashes: 3,
     grace: Duration::from_millis(1_500),
     period: Duration::from_mins(1),
+    served_period: Duration::from_secs(5),
     memory: Duration::from_mins(10),
     capacity: 8,
 };
@@ -210,6 +211,32 @@
     );
 }
 
+// Guards against refusing frequent requests for a minute after all servers of a service have failed together.
+#[test]
+fn content_that_was_served_before_is_probed_soon() {
+    let start = Instant::now();
+    let mut evidence = CrashEvidence::new(POLICY);
+    evidence.record_served(POISON, start);
+    for server in 1..=3 {
+        evidence.record_crash(POISON, ORGANISATION, server, start + seconds(1));
+    }
+    let end = start + seconds(1) + POLICY.served_period;
+    assert!(is_refused(
+        &evidence,
+        end.checked_sub(seconds(1))
+            .expect("the time is later than the start")
+    ));
+    assert!(!is_refused(&evidence, end));
+    evidence.record_sent(POISON, end);
+    evidence.record_crash(POISON, ORGANISATION, 4, end);
+    let refusal = evidence.refusal(POISON, || true, end);
+    assert_eq!(
+        refusal,
+        Some(POLICY.served_period * 2),
+        "it is not probed as often"
+    );
+}
+
 #[test]
 fn evidence_expires_after_the_bar_and_its_memory() {
     let now = Instant::now();
--- a/bulrushward_policy/tests/crash_evidence_fleet.rs
+++ b/bulrushward_policy/tests/crash_evidence_fleet.rs
@@ -14,6 +14,7 @@
     crashes: 3,
     grace: Duration::from_millis(1_500),
     period: Duration::from_mins(1),
+    served_period: Duration::from_secs(5),
     memory: Duration::from_mins(10),
     capacity: 1_024,
 };
