--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -15,19 +15,6 @@
 
 use crate::{crash_reports::CrashReports, fleet_view::FleetView, routed_request::RoutedRequest};
 
-/// Limits of what is remembered of content that crashes servers.
-const POLICY: BarPolicy = BarPolicy {
-    // Fewer may be a coincidence.
-    crashes: 3,
-    // Peers that serve the content tell of it within this time.
-    grace: Duration::from_millis(1_500),
-    period: Duration::from_mins(1),
-    // Servers that failed together are back within a few seconds.
-    served_period: Duration::from_secs(5),
-    memory: Duration::from_mins(10),
-    capacity: 1_024,
-};
-
 /// A request whose connection broke before its response had begun.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenRequest {
@@ -60,7 +47,7 @@
 impl Default for CrashRecords {
     fn default() -> Self {
         Self {
-            evidence: Mutex::new(CrashEvidence::new(POLICY)),
+            evidence: Mutex::new(CrashEvidence::new(BarPolicy::DIRECT)),
             news: Notify::new(),
         }
     }
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -48,6 +48,21 @@
     pub capacity: usize,
 }
 
+impl BarPolicy {
+    /// The limits of direct routers.
+    pub const DIRECT: Self = Self {
+        // Fewer may be a coincidence.
+        crashes: 3,
+        // Peers that serve the content tell of it within this time.
+        grace: Duration::from_millis(1_500),
+        period: Duration::from_mins(1),
+        // Servers that failed together are back within a few seconds.
+        served_period: Duration::from_secs(5),
+        memory: Duration::from_mins(10),
+        capacity: 1_024,
+    };
+}
+
 /// What is known about content.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -7,12 +7,8 @@
 use proptest::{prelude::*, test_runner::RngSeed};
 
 const POLICY: BarPolicy = BarPolicy {
-    crashes: 3,
-    grace: Duration::from_millis(1_500),
-    period: Duration::from_mins(1),
-    served_period: Duration::from_secs(5),
-    memory: Duration::from_mins(10),
     capacity: 8,
+    ..BarPolicy::DIRECT
 };
 /// Content that crashes servers.
 const POISON: Content = Content {
--- a/bulrushward_policy/tests/crash_evidence_fleet.rs
+++ b/bulrushward_policy/tests/crash_evidence_fleet.rs
@@ -10,14 +10,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
-const POLICY: BarPolicy = BarPolicy {
-    crashes: 3,
-    grace: Duration::from_millis(1_500),
-    period: Duration::from_mins(1),
-    served_period: Duration::from_secs(5),
-    memory: Duration::from_mins(10),
-    capacity: 1_024,
-};
+const POLICY: BarPolicy = BarPolicy::DIRECT;
 /// Time step of the model.
 const TICK: Duration = Duration::from_millis(25);
 /// Ticks between two rounds in which a process tells some peers what it knows.
