Let the soak send prompts under which engines crash

Engines that run such a prompt go down and are replaced after a second, among other faults and, for the check, after each series without any: undisturbed routers must refuse the part 3 s after three servers have crashed under it, three stragglers allowed.

--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -11,8 +11,8 @@
 };
 
 use bulrushward_platform_stand_in::{
-    CallerRequest, PLAIN_TIMEOUT, READINESS_PATH, STREAM_TIMEOUT, is_signed, parse_event,
-    server_signature,
+    CallerRequest, PLAIN_TIMEOUT, POISON_SESSION, READINESS_PATH, STREAM_TIMEOUT, is_signed,
+    parse_event, server_signature,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -53,6 +53,8 @@
 const MAX_SLOW_TIME: Duration = Duration::from_millis(1_500);
 /// Factor by which callers wait less between two requests of a crowd.
 const CROWD_FACTOR: u32 = 10;
+/// Share of the streams that crash engines, while some do.
+const POISON_RATE: f64 = 0.05;
 /// Number of sessions that stream requests are spread over.
 const SESSIONS: u64 = 20;
 
@@ -223,9 +225,13 @@
             path: kind.path().to_owned(),
             key,
             timeout_ms: kind.caller_timeout().as_millis() as u64,
-            session: kind
-                .is_stream()
-                .then(|| rng.random_range(100..100 + SESSIONS)),
+            session: kind.is_stream().then(|| {
+                let is_poisoned = harness.is_poisoned.load(Ordering::Relaxed);
+                if is_poisoned && rng.random_bool(POISON_RATE) {
+                    return POISON_SESSION;
+                }
+                rng.random_range(100..100 + SESSIONS)
+            }),
         };
         let abandon_after = rng.random_bool(0.04).then(|| random_ms(&mut rng, 5..300));
         let limit = abandon_after.unwrap_or(kind.caller_timeout() + CALLER_TIMEOUT_MARGIN);
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -4,7 +4,7 @@
 use std::{
     io,
     ops::Range,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
@@ -20,7 +20,7 @@
 
 use crate::{
     fault_log::FaultGuard,
-    harness::{COLD_TIME, DOMAINS, Harness, failure_domain},
+    harness::{COLD_TIME, DOMAINS, Harness, SoakServer, failure_domain},
     invariants::{Outage, OutagePlace},
 };
 
@@ -89,10 +89,22 @@
     DomainEmptied,
     /// All servers of a failure domain crash and come back cold in a crowd.
     DomainReturnsCold,
+    /// Callers send prompts with a part under which engines crash; these are replaced after a while.
+    PoisonArrives,
 }
 
 /// Faults that each series of random faults has besides; all others are drawn at random.
-const SERIES_FAULTS: [Fault; 2] = [Fault::DomainEmptied, Fault::DomainReturnsCold];
+const SERIES_FAULTS: [Fault; 3] = [
+    Fault::DomainEmptied,
+    Fault::DomainReturnsCold,
+    Fault::PoisonArrives,
+];
+/// Time for which callers send prompts under which engines crash.
+const POISON_TIME: Duration = Duration::from_secs(5);
+/// Time after which an engine that crashed is replaced.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
+/// Interval at which it is checked whether engines have crashed.
+const CRASH_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time for which a failure domain is emptied, in milliseconds; longer than the time limit of the order.
 const EMPTIED_MS: Range<u64> = 3_000..7_000;
 
@@ -139,9 +151,9 @@
             ));
             tokio::time::sleep(QUIET_TIME).await;
             roll_stops(harness, &mut rng).await;
-            if tokio::time::Instant::now() < end {
-                tokio::time::sleep(QUIET_TIME).await;
-            }
+            tokio::time::sleep(QUIET_TIME).await;
+            // Without other faults, as what routers have to know of it is checked at undisturbed ones.
+            inject_or_report(Arc::clone(harness), Fault::PoisonArrives, rng.next_u64()).await;
         }
     }
     while running.join_next().await.is_some() {}
@@ -215,6 +227,9 @@
     );
     if is_server_fault {
         inject_server_fault(harness, fault, rng, time).await
+    } else if fault == Fault::PoisonArrives {
+        let _logged = harness.fault_log.begin(fault, "engines");
+        send_poison(harness, rng).await
     } else {
         let _logged = log_router_fault(harness, fault, router);
         inject_router_fault(harness, fault, router, rng, time).await
@@ -357,6 +372,35 @@
     Ok(())
 }
 
+/// Lets callers send prompts under which engines crash, and replaces these engines after a while.
+async fn send_poison(harness: &Harness, rng: &mut Pcg64Mcg) -> io::Result<()> {
+    let end = Instant::now() + POISON_TIME;
+    let mut crashed: Vec<(Instant, Arc<SoakServer>)> = Vec::new();
+    harness.is_poisoned.store(true, Ordering::Relaxed);
+    // Requests that were sent before the end arrive a little later.
+    while Instant::now() < end + REPLACEMENT_TIME * 2 || !crashed.is_empty() {
+        if Instant::now() >= end {
+            harness.is_poisoned.store(false, Ordering::Relaxed);
+        }
+        for server in harness.servers() {
+            let id = &server.fake_server.id;
+            if server.fake_server.has_crashed() && harness.remove_server(id).is_some() {
+                harness.record_disturbance();
+                server.proxy.take_down().await;
+                harness.store.set_server(id, None);
+                crashed.push((Instant::now(), server));
+            }
+        }
+        let is_due = |(at, _): &mut (Instant, _)| at.elapsed() >= REPLACEMENT_TIME;
+        for (_, server) in crashed.extract_if(.., is_due) {
+            let id = format!("{}-{}", server.service, rng.next_u32());
+            harness.add_server(&id, server.service, false).await?;
+        }
+        tokio::time::sleep(CRASH_POLL_INTERVAL).await;
+    }
+    Ok(())
+}
+
 fn record_outage(harness: &Harness, place: OutagePlace, from: Instant, until: Instant) {
     harness.record_link_outage(Outage {
         place,
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -91,6 +91,8 @@
     cold_since: Mutex<Vec<(String, Instant)>>,
     /// Whether callers send many more requests than usual.
     pub(crate) is_crowded: AtomicBool,
+    /// Whether callers send prompts with a part under which engines crash.
+    pub(crate) is_poisoned: AtomicBool,
     /// Outages of the store and of links.
     link_outages: Mutex<Vec<Outage>>,
     /// Times at which the store or a link was disturbed, in order.
@@ -138,6 +140,7 @@
             emptied_domains: Mutex::default(),
             cold_since: Mutex::default(),
             is_crowded: AtomicBool::new(false),
+            is_poisoned: AtomicBool::new(false),
             link_outages: Mutex::default(),
             disturbances: Mutex::new(vec![Instant::now()]),
         });
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -3,11 +3,11 @@
 //! The printed lines call an invariant a promise.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
-use bulrushward_platform_stand_in::{Execution, event_count, plain_body};
+use bulrushward_platform_stand_in::{Crash, Execution, event_count, plain_body};
 
 use crate::{
     callers::{Attempt, AttemptResult, Kind, ReceivedResponse, events},
@@ -21,6 +21,14 @@
 const LEAVING_PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
 /// Time after which an order to empty a failure domain must be in force.
 const ORDER_PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
+/// Number of servers that may crash under a prompt part before it is barred.
+const BARRING_CRASHES: usize = 3;
+/// Time after which all routers must refuse it.
+const BAR_PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+/// Time for which a router must have been undisturbed to know of crashes.
+const KNOWN_TIME: Duration = Duration::from_secs(5);
+/// Number of crashes that are allowed after that.
+const MAX_LATE_CRASHES: usize = 3;
 /// Interval at which it is checked whether a router was informed.
 const INFORMED_STEP: Duration = Duration::from_millis(20);
 /// Requests that a cold server may get in a second: a multiple of what it bears, and some more.
@@ -181,6 +189,49 @@
     violations
 }
 
+/// Checks that routers do not go on sending prompts under which servers crash.
+///
+/// A router has to know of crashes under requests of routers that were undisturbed, and that are older than the time limit.
+pub(crate) fn check_poison(harness: &Harness, attempts: &[Attempt]) -> Vec<String> {
+    let senders: HashMap<&str, usize> = attempts
+        .iter()
+        .map(|attempt| (attempt.id.as_str(), attempt.router))
+        .collect();
+    let was_undisturbed = |crash: &Crash, moment: Instant, time: Duration| {
+        senders
+            .get(crash.request.as_str())
+            .is_some_and(|router| harness.routers()[*router].was_undisturbed(moment, time))
+    };
+    let crashes = harness.execution_log.crashes();
+    let is_known = |crash: &Crash, moment: Instant| {
+        let age = moment.saturating_duration_since(crash.at);
+        (BAR_PROPAGATION_LIMIT..KNOWN_TIME).contains(&age)
+            && was_undisturbed(crash, crash.at + SECOND, SECOND)
+    };
+    let is_late = |late: &&Crash| {
+        let known: HashSet<_> = crashes
+            .iter()
+            .filter(|crash| is_known(crash, late.at))
+            .map(|crash| &crash.server)
+            .collect();
+        known.len() >= BARRING_CRASHES && was_undisturbed(late, late.at, KNOWN_TIME)
+    };
+    let late: Vec<_> = crashes.iter().filter(is_late).collect();
+    if late.len() <= MAX_LATE_CRASHES {
+        return Vec::new();
+    }
+    let late = late.iter().map(|crash| {
+        let Crash {
+            request,
+            server,
+            at,
+        } = crash;
+        let at = time_of_day(*at);
+        format!("request={request} server={server} promise=poison-is-barred at={at}")
+    });
+    late.collect()
+}
+
 /// Checks that no cold server got more requests in any second than it bears, from all routers together.
 pub(crate) fn check_cold(harness: &Harness) -> Vec<String> {
     let outages = harness.outages();
