--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -4,6 +4,8 @@
 //! that different processes see; harmless content that runs beside it; lost, late and repeated messages;
 //! processes that restart; content that returns after minutes; callers that send much of it.
 
+mod record;
+
 use std::{
     collections::{HashMap, HashSet},
     num::NonZeroUsize,
@@ -14,16 +16,10 @@
 use lru::LruCache;
 use strum::IntoStaticStr;
 
-/// Crashes that are kept for one content: the first ones and the latest.
-const MAX_CRASHES: usize = 16;
+use self::record::{Crash, Limits, MAX_CRASHES, Record};
+
 /// Contents whose latest complete response is remembered, those that most requests share among them.
 const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
-/// Longest time for which content is barred at once.
-const MAX_BAR: Duration = Duration::from_mins(30);
-/// Ratio of the time for which content is barred to the time over which it has crashed servers.
-///
-/// Content that crashes a server at each probe is thus probed less and less often.
-const BAR_GROWTH: u32 = 2;
 /// Time after which a probe without a result is given up.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Times that a record is sent after its latest change; barred content is always sent.
@@ -99,140 +95,6 @@
     pub is_barred: bool,
 }
 
-/// A crash of a server that had begun to run content.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Crash {
-    server: ServerKey,
-    at: Instant,
-}
-
-/// What the verdict on a content depends on besides its own record.
-#[derive(Debug)]
-struct Limits {
-    policy: BarPolicy,
-    /// Servers whose crashes are explained by content that was never served.
-    explained: HashSet<ServerKey>,
-}
-
-#[derive(Clone, Debug)]
-struct Record {
-    organisation: OrganisationHash,
-    /// Crashes since the content was last served, in order of time.
-    crashes: Vec<Crash>,
-    /// Latest complete response; earlier crashes had other causes.
-    served: Option<Instant>,
-    probe: Option<Instant>,
-    /// Whether it was reported as barred.
-    is_reported: bool,
-    /// Number of messages that included the record since it last changed.
-    times_sent: u32,
-}
-
-impl Record {
-    fn new(organisation: OrganisationHash, served: Option<Instant>) -> Self {
-        Self {
-            organisation,
-            crashes: Vec::new(),
-            served,
-            probe: None,
-            is_reported: false,
-            times_sent: 0,
-        }
-    }
-
-    /// Returns the times from which and until which the content is barred, if there are enough crashes.
-    ///
-    /// Crashes that other content explains do not count against content that was ever served.
-    fn bar(&self, limits: &Limits) -> Option<(Instant, Instant)> {
-        let policy = &limits.policy;
-        let is_unexplained =
-            |crash: &&Crash| self.served.is_none() || !limits.explained.contains(&crash.server);
-        let mut unexplained = self.crashes.iter().filter(is_unexplained);
-        let first = unexplained.clone().next()?;
-        let deciding = unexplained.clone().nth(policy.crashes.saturating_sub(1))?;
-        let last = unexplained.next_back()?;
-        let (grace, shortest) = match self.served {
-            Some(_) => (policy.grace, policy.served_period),
-            None => (Duration::ZERO, policy.period),
-        };
-        let span = last.at.saturating_duration_since(first.at);
-        let period = (span * BAR_GROWTH).clamp(shortest, MAX_BAR.max(shortest));
-        Some((deciding.at + grace, last.at + period))
-    }
-
-    /// Returns whether the content explains the crashes of its servers, as it was never served.
-    fn explains_crashes(&self, policy: &BarPolicy) -> bool {
-        self.served.is_none() && self.crashes.len() >= policy.crashes
-    }
-
-    fn verdict(&self, limits: &Limits, now: Instant) -> Verdict {
-        match self.bar(limits) {
-            _ if self.crashes.is_empty() => Verdict::Clear,
-            Some((_, until)) if now >= until => Verdict::HalfOpen,
-            Some((from, until)) if now >= from => Verdict::Barred {
-                remaining: until - now,
-            },
-            _ => Verdict::Suspect,
-        }
-    }
-
-    fn expires(&self, limits: &Limits) -> Option<Instant> {
-        let latest = self.crashes.last().map(|crash| crash.at);
-        let bar = self.bar(limits).map(|(_, until)| until);
-        let latest = latest.max(self.served).max(bar)?;
-        Some(latest + limits.policy.memory)
-    }
-
-    /// Adds a crash; returns whether it is new.
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        let is_known = self
-            .crashes
-            .iter()
-            .any(|known| known.server == crash.server);
-        if is_known || self.served.is_some_and(|served| crash.at <= served) {
-            return false;
-        }
-        let index = self.crashes.partition_point(|known| known.at <= crash.at);
-        if self.crashes.len() < MAX_CRASHES {
-            self.crashes.insert(index, crash);
-        } else if index == MAX_CRASHES {
-            self.crashes[MAX_CRASHES - 1] = crash;
-        } else {
-            return false;
-        }
-        self.times_sent = 0;
-        true
-    }
-
-    /// Records that the content was served; returns whether that refutes crashes.
-    fn record_served(&mut self, at: Instant) -> bool {
-        let crashes = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > at);
-        let is_refuted = self.crashes.len() < crashes;
-        if is_refuted {
-            self.times_sent = 0;
-            self.probe = None;
-        }
-        self.served = self.served.max(Some(at));
-        is_refuted
-    }
-
-    fn report(&self, content: Content, now: Instant) -> CrashReport {
-        let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u32;
-        CrashReport {
-            content,
-            organisation: self.organisation,
-            crashes: self
-                .crashes
-                .iter()
-                .map(|crash| (crash.server, age(crash.at)))
-                .collect(),
-            served_ms: self.served.map(age),
-            probe_ms: self.probe.map(age),
-        }
-    }
-}
-
 /// The crashes of backend servers by the content that they had begun to run.
 ///
 /// Crashes are a set that grows by merging, so all processes that hear of the same ones agree. A complete response to a
