Probe content at once that shares its crashes with other content

Content that was never served, and whose crashes other such content explains as well, is now probed after 1.5 s instead of a minute; a response to a request that holds only the common part frees it. The time grows with each probe that crashes a server, as before. content_that_shares_its_crashes_with_other_content_is_probed_at_once fails without the change.

--- a/bulrushward/src/control/quarantine.rs
+++ b/bulrushward/src/control/quarantine.rs
@@ -82,6 +82,7 @@
         crashes: fleet.quarantine_crashes.into(),
         grace: Duration::ZERO,
         period: fleet.quarantine,
+        ambiguous_period: fleet.quarantine,
         served_period: fleet.quarantine,
         memory: fleet.quarantine,
         capacity: CAPACITY,
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -7,7 +7,7 @@
 mod record;
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     num::NonZeroUsize,
     time::{Duration, Instant},
 };
@@ -34,6 +34,10 @@
     pub grace: Duration,
     /// Shortest time for which content is barred that was never served.
     pub period: Duration,
+    /// Shortest time for which content is barred if other content that was never served explains the same crashes.
+    ///
+    /// One of them may be what all requests have in common, as after a restart of all processes.
+    pub ambiguous_period: Duration,
     /// Shortest time for which content is barred that was served before.
     ///
     /// It may have been at several servers that failed together for another reason.
@@ -52,6 +56,7 @@
         // Peers that serve the content tell of it within this time.
         grace: Duration::from_millis(1_500),
         period: Duration::from_mins(1),
+        ambiguous_period: Duration::from_millis(1_500),
         // Servers that failed together are back within a few seconds.
         served_period: Duration::from_secs(5),
         memory: Duration::from_mins(10),
@@ -114,7 +119,7 @@
         Self {
             limits: Limits {
                 policy,
-                explained: HashSet::new(),
+                explained: HashMap::new(),
             },
             records: HashMap::new(),
             served: LruCache::new(MAX_SERVED),
@@ -361,9 +366,11 @@
         let policy = &self.limits.policy;
         let explaining = self.records.values();
         let explaining = explaining.filter(|record| record.explains_crashes(policy));
-        self.limits.explained = explaining
-            .flat_map(|record| record.crashes.iter().map(|crash| crash.server))
-            .collect();
+        let mut explained = HashMap::new();
+        for crash in explaining.flat_map(|record| &record.crashes) {
+            *explained.entry(crash.server).or_default() += 1;
+        }
+        self.limits.explained = explained;
     }
 
     fn remove_expired(&mut self, now: Instant) {
--- a/bulrushward_policy/src/crash_evidence/record.rs
+++ b/bulrushward_policy/src/crash_evidence/record.rs
@@ -1,7 +1,7 @@
 //! What is known of one content.
 
 use std::{
-    collections::HashSet,
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
@@ -29,8 +29,8 @@
 #[derive(Debug)]
 pub(super) struct Limits {
     pub(super) policy: BarPolicy,
-    /// Servers whose crashes are explained by content that was never served.
-    pub(super) explained: HashSet<ServerKey>,
+    /// Servers whose crashes are explained by content that was never served, with the number of such contents.
+    pub(super) explained: HashMap<ServerKey, u32>,
 }
 
 /// Crashes and responses of one content.
@@ -67,13 +67,14 @@
     pub(super) fn bar(&self, limits: &Limits) -> Option<(Instant, Instant)> {
         let policy = &limits.policy;
         let is_unexplained =
-            |crash: &&Crash| self.served.is_none() || !limits.explained.contains(&crash.server);
+            |crash: &&Crash| self.served.is_none() || !limits.explained.contains_key(&crash.server);
         let mut unexplained = self.crashes.iter().filter(is_unexplained);
         let first = unexplained.clone().next()?;
         let deciding = unexplained.clone().nth(policy.crashes.saturating_sub(1))?;
         let last = unexplained.next_back()?;
         let (grace, shortest) = match self.served {
             Some(_) => (policy.grace, policy.served_period),
+            None if self.is_ambiguous(limits) => (Duration::ZERO, policy.ambiguous_period),
             None => (Duration::ZERO, policy.period),
         };
         let span = last.at.saturating_duration_since(first.at);
@@ -81,6 +82,14 @@
         Some((deciding.at + grace, last.at + period))
     }
 
+    /// Returns whether other content that was never served explains the same crashes.
+    fn is_ambiguous(&self, limits: &Limits) -> bool {
+        let explains = |crash: &Crash| limits.explained.get(&crash.server).copied();
+        self.crashes
+            .iter()
+            .all(|crash| explains(crash).unwrap_or(0) >= 2)
+    }
+
     /// Returns whether the content explains the crashes of its servers, as it was never served.
     pub(super) fn explains_crashes(&self, policy: &BarPolicy) -> bool {
         self.served.is_none() && self.crashes.len() >= policy.crashes
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -233,6 +233,24 @@
     );
 }
 
+// Guards against refusing what all requests have in common for a minute after all routers have restarted, when none of
+// them has served it yet.
+#[test]
+fn content_that_shares_its_crashes_with_other_content_is_probed_at_once() {
+    let now = Instant::now();
+    let common = Content::part(9);
+    let mut evidence = evidence_of(3, now);
+    for server in 1..=3 {
+        evidence.record_crash(common, ORGANISATION, server, now);
+    }
+    let end = now + POLICY.ambiguous_period;
+    assert_eq!(evidence.refusal(common, || true, end), None);
+    assert!(evidence.record_served(common, end));
+    assert_eq!(evidence.refusal(common, || false, end), None);
+    // What is left explains the crashes alone.
+    assert!(is_refused(&evidence, end + seconds(5)));
+}
+
 #[test]
 fn evidence_expires_after_the_bar_and_its_memory() {
     let now = Instant::now();
