--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -183,6 +183,16 @@
             request = request.request_id,
         );
     }
+    if let Some(pause) = &metadata.pause
+        && res.status() == StatusCode::SERVICE_UNAVAILABLE
+    {
+        info!(
+            event = "pause-asked",
+            server = progress.server().id,
+            request = request.request_id,
+            seconds = pause.as_ref().map_or(f64::NAN, |seconds| *seconds),
+        );
+    }
     if !is_other_server {
         cold_servers::record_response(shared, request, progress.server(), &metadata);
     }
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -57,7 +57,7 @@
 pub use ports::{
     ConfigUpdate, DomainOrder, FleetStore, ForwardingMetadata, HttpConventions, LogStats,
     OrderChange, OrderListing, PromptPart, ReportedLoad, RequestMetadata, ResponseMetadata,
-    RouterDependencies, ServerChanges, ServerListing, StoreError,
+    RouterDependencies, ServerChanges, ServerListing, StatedNumber, StoreError,
 };
 pub use routes::RouteTable;
 pub use run::{DirectError, run, run_until};
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -63,6 +63,8 @@
     pub is_not_run: bool,
     /// Whether the server announces that it is leaving and takes no new requests.
     pub is_leaving: bool,
+    /// Seconds for which a server that rejects the request wants no further ones from this router.
+    pub pause: Option<StatedNumber>,
     /// Load of the server.
     pub load: Option<ReportedLoad>,
     /// Time for which the server remains cold; zero if it states that it is warm.
@@ -71,6 +73,9 @@
     pub keep_alive_timeout: Option<Duration>,
 }
 
+/// A number that a server states, or the text if it is none.
+pub type StatedNumber = Result<f64, String>;
+
 /// Load that a server reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -109,6 +109,8 @@
             is_signed: headers.contains_key("signed"),
             is_not_run: headers.contains_key("not-run"),
             is_leaving: headers.contains_key("leaving"),
+            pause: text(headers, "retry-after")
+                .map(|text| text.parse().map_err(|_error| text.to_owned())),
             load,
             cold_for: text(headers, "cold-ms")
                 .and_then(|ms| ms.parse().ok())
