--- a/bulrushward_direct/tests/leaving.rs
+++ b/bulrushward_direct/tests/leaving.rs
@@ -4,18 +4,21 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use bulrushward_direct::ServerRecord;
+use bulrushward_policy::{place_pools::lenders, placement::Candidate};
 use rstest::rstest;
 use support::{
+    TestRouter, caller,
+    platform::MemoryStore,
     record, request, router_with_servers,
-    server::{Received, Step, TestServer, complete_stream, response, send_text},
-    wait_until,
+    server::{Received, Step, TestServer, complete_stream, ok_response, response, send_text},
+    settings, unique_loopback_ip, wait_until,
 };
 
 /// Returns a response that announces that its server is leaving.
@@ -118,3 +121,126 @@
     // A server whose address belongs to another one is tried again if there is no other.
     assert_eq!(moved.received().len(), 2);
 }
+
+/// A server that was leaving got requests again after its entry had lapsed in an outage of the store and come back.
+#[test]
+fn a_leaving_server_whose_entry_returns_gets_no_further_request() {
+    let leaving = TestServer::start("s-1", |req| {
+        leaving_response(req, "200 OK", "Signed: s\r\n")
+    });
+    let router = router_with_servers("plain", &[&leaving]);
+    assert_eq!(
+        router.send(&request("GET", "lookup", "r-1", "")).status,
+        200
+    );
+    let other = TestServer::echo("s-2");
+    router.store.put("s-2", record("plain", other.address));
+    wait_until("both are known", || metric(&router, "servers") == Some(2));
+    router.store.remove("s-1");
+    wait_until("the entry is gone", || {
+        metric(&router, "servers") == Some(1)
+    });
+    router.store.put("s-1", record("plain", leaving.address));
+    wait_until("the entry is back", || {
+        metric(&router, "servers") == Some(2)
+    });
+    for index in 0..20 {
+        let id = format!("b-{index}");
+        assert_eq!(router.send(&request("GET", "lookup", &id, "")).status, 200);
+    }
+    assert_eq!(leaving.received().len(), 1);
+}
+
+/// Returns the value of a metric of a router.
+fn metric(router: &TestRouter, name: &str) -> Option<u32> {
+    let metrics = caller::get(router.address(support::METRICS_PORT), "/metrics")?.text();
+    let name = format!("bulrushward_direct_{name} ");
+    let value = metrics.lines().find_map(|line| line.strip_prefix(&name))?;
+    value.parse().ok()
+}
+
+/// Starts two routers that know each other; the second one borrows places from the first one.
+fn lender_and_borrower(store: &Arc<MemoryStore>) -> [TestRouter; 2] {
+    let mut ips = [unique_loopback_ip(), unique_loopback_ip()];
+    let names = ips.map(|ip| format!("{ip}:{}", support::FLEET_STATE_PORT));
+    let candidates = [0, 1].map(|index: usize| Candidate {
+        name: &names[index],
+        weight: 1.0,
+    });
+    ips.swap(0, lenders("plain", 0, &candidates)[0]);
+    let routers = ips.map(|ip| {
+        let mut settings = settings(ip, &ips);
+        settings.places_port = Some(7_342);
+        TestRouter::start_with(settings, store)
+    });
+    for router in &routers {
+        router.wait_ready();
+        wait_until("the routers know each other", || {
+            metric(router, "routers") == Some(2)
+        });
+    }
+    routers
+}
+
+/// Requests that waited for a place were sent to a server that had announced its leaving meanwhile.
+#[test]
+fn requests_that_wait_for_a_place_are_not_sent_to_a_server_that_announces_its_leaving() {
+    const CALLERS: u32 = 16;
+    let is_leaving = Arc::new(AtomicBool::new(false));
+    let announced = Arc::new(Mutex::new(None));
+    let (leaves, first) = (Arc::clone(&is_leaving), Arc::clone(&announced));
+    let leaving = TestServer::start("s-1", move |req| {
+        std::thread::sleep(Duration::from_millis(60));
+        if !leaves.load(Ordering::SeqCst) {
+            return vec![ok_response(req, "s-1")];
+        }
+        let mut first = first.lock().expect("no panic");
+        first.get_or_insert_with(Instant::now);
+        leaving_response(req, "200 OK", "Signed: s\r\n")
+    });
+    let other = TestServer::start("s-2", |req| {
+        std::thread::sleep(Duration::from_millis(120));
+        vec![ok_response(req, "s-2")]
+    });
+    let store = MemoryStore::with(support::config(1));
+    for server in [&leaving, &other] {
+        let mut record = record("plain", server.address);
+        record.slots = 1;
+        store.put(&server.id, record);
+    }
+    // The lender hears of the leaving from no response of its own.
+    let [_lender, router] = lender_and_borrower(&store);
+    let address = router.address(support::CALLERS_PORT);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let callers = (0..CALLERS).map(|caller| {
+        let is_over = Arc::clone(&is_over);
+        std::thread::spawn(move || {
+            for index in 0.. {
+                if is_over.load(Ordering::SeqCst) {
+                    break;
+                }
+                let text = request("POST", "action", &format!("r-{caller}-{index}"), "");
+                caller::send(address, text.as_bytes());
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    wait_until("requests wait for places", || {
+        metric(&router, "places_waiting") > Some(CALLERS / 2)
+    });
+    is_leaving.store(true, Ordering::SeqCst);
+    wait_until("the server announces its leaving", || {
+        announced.lock().expect("no panic").is_some()
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    is_over.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.join().expect("the caller does not panic");
+    }
+    // A response takes a few milliseconds to reach the router.
+    let announced = announced.lock().expect("no panic");
+    let known = announced.expect("it was announced") + Duration::from_millis(20);
+    let received = leaving.received();
+    let late = received.iter().filter(|req| req.at > known).count();
+    assert_eq!(late, 0, "requests reached a leaving server");
+}
