--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -16,6 +16,7 @@
     ports::{ForwardingMetadata, ResponseMetadata},
     read_timeout,
     routed_request::RoutedRequest,
+    server_reports,
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
     servers::InProgress,
@@ -176,13 +177,6 @@
     let metadata = shared.conventions.parse_response_headers(res.headers());
     // Another server that has the address now speaks for itself only.
     let is_other_server = res.status() == StatusCode::MISDIRECTED_REQUEST;
-    if metadata.is_leaving && !is_other_server && progress.server().state().record_leaving() {
-        info!(
-            event = "leaving-announced",
-            server = progress.server().id,
-            request = request.request_id,
-        );
-    }
     if let Some(pause) = &metadata.pause
         && res.status() == StatusCode::SERVICE_UNAVAILABLE
     {
@@ -194,6 +188,7 @@
         );
     }
     if !is_other_server {
+        server_reports::record_response(shared, request, progress.server(), &metadata);
         cold_servers::record_response(shared, request, progress.server(), &metadata);
     }
     if let Some(load) = metadata.load {
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -33,6 +33,7 @@
     fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
     fleet_view::FleetView,
     model::ConfigVersion,
+    server_reports,
     servers::ServerHash,
     shared::Shared,
     store_watch::COALESCING_FRACTION,
@@ -161,6 +162,7 @@
             close_expired(server, now);
         }
         cold_servers::log_changes(&self.shared, now);
+        server_reports::remove_outdated(&self.shared, now);
         self.send_message(PEERS_PER_ROUND).await;
         if !self.has_initial_state {
             self.fetch_initial_state().await;
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -37,6 +37,7 @@
 mod routes;
 mod run;
 mod saved_sessions;
+mod server_reports;
 mod server_selection;
 mod server_stream;
 mod servers;
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -239,12 +239,17 @@
     // Only a fleet that is larger than the limit divides it into shares of which some are zero.
     let may_connect =
         || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
-    !server.is_leaving() && !tried.contains(&server.id) && may_connect()
+    !is_leaving(shared, server) && !tried.contains(&server.id) && may_connect()
+}
+
+/// Returns whether a server takes no new requests, according to the store or to itself.
+fn is_leaving(shared: &Shared, server: &Server) -> bool {
+    server.record.is_leaving || shared.server_reports().withheld(server.hash).is_some()
 }
 
 /// Returns whether a server may be used by any request, as far as this router knows.
 pub(crate) fn is_usable(shared: &Shared, server: &Server, now: Instant) -> bool {
-    !server.is_leaving()
+    !is_leaving(shared, server)
         && !shared
             .emptied_domains()
             .contains(&server.record.failure_domain)
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -41,9 +41,6 @@
     pub(crate) is_cold_logged: bool,
     /// Place of this router among those that share the server, and the version of the fleet for which it holds.
     pub(crate) position: Option<(u64, FleetPosition)>,
-    /// Whether the server has announced that it is leaving. It stays so for this incarnation, even if the store still
-    /// lists it as ready.
-    is_leaving: bool,
     /// Idle connections, the most recently used last.
     pub(crate) idle: Vec<IdleConnection>,
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
@@ -53,11 +50,6 @@
 }
 
 impl ServerState {
-    /// Records that the server announces that it is leaving; returns whether that is new.
-    pub(crate) fn record_leaving(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_leaving, true)
-    }
-
     /// Records that a connection broke before the server responded to a request.
     pub(crate) fn record_broken_request(&mut self, request: BrokenRequest) {
         self.remove_old_broken_requests(request.at);
@@ -108,11 +100,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether the server takes no new requests, according to the store or to itself.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.record.is_leaving || self.state().is_leaving
-    }
-
     fn is_same_incarnation(&self, record: &ServerRecord) -> bool {
         self.record.address == record.address && self.record.started_ms == record.started_ms
     }
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -18,6 +18,7 @@
     fleet_retry_budget::{FleetRetryBudget, RetryCause},
     fleet_share::whole_share,
     replaced_servers::ReplacedServers,
+    server_reports::ServerReports,
     session_locations::{SessionKey, SessionLocations},
 };
 use memory_stats::memory_stats;
@@ -79,6 +80,7 @@
     location_updates: Mutex<LocationUpdates>,
     pub(crate) crash_records: CrashRecords,
     replaced_servers: Mutex<ReplacedServers>,
+    server_reports: Mutex<ServerReports>,
     /// Whether orders to empty failure domains are followed.
     pub(crate) follows_orders: bool,
     emptied_domains: Mutex<EmptiedDomains>,
@@ -116,6 +118,7 @@
             location_updates: Mutex::default(),
             crash_records: CrashRecords::default(),
             replaced_servers: Mutex::default(),
+            server_reports: Mutex::default(),
             emptied_domains: Mutex::default(),
             overload: OverloadControl::default(),
             start_gate: StartGate::default(),
@@ -369,6 +372,11 @@
         lock(&self.replaced_servers)
     }
 
+    /// Locks what servers report about themselves.
+    pub(crate) fn server_reports(&self) -> MutexGuard<'_, ServerReports> {
+        lock(&self.server_reports)
+    }
+
     /// Locks the failure domains to whose servers nothing may be sent.
     pub(crate) fn emptied_domains(&self) -> MutexGuard<'_, EmptiedDomains> {
         lock(&self.emptied_domains)
--- a/bulrushward_direct/tests/pauses.rs
+++ b/bulrushward_direct/tests/pauses.rs
@@ -52,13 +52,13 @@
     #[case] route: &str,
 ) {
     let paused = TestServer::start("s-1", |req| reject(req, "1.5"));
-    let other = TestServer::start("s-2", |req| match req.line.contains("stream") {
-        true => {
-            let mut steps = complete_stream(req);
-            steps.insert(1, Step::Pause(WORK));
-            steps
+    let other = TestServer::start("s-2", |req| {
+        if !req.line.contains("stream") {
+            return vec![Step::Pause(WORK), ok_response(req, "s-2")];
         }
-        false => vec![Step::Pause(WORK), ok_response(req, "s-2")],
+        let mut steps = complete_stream(req);
+        steps.insert(1, Step::Pause(WORK));
+        steps
     });
     let router = router_with_servers(service, &[&paused, &other]);
     // So many callers keep the other server busy.
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod server_health;
 pub mod server_load;
 pub mod server_registry;
+pub mod server_reports;
 mod service_time;
 pub mod session_locations;
 pub mod start_wait;
