--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -166,6 +166,7 @@
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
         check_domain(shared, choice)?;
+        server_reports::check(shared, &choice.server)?;
         check_content(shared, request)?;
         let req = build_request(shared, request, choice, last_event_id)?;
         match send_on(request, req, connection, progress, silence).await {
@@ -441,8 +442,10 @@
 /// Records a failed attempt in the health of its server.
 pub(crate) fn record_failure(progress: &InProgress, error: &AttemptError) {
     progress.update_health(|health, now| match error.failure {
-        AttemptFailure::Crowded | AttemptFailure::DomainEmptied | AttemptFailure::ContentBarred => {
-        }
+        AttemptFailure::Crowded
+        | AttemptFailure::DomainEmptied
+        | AttemptFailure::Withheld
+        | AttemptFailure::ContentBarred => {}
         AttemptFailure::NotSent | AttemptFailure::Misdirected => health.record_unreachable(now),
         AttemptFailure::Rejected
         | AttemptFailure::ServerError
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -94,6 +94,7 @@
             Some(
                 AttemptFailure::Crowded
                 | AttemptFailure::DomainEmptied
+                | AttemptFailure::Withheld
                 | AttemptFailure::ContentBarred,
             ) => PlaceUse::NotUsed,
             Some(
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -20,6 +20,9 @@
     Crowded,
     /// The failure domain of the server was emptied before the request was sent.
     DomainEmptied,
+    /// The server took no request any more when the request would have been sent, as it reported itself or as its entry
+    /// says.
+    Withheld,
     /// The content of the request was barred before the request was sent.
     ContentBarred,
     /// The server responded that it did not run the request.
@@ -43,6 +46,7 @@
             Self::NotSent
                 | Self::Crowded
                 | Self::DomainEmptied
+                | Self::Withheld
                 | Self::ContentBarred
                 | Self::Rejected
                 | Self::Misdirected
--- a/bulrushward_policy/tests/server_attempt.rs
+++ b/bulrushward_policy/tests/server_attempt.rs
@@ -3,10 +3,11 @@
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
 use proptest::prelude::*;
 
-const ALL: [AttemptFailure; 9] = [
+const ALL: [AttemptFailure; 10] = [
     AttemptFailure::NotSent,
     AttemptFailure::Crowded,
     AttemptFailure::DomainEmptied,
+    AttemptFailure::Withheld,
     AttemptFailure::ContentBarred,
     AttemptFailure::Rejected,
     AttemptFailure::Misdirected,
