--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -6,7 +6,6 @@
     pin::pin,
     time::{Duration, Instant},
 };
-use tracing::info;
 
 use crate::{
     buffered_body::{self, BodyError},
@@ -178,18 +177,14 @@
     let metadata = shared.conventions.parse_response_headers(res.headers());
     // Another server that has the address now speaks for itself only.
     let is_other_server = res.status() == StatusCode::MISDIRECTED_REQUEST;
-    if let Some(pause) = &metadata.pause
-        && res.status() == StatusCode::SERVICE_UNAVAILABLE
-    {
-        info!(
-            event = "pause-asked",
-            server = progress.server().id,
-            request = request.request_id,
-            seconds = pause.as_ref().map_or(f64::NAN, |seconds| *seconds),
-        );
-    }
     if !is_other_server {
-        server_reports::record_response(shared, request, progress.server(), &metadata);
+        server_reports::record_response(
+            shared,
+            request,
+            progress.server(),
+            res.status(),
+            &metadata,
+        );
         cold_servers::record_response(shared, request, progress.server(), &metadata);
     }
     if let Some(load) = metadata.load {
--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -33,6 +33,8 @@
     FailureDomainsEmptied,
     /// All other servers are cold, and this router may send to one of them after this time.
     ColdServers(Duration),
+    /// All other servers want no requests for this time.
+    ServersWithheld(Duration),
     /// The content of the request crashes servers and is refused for this time.
     ContentBarred(Duration),
     /// The fleet may send no more retries.
@@ -45,6 +47,7 @@
         match self {
             Self::NoServer => Some(Reason::NoServer),
             Self::ColdServers(_) => Some(Reason::ColdServers),
+            Self::ServersWithheld(_) => Some(Reason::ServersWithheld),
             Self::FailureDomainsEmptied => Some(Reason::FailureDomainsEmptied),
             Self::ContentBarred(_) => Some(Reason::Quarantined),
             Self::RetryBudget => Some(Reason::RetryBudget),
@@ -87,6 +90,7 @@
             NoServer::NoneUsable => Self::NoServer,
             NoServer::Emptied => Self::FailureDomainsEmptied,
             NoServer::Cold { next } => Self::ColdServers(next),
+            NoServer::Withheld { next } => Self::ServersWithheld(next),
         }
     }
 }
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -41,6 +41,7 @@
     FailureDomainsEmptied,
     ServersRefused,
     ColdServers,
+    ServersWithheld,
     Overloaded,
     NoPlace,
     RetryBudget,
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -100,6 +100,7 @@
     pub(crate) panics: Counter,
     pub(crate) connections_opened: Counter,
     pub(crate) cold_skips: Counter,
+    withheld: Family<ReasonLabel, Counter>,
     response_seconds: Histogram,
     first_event_seconds: Histogram,
     report_age_seconds: Histogram,
@@ -178,6 +179,10 @@
                 "cold_skips",
                 "Choices of a server that passed over cold servers for lack of allowance",
             ),
+            withheld: r.add(
+                "withheld",
+                "Choices of a server that passed over servers for what they had reported, by reason",
+            ),
             response_seconds: r.histogram(
                 "answer_seconds",
                 "Time to a complete response",
@@ -316,6 +321,11 @@
             .inc();
     }
 
+    /// Counts a choice of a server that passed over servers for what they had reported.
+    pub(crate) fn record_withheld(&self, reason: &'static str) {
+        self.withheld.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts a stream that ended.
     pub(crate) fn record_stream_end(&self, outcome: &'static str) {
         self.streams.get_or_create(&EndLabel { outcome }).inc();
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -154,7 +154,7 @@
         let failed = FailedAttempt::new(&error, &mut history);
         last_error = Some(error);
         let NextAttempt::Send { retry } = failed.next else {
-            return final_response(&history, last_error, failed.reason);
+            return finish(shared, &request, &history, last_error, failed.reason);
         };
         retry_cause = retry.then_some(failed.failure.retry_cause());
         if successor.is_some() {
@@ -345,6 +345,26 @@
     }
 }
 
+/// Returns the response to a request whose last attempt failed.
+///
+/// If it has not run and no server takes requests now, its caller may come back once one does.
+fn finish(
+    shared: &Shared,
+    request: &RoutedRequest,
+    history: &AttemptHistory,
+    last_error: Option<AttemptError>,
+    reason: Reason,
+) -> Result<Response<Body>, LocalResponse> {
+    let response = final_response(history, last_error, reason);
+    response.map_err(|mut local| {
+        let wait = server_selection::wait_for_server(shared, request);
+        if let (Some(retry), Some(wait)) = (&mut local.retry_after, wait) {
+            *retry = (*retry).max(retry_after::for_withheld_servers(wait));
+        }
+        local
+    })
+}
+
 /// Returns the response to a request that is not admitted to its overloaded service.
 fn refuse_overload() -> LocalResponse {
     LocalResponse::not_run(Reason::Overloaded, retry_after::for_overload())
@@ -361,6 +381,7 @@
     let response = final_response(history, last_error, reason);
     let retry = match refusal {
         HandoverRefusal::ColdServers(next) => retry_after::for_cold_servers(next),
+        HandoverRefusal::ServersWithheld(next) => retry_after::for_withheld_servers(next),
         HandoverRefusal::ContentBarred(retry) => retry,
         _ => return response,
     };
--- a/bulrushward_direct/src/retry_after.rs
+++ b/bulrushward_direct/src/retry_after.rs
@@ -31,6 +31,10 @@
 const COLD_RETRY_SPREAD: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(350));
 
+/// Range that is added to the time after which a server takes requests again.
+const WITHHELD_RETRY_SPREAD: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_millis(420));
+
 /// Returns the retry delay of a request refused for lack of a configuration.
 pub(crate) fn for_configuration(shared: &Shared) -> Duration {
     if shared.store_state.is_available() {
@@ -56,6 +60,13 @@
     next.min(MAX_COLD_RETRY) + jittered(COLD_RETRY_SPREAD)
 }
 
+/// Returns the retry delay of a request refused because no server takes requests before `next`.
+///
+/// Callers come back one after the other, but none too early.
+pub(crate) fn for_withheld_servers(next: Duration) -> Duration {
+    next + jittered(WITHHELD_RETRY_SPREAD)
+}
+
 /// Returns the retry delay of a request refused because its service is overloaded.
 pub(crate) fn for_overload() -> Duration {
     jittered(OVERLOAD_RETRY)
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -10,6 +10,7 @@
     cold_server::{Room, UNIT_WINDOW},
     emptied_domains::EmptiedDomains,
     server_choice::{self, ServerView, SessionRequest},
+    server_reports::Withheld,
 };
 
 use crate::{
@@ -66,6 +67,11 @@
         /// Time until it may send again.
         next: Duration,
     },
+    /// All servers want no requests now.
+    Withheld {
+        /// Time until one of them takes requests again.
+        next: Duration,
+    },
 }
 
 /// Whether a server may get a request; the later ones only if there is no earlier one.
@@ -80,6 +86,8 @@
     Avoided,
     /// As `Avoided`, and it is cold and this router has used up what it may send there.
     AvoidedUsedUp,
+    /// It wants no requests for a while.
+    Withheld,
     Excluded,
     /// Its failure domain is emptied.
     Emptied,
@@ -89,7 +97,9 @@
     /// Returns whether the load of a server with this access counts in the mean of its service.
     fn counts_in_mean(self) -> bool {
         match self {
-            Self::Usable | Self::AssumedCold | Self::UsedUp | Self::Emptied => true,
+            Self::Usable | Self::AssumedCold | Self::UsedUp | Self::Withheld | Self::Emptied => {
+                true
+            }
             Self::Avoided | Self::AvoidedUsedUp | Self::Excluded => false,
         }
     }
@@ -106,7 +116,9 @@
     has_used_up: bool,
     /// Requests that this router may send to the usable servers, if all of them state to be cold.
     cold_units: Option<usize>,
-    /// Time until this router may send to one of the servers for which that is used up.
+    /// Whether servers were passed over for a pause that they asked for.
+    has_paused: bool,
+    /// Time until this router may send to one of the servers that were passed over.
     next: Duration,
 }
 
@@ -120,7 +132,9 @@
     ) -> Self {
         let replaced = shared.replaced_servers();
         let emptied = shared.emptied_domains();
+        let reports = shared.server_reports();
         let (mut cold_units, mut has_used_up, mut next) = (Some(0), false, Duration::MAX);
+        let mut has_paused = false;
         let mut access_of = |server: &Server| {
             if emptied.contains(&server.record.failure_domain) {
                 return Access::Emptied;
@@ -128,6 +142,15 @@
             if !is_candidate(shared, request, tried, server) {
                 return Access::Excluded;
             }
+            match reports.withheld(server.hash, now) {
+                Some(Withheld::Leaving) => return Access::Excluded,
+                Some(Withheld::Paused { rest }) => {
+                    has_paused = true;
+                    next = next.min(rest);
+                    return Access::Withheld;
+                }
+                None => {}
+            }
             let mut state = server.state();
             let is_avoided =
                 state.health.is_backing_off(now) || replaced.contains(server.hash, now);
@@ -160,6 +183,7 @@
             access,
             has_used_up,
             cold_units,
+            has_paused,
             next,
         }
     }
@@ -177,6 +201,7 @@
             }
             Access::Usable | Access::AssumedCold | Access::Avoided => Ok(()),
             Access::UsedUp | Access::AvoidedUsedUp => Err(NoServer::Cold { next: self.next }),
+            Access::Withheld => Err(NoServer::Withheld { next: self.next }),
             Access::Excluded => Err(NoServer::NoneUsable),
             Access::Emptied => Err(NoServer::Emptied),
         }
@@ -200,6 +225,14 @@
     candidates.check(reserved_units(shared, request, now))
 }
 
+/// Returns the time until a server of the request's service takes requests again, if none does now.
+pub(crate) fn wait_for_server(shared: &Shared, request: &RoutedRequest) -> Option<Duration> {
+    match check_candidates(shared, request, &[]) {
+        Err(NoServer::Withheld { next }) => Some(next),
+        _ => None,
+    }
+}
+
 /// Returns the units of cold servers that a request has to leave to more urgent ones.
 fn reserved_units(shared: &Shared, request: &RoutedRequest, now: Instant) -> usize {
     let demand = shared.cold_demand();
@@ -239,17 +272,13 @@
     // Only a fleet that is larger than the limit divides it into shares of which some are zero.
     let may_connect =
         || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
-    !is_leaving(shared, server) && !tried.contains(&server.id) && may_connect()
-}
-
-/// Returns whether a server takes no new requests, according to the store or to itself.
-fn is_leaving(shared: &Shared, server: &Server) -> bool {
-    server.record.is_leaving || shared.server_reports().withheld(server.hash).is_some()
+    !server.record.is_leaving && !tried.contains(&server.id) && may_connect()
 }
 
 /// Returns whether a server may be used by any request, as far as this router knows.
 pub(crate) fn is_usable(shared: &Shared, server: &Server, now: Instant) -> bool {
-    !is_leaving(shared, server)
+    !server.record.is_leaving
+        && shared.server_reports().withheld(server.hash, now).is_none()
         && !shared
             .emptied_domains()
             .contains(&server.record.failure_domain)
@@ -318,6 +347,9 @@
     if candidates.has_used_up {
         shared.metrics.cold_skips.inc();
     }
+    if candidates.has_paused {
+        shared.metrics.record_withheld("paused");
+    }
     let reserved = reserved_units(shared, request, now);
     if candidates.is_scarce() {
         shared
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -1,15 +1,22 @@
 //! What backend servers report about themselves, and when nothing is sent to them for that reason.
 //!
 //! Handles: servers that leave while the store cannot tell of it, or whose entries vanish and return
-//! meanwhile.
+//! meanwhile; servers that ask for pauses in turn or all at once; requests that wait for a connection
+//! or a place while a report arrives; and values that are absurd or none.
 
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
+use strum::IntoStaticStr;
+
 use crate::session_locations::ServerKey;
 
+/// Longest pause that is granted on one report; the server may ask again.
+pub const MAX_PAUSE: Duration = Duration::from_mins(2);
+/// Extension of a pause from which it counts as news.
+const NEWS_EXTENSION: Duration = Duration::from_millis(250);
 /// Time for which the reports of a server are kept that is not registered, as its entry may return.
 const UNREGISTERED_TTL: Duration = Duration::from_mins(10);
 
@@ -18,6 +25,8 @@
 pub struct ServerReport {
     /// Whether the server takes no new requests until it ends.
     pub is_leaving: bool,
+    /// Seconds for which the server wants no further requests from this router.
+    pub pause_s: Option<f64>,
 }
 
 /// What is new in a report.
@@ -25,19 +34,38 @@
 pub enum ReportNews {
     /// The server is leaving.
     Leaving,
+    /// The server wants a pause.
+    Pause {
+        /// Its length, which may have been cut.
+        length: Duration,
+        /// Whether the server asked for more.
+        is_cut: bool,
+    },
+    /// A number is none that makes sense, and is ignored.
+    Ignored {
+        /// The number.
+        value: f64,
+    },
 }
 
 /// Why nothing is sent to a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Withheld {
     /// It is leaving.
     Leaving,
+    /// It asked for a pause.
+    Paused {
+        /// Time until its end.
+        rest: Duration,
+    },
 }
 
 /// What one incarnation of a server has reported.
 #[derive(Clone, Debug)]
 struct Record {
     is_leaving: bool,
+    pause_end: Option<Instant>,
     /// When the server was last registered, or reported something.
     last_known: Instant,
 }
@@ -51,7 +79,8 @@
 impl ServerReports {
     /// Records what a response states, and returns what is new.
     ///
-    /// A server leaves for good; other responses may have been on their way.
+    /// A server leaves for good. A pause ends at the latest of the times that the server asked for; other responses may
+    /// have been on their way and do not shorten it.
     pub fn record(
         &mut self,
         server: ServerKey,
@@ -65,14 +94,30 @@
                 news.push(ReportNews::Leaving);
             }
         }
+        let Some(pause_s) = report.pause_s else {
+            return news;
+        };
+        match Duration::try_from_secs_f64(pause_s) {
+            Ok(asked) if asked.is_zero() => {}
+            Ok(asked) => news.extend(self.record_pause(server, asked, now)),
+            // No duration is that long, but the server wants a long pause.
+            Err(_too_long) if pause_s.is_finite() && pause_s > 0.0 => {
+                news.extend(self.record_pause(server, Duration::MAX, now));
+            }
+            Err(_no_time) => news.push(ReportNews::Ignored { value: pause_s }),
+        }
         news
     }
 
-    /// Returns why nothing is sent to a server.
+    /// Returns why nothing is sent to a server now.
     #[must_use]
-    pub fn withheld(&self, server: ServerKey) -> Option<Withheld> {
+    pub fn withheld(&self, server: ServerKey, now: Instant) -> Option<Withheld> {
         let record = self.records.get(&server)?;
-        record.is_leaving.then_some(Withheld::Leaving)
+        if record.is_leaving {
+            return Some(Withheld::Leaving);
+        }
+        let rest = record.pause_end?.saturating_duration_since(now);
+        (!rest.is_zero()).then_some(Withheld::Paused { rest })
     }
 
     /// Forgets the reports of servers that have not been registered for long.
@@ -94,9 +139,27 @@
         });
     }
 
+    fn record_pause(
+        &mut self,
+        server: ServerKey,
+        asked: Duration,
+        now: Instant,
+    ) -> Option<ReportNews> {
+        let length = asked.min(MAX_PAUSE);
+        let end = now + length;
+        let record = self.record_of(server, now);
+        let known_end = record.pause_end.unwrap_or(now).max(now);
+        record.pause_end = Some(known_end.max(end));
+        (end >= known_end + NEWS_EXTENSION || known_end == now).then_some(ReportNews::Pause {
+            length,
+            is_cut: length < asked,
+        })
+    }
+
     fn record_of(&mut self, server: ServerKey, now: Instant) -> &mut Record {
         let record = self.records.entry(server).or_insert(Record {
             is_leaving: false,
+            pause_end: None,
             last_known: now,
         });
         record.last_known = now;
--- /dev/null
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -0,0 +1,200 @@
+//! What servers report withholds requests from them, and from no other server.
+
+use std::time::{Duration, Instant};
+
+use bulrushward_policy::{
+    server_choice::{self, ServerView},
+    server_reports::{MAX_PAUSE, ReportNews, ServerReport, ServerReports, Withheld},
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use rstest::rstest;
+
+const LEAVING: ServerReport = ServerReport {
+    is_leaving: true,
+    pause_s: None,
+};
+
+fn pause(pause_s: f64) -> ServerReport {
+    ServerReport {
+        pause_s: Some(pause_s),
+        ..ServerReport::default()
+    }
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// A response that was on its way when the server announced its leaving would bring the server back.
+#[test]
+fn a_server_leaves_until_its_incarnation_is_forgotten() {
+    let (mut reports, now) = (ServerReports::default(), Instant::now());
+    assert_eq!(reports.record(1, &LEAVING, now), [ReportNews::Leaving]);
+    assert_eq!(reports.record(1, &LEAVING, now), []);
+    assert_eq!(reports.record(1, &ServerReport::default(), now), []);
+    assert_eq!(reports.withheld(1, now), Some(Withheld::Leaving));
+    // Another incarnation has another key.
+    assert_eq!(reports.withheld(2, now), None);
+    // The entry is gone for five minutes and returns for an hour.
+    let mut later = now + seconds(300.0);
+    reports.retain_registered([2], later);
+    for _ in 0..60 {
+        later += seconds(60.0);
+        reports.retain_registered([1, 2], later);
+    }
+    assert_eq!(reports.withheld(1, later), Some(Withheld::Leaving));
+    later += seconds(601.0);
+    reports.retain_registered([2], later);
+    assert_eq!(reports.withheld(1, later), None);
+}
+
+/// A shorter pause that a later response asks for would cut the longer one.
+#[test]
+fn a_pause_ends_at_the_latest_time_asked_for() {
+    let (mut reports, now) = (ServerReports::default(), Instant::now());
+    let length = seconds(3.0);
+    let is_cut = false;
+    assert_eq!(
+        reports.record(1, &pause(3.0), now),
+        [ReportNews::Pause { length, is_cut }]
+    );
+    assert_eq!(reports.record(1, &pause(1.0), now + seconds(0.5)), []);
+    let rest = |at: f64| reports.withheld(1, now + seconds(at));
+    assert_eq!(rest(2.0), Some(Withheld::Paused { rest: seconds(1.0) }));
+    assert_eq!(rest(3.0), None);
+}
+
+#[rstest]
+#[case::hours(1e5)]
+#[case::more_than_a_duration_holds(1e300)]
+fn an_absurd_pause_is_cut(#[case] asked: f64) {
+    let (mut reports, now) = (ServerReports::default(), Instant::now());
+    let news = ReportNews::Pause {
+        length: MAX_PAUSE,
+        is_cut: true,
+    };
+    assert_eq!(reports.record(1, &pause(asked), now), [news]);
+    assert_eq!(reports.withheld(1, now + MAX_PAUSE), None);
+}
+
+#[rstest]
+#[case::negative(-1.0)]
+#[case::infinite(f64::INFINITY)]
+fn a_pause_that_makes_no_sense_is_ignored(#[case] value: f64) {
+    let (mut reports, now) = (ServerReports::default(), Instant::now());
+    let ignored = [ReportNews::Ignored { value }];
+    assert_eq!(reports.record(1, &pause(value), now), ignored);
+    assert_eq!(reports.withheld(1, now), None);
+}
+
+const SERVERS: u32 = 5;
+const PAUSE: Duration = Duration::from_secs(2);
+/// Time after a rejection in which requests may still arrive, as they were on their way.
+const REACTION_TIME: Duration = Duration::from_millis(500);
+const STEP: Duration = Duration::from_millis(10);
+/// Time for which a server runs a request.
+const WORK: Duration = Duration::from_millis(60);
+
+/// When servers reject requests and ask for pauses.
+#[derive(Clone, Copy, Debug)]
+enum Pattern {
+    InTurn,
+    AllAtOnce,
+}
+
+impl Pattern {
+    fn rejects(self, server: u32, at: Duration) -> bool {
+        let second = at.as_secs() as u32;
+        match self {
+            Self::InTurn => second % SERVERS == server,
+            Self::AllAtOnce => (2..4).contains(&second),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    sent: u32,
+    refused: u32,
+    /// Most requests in progress at a server.
+    busiest: usize,
+}
+
+/// Requests of a crowd at routers that share five servers which ask for pauses.
+///
+/// Checks that no router sends a server more than two requests in the rest of a pause.
+fn play(routers: usize, pattern: Pattern, requests_per_step: f64, seed: u64) -> Totals {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let start = Instant::now();
+    let mut totals = Totals::default();
+    let mut reports = vec![ServerReports::default(); routers];
+    let mut in_progress: Vec<Vec<Instant>> = vec![Vec::new(); SERVERS as usize];
+    // Pauses asked for and requests sent in them, by router and server.
+    let mut pauses = vec![vec![None::<(Instant, u32)>; SERVERS as usize]; routers];
+    for step in 0..800_u32 {
+        let at = STEP * step;
+        let now = start + at;
+        for running in &mut in_progress {
+            running.retain(|end| now < *end);
+        }
+        let whole = requests_per_step as u32;
+        let requests = whole + u32::from(rng.random::<f64>() < requests_per_step.fract());
+        for _ in 0..requests {
+            let router = rng.random_range(0..routers);
+            let views: Vec<_> = (0..SERVERS)
+                .map(|server| ServerView {
+                    name: "",
+                    load: in_progress[server as usize].len() as f64,
+                    unread_tokens: 0,
+                    slots: 8,
+                    usable: reports[router].withheld(server, now).is_none(),
+                    counts_in_mean: true,
+                    has_prompt: false,
+                })
+                .collect();
+            let Some(server) = server_choice::for_any(&views, &mut rng) else {
+                totals.refused += 1;
+                continue;
+            };
+            totals.sent += 1;
+            if let Some((asked, sent)) = &mut pauses[router][server] {
+                let since = now - *asked;
+                if (REACTION_TIME..PAUSE).contains(&since) {
+                    *sent += 1;
+                    assert!(*sent <= 2, "router {router}, server {server}");
+                }
+            }
+            if pattern.rejects(server as u32, at) {
+                reports[router].record(server as u32, &pause(PAUSE.as_secs_f64()), now);
+                pauses[router][server] = Some((now, 0));
+            } else {
+                in_progress[server].push(now + WORK);
+                totals.busiest = totals.busiest.max(in_progress[server].len());
+            }
+        }
+    }
+    totals
+}
+
+/// Servers that asked for a pause got requests meanwhile, or the others were overloaded by what they did not take.
+#[rstest]
+fn pauses_hold_and_the_other_servers_share_the_load(
+    #[values(1, 5, 60, 300)] routers: usize,
+    #[values(Pattern::InTurn, Pattern::AllAtOnce)] pattern: Pattern,
+    #[values(0.5, 3.0)] requests_per_step: f64,
+) {
+    for seed in 0..4 {
+        let totals = play(routers, pattern, requests_per_step, seed);
+        assert!(totals.sent > 0);
+        // Two of five servers pause at a time if they do so in turn; the rest shares what is in progress.
+        let in_progress = requests_per_step * WORK.div_duration_f64(STEP);
+        if matches!(pattern, Pattern::InTurn) {
+            assert_eq!(totals.refused, 0);
+            let even = in_progress / f64::from(SERVERS - 3);
+            assert!((totals.busiest as f64) < 2.0 * even + 4.0, "{totals:?}");
+        } else if routers == 1 {
+            assert!(totals.refused > 0);
+        }
+    }
+}
