--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -134,6 +134,8 @@
     returns_until: Instant,
     noticed: Instant,
     expired: u64,
+    /// Whether fewer servers may be used since the last poll.
+    has_lost_servers: bool,
 }
 
 impl<B: Copy> PlaceLender<B> {
@@ -154,13 +156,16 @@
             returns_until: now,
             noticed: now,
             expired: 0,
+            has_lost_servers: false,
         }
     }
 
     /// Sets the servers that may be used, with their slots.
     pub fn set_servers(&mut self, usable: &[(ServerKey, u32)], now: Instant) {
+        let known = self.servers.len();
         self.servers
             .retain(|server, _| usable.iter().any(|(key, _)| key == server));
+        self.has_lost_servers |= self.servers.len() < known;
         for (server, slots) in usable {
             let places = self.servers.entry(*server);
             places
@@ -187,8 +192,7 @@
         };
         let lane = self.lane_of(precedence, ask.kind, now);
         self.lanes[lane].asked.record(now);
-        let is_usable = |server: &ServerKey| !ask.excluded.contains(server);
-        if !self.servers.keys().any(is_usable) {
+        if !self.has_server_for(&ask) {
             return self.refuse(&ask, lane, RefusalReason::NoServer, rng, now);
         }
         if self.waiting.len() >= MAX_WAITING {
@@ -239,6 +243,9 @@
         {
             replies.extend(self.run_timer(id, rng, now));
         }
+        if std::mem::take(&mut self.has_lost_servers) {
+            self.refuse_without_server(&mut replies, rng, now);
+        }
         for server in self.servers.values_mut() {
             server.probe_up(now);
         }
@@ -309,6 +316,35 @@
         })
     }
 
+    /// Refuses the waiting asks for which no server is left.
+    fn refuse_without_server(
+        &mut self,
+        replies: &mut Vec<Reply<B>>,
+        rng: &mut impl Rng,
+        now: Instant,
+    ) {
+        let waiting = self.waiting.values();
+        let ended: Vec<AskId> = waiting
+            .filter(|waiting| !self.has_server_for(&waiting.ask))
+            .map(|waiting| waiting.ask.id)
+            .collect();
+        for id in ended {
+            let Some(WaitingAsk { ask, lane, .. }) = self.remove_waiting(id) else {
+                continue;
+            };
+            replies.push(Reply {
+                borrower: ask.borrower,
+                id,
+                answer: self.refuse(&ask, lane, RefusalReason::NoServer, rng, now),
+            });
+        }
+    }
+
+    fn has_server_for(&self, ask: &Ask<B>) -> bool {
+        let mut servers = self.servers.keys();
+        servers.any(|server| !ask.excluded.contains(server))
+    }
+
     fn lend_free_places(&mut self, replies: &mut Vec<Reply<B>>, now: Instant) {
         let usual = self.usual_response();
         // Asks that exclude the servers with free places.
--- a/bulrushward_policy/tests/place_lender/lender.rs
+++ b/bulrushward_policy/tests/place_lender/lender.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_policy::{
-    place_lender::{Answer, Ask, PlaceLender, PlaceUse, Reply},
+    place_lender::{Answer, Ask, PlaceLender, PlaceUse, RefusalReason, Reply},
     place_pools::{lenders, pool_count, pool_of},
     placement::Candidate,
 };
@@ -233,3 +233,28 @@
     assert_eq!(answer, Answer::Waiting);
     assert_eq!(bench.granted(), [id]);
 }
+
+/// Asks were held until shortly before their deadline after all servers had left or asked for pauses.
+#[test]
+fn asks_are_refused_soon_after_no_server_can_be_used() {
+    let mut bench = Bench::new(1);
+    bench.fill();
+    let in_line = [bench.ask(0, 1, 200, 4_000), bench.ask(0, 2, 600, 4_000)];
+    assert!(in_line.iter().all(|(_, answer)| *answer == Answer::Waiting));
+    bench.lender.set_servers(&[], bench.now);
+    let mut refused = 0;
+    for _ in 0..10 {
+        bench.now += Duration::from_millis(50);
+        let is_no_server = |reply: &Reply<_>| {
+            let reason = RefusalReason::NoServer;
+            matches!(reply.answer, Answer::Refused { reason: r, .. } if r == reason)
+        };
+        refused += bench
+            .poll()
+            .iter()
+            .filter(|reply| is_no_server(reply))
+            .count();
+    }
+    assert_eq!(refused, 2);
+    assert_eq!(bench.lender.waiting(), 0);
+}
