--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -15,10 +15,10 @@
     ports::{ForwardingMetadata, ResponseMetadata},
     read_timeout,
     routed_request::RoutedRequest,
-    server_reports,
+    server_reports::{self, Responded},
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
-    servers::InProgress,
+    servers::{InProgress, Server},
     shared::Shared,
 };
 use bulrushward_net::with_causes;
@@ -161,40 +161,57 @@
     progress: &InProgress,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<(Response<Incoming>, ResponseMetadata, Connection), AttemptError> {
-    let (res, connection) = loop {
+    let (res, connection, sent) = loop {
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
         check_domain(shared, choice)?;
         server_reports::check(shared, &choice.server)?;
         check_content(shared, request)?;
         let req = build_request(shared, request, choice, last_event_id)?;
+        let sent = Instant::now();
         match send_on(request, req, connection, progress, silence).await {
             // A server may close idle connections, so this is no failure of the server.
             Err(error) if is_reused && error.failure == AttemptFailure::NotSent => {}
-            result => break result?,
+            Err(error) => return Err(error),
+            Ok((res, connection)) => break (res, connection, sent),
         }
     };
     let metadata = shared.conventions.parse_response_headers(res.headers());
+    record_head(
+        shared,
+        request,
+        progress.server(),
+        &metadata,
+        res.status(),
+        sent,
+    );
+    validate_head(request, &res, &metadata)?;
+    Ok((res, metadata, connection))
+}
+
+/// Records what the head of a response tells of its server.
+fn record_head(
+    shared: &Shared,
+    request: &RoutedRequest,
+    server: &Server,
+    metadata: &ResponseMetadata,
+    status: StatusCode,
+    sent: Instant,
+) {
     // Another server that has the address now speaks for itself only.
-    let is_other_server = res.status() == StatusCode::MISDIRECTED_REQUEST;
-    if !is_other_server {
-        server_reports::record_response(
-            shared,
-            request,
-            progress.server(),
-            res.status(),
-            &metadata,
-        );
-        cold_servers::record_response(shared, request, progress.server(), &metadata);
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        let response = Responded {
+            status,
+            metadata,
+            sent,
+        };
+        server_reports::record_response(shared, request, server, response);
+        cold_servers::record_response(shared, request, server, metadata);
     }
     if let Some(load) = metadata.load {
-        let mut state = progress.server().state();
-        state
-            .load
-            .record_report(load.running.saturating_add(load.waiting), Instant::now());
+        let requests = load.running.saturating_add(load.waiting);
+        server.state().load.record_report(requests, Instant::now());
     }
-    validate_head(request, &res, &metadata)?;
-    Ok((res, metadata, connection))
 }
 
 /// Acquires a connection to a server within this router's share of its connections.
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -33,7 +33,7 @@
     fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
     fleet_view::FleetView,
     model::ConfigVersion,
-    server_reports,
+    server_reports::{self, ReportMessage},
     servers::ServerHash,
     shared::Shared,
     store_watch::COALESCING_FRACTION,
@@ -223,9 +223,12 @@
         let (tail, orders): (GossipTail, _) = postcard::take_from_bytes(tail).unwrap_or_default();
         let (orders, crashes): (GossipOrders, _) =
             postcard::take_from_bytes(orders).unwrap_or_default();
-        let crashes: CrashReports = postcard::from_bytes(crashes).unwrap_or_default();
+        let (crashes, reports): (CrashReports, _) =
+            postcard::take_from_bytes(crashes).unwrap_or_default();
+        let reports: ReportMessage = postcard::from_bytes(reports).unwrap_or_default();
         self.merge_tail(&tail, &message.node);
         self.shared.crash_records.merge(&crashes, &message.node);
+        server_reports::merge(&self.shared, &reports, &message.node);
         if let Some(emptied) = &orders.emptied {
             self.fleet_state.merge_orders(emptied);
         }
@@ -339,7 +342,14 @@
                 .filter(EmptiedReport::fits_datagram),
         };
         let crashes = self.shared.crash_records.message();
-        let parts = (self.build_message(), self.build_tail(), orders, crashes);
+        let reports = server_reports::message(&self.shared);
+        let parts = (
+            self.build_message(),
+            self.build_tail(),
+            orders,
+            crashes,
+            reports,
+        );
         let bytes = match postcard::to_stdvec(&parts) {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -4,9 +4,10 @@
 
 use bulrushward_policy::{
     server_attempt::AttemptFailure,
-    server_reports::{ReportNews, ServerReport, Withheld},
+    server_reports::{LeavingNotice, ReportNews, ServerReport, Withheld},
 };
 use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
 use tracing::info;
 
 use crate::{
@@ -17,24 +18,39 @@
     shared::Shared,
 };
 
-/// Records what a response, which is not misdirected, states about its server.
+/// Part of a datagram, which routers of earlier versions neither send nor read.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct ReportMessage {
+    leaving: Vec<LeavingNotice>,
+}
+
+/// Head of a response, which is not misdirected.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Responded<'a> {
+    pub(crate) status: StatusCode,
+    pub(crate) metadata: &'a ResponseMetadata,
+    /// Time at which the request was sent.
+    pub(crate) sent: Instant,
+}
+
+/// Records what a response states about its server.
 pub(crate) fn record_response(
     shared: &Shared,
     request: &RoutedRequest,
     server: &Server,
-    status: StatusCode,
-    metadata: &ResponseMetadata,
+    response: Responded<'_>,
 ) {
+    let metadata = response.metadata;
     // Other responses with a pause mean the request and not the server.
-    let pause = metadata.pause.as_ref();
-    let pause = pause.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    let is_refusal = response.status == StatusCode::SERVICE_UNAVAILABLE;
+    let pause = metadata.pause.as_ref().filter(|_| is_refusal);
     let report = ServerReport {
         is_leaving: metadata.is_leaving,
         pause_s: pause.and_then(|pause| number(server, pause)),
     };
-    let news = shared
-        .server_reports()
-        .record(server.hash, &report, Instant::now());
+    let mut reports = shared.server_reports();
+    let news = reports.record(server.hash, &report, response.sent, Instant::now());
+    drop(reports);
     for news in news {
         log(request, server, news);
     }
@@ -57,12 +73,39 @@
     let detail = match withheld {
         Some(Withheld::Leaving) => "the server is leaving",
         Some(Withheld::Paused { .. }) => "the server asked for a pause",
-        None if !is_registered => "the server is not registered any more",
-        None => return Ok(()),
+        _ if !is_registered => "the server is not registered any more",
+        Some(Withheld::SaidToLeave) | None => return Ok(()),
     };
     Err(AttemptError::new(AttemptFailure::Withheld, &detail))
 }
 
+/// Returns what peers should know.
+pub(crate) fn message(shared: &Shared) -> ReportMessage {
+    ReportMessage {
+        leaving: shared
+            .server_reports()
+            .notices(&mut rand::rng(), Instant::now()),
+    }
+}
+
+/// Records what a peer, `node`, tells of registered servers.
+pub(crate) fn merge(shared: &Shared, message: &ReportMessage, node: &str) {
+    if message.leaving.is_empty() {
+        return;
+    }
+    let (servers, now) = (shared.servers.load(), Instant::now());
+    for notice in &message.leaving {
+        let server = servers.all().find(|server| server.hash == notice.server);
+        let Some(server) = server else {
+            continue;
+        };
+        if shared.server_reports().hear(*notice, now) {
+            let (server, age_ms) = (&server.id, notice.age_ms);
+            info!(event = "leaving-heard", server, age_ms, from = node);
+        }
+    }
+}
+
 /// Forgets the reports of servers that have not been registered for long.
 pub(crate) fn remove_outdated(shared: &Shared, now: Instant) {
     let servers = shared.servers.load();
@@ -84,6 +127,7 @@
     let (server, request) = (&server.id, &request.request_id);
     match news {
         ReportNews::Leaving => info!(event = "leaving-announced", server, request),
+        ReportNews::Stays => info!(event = "leaving-refuted", server, request),
         ReportNews::Pause { length, is_cut } => info!(
             event = "pause-asked",
             server,
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -144,6 +144,8 @@
             }
             match reports.withheld(server.hash, now) {
                 Some(Withheld::Leaving) => return Access::Excluded,
+                // It is tried rather than refusing requests outright.
+                Some(Withheld::SaidToLeave) => return Access::Avoided,
                 Some(Withheld::Paused { rest }) => {
                     has_paused = true;
                     next = next.min(rest);
--- a/bulrushward_direct/tests/leaving.rs
+++ b/bulrushward_direct/tests/leaving.rs
@@ -244,3 +244,33 @@
     let late = received.iter().filter(|req| req.at > known).count();
     assert_eq!(late, 0, "requests reached a leaving server");
 }
+
+/// Each router of a fleet sent a request to a leaving server to hear of it.
+#[test]
+fn a_peer_tells_of_a_leaving_server() {
+    support::log::capture();
+    let leaving = TestServer::start("s-1", |req| {
+        leaving_response(req, "200 OK", "Signed: s\r\n")
+    });
+    let store = MemoryStore::with(support::config(1));
+    store.put("s-1", record("plain", leaving.address));
+    let [told, hears] = lender_and_borrower(&store);
+    assert_eq!(told.send(&request("GET", "lookup", "r-1", "")).status, 200);
+    support::log::wait_for_line("event=leaving-heard server=s-1");
+    let other = TestServer::echo("s-2");
+    store.put("s-2", record("plain", other.address));
+    wait_until("both are known", || metric(&hears, "servers") == Some(2));
+    for index in 0..20 {
+        let id = format!("b-{index}");
+        assert_eq!(hears.send(&request("GET", "lookup", &id, "")).status, 200);
+    }
+    assert_eq!(leaving.received().len(), 1);
+    // With no other server, the word of a peer does not keep the service from being served.
+    store.remove("s-2");
+    wait_until("the other one is gone", || {
+        metric(&hears, "servers") == Some(1)
+    });
+    assert_eq!(hears.send(&request("GET", "lookup", "c-1", "")).status, 200);
+    assert_eq!(hears.send(&request("GET", "lookup", "c-2", "")).status, 503);
+    assert_eq!(leaving.received().len(), 2);
+}
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -1,7 +1,8 @@
 //! What backend servers report about themselves, and when nothing is sent to them for that reason.
 //!
 //! Handles: servers that leave while the store cannot tell of it, or whose entries vanish and return
-//! meanwhile; servers that ask for pauses in turn or all at once; requests that wait for a connection
+//! meanwhile; a fleet of which each router would otherwise find out by itself; peers that tell what is
+//! false or outdated; servers that ask for pauses in turn or all at once; requests that wait for a connection
 //! or a place while a report arrives; and values that are absurd or none.
 
 use std::{
@@ -9,6 +10,8 @@
     time::{Duration, Instant},
 };
 
+use rand::{Rng, seq::IteratorRandom};
+use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
 use crate::session_locations::ServerKey;
@@ -17,6 +20,12 @@
 pub const MAX_PAUSE: Duration = Duration::from_mins(2);
 /// Extension of a pause from which it counts as news.
 const NEWS_EXTENSION: Duration = Duration::from_millis(250);
+/// Time after an announcement of leaving in which routers tell each other of it, and believe each other.
+///
+/// Most servers end earlier; to a router that hears of it for longer, the server itself can say it.
+const NOTICE_TTL: Duration = Duration::from_secs(30);
+/// Largest number of servers of which a message tells.
+const MAX_NOTICES: usize = 64;
 /// Time for which the reports of a server are kept that is not registered, as its entry may return.
 const UNREGISTERED_TTL: Duration = Duration::from_mins(10);
 
@@ -29,11 +38,22 @@
     pub pause_s: Option<f64>,
 }
 
+/// A server that announced its leaving to the router that tells of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// Server.
+    pub server: ServerKey,
+    /// Milliseconds since the announcement.
+    pub age_ms: u32,
+}
+
 /// What is new in a report.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ReportNews {
     /// The server is leaving.
     Leaving,
+    /// The server takes requests although a peer told that it is leaving.
+    Stays,
     /// The server wants a pause.
     Pause {
         /// Its length, which may have been cut.
@@ -54,6 +74,8 @@
 pub enum Withheld {
     /// It is leaving.
     Leaving,
+    /// A peer told that it is leaving, so that it is a last resort.
+    SaidToLeave,
     /// It asked for a pause.
     Paused {
         /// Time until its end.
@@ -64,12 +86,25 @@
 /// What one incarnation of a server has reported.
 #[derive(Clone, Debug)]
 struct Record {
-    is_leaving: bool,
+    leaving: Leaving,
     pause_end: Option<Instant>,
     /// When the server was last registered, or reported something.
     last_known: Instant,
 }
 
+/// What is known of a server's leaving.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Leaving {
+    #[default]
+    Unknown,
+    /// It announced its leaving to this router.
+    Announced(Instant),
+    /// Peers told of an announcement at this time.
+    Heard(Instant),
+    /// It responded to this router as one that stays.
+    Denied(Instant),
+}
+
 /// The reports of all servers, which each belong to one incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct ServerReports {
@@ -79,20 +114,29 @@
 impl ServerReports {
     /// Records what a response states, and returns what is new.
     ///
-    /// A server leaves for good. A pause ends at the latest of the times that the server asked for; other responses may
+    /// `sent` is the time at which the request was sent. A server that announced its leaving to this router leaves for
+    /// good; a response to a later request refutes what peers told. A pause ends at the latest of the times that the server asked for; other responses may
     /// have been on their way and do not shorten it.
     pub fn record(
         &mut self,
         server: ServerKey,
         report: &ServerReport,
+        sent: Instant,
         now: Instant,
     ) -> Vec<ReportNews> {
         let mut news = Vec::new();
         if report.is_leaving {
             let record = self.record_of(server, now);
-            if !std::mem::replace(&mut record.is_leaving, true) {
+            if !matches!(record.leaving, Leaving::Announced(_)) {
+                record.leaving = Leaving::Announced(now);
                 news.push(ReportNews::Leaving);
             }
+        } else if let Some(record) = self.records.get_mut(&server)
+            && let Leaving::Heard(announced) = record.leaving
+            && announced < sent
+        {
+            record.leaving = Leaving::Denied(sent);
+            news.push(ReportNews::Stays);
         }
         let Some(pause_s) = report.pause_s else {
             return news;
@@ -113,13 +157,53 @@
     #[must_use]
     pub fn withheld(&self, server: ServerKey, now: Instant) -> Option<Withheld> {
         let record = self.records.get(&server)?;
-        if record.is_leaving {
-            return Some(Withheld::Leaving);
+        match record.leaving {
+            Leaving::Announced(_) => return Some(Withheld::Leaving),
+            Leaving::Heard(at) if is_told(at, now) => return Some(Withheld::SaidToLeave),
+            Leaving::Heard(_) | Leaving::Denied(_) | Leaving::Unknown => {}
         }
         let rest = record.pause_end?.saturating_duration_since(now);
         (!rest.is_zero()).then_some(Withheld::Paused { rest })
     }
 
+    /// Returns the servers of which peers should hear, in random order.
+    ///
+    /// Only announcements to this router are told, so that a false one ends with the router that tells it.
+    pub fn notices(&self, rng: &mut impl Rng, now: Instant) -> Vec<LeavingNotice> {
+        let announced = self.records.iter().filter_map(|(server, record)| {
+            let Leaving::Announced(at) = record.leaving else {
+                return None;
+            };
+            let age_ms = now.saturating_duration_since(at).as_millis() as u32;
+            is_told(at, now).then_some(LeavingNotice {
+                server: *server,
+                age_ms,
+            })
+        });
+        announced.sample(rng, MAX_NOTICES)
+    }
+
+    /// Records that a peer told of a server that is registered; returns whether this is news.
+    pub fn hear(&mut self, notice: LeavingNotice, now: Instant) -> bool {
+        let age = Duration::from_millis(notice.age_ms.into());
+        let Some(announced) = now.checked_sub(age).filter(|at| is_told(*at, now)) else {
+            return false;
+        };
+        let record = self.record_of(notice.server, now);
+        match record.leaving {
+            Leaving::Announced(_) => false,
+            Leaving::Denied(at) if announced <= at => false,
+            Leaving::Heard(at) => {
+                record.leaving = Leaving::Heard(at.max(announced));
+                false
+            }
+            Leaving::Unknown | Leaving::Denied(_) => {
+                record.leaving = Leaving::Heard(announced);
+                true
+            }
+        }
+    }
+
     /// Forgets the reports of servers that have not been registered for long.
     pub fn retain_registered(
         &mut self,
@@ -158,7 +242,7 @@
 
     fn record_of(&mut self, server: ServerKey, now: Instant) -> &mut Record {
         let record = self.records.entry(server).or_insert(Record {
-            is_leaving: false,
+            leaving: Leaving::default(),
             pause_end: None,
             last_known: now,
         });
@@ -166,3 +250,7 @@
         record
     }
 }
+
+fn is_told(announced: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(announced) < NOTICE_TTL
+}
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -4,7 +4,7 @@
 
 use bulrushward_policy::{
     server_choice::{self, ServerView},
-    server_reports::{MAX_PAUSE, ReportNews, ServerReport, ServerReports, Withheld},
+    server_reports::{LeavingNotice, MAX_PAUSE, ReportNews, ServerReport, ServerReports, Withheld},
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -30,9 +30,9 @@
 #[test]
 fn a_server_leaves_until_its_incarnation_is_forgotten() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
-    assert_eq!(reports.record(1, &LEAVING, now), [ReportNews::Leaving]);
-    assert_eq!(reports.record(1, &LEAVING, now), []);
-    assert_eq!(reports.record(1, &ServerReport::default(), now), []);
+    assert_eq!(reports.record(1, &LEAVING, now, now), [ReportNews::Leaving]);
+    assert_eq!(reports.record(1, &LEAVING, now, now), []);
+    assert_eq!(reports.record(1, &ServerReport::default(), now, now), []);
     assert_eq!(reports.withheld(1, now), Some(Withheld::Leaving));
     // Another incarnation has another key.
     assert_eq!(reports.withheld(2, now), None);
@@ -49,6 +49,68 @@
     assert_eq!(reports.withheld(1, later), None);
 }
 
+/// Each router would send a request to a leaving server to hear of it.
+#[test]
+fn a_peer_tells_of_a_leaving_server_until_the_server_itself_says_otherwise() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let (mut told, mut hears, now) = (
+        ServerReports::default(),
+        ServerReports::default(),
+        Instant::now(),
+    );
+    let later = now + seconds(5.0);
+    told.record(1, &LEAVING, now, now + seconds(1.0));
+    let notices = told.notices(&mut rng, later);
+    let age_ms = 4_000;
+    assert_eq!(notices, [LeavingNotice { server: 1, age_ms }]);
+    assert!(hears.hear(notices[0], later));
+    assert_eq!(hears.withheld(1, later), Some(Withheld::SaidToLeave));
+    // What was heard is not told on, so that it ends with the router that said it.
+    assert_eq!(hears.notices(&mut rng, later), []);
+    // A response to a request that was sent before the announcement proves nothing.
+    let stays = ServerReport::default();
+    assert_eq!(hears.record(1, &stays, now, later), []);
+    assert_eq!(hears.record(1, &stays, later, later), [ReportNews::Stays]);
+    assert_eq!(hears.withheld(1, later), None);
+    // The same announcement is not believed again, a later one is.
+    assert!(!hears.hear(notices[0], later));
+    assert!(hears.hear(
+        LeavingNotice {
+            server: 1,
+            age_ms: 0
+        },
+        later + seconds(1.0)
+    ));
+}
+
+/// A stale word of a peer would take a server away for ever.
+#[test]
+fn what_peers_tell_of_a_leaving_server_lapses() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let (mut told, mut hears, now) = (
+        ServerReports::default(),
+        ServerReports::default(),
+        Instant::now(),
+    );
+    told.record(1, &LEAVING, now, now);
+    let mut at = now;
+    while at < now + seconds(60.0) {
+        for notice in told.notices(&mut rng, at) {
+            hears.hear(notice, at);
+        }
+        at += seconds(0.25);
+    }
+    assert_eq!(hears.withheld(1, at), None);
+    assert_eq!(told.withheld(1, at), Some(Withheld::Leaving));
+    assert!(!hears.hear(
+        LeavingNotice {
+            server: 1,
+            age_ms: u32::MAX
+        },
+        at
+    ));
+}
+
 /// A shorter pause that a later response asks for would cut the longer one.
 #[test]
 fn a_pause_ends_at_the_latest_time_asked_for() {
@@ -56,10 +118,10 @@
     let length = seconds(3.0);
     let is_cut = false;
     assert_eq!(
-        reports.record(1, &pause(3.0), now),
+        reports.record(1, &pause(3.0), now, now),
         [ReportNews::Pause { length, is_cut }]
     );
-    assert_eq!(reports.record(1, &pause(1.0), now + seconds(0.5)), []);
+    assert_eq!(reports.record(1, &pause(1.0), now, now + seconds(0.5)), []);
     let rest = |at: f64| reports.withheld(1, now + seconds(at));
     assert_eq!(rest(2.0), Some(Withheld::Paused { rest: seconds(1.0) }));
     assert_eq!(rest(3.0), None);
@@ -74,7 +136,7 @@
         length: MAX_PAUSE,
         is_cut: true,
     };
-    assert_eq!(reports.record(1, &pause(asked), now), [news]);
+    assert_eq!(reports.record(1, &pause(asked), now, now), [news]);
     assert_eq!(reports.withheld(1, now + MAX_PAUSE), None);
 }
 
@@ -84,7 +146,7 @@
 fn a_pause_that_makes_no_sense_is_ignored(#[case] value: f64) {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
     let ignored = [ReportNews::Ignored { value }];
-    assert_eq!(reports.record(1, &pause(value), now), ignored);
+    assert_eq!(reports.record(1, &pause(value), now, now), ignored);
     assert_eq!(reports.withheld(1, now), None);
 }
 
@@ -166,7 +228,8 @@
                 }
             }
             if pattern.rejects(server as u32, at) {
-                reports[router].record(server as u32, &pause(PAUSE.as_secs_f64()), now);
+                let report = pause(PAUSE.as_secs_f64());
+                reports[router].record(server as u32, &report, now, now);
                 pauses[router][server] = Some((now, 0));
             } else {
                 in_progress[server].push(now + WORK);
