--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -70,7 +70,10 @@
     ServerCrashes,
     /// Requests at the server fail at random for a while.
     ServerFails,
+    /// A server says in its responses that it is leaving, and in its entry at once or later.
     ServerLeaves,
+    /// A server rejects requests and asks for a pause.
+    ServerPauses,
     /// The existing connections of the link stall permanently.
     ServerLinkSilent,
     /// The existing connections of the link are closed.
@@ -136,7 +139,7 @@
         if injected.len() % FAULTS_PER_SERIES == 0 {
             while running.join_next().await.is_some() {}
             tokio::time::sleep(QUIET_TIME).await;
-            for change in [Fault::ServerLeaves, Fault::KeyRevoked] {
+            for change in [Fault::ServerLeaves, Fault::ServerPauses, Fault::KeyRevoked] {
                 running.spawn(inject_or_report(
                     Arc::clone(harness),
                     change,
@@ -220,6 +223,7 @@
         Fault::ServerCrashes
             | Fault::ServerFails
             | Fault::ServerLeaves
+            | Fault::ServerPauses
             | Fault::ServerLinkSilent
             | Fault::ServerLinkCut
             | Fault::ServerLinkOneWay
@@ -421,7 +425,7 @@
     };
     let id = &server.fake_server.id;
     let _logged = harness.fault_log.begin(fault, format_args!("server={id}"));
-    if fault != Fault::ServerLeaves {
+    if !matches!(fault, Fault::ServerLeaves | Fault::ServerPauses) {
         harness.record_disturbance();
     }
     match fault {
@@ -457,6 +461,15 @@
             if harness.remove_server(id).is_none() {
                 return Ok(());
             }
+            server.fake_server.announce_leaving();
+            if rng.random_bool(0.5) {
+                // The store does not know of it, and its entry lapses and returns.
+                tokio::time::sleep(LEAVING_TIME / 2).await;
+                harness.store.set_server(id, None);
+                tokio::time::sleep(time / 2).await;
+                harness.register(server, false);
+                tokio::time::sleep(LEAVING_TIME).await;
+            }
             harness.mark_leaving(server);
             tokio::time::sleep(LEAVING_TIME).await;
             harness.store.set_server(id, None);
@@ -470,6 +483,11 @@
             let _elapsed = tokio::time::timeout(STREAM_TIMEOUT, work_ends).await;
             Ok(())
         }
+        Fault::ServerPauses => {
+            server.fake_server.pause_for(time);
+            tokio::time::sleep(time).await;
+            Ok(())
+        }
         Fault::ServerLinkSilent => {
             harness.record_link_outage(Outage {
                 place: OutagePlace::Server(id.clone()),
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -205,7 +205,7 @@
     }
 
     /// Writes a server's registration entry to the store.
-    fn register(&self, server: &SoakServer, is_leaving: bool) {
+    pub(crate) fn register(&self, server: &SoakServer, is_leaving: bool) {
         let cold_until = *lock(&server.cold_until);
         let entry = ServerEntry {
             service: server.service.to_owned(),
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -252,7 +252,8 @@
                     && outage.until.is_some_and(|until| from <= until + SECOND)
             })
         };
-        let mut arrivals = harness.execution_log.arrivals(server);
+        let arrivals = harness.execution_log.arrivals(server);
+        let mut arrivals: Vec<_> = arrivals.iter().map(|arrival| arrival.at).collect();
         arrivals.retain(|at| (*since..until).contains(at));
         let most = (0..arrivals.len())
             .filter(|first| !is_held_back(arrivals[*first]))
--- a/bulrushward_soak/src/lib.rs
+++ b/bulrushward_soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod harness;
 mod invariants;
 mod planned_stops;
+mod report_checks;
 mod router;
 mod run;
 
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -15,7 +15,7 @@
     callers::{self, AttemptResult, Attempts},
     faults,
     harness::Harness,
-    invariants, planned_stops,
+    invariants, planned_stops, report_checks,
 };
 
 /// Smallest number of callers.
@@ -138,6 +138,7 @@
     violations.extend(invariants::check_emptied(&harness, &all, &execution_log));
     violations.extend(invariants::check_cold(&harness));
     violations.extend(invariants::check_poison(&harness, &all));
+    violations.extend(report_checks::check(&harness, &all));
     violations.extend(planned_stops::check(&harness, &all, &execution_log));
     let served = all.iter().filter(|attempt| {
         matches!(&attempt.result, AttemptResult::Complete(response) if response.status == 200)
