--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -65,6 +65,8 @@
     pub is_leaving: bool,
     /// Seconds for which a server that rejects the request wants no further ones from this router.
     pub pause: Option<StatedNumber>,
+    /// Requests per second that the server takes from all routers together; `None` if it names no limit.
+    pub rate_limit: Option<StatedNumber>,
     /// Load of the server.
     pub load: Option<ReportedLoad>,
     /// Time for which the server remains cold; zero if it states that it is warm.
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -47,6 +47,10 @@
     let report = ServerReport {
         is_leaving: metadata.is_leaving,
         pause_s: pause.and_then(|pause| number(server, pause)),
+        limit: metadata
+            .rate_limit
+            .as_ref()
+            .and_then(|limit| number(server, limit)),
     };
     let mut reports = shared.server_reports();
     let news = reports.record(server.hash, &report, response.sent, Instant::now());
@@ -135,6 +139,10 @@
             pause_ms = length.as_millis() as u64,
             is_cut,
         ),
+        ReportNews::Limit { rate: Some(rate) } => {
+            info!(event = "limit-named", server, request, rate);
+        }
+        ReportNews::Limit { rate: None } => info!(event = "limit-ended", server, request),
         ReportNews::Ignored { value } => {
             info!(event = "report-ignored", server, request, value);
         }
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -13,7 +13,8 @@
 use bulrushward_direct::{
     ConfigUpdate, DomainOrder, FleetConfig, FleetStore, ForwardingMetadata, HttpConventions,
     LogStats, OrderChange, OrderListing, PromptPart, ReportedLoad, RequestMetadata,
-    ResponseMetadata, ServerChanges, ServerId, ServerListing, ServerRecord, StoreError,
+    ResponseMetadata, ServerChanges, ServerId, ServerListing, ServerRecord, StatedNumber,
+    StoreError,
 };
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -109,8 +110,8 @@
             is_signed: headers.contains_key("signed"),
             is_not_run: headers.contains_key("not-run"),
             is_leaving: headers.contains_key("leaving"),
-            pause: text(headers, "retry-after")
-                .map(|text| text.parse().map_err(|_error| text.to_owned())),
+            pause: stated_number(headers, "retry-after"),
+            rate_limit: stated_number(headers, "limit"),
             load,
             cold_for: text(headers, "cold-ms")
                 .and_then(|ms| ms.parse().ok())
@@ -126,6 +127,11 @@
     }
 }
 
+fn stated_number(headers: &HeaderMap, name: &str) -> Option<StatedNumber> {
+    let text = text(headers, name)?;
+    Some(text.parse().map_err(|_error| text.to_owned()))
+}
+
 #[derive(Debug, Default)]
 struct Contents {
     revision: u64,
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -36,6 +36,8 @@
     pub is_leaving: bool,
     /// Seconds for which the server wants no further requests from this router.
     pub pause_s: Option<f64>,
+    /// Requests per second that the server takes from all routers together, if it names a limit.
+    pub limit: Option<f64>,
 }
 
 /// A server that announced its leaving to the router that tells of it.
@@ -61,6 +63,11 @@
         /// Whether the server asked for more.
         is_cut: bool,
     },
+    /// The server names another limit than before, in requests per second, or none any more.
+    Limit {
+        /// Limit.
+        rate: Option<f64>,
+    },
     /// A number is none that makes sense, and is ignored.
     Ignored {
         /// The number.
@@ -88,6 +95,8 @@
 struct Record {
     leaving: Leaving,
     pause_end: Option<Instant>,
+    /// Requests per second that it takes from all routers together.
+    limit: Option<f64>,
     /// When the server was last registered, or reported something.
     last_known: Instant,
 }
@@ -138,6 +147,11 @@
             record.leaving = Leaving::Denied(sent);
             news.push(ReportNews::Stays);
         }
+        let known = self.records.get(&server);
+        if known.and_then(|record| record.limit) != report.limit {
+            self.record_of(server, now).limit = report.limit;
+            news.push(ReportNews::Limit { rate: report.limit });
+        }
         let Some(pause_s) = report.pause_s else {
             return news;
         };
@@ -244,6 +258,7 @@
         let record = self.records.entry(server).or_insert(Record {
             leaving: Leaving::default(),
             pause_end: None,
+            limit: None,
             last_known: now,
         });
         record.last_known = now;
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -13,6 +13,7 @@
 const LEAVING: ServerReport = ServerReport {
     is_leaving: true,
     pause_s: None,
+    limit: None,
 };
 
 fn pause(pause_s: f64) -> ServerReport {
