--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -9,7 +9,7 @@
 use bulrushward_policy::{
     cold_server::{Room, UNIT_WINDOW},
     emptied_domains::EmptiedDomains,
-    server_choice::{self, ServerView, SessionRequest},
+    server_choice::{self, LIMITED_MISS_TOKENS, ServerView, SessionRequest},
     server_limit::UnitRoom,
     server_reports::Withheld,
 };
@@ -414,15 +414,25 @@
     }
     candidates.check(reserved)?;
     // If all servers are in backoff or replaced, one of them is tried rather than refusing the request outright.
+    let reports = shared.server_reports();
     let views: Vec<_> = servers
         .iter()
         .zip(&candidates.access)
-        .map(|(server, access)| ServerView {
-            usable: *access == candidates.best,
-            counts_in_mean: *access == candidates.best || access.counts_in_mean(),
-            ..server_view(server, &locations, now)
+        .map(|(server, access)| {
+            let (usable, is_limited) = (
+                *access == candidates.best,
+                reports.limit(server.hash, now).is_some(),
+            );
+            ServerView {
+                usable,
+                miss_tokens: if is_limited { LIMITED_MISS_TOKENS } else { 0.0 },
+                // A server with a limit has what that allows, whatever the others have.
+                counts_in_mean: !is_limited && (usable || access.counts_in_mean()),
+                ..server_view(server, &locations, now)
+            }
         })
         .collect();
+    drop(reports);
     let usable_loads = views.iter().filter(|view| view.usable);
     let usable_loads = usable_loads.map(|view| view.load);
     let (usable, least_load) = usable_loads.fold((0, f64::MAX), |(count, least), load| {
@@ -505,6 +515,7 @@
         unread_tokens: state.load.total_unread_tokens(now),
         slots: server.record.slots,
         usable: false,
+        miss_tokens: 0.0,
         counts_in_mean: false,
         has_prompt: locations.contains(&server.hash),
     }
--- a/bulrushward_policy/src/server_choice.rs
+++ b/bulrushward_policy/src/server_choice.rs
@@ -2,8 +2,8 @@
 //!
 //! Handles: returning sessions, which go to a server that has their prompt cached; a session or
 //! organisation with much of the traffic, which is spread before it overloads one server; a failure
-//! domain that gets no requests for a while, whose load the other servers share evenly; and many
-//! routers, which have to agree on the server of a new session without communicating.
+//! domain that gets no requests for a while, whose load the other servers share evenly; servers in need
+//! that take few requests, which go to the sessions that are there; and many routers, which have to agree on the server of a new session without communicating.
 
 use rand::{Rng, RngExt};
 
@@ -37,6 +37,10 @@
 const COPY_WEIGHT: f64 = 0.5;
 /// Largest random addition to a load to break ties, in requests in progress.
 const TIE_BREAK_NOISE: f64 = 0.5;
+/// The [`ServerView::miss_tokens`] of a server that names a limit; exceeds the cost of all ranks.
+///
+/// What the server takes is left to the sessions that are there, and others do not move to and fro.
+pub const LIMITED_MISS_TOKENS: f64 = 8_000.0;
 /// Cost of a request in progress in prompt tokens, as each slows down the decoding of the others.
 const REQUEST_TOKENS: f64 = 100.0;
 
@@ -55,6 +59,8 @@
     pub usable: bool,
     /// Whether its load counts in the mean of the service, even if it may not get the request.
     pub counts_in_mean: bool,
+    /// Additional cost of a session whose prompt the server does not have, in prompt tokens.
+    pub miss_tokens: f64,
     /// Whether the server is expected to have the session's part of the prompt cached.
     pub has_prompt: bool,
 }
@@ -124,7 +130,7 @@
     let cache_miss_cost = if server.has_prompt {
         0.0
     } else {
-        weight * req.shared_tokens as f64 + RANK_TOKENS * rank as f64
+        weight * req.shared_tokens as f64 + RANK_TOKENS * rank as f64 + server.miss_tokens
     };
     server.unread_tokens as f64 + cache_miss_cost + REQUEST_TOKENS * server.load
 }
--- a/bulrushward_policy/tests/server_choice.rs
+++ b/bulrushward_policy/tests/server_choice.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use bulrushward_policy::{
-    server_choice::{ServerView, SessionRequest, for_any, for_session},
+    server_choice::{LIMITED_MISS_TOKENS, ServerView, SessionRequest, for_any, for_session},
     session_locations::SessionLocations,
 };
 use rand::SeedableRng;
@@ -26,6 +26,7 @@
             slots: SLOTS,
             usable: true,
             counts_in_mean: true,
+            miss_tokens: 0.0,
             has_prompt: false,
         })
         .collect()
@@ -224,3 +225,40 @@
         assert!(busiest <= 2.0 * mean + 3.0, "{busiest} of a mean of {mean}");
     }
 }
+
+/// Sessions moved to servers that take few requests, and back when these had taken them, with a copy of the prompt each
+/// time.
+#[test]
+fn sessions_stay_where_their_prompts_are_while_other_servers_name_limits() {
+    let names = names(SERVERS);
+    let mut views = views(&names);
+    // Thirteen servers name limits and hold little; the others share the load.
+    for (index, view) in views.iter_mut().enumerate() {
+        let is_limited = index < 13;
+        view.load = if is_limited { 1.0 } else { 18.0 };
+        view.miss_tokens = if is_limited { LIMITED_MISS_TOKENS } else { 0.0 };
+        view.counts_in_mean = !is_limited;
+    }
+    for session in 0..100 {
+        let req = SessionRequest {
+            session,
+            shared_tokens: 700,
+            can_copy: true,
+        };
+        let new = for_session(&req, &views).expect("servers are usable");
+        assert!(new >= 13, "a new session goes to server {new}");
+        // One whose prompt a limited server has goes there while that takes requests.
+        views[3].has_prompt = true;
+        assert_eq!(for_session(&req, &views), Some(3));
+        views[3].usable = false;
+        let moved = for_session(&req, &views).expect("servers are usable");
+        assert!(moved >= 13, "a session moves to server {moved}");
+        (views[3].usable, views[3].has_prompt) = (true, false);
+    }
+    // They are used before the others hold too many.
+    for view in &mut views[13..] {
+        view.load = 120.0;
+    }
+    let req = long_request(1);
+    assert!(for_session(&req, &views).is_some_and(|chosen| chosen < 13));
+}
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -313,6 +313,7 @@
                     slots: 8,
                     usable: reports[router].withheld(server, now).is_none(),
                     counts_in_mean: true,
+                    miss_tokens: 0.0,
                     has_prompt: false,
                 })
                 .collect();
