--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -74,6 +74,8 @@
     ServerLeaves,
     /// A server rejects requests and asks for a pause.
     ServerPauses,
+    /// Half of the servers of a service name limits.
+    ServersLimit,
     /// The existing connections of the link stall permanently.
     ServerLinkSilent,
     /// The existing connections of the link are closed.
@@ -102,6 +104,10 @@
     Fault::DomainReturnsCold,
     Fault::PoisonArrives,
 ];
+/// Limits that servers name, in requests per second.
+const LIMITS: Range<f64> = 0.5..6.0;
+/// Time for which servers name limits; longer than the time after which they hold.
+const LIMITED_TIME: Duration = Duration::from_millis(7_500);
 /// Time for which callers send prompts under which engines crash.
 const POISON_TIME: Duration = Duration::from_secs(5);
 /// Time after which an engine that crashed is replaced.
@@ -139,7 +145,12 @@
         if injected.len() % FAULTS_PER_SERIES == 0 {
             while running.join_next().await.is_some() {}
             tokio::time::sleep(QUIET_TIME).await;
-            for change in [Fault::ServerLeaves, Fault::ServerPauses, Fault::KeyRevoked] {
+            for change in [
+                Fault::ServerLeaves,
+                Fault::ServerPauses,
+                Fault::ServersLimit,
+                Fault::KeyRevoked,
+            ] {
                 running.spawn(inject_or_report(
                     Arc::clone(harness),
                     change,
@@ -224,6 +235,7 @@
             | Fault::ServerFails
             | Fault::ServerLeaves
             | Fault::ServerPauses
+            | Fault::ServersLimit
             | Fault::ServerLinkSilent
             | Fault::ServerLinkCut
             | Fault::ServerLinkOneWay
@@ -425,7 +437,11 @@
     };
     let id = &server.fake_server.id;
     let _logged = harness.fault_log.begin(fault, format_args!("server={id}"));
-    if !matches!(fault, Fault::ServerLeaves | Fault::ServerPauses) {
+    let is_reported = matches!(
+        fault,
+        Fault::ServerLeaves | Fault::ServerPauses | Fault::ServersLimit
+    );
+    if !is_reported {
         harness.record_disturbance();
     }
     match fault {
@@ -455,39 +471,13 @@
             server.fake_server.set_fault_rates(FaultRates::default());
             Ok(())
         }
-        Fault::ServerLeaves => {
-            let other = format!("{}-{}", server.service, rng.next_u32());
-            harness.add_server(&other, server.service, true).await?;
-            if harness.remove_server(id).is_none() {
-                return Ok(());
-            }
-            server.fake_server.announce_leaving();
-            if rng.random_bool(0.5) {
-                // The store does not know of it, and its entry lapses and returns.
-                tokio::time::sleep(LEAVING_TIME / 2).await;
-                harness.store.set_server(id, None);
-                tokio::time::sleep(time / 2).await;
-                harness.register(server, false);
-                tokio::time::sleep(LEAVING_TIME).await;
-            }
-            harness.mark_leaving(server);
-            tokio::time::sleep(LEAVING_TIME).await;
-            harness.store.set_server(id, None);
-            tokio::time::sleep(LEAVING_TIME).await;
-            let work_ends = async {
-                while harness.execution_log.is_executing(id) {
-                    tokio::time::sleep(POLL_INTERVAL).await;
-                }
-            };
-            // A request at a server that hangs ends with the timeout of its route at the latest.
-            let _elapsed = tokio::time::timeout(STREAM_TIMEOUT, work_ends).await;
-            Ok(())
-        }
+        Fault::ServerLeaves => leave(harness, server, rng, time).await,
         Fault::ServerPauses => {
             server.fake_server.pause_for(time);
             tokio::time::sleep(time).await;
             Ok(())
         }
+        Fault::ServersLimit => limit_servers(&servers, server.service, rng).await,
         Fault::ServerLinkSilent => {
             harness.record_link_outage(Outage {
                 place: OutagePlace::Server(id.clone()),
@@ -521,6 +511,61 @@
     }
 }
 
+/// Replaces a server, which announces its leaving before its entry is removed.
+async fn leave(
+    harness: &Harness,
+    server: &SoakServer,
+    rng: &mut Pcg64Mcg,
+    time: Duration,
+) -> io::Result<()> {
+    let id = &server.fake_server.id;
+    let other = format!("{}-{}", server.service, rng.next_u32());
+    harness.add_server(&other, server.service, true).await?;
+    if harness.remove_server(id).is_none() {
+        return Ok(());
+    }
+    server.fake_server.announce_leaving();
+    if rng.random_bool(0.5) {
+        // The store does not know of it, and its entry lapses and returns.
+        tokio::time::sleep(LEAVING_TIME / 2).await;
+        harness.store.set_server(id, None);
+        tokio::time::sleep(time / 2).await;
+        harness.register(server, false);
+        tokio::time::sleep(LEAVING_TIME).await;
+    }
+    harness.mark_leaving(server);
+    tokio::time::sleep(LEAVING_TIME).await;
+    harness.store.set_server(id, None);
+    tokio::time::sleep(LEAVING_TIME).await;
+    let work_ends = async {
+        while harness.execution_log.is_executing(id) {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    // A request at a server that hangs ends with the timeout of its route at the latest.
+    let _elapsed = tokio::time::timeout(STREAM_TIMEOUT, work_ends).await;
+    Ok(())
+}
+
+/// Lets half of the servers of a service name a limit for a while.
+async fn limit_servers(
+    servers: &[Arc<SoakServer>],
+    service: &str,
+    rng: &mut Pcg64Mcg,
+) -> io::Result<()> {
+    let limit = rng.random_range(LIMITS);
+    let of_service = servers.iter().filter(|server| server.service == service);
+    let limited: Vec<_> = of_service.step_by(2).collect();
+    for server in &limited {
+        server.fake_server.name_limit(Some(limit));
+    }
+    tokio::time::sleep(LIMITED_TIME).await;
+    for server in limited {
+        server.fake_server.name_limit(None);
+    }
+    Ok(())
+}
+
 fn stall_link(harness: &Harness, link: &FaultyProxy) {
     harness.record_disturbance();
     link.stall(Direction::ToTarget);
--- a/bulrushward_soak/src/report_checks.rs
+++ b/bulrushward_soak/src/report_checks.rs
@@ -21,6 +21,91 @@
 /// Time before a rejection in which nothing may be disturbed, so that the router has read it.
 const CALM_TIME: Duration = Duration::from_secs(1);
 
+/// Time after a server first named a limit from which it is checked.
+const LIMIT_KNOWN_TIME: Duration = Duration::from_secs(3);
+/// Span in which requests at a server with a limit are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Requests that it may get in a span: a multiple of its limit, and some more.
+const LIMIT_OVERRUN: f64 = 1.5;
+const LIMIT_SLACK: f64 = 5.0;
+/// Time after a response with a limit from which requests of the router that got it count.
+const LIMIT_REACTION_TIME: Duration = Duration::from_millis(500);
+
+/// Checks what reached servers that named limits, from routers that had been told and were not disturbed since.
+pub(crate) fn check_limits(harness: &Harness, attempts: &[Attempt]) -> Vec<String> {
+    let routers: HashMap<&str, usize> = attempts
+        .iter()
+        .map(|attempt| (attempt.id.as_str(), attempt.router))
+        .collect();
+    let mut spells: Vec<LimitSpell> = Vec::new();
+    for report in harness.execution_log.reports() {
+        let (Some(limit), Some(router)) =
+            (report.state.limit, routers.get(report.request.as_str()))
+        else {
+            continue;
+        };
+        let mut known = spells.iter_mut();
+        // A response without the limit may lie between two with the same one, but not for long.
+        let same = known.find(|spell| {
+            spell.server == report.server
+                && (spell.limit - limit).abs() < f64::EPSILON
+                && report.at < spell.last + LIMIT_SPAN
+        });
+        if let Some(spell) = same {
+            spell.last = report.at;
+            spell.told.entry(*router).or_insert(report.at);
+            continue;
+        }
+        spells.push(LimitSpell {
+            server: report.server,
+            limit,
+            first: report.at,
+            last: report.at,
+            told: HashMap::from([(*router, report.at)]),
+        });
+    }
+    let checked = spells.iter();
+    checked
+        .filter_map(|spell| spell.check(harness, &routers))
+        .collect()
+}
+
+/// A time in which a server named the same limit.
+struct LimitSpell {
+    server: String,
+    limit: f64,
+    first: Instant,
+    last: Instant,
+    /// When each router was first told.
+    told: HashMap<usize, Instant>,
+}
+
+impl LimitSpell {
+    fn check(&self, harness: &Harness, routers: &HashMap<&str, usize>) -> Option<String> {
+        let from = self.first + LIMIT_KNOWN_TIME;
+        let counts = |arrival: &Arrival| {
+            let router = routers.get(arrival.request.as_str())?;
+            let told = self.told.get(router)?;
+            let since = arrival.at.saturating_duration_since(*told);
+            let is_told =
+                since > LIMIT_REACTION_TIME && harness.was_undisturbed(*router, arrival.at, since);
+            (is_told && (from..self.last).contains(&arrival.at)).then_some(arrival.at)
+        };
+        let arrivals = harness.execution_log.arrivals(&self.server);
+        let counted: Vec<Instant> = arrivals.iter().filter_map(counts).collect();
+        let in_span = |begin: &Instant| {
+            let span = *begin..*begin + LIMIT_SPAN;
+            counted.iter().filter(|at| span.contains(*at)).count()
+        };
+        let worst = counted.iter().map(in_span).max()?;
+        let allowed = self.limit * LIMIT_OVERRUN * LIMIT_SPAN.as_secs_f64() + LIMIT_SLACK;
+        (worst as f64 > allowed).then(|| {
+            let (server, limit) = (&self.server, self.limit);
+            format!("server={server} promise=limit-is-kept limit={limit:.1} requests={worst}")
+        })
+    }
+}
+
 /// Checks what reached servers that announced their leaving or asked for pauses.
 pub(crate) fn check(harness: &Harness, attempts: &[Attempt]) -> Vec<String> {
     let attempts: HashMap<&str, &Attempt> = attempts
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -139,6 +139,7 @@
     violations.extend(invariants::check_cold(&harness));
     violations.extend(invariants::check_poison(&harness, &all));
     violations.extend(report_checks::check(&harness, &all));
+    violations.extend(report_checks::check_limits(&harness, &all));
     violations.extend(planned_stops::check(&harness, &all, &execution_log));
     let served = all.iter().filter(|attempt| {
         matches!(&attempt.result, AttemptResult::Complete(response) if response.status == 200)
--- a/bulrushward_soak/tests/seeds.rs
+++ b/bulrushward_soak/tests/seeds.rs
@@ -22,8 +22,8 @@
 #[case::paused_router(1_796_361_012)]
 // A fault of its link reopened the link of a crashed server, which served beside the one that replaced it.
 #[case::reopened_link(8_103)]
-// Servers got requests during pauses that they had asked for, and after their entries returned though they had announced
-// their leaving.
+// Servers got requests beyond their limits, in pauses that they had asked for, and after their entries returned though they
+// had announced their leaving.
 #[case::reports_of_servers(3_401)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_seed_violates_no_invariant(#[case] seed: u64) {
