--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -11,8 +11,9 @@
     buffered_body::{self, BodyError},
     cold_servers,
     connection::{self, ConnectError, Connection},
+    forwarded_request,
     handover::SilenceWatch,
-    ports::{ForwardingMetadata, ResponseMetadata},
+    ports::ResponseMetadata,
     read_timeout,
     routed_request::RoutedRequest,
     server_reports::{self, Responded},
@@ -25,11 +26,7 @@
 use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
-};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -38,17 +35,6 @@
 /// Multiple of the route's target latency after which an idempotent request is sent to another server.
 const READ_TIMEOUT_FACTOR: u32 = 4;
 
-/// Hop-by-hop headers other than `Connection`, `Transfer-Encoding` and `Content-Length`.
-const OTHER_HOP_BY_HOP_HEADERS: [&str; 7] = [
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "upgrade",
-];
-
 /// Response of a server, as far as it is read before anything is sent to the caller.
 #[derive(Debug)]
 pub(crate) enum AttemptResponse {
@@ -167,7 +153,7 @@
         check_domain(shared, choice)?;
         server_reports::check(shared, choice)?;
         check_content(shared, request)?;
-        let req = build_request(shared, request, choice, last_event_id)?;
+        let req = forwarded_request::build(shared, request, choice, last_event_id)?;
         let sent = Instant::now();
         match send_on(request, req, connection, progress, silence).await {
             // A server may close idle connections, so this is no failure of the server.
@@ -351,7 +337,7 @@
     } = received;
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
-    remove_hop_by_hop_headers(&mut headers);
+    forwarded_request::remove_hop_by_hop_headers(&mut headers);
     connection.stream.allowance().begin();
     if request.is_stream() && head.status.is_success() {
         let stream = ServerStream::new(
@@ -476,50 +462,3 @@
     let timeout = (request.route.target_latency * READ_TIMEOUT_FACTOR).max(MIN_READ_TIMEOUT);
     request.deadline.min(Instant::now() + timeout)
 }
-
-fn build_request(
-    shared: &Shared,
-    request: &RoutedRequest,
-    choice: &ServerChoice,
-    last_event_id: Option<&str>,
-) -> Result<Request<Full<Bytes>>, AttemptError> {
-    let mut headers = request.headers.clone();
-    let metadata = ForwardingMetadata {
-        server_id: &choice.server.id,
-        time_left: request.time_left(),
-        organisation: request.organisation.as_deref(),
-        priority: request.priority,
-        last_event_id: last_event_id.or(request.last_event_id.as_deref()),
-        copy_from: choice.inputs.copy_from,
-    };
-    shared
-        .conventions
-        .write_forwarding_headers(&mut headers, &metadata);
-    let mut req = Request::builder()
-        .method(request.method.clone())
-        .uri(request.target.as_str())
-        .body(Full::new(request.body.clone()))
-        .map_err(|error| AttemptError::new(AttemptFailure::NotSent, &error))?;
-    *req.headers_mut() = headers;
-    Ok(req)
-}
-
-/// Removes the hop-by-hop headers, including those that the `Connection` header names.
-pub(crate) fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH] {
-        headers.remove(name);
-    }
-    for name in OTHER_HOP_BY_HOP_HEADERS {
-        headers.remove(name);
-    }
-}
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod fleet_state;
 mod fleet_view;
+mod forwarded_request;
 mod gossip;
 mod handover;
 mod hedged_call;
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -8,8 +8,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    attempt::remove_hop_by_hop_headers,
     buffered_body::{self, BodyError},
+    forwarded_request::remove_hop_by_hop_headers,
     local_response::{LocalResponse, Reason},
     model::Organisation,
     ports::RequestMetadata,
