--- a/bulrushward_policy/src/server_limit.rs
+++ b/bulrushward_policy/src/server_limit.rs
@@ -165,7 +165,7 @@
         if next.is_zero() && is_own_turn() {
             return UnitRoom::Free;
         }
-        let next = next.max(self.interval());
+        let next = self.wait(next);
         UnitRoom::UsedUp { next }
     }
 
@@ -198,7 +198,7 @@
             }
             self.unmet.push_back(now);
         }
-        let next = self.next(position, now).max(self.interval());
+        let next = self.wait(self.next(position, now));
         LoanAnswer::Refused { next }
     }
 
@@ -238,6 +238,15 @@
         next.saturating_duration_since(now)
     }
 
+    /// Returns the time until a request may be sent, if the router has a unit after `next` but leaves free ones to others.
+    fn wait(&self, next: Duration) -> Duration {
+        if next.is_zero() {
+            self.interval()
+        } else {
+            next
+        }
+    }
+
     /// Returns the time between two requests of all routers.
     fn interval(&self) -> Duration {
         Duration::from_secs_f64(1.0 / self.rate.clamp(MIN_RATE, MAX_RATE))
