--- a/bulrushward_direct/src/places/lending.rs
+++ b/bulrushward_direct/src/places/lending.rs
@@ -194,7 +194,7 @@
     servers
         .iter()
         .filter(|server| pool_of(server.hash, pools) == number)
-        .filter(|server| server_selection::is_usable(shared, server, now))
+        .filter(|server| server_selection::is_lendable(shared, server, now))
         .map(|server| (server.hash, server.record.slots))
         .collect()
 }
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -15,8 +15,8 @@
     server_limit::UnitRoom,
 };
 
-pub(crate) use self::candidates::is_usable;
-use self::candidates::{Candidates, is_candidate};
+pub(crate) use self::candidates::is_lendable;
+use self::candidates::{Candidates, is_candidate, is_usable};
 use crate::{
     cold_servers,
     model::Service,
--- a/bulrushward_direct/src/server_selection/candidates.rs
+++ b/bulrushward_direct/src/server_selection/candidates.rs
@@ -173,13 +173,25 @@
     !server.record.is_leaving && !tried.contains(&server.id) && may_connect()
 }
 
-/// Returns whether a server may be used by any request, as far as this router knows.
-pub(crate) fn is_usable(shared: &Shared, server: &Server, now: Instant) -> bool {
-    !server.record.is_leaving
-        && shared.server_reports().withheld(server.hash, now).is_none()
-        && !shared
-            .emptied_domains()
-            .contains(&server.record.failure_domain)
-        && !shared.replaced_servers().contains(server.hash, now)
-        && !server.state().health.is_backing_off(now)
+/// Returns whether a server may be used by any request of this router, as far as it knows.
+pub(super) fn is_usable(shared: &Shared, server: &Server, now: Instant) -> bool {
+    let withheld = shared.server_reports().withheld(server.hash, now);
+    withheld.is_none() && is_sound(shared, server, now)
+}
+
+/// Returns whether a server may be used by requests of other routers, as far as this one knows.
+///
+/// A pause concerns the router that was asked for it only.
+pub(crate) fn is_lendable(shared: &Shared, server: &Server, now: Instant) -> bool {
+    let withheld = shared.server_reports().withheld(server.hash, now);
+    matches!(withheld, None | Some(Withheld::Paused { .. })) && is_sound(shared, server, now)
+}
+
+/// Returns whether a server is registered to take requests, and is neither emptied, replaced nor in backoff.
+fn is_sound(shared: &Shared, server: &Server, now: Instant) -> bool {
+    let domain = &server.record.failure_domain;
+    let is_emptied = shared.emptied_domains().contains(domain);
+    let is_replaced = shared.replaced_servers().contains(server.hash, now);
+    let is_backing_off = server.state().health.is_backing_off(now);
+    !(server.record.is_leaving || is_emptied || is_replaced || is_backing_off)
 }
--- a/bulrushward_direct/tests/leaving.rs
+++ b/bulrushward_direct/tests/leaving.rs
@@ -11,14 +11,13 @@
 };
 
 use bulrushward_direct::ServerRecord;
-use bulrushward_policy::{place_pools::lenders, placement::Candidate};
 use rstest::rstest;
 use support::{
-    TestRouter, caller,
+    caller, lender_and_borrower, metric,
     platform::MemoryStore,
     record, request, router_with_servers,
     server::{Received, Step, TestServer, complete_stream, ok_response, response, send_text},
-    settings, unique_loopback_ip, wait_until,
+    wait_until,
 };
 
 /// Returns a response that announces that its server is leaving.
@@ -151,37 +150,6 @@
     assert_eq!(leaving.received().len(), 1);
 }
 
-/// Returns the value of a metric of a router.
-fn metric(router: &TestRouter, name: &str) -> Option<u32> {
-    let metrics = caller::get(router.address(support::METRICS_PORT), "/metrics")?.text();
-    let name = format!("bulrushward_direct_{name} ");
-    let value = metrics.lines().find_map(|line| line.strip_prefix(&name))?;
-    value.parse().ok()
-}
-
-/// Starts two routers that know each other; the second one borrows places from the first one.
-fn lender_and_borrower(store: &Arc<MemoryStore>) -> [TestRouter; 2] {
-    let mut ips = [unique_loopback_ip(), unique_loopback_ip()];
-    let names = ips.map(|ip| format!("{ip}:{}", support::FLEET_STATE_PORT));
-    let candidates = [0, 1].map(|index: usize| Candidate {
-        name: &names[index],
-        weight: 1.0,
-    });
-    ips.swap(0, lenders("plain", 0, &candidates)[0]);
-    let routers = ips.map(|ip| {
-        let mut settings = settings(ip, &ips);
-        settings.places_port = Some(7_342);
-        TestRouter::start_with(settings, store)
-    });
-    for router in &routers {
-        router.wait_ready();
-        wait_until("the routers know each other", || {
-            metric(router, "routers") == Some(2)
-        });
-    }
-    routers
-}
-
 /// Requests that waited for a place were sent to a server that had announced its leaving meanwhile.
 #[test]
 fn requests_that_wait_for_a_place_are_not_sent_to_a_server_that_announces_its_leaving() {
--- a/bulrushward_direct/tests/pauses.rs
+++ b/bulrushward_direct/tests/pauses.rs
@@ -2,11 +2,16 @@
 
 mod support;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::{Duration, Instant},
+};
 
 use rstest::rstest;
 use support::{
-    TestRouter, request, router_with_servers,
+    TestRouter, lender_and_borrower, metric,
+    platform::MemoryStore,
+    record, request, router_with_servers,
     server::{Received, Step, TestServer, complete_stream, ok_response, response},
     wait_until,
 };
@@ -138,3 +143,58 @@
         support::log::wait_for_line("event=report-ignored server=s-1");
     }
 }
+
+/// A pause that a server had asked the lender for took the server away from the requests of all routers.
+#[test]
+fn a_pause_of_the_lender_leaves_the_server_to_other_routers() {
+    let paused = TestServer::start("s-1", |req| {
+        if req.header("request") == Some("of-the-lender") {
+            return reject(req, "30");
+        }
+        vec![Step::Pause(WORK), ok_response(req, "s-1")]
+    });
+    let other = TestServer::start("s-2", |req| {
+        if req.header("request") == Some("of-the-lender") {
+            return vec![response(req, "503 Full", "Not-Run: 1\r\n", "")];
+        }
+        vec![Step::Pause(WORK), ok_response(req, "s-2")]
+    });
+    let store = MemoryStore::with(support::config(1));
+    for server in [&paused, &other] {
+        let mut record = record("plain", server.address);
+        record.slots = 1;
+        store.put(&server.id, record);
+    }
+    let [lender, borrower] = lender_and_borrower(&store);
+    wait_until("the lender has been asked for a pause", || {
+        lender.send(&request("GET", "lookup", "of-the-lender", ""));
+        !paused.received().is_empty()
+    });
+    let is_over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let (borrower, is_over) = (&borrower, &is_over);
+            scope.spawn(move || {
+                for index in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        break;
+                    }
+                    send(borrower, "action", caller + CALLERS * index);
+                }
+            });
+        }
+        wait_until("many places are lent", || {
+            metric(&lender, "places_granted_total") > Some(20)
+        });
+        let (before, lent) = (
+            paused.received().len(),
+            metric(&lender, "places_granted_total"),
+        );
+        wait_until("many more places are lent", || {
+            metric(&lender, "places_granted_total") > lent.map(|lent| lent + 40)
+        });
+        let at_paused = paused.received().len() - before;
+        is_over.store(true, Ordering::SeqCst);
+        assert!(at_paused > 10, "{at_paused} of 40 places");
+    });
+}
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -22,6 +22,7 @@
     CallerLimits, DirectError, DirectSettings, FleetConfig, Organisation, Route, RouteKind,
     RouterDependencies, ServerRecord, Service, Target, run_until,
 };
+use bulrushward_policy::{place_pools::lenders, placement::Candidate};
 use tokio_util::sync::CancellationToken;
 
 use self::{
@@ -262,3 +263,34 @@
         body.len()
     )
 }
+
+/// Returns the value of a metric of a router.
+pub fn metric(router: &TestRouter, name: &str) -> Option<u32> {
+    let metrics = caller::get(router.address(METRICS_PORT), "/metrics")?.text();
+    let name = format!("bulrushward_direct_{name} ");
+    let value = metrics.lines().find_map(|line| line.strip_prefix(&name))?;
+    value.parse().ok()
+}
+
+/// Starts two routers that know each other; the second one borrows places from the first one.
+pub fn lender_and_borrower(store: &Arc<MemoryStore>) -> [TestRouter; 2] {
+    let mut ips = [unique_loopback_ip(), unique_loopback_ip()];
+    let names = ips.map(|ip| format!("{ip}:{FLEET_STATE_PORT}"));
+    let candidates = [0, 1].map(|index: usize| Candidate {
+        name: &names[index],
+        weight: 1.0,
+    });
+    ips.swap(0, lenders("plain", 0, &candidates)[0]);
+    let routers = ips.map(|ip| {
+        let mut settings = settings(ip, &ips);
+        settings.places_port = Some(7_342);
+        TestRouter::start_with(settings, store)
+    });
+    for router in &routers {
+        router.wait_ready();
+        wait_until("the routers know each other", || {
+            metric(router, "routers") == Some(2)
+        });
+    }
+    routers
+}
