--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -16,7 +16,7 @@
     ports::ResponseMetadata,
     read_timeout,
     routed_request::RoutedRequest,
-    server_reports::{self, Responded},
+    server_reports::{self, ResponseHead},
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
     servers::{InProgress, Server},
@@ -186,7 +186,7 @@
 ) {
     // Another server that has the address now speaks for itself only.
     if status != StatusCode::MISDIRECTED_REQUEST {
-        let response = Responded {
+        let response = ResponseHead {
             status,
             metadata,
             sent,
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -28,7 +28,7 @@
 
 /// Head of a response, which is not misdirected.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Responded<'a> {
+pub(crate) struct ResponseHead<'a> {
     pub(crate) status: StatusCode,
     pub(crate) metadata: &'a ResponseMetadata,
     /// Time at which the request was sent.
@@ -40,7 +40,7 @@
     shared: &Shared,
     request: &RoutedRequest,
     server: &Server,
-    response: Responded<'_>,
+    response: ResponseHead<'_>,
 ) {
     let metadata = response.metadata;
     // Other responses with a pause mean the request and not the server.
