--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -52,7 +52,10 @@
         limit: metadata.rate_limit.as_ref().map(number),
     };
     let mut reports = shared.server_reports();
-    let news = reports.record(server.hash, &report, response.sent, Instant::now());
+    // A late copy of an earlier response may have been made before the server began to report something.
+    let is_of_request = metadata.request_id.as_ref() == Some(&request.request_id);
+    let sent = is_of_request.then_some(response.sent);
+    let news = reports.record(server.hash, &report, sent, Instant::now());
     drop(reports);
     for news in news {
         log(request, server, metadata, news);
--- a/bulrushward_direct/tests/limits.rs
+++ b/bulrushward_direct/tests/limits.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -16,7 +16,7 @@
     caller::Response,
     platform::MemoryStore,
     record, request, router_with_servers,
-    server::{Received, Step, TestServer, ok_response, response},
+    server::{Received, Step, TestServer, ok_response, response, send_text},
     settings, unique_loopback_ip, wait_until,
 };
 
@@ -152,6 +152,23 @@
     assert!((0..30).all(|_| send() == 200));
 }
 
+/// Late copies of responses that were made before the server was in need would end its limit.
+#[test]
+fn a_response_to_another_request_does_not_end_a_limit() {
+    let received = AtomicU32::new(0);
+    let server = TestServer::start("s-1", move |req| {
+        if received.fetch_add(1, Ordering::SeqCst).is_multiple_of(2) {
+            return serve_with_limit(req, "2");
+        }
+        let copy = "HTTP/1.1 200 OK\r\nRequest: other\r\nSigned: s\r\nContent-Length: 0\r\n\r\n";
+        vec![send_text(copy)]
+    });
+    let router = router_with_servers("plain", &[&server]);
+    crowd(&[&router], Duration::from_secs(6));
+    let worst = worst_span(&server);
+    assert!(worst <= allowed(2.0), "{worst} requests");
+}
+
 /// Values that are no rate must not take a server away.
 #[rstest]
 #[case::text("few")]
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -144,14 +144,15 @@
 impl ServerReports {
     /// Records what a response states, and returns what is new.
     ///
-    /// `sent` is the time at which the request was sent. A server that announced its leaving to this router leaves for
+    /// `sent` is the time at which the request was sent, or `None` if the response may belong to an earlier one, so that it
+    /// proves nothing by what it lacks. A server that announced its leaving to this router leaves for
     /// good; a response to a later request refutes what peers told. A pause ends at the latest of the times that the server asked for; other responses may
     /// have been on their way and do not shorten it.
     pub fn record(
         &mut self,
         server: ServerKey,
         report: &ServerReport,
-        sent: Instant,
+        sent: Option<Instant>,
         now: Instant,
     ) -> Vec<ReportNews> {
         let mut news = Vec::new();
@@ -163,7 +164,7 @@
             }
         } else if let Some(record) = self.records.get_mut(&server)
             && let Leaving::Heard(announced) = record.leaving
-            && announced < sent
+            && let Some(sent) = sent.filter(|sent| announced < *sent)
         {
             record.leaving = Leaving::Denied(sent);
             news.push(ReportNews::Stays);
@@ -172,7 +173,7 @@
             let limit = &mut self.record_of(server, now).limit;
             let limit = limit.get_or_insert_with(|| Limit::new(now));
             news.extend(limit.record_named(named, now));
-        } else {
+        } else if let Some(sent) = sent {
             let record = self.records.get_mut(&server);
             let limit = record.and_then(|record| record.limit.as_mut());
             news.extend(limit.and_then(|limit| limit.record_unnamed(sent)));
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -34,9 +34,15 @@
 #[test]
 fn a_server_leaves_until_its_incarnation_is_forgotten() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
-    assert_eq!(reports.record(1, &LEAVING, now, now), [ReportNews::Leaving]);
-    assert_eq!(reports.record(1, &LEAVING, now, now), []);
-    assert_eq!(reports.record(1, &ServerReport::default(), now, now), []);
+    assert_eq!(
+        reports.record(1, &LEAVING, Some(now), now),
+        [ReportNews::Leaving]
+    );
+    assert_eq!(reports.record(1, &LEAVING, Some(now), now), []);
+    assert_eq!(
+        reports.record(1, &ServerReport::default(), Some(now), now),
+        []
+    );
     assert_eq!(reports.withheld(1, now), Some(Withheld::Leaving));
     // Another incarnation has another key.
     assert_eq!(reports.withheld(2, now), None);
@@ -63,7 +69,7 @@
         Instant::now(),
     );
     let later = now + seconds(5.0);
-    told.record(1, &LEAVING, now, now + seconds(1.0));
+    told.record(1, &LEAVING, Some(now), now + seconds(1.0));
     let notices = told.notices(&mut rng, later);
     let age_ms = 4_000;
     assert_eq!(notices, [LeavingNotice { server: 1, age_ms }]);
@@ -73,8 +79,11 @@
     assert_eq!(hears.notices(&mut rng, later), []);
     // A response to a request that was sent before the announcement proves nothing.
     let stays = ServerReport::default();
-    assert_eq!(hears.record(1, &stays, now, later), []);
-    assert_eq!(hears.record(1, &stays, later, later), [ReportNews::Stays]);
+    assert_eq!(hears.record(1, &stays, Some(now), later), []);
+    assert_eq!(
+        hears.record(1, &stays, Some(later), later),
+        [ReportNews::Stays]
+    );
     assert_eq!(hears.withheld(1, later), None);
     // The same announcement is not believed again, a later one is.
     assert!(!hears.hear(notices[0], later));
@@ -96,7 +105,7 @@
         ServerReports::default(),
         Instant::now(),
     );
-    told.record(1, &LEAVING, now, now);
+    told.record(1, &LEAVING, Some(now), now);
     let mut at = now;
     while at < now + seconds(60.0) {
         for notice in told.notices(&mut rng, at) {
@@ -122,10 +131,13 @@
     let length = seconds(3.0);
     let is_cut = false;
     assert_eq!(
-        reports.record(1, &pause(3.0), now, now),
+        reports.record(1, &pause(3.0), Some(now), now),
         [ReportNews::Pause { length, is_cut }]
     );
-    assert_eq!(reports.record(1, &pause(1.0), now, now + seconds(0.5)), []);
+    assert_eq!(
+        reports.record(1, &pause(1.0), Some(now), now + seconds(0.5)),
+        []
+    );
     let rest = |at: f64| reports.withheld(1, now + seconds(at));
     assert_eq!(rest(2.0), Some(Withheld::Paused { rest: seconds(1.0) }));
     assert_eq!(rest(3.0), None);
@@ -140,7 +152,7 @@
         length: MAX_PAUSE,
         is_cut: true,
     };
-    assert_eq!(reports.record(1, &pause(asked), now, now), [news]);
+    assert_eq!(reports.record(1, &pause(asked), Some(now), now), [news]);
     assert_eq!(reports.withheld(1, now + MAX_PAUSE), None);
 }
 
@@ -150,7 +162,7 @@
 fn a_pause_that_makes_no_sense_is_ignored(#[case] value: f64) {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
     let ignored = [ReportNews::Ignored { value }];
-    assert_eq!(reports.record(1, &pause(value), now, now), ignored);
+    assert_eq!(reports.record(1, &pause(value), Some(now), now), ignored);
     assert_eq!(reports.withheld(1, now), None);
 }
 
@@ -169,22 +181,24 @@
         rate: 3.5,
         is_cut: false,
     };
-    assert_eq!(reports.record(1, &limit(3.5), now, now), [named]);
-    assert_eq!(reports.record(1, &limit(3.5), now, now), []);
+    assert_eq!(reports.record(1, &limit(3.5), Some(now), now), [named]);
+    assert_eq!(reports.record(1, &limit(3.5), Some(now), now), []);
     let (later, silent) = (now + seconds(1.0), ServerReport::default());
-    assert_eq!(reports.record(1, &silent, now, later), []);
+    assert_eq!(reports.record(1, &silent, Some(now), later), []);
+    // So may a late copy of a response have been, whenever the request before it was sent.
+    assert_eq!(reports.record(1, &silent, None, later), []);
     assert_eq!(reports.limit(1, later), Some(3.5));
     let ended = [ReportNews::LimitEnded];
-    assert_eq!(reports.record(1, &silent, later, later), ended);
+    assert_eq!(reports.record(1, &silent, Some(later), later), ended);
     assert_eq!(reports.limit(1, later), None);
-    assert_eq!(reports.record(1, &silent, later, later), []);
+    assert_eq!(reports.record(1, &silent, Some(later), later), []);
 }
 
 /// Units of a limit that ended and came back would be used twice if the server were forgotten meanwhile.
 #[test]
 fn a_limit_belongs_to_the_incarnation_whatever_the_store_lists() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
-    reports.record(1, &limit(0.5), now, now);
+    reports.record(1, &limit(0.5), Some(now), now);
     reports.retain_registered([2], now + seconds(60.0));
     assert_eq!(reports.limit(1, now + seconds(60.0)), Some(0.5));
     assert_eq!(reports.limit(2, now), None);
@@ -198,7 +212,7 @@
 fn an_absurd_limit_is_cut(#[case] named: f64, #[case] rate: f64) {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
     let news = ReportNews::Limit { rate, is_cut: true };
-    assert_eq!(reports.record(1, &limit(named), now, now), [news]);
+    assert_eq!(reports.record(1, &limit(named), Some(now), now), [news]);
 }
 
 #[rstest]
@@ -206,9 +220,9 @@
 #[case::infinite(f64::INFINITY)]
 fn a_limit_that_makes_no_sense_changes_nothing(#[case] value: f64) {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
-    reports.record(1, &limit(3.5), now, now);
+    reports.record(1, &limit(3.5), Some(now), now);
     let ignored = [ReportNews::Ignored { value }];
-    assert_eq!(reports.record(1, &limit(value), now, now), ignored);
+    assert_eq!(reports.record(1, &limit(value), Some(now), now), ignored);
     assert_eq!(reports.limit(1, now), Some(3.5));
 }
 
@@ -221,7 +235,7 @@
         ServerReports::default(),
         Instant::now(),
     );
-    told.record(1, &limit(3.5), now, now);
+    told.record(1, &limit(3.5), Some(now), now);
     let at = now + seconds(0.5);
     let early = told.limit_notices(&mut rng, at);
     let late_by = |notices: &[LimitNotice], ms| {
@@ -236,7 +250,7 @@
     assert_eq!(hears.limit_notices(&mut rng, at), []);
     // The server names none any more to the one, and the other hears of it.
     let later = now + seconds(1.0);
-    told.record(1, &ServerReport::default(), later, later);
+    told.record(1, &ServerReport::default(), Some(later), later);
     let ended = told.limit_notices(&mut rng, later);
     assert!(ended.iter().all(|notice| hears.hear_limit(*notice, later)));
     assert_eq!(hears.limit(1, later), None);
@@ -331,7 +345,7 @@
             }
             if pattern.rejects(server as u32, at) {
                 let report = pause(PAUSE.as_secs_f64());
-                reports[router].record(server as u32, &report, now, now);
+                reports[router].record(server as u32, &report, Some(now), now);
                 pauses[router][server] = Some((now, 0));
             } else {
                 in_progress[server].push(now + WORK);
