Log the software versions of servers, and streams that callers resume

Neither the version that a server's entry names nor the request that a resumed stream began as was read, so the log could not tell which streams went on at another version, nor whether a router or the caller resumed them. Both are decoded and logged; no choice of a server changes.

--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -323,6 +323,7 @@
                 event = "server-changed",
                 server = id,
                 state,
+                version = record.as_ref().and_then(|record| record.version.as_deref()),
                 revision = changes.revision
             );
         }
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -55,7 +55,7 @@
 pub use events::{EventSplitter, EventTooLarge};
 pub use model::{
     CallerLimits, ColdStart, ConfigVersion, FleetConfig, Organisation, OrganisationName, Route,
-    RouteKind, ServerId, ServerRecord, Service, ServiceName, Target,
+    RouteKind, ServerId, ServerRecord, ServerVersion, Service, ServiceName, Target,
 };
 pub use ports::{
     ConfigUpdate, DomainOrder, FleetStore, ForwardingMetadata, HttpConventions, LogStats,
--- a/bulrushward_direct/src/model.rs
+++ b/bulrushward_direct/src/model.rs
@@ -9,6 +9,8 @@
 pub type ConfigVersion = u64;
 /// Id of one incarnation of a backend server.
 pub type ServerId = String;
+/// Version of a server's software; two versions are only compared for being equal.
+pub type ServerVersion = String;
 /// Name of a service.
 pub type ServiceName = String;
 /// Name of an organisation.
@@ -187,6 +189,8 @@
     pub started_ms: u64,
     /// Time for which the server remains cold after it wrote this entry.
     pub cold_for: Duration,
+    /// Version of the server's software; `None` if the entry states none.
+    pub version: Option<ServerVersion>,
 }
 
 impl ServerRecord {
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -24,6 +24,8 @@
     pub prompt: Vec<PromptPart>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Id of the caller's earlier request that brought the first event of the stream, if the caller resumes one.
+    pub resumes: Option<String>,
 }
 
 /// A part of a prompt that servers cache.
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -25,6 +25,7 @@
     routed_request::RoutedRequest,
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
+    servers::Server,
     shared::Shared,
 };
 
@@ -41,6 +42,8 @@
     history: AttemptHistory,
     first_events: Option<Bytes>,
     source: ServerStream,
+    /// Server that began the stream.
+    first_server: Arc<Server>,
     /// Ids of the servers that have received the request; it is not sent to them again.
     tried: Vec<String>,
     last_event_id: Option<String>,
@@ -97,6 +100,7 @@
         history,
         has_begun: has_event(&first_events),
         first_events: Some(first_events),
+        first_server: Arc::clone(source.progress.server()),
         source,
         tried,
         last_event_id: None,
@@ -251,6 +255,8 @@
             load = choice.inputs.load,
             usable = choice.inputs.usable,
             after_event = self.last_event_id.as_deref().unwrap_or_default(),
+            began_at_version = self.first_server.record.version,
+            version = choice.server.record.version,
         );
         let last_event_id = self.last_event_id.as_deref();
         let (shared, request) = (&*self.shared, &*self.request);
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -128,6 +128,7 @@
         request_log.attempts = history.attempts() + 1;
         request_log.server.clone_from(&server.id);
         request_log.inputs = choice.inputs;
+        log_resumed(&request, server);
         tried.push(server.id.clone());
         shared.metrics.record_attempt(choice.inputs.report_age);
         let sent = Instant::now();
@@ -216,6 +217,21 @@
     }
 }
 
+/// Logs where a stream goes on that its caller resumes.
+fn log_resumed(request: &RoutedRequest, server: &Server) {
+    let Some(after_event) = request.last_event_id.as_deref() else {
+        return;
+    };
+    info!(
+        event = "stream-taken-up",
+        request = request.request_id,
+        began_as = request.resumes,
+        after_event,
+        server = server.id,
+        version = server.record.version,
+    );
+}
+
 /// A failed attempt and what may follow.
 #[derive(Clone, Copy, Debug)]
 struct FailedAttempt {
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -91,6 +91,7 @@
         session,
         prompt: metadata.prompt,
         last_event_id: metadata.last_event_id,
+        resumes: metadata.resumes,
         config_version: table.config().version,
     })
 }
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -34,6 +34,8 @@
     pub(crate) prompt: Vec<PromptPart>,
     /// Id of the last event that the caller received, if it resumes a stream itself.
     pub(crate) last_event_id: Option<String>,
+    /// Id of the caller's earlier request that brought the first event, if it resumes a stream itself.
+    pub(crate) resumes: Option<String>,
     /// Hash of path, organisation and body, by which requests that crash servers are recognised.
     pub(crate) fingerprint: Fingerprint,
     /// Version of the configuration that was applied, for the log.
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -237,6 +237,7 @@
         is_leaving: false,
         started_ms: 1,
         cold_for: Duration::ZERO,
+        version: Some("v1".to_owned()),
     }
 }
 
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -63,6 +63,7 @@
                 })
                 .collect(),
             last_event_id: text(headers, "last-event").map(str::to_owned),
+            resumes: text(headers, "resumes").map(str::to_owned),
         }
     }
 
