Let streams go on only at the version that began them

A choice of a server took the servers that had received the request, and nothing else that belongs to the stream, so each of the places that choose one ignored its version; and no router knew the version of a stream that another one had begun.

Each choice now takes a ServerScope instead of the list of servers: it holds the version that began the stream, any for what has not begun, or none if that is unknown. A stream begins with its first event, at the version of the server that sent it, unless another incarnation has its id meanwhile. What no one knows is refused as not run.

--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -281,12 +281,8 @@
         }
         self.by_node
             .retain(|_, peer| now.saturating_duration_since(peer.received_at) < PEER_TTL);
-        let routers = 1 + self.liveness.count() as u32;
-        self.shared.set_routers(routers);
-        let own = self.shared.settings().knowledge_address;
-        let alive = self.liveness.alive().copied();
-        self.shared.places.set_routers(alive.chain([own]).collect());
-        self.shared.metrics.routers.set(routers.into());
+        self.shared
+            .set_alive_peers(self.liveness.alive().copied().collect());
         self.update_members(now);
     }
 
--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -5,6 +5,7 @@
 use bulrushward_policy::{
     server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
     server_health::ServerHealth,
+    server_scope::ServerScope,
 };
 use strum::IntoStaticStr;
 use tracing::info;
@@ -29,6 +30,10 @@
     NoEvent,
     /// No other server can be used.
     NoServer,
+    /// The stream began at another version than those of the servers that can be used.
+    OtherVersion,
+    /// The stream began at a version that is not known.
+    VersionUnknown,
     /// All servers of the service are in emptied failure domains.
     FailureDomainsEmptied,
     /// All other servers are cold, and this router may send to one of them after this time.
@@ -46,6 +51,8 @@
     pub(crate) fn reason(self) -> Option<Reason> {
         match self {
             Self::NoServer => Some(Reason::NoServer),
+            Self::OtherVersion => Some(Reason::OtherVersion),
+            Self::VersionUnknown => Some(Reason::VersionUnknown),
             Self::ColdServers(_) => Some(Reason::ColdServers),
             Self::ServersWithheld(_) => Some(Reason::ServersWithheld),
             Self::FailureDomainsEmptied => Some(Reason::FailureDomainsEmptied),
@@ -66,7 +73,7 @@
     request: &RoutedRequest,
     next: NextAttempt,
     failure: AttemptFailure,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Result<ServerChoice, HandoverRefusal> {
     if Instant::now() >= request.deadline {
         return Err(HandoverRefusal::TimeOver);
@@ -77,17 +84,19 @@
     if let Some(retry) = shared.content_refusal(request) {
         return Err(HandoverRefusal::ContentBarred(retry));
     }
-    server_selection::check_candidates(shared, request, tried)?;
+    server_selection::check_candidates(shared, request, scope)?;
     if retry && !shared.withdraw_retry(&request.service.name, failure.retry_cause()) {
         return Err(HandoverRefusal::RetryBudget);
     }
-    Ok(server_selection::select(shared, request, tried)?)
+    Ok(server_selection::select(shared, request, scope)?)
 }
 
 impl From<NoServer> for HandoverRefusal {
     fn from(reason: NoServer) -> Self {
         match reason {
             NoServer::NoneUsable => Self::NoServer,
+            NoServer::OtherVersion => Self::OtherVersion,
+            NoServer::VersionUnknown => Self::VersionUnknown,
             NoServer::Emptied => Self::FailureDomainsEmptied,
             NoServer::Cold { next } => Self::ColdServers(next),
             NoServer::Withheld { next } => Self::ServersWithheld(next),
@@ -102,8 +111,8 @@
     request: &'a RoutedRequest,
     /// Failed attempts before the present one.
     history: &'a AttemptHistory,
-    /// Servers that have received the request, the one of the present attempt last.
-    tried: &'a [String],
+    /// Scope of the request after the present attempt.
+    scope: &'a ServerScope,
     successor: Option<ServerChoice>,
     is_logged: bool,
 }
@@ -113,13 +122,13 @@
         shared: &'a Shared,
         request: &'a RoutedRequest,
         history: &'a AttemptHistory,
-        tried: &'a [String],
+        scope: &'a ServerScope,
     ) -> Self {
         Self {
             shared,
             request,
             history,
-            tried,
+            scope,
             successor: None,
             is_logged: false,
         }
@@ -133,7 +142,7 @@
             self.request,
             next,
             AttemptFailure::Silent,
-            self.tried,
+            self.scope,
         );
         match selected {
             Ok(successor) => {
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -49,6 +49,7 @@
 mod store_probe;
 mod store_state;
 mod store_watch;
+mod stream_origins;
 mod supervision;
 mod unit_loans;
 
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -38,6 +38,10 @@
     BodyCut,
     UnknownService,
     NoServer,
+    /// The stream began at another version than those of the servers that can be used.
+    OtherVersion,
+    /// The stream began at a version that is not known.
+    VersionUnknown,
     FailureDomainsEmptied,
     ServersRefused,
     ColdServers,
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -36,6 +36,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct SourceLabel {
+    source: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ServiceLabel {
     service: String,
@@ -78,6 +83,7 @@
     pub(crate) start_waiting: usize,
     /// Contents that are remembered because servers crashed under them, and those of them that are refused.
     pub(crate) crash_records: (usize, usize),
+    pub(crate) stream_origins: usize,
     pub(crate) log_lines_dropped: u64,
     /// Resident memory in bytes; `None` if the system does not report it.
     pub(crate) memory_bytes: Option<usize>,
@@ -95,7 +101,6 @@
     start_waits: Family<EndLabel, Counter>,
     pub(crate) retries: Counter,
     pub(crate) retries_refused: Counter,
-    pub(crate) resumes: Counter,
     pub(crate) stalls: Counter,
     pub(crate) panics: Counter,
     pub(crate) connections_opened: Counter,
@@ -103,6 +108,7 @@
     withheld: Family<ReasonLabel, Counter>,
     unit_asks: Family<EndLabel, Counter>,
     pub(crate) units_lent: Counter,
+    resumed: ResumeMetrics,
     response_seconds: Histogram,
     first_event_seconds: Histogram,
     report_age_seconds: Histogram,
@@ -155,6 +161,30 @@
     }
 }
 
+/// Metrics of resumed streams.
+#[derive(Debug)]
+struct ResumeMetrics {
+    handovers: Counter,
+    streams: Family<SourceLabel, Counter>,
+    origins: Gauge,
+}
+
+impl ResumeMetrics {
+    fn new(r: &mut Registrar) -> Self {
+        Self {
+            handovers: r.add("resumes", "Streams resumed at another server"),
+            streams: r.add(
+                "resumed_streams",
+                "Streams that callers resumed, by how the version that began them is known",
+            ),
+            origins: r.add(
+                "stream_origins",
+                "Streams of which the version that began them is remembered",
+            ),
+        }
+    }
+}
+
 impl DirectMetrics {
     pub(crate) fn new() -> Self {
         let mut r = Registrar(Registry::with_prefix("bulrushward_direct"));
@@ -170,7 +200,6 @@
             ),
             retries: r.add("repeats", "Requests sent to a further server"),
             retries_refused: r.add("repeats_refused", "Retries refused by the retry budget"),
-            resumes: r.add("resumes", "Streams resumed at another server"),
             stalls: r.add("stalls", "Times at which the traffic thread ran late"),
             panics: r.add(
                 "panics",
@@ -190,6 +219,7 @@
                 "Asks for units of the limits that servers name, by outcome",
             ),
             units_lent: r.add("limit_units_lent", "Units of such limits lent by this router"),
+            resumed: ResumeMetrics::new(&mut r),
             response_seconds: r.histogram(
                 "answer_seconds",
                 "Time to a complete response",
@@ -339,6 +369,17 @@
         self.unit_asks.get_or_create(&EndLabel { outcome }).inc();
     }
 
+    /// Counts a stream that this router resumes at another server.
+    pub(crate) fn record_handover(&self) {
+        self.resumed.handovers.inc();
+    }
+
+    /// Counts a stream that its caller resumes.
+    pub(crate) fn record_resumed_stream(&self, source: &'static str) {
+        let label = SourceLabel { source };
+        self.resumed.streams.get_or_create(&label).inc();
+    }
+
     /// Counts a stream that ended.
     pub(crate) fn record_stream_end(&self, outcome: &'static str) {
         self.streams.get_or_create(&EndLabel { outcome }).inc();
@@ -381,6 +422,9 @@
         let waiting = snapshot.start_waiting.cast_signed();
         self.start_waiting.set(waiting as i64);
         let (crash_records, contents_barred) = snapshot.crash_records;
+        self.resumed
+            .origins
+            .set(snapshot.stream_origins.cast_signed() as i64);
         self.crash_records.set(crash_records.cast_signed() as i64);
         self.contents_barred
             .set(contents_barred.cast_signed() as i64);
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -20,6 +20,7 @@
     placement::Candidate,
     scarcity::Scarcity,
     server_attempt::AttemptFailure,
+    server_scope::ServerScope,
     usual_demand::UsualDemand,
 };
 use rand::{RngExt, seq::IndexedRandom};
@@ -30,10 +31,7 @@
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
-pub(crate) use self::{
-    exchange::{run, send},
-    message::UnitMessage,
-};
+pub(crate) use self::{exchange::run, message::UnitMessage};
 use self::{
     lending::Lending,
     message::{Message, Outbox, PoolKey, WireAsk, service_key},
@@ -280,9 +278,9 @@
 pub(crate) async fn borrow(
     shared: &Arc<Shared>,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Borrowed {
-    let candidates = server_selection::candidates(shared, request, tried);
+    let candidates = server_selection::candidates(shared, request, scope);
     let Some((id, receiver)) = begin(shared, request, &candidates) else {
         return Borrowed::NoLender;
     };
--- a/bulrushward_direct/src/places/exchange.rs
+++ b/bulrushward_direct/src/places/exchange.rs
@@ -15,7 +15,7 @@
 use tracing::{debug, info};
 
 use super::{
-    State,
+    Places, State,
     message::{Message, PoolKey, ServiceKey, UnitMessage, WireAsk, service_key},
 };
 use crate::{shared::Shared, unit_loans};
@@ -25,14 +25,13 @@
 /// Longest time between two looks at what is due while there is anything to do.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
 
-/// Sends a message about units of servers' limits.
-pub(crate) fn send(shared: &Shared, to: SocketAddr, message: UnitMessage) {
-    let mut state = shared.places.lock();
-    state
-        .outbox
-        .push(to, Message::Unit(message), Instant::now());
-    drop(state);
-    shared.places.changed.notify_one();
+impl Places {
+    /// Sends a message that does not concern lent places.
+    pub(crate) fn send(&self, to: SocketAddr, message: impl Into<Message>) {
+        let now = Instant::now();
+        self.lock().outbox.push(to, message.into(), now);
+        self.changed.notify_one();
+    }
 }
 
 /// Exchanges messages about lent places until the process ends.
@@ -139,6 +138,11 @@
             Message::Unit(UnitMessage::Answer { id, answer }) => {
                 shared.unit_loans.receive(id, answer);
             }
+            Message::Origin(message) => {
+                if let Some(reply) = shared.stream_origins.receive(from, message) {
+                    self.outbox.push(from, reply.into(), now);
+                }
+            }
             Message::Done { id, pool, used } => self.lending.finish(pool, id, used, now),
             Message::Withdraw { id, pool } => self.lending.withdraw(pool, id, now),
             Message::Scarce { service, load } => {
--- a/bulrushward_direct/src/places/message.rs
+++ b/bulrushward_direct/src/places/message.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::servers::ServerHash;
+use crate::{servers::ServerHash, stream_origins::OriginMessage};
 
 /// Hash of the name of a service.
 pub(super) type ServiceKey = u64;
@@ -30,7 +30,7 @@
 
 /// A message between two routers.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) enum Message {
+pub(crate) enum Message {
     /// A request asks for a place.
     Ask(WireAsk),
     /// What an ask gets.
@@ -52,6 +52,20 @@
     Scarce { service: ServiceKey, load: f32 },
     /// About units of servers' limits; routers of earlier versions do not read datagrams with it.
     Unit(UnitMessage),
+    /// About origins of streams; routers of earlier versions do not read datagrams with it.
+    Origin(OriginMessage),
+}
+
+impl From<UnitMessage> for Message {
+    fn from(message: UnitMessage) -> Self {
+        Self::Unit(message)
+    }
+}
+
+impl From<OriginMessage> for Message {
+    fn from(message: OriginMessage) -> Self {
+        Self::Origin(message)
+    }
 }
 
 /// A message about units of servers' limits.
@@ -69,14 +83,18 @@
         match self {
             Self::Answer { answer, .. } => matches!(answer, Answer::Granted { .. }),
             Self::Done { .. } => true,
-            Self::Ask(_) | Self::Withdraw { .. } | Self::Scarce { .. } | Self::Unit(_) => false,
+            Self::Ask(_)
+            | Self::Withdraw { .. }
+            | Self::Scarce { .. }
+            | Self::Unit(_)
+            | Self::Origin(_) => false,
         }
     }
 }
 
 /// A request that asks for a place; times count from the moment at which it is sent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(super) struct WireAsk {
+pub(crate) struct WireAsk {
     pub(super) id: AskId,
     pub(super) pool: PoolKey,
     kind: KindKey,
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
+use bulrushward_policy::{
+    server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
+    server_scope::{ServerScope, VersionBound},
+};
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
@@ -25,7 +28,6 @@
     routed_request::RoutedRequest,
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
-    servers::Server,
     shared::Shared,
 };
 
@@ -42,10 +44,8 @@
     history: AttemptHistory,
     first_events: Option<Bytes>,
     source: ServerStream,
-    /// Server that began the stream.
-    first_server: Arc<Server>,
-    /// Ids of the servers that have received the request; it is not sent to them again.
-    tried: Vec<String>,
+    /// Servers that may go on with the stream.
+    scope: ServerScope,
     last_event_id: Option<String>,
     /// Whether a server has sent an event.
     has_begun: bool,
@@ -89,20 +89,19 @@
     shared: &Arc<Shared>,
     request: Arc<RoutedRequest>,
     history: AttemptHistory,
-    tried: Vec<String>,
+    scope: ServerScope,
     first_events: Bytes,
     source: ServerStream,
 ) -> Body {
-    let relay = Relay {
+    let mut relay = Relay {
         _in_progress: shared.metrics.track_in_progress(),
         shared: Arc::clone(shared),
         request,
         history,
-        has_begun: has_event(&first_events),
+        has_begun: false,
         first_events: Some(first_events),
-        first_server: Arc::clone(source.progress.server()),
         source,
-        tried,
+        scope,
         last_event_id: None,
         last_forwarded: Instant::now(),
         longest_pause: Duration::ZERO,
@@ -111,6 +110,9 @@
         is_kept_logged: false,
         is_finished: false,
     };
+    if relay.first_events.as_deref().is_some_and(has_event) {
+        relay.begin();
+    }
     let frames = stream::unfold(relay, async |mut relay| {
         let events = relay.next().await?;
         Some((events.map(Frame::data), relay))
@@ -150,7 +152,9 @@
             match item {
                 StreamItem::Comments(comments) => return Some(Ok(comments)),
                 StreamItem::Events(events) => {
-                    self.has_begun = true;
+                    if !self.has_begun {
+                        self.begin();
+                    }
                     self.record_pause();
                     return Some(Ok(events));
                 }
@@ -165,6 +169,20 @@
         }
     }
 
+    /// Records that the first event arrived, and at which version.
+    fn begin(&mut self) {
+        self.has_begun = true;
+        let server = self.source.progress.server();
+        self.scope
+            .begin(self.shared.servers.load().version_of(server));
+        if let VersionBound::Only(version) = self.scope.version()
+            && self.request.route.is_idempotent()
+        {
+            let origins = &self.shared.stream_origins;
+            origins.record_begun(&self.shared.places, &self.request, version);
+        }
+    }
+
     /// Looks for another server that continues the stream after its server was silent or failed.
     ///
     /// A silent server may still go on. It keeps the stream if no other server may take over, and it is read from
@@ -230,7 +248,7 @@
         if self.last_event_id.is_none() {
             return Err(HandoverRefusal::NoEvent);
         }
-        handover::select_next(&self.shared, &self.request, next, failure, &self.tried)
+        handover::select_next(&self.shared, &self.request, next, failure, &self.scope)
     }
 
     /// Resumes the stream at a server, unless the current one goes on first while it is open.
@@ -245,8 +263,8 @@
         is_source_open: &mut bool,
         successor: &mut Option<ServerChoice>,
     ) -> Result<StreamItem, AttemptError> {
-        self.tried.push(choice.server.id.clone());
-        self.shared.metrics.resumes.inc();
+        self.scope.record_tried(&choice.server.id);
+        self.shared.metrics.record_handover();
         self.shared.metrics.record_attempt(choice.inputs.report_age);
         info!(
             event = "stream-resumed",
@@ -255,12 +273,11 @@
             load = choice.inputs.load,
             usable = choice.inputs.usable,
             after_event = self.last_event_id.as_deref().unwrap_or_default(),
-            began_at_version = self.first_server.record.version,
             version = choice.server.record.version,
         );
         let last_event_id = self.last_event_id.as_deref();
         let (shared, request) = (&*self.shared, &*self.request);
-        let mut silence = SilenceWatch::new(shared, request, &self.history, &self.tried);
+        let mut silence = SilenceWatch::new(shared, request, &self.history, &self.scope);
         let head = {
             let head = attempt::send_head(shared, request, &choice, last_event_id, &mut silence);
             let mut head = pin!(head);
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
+use bulrushward_policy::{
+    server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
+    server_scope::{ServerScope, VersionBound},
+};
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 use tracing::info;
@@ -80,7 +83,7 @@
         return Err(refuse_overload());
     }
     let mut history = AttemptHistory::new(request.route.is_idempotent(), request.route.max_servers);
-    let mut tried = Vec::new();
+    let mut scope = ServerScope::new(version_bound(shared, &request).await);
     let mut last_error: Option<AttemptError> = None;
     let mut retry_cause = None;
     let mut successor = None;
@@ -98,7 +101,7 @@
         }
         let mut place = None;
         if !is_taken_over && shared.places.is_needed(shared, &request) {
-            match wait_for_place(shared, &request, &tried, request_log).await {
+            match wait_for_place(shared, &request, &scope, request_log).await {
                 Borrowed::Place(borrowed) => place = Some(borrowed),
                 Borrowed::Refused(retry) => {
                     return refuse_without_place(&history, last_error, retry);
@@ -112,12 +115,12 @@
             return Err(refuse_overload());
         }
         if let Some(failed) = pending.take() {
-            match select_next(shared, &request, failed, &tried) {
+            match select_next(shared, &request, failed, &scope) {
                 Ok(choice) => successor = Some(choice),
                 Err(refusal) => return refuse(&history, last_error, refusal, failed.reason),
             }
         }
-        let chosen = choose(shared, &request, &tried, place.as_ref(), successor.take()).await;
+        let chosen = choose(shared, &request, &scope, place.as_ref(), successor.take()).await;
         let choice = match chosen {
             Ok(choice) => choice,
             Err(no_server) => {
@@ -125,14 +128,11 @@
             }
         };
         let server = &choice.server;
-        request_log.attempts = history.attempts() + 1;
-        request_log.server.clone_from(&server.id);
-        request_log.inputs = choice.inputs;
-        log_resumed(&request, server);
-        tried.push(server.id.clone());
+        request_log.record_choice(&choice, history.attempts() + 1);
+        scope.record_tried(&server.id);
         shared.metrics.record_attempt(choice.inputs.report_age);
         let sent = Instant::now();
-        let mut silence = SilenceWatch::new(shared, &request, &history, &tried);
+        let mut silence = SilenceWatch::new(shared, &request, &history, &scope);
         let result = attempt::send(shared, &request, &choice, None, &mut silence).await;
         successor = silence.into_successor();
         is_taken_over = successor.is_some();
@@ -142,7 +142,7 @@
             shared.record_retry_result(service, cause, result.is_ok());
         }
         let error = match result {
-            Ok(response) => return Ok(respond(shared, &request, response, history, tried)),
+            Ok(response) => return Ok(respond(shared, &request, response, history, scope)),
             Err(error) => error,
         };
         request_log.detail.clone_from(&error.detail);
@@ -154,7 +154,8 @@
         let failed = FailedAttempt::new(&error, &mut history);
         last_error = Some(error);
         let NextAttempt::Send { retry } = failed.next else {
-            return finish(shared, &request, &history, last_error, failed.reason);
+            let wait = server_selection::wait_for_server(shared, &request, &scope);
+            return finish(&history, last_error, failed.reason, wait);
         };
         retry_cause = retry.then_some(failed.failure.retry_cause());
         if successor.is_some() {
@@ -165,13 +166,21 @@
             pending = Some(failed);
             continue;
         }
-        match select_next(shared, &request, failed, &tried) {
+        match select_next(shared, &request, failed, &scope) {
             Ok(choice) => successor = Some(choice),
             Err(refusal) => return refuse(&history, last_error, refusal, failed.reason),
         }
     }
 }
 
+/// Returns the versions at which a request may run.
+async fn version_bound(shared: &Shared, request: &RoutedRequest) -> VersionBound {
+    let servers = shared.servers.load_full();
+    let origins = &shared.stream_origins;
+    let bound = origins.version_bound(&shared.places, &servers, &shared.metrics, request);
+    bound.await
+}
+
 /// Checks that not all servers of a request are in emptied failure domains.
 fn check_emptied(shared: &Shared, request: &RoutedRequest) -> Result<(), LocalResponse> {
     if !server_selection::are_all_emptied(shared, request) {
@@ -200,16 +209,16 @@
 async fn choose(
     shared: &Arc<Shared>,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
     place: Option<&Place>,
     successor: Option<ServerChoice>,
 ) -> Result<ServerChoice, NoServer> {
     match (place, successor) {
         (Some(place), _) => Ok(place.choice(&request.service)),
         (None, Some(successor)) => Ok(successor),
-        (None, None) => match server_selection::select(shared, request, tried) {
+        (None, None) => match server_selection::select(shared, request, scope) {
             Err(withheld @ NoServer::Withheld { .. }) => {
-                let lent = unit_loans::borrow(shared, request, tried).await;
+                let lent = unit_loans::borrow(shared, request, scope).await;
                 lent.ok_or(withheld)
             }
             selected => selected,
@@ -217,21 +226,6 @@
     }
 }
 
-/// Logs where a stream goes on that its caller resumes.
-fn log_resumed(request: &RoutedRequest, server: &Server) {
-    let Some(after_event) = request.last_event_id.as_deref() else {
-        return;
-    };
-    info!(
-        event = "stream-taken-up",
-        request = request.request_id,
-        began_as = request.resumes,
-        after_event,
-        server = server.id,
-        version = server.record.version,
-    );
-}
-
 /// A failed attempt and what may follow.
 #[derive(Clone, Copy, Debug)]
 struct FailedAttempt {
@@ -260,23 +254,23 @@
     shared: &Shared,
     request: &RoutedRequest,
     failed: FailedAttempt,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Result<ServerChoice, HandoverRefusal> {
-    handover::select_next(shared, request, failed.next, failed.failure, tried)
+    handover::select_next(shared, request, failed.next, failed.failure, scope)
 }
 
 /// Waits for a place at a server.
 async fn wait_for_place(
     shared: &Arc<Shared>,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
     request_log: &mut RequestLog,
 ) -> Borrowed {
     let begun = Instant::now();
     let waited = request_log.place_wait.unwrap_or_default();
     // Logged also if the caller leaves meanwhile.
     request_log.place_wait = Some(waited);
-    let borrowed = places::borrow(shared, request, tried).await;
+    let borrowed = places::borrow(shared, request, scope).await;
     request_log.place_wait = Some(waited + begun.elapsed());
     borrowed
 }
@@ -377,17 +371,15 @@
 
 /// Returns the response to a request whose last attempt failed.
 ///
-/// If it has not run and no server takes requests now, its caller may come back once one does.
+/// If it has not run, its caller may come back once a server takes requests, for which it has to `wait`.
 fn finish(
-    shared: &Shared,
-    request: &RoutedRequest,
     history: &AttemptHistory,
     last_error: Option<AttemptError>,
     reason: Reason,
+    wait: Option<Duration>,
 ) -> Result<Response<Body>, LocalResponse> {
     let response = final_response(history, last_error, reason);
     response.map_err(|mut local| {
-        let wait = server_selection::wait_for_server(shared, request);
         if let (Some(retry), Some(wait)) = (&mut local.retry_after, wait) {
             *retry = (*retry).max(retry_after::for_withheld_servers(wait));
         }
@@ -439,7 +431,7 @@
     request: &Arc<RoutedRequest>,
     response: AttemptResponse,
     history: AttemptHistory,
-    tried: Vec<String>,
+    scope: ServerScope,
 ) -> Response<Body> {
     match response {
         AttemptResponse::Complete {
@@ -452,7 +444,7 @@
                 shared,
                 Arc::clone(request),
                 history,
-                tried,
+                scope,
                 open.first_events,
                 open.stream,
             );
--- a/bulrushward_direct/src/request_log.rs
+++ b/bulrushward_direct/src/request_log.rs
@@ -8,7 +8,11 @@
 use hyper::StatusCode;
 use tracing::{info, warn};
 
-use crate::{local_response::LocalResponse, server_selection::ChoiceInputs, shared::Shared};
+use crate::{
+    local_response::LocalResponse,
+    server_selection::{ChoiceInputs, ServerChoice},
+    shared::Shared,
+};
 
 /// Collects what is logged about a request.
 ///
@@ -25,11 +29,11 @@
     pub(crate) organisation: Option<String>,
     /// Version of the configuration that was applied.
     pub(crate) config: Option<u64>,
-    pub(crate) attempts: u32,
+    attempts: u32,
     /// Time for which the request waited for a place, if it needed a lent one.
     pub(crate) place_wait: Option<Duration>,
-    pub(crate) server: String,
-    pub(crate) inputs: ChoiceInputs,
+    server: String,
+    inputs: ChoiceInputs,
     pub(crate) detail: String,
 }
 
@@ -52,6 +56,13 @@
         }
     }
 
+    /// Records the server of the `attempts`th attempt.
+    pub(crate) fn record_choice(&mut self, choice: &ServerChoice, attempts: u32) {
+        self.attempts = attempts;
+        self.server.clone_from(&choice.server.id);
+        self.inputs = choice.inputs;
+    }
+
     /// Logs that the response of a server is about to be sent to the caller.
     pub(crate) fn log_response(&mut self, status: StatusCode) {
         self.is_logged = true;
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -52,6 +52,11 @@
         self.route.kind == RouteKind::Stream
     }
 
+    /// Returns whether the caller goes on with a stream that has begun.
+    pub(crate) fn is_resumed(&self) -> bool {
+        self.is_stream() && (self.last_event_id.is_some() || self.resumes.is_some())
+    }
+
     /// Returns the prompt tokens that even a server with the session cached has to prefill.
     pub(crate) fn unshared_tokens(&self) -> u64 {
         self.prompt.last().map_or(0, |part| part.tokens.into())
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -72,8 +72,11 @@
     let server = &choice.server;
     let servers = shared.servers.load();
     let mut current = servers.of_service(&server.record.service).iter();
-    let is_registered =
-        current.any(|current| current.hash == server.hash && !current.record.is_leaving);
+    let is_registered = current.any(|current| {
+        current.hash == server.hash
+            && current.version == server.version
+            && !current.record.is_leaving
+    });
     let withheld = shared
         .server_reports()
         .withheld(server.hash, Instant::now());
--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -13,6 +13,7 @@
     emptied_domains::EmptiedDomains,
     server_choice::{self, LIMITED_MISS_TOKENS, ServerView, SessionRequest},
     server_limit::UnitRoom,
+    server_scope::ServerScope,
 };
 
 pub(crate) use self::candidates::is_lendable;
@@ -67,6 +68,10 @@
 pub(crate) enum NoServer {
     /// No server can be used.
     NoneUsable,
+    /// The stream began at another version than those of the servers that can be used.
+    OtherVersion,
+    /// The stream began at a version that is not known.
+    VersionUnknown,
     /// All servers are in emptied failure domains.
     Emptied,
     /// All servers are cold, and this router has used up what it may send to them.
@@ -89,18 +94,22 @@
 pub(crate) fn check_candidates(
     shared: &Shared,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Result<(), NoServer> {
     let set = shared.servers.load();
     let servers = set.of_service(&request.service.name);
     let now = Instant::now();
-    let candidates = Candidates::new(shared, request, tried, servers, now);
+    let candidates = Candidates::new(shared, request, scope, servers, now);
     candidates.check(reserved_units(shared, request, now))
 }
 
-/// Returns the time until a server of the request's service takes requests again, if none does now.
-pub(crate) fn wait_for_server(shared: &Shared, request: &RoutedRequest) -> Option<Duration> {
-    match check_candidates(shared, request, &[]) {
+/// Returns the time until a server takes requests like this one again, if none does now.
+pub(crate) fn wait_for_server(
+    shared: &Shared,
+    request: &RoutedRequest,
+    scope: &ServerScope,
+) -> Option<Duration> {
+    match check_candidates(shared, request, &scope.untried()) {
         Err(NoServer::Withheld { next }) => Some(next),
         _ => None,
     }
@@ -138,13 +147,13 @@
 fn usable_servers(
     shared: &Shared,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
     now: Instant,
 ) -> Vec<Arc<Server>> {
     let set = shared.servers.load();
     let servers = set.of_service(&request.service.name).iter();
     servers
-        .filter(|server| is_candidate(shared, request, tried, server))
+        .filter(|server| is_candidate(shared, request, scope, server) == Ok(true))
         .filter(|server| is_usable(shared, server, now))
         .map(Arc::clone)
         .collect()
@@ -154,10 +163,10 @@
 pub(crate) fn candidates(
     shared: &Shared,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Vec<Arc<Server>> {
     let now = Instant::now();
-    let mut servers = usable_servers(shared, request, tried, now);
+    let mut servers = usable_servers(shared, request, scope, now);
     servers.retain(|server| !is_used_up(shared, request, server, now));
     servers
 }
@@ -176,10 +185,10 @@
 pub(crate) fn limited_servers(
     shared: &Shared,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Vec<Arc<Server>> {
     let now = Instant::now();
-    let mut servers = usable_servers(shared, request, tried, now);
+    let mut servers = usable_servers(shared, request, scope, now);
     let reports = shared.server_reports();
     servers.retain(|server| reports.limit(server.hash, now).is_some());
     drop(reports);
@@ -230,14 +239,14 @@
 pub(crate) fn select(
     shared: &Shared,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Result<ServerChoice, NoServer> {
     let set = shared.servers.load();
     let servers = set.of_service(&request.service.name);
     let now = Instant::now();
     let session = request.session.filter(|_| request.service.is_engine);
     let locations = session.map_or_else(Vec::new, |session| shared.session_locations(session));
-    let candidates = Candidates::new(shared, request, tried, servers, now);
+    let candidates = Candidates::new(shared, request, scope, servers, now);
     if candidates.has_used_up {
         shared.metrics.cold_skips.inc();
     }
--- a/bulrushward_direct/src/server_selection/candidates.rs
+++ b/bulrushward_direct/src/server_selection/candidates.rs
@@ -9,6 +9,7 @@
     cold_server::{Room, UNIT_WINDOW},
     server_limit::UnitRoom,
     server_reports::Withheld,
+    server_scope::{Exclusion, ServerScope},
 };
 
 use super::NoServer;
@@ -28,6 +29,10 @@
     AvoidedUsedUp,
     /// It wants no requests for a while.
     Withheld,
+    /// The stream began at another version.
+    OtherVersion,
+    /// The stream began at a version that is not known.
+    VersionUnknown,
     Excluded,
     /// Its failure domain is emptied.
     Emptied,
@@ -37,7 +42,12 @@
     /// Returns whether the load of a server with this access counts in the mean of its service.
     pub(super) fn counts_in_mean(self) -> bool {
         match self {
-            Self::Usable | Self::AssumedCold | Self::UsedUp | Self::Emptied => true,
+            Self::Usable
+            | Self::AssumedCold
+            | Self::UsedUp
+            | Self::OtherVersion
+            | Self::VersionUnknown
+            | Self::Emptied => true,
             Self::Avoided | Self::AvoidedUsedUp | Self::Withheld | Self::Excluded => false,
         }
     }
@@ -66,7 +76,7 @@
     pub(super) fn new(
         shared: &Shared,
         request: &RoutedRequest,
-        tried: &[String],
+        scope: &ServerScope,
         servers: &[Arc<Server>],
         now: Instant,
     ) -> Self {
@@ -80,8 +90,11 @@
             if emptied.contains(&server.record.failure_domain) {
                 return Access::Emptied;
             }
-            if !is_candidate(shared, request, tried, server) {
-                return Access::Excluded;
+            match is_candidate(shared, request, scope, server) {
+                Ok(true) => {}
+                Ok(false) | Err(Exclusion::Tried) => return Access::Excluded,
+                Err(Exclusion::OtherVersion) => return Access::OtherVersion,
+                Err(Exclusion::VersionUnknown) => return Access::VersionUnknown,
             }
             match reports.withheld(server.hash, now) {
                 Some(Withheld::Leaving) => return Access::Excluded,
@@ -153,6 +166,8 @@
             Access::Usable | Access::AssumedCold | Access::Avoided => Ok(()),
             Access::UsedUp | Access::AvoidedUsedUp => Err(NoServer::Cold { next: self.next }),
             Access::Withheld => Err(NoServer::Withheld { next: self.next }),
+            Access::OtherVersion => Err(NoServer::OtherVersion),
+            Access::VersionUnknown => Err(NoServer::VersionUnknown),
             Access::Excluded => Err(NoServer::NoneUsable),
             Access::Emptied => Err(NoServer::Emptied),
         }
@@ -160,17 +175,22 @@
 }
 
 /// Returns whether a server may be selected if it is healthy.
+///
+/// # Errors
+///
+/// Returns the [`Exclusion`] if the scope of the request excludes it.
 pub(super) fn is_candidate(
     shared: &Shared,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
     server: &Server,
-) -> bool {
+) -> Result<bool, Exclusion> {
+    scope.check(&server.id, server.version)?;
     let limit = request.service.connection_limit;
     // Only a fleet that is larger than the limit divides it into shares of which some are zero.
     let may_connect =
         || limit > shared.routers() || shared.connection_share(limit, server.hash) > 0;
-    !server.record.is_leaving && !tried.contains(&server.id) && may_connect()
+    Ok(!server.record.is_leaving && may_connect())
 }
 
 /// Returns whether a server may be used by any request of this router, as far as it knows.
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -7,8 +7,11 @@
 };
 
 use bulrushward_policy::{
-    cold_server::ColdServer, fleet_share::FleetPosition, server_health::ServerHealth,
+    cold_server::ColdServer,
+    fleet_share::FleetPosition,
+    server_health::ServerHealth,
     server_load::ServerLoad,
+    server_scope::{VersionKey, version_key},
 };
 use bulrushward_protocol::ServerKey;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -76,6 +79,8 @@
     pub(crate) id: ServerId,
     pub(crate) hash: ServerHash,
     pub(crate) record: ServerRecord,
+    /// Version of its software; `None` if its entry states none.
+    pub(crate) version: Option<VersionKey>,
     state: Arc<Mutex<ServerState>>,
     /// Number of connections that are open or being opened, including idle ones.
     pub(crate) connections: Arc<AtomicU32>,
@@ -89,6 +94,7 @@
             // A restarted server keeps its id but has lost its prompt cache, so it gets another hash.
             hash: xxh3_64_with_seed(id.as_bytes(), record.started_ms) as ServerHash,
             record: record.clone(),
+            version: record.version.as_deref().map(version_key),
             state: same_incarnation.map_or_else(Arc::default, |server| Arc::clone(&server.state)),
             connections: same_incarnation
                 .map_or_else(Arc::default, |server| Arc::clone(&server.connections)),
@@ -101,7 +107,9 @@
     }
 
     fn is_same_incarnation(&self, record: &ServerRecord) -> bool {
-        self.record.address == record.address && self.record.started_ms == record.started_ms
+        self.record.address == record.address
+            && self.record.started_ms == record.started_ms
+            && self.record.version == record.version
     }
 }
 
@@ -137,6 +145,27 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the version of a server that has begun a stream.
+    ///
+    /// It is not known if the server's id belongs to another incarnation or version meanwhile, as the new one may have
+    /// taken the connection.
+    pub(crate) fn version_of(&self, server: &Server) -> Option<VersionKey> {
+        let mut entries = self.of_service(&server.record.service).iter();
+        let current = entries.find(|current| current.id == server.id);
+        let is_replaced = |current: &Arc<Server>| {
+            current.hash != server.hash || current.version != server.version
+        };
+        server.version.filter(|_| !current.is_some_and(is_replaced))
+    }
+
+    /// Returns the text of a version of a service, or its key if no server has it any more.
+    pub(crate) fn version_text(&self, service: &str, version: VersionKey) -> String {
+        let mut servers = self.of_service(service).iter();
+        let known = servers.find(|server| server.version == Some(version));
+        let text = known.and_then(|server| server.record.version.clone());
+        text.unwrap_or_else(|| format!("{version:016x}"))
+    }
+
     /// Returns all servers.
     pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.by_service.values().flatten()
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     num::NonZeroUsize,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -40,6 +41,7 @@
     settings::DirectSettings,
     start_gate::StartGate,
     store_state::{StoreState, StoreView},
+    stream_origins::StreamOrigins,
     unit_loans::UnitLoans,
 };
 
@@ -89,6 +91,7 @@
     pub(crate) start_gate: StartGate,
     pub(crate) places: Places,
     pub(crate) unit_loans: UnitLoans,
+    pub(crate) stream_origins: StreamOrigins,
     pub(crate) buffers: SharedBuffers,
     pub(crate) metrics: DirectMetrics,
 }
@@ -126,6 +129,7 @@
             start_gate: StartGate::default(),
             places: Places::default(),
             unit_loans: UnitLoans::default(),
+            stream_origins: StreamOrigins::default(),
             buffers: SharedBuffers::default(),
             metrics: DirectMetrics::new(),
         })
@@ -240,13 +244,23 @@
                 .collect(),
             start_waiting: self.start_gate.waiting(),
             crash_records: self.crash_records.counts(),
+            stream_origins: self.stream_origins.records(),
             log_lines_dropped: self.log.dropped_lines(),
             memory_bytes: memory_stats().map(|stats| stats.physical_mem),
         }
     }
 
-    pub(crate) fn set_routers(&self, routers: u32) {
+    /// Sets the other routers that are alive, by the addresses of their fleet states.
+    pub(crate) fn set_alive_peers(&self, mut peers: Vec<SocketAddr>) {
+        let routers = 1 + peers.len() as u32;
         self.routers.store(routers, Ordering::Relaxed);
+        self.metrics.routers.set(routers.into());
+        let settings = self.settings();
+        if let Some(port) = settings.places_port {
+            self.stream_origins.set_peers(&peers, port);
+        }
+        peers.push(settings.knowledge_address);
+        self.places.set_routers(peers);
     }
 
     /// Returns this router's share of the connections that a server accepts.
--- /dev/null
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -0,0 +1,293 @@
+//! Which software version began a stream: learnt from the own streams and from other routers.
+//!
+//! Decisions are those of `bulrushward_policy::stream_origin`; the messages go with those about lent places.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::{
+    server_scope::{VersionBound, VersionKey},
+    stream_origin::{self, ASKED, HOLDERS, Origin, OriginQuery, OriginRecords, StreamKey},
+};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use strum::IntoStaticStr;
+use tokio::{sync::oneshot, time::timeout};
+use tracing::info;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    metrics::DirectMetrics, places::Places, routed_request::RoutedRequest, servers::ServerSet,
+};
+
+/// Time after the end of a stream's time in which its caller may resume it.
+const RETURN_TIME: Duration = Duration::from_secs(15);
+/// Time without an answer after which routers are asked once more; they are given up after as many times.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of times that a router is asked.
+const MAX_SENDS: u32 = 4;
+/// Largest number of resumed streams that wait for answers.
+const MAX_WAITING: usize = 128;
+
+/// A message about the origins of streams.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum OriginMessage {
+    /// A stream began at a version.
+    Began {
+        stream: StreamKey,
+        version: VersionKey,
+        /// Milliseconds for which the stream may be resumed.
+        life_ms: u32,
+    },
+    /// Asks where a stream began.
+    Ask { id: u64, stream: StreamKey },
+    /// Answers an ask.
+    Answer { id: u64, origin: Origin },
+}
+
+/// How a router knows where a stream began.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+enum Source {
+    /// From its own record.
+    Record,
+    /// From another router.
+    Peer,
+    /// No router that was asked knows.
+    NotKnown,
+    /// The caller does not name the request that began the stream.
+    NotNamed,
+    /// There was no router to ask, or too many asks are under way.
+    NotAsked,
+    /// Streams of different versions began under the same id.
+    Contradictory,
+}
+
+/// A resumed stream that waits for answers.
+#[derive(Debug)]
+struct Waiting {
+    query: OriginQuery<SocketAddr>,
+    end: oneshot::Sender<Origin>,
+}
+
+/// Origins of streams, and the routers that keep them.
+#[derive(Debug, Default)]
+pub(crate) struct StreamOrigins {
+    records: Mutex<OriginRecords>,
+    /// The other routers that are alive, as hashes of their names and as the addresses for messages.
+    peers: Mutex<(Vec<u64>, Vec<SocketAddr>)>,
+    waiting: Mutex<HashMap<u64, Waiting>>,
+}
+
+impl StreamOrigins {
+    /// Sets the other routers that are alive, by the addresses of their fleet states; messages go to `port`.
+    pub(crate) fn set_peers(&self, peers: &[SocketAddr], port: u16) {
+        let named = peers.iter().map(|peer| {
+            let name = xxh3_64(peer.to_string().as_bytes());
+            (name, SocketAddr::new(peer.ip(), port))
+        });
+        *lock(&self.peers) = named.unzip();
+    }
+
+    /// Returns the number of streams whose origins are remembered.
+    pub(crate) fn records(&self) -> usize {
+        lock(&self.records).len()
+    }
+
+    /// Records that a server of this version sent the first event of a stream, or goes on with it, and tells others.
+    pub(crate) fn record_begun(
+        &self,
+        places: &Places,
+        request: &RoutedRequest,
+        version: VersionKey,
+    ) {
+        let stream = key(
+            request,
+            request.resumes.as_deref().unwrap_or(&request.request_id),
+        );
+        let life = request.time_left() + RETURN_TIME;
+        lock(&self.records).record(stream, version, life, Instant::now());
+        let life_ms = life.as_millis() as u32;
+        for holder in self.holders(stream, HOLDERS) {
+            let began = OriginMessage::Began {
+                stream,
+                version,
+                life_ms,
+            };
+            places.send(holder, began);
+        }
+    }
+
+    /// Returns the versions at which a request may run: any if it begins, else the one that began its stream.
+    ///
+    /// Asks other routers if this one does not know it.
+    pub(crate) async fn version_bound(
+        &self,
+        places: &Places,
+        servers: &ServerSet,
+        metrics: &DirectMetrics,
+        request: &RoutedRequest,
+    ) -> VersionBound {
+        if !request.is_resumed() {
+            return VersionBound::Any;
+        }
+        let begun = Instant::now();
+        let (origin, source) = self.find(places, request).await;
+        let source: &'static str = source.into();
+        metrics.record_resumed_stream(source);
+        let (version, age_ms) = match origin {
+            Origin::Version { version, age_ms } => (Some(version), Some(age_ms)),
+            Origin::Contradictory | Origin::NotKnown => (None, None),
+        };
+        info!(
+            event = "stream-taken-up",
+            request = request.request_id,
+            began_as = request.resumes,
+            after_event = request.last_event_id,
+            version = version.map(|version| servers.version_text(&request.service.name, version)),
+            source,
+            age_ms,
+            ms = begun.elapsed().as_millis() as u64,
+        );
+        VersionBound::begun_at(version)
+    }
+
+    /// Handles a message of another router; returns the reply if there is one.
+    pub(crate) fn receive(
+        &self,
+        from: SocketAddr,
+        message: OriginMessage,
+    ) -> Option<OriginMessage> {
+        let now = Instant::now();
+        match message {
+            OriginMessage::Began {
+                stream,
+                version,
+                life_ms,
+            } => {
+                let life = Duration::from_millis(life_ms.into());
+                lock(&self.records).record(stream, version, life, now);
+                None
+            }
+            OriginMessage::Ask { id, stream } => {
+                let origin = lock(&self.records).get(stream, now);
+                Some(OriginMessage::Answer { id, origin })
+            }
+            OriginMessage::Answer { id, origin } => {
+                let mut waiting = lock(&self.waiting);
+                let result = waiting.get_mut(&id)?.query.answer(from, origin)?;
+                if let Some(ended) = waiting.remove(&id) {
+                    // The request may have been dropped just now.
+                    let _dropped = ended.end.send(result);
+                }
+                None
+            }
+        }
+    }
+
+    async fn find(&self, places: &Places, request: &RoutedRequest) -> (Origin, Source) {
+        let Some(began_as) = request.resumes.as_deref() else {
+            return (Origin::NotKnown, Source::NotNamed);
+        };
+        let stream = key(request, began_as);
+        match lock(&self.records).get(stream, Instant::now()) {
+            Origin::NotKnown => {}
+            known => return (known, source_of(known, Source::Record)),
+        }
+        let asked = self.holders(stream, ASKED);
+        if asked.is_empty() {
+            return (Origin::NotKnown, Source::NotAsked);
+        }
+        let Some(origin) = self.ask(places, stream, asked).await else {
+            return (Origin::NotKnown, Source::NotAsked);
+        };
+        (origin, source_of(origin, Source::Peer))
+    }
+
+    /// Asks other routers where a stream began; returns `None` if too many asks are under way.
+    async fn ask(
+        &self,
+        places: &Places,
+        stream: StreamKey,
+        asked: Vec<SocketAddr>,
+    ) -> Option<Origin> {
+        let id = rand::rng().random();
+        let (end, mut result) = oneshot::channel();
+        let query = OriginQuery::new(asked);
+        if !self.begin(id, Waiting { query, end }) {
+            return None;
+        }
+        let _guard = WaitGuard { origins: self, id };
+        for _ in 0..MAX_SENDS {
+            for router in self.unanswered(id) {
+                places.send(router, OriginMessage::Ask { id, stream });
+            }
+            if let Ok(result) = timeout(REPEAT_INTERVAL, &mut result).await {
+                return Some(result.unwrap_or(Origin::NotKnown));
+            }
+        }
+        Some(Origin::NotKnown)
+    }
+
+    /// Records an ask; returns whether there was room for it.
+    fn begin(&self, id: u64, ask: Waiting) -> bool {
+        let mut waiting = lock(&self.waiting);
+        let has_room = waiting.len() < MAX_WAITING;
+        if has_room {
+            waiting.insert(id, ask);
+        }
+        has_room
+    }
+
+    /// Returns the routers that have not answered an ask.
+    fn unanswered(&self, id: u64) -> Vec<SocketAddr> {
+        let waiting = lock(&self.waiting);
+        let waiting = waiting.get(&id);
+        waiting.map_or_else(Vec::new, |waiting| waiting.query.unanswered().to_vec())
+    }
+
+    /// Returns the first of the other routers that keep the origin of a stream.
+    fn holders(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let peers = lock(&self.peers);
+        let (names, addresses) = &*peers;
+        let first = stream_origin::holders(names, stream, count).into_iter();
+        first.map(|index| addresses[index]).collect()
+    }
+}
+
+/// Removes a waiting ask when its request ends.
+struct WaitGuard<'a> {
+    origins: &'a StreamOrigins,
+    id: u64,
+}
+
+impl Drop for WaitGuard<'_> {
+    fn drop(&mut self) {
+        lock(&self.origins.waiting).remove(&self.id);
+    }
+}
+
+fn key(request: &RoutedRequest, began_as: &str) -> StreamKey {
+    stream_origin::stream_key(
+        &request.service.name,
+        request.organisation.as_deref(),
+        began_as,
+    )
+}
+
+/// Returns the source of an origin that `known` tells if it is a version.
+fn source_of(origin: Origin, known: Source) -> Source {
+    match origin {
+        Origin::Version { .. } => known,
+        Origin::Contradictory => Source::Contradictory,
+        Origin::NotKnown => Source::NotKnown,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/bulrushward_direct/src/unit_loans.rs
+++ b/bulrushward_direct/src/unit_loans.rs
@@ -9,12 +9,15 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::server_limit::{LoanAnswer, LoanAsk, Quota};
+use bulrushward_policy::{
+    server_limit::{LoanAnswer, LoanAsk, Quota},
+    server_scope::ServerScope,
+};
 use rand::{RngExt, seq::IndexedRandom};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::{
-    places::{self, UnitMessage},
+    places::UnitMessage,
     routed_request::RoutedRequest,
     server_selection::{self, ServerChoice},
     servers::{Server, ServerHash},
@@ -89,9 +92,9 @@
 pub(crate) async fn borrow(
     shared: &Arc<Shared>,
     request: &RoutedRequest,
-    tried: &[String],
+    scope: &ServerScope,
 ) -> Option<ServerChoice> {
-    let limited = server_selection::limited_servers(shared, request, tried);
+    let limited = server_selection::limited_servers(shared, request, scope);
     let (server, usable) = (limited.choose(&mut rand::rng())?, limited.len());
     let (ask, owner) = ask_for(shared, server)?;
     let answer = send_ask(shared, server, ask, owner).await;
@@ -130,7 +133,7 @@
     let _guard = WaitGuard { loans, id: ask.id };
     for _ in 0..MAX_SENDS {
         let server = server.hash;
-        places::send(shared, owner, UnitMessage::Ask { server, ask });
+        shared.places.send(owner, UnitMessage::Ask { server, ask });
         if let Ok(answer) = timeout(REPEAT_INTERVAL, &mut answer).await {
             return answer.ok();
         }
--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -178,16 +178,21 @@
 #[case::same_router(0)]
 #[case::another_router(1)]
 fn a_stream_that_its_caller_resumes_goes_on_at_the_version_that_began_it(#[case] router: usize) {
-    let (routers, others, _first) = broken_stream_among_others::<2>();
+    let (routers, others, first) = broken_stream_among_others::<2>();
+    let knows = |servers: usize| {
+        wait_until("the router knows the servers", || {
+            metric(&routers[router], "servers") == Some(servers as u32)
+        });
+    };
+    routers[0].store.remove(&first.id);
+    knows(OTHERS);
     let sent = Instant::now();
     let refused = routers[router].send(&resumed("r-2", "r-1", 3));
     assert_refused(&refused, sent);
     assert_eq!(requests(&others), 0);
     let same = TestServer::start("same", complete_stream);
     register(&routers[0].store, "v1", [&same]);
-    wait_until("the router knows the server", || {
-        metric(&routers[router], "servers") == Some(2 + OTHERS as u32)
-    });
+    knows(OTHERS + 1);
     for id in ["r-3", "r-4"] {
         let response = routers[router].send(&resumed(id, "r-1", 3));
         assert_eq!((response.status, response.text()), (200, events(4, 6)));
--- a/bulrushward_direct/tests/streams.rs
+++ b/bulrushward_direct/tests/streams.rs
@@ -116,7 +116,10 @@
 fn a_stream_resumed_by_the_caller_starts_after_the_last_event_id() {
     let server = TestServer::start("s-1", complete_stream);
     let router = router_with_servers("engines", &[&server]);
-    let sent = request("POST", "resumable", "r-2", "").replace("Key:", "Last-Event: 4\r\nKey:");
+    let begun = router.send(&request("POST", "resumable", "r-1", ""));
+    assert_eq!(begun.text(), events(1, 6));
+    let resumes = "Resumes: r-1\r\nLast-Event: 4\r\nKey:";
+    let sent = request("POST", "resumable", "r-2", "").replace("Key:", resumes);
     assert_eq!(router.send(&sent).text(), events(5, 6));
 }
 
