Teach stand-ins and soak software versions and resumed streams

Servers of the soak have one of two versions, another one each time that a server returns under its id, and name it in the events of their streams. Callers resume most of the streams that broke off, at any router, and the soak fails if a stream holds events of two versions.

--- a/bulrushward_directd/tests/cold.rs
+++ b/bulrushward_directd/tests/cold.rs
@@ -30,6 +30,7 @@
         is_leaving: false,
         started_ms: 1,
         cold_for: COLD_TIME,
+        version: "v1".to_owned(),
     };
     store.set_server("plain-1", Some(&entry));
     let router = Router::start(store.address(), "");
@@ -57,6 +58,7 @@
         "plain-1",
         Some(&ServerEntry {
             cold_for: Duration::ZERO,
+            version: "v1".to_owned(),
             ..entry
         }),
     );
--- a/bulrushward_directd/tests/emptied_domains.rs
+++ b/bulrushward_directd/tests/emptied_domains.rs
@@ -44,6 +44,7 @@
         is_leaving: false,
         started_ms: 1,
         cold_for: Duration::ZERO,
+        version: "v1".to_owned(),
     };
     store.set_server("plain-1", Some(&entry));
     store.set_emptied("b", true);
--- a/bulrushward_directd/tests/endless.rs
+++ b/bulrushward_directd/tests/endless.rs
@@ -102,6 +102,7 @@
         key: "key".to_owned(),
         timeout_ms: DEADLINE.as_millis() as u64,
         session: None,
+        resumed: None,
     };
     let mut text = request.text();
     text = text.replacen("\r\n", "\r\nConnection: close\r\n", 1);
@@ -200,6 +201,7 @@
             address,
             failure_domain: "a".to_owned(),
             cold_for: Duration::ZERO,
+            version: "v1".to_owned(),
             is_leaving: false,
             started_ms: 1,
         };
--- a/bulrushward_directd/tests/paused.rs
+++ b/bulrushward_directd/tests/paused.rs
@@ -41,6 +41,7 @@
             is_leaving: false,
             started_ms: 1,
             cold_for: Duration::ZERO,
+            version: "v1".to_owned(),
         };
         store.set_server(id, Some(&entry));
         servers.push(server);
--- a/bulrushward_directd/tests/support/mod.rs
+++ b/bulrushward_directd/tests/support/mod.rs
@@ -72,6 +72,7 @@
         key: "key".to_owned(),
         timeout_ms: 8_000,
         session: None,
+        resumed: None,
     };
     stream
         .write_all(request.text().as_bytes())
--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -11,8 +11,8 @@
 };
 
 use bulrushward_platform_stand_in::{
-    CallerRequest, PLAIN_TIMEOUT, POISON_SESSION, READINESS_PATH, STREAM_TIMEOUT, is_signed,
-    parse_event, server_signature,
+    CallerRequest, PLAIN_TIMEOUT, POISON_SESSION, READINESS_PATH, ResumedStream, STREAM_TIMEOUT,
+    StreamEvent, is_signed, parse_event, server_signature,
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -55,6 +55,8 @@
 const CROWD_FACTOR: u32 = 10;
 /// Share of the streams that crash engines, while some do.
 const POISON_RATE: f64 = 0.05;
+/// Share of the streams that broke off which their callers resume.
+const RESUME_RATE: f64 = 0.8;
 /// Number of sessions that stream requests are spread over.
 const SESSIONS: u64 = 20;
 
@@ -147,6 +149,33 @@
     pub time_limit: Duration,
     /// How the attempt ended.
     pub result: AttemptResult,
+    /// Stream with which it goes on.
+    pub resumed: Option<ResumedStream>,
+}
+
+impl Attempt {
+    /// Returns the id of the request that began the stream.
+    pub(crate) fn began_as(&self) -> &str {
+        let resumed = self.resumed.as_ref();
+        resumed.map_or(&self.id, |resumed| &resumed.began_as)
+    }
+
+    /// Returns the last event of the earlier requests.
+    pub(crate) fn after(&self) -> u32 {
+        self.resumed.as_ref().map_or(0, |resumed| resumed.after)
+    }
+
+    /// Returns the rest of a stream that broke off, if it may be resumed.
+    fn rest(&self) -> Option<ResumedStream> {
+        let AttemptResult::Truncated(response) = &self.result else {
+            return None;
+        };
+        let last = events(&response.body).pop()?;
+        (self.kind == Kind::Resumable && !last.is_last).then(|| ResumedStream {
+            began_as: self.began_as().to_owned(),
+            after: last.id,
+        })
+    }
 }
 
 /// Attempts of all callers.
@@ -190,6 +219,8 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut router = 0;
     let mut connection = None;
+    // Stream that broke off and is resumed next.
+    let mut rest: Option<ResumedStream> = None;
     while !attempts.is_over.load(Ordering::Relaxed) {
         let pause = random_ms(&mut rng, 5..60);
         let is_crowded = harness.is_crowded.load(Ordering::Relaxed);
@@ -209,8 +240,12 @@
         let Some(mut open) = connection.take() else {
             continue;
         };
-        let kind =
-            [Kind::Lookup, Kind::Action, Kind::Stream, Kind::Resumable][rng.random_range(0..4)];
+        let resumed = rest.take();
+        let kinds = [Kind::Lookup, Kind::Action, Kind::Stream, Kind::Resumable];
+        let kind = match resumed {
+            Some(_) => Kind::Resumable,
+            None => kinds[rng.random_range(0..kinds.len())],
+        };
         let number = attempts.next.fetch_add(1, Ordering::Relaxed);
         let id = format!("{seed}-{number}");
         let keys = harness
@@ -232,6 +267,7 @@
                 }
                 rng.random_range(100..100 + SESSIONS)
             }),
+            resumed: resumed.clone(),
         };
         let abandon_after = rng.random_bool(0.04).then(|| random_ms(&mut rng, 5..300));
         let limit = abandon_after.unwrap_or(kind.caller_timeout() + CALLER_TIMEOUT_MARGIN);
@@ -248,7 +284,7 @@
             AttemptResult::Complete(response) => Some(response.status),
             _ => None,
         };
-        attempts.add(Attempt {
+        let attempt = Attempt {
             id,
             kind,
             router,
@@ -256,7 +292,10 @@
             ended,
             time_limit: kind.caller_timeout().min(kind.route_timeout()),
             result,
-        });
+            resumed,
+        };
+        rest = attempt.rest().filter(|_| rng.random_bool(RESUME_RATE));
+        attempts.add(attempt);
         if status.is_some() && !open.sender.is_closed() {
             connection = Some(open);
         } else {
@@ -333,6 +372,7 @@
         key: key.to_owned(),
         timeout_ms: PLAIN_CALLER_TIMEOUT.as_millis() as u64,
         session: None,
+        resumed: None,
     };
     let mut connection = connect(address).await?;
     let response = timeout(PLAIN_CALLER_TIMEOUT, send(&mut connection, &req, None));
@@ -357,13 +397,10 @@
     connection.sender.send_request(req).await.ok()
 }
 
-/// Returns the event ids of a stream in order, and whether the stream includes its last event.
-pub(crate) fn events(body: &str) -> (Vec<u32>, bool) {
-    let events: Vec<_> = body
-        .split_inclusive("\n\n")
+/// Returns the complete events of a stream in order.
+pub(crate) fn events(body: &str) -> Vec<StreamEvent> {
+    body.split_inclusive("\n\n")
         .filter(|event| event.ends_with("\n\n"))
         .filter_map(parse_event)
-        .collect();
-    let has_last = events.last().is_some_and(|(_, is_last)| *is_last);
-    (events.into_iter().map(|(id, _)| id).collect(), has_last)
+        .collect()
 }
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -22,6 +22,8 @@
     run::SoakSettings,
 };
 
+/// Number of software versions that stand side by side.
+const VERSIONS: usize = 2;
 /// Smallest number of plain servers; large fleets have more.
 const MIN_PLAIN_SERVERS: usize = 3;
 /// Smallest number of engines.
@@ -83,6 +85,8 @@
     pub(crate) fault_log: FaultLog,
     pub(crate) balancer: Balancer,
     servers: Mutex<Vec<Arc<SoakServer>>>,
+    /// Number of servers started so far.
+    server_starts: AtomicUsize,
     written_configs: Mutex<Vec<WrittenConfig>>,
     /// Servers marked as leaving, with the time at which the store acknowledged the mark.
     leaving_since: Mutex<Vec<(String, Instant)>>,
@@ -135,6 +139,7 @@
             fault_log: FaultLog::open(&settings.logs)?,
             balancer: Balancer::new(settings.routers),
             servers: Mutex::default(),
+            server_starts: AtomicUsize::new(0),
             written_configs: Mutex::default(),
             leaving_since: Mutex::default(),
             emptied_domains: Mutex::default(),
@@ -182,7 +187,10 @@
         service: &'static str,
         is_cold: bool,
     ) -> io::Result<()> {
-        let fake_server = FakeServer::start(id, &self.execution_log).await?;
+        let starts = self.server_starts.fetch_add(1, Ordering::Relaxed);
+        // A server that returns under its id has the other version.
+        let version = format!("v{}", 1 + starts % VERSIONS);
+        let fake_server = FakeServer::start_version(id, &version, &self.execution_log).await?;
         let proxy = FaultyProxy::start(fake_server.address())?;
         let now = SystemTime::now()
             .duration_since(UNIX_EPOCH)
@@ -214,6 +222,7 @@
             is_leaving,
             started_ms: server.started_ms,
             cold_for: cold_until.map_or(Duration::ZERO, |until| until - Instant::now()),
+            version: server.fake_server.version().to_owned(),
         };
         self.store.set_server(&server.fake_server.id, Some(&entry));
     }
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_platform_stand_in::{Crash, Execution, event_count, plain_body};
+use bulrushward_platform_stand_in::{Crash, Execution, StreamEvent, event_count, plain_body};
 
 use crate::{
     callers::{Attempt, AttemptResult, Kind, ReceivedResponse, events},
@@ -371,6 +371,27 @@
     Some(time)
 }
 
+/// Checks that each stream has events of servers of one version only, over all requests of its caller.
+pub(crate) fn check_versions(attempts: &[Attempt]) -> Vec<String> {
+    let mut versions: HashMap<&str, HashSet<String>> = HashMap::new();
+    for attempt in attempts {
+        if let AttemptResult::Complete(response) | AttemptResult::Truncated(response) =
+            &attempt.result
+        {
+            let of_stream = versions.entry(attempt.began_as()).or_default();
+            of_stream.extend(
+                events(&response.body)
+                    .into_iter()
+                    .map(|event| event.version),
+            );
+        }
+    }
+    let mixed = versions.iter().filter(|(_, versions)| versions.len() > 1);
+    mixed
+        .map(|(id, versions)| format!("request={id} promise=one-version versions={versions:?}"))
+        .collect()
+}
+
 fn check_attempt(
     attempt: &Attempt,
     executions: &[Execution],
@@ -386,8 +407,7 @@
             violations.extend(check_complete_response(attempt, response, executions));
         }
         AttemptResult::Truncated(response) if attempt.kind.is_stream() => {
-            let (ids, _) = events(&response.body);
-            if !is_consecutive(&ids) {
+            if !is_consecutive(&events(&response.body), attempt.after()) {
                 violations.push("each-event-once-in-order");
             }
         }
@@ -421,8 +441,11 @@
             violations.push("answers-are-ones-own");
         }
         let is_complete = if attempt.kind.is_stream() {
-            let (ids, has_last) = events(&response.body);
-            is_consecutive(&ids) && has_last && ids.len() == event_count(&attempt.id) as usize
+            let events = events(&response.body);
+            let last = events.last();
+            is_consecutive(&events, attempt.after())
+                && last.is_some_and(|last| last.is_last)
+                && last.map(|last| last.id) == Some(event_count(attempt.began_as()))
         } else {
             let server = response
                 .signature
@@ -439,7 +462,10 @@
     violations
 }
 
-/// Returns whether the ids are 1, 2, 3 and so on.
-fn is_consecutive(ids: &[u32]) -> bool {
-    ids.iter().zip(1..).all(|(id, expected)| *id == expected)
+/// Returns whether the events are those that follow `after`, without a gap.
+fn is_consecutive(events: &[StreamEvent], after: u32) -> bool {
+    events
+        .iter()
+        .zip(after + 1..)
+        .all(|(event, expected)| event.id == expected)
 }
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -137,6 +137,7 @@
     violations.extend(invariants::check_leaving(&harness, &all, &execution_log));
     violations.extend(invariants::check_emptied(&harness, &all, &execution_log));
     violations.extend(invariants::check_cold(&harness));
+    violations.extend(invariants::check_versions(&all));
     violations.extend(invariants::check_poison(&harness, &all));
     violations.extend(report_checks::check(&harness, &all));
     violations.extend(report_checks::check_limits(&harness, &all));
--- a/bulrushward_soak/tests/cancelled_work.rs
+++ b/bulrushward_soak/tests/cancelled_work.rs
@@ -32,6 +32,7 @@
         ended: at(11.0),
         time_limit: Duration::from_secs(8),
         result: AttemptResult::Abandoned,
+        resumed: None,
     };
     let execution = Execution {
         server: SERVER.to_owned(),
--- a/bulrushward_soak/tests/planned_stops.rs
+++ b/bulrushward_soak/tests/planned_stops.rs
@@ -63,6 +63,7 @@
             ended: at(self.ended),
             time_limit: Duration::from_secs_f64(self.time_limit),
             result: self.result,
+            resumed: None,
         };
         let executions: Vec<_> = self
             .executions
