--- a/bulrushward_direct/src/server_selection.rs
+++ b/bulrushward_direct/src/server_selection.rs
@@ -307,9 +307,7 @@
     cold_servers::record_sent(&request.service, &chosen, now);
     let has_unit = server_reports::take_unit(shared, &chosen) == Some(true);
     let has_prompt = views[index].has_prompt;
-    let copy_from = source
-        .filter(|source| !has_prompt && source.has_version_of(&chosen))
-        .map(|source| source.record.address);
+    let copy_from = source.filter(|_| !has_prompt);
     let shared_unread_tokens = if has_prompt || copy_from.is_some() {
         0
     } else {
@@ -336,13 +334,13 @@
 }
 
 /// Returns a server from which the session's prompt can be copied; a leaving server still qualifies.
-fn copy_source<'a>(
-    servers: &'a [Arc<Server>],
+fn copy_source(
+    servers: &[Arc<Server>],
     request: &RoutedRequest,
     locations: &[ServerHash],
     emptied: &EmptiedDomains,
     now: Instant,
-) -> Option<&'a Server> {
+) -> Option<SocketAddr> {
     if !request.service.can_copy_prompts || request.shared_tokens() < MIN_COPY_TOKENS {
         return None;
     }
@@ -351,7 +349,7 @@
         let is_emptied = emptied.contains(&server.record.failure_domain);
         let state = server.state();
         let is_ready = !state.health.is_backing_off(now) && !state.cold.is_stated(now);
-        (is_ready && !is_emptied).then_some(&**server)
+        (is_ready && !is_emptied).then_some(server.record.address)
     })
 }
 
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -106,11 +106,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns whether both servers are known to have the same version.
-    pub(crate) fn has_version_of(&self, other: &Self) -> bool {
-        self.version.is_some() && self.version == other.version
-    }
-
     fn is_same_incarnation(&self, record: &ServerRecord) -> bool {
         self.record.address == record.address
             && self.record.started_ms == record.started_ms
