Let streams go on while their service has had one version only

No record can help there, but in a service that has had one version only for longer than a stream lasts, that one began it.

The tests of routers fail without the change (refused with 503).

--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -14,6 +14,7 @@
 use bulrushward_policy::{
     emptied_domains::{DomainChange, EmptiedDomains, EmptiedReport, FailureDomain},
     server_registry::{EntrySnapshot, ServerRegistry, StoreRevision},
+    version_history::HistoryReport,
 };
 use serde::{Deserialize, Serialize};
 use tracing::{info, warn};
@@ -65,6 +66,8 @@
     pub(crate) session_locations: Vec<SessionLocation>,
     /// Emptied failure domains; `None` if the sender does not know the orders.
     pub(crate) orders: Option<EmptiedReport>,
+    /// Software versions that the servers had.
+    pub(crate) versions: HistoryReport,
 }
 
 /// Returns a record as the digest contains it.
@@ -282,6 +285,7 @@
             return;
         }
         registry.replace(listing.servers, listing.revision, Instant::now());
+        self.shared.stream_origins.begin_history();
         self.publish(&registry, Source::Store);
     }
 
@@ -299,6 +303,9 @@
             );
             return;
         }
+        self.shared
+            .stream_origins
+            .observe_servers(changes.records());
         let previous = self.shared.servers.load();
         let known: HashMap<_, _> = previous
             .all()
@@ -355,6 +362,10 @@
             servers: registry.snapshot(),
             revision: registry.revision(),
             orders: self.shared.emptied_domains().report(Instant::now()),
+            versions: {
+                let registered = registry.records().map(|(_, record)| record);
+                self.shared.stream_origins.history(registered)
+            },
             session_locations: match known_config {
                 Some(_) => Vec::new(),
                 None => self.shared.latest_session_locations(),
@@ -375,6 +386,8 @@
         let mut registry = lock(&self.registry);
         if snapshot.revision > registry.revision() {
             registry.replace_from_snapshot(snapshot.servers, snapshot.revision, Instant::now());
+            let origins = &self.shared.stream_origins;
+            origins.restore_history(&snapshot.versions);
             self.publish(&registry, Source::Peer);
         }
     }
@@ -391,6 +404,8 @@
         let previous = self.shared.servers.load();
         let set = ServerSet::new(registry.records(), &previous);
         let now = Instant::now();
+        let records = previous.all().chain(set.all()).map(|server| &server.record);
+        self.shared.stream_origins.observe_servers(records);
         cold_servers::record_entries(&self.shared, &set, &previous, now);
         let emptied = self.shared.emptied_domains();
         cold_servers::assume_returned_cold(&self.shared, &set, &emptied, now);
--- a/bulrushward_direct/src/places/exchange.rs
+++ b/bulrushward_direct/src/places/exchange.rs
@@ -139,7 +139,11 @@
                 shared.unit_loans.receive(id, answer);
             }
             Message::Origin(message) => {
-                if let Some(reply) = shared.stream_origins.receive(from, message) {
+                if let Some(reply) =
+                    shared
+                        .stream_origins
+                        .receive(from, message, &shared.servers.load())
+                {
                     self.outbox.push(from, reply.into(), now);
                 }
             }
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -123,6 +123,15 @@
     pub revision: StoreRevision,
 }
 
+impl ServerChanges {
+    /// Returns the entries that were written.
+    pub(crate) fn records(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.changes
+            .iter()
+            .filter_map(|(_, record)| record.as_ref())
+    }
+}
+
 /// Result of reading the configuration or of waiting for a change to it.
 #[derive(Clone, Debug)]
 pub struct ConfigUpdate {
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -160,9 +160,7 @@
         store_watch::watch_servers,
     );
     spawn("knowledge", &shared, &fleet_state, serve_fleet_state);
-    spawn("saved-sessions", &shared, &fleet_state, |shared, _| {
-        saved_sessions::run(shared)
-    });
+    spawn("saved-sessions", &shared, &fleet_state, saved_sessions::run);
     spawn("store-probe", &shared, &fleet_state, |shared, _| {
         store_probe::run(shared)
     });
--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -2,13 +2,17 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushward_policy::fleet_schedule::FleetSchedule;
+use bulrushward_policy::{
+    fleet_schedule::FleetSchedule, server_registry::StoreRevision, version_history::HistoryReport,
+};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
 use tracing::{debug, info};
 
-use crate::{location_updates::SessionLocation, metrics::StoreCall, shared::Shared};
+use crate::{
+    fleet_state::FleetState, location_updates::SessionLocation, metrics::StoreCall, shared::Shared,
+};
 
 /// Version of the encoding; data with another version is ignored.
 const FORMAT: u8 = 1;
@@ -21,6 +25,10 @@
 const SAVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause after a failed call to read the saved sessions.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Number of times that the saved history of versions is restored at most.
+const MAX_RESTORES: u32 = 5;
+/// Interval at which a starting router checks whether it knows the servers.
+const HISTORY_PAUSE: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Serialize, Deserialize)]
 struct SavedSessions {
@@ -29,6 +37,15 @@
     session_locations: Vec<SessionLocation>,
 }
 
+/// Second part of the saved data, which routers of earlier versions neither write nor read.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct SavedHistory {
+    /// Software versions of the servers.
+    versions: HistoryReport,
+    /// Store revision of the servers up to which they are known.
+    revision: StoreRevision,
+}
+
 /// Reason why saved sessions were ignored.
 #[derive(Debug, Snafu)]
 enum SavedError {
@@ -39,7 +56,7 @@
 }
 
 /// Restores the saved session locations, and saves the current ones from then on until cancelled.
-pub(crate) async fn run(shared: Arc<Shared>) {
+pub(crate) async fn run(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     restore(&shared).await;
     let mut saved_changes = 0;
     let mut schedule = FleetSchedule::new(SAVE_INTERVAL, &mut rand::rng());
@@ -50,7 +67,7 @@
         if changes != saved_changes
             && is_turn
             && shared.store_state.is_available()
-            && save(&shared).await
+            && save(&shared, &fleet_state).await
         {
             saved_changes = changes;
         }
@@ -63,9 +80,8 @@
         shared.metrics.record_store_call(StoreCall::Saved, &saved);
         match saved {
             Ok(saved) => {
-                if let Some(bytes) = saved {
-                    apply(shared, &bytes);
-                }
+                let history = saved.as_ref().map(|bytes| apply(shared, bytes));
+                restore_history(shared, history).await;
                 return;
             }
             Err(error) => {
@@ -76,30 +92,81 @@
     }
 }
 
-fn apply(shared: &Shared, bytes: &Bytes) {
+/// Applies saved sessions; returns the saved history of versions.
+fn apply(shared: &Shared, bytes: &Bytes) -> SavedHistory {
     match decode(bytes) {
-        Ok(saved) => {
+        Ok((saved, history)) => {
             shared.merge_session_locations(&saved.session_locations);
             let placements = saved.session_locations.len();
             info!(event = "saved-sessions-learnt", placements);
+            history
+        }
+        Err(error) => {
+            info!(event = "saved-sessions-refused", %error);
+            SavedHistory::default()
         }
-        Err(error) => info!(event = "saved-sessions-refused", %error),
     }
 }
 
-fn decode(bytes: &[u8]) -> Result<SavedSessions, SavedError> {
+/// Goes on with the history of versions of a router that died, if the store tells what happened since.
+///
+/// Without saved data the fleet runs for the first time. Snapshots of peers that have just started as well shorten the
+/// history again, so it is restored until it lasts.
+async fn restore_history(shared: &Shared, saved: Option<SavedHistory>) {
+    while !shared.has_servers() {
+        tokio::time::sleep(HISTORY_PAUSE).await;
+    }
+    let origins = &shared.stream_origins;
+    let Some(saved) = saved else {
+        origins.begin_fleet();
+        return;
+    };
+    for _ in 0..MAX_RESTORES {
+        let missed = shared
+            .store
+            .next_servers(saved.revision, Duration::ZERO)
+            .await;
+        shared
+            .metrics
+            .record_store_call(StoreCall::ServerChanges, &missed);
+        match missed {
+            Ok(missed) => {
+                origins.observe_servers(missed.records());
+                origins.restore_history(&saved.versions);
+                let changes = missed.changes.len();
+                info!(event = "saved-versions-learnt", changes);
+            }
+            Err(error) => info!(event = "saved-versions-refused", %error),
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if !origins.has_shorter_history_than(&saved.versions) {
+            return;
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<(SavedSessions, SavedHistory), SavedError> {
     let (format, _rest) = postcard::take_from_bytes::<u8>(bytes).context(UnreadableSnafu)?;
     ensure!(format == FORMAT, FormatSnafu { format });
-    postcard::from_bytes(bytes).context(UnreadableSnafu)
+    let (saved, history) = postcard::take_from_bytes(bytes).context(UnreadableSnafu)?;
+    Ok((saved, postcard::from_bytes(history).unwrap_or_default()))
 }
 
 /// Saves the session locations; returns whether the store acknowledged it.
-async fn save(shared: &Shared) -> bool {
+async fn save(shared: &Shared, fleet_state: &FleetState) -> bool {
+    // The revision first, so that the history is no older.
+    let revision = fleet_state.servers_revision();
+    let servers = shared.servers.load();
+    let registered = servers.all().map(|server| &server.record);
+    let history = SavedHistory {
+        versions: shared.stream_origins.history(registered),
+        revision,
+    };
     let sessions = SavedSessions {
         format: FORMAT,
         session_locations: shared.latest_session_locations(),
     };
-    let bytes = match postcard::to_stdvec(&sessions) {
+    let bytes = match postcard::to_stdvec(&(&sessions, &history)) {
         Ok(bytes) => bytes,
         Err(error) => {
             info!(event = "sessions-not-saved", %error);
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -12,9 +12,10 @@
     server_health::ServerHealth,
     server_load::ServerLoad,
     server_scope::{VersionKey, version_key},
+    version_history::ServiceKey,
 };
 use bulrushward_protocol::ServerKey;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     connection::IdleConnection,
@@ -158,6 +159,18 @@
         server.version.filter(|_| !current.is_some_and(is_replaced))
     }
 
+    /// Returns the versions of the servers of a service, which is given by the hash of its name.
+    pub(crate) fn versions(
+        &self,
+        service: ServiceKey,
+    ) -> impl Iterator<Item = Option<VersionKey>> + use<'_> {
+        let of_service = self
+            .by_service
+            .iter()
+            .filter(move |(name, _)| xxh3_64(name.as_bytes()) == service);
+        of_service.flat_map(|(_, servers)| servers.iter().map(|server| server.version))
+    }
+
     /// Returns the text of a version of a service, or its key if no server has it any more.
     pub(crate) fn version_text(&self, service: &str, version: VersionKey) -> String {
         let mut servers = self.of_service(service).iter();
--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -10,8 +10,9 @@
 };
 
 use bulrushward_policy::{
-    server_scope::{VersionBound, VersionKey},
+    server_scope::{VersionBound, VersionKey, version_key},
     stream_origin::{self, ASKED, HOLDERS, Origin, OriginQuery, OriginRecords, StreamKey},
+    version_history::{HistoryReport, ServiceKey, VersionHistory},
 };
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
@@ -21,7 +22,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    metrics::DirectMetrics, places::Places, routed_request::RoutedRequest, servers::ServerSet,
+    metrics::DirectMetrics, model::ServerRecord, places::Places, routed_request::RoutedRequest,
+    servers::ServerSet,
 };
 
 /// Time after the end of a stream's time in which its caller may resume it.
@@ -43,8 +45,14 @@
         /// Milliseconds for which the stream may be resumed.
         life_ms: u32,
     },
-    /// Asks where a stream began.
-    Ask { id: u64, stream: StreamKey },
+    /// Asks where a stream of a service began; `None` if the caller does not name it.
+    Ask {
+        id: u64,
+        stream: Option<StreamKey>,
+        service: ServiceKey,
+        /// Milliseconds for which streams of its route may last and be resumed.
+        life_ms: u32,
+    },
     /// Answers an ask.
     Answer { id: u64, origin: Origin },
 }
@@ -57,6 +65,8 @@
     Record,
     /// From another router.
     Peer,
+    /// The service has had one version only for longer than a stream lasts.
+    OnlyVersion,
     /// No router that was asked knows.
     NotKnown,
     /// The caller does not name the request that began the stream.
@@ -78,6 +88,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamOrigins {
     records: Mutex<OriginRecords>,
+    history: Mutex<VersionHistory>,
     /// The other routers that are alive, as hashes of their names and as the addresses for messages.
     peers: Mutex<(Vec<u64>, Vec<SocketAddr>)>,
     waiting: Mutex<HashMap<u64, Waiting>>,
@@ -136,11 +147,12 @@
             return VersionBound::Any;
         }
         let begun = Instant::now();
-        let (origin, source) = self.find(places, request).await;
+        let (origin, source) = self.find(places, servers, request).await;
         let source: &'static str = source.into();
         metrics.record_resumed_stream(source);
         let (version, age_ms) = match origin {
             Origin::Version { version, age_ms } => (Some(version), Some(age_ms)),
+            Origin::OnlyVersion { version } => (Some(version), None),
             Origin::Contradictory | Origin::NotKnown => (None, None),
         };
         info!(
@@ -161,6 +173,7 @@
         &self,
         from: SocketAddr,
         message: OriginMessage,
+        servers: &ServerSet,
     ) -> Option<OriginMessage> {
         let now = Instant::now();
         match message {
@@ -173,8 +186,14 @@
                 lock(&self.records).record(stream, version, life, now);
                 None
             }
-            OriginMessage::Ask { id, stream } => {
-                let origin = lock(&self.records).get(stream, now);
+            OriginMessage::Ask {
+                id,
+                stream,
+                service,
+                life_ms,
+            } => {
+                let life = Duration::from_millis(life_ms.into());
+                let origin = self.known_origin(stream, service, life, servers);
                 Some(OriginMessage::Answer { id, origin })
             }
             OriginMessage::Answer { id, origin } => {
@@ -189,30 +208,109 @@
         }
     }
 
-    async fn find(&self, places: &Places, request: &RoutedRequest) -> (Origin, Source) {
-        let Some(began_as) = request.resumes.as_deref() else {
-            return (Origin::NotKnown, Source::NotNamed);
-        };
-        let stream = key(request, began_as);
-        match lock(&self.records).get(stream, Instant::now()) {
-            Origin::NotKnown => {}
-            known => return (known, source_of(known, Source::Record)),
+    /// Returns what this router knows of the origin of a stream.
+    fn known_origin(
+        &self,
+        stream: Option<StreamKey>,
+        service: ServiceKey,
+        life: Duration,
+        servers: &ServerSet,
+    ) -> Origin {
+        let now = Instant::now();
+        let recorded = stream.map(|stream| lock(&self.records).get(stream, now));
+        if let Some(recorded) = recorded.filter(|recorded| *recorded != Origin::NotKnown) {
+            return recorded;
+        }
+        let current = servers.versions(service);
+        let only = lock(&self.history).only_version(service, current, life, now);
+        only.map_or(Origin::NotKnown, |version| Origin::OnlyVersion { version })
+    }
+
+    async fn find(
+        &self,
+        places: &Places,
+        servers: &ServerSet,
+        request: &RoutedRequest,
+    ) -> (Origin, Source) {
+        let began_as = request.resumes.as_deref();
+        let stream = began_as.map(|began_as| key(request, began_as));
+        let service = service_key(&request.service.name);
+        let life = request.route.timeout + RETURN_TIME;
+        let own = self.known_origin(stream, service, life, servers);
+        if own != Origin::NotKnown {
+            return (own, source_of(own, Source::Record));
         }
-        let asked = self.holders(stream, ASKED);
+        let asked = self.holders(stream.unwrap_or(service.into()), ASKED);
         if asked.is_empty() {
             return (Origin::NotKnown, Source::NotAsked);
         }
-        let Some(origin) = self.ask(places, stream, asked).await else {
+        let ask = |id| OriginMessage::Ask {
+            id,
+            stream,
+            service,
+            life_ms: life.as_millis() as u32,
+        };
+        let Some(origin) = self.ask(places, ask, asked).await else {
             return (Origin::NotKnown, Source::NotAsked);
         };
-        (origin, source_of(origin, Source::Peer))
+        match origin {
+            // This router may know of a version that the other one has not heard of yet.
+            Origin::OnlyVersion { version }
+                if servers
+                    .versions(service)
+                    .any(|other| other != Some(version)) =>
+            {
+                (Origin::NotKnown, Source::NotKnown)
+            }
+            Origin::NotKnown if stream.is_none() => (origin, Source::NotNamed),
+            _ => (origin, source_of(origin, Source::Peer)),
+        }
+    }
+
+    /// Records the versions of servers that are registered now or were until now.
+    pub(crate) fn observe_servers<'a>(&self, servers: impl Iterator<Item = &'a ServerRecord>) {
+        let now = Instant::now();
+        let mut history = lock(&self.history);
+        for server in servers {
+            let version = server.version.as_deref().map(version_key);
+            history.observe(service_key(&server.service), version, now);
+        }
+    }
+
+    /// Records that changes to the servers may have been missed until now.
+    pub(crate) fn begin_history(&self) {
+        lock(&self.history).begin(Instant::now());
+    }
+
+    /// Records that no router of this fleet ran before.
+    pub(crate) fn begin_fleet(&self) {
+        lock(&self.history).begin_fleet(Instant::now());
+    }
+
+    /// Returns the history of versions for other routers, given the servers that are registered now.
+    pub(crate) fn history<'a>(
+        &self,
+        registered: impl Iterator<Item = &'a ServerRecord>,
+    ) -> HistoryReport {
+        self.observe_servers(registered);
+        lock(&self.history).report(Instant::now())
+    }
+
+    /// Returns whether the history of versions is shorter than another one was when it was reported.
+    pub(crate) fn has_shorter_history_than(&self, other: &HistoryReport) -> bool {
+        lock(&self.history).is_shorter_than(other, Instant::now())
+    }
+
+    /// Goes on with the history of another router, from which nothing was missed.
+    pub(crate) fn restore_history(&self, history: &HistoryReport) {
+        lock(&self.history).restore(history, Instant::now());
     }
 
     /// Asks other routers where a stream began; returns `None` if too many asks are under way.
     async fn ask(
         &self,
         places: &Places,
-        stream: StreamKey,
+        message: impl Fn(u64) -> OriginMessage,
         asked: Vec<SocketAddr>,
     ) -> Option<Origin> {
         let id = rand::rng().random();
@@ -224,7 +322,7 @@
         let _guard = WaitGuard { origins: self, id };
         for _ in 0..MAX_SENDS {
             for router in self.unanswered(id) {
-                places.send(router, OriginMessage::Ask { id, stream });
+                places.send(router, message(id));
             }
             if let Ok(result) = timeout(REPEAT_INTERVAL, &mut result).await {
                 return Some(result.unwrap_or(Origin::NotKnown));
@@ -271,6 +369,10 @@
     }
 }
 
+fn service_key(name: &str) -> ServiceKey {
+    xxh3_64(name.as_bytes())
+}
+
 fn key(request: &RoutedRequest, began_as: &str) -> StreamKey {
     stream_origin::stream_key(
         &request.service.name,
@@ -283,6 +385,7 @@
 fn source_of(origin: Origin, known: Source) -> Source {
     match origin {
         Origin::Version { .. } => known,
+        Origin::OnlyVersion { .. } => Source::OnlyVersion,
         Origin::Contradictory => Source::Contradictory,
         Origin::NotKnown => Source::NotKnown,
     }
--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -311,3 +311,49 @@
     assert_refused(&router.send(&resumed("r-3", "r-1", 3)), sent);
     assert_eq!(server.received().len(), arrived);
 }
+
+/// Callers that do not say as which request their stream began were refused though there had been one version only.
+#[rstest]
+#[case::not_named("")]
+#[case::unknown("r-9")]
+fn a_stream_of_a_service_that_has_one_version_only_goes_on(#[case] began_as: &str) {
+    let store = MemoryStore::with(config(1));
+    let server = TestServer::start("first", complete_stream);
+    register(&store, "v1", [&server]);
+    let [router] = routers(&store, 1);
+    wait_until("the router knows that the fleet starts", || {
+        let response = router.send(&resumed("r-2", began_as, 3));
+        (response.status, response.text()) == (200, events(4, 6))
+    });
+}
+
+/// Streams that resumed after the loss of all routers were refused though there had been one version only.
+#[rstest]
+#[case::one_version(false)]
+#[case::another_version_meanwhile(true)]
+fn a_stream_goes_on_after_the_loss_of_all_routers_if_there_was_one_version_only(
+    #[case] had_another_version: bool,
+) {
+    let store = MemoryStore::with(config(1));
+    let server = TestServer::start("first", complete_stream);
+    register(&store, "v1", [&server]);
+    let [mut lost] = routers(&store, 1);
+    let in_session =
+        request("POST", "stream", "r-1", "").replace("Key:", "Prompt: 7:500,8:20\r\nKey:");
+    assert_eq!(lost.send(&in_session).status, 200);
+    wait_until("the router saves what it knows", || {
+        store.saved_bytes().is_some()
+    });
+    lost.stop();
+    lost.join();
+    if had_another_version {
+        let other = TestServer::start("other", complete_stream);
+        register(&store, "v2", [&other]);
+        store.remove(&other.id);
+    }
+    let [router] = routers(&store, 1);
+    std::thread::sleep(Duration::from_millis(300));
+    let response = router.send(&resumed("r-2", "r-1", 3));
+    let expected = if had_another_version { 503 } else { 200 };
+    assert_eq!(response.status, expected);
+}
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -46,4 +46,5 @@
 pub mod stream_origin;
 pub mod stream_pace;
 pub mod usual_demand;
+pub mod version_history;
 pub mod view_lag;
--- a/bulrushward_policy/src/stream_origin.rs
+++ b/bulrushward_policy/src/stream_origin.rs
@@ -66,6 +66,11 @@
         /// Time since the router learnt it, in milliseconds.
         age_ms: u32,
     },
+    /// The service has had this version only for longer than a stream lasts.
+    OnlyVersion {
+        /// Version.
+        version: VersionKey,
+    },
     /// Servers of different versions began streams with the same key.
     Contradictory,
     /// Nothing.
@@ -77,7 +82,7 @@
     #[must_use]
     pub fn version(self) -> Option<VersionKey> {
         match self {
-            Self::Version { version, .. } => Some(version),
+            Self::Version { version, .. } | Self::OnlyVersion { version } => Some(version),
             Self::Contradictory | Self::NotKnown => None,
         }
     }
