Keep the history of versions when the store answers again

The changes since the revision that was known are read along with the listing, if the store still has them.

--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -279,13 +279,19 @@
     }
 
     /// Replaces the registered servers by a complete listing from the store, unless the listing is older.
-    pub(crate) fn replace_servers(&self, listing: ServerListing) {
+    ///
+    /// `missed` are the changes since the revision that was known before, if the store still has them.
+    pub(crate) fn replace_servers(&self, listing: ServerListing, missed: Option<&ServerChanges>) {
         let mut registry = lock(&self.registry);
         if listing.revision < registry.revision() {
             return;
         }
         registry.replace(listing.servers, listing.revision, Instant::now());
-        self.shared.stream_origins.begin_history();
+        let origins = &self.shared.stream_origins;
+        match missed {
+            Some(missed) => origins.observe_servers(missed.records()),
+            None => origins.begin_history(),
+        }
         self.publish(&registry, Source::Store);
     }
 
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -277,9 +277,15 @@
     store: &dyn FleetStore,
     fleet_state: &FleetState,
 ) -> Result<bool, StoreError> {
+    let known = fleet_state.servers_revision();
     let listing = store.servers().await?;
     fleet_state.record_store_success();
-    fleet_state.replace_servers(listing);
+    // The listing does not show servers that came and went since the last call that succeeded.
+    let missed = match known {
+        0 => None,
+        _ => store.next_servers(known, Duration::ZERO).await.ok(),
+    };
+    fleet_state.replace_servers(listing, missed.as_ref());
     Ok(true)
 }
 
