Take a version for the only one only while the store responds

A router that the store turned away, and that no peer reached, could have let a stream go on at the version that it knew, though servers of another one had registered since and one of them had begun the stream. Such a router now asks the others, and refuses what none knows; streams with a record go on as before. The new test failed before.

--- a/bulrushward_direct/src/places/exchange.rs
+++ b/bulrushward_direct/src/places/exchange.rs
@@ -18,7 +18,7 @@
     Places, State,
     message::{Message, PoolKey, ServiceKey, UnitMessage, WireAsk, service_key},
 };
-use crate::{shared::Shared, unit_loans};
+use crate::{shared::Shared, stream_origins::RegistryView, unit_loans};
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
@@ -139,11 +139,11 @@
                 shared.unit_loans.receive(id, answer);
             }
             Message::Origin(message) => {
-                if let Some(reply) =
-                    shared
-                        .stream_origins
-                        .receive(from, message, &shared.servers.load())
-                {
+                let registry = RegistryView {
+                    servers: &shared.servers.load(),
+                    is_confirmed: shared.store_state.is_available(),
+                };
+                if let Some(reply) = shared.stream_origins.receive(from, message, registry) {
                     self.outbox.push(from, reply.into(), now);
                 }
             }
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -26,6 +26,7 @@
     server_selection::{self, NoServer, ServerChoice},
     servers::Server,
     shared::Shared,
+    stream_origins::RegistryView,
     unit_loans,
 };
 
@@ -176,8 +177,12 @@
 /// Returns the versions at which a request may run.
 async fn version_bound(shared: &Shared, request: &RoutedRequest) -> VersionBound {
     let servers = shared.servers.load_full();
+    let registry = RegistryView {
+        servers: &servers,
+        is_confirmed: shared.store_state.is_available(),
+    };
     let origins = &shared.stream_origins;
-    let bound = origins.version_bound(&shared.places, &servers, &shared.metrics, request);
+    let bound = origins.version_bound(&shared.places, registry, &shared.metrics, request);
     bound.await
 }
 
--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -77,6 +77,14 @@
     Contradictory,
 }
 
+/// The registered servers as a router knows them.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RegistryView<'a> {
+    pub(crate) servers: &'a ServerSet,
+    /// Whether the store responds, so that no version can have appeared unnoticed.
+    pub(crate) is_confirmed: bool,
+}
+
 /// A resumed stream that waits for answers.
 #[derive(Debug)]
 struct Waiting {
@@ -139,7 +147,7 @@
     pub(crate) async fn version_bound(
         &self,
         places: &Places,
-        servers: &ServerSet,
+        registry: RegistryView<'_>,
         metrics: &DirectMetrics,
         request: &RoutedRequest,
     ) -> VersionBound {
@@ -147,7 +155,7 @@
             return VersionBound::Any;
         }
         let begun = Instant::now();
-        let (origin, source) = self.find(places, servers, request).await;
+        let (origin, source) = self.find(places, registry, request).await;
         let source: &'static str = source.into();
         metrics.record_resumed_stream(source);
         let (version, age_ms) = match origin {
@@ -160,7 +168,7 @@
             request = request.request_id,
             began_as = request.resumes,
             after_event = request.last_event_id,
-            version = version.map(|version| servers.version_text(&request.service.name, version)),
+            version = version.map(|version| text(registry, request, version)),
             source,
             age_ms,
             ms = begun.elapsed().as_millis() as u64,
@@ -173,7 +181,7 @@
         &self,
         from: SocketAddr,
         message: OriginMessage,
-        servers: &ServerSet,
+        registry: RegistryView<'_>,
     ) -> Option<OriginMessage> {
         let now = Instant::now();
         match message {
@@ -193,7 +201,7 @@
                 life_ms,
             } => {
                 let life = Duration::from_millis(life_ms.into());
-                let origin = self.known_origin(stream, service, life, servers);
+                let origin = self.known_origin(stream, service, life, registry);
                 Some(OriginMessage::Answer { id, origin })
             }
             OriginMessage::Answer { id, origin } => {
@@ -214,14 +222,17 @@
         stream: Option<StreamKey>,
         service: ServiceKey,
         life: Duration,
-        servers: &ServerSet,
+        registry: RegistryView<'_>,
     ) -> Origin {
         let now = Instant::now();
         let recorded = stream.map(|stream| lock(&self.records).get(stream, now));
         if let Some(recorded) = recorded.filter(|recorded| *recorded != Origin::NotKnown) {
             return recorded;
         }
-        let current = servers.versions(service);
+        if !registry.is_confirmed {
+            return Origin::NotKnown;
+        }
+        let current = registry.servers.versions(service);
         let only = lock(&self.history).only_version(service, current, life, now);
         only.map_or(Origin::NotKnown, |version| Origin::OnlyVersion { version })
     }
@@ -229,14 +240,14 @@
     async fn find(
         &self,
         places: &Places,
-        servers: &ServerSet,
+        registry: RegistryView<'_>,
         request: &RoutedRequest,
     ) -> (Origin, Source) {
         let began_as = request.resumes.as_deref();
         let stream = began_as.map(|began_as| key(request, began_as));
         let service = service_key(&request.service.name);
         let life = request.route.timeout + RETURN_TIME;
-        let own = self.known_origin(stream, service, life, servers);
+        let own = self.known_origin(stream, service, life, registry);
         if own != Origin::NotKnown {
             return (own, source_of(own, Source::Record));
         }
@@ -253,13 +264,10 @@
         let Some(origin) = self.ask(places, ask, asked).await else {
             return (Origin::NotKnown, Source::NotAsked);
         };
+        let mut current = registry.servers.versions(service);
         match origin {
             // This router may know of a version that the other one has not heard of yet.
-            Origin::OnlyVersion { version }
-                if servers
-                    .versions(service)
-                    .any(|other| other != Some(version)) =>
-            {
+            Origin::OnlyVersion { version } if current.any(|other| other != Some(version)) => {
                 (Origin::NotKnown, Source::NotKnown)
             }
             Origin::NotKnown if stream.is_none() => (origin, Source::NotNamed),
@@ -369,6 +377,11 @@
     }
 }
 
+fn text(registry: RegistryView<'_>, request: &RoutedRequest, version: VersionKey) -> String {
+    let service = &request.service.name;
+    registry.servers.version_text(service, version)
+}
+
 fn service_key(name: &str) -> ServiceKey {
     xxh3_64(name.as_bytes())
 }
--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -357,3 +357,31 @@
     let expected = if had_another_version { 503 } else { 200 };
     assert_eq!(response.status, expected);
 }
+
+/// A router that the store had turned away took the only version that it knew for the only one of the service.
+#[test]
+fn a_router_that_cannot_read_the_store_does_not_know_that_there_is_one_version_only() {
+    let store = MemoryStore::with(config(1));
+    let server = TestServer::start("first", complete_stream);
+    register(&store, "v1", [&server]);
+    let [router] = routers(&store, 1);
+    let begun = router.send(&request("POST", "resumable", "r-1", ""));
+    assert_eq!(begun.text(), events(1, 6));
+    let mut ids = 0..;
+    let mut resume_unknown = || {
+        // A stream that went on is known from then on.
+        let began_as = format!("unknown-{}", ids.next().expect("the numbers do not end"));
+        router.send(&resumed("r-2", &began_as, 3)).status
+    };
+    wait_until("the router knows that the fleet starts", || {
+        resume_unknown() == 200
+    });
+    store.set_down(true);
+    let other = TestServer::start("other", complete_stream);
+    register(&store, "v2", [&other]);
+    wait_until("a stream that no router knows is refused", || {
+        resume_unknown() == 503
+    });
+    let known = router.send(&resumed("r-3", "r-1", 3));
+    assert_eq!((known.status, known.text()), (200, events(4, 6)));
+}
