Log what tells apart the causes of joined streams and late announcements

The log did not tell which incarnation of a server announced its leaving or was registered, that a router claims a history of versions without saved data, that a refusal names no request, and that a stream ended without an event.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -27,6 +27,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use tracing::info;
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
@@ -305,7 +306,8 @@
         ));
     }
     if metadata.is_not_run {
-        let detail = format!("refused with status {}", res.status().as_u16());
+        let names_request = if lacks_id { ", names no request" } else { "" };
+        let detail = format!("refused with status {}{names_request}", res.status().as_u16());
         return Err(AttemptError::new(AttemptFailure::Rejected, &detail));
     }
     if res.status().is_success() && !metadata.is_signed {
@@ -418,7 +420,15 @@
     let first_events = loop {
         match stream.next_event(read_deadline(request)).await {
             Ok(StreamItem::Events(events) | StreamItem::Comments(events)) => break events,
-            Ok(StreamItem::End) => break Bytes::new(),
+            Ok(StreamItem::End) => {
+                info!(
+                    event = "stream-without-event",
+                    request = request.request_id,
+                    server = stream.progress.server().id,
+                    after_event = request.last_event_id,
+                );
+                break Bytes::new();
+            }
             Err(error)
                 if error.failure == AttemptFailure::Silent
                     && silence.waits_on(&stream.progress) => {}
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -337,6 +337,7 @@
                 server = id,
                 state,
                 version = record.as_ref().and_then(|record| record.version.as_deref()),
+                started_ms = record.as_ref().map(|record| record.started_ms),
                 revision = changes.revision
             );
         }
--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -118,6 +118,7 @@
     }
     let origins = &shared.stream_origins;
     let Some(saved) = saved else {
+        info!(event = "saved-versions-absent");
         origins.begin_fleet();
         return;
     };
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -149,9 +149,10 @@
 }
 
 fn log(request: &RoutedRequest, server: &Server, metadata: &ResponseMetadata, news: ReportNews) {
+    let started_ms = server.record.started_ms;
     let (server, request) = (&server.id, &request.request_id);
     match news {
-        ReportNews::Leaving => info!(event = "leaving-announced", server, request),
+        ReportNews::Leaving => info!(event = "leaving-announced", server, started_ms, request),
         ReportNews::Stays => info!(event = "leaving-refuted", server, request),
         ReportNews::Pause { length, is_cut } => info!(
             event = "pause-asked",
