Keep what a server reported when its entry lacks its start or names it for the first time

Callers saw nothing; a server that had announced its leaving, or asked for a pause, got requests again after its entry was written anew. Cause: reports were found by a hash of id and start, and an entry without a start has another hash than one of the same process that names it. What an entry lacks was taken for knowledge of a new process.

Policy now decides which entries may be of one process (server_reports::incarnations): one without a start, or the first with one after it, may be; two different starts are not. Reports of both keys count, so a pause also holds at a server of which a peer told that it is leaving; before, that word hid the pause.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -307,7 +307,10 @@
     }
     if metadata.is_not_run {
         let names_request = if lacks_id { ", names no request" } else { "" };
-        let detail = format!("refused with status {}{names_request}", res.status().as_u16());
+        let detail = format!(
+            "refused with status {}{names_request}",
+            res.status().as_u16()
+        );
         return Err(AttemptError::new(AttemptFailure::Rejected, &detail));
     }
     if res.status().is_success() && !metadata.is_signed {
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -25,6 +25,7 @@
     location_updates::SessionLocation,
     model::{ConfigVersion, FleetConfig, ServerRecord},
     ports::{DomainOrder, OrderChange, OrderListing, ServerChanges, ServerListing},
+    server_reports,
     servers::ServerSet,
     shared::Shared,
 };
@@ -414,6 +415,7 @@
         let records = previous.all().chain(set.all()).map(|server| &server.record);
         self.shared.stream_origins.observe_servers(records);
         cold_servers::record_entries(&self.shared, &set, &previous, now);
+        server_reports::record_entries(&self.shared, &set, now);
         let emptied = self.shared.emptied_domains();
         cold_servers::assume_returned_cold(&self.shared, &set, &emptied, now);
         drop(emptied);
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -15,7 +15,7 @@
     ports::{ResponseMetadata, StatedNumber},
     routed_request::RoutedRequest,
     server_selection::ServerChoice,
-    servers::Server,
+    servers::{Server, ServerSet},
     shared::Shared,
 };
 
@@ -136,10 +136,18 @@
     }
 }
 
+/// Records which servers are registered from now on.
+pub(crate) fn record_entries(shared: &Shared, servers: &ServerSet, now: Instant) {
+    let mut reports = shared.server_reports();
+    for server in servers.all() {
+        reports.observe_entry(server.entry_key(), now);
+    }
+}
+
 /// Forgets the reports of servers that have not been registered for long.
 pub(crate) fn remove_outdated(shared: &Shared, now: Instant) {
     let servers = shared.servers.load();
-    let registered = servers.all().map(|server| server.hash);
+    let registered = servers.all().map(|server| server.entry_key());
     shared.server_reports().retain_registered(registered, now);
 }
 
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -11,6 +11,7 @@
     fleet_share::FleetPosition,
     server_health::ServerHealth,
     server_load::ServerLoad,
+    server_reports::EntryKey,
     server_scope::{VersionKey, version_key},
     version_history::ServiceKey,
 };
@@ -107,6 +108,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the server as its entry describes it.
+    pub(crate) fn entry_key(&self) -> EntryKey {
+        EntryKey {
+            id: xxh3_64(self.id.as_bytes()),
+            server: self.hash,
+            names_start: self.record.started_ms != 0,
+        }
+    }
+
     fn is_same_incarnation(&self, record: &ServerRecord) -> bool {
         self.record.address == record.address
             && self.record.started_ms == record.started_ms
--- a/bulrushward_direct/tests/leaving.rs
+++ b/bulrushward_direct/tests/leaving.rs
@@ -13,7 +13,7 @@
 use bulrushward_direct::ServerRecord;
 use rstest::rstest;
 use support::{
-    caller, lender_and_borrower, metric,
+    TestRouter, caller, lender_and_borrower, metric,
     platform::MemoryStore,
     record, request, router_with_servers,
     server::{Received, Step, TestServer, complete_stream, ok_response, response, send_text},
@@ -242,3 +242,40 @@
     assert_eq!(hears.send(&request("GET", "lookup", "c-2", "")).status, 503);
     assert_eq!(leaving.received().len(), 2);
 }
+
+/// A leaving server got requests again when its entry was written with a start that it had not named, or without one.
+#[rstest]
+#[case::a_start_for_the_first_time(0, 7)]
+#[case::no_start_any_more(7, 0)]
+fn a_leaving_server_whose_entry_names_another_start_or_none_gets_no_further_request(
+    #[case] announced_ms: u64,
+    #[case] rewritten_ms: u64,
+) {
+    let leaving = TestServer::start("s-1", |req| {
+        leaving_response(req, "200 OK", "Signed: s\r\n")
+    });
+    let entry = |started_ms| ServerRecord {
+        started_ms,
+        ..record("plain", leaving.address)
+    };
+    let store = MemoryStore::with(support::config(1));
+    store.put("s-1", entry(announced_ms));
+    let router = TestRouter::start(&store);
+    wait_until("the server is known", || {
+        metric(&router, "servers") == Some(1)
+    });
+    let send = |id: &str| router.send(&request("GET", "lookup", id, "")).status;
+    assert_eq!(send("r-1"), 200);
+    store.put("s-1", entry(rewritten_ms));
+    let other = TestServer::echo("s-2");
+    store.put("s-2", record("plain", other.address));
+    wait_until("both are known", || metric(&router, "servers") == Some(2));
+    for index in 0..20 {
+        assert_eq!(send(&format!("b-{index}")), 200);
+    }
+    assert_eq!(leaving.received().len(), 1);
+    // One that is known to have started anew takes requests.
+    store.put("s-1", entry(8));
+    store.remove("s-2");
+    wait_until("the new incarnation is used", || send("r-2") == 200);
+}
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -1,10 +1,11 @@
 //! What backend servers report about themselves, and when nothing is sent to them for that reason.
 //!
-//! Handles: servers that leave while the store cannot tell of it, or whose entries vanish and return
+//! Handles: servers that leave while the store cannot tell of it, or whose entries vanish, return or lack their start
 //! meanwhile; a fleet of which each router would otherwise find out by itself; peers that tell what is
 //! false or outdated; servers that ask for pauses in turn or all at once; requests that wait for a connection
 //! or a place while a report arrives; and values that are absurd or none.
 
+mod incarnations;
 mod limit;
 
 use std::{
@@ -16,7 +17,8 @@
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
-use self::limit::Limit;
+pub use self::incarnations::{EntryKey, IdKey};
+use self::{incarnations::Incarnations, limit::Limit};
 use crate::{
     fleet_share::FleetPosition,
     server_limit::{LimitShare, LoanAnswer, LoanAsk, UnitRoom},
@@ -98,11 +100,11 @@
 }
 
 /// Why nothing is sent to a server.
-#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+///
+/// Of two reasons, the greater one holds.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq, PartialOrd, Ord)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Withheld {
-    /// It is leaving.
-    Leaving,
     /// A peer told that it is leaving, so that it is a last resort.
     SaidToLeave,
     /// It asked for a pause.
@@ -110,6 +112,8 @@
         /// Time until its end.
         rest: Duration,
     },
+    /// It is leaving.
+    Leaving,
 }
 
 /// What one incarnation of a server has reported.
@@ -122,6 +126,20 @@
     last_known: Instant,
 }
 
+impl Record {
+    fn withheld(&self, now: Instant) -> Option<Withheld> {
+        let pause_end = self.pause_end.filter(|end| now < *end);
+        let paused = pause_end.map(|end| Withheld::Paused {
+            rest: end.saturating_duration_since(now),
+        });
+        match self.leaving {
+            Leaving::Announced(_) => Some(Withheld::Leaving),
+            Leaving::Heard(at) if is_told(at, now) => paused.or(Some(Withheld::SaidToLeave)),
+            Leaving::Heard(_) | Leaving::Denied(_) | Leaving::Unknown => paused,
+        }
+    }
+}
+
 /// What is known of a server's leaving.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Leaving {
@@ -139,6 +157,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerReports {
     records: HashMap<ServerKey, Record>,
+    incarnations: Incarnations,
 }
 
 impl ServerReports {
@@ -196,14 +215,17 @@
     /// Returns why nothing is sent to a server now.
     #[must_use]
     pub fn withheld(&self, server: ServerKey, now: Instant) -> Option<Withheld> {
-        let record = self.records.get(&server)?;
-        match record.leaving {
-            Leaving::Announced(_) => return Some(Withheld::Leaving),
-            Leaving::Heard(at) if is_told(at, now) => return Some(Withheld::SaidToLeave),
-            Leaving::Heard(_) | Leaving::Denied(_) | Leaving::Unknown => {}
+        let keys = self.incarnations.keys(server);
+        let mut withheld = None;
+        for record in keys.filter_map(|key| self.records.get(&key)) {
+            withheld = withheld.max(record.withheld(now));
         }
-        let rest = record.pause_end?.saturating_duration_since(now);
-        (!rest.is_zero()).then_some(Withheld::Paused { rest })
+        withheld
+    }
+
+    /// Records that the entry of a server is registered.
+    pub fn observe_entry(&mut self, entry: EntryKey, now: Instant) {
+        self.incarnations.observe(entry, now);
     }
 
     /// Returns the servers of which peers should hear, in random order.
@@ -312,17 +334,18 @@
     /// Forgets the reports of servers that have not been registered for long.
     pub fn retain_registered(
         &mut self,
-        registered: impl IntoIterator<Item = ServerKey>,
+        registered: impl IntoIterator<Item = EntryKey>,
         now: Instant,
     ) {
-        if self.records.is_empty() {
-            return;
-        }
-        for server in registered {
-            if let Some(record) = self.records.get_mut(&server) {
-                record.last_known = now;
+        for entry in registered {
+            self.observe_entry(entry, now);
+            for key in self.incarnations.keys(entry.server) {
+                if let Some(record) = self.records.get_mut(&key) {
+                    record.last_known = now;
+                }
             }
         }
+        self.incarnations.remove_older(UNREGISTERED_TTL, now);
         self.records.retain(|_, record| {
             now.saturating_duration_since(record.last_known) < UNREGISTERED_TTL
         });
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -6,7 +6,8 @@
     server_choice::{self, ServerView},
     server_limit::{MAX_RATE, MIN_RATE},
     server_reports::{
-        LeavingNotice, LimitNotice, MAX_PAUSE, ReportNews, ServerReport, ServerReports, Withheld,
+        EntryKey, LeavingNotice, LimitNotice, MAX_PAUSE, ReportNews, ServerReport, ServerReports,
+        Withheld,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -26,6 +27,15 @@
     }
 }
 
+/// Returns the entry of a server with an id of its own that names its start.
+fn named(server: u32) -> EntryKey {
+    EntryKey {
+        id: server.into(),
+        server,
+        names_start: true,
+    }
+}
+
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
 }
@@ -48,14 +58,14 @@
     assert_eq!(reports.withheld(2, now), None);
     // The entry is gone for five minutes and returns for an hour.
     let mut later = now + seconds(300.0);
-    reports.retain_registered([2], later);
+    reports.retain_registered([named(2)], later);
     for _ in 0..60 {
         later += seconds(60.0);
-        reports.retain_registered([1, 2], later);
+        reports.retain_registered([named(1), named(2)], later);
     }
     assert_eq!(reports.withheld(1, later), Some(Withheld::Leaving));
     later += seconds(601.0);
-    reports.retain_registered([2], later);
+    reports.retain_registered([named(2)], later);
     assert_eq!(reports.withheld(1, later), None);
 }
 
@@ -199,7 +209,7 @@
 fn a_limit_belongs_to_the_incarnation_whatever_the_store_lists() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
     reports.record(1, &limit(0.5), Some(now), now);
-    reports.retain_registered([2], now + seconds(60.0));
+    reports.retain_registered([named(2)], now + seconds(60.0));
     assert_eq!(reports.limit(1, now + seconds(60.0)), Some(0.5));
     assert_eq!(reports.limit(2, now), None);
     // Nobody has named it for long.
