Let a peer's lapsed entries bring no leaving server back

Callers saw nothing; requests were sent to a server of which this router had read in the store that it is leaving (DRAIN). Cause: a router that was cut off keeps entries that went missing meanwhile for two seconds, with what it last knew of them. One that copied this state, and had seen an outage of its own, took such an entry over although it knew the server as leaving or gone itself.

A copied entry that has lapsed replaces nothing that this router knows now, unless it says that the server is leaving, and adds no server to a router that has a listing.

--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -393,7 +393,9 @@
         }
         let mut registry = lock(&self.registry);
         if snapshot.revision > registry.revision() {
-            registry.replace_from_snapshot(snapshot.servers, snapshot.revision, Instant::now());
+            let is_leaving = |record: &ServerRecord| record.is_leaving;
+            let (servers, revision) = (snapshot.servers, snapshot.revision);
+            registry.replace_from_snapshot(servers, revision, is_leaving, Instant::now());
             let origins = &self.shared.stream_origins;
             origins.restore_history(&snapshot.versions);
             self.publish(&registry, Source::Peer);
--- a/bulrushward_policy/src/server_registry.rs
+++ b/bulrushward_policy/src/server_registry.rs
@@ -5,7 +5,7 @@
 //! Handles: entries that lapse during an outage and are registered again soon after it; servers
 //! that leave during a gap in the store's change history; snapshots from a peer while the store
 //! rejects this router, although the peer may have been cut off from the store itself until
-//! recently.
+//! recently and then keeps entries that this router has seen leaving.
 
 use std::{
     collections::BTreeMap,
@@ -120,18 +120,29 @@
     ///
     /// Entries that have lapsed for the peer are kept only if this router observed an outage as
     /// well. Otherwise the store was available all the time, so the missing entries were removed
-    /// from it.
+    /// from it. They bring back no entry that this router knows to be gone, and replace none that it
+    /// has, unless `is_leaving` holds for their records: the peer may have seen them long ago.
     pub fn replace_from_snapshot(
         &mut self,
         mut snapshot: Vec<EntrySnapshot<R>>,
         revision: StoreRevision,
+        is_leaving: impl Fn(&R) -> bool,
         now: Instant,
     ) {
         if revision < self.revision {
             return;
         }
         let had_outage = self.failing_since.is_some() || self.is_in_grace(now);
-        snapshot.retain(|entry| had_outage || !entry.has_lapsed);
+        let has_listing = self.revision > 0;
+        let is_kept = |id: &str| had_outage && (!has_listing || self.entries.contains_key(id));
+        snapshot.retain(|entry| !entry.has_lapsed || is_kept(&entry.id));
+        for lapsed in snapshot.iter_mut().filter(|entry| entry.has_lapsed) {
+            if let Some(known) = self.entries.get(&lapsed.id)
+                && !is_leaving(&lapsed.record)
+            {
+                lapsed.record = known.record.clone();
+            }
+        }
         let lapsed_ids: Vec<_> = snapshot
             .iter()
             .filter(|entry| entry.has_lapsed)
--- a/bulrushward_policy/tests/server_registry.rs
+++ b/bulrushward_policy/tests/server_registry.rs
@@ -125,7 +125,7 @@
     let start = Instant::now();
     let (snapshot, recovered) = snapshot_of_recovered_peer(start);
     let mut registry = registry_of_two(start);
-    registry.replace_from_snapshot(snapshot, 20, recovered + 500 * MS);
+    registry.replace_from_snapshot(snapshot, 20, |_| false, recovered + 500 * MS);
     assert_eq!(known(&registry), ["b"]);
 }
 
@@ -135,7 +135,7 @@
     let (snapshot, recovered) = snapshot_of_recovered_peer(start);
     let mut registry = registry_of_two(start);
     registry.store_failed(start + 100 * MS);
-    registry.replace_from_snapshot(snapshot, 20, recovered + 500 * MS);
+    registry.replace_from_snapshot(snapshot, 20, |_| false, recovered + 500 * MS);
     assert_eq!(known(&registry), ["a", "b"]);
     let own_recovery = recovered + 3_000 * MS;
     registry.store_responded(own_recovery);
@@ -153,7 +153,7 @@
         record,
         has_lapsed: false,
     };
-    registry.replace_from_snapshot(vec![entry("b", 2)], 13, start);
+    registry.replace_from_snapshot(vec![entry("b", 2)], 13, |_| false, start);
     let older = [("a".to_owned(), Some(7))];
     assert!(!registry.apply_changes(base, &older, 11, start + MS));
     assert_eq!(known(&registry), ["b"]);
