Take missing saved data for no first start of the fleet

Callers whose streams broke off when all routers were killed took them up and got the rest from another software version, with 200 and nothing to show it. Cause: a router that found no saved data claimed that its fleet starts for the first time, so that no other version could have begun a stream. Data is also missing if the routers died before the first save, if the save failed, or if a stale read does not show it.

Only the platform's word in the settings (first_start, from FirstStart) counts now. Each router saves once after its start, also if no session moved, so that the first loss finds a history.

a_fleet_without_saved_data_does_not_claim_that_it_starts_for_the_first_time failed before without data (200 with events of v2) and passes now; with unreadable data it passed before. The tests of services with one version name the first start.

--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -58,18 +58,18 @@
 /// Restores the saved session locations, and saves the current ones from then on until cancelled.
 pub(crate) async fn run(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     restore(&shared).await;
-    let mut saved_changes = 0;
+    let mut saved_changes = None;
     let mut schedule = FleetSchedule::new(SAVE_INTERVAL, &mut rand::rng());
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let changes = shared.location_changes();
         let is_turn = schedule.advance(CHECK_INTERVAL, shared.routers(), &mut rand::rng());
-        if changes != saved_changes
+        if saved_changes != Some(changes)
             && is_turn
             && shared.store_state.is_available()
             && save(&shared, &fleet_state).await
         {
-            saved_changes = changes;
+            saved_changes = Some(changes);
         }
     }
 }
@@ -110,7 +110,7 @@
 
 /// Goes on with the history of versions of a router that died, if the store tells what happened since.
 ///
-/// Without saved data the fleet runs for the first time. Snapshots of peers that have just started as well shorten the
+/// Without saved data the history is known only if the fleet starts for the first time. Snapshots of peers that have just started as well shorten the
 /// history again, so it is restored until it lasts.
 async fn restore_history(shared: &Shared, saved: Option<SavedHistory>) {
     while !shared.has_servers() {
@@ -118,8 +118,11 @@
     }
     let origins = &shared.stream_origins;
     let Some(saved) = saved else {
-        info!(event = "saved-versions-absent");
-        origins.begin_fleet();
+        let is_first_start = shared.settings().first_start;
+        info!(event = "saved-versions-absent", is_first_start);
+        if is_first_start {
+            origins.begin_fleet();
+        }
         return;
     };
     for _ in 0..MAX_RESTORES {
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -137,6 +137,11 @@
     #[serde(rename = "evacuation_known_ms", default)]
     #[serde_as(as = "Option<DurationMilliSecondsWithFrac<f64>>")]
     pub orders_known: Option<Duration>,
+    /// Whether no router of this fleet has run before, as the platform says.
+    ///
+    /// Read only at the start.
+    #[serde(default)]
+    pub first_start: bool,
     /// Largest ratio of retries to requests in the fleet.
     pub repeat_ratio: f64,
     /// Retries that the fleet may send beyond that ratio in any window of the retry budget.
--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -83,12 +83,26 @@
     servers.iter().map(|server| server.received().len()).sum()
 }
 
-/// Starts routers that know each other and the servers.
+/// Starts routers that know each other and the servers, as those of a fleet that ran before.
 fn routers<const N: usize>(store: &Arc<MemoryStore>, servers: usize) -> [TestRouter; N] {
+    routers_with(false, store, servers)
+}
+
+/// Starts the routers of a fleet that starts for the first time.
+fn first_routers<const N: usize>(store: &Arc<MemoryStore>, servers: usize) -> [TestRouter; N] {
+    routers_with(true, store, servers)
+}
+
+fn routers_with<const N: usize>(
+    first_start: bool,
+    store: &Arc<MemoryStore>,
+    servers: usize,
+) -> [TestRouter; N] {
     let ips = [(); N].map(|()| unique_loopback_ip());
     let routers = ips.map(|ip| {
         let mut settings = settings(ip, &ips);
         settings.places_port = Some(7_342);
+        settings.first_start = first_start;
         TestRouter::start_with(settings, store)
     });
     for router in &routers {
@@ -320,7 +334,7 @@
     let store = MemoryStore::with(config(1));
     let server = TestServer::start("first", complete_stream);
     register(&store, "v1", [&server]);
-    let [router] = routers(&store, 1);
+    let [router] = first_routers(&store, 1);
     wait_until("the router knows that the fleet starts", || {
         let response = router.send(&resumed("r-2", began_as, 3));
         (response.status, response.text()) == (200, events(4, 6))
@@ -337,7 +351,7 @@
     let store = MemoryStore::with(config(1));
     let server = TestServer::start("first", complete_stream);
     register(&store, "v1", [&server]);
-    let [mut lost] = routers(&store, 1);
+    let [mut lost] = first_routers(&store, 1);
     let in_session =
         request("POST", "stream", "r-1", "").replace("Key:", "Prompt: 7:500,8:20\r\nKey:");
     assert_eq!(lost.send(&in_session).status, 200);
@@ -358,13 +372,41 @@
     assert_eq!(response.status, expected);
 }
 
+/// A router without saved data took its fleet for one that starts for the first time, though all routers had been lost.
+#[rstest]
+#[case::nothing_was_saved(false)]
+#[case::what_was_saved_cannot_be_read(true)]
+fn a_fleet_without_saved_data_does_not_claim_that_it_starts_for_the_first_time(
+    #[case] is_spoiled: bool,
+) {
+    let store = MemoryStore::with(config(1));
+    let first = TestServer::start("first", breaks);
+    register(&store, "v1", [&first]);
+    let [mut lost] = first_routers(&store, 1);
+    let begun = lost.send(&request("POST", "resumable", "r-1", ""));
+    assert_eq!((begun.text(), begun.is_complete), (events(1, 3), false));
+    lost.stop();
+    lost.join();
+    store.set_saved(is_spoiled.then(|| "not saved by a router".into()));
+    store.remove(&first.id);
+    let other = TestServer::start("other", complete_stream);
+    register(&store, "v2", [&other]);
+    let [router] = routers(&store, 1);
+    std::thread::sleep(Duration::from_millis(300));
+    for (id, began_as) in [("r-2", "r-1"), ("r-3", "r-1"), ("r-4", ""), ("r-5", "r-9")] {
+        let sent = Instant::now();
+        assert_refused(&router.send(&resumed(id, began_as, 3)), sent);
+    }
+    assert_eq!(other.received().len(), 0);
+}
+
 /// A router that the store had turned away took the only version that it knew for the only one of the service.
 #[test]
 fn a_router_that_cannot_read_the_store_does_not_know_that_there_is_one_version_only() {
     let store = MemoryStore::with(config(1));
     let server = TestServer::start("first", complete_stream);
     register(&store, "v1", [&server]);
-    let [router] = routers(&store, 1);
+    let [router] = first_routers(&store, 1);
     let begun = router.send(&request("POST", "resumable", "r-1", ""));
     assert_eq!(begun.text(), events(1, 6));
     let mut ids = 0..;
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -43,9 +43,9 @@
 /// Returns a loopback address that no other test uses, so that fixed ports can be bound.
 pub fn unique_loopback_ip() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
-    const PER_PROCESS: u32 = 4;
+    const PER_PROCESS: u32 = 8;
     let index = NEXT.fetch_add(1, Ordering::Relaxed);
-    assert!(index < PER_PROCESS, "a test uses at most three addresses");
+    assert!(index < PER_PROCESS, "a test uses at most seven addresses");
     let [_, a, b, c] = (std::process::id() * PER_PROCESS + index).to_be_bytes();
     IpAddr::V4(Ipv4Addr::new(127, a, b, c))
 }
@@ -152,6 +152,7 @@
         leaving_known: Duration::from_secs(2),
         config_known: Duration::from_secs(2),
         orders_known: None,
+        first_start: false,
         repeat_ratio: 0.2,
         extra_repeats: 50.0,
         repeat_window: Duration::from_secs(10),
