Ask for the origin of a stream before taking a version for the only one

Callers got a stream joined from two versions while some routers heard late of the newer one: such a router took the version that it knew for the only one of the service and asked none of those that keep the origin of the stream, nor did it hear that they know of a second version.

The other routers are asked first now. A record of one of them ends the query; that there is one version only is believed if no answer contradicts it. The decision is OriginQuery of the policy package; too many asks at once leave the router with what it knows itself.

--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -67,6 +67,8 @@
     Peer,
     /// The service has had one version only for longer than a stream lasts.
     OnlyVersion,
+    /// No router that was asked has a record, and the service has had several versions.
+    SeveralVersions,
     /// No router that was asked knows.
     NotKnown,
     /// The caller does not name the request that began the stream.
@@ -161,7 +163,7 @@
         let (version, age_ms) = match origin {
             Origin::Version { version, age_ms } => (Some(version), Some(age_ms)),
             Origin::OnlyVersion { version } => (Some(version), None),
-            Origin::Contradictory | Origin::NotKnown => (None, None),
+            Origin::Contradictory | Origin::NotKnown | Origin::SeveralVersions => (None, None),
         };
         info!(
             event = "stream-taken-up",
@@ -229,12 +231,11 @@
         if let Some(recorded) = recorded.filter(|recorded| *recorded != Origin::NotKnown) {
             return recorded;
         }
-        if !registry.is_confirmed {
-            return Origin::NotKnown;
-        }
         let current = registry.servers.versions(service);
-        let only = lock(&self.history).only_version(service, current, life, now);
-        only.map_or(Origin::NotKnown, |version| Origin::OnlyVersion { version })
+        match lock(&self.history).origin(service, current, life, now) {
+            Origin::OnlyVersion { .. } if !registry.is_confirmed => Origin::NotKnown,
+            origin => origin,
+        }
     }
 
     async fn find(
@@ -248,12 +249,12 @@
         let service = service_key(&request.service.name);
         let life = request.route.timeout + RETURN_TIME;
         let own = self.known_origin(stream, service, life, registry);
-        if own != Origin::NotKnown {
+        if matches!(own, Origin::Version { .. } | Origin::Contradictory) {
             return (own, source_of(own, Source::Record));
         }
         let asked = self.holders(stream.unwrap_or(service.into()), ASKED);
         if asked.is_empty() {
-            return (Origin::NotKnown, Source::NotAsked);
+            return (own, source_of(own, Source::NotAsked));
         }
         let ask = |id| OriginMessage::Ask {
             id,
@@ -261,15 +262,11 @@
             service,
             life_ms: life.as_millis() as u32,
         };
-        let Some(origin) = self.ask(places, ask, asked).await else {
-            return (Origin::NotKnown, Source::NotAsked);
+        let query = OriginQuery::new(own, asked);
+        let Some(origin) = self.ask(places, ask, query).await else {
+            return (own, source_of(own, Source::NotAsked));
         };
-        let mut current = registry.servers.versions(service);
         match origin {
-            // This router may know of a version that the other one has not heard of yet.
-            Origin::OnlyVersion { version } if current.any(|other| other != Some(version)) => {
-                (Origin::NotKnown, Source::NotKnown)
-            }
             Origin::NotKnown if stream.is_none() => (origin, Source::NotNamed),
             _ => (origin, source_of(origin, Source::Peer)),
         }
@@ -319,11 +316,10 @@
         &self,
         places: &Places,
         message: impl Fn(u64) -> OriginMessage,
-        asked: Vec<SocketAddr>,
+        query: OriginQuery<SocketAddr>,
     ) -> Option<Origin> {
         let id = rand::rng().random();
         let (end, mut result) = oneshot::channel();
-        let query = OriginQuery::new(asked);
         if !self.begin(id, Waiting { query, end }) {
             return None;
         }
@@ -336,7 +332,9 @@
                 return Some(result.unwrap_or(Origin::NotKnown));
             }
         }
-        Some(Origin::NotKnown)
+        let waiting = lock(&self.waiting);
+        let unfinished = waiting.get(&id).map(|waiting| waiting.query.result());
+        Some(unfinished.unwrap_or(Origin::NotKnown))
     }
 
     /// Records an ask; returns whether there was room for it.
@@ -394,13 +392,15 @@
     )
 }
 
-/// Returns the source of an origin that `known` tells if it is a version.
-fn source_of(origin: Origin, known: Source) -> Source {
+/// Returns the source of an origin of which `asked` says who was asked.
+fn source_of(origin: Origin, asked: Source) -> Source {
     match origin {
-        Origin::Version { .. } => known,
+        Origin::Version { .. } => asked,
         Origin::OnlyVersion { .. } => Source::OnlyVersion,
         Origin::Contradictory => Source::Contradictory,
+        Origin::NotKnown if asked == Source::NotAsked => asked,
         Origin::NotKnown => Source::NotKnown,
+        Origin::SeveralVersions => Source::SeveralVersions,
     }
 }
 
--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -400,6 +400,56 @@
     assert_eq!(other.received().len(), 0);
 }
 
+/// A router that heard late of a second version took the first one for the only one, and did not ask who began the stream.
+#[test]
+fn a_router_whose_view_is_late_asks_where_a_stream_began() {
+    // More routers than those that keep the origin of a stream.
+    const ROUTERS: usize = 6;
+    let stores = [(); 2].map(|()| MemoryStore::with(config(1)));
+    let old = TestServer::start("old", complete_stream);
+    for store in &stores {
+        register(store, "v1", [&old]);
+    }
+    let ips = [(); ROUTERS].map(|()| unique_loopback_ip());
+    let routers = ips.map(|ip| {
+        let mut settings = settings(ip, &ips);
+        settings.places_port = Some(7_342);
+        settings.first_start = true;
+        TestRouter::start_with(settings, &stores[usize::from(ip == ips[0])])
+    });
+    for (index, router) in routers.iter().enumerate() {
+        router.wait_ready();
+        wait_until("the routers know each other", || {
+            metric(router, "routers") == Some(ROUTERS as u32)
+        });
+        wait_until("the router knows that the fleet starts", || {
+            let resumed = resumed("r-0", &format!("unknown-{index}"), 3);
+            router.send(&resumed).status == 200
+        });
+    }
+    let [late, others @ ..] = routers;
+    let new = TestServer::start("new", breaks);
+    register(&stores[0], "v2", [&new]);
+    stores[0].remove(&old.id);
+    wait_until("a router knows the new version", || {
+        others[0].send(&request("POST", "resumable", "n-0", ""));
+        !new.received().is_empty()
+    });
+    let earlier = old.received().len();
+    for index in 1..=8 {
+        let began_as = format!("n-{index}");
+        others[0].send(&request("POST", "resumable", &began_as, ""));
+        let response = late.send(&resumed(&format!("r-{index}"), &began_as, 3));
+        let text = response.text();
+        assert!(response.status == 503 || text == events(4, 6), "{text}");
+    }
+    assert_eq!(
+        old.received().len(),
+        earlier,
+        "a stream went on at the other version"
+    );
+}
+
 /// A router that the store had turned away took the only version that it knew for the only one of the service.
 #[test]
 fn a_router_that_cannot_read_the_store_does_not_know_that_there_is_one_version_only() {
--- a/bulrushward_policy/src/stream_origin.rs
+++ b/bulrushward_policy/src/stream_origin.rs
@@ -75,6 +75,8 @@
     Contradictory,
     /// Nothing.
     NotKnown,
+    /// No record, and the service has had several versions within the time of a stream.
+    SeveralVersions,
 }
 
 impl Origin {
@@ -83,7 +85,16 @@
     pub fn version(self) -> Option<VersionKey> {
         match self {
             Self::Version { version, .. } | Self::OnlyVersion { version } => Some(version),
-            Self::Contradictory | Self::NotKnown => None,
+            Self::Contradictory | Self::NotKnown | Self::SeveralVersions => None,
+        }
+    }
+
+    /// Returns what is known from this and from what another router answers, neither of which is a record.
+    fn and_also(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::NotKnown, known) | (known, Self::NotKnown) => known,
+            (one, same) if one == same => one,
+            _ => Self::SeveralVersions,
         }
     }
 }
@@ -183,20 +194,32 @@
 }
 
 /// Asks to several routers for the origin of one stream.
+///
+/// A record ends it. That there has been one version only is believed once no router that answers has a record or knows of
+/// another version, as each router hears of a new version at another time.
 #[derive(Clone, Debug)]
 pub struct OriginQuery<K> {
     unanswered: Vec<K>,
+    /// What is known without a record.
+    known: Origin,
 }
 
 impl<K: Copy + PartialEq> OriginQuery<K> {
-    /// Creates a query to some routers.
+    /// Creates a query to some routers by one that has no record; `known` is what it knows of the versions.
     #[must_use]
-    pub fn new(routers: Vec<K>) -> Self {
+    pub fn new(known: Origin, routers: Vec<K>) -> Self {
         Self {
             unanswered: routers,
+            known,
         }
     }
 
+    /// Returns the result if no further answer is awaited.
+    #[must_use]
+    pub fn result(&self) -> Origin {
+        self.known
+    }
+
     /// Returns the routers that have not answered.
     #[must_use]
     pub fn unanswered(&self) -> &[K] {
@@ -205,11 +228,14 @@
 
     /// Records an answer; returns the result once no further answer is awaited.
     ///
-    /// The first router that knows the origin ends the query. Answers of routers that were not asked are ignored.
+    /// Answers of routers that were not asked are ignored.
     pub fn answer(&mut self, from: K, origin: Origin) -> Option<Origin> {
         let index = self.unanswered.iter().position(|router| *router == from)?;
         self.unanswered.swap_remove(index);
-        let is_end = origin != Origin::NotKnown || self.unanswered.is_empty();
-        is_end.then_some(origin)
+        if matches!(origin, Origin::Version { .. } | Origin::Contradictory) {
+            return Some(origin);
+        }
+        self.known = self.known.and_also(origin);
+        self.unanswered.is_empty().then_some(self.known)
     }
 }
--- a/bulrushward_policy/src/version_history.rs
+++ b/bulrushward_policy/src/version_history.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::server_scope::VersionKey;
+use crate::{server_scope::VersionKey, stream_origin::Origin};
 
 /// Hash of the name of a service.
 pub type ServiceKey = u64;
@@ -46,7 +46,9 @@
         self.complete_since = Some(now);
     }
 
-    /// Records that no server had got a request before now, as the fleet starts for the first time.
+    /// Records that no server had got a request before now, as no router of the fleet has run before.
+    ///
+    /// Missing data does not show that; only who starts the fleet can say it.
     pub fn begin_fleet(&mut self, now: Instant) {
         self.complete_since = now.checked_sub(MAX_LOOK_BACK);
     }
@@ -61,24 +63,30 @@
         }
     }
 
-    /// Returns the only version that a service has had for at least `life`, which `current` servers have now.
+    /// Returns whether a service has had one version only for at least `life`, which `current` servers have now.
     #[must_use]
-    pub fn only_version(
+    pub fn origin(
         &self,
         service: ServiceKey,
         current: impl IntoIterator<Item = Option<VersionKey>>,
         life: Duration,
         now: Instant,
-    ) -> Option<VersionKey> {
+    ) -> Origin {
         let is_within = |at: Instant| now.saturating_duration_since(at) <= life;
-        let is_complete = life <= MAX_LOOK_BACK && !is_within(self.complete_since?);
-        let seen = self.last_seen.get(&service)?;
+        let is_gapless = self.complete_since.is_some_and(|since| !is_within(since));
+        let seen = self.last_seen.get(&service).map_or(&[][..], Vec::as_slice);
         let recent = seen.iter().filter(|(_, at)| is_within(*at));
         let mut versions = recent.map(|(version, _)| *version).chain(current);
-        let first = versions.next()?.filter(|_| is_complete)?;
-        versions
-            .all(|version| version == Some(first))
-            .then_some(first)
+        let first = versions.next();
+        if !versions.all(|version| Some(version) == first) {
+            return Origin::SeveralVersions;
+        }
+        match first.flatten() {
+            Some(version) if is_gapless && !seen.is_empty() && life <= MAX_LOOK_BACK => {
+                Origin::OnlyVersion { version }
+            }
+            _ => Origin::NotKnown,
+        }
     }
 
     /// Returns what other routers need to go on with this history.
--- a/bulrushward_policy/tests/stream_origin.rs
+++ b/bulrushward_policy/tests/stream_origin.rs
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_query_ends_with_the_first_origin_or_the_last_answer() {
-    let mut query = OriginQuery::new(vec!['a', 'b', 'c']);
+    let mut query = OriginQuery::new(Origin::NotKnown, vec!['a', 'b', 'c']);
     assert_eq!(query.answer('x', Origin::Contradictory), None);
     assert_eq!(query.answer('a', Origin::NotKnown), None);
     assert_eq!(query.answer('a', Origin::NotKnown), None);
@@ -92,6 +92,39 @@
     assert_eq!(query.answer('c', Origin::NotKnown), Some(Origin::NotKnown));
 }
 
+/// A router that had not heard of a second version yet did not ask those that keep the origin of the stream.
+#[test]
+fn one_version_is_believed_only_if_no_router_knows_better() {
+    let only = |version| Origin::OnlyVersion { version };
+    let record = Origin::Version {
+        version: 2,
+        age_ms: 5,
+    };
+    let result = |known, answers: &[Origin]| {
+        let mut query = OriginQuery::new(known, (0..answers.len()).collect());
+        let mut answers = answers.iter().enumerate();
+        let end = answers.find_map(|(from, answer)| query.answer(from, *answer));
+        end.unwrap_or_else(|| query.result())
+    };
+    assert_eq!(result(only(1), &[only(1), Origin::NotKnown]), only(1));
+    assert_eq!(result(only(1), &[only(1), record]), record);
+    assert_eq!(result(only(1), &[]), only(1));
+    assert_eq!(
+        result(Origin::NotKnown, &[Origin::NotKnown, only(1)]),
+        only(1)
+    );
+    for other in [only(2), Origin::SeveralVersions] {
+        for answers in [[other, only(1)], [only(1), other]] {
+            assert_eq!(result(only(1), &answers), Origin::SeveralVersions);
+            assert_eq!(result(other, &answers), Origin::SeveralVersions);
+        }
+        assert_eq!(result(other, &[only(1), record]), record);
+    }
+    let mut unfinished = OriginQuery::new(only(1), vec![0, 1]);
+    assert_eq!(unfinished.answer(0, Origin::SeveralVersions), None);
+    assert_eq!(unfinished.result(), Origin::SeveralVersions);
+}
+
 #[test]
 fn streams_are_spread_over_all_routers() {
     let routers: Vec<u64> = (0..100).collect();
@@ -184,7 +217,7 @@
                 .map_or(Origin::NotKnown, |own| own.get(stream, now));
             if origin == Origin::NotKnown {
                 let asked = first_known(&names, at, stream, ASKED, faults, &mut rng);
-                let mut query = OriginQuery::new(asked);
+                let mut query = OriginQuery::new(Origin::NotKnown, asked);
                 for _ in 0..4 {
                     for peer in query.unanswered().to_vec() {
                         outcomes.asks += 1;
--- a/bulrushward_policy/tests/version_history.rs
+++ b/bulrushward_policy/tests/version_history.rs
@@ -12,30 +12,33 @@
 const LIFE: Duration = Duration::from_secs(30);
 const SECOND: Duration = Duration::from_secs(1);
 
+fn only(
+    history: &VersionHistory,
+    current: impl IntoIterator<Item = Option<u64>>,
+    life: Duration,
+    now: Instant,
+) -> Option<u64> {
+    history.origin(SERVICE, current, life, now).version()
+}
+
 #[test]
 fn a_version_is_the_only_one_once_the_others_are_older_than_a_stream() {
     let (mut history, start) = (VersionHistory::default(), Instant::now());
-    let only = |history: &VersionHistory, now| history.only_version(SERVICE, [Some(2)], LIFE, now);
+    let only_now = |history: &VersionHistory, now| only(history, [Some(2)], LIFE, now);
     history.observe(SERVICE, Some(2), start);
-    assert_eq!(only(&history, start), None);
+    assert_eq!(only_now(&history, start), None);
     history.begin(start);
     history.observe(SERVICE, Some(1), start);
-    assert_eq!(only(&history, start + LIFE), None);
+    assert_eq!(only_now(&history, start + LIFE), None);
     let later = start + LIFE + SECOND;
-    assert_eq!(only(&history, later), Some(2));
-    assert_eq!(
-        history.only_version(SERVICE, [Some(2), None], LIFE, later),
-        None
-    );
-    assert_eq!(history.only_version(SERVICE, [None], LIFE, later), None);
-    assert_eq!(history.only_version(7, [Some(2)], LIFE, later), None);
+    assert_eq!(only_now(&history, later), Some(2));
+    assert_eq!(only(&history, [Some(2), None], LIFE, later), None);
+    assert_eq!(only(&history, [None], LIFE, later), None);
+    assert_eq!(history.origin(7, [Some(2)], LIFE, later).version(), None);
     let too_long = MAX_LOOK_BACK + SECOND;
-    assert_eq!(
-        history.only_version(SERVICE, [Some(2)], too_long, later + too_long),
-        None
-    );
+    assert_eq!(only(&history, [Some(2)], too_long, later + too_long), None);
     history.begin(later);
-    assert_eq!(only(&history, later), None);
+    assert_eq!(only_now(&history, later), None);
 }
 
 #[test]
@@ -43,12 +46,9 @@
     let (mut history, start) = (VersionHistory::default(), Instant::now());
     history.begin_fleet(start);
     history.observe(SERVICE, Some(1), start);
-    assert_eq!(
-        history.only_version(SERVICE, [Some(1)], LIFE, start),
-        Some(1)
-    );
+    assert_eq!(only(&history, [Some(1)], LIFE, start), Some(1));
     history.observe(SERVICE, Some(2), start);
-    assert_eq!(history.only_version(SERVICE, [Some(1)], LIFE, start), None);
+    assert_eq!(only(&history, [Some(1)], LIFE, start), None);
 }
 
 #[test]
@@ -58,10 +58,7 @@
     for version in 0..1_000 {
         history.observe(SERVICE, Some(version), start);
     }
-    assert_eq!(
-        history.only_version(SERVICE, [Some(999)], LIFE, start),
-        None
-    );
+    assert_eq!(only(&history, [Some(999)], LIFE, start), None);
     assert_eq!(
         VersionHistory::default().report(start),
         HistoryReport::default()
@@ -129,7 +126,7 @@
                 last_present[*version as usize] = Some(now);
             }
             let servers = current.iter().map(|version| Some(*version));
-            if let Some(only) = history.only_version(SERVICE, servers, LIFE, now) {
+            if let Some(only) = only(&history, servers, LIFE, now) {
                 let others = (0..3).filter(|version| *version != only);
                 let mut recent = others.filter_map(|version| last_present[version as usize]);
                 prop_assert!(recent.all(|at| now - at > LIFE));
