Remember the latest versions of a service instead of the first eight

The versions that were seen longest ago are dropped now. the_latest_of_many_versions_are_remembered failed before.

--- a/bulrushward_policy/src/version_history.rs
+++ b/bulrushward_policy/src/version_history.rs
@@ -17,7 +17,7 @@
 
 /// Longest time that is looked back.
 pub const MAX_LOOK_BACK: Duration = Duration::from_mins(5);
-/// Largest number of versions that are remembered for a service; a service with more has no single one.
+/// Largest number of versions that are remembered for a service, those that were seen last.
 const MAX_VERSIONS: usize = 8;
 
 /// A version, or `None` for servers that state none, and the time since it was last seen, in milliseconds.
@@ -58,9 +58,8 @@
         let seen = self.last_seen.entry(service).or_default();
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < MAX_LOOK_BACK;
         seen.retain(|(known, at)| *known != version && is_recent(at));
-        if seen.len() < MAX_VERSIONS {
-            seen.push((version, now));
-        }
+        seen.push((version, now));
+        keep_latest(seen);
     }
 
     /// Returns whether a service has had one version only for at least `life`, which `current` servers have now.
@@ -133,6 +132,13 @@
                     None => known.push((*version, at)),
                 }
             }
+            keep_latest(known);
         }
     }
 }
+
+/// Drops the versions that were seen longest ago beyond a limit.
+fn keep_latest(seen: &mut Vec<(Option<VersionKey>, Instant)>) {
+    seen.sort_unstable_by_key(|(_, at)| std::cmp::Reverse(*at));
+    seen.truncate(MAX_VERSIONS);
+}
--- a/bulrushward_policy/tests/version_history.rs
+++ b/bulrushward_policy/tests/version_history.rs
@@ -65,6 +65,24 @@
     );
 }
 
+/// A version beyond the eighth was not recorded, so that the next one counted as the only one.
+#[test]
+fn the_latest_of_many_versions_are_remembered() {
+    let (mut history, start) = (VersionHistory::default(), Instant::now());
+    history.begin_fleet(start);
+    for version in 0..9 {
+        history.observe(SERVICE, Some(version), start + SECOND * version as u32);
+    }
+    let later = start + SECOND * 38;
+    assert_eq!(only(&history, [Some(9)], LIFE, later), None);
+    let (mut restored, mut report) = (VersionHistory::default(), history.report(later));
+    for _ in 0..3 {
+        restored.restore(&report, later);
+        report = restored.report(later);
+    }
+    assert_eq!(only(&restored, [Some(9)], LIFE, later), None);
+}
+
 /// A step in the life of a service.
 #[derive(Clone, Debug)]
 enum Step {
