Believe a refusal that names no request only on a new connection

Callers were told 503, not run, for requests that their server had received and answered, or these were sent to a second server. Cause: a refusal without an id counted as that of the request which waits, though on a connection that has carried another one it may be a copy of an earlier refusal.

Whose response a head is has one owner in the policy package, response_owner. A response that names no request is taken only on a connection that has carried nothing before, where nothing else can arrive. Otherwise the outcome is unknown: 502 for an action, a retry within the budget for an idempotent request.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -23,7 +23,9 @@
     shared::Shared,
 };
 use bulrushward_net::with_causes;
-use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
+use bulrushward_policy::{
+    response_owner::ArrivedHead, server_attempt::AttemptFailure, server_health::ServerHealth,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
@@ -172,7 +174,7 @@
         res.status(),
         sent,
     );
-    validate_head(request, &res, &metadata)?;
+    validate_head(request, &res, &metadata, connection.is_reused)?;
     Ok((res, metadata, connection))
 }
 
@@ -280,23 +282,21 @@
 }
 
 /// Checks that a response belongs to the request and that the server ran the request.
-///
-/// A server may send unsolicited bytes, so a response must carry the id of the request; only a refusal may
-/// lack it.
 fn validate_head(
     request: &RoutedRequest,
     res: &Response<Incoming>,
     metadata: &ResponseMetadata,
+    is_reused: bool,
 ) -> Result<(), AttemptError> {
-    let has_other_id = metadata
-        .request_id
-        .as_ref()
-        .is_some_and(|id| *id != request.request_id);
-    let is_refusal = metadata.is_not_run || res.status() == StatusCode::MISDIRECTED_REQUEST;
-    let lacks_id = metadata.request_id.is_none() && !request.request_id.is_empty();
-    if has_other_id || (lacks_id && !is_refusal) {
-        let id = metadata.request_id.as_deref().unwrap_or("none");
-        let detail = format!("the response is for request {id}");
+    let head = ArrivedHead {
+        awaited: &request.request_id,
+        named: metadata.request_id.as_deref(),
+        is_refusal: metadata.is_not_run || res.status() == StatusCode::MISDIRECTED_REQUEST,
+        is_reused,
+    };
+    if !head.is_awaited() {
+        let (status, id) = (res.status().as_u16(), head.named.unwrap_or("none"));
+        let detail = format!("the response, {status}, is for request {id}");
         return Err(AttemptError::new(AttemptFailure::Broken, &detail));
     }
     if res.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -306,11 +306,7 @@
         ));
     }
     if metadata.is_not_run {
-        let names_request = if lacks_id { ", names no request" } else { "" };
-        let detail = format!(
-            "refused with status {}{names_request}",
-            res.status().as_u16()
-        );
+        let detail = format!("refused with status {}", res.status().as_u16());
         return Err(AttemptError::new(AttemptFailure::Rejected, &detail));
     }
     if res.status().is_success() && !metadata.is_signed {
--- a/bulrushward_direct/tests/stale_responses.rs
+++ b/bulrushward_direct/tests/stale_responses.rs
@@ -99,3 +99,54 @@
     assert_eq!(received.len(), 2);
     assert_eq!(received[1].earlier, 0, "the connection is a new one");
 }
+
+/// A refusal without an id, which may be a copy of an earlier one, made a request that had run count as one that had not.
+#[rstest]
+#[case::not_run("503 Full", "Not-Run: 1\r\n")]
+#[case::misdirected("421 Misdirected Request", "")]
+fn a_refusal_that_names_no_request_is_none_of_a_later_request_on_its_connection(
+    #[case] status: &'static str,
+    #[case] headers: &'static str,
+) {
+    let script = move |req: &Received| {
+        let own = ok_response(req, "mine");
+        if req.earlier == 0 {
+            return vec![own];
+        }
+        let copy = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: 0\r\n\r\n");
+        vec![send_text(&copy), own]
+    };
+    let servers = ["s-1", "s-2"].map(|id| TestServer::start(id, script));
+    let router = router_with_servers("plain", &[&servers[0], &servers[1]]);
+    let mut unknown = 0;
+    for number in 0..8 {
+        let id = format!("r-{number}");
+        let response = router.send(&request("POST", "action", &id, ""));
+        let outcome = response.header("x-bulrushward-outcome");
+        match response.status {
+            200 => {}
+            502 => {
+                assert_eq!(outcome, Some("unknown"));
+                unknown += 1;
+            }
+            other => panic!("{other} for a request that the server received, {outcome:?}"),
+        }
+        let received = servers.iter().flat_map(TestServer::received);
+        let times = received.filter(|req| req.header("request") == Some(&id));
+        assert_eq!(times.count(), 1, "{id} was sent again");
+    }
+    assert!(unknown > 0, "no connection carried a second request");
+}
+
+/// A server that is full may refuse before it has read what a new connection carries.
+#[test]
+fn a_refusal_that_names_no_request_is_believed_on_a_new_connection() {
+    let full = TestServer::start("s-1", |_req| {
+        let refusal = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        vec![send_text(refusal), Step::Close]
+    });
+    let router = router_with_servers("plain", &[&full]);
+    let response = router.send(&request("POST", "action", "r-1", ""));
+    assert_eq!(response.status, 503);
+    assert_eq!(response.header("x-bulrushward-outcome"), Some("not-run"));
+}
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod rate_meter;
 pub mod receive_allowance;
 pub mod replaced_servers;
+pub mod response_owner;
 pub mod retry_budget;
 pub mod scarcity;
 pub mod server_attempt;
