Go on with a stream only with events that come after its last one

Callers found the text of an error, its head, or events from the beginning in the middle of their streams, or a stream that had broken off ended as if it were complete. Cause: any success of the next server counted as the rest of the stream, whatever its type and the ids of its events, and a resumed stream was allowed to end without an event.

Which events go on with a stream is decided by event_order of the policy package: the first one has an id, and ids that are numbers grow. A response that states another type than a stream of events is a failed attempt; the source is closed only for one that may be a stream. The same holds for a stream that its caller takes up; that request then goes to another server or fails with 502. A stream of which only the end was missing is cut rather than ended: nothing tells it from a fault.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -28,11 +28,12 @@
 };
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
-use tracing::info;
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
+/// Beginning of the content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Shortest time without a byte after which an idempotent request is sent to another server.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Multiple of the route's target latency after which an idempotent request is sent to another server.
@@ -103,13 +104,25 @@
     metadata: ResponseMetadata,
     connection: Connection,
     progress: InProgress,
-    /// Whether the request resumes a stream after an event.
-    is_resumed: bool,
+    /// Event after which the request resumes a stream.
+    resumed_after: Option<String>,
 }
 
 impl ReceivedHead {
-    pub(crate) fn is_success(&self) -> bool {
-        self.res.status().is_success()
+    /// Returns whether the response may be a stream of events; a server need not state its type.
+    pub(crate) fn is_stream(&self) -> bool {
+        let content_type = self.res.headers().get(CONTENT_TYPE);
+        let is_other =
+            content_type.is_some_and(|stated| !stated.as_bytes().starts_with(EVENT_STREAM));
+        self.res.status().is_success() && !is_other
+    }
+
+    /// Gives up a response that does not go on with a stream.
+    pub(crate) fn into_error(self) -> AttemptError {
+        let detail = format!("{} does not go on with the stream", self.res.status());
+        let error = AttemptError::new(AttemptFailure::ServerError, &detail);
+        record_failure(&self.progress, &error);
+        error
     }
 }
 
@@ -133,7 +146,9 @@
             metadata,
             connection,
             progress,
-            is_resumed: last_event_id.or(request.last_event_id.as_deref()).is_some(),
+            resumed_after: last_event_id
+                .or(request.last_event_id.as_deref())
+                .map(str::to_owned),
         }),
         Err(error) => {
             record_failure(&progress, &error);
@@ -329,12 +344,16 @@
     received: ReceivedHead,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
+    let is_resumed = received.resumed_after.is_some() && request.is_stream();
+    if is_resumed && received.res.status().is_success() && !received.is_stream() {
+        return Err(received.into_error());
+    }
     let ReceivedHead {
         res,
         metadata,
         connection,
         progress,
-        is_resumed,
+        resumed_after,
     } = received;
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
@@ -343,7 +362,7 @@
     if request.is_stream() && head.status.is_success() {
         let stream = ServerStream::new(
             body,
-            is_resumed,
+            resumed_after.as_deref(),
             progress,
             connection,
             metadata.keep_alive_timeout,
@@ -419,15 +438,7 @@
     let first_events = loop {
         match stream.next_event(read_deadline(request)).await {
             Ok(StreamItem::Events(events) | StreamItem::Comments(events)) => break events,
-            Ok(StreamItem::End) => {
-                info!(
-                    event = "stream-without-event",
-                    request = request.request_id,
-                    server = stream.progress.server().id,
-                    after_event = request.last_event_id,
-                );
-                break Bytes::new();
-            }
+            Ok(StreamItem::End) => break Bytes::new(),
             Err(error)
                 if error.failure == AttemptFailure::Silent
                     && silence.waits_on(&stream.progress) => {}
--- a/bulrushward_direct/src/events.rs
+++ b/bulrushward_direct/src/events.rs
@@ -69,6 +69,28 @@
     lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
 
+/// Returns the ids of complete events in their order, `None` for an event without one; comments are no events.
+pub(crate) fn event_ids(events: &[u8]) -> Vec<Option<String>> {
+    let mut ids = Vec::new();
+    let mut rest = events;
+    while !rest.is_empty() {
+        let end = end_of_first_event(rest).unwrap_or(rest.len());
+        let (event, after) = rest.split_at(end);
+        if has_event(event) {
+            ids.push(last_id(event));
+        }
+        rest = after;
+    }
+    ids
+}
+
+fn end_of_first_event(buf: &[u8]) -> Option<usize> {
+    let lf = buf.windows(2).position(|pair| pair == b"\n\n");
+    let crlf = buf.windows(4).position(|four| four == b"\r\n\r\n");
+    let ends = [lf.map(|at| at + 2), crlf.map(|at| at + 4)];
+    ends.into_iter().flatten().min()
+}
+
 fn end_of_last_event(buf: &[u8]) -> Option<usize> {
     let lf = buf.windows(2).rposition(|pair| pair == b"\n\n");
     let crlf = buf.windows(4).rposition(|four| four == b"\r\n\r\n");
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -195,7 +195,7 @@
             let server = self.source.progress.server();
             crash_check::record_failure(&self.shared, &self.request, server, error.failure);
         }
-        if let Some(id) = self.source.splitter.last_id() {
+        if let Some(id) = self.source.last_id() {
             self.last_event_id = Some(id.to_owned());
         }
         let mut failed_server = self.source.progress.server().id.clone();
@@ -296,7 +296,7 @@
         };
         let response = match head {
             Ok(head) => {
-                if head.is_success() {
+                if head.is_stream() {
                     // Two servers must not run the stream side by side.
                     self.source.close();
                     *is_source_open = false;
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -4,7 +4,8 @@
 
 use bulrushward_net::with_causes;
 use bulrushward_policy::{
-    server_attempt::AttemptFailure, server_health::ServerHealth, stream_pace::StreamPace,
+    event_order::EventOrder, server_attempt::AttemptFailure, server_health::ServerHealth,
+    stream_pace::StreamPace,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -16,7 +17,7 @@
     bounded_stream::BoundedStreamHandle,
     buffered_body::Reservation,
     connection::{self, CloseTimer, Connection},
-    events::{EventSplitter, has_event},
+    events::{EventSplitter, event_ids, has_event},
     read_timeout,
     servers::InProgress,
 };
@@ -32,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct ServerStream {
     body: Incoming,
-    pub(crate) splitter: EventSplitter,
+    splitter: EventSplitter,
     pub(crate) progress: InProgress,
     connection: Option<Connection>,
     handle: BoundedStreamHandle,
@@ -51,8 +52,9 @@
     /// Time at which what has arrived is read, if no event was complete in time.
     overdue: Option<Instant>,
     is_complete: bool,
-    /// Whether the end may come before any event: the stream was resumed, or has had events.
-    may_end: bool,
+    /// Order of the events, if the stream was resumed.
+    order: Option<EventOrder>,
+    has_had_event: bool,
 }
 
 /// Next item of a server's stream.
@@ -69,11 +71,11 @@
 impl ServerStream {
     /// Wraps the body of a response whose head was read.
     ///
-    /// A stream that was not resumed (`is_resumed`) must have an event. Its connection is closed soon after `deadline` at
-    /// the latest.
+    /// A stream that is `resumed_after` an event must go on with later ones. Its connection is closed soon after `deadline`
+    /// at the latest.
     pub(crate) fn new(
         body: Incoming,
-        is_resumed: bool,
+        resumed_after: Option<&str>,
         progress: InProgress,
         connection: Connection,
         keep_alive_timeout: Option<Duration>,
@@ -95,7 +97,8 @@
             keep_alive_timeout,
             overdue: None,
             is_complete: false,
-            may_end: is_resumed,
+            order: resumed_after.map(EventOrder::after),
+            has_had_event: false,
         }
     }
 
@@ -198,7 +201,7 @@
             return StreamItem::Comments(events);
         }
         self.overdue = None;
-        self.may_end = true;
+        self.has_had_event = true;
         StreamItem::Events(events)
     }
 
@@ -250,12 +253,23 @@
                 &"no memory for incomplete responses",
             ));
         }
+        if let Some(order) = &mut self.order {
+            let ids = event_ids(&events);
+            let admitted = order.admit(ids.iter().map(Option::as_deref));
+            admitted.map_err(|error| AttemptError::new(AttemptFailure::Broken, &error))?;
+        }
         if !events.is_empty() {
             self.handle.allowance().record_event();
         }
         Ok(events)
     }
 
+    /// Returns the id of the last event that goes on with the stream.
+    pub(crate) fn last_id(&self) -> Option<&str> {
+        let admitted = self.order.as_ref().map(EventOrder::last);
+        admitted.or_else(|| self.splitter.last_id())
+    }
+
     /// Closes the connection, so that the server stops its work.
     pub(crate) fn close(&mut self) {
         self.close_timer = None;
@@ -269,8 +283,9 @@
                 &"the last event is incomplete",
             ));
         }
-        if !self.may_end && !has_event(&self.gathered) {
-            // Without a length or chunks, this is all that shows of a server that crashed.
+        if !self.has_had_event && !has_event(&self.gathered) {
+            // Without a length or chunks, this is all that shows of a server that crashed. Nor does it show that a resumed
+            // stream had no further event.
             return Err(AttemptError::new(
                 AttemptFailure::Broken,
                 &"the stream ended without an event",
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cold_server;
 pub mod crash_evidence;
 pub mod emptied_domains;
+pub mod event_order;
 mod fair_queue;
 pub mod fleet_liveness;
 pub mod fleet_retry_budget;
