Do not wait for the body of an error that a stream does not go on with

Callers got nothing more of a stream until its time was over, when the server that was asked to go on sent an error without an end: the body was read before another server was tried. It is not read any more; nothing of it may reach the caller.

--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -300,8 +300,11 @@
                     // Two servers must not run the stream side by side.
                     self.source.close();
                     *is_source_open = false;
+                    attempt::read_response(shared, request, head, &mut silence).await
+                } else {
+                    // Nothing of it may reach the caller, so its body is not awaited.
+                    Err(head.into_error())
                 }
-                attempt::read_response(shared, request, head, &mut silence).await
             }
             Err(error) => Err(error),
         };
--- a/bulrushward_direct/tests/stream_errors.rs
+++ b/bulrushward_direct/tests/stream_errors.rs
@@ -84,7 +84,15 @@
     )]
 }
 
-fn copy_of_another_response(req: &Received) -> Vec<Step> {
+fn error_without_end(req: &Received) -> Vec<Step> {
+    let id = req.header("request").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 500 Oops\r\nRequest: {id}\r\nSigned: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    vec![send_text(&head), chunk("oops"), Step::Hang]
+}
+
+fn copy_of_another_response(_req: &Received) -> Vec<Step> {
     let copy = "HTTP/1.1 200 OK\r\nRequest: r-0\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\
                 Transfer-Encoding: chunked\r\n\r\n";
     vec![send_text(copy), chunk(&events(4, 6)), last_chunk()]
@@ -115,6 +123,7 @@
 #[case::from_the_beginning(from_the_beginning)]
 #[case::the_last_event_again(the_last_event_again)]
 #[case::error(error)]
+#[case::error_without_end(error_without_end)]
 #[case::copy_of_another_response(copy_of_another_response)]
 fn a_stream_is_cut_if_the_next_server_responds_with_an_error(
     #[case] script: fn(&Received) -> Vec<Step>,
@@ -171,6 +180,7 @@
 #[case::success_of_another_type(success_without_events)]
 #[case::error_event(error_event)]
 #[case::empty_stream(empty_stream)]
+#[case::error_without_end(error_without_end)]
 fn a_stream_goes_on_at_a_server_after_the_one_that_responded_with_an_error(
     #[case] script: fn(&Received) -> Vec<Step>,
 ) {
