Say to which attempt an agent's response belongs

Callers were refused as not run, or sent to another agent, on the word of a refusal that named no attempt: the connections to agents are pooled, and a copy of an earlier refusal cannot be told from that of this attempt. Only an admission named its attempt.

Agents name the attempt in a header of each response. Routers apply the rule of direct routers (response_owner): on a pooled connection a response without the name is not taken, and the attempt is asked for on a new one, where it is. Agents of the version before cost one more connection for each attempt until they are replaced.

--- a/bulrushward/src/agent/listener.rs
+++ b/bulrushward/src/agent/listener.rs
@@ -4,7 +4,7 @@
 
 use bulrushward_protocol::{
     AttemptId, BarRequest, Frame, Header, Outcome, Refusal, RefusalReason, RunRequest, WorkUnits,
-    decode, encode, encode_frame,
+    decode, encode, encode_frame, format_id, headers,
 };
 use bytes::Bytes;
 use futures_util::{Stream, stream};
@@ -68,6 +68,7 @@
         }
         failpoint::hit("agent-received");
         let id = run.attempt;
+        name_attempt(res, id);
         match self.agent.receive(run) {
             Ok(attempt) => stream_response(&self.agent, res, attempt, id, 0),
             Err(refusal) => refuse(res, refusal),
@@ -98,6 +99,7 @@
         let Ok(from) = from.unwrap_or(Ok(0)) else {
             return bad_request(res, "the offset is not a number of bytes");
         };
+        name_attempt(res, id);
         let Some(attempt) = self.agent.attempts.get(id) else {
             res.status_code(StatusCode::NOT_FOUND);
             let message = "the agent does not know the attempt";
@@ -196,6 +198,12 @@
     Ok(())
 }
 
+/// States to which attempt a response belongs, as a connection may carry a copy of an earlier one.
+fn name_attempt(res: &mut Response, id: AttemptId) {
+    let id = HeaderValue::try_from(format_id(id)).expect("an id is hexadecimal");
+    res.headers_mut().insert(headers::ATTEMPT, id);
+}
+
 fn bad_request(res: &mut Response, message: &str) {
     res.status_code(StatusCode::BAD_REQUEST);
     refuse(res, refusals::not_run(RefusalReason::BadRequest, message));
--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -6,9 +6,10 @@
     time::{Duration, Instant},
 };
 
+use bulrushward_policy::response_owner::ArrivedHead;
 use bulrushward_protocol::{
     ActionKey, AttemptId, BarRequest, CodecError, Frame, FrameDecoder, Outcome, RunRequest, decode,
-    encode, format_id,
+    encode, format_id, headers,
 };
 use bytes::Bytes;
 use reqwest::StatusCode;
@@ -63,6 +64,24 @@
     Done,
 }
 
+/// Connections on which an attempt is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Client {
+    /// They may have carried other attempts.
+    Pooled,
+    /// Each is new.
+    Unpooled,
+}
+
+impl Client {
+    fn of(self, router: &Router) -> &reqwest::Client {
+        match self {
+            Self::Pooled => &router.pooled_client,
+            Self::Unpooled => &router.unpooled_client,
+        }
+    }
+}
+
 /// The router's side of one attempt at an agent.
 pub(crate) struct AttemptStream {
     router: Arc<Router>,
@@ -235,8 +254,7 @@
     }
 
     async fn connect(&mut self) -> Result<(), StreamError> {
-        let client = self.router.pooled_client.clone();
-        match self.send_attempt(&client).await {
+        match self.send_attempt(Client::Pooled).await {
             Ok(connection) => {
                 self.connection = Some(connection);
                 failpoint::hit("router-sent");
@@ -246,13 +264,36 @@
         }
     }
 
-    async fn send_attempt(&self, client: &reqwest::Client) -> Result<reqwest::Response, String> {
+    async fn send_attempt(&self, client: Client) -> Result<reqwest::Response, String> {
         let url = format!("http://{}/inner/run", self.agent);
-        let sending = client.post(url).body(self.encoded_request.clone()).send();
-        match tokio::time::timeout(self.router.heartbeat_timeout(), sending).await {
-            Ok(sent) => sent.map_err(|error| error.to_string()),
-            Err(_elapsed) => Err("no response to the attempt".to_owned()),
+        let sending = client.of(&self.router).post(url);
+        let sending = sending.body(self.encoded_request.clone()).send();
+        let response = match tokio::time::timeout(self.router.heartbeat_timeout(), sending).await {
+            Ok(sent) => sent.map_err(|error| error.to_string())?,
+            Err(_elapsed) => return Err("no response to the attempt".to_owned()),
+        };
+        self.check_attempt(response, client)
+    }
+
+    /// Checks that a response belongs to the attempt; agents of earlier versions do not name it.
+    fn check_attempt(
+        &self,
+        response: reqwest::Response,
+        client: Client,
+    ) -> Result<reqwest::Response, String> {
+        let named = response.headers().get(headers::ATTEMPT);
+        let head = ArrivedHead {
+            awaited: &format_id(self.attempt),
+            named: named.and_then(|named| named.to_str().ok()),
+            // The head of a response does not tell whether a refusal follows.
+            is_refusal: true,
+            is_reused: client == Client::Pooled,
+        };
+        if head.is_awaited() {
+            return Ok(response);
         }
+        let named = head.named.unwrap_or("none");
+        Err(format!("the response is for attempt {named}"))
     }
 
     /// Connects to the agent again and resumes the response at the first missing byte.
@@ -305,16 +346,15 @@
             Ok(sent) => sent.map_err(|error| error.to_string())?,
             Err(_elapsed) => return Err("no response on a new connection".to_owned()),
         };
-        if response.status() != StatusCode::NOT_FOUND {
-            return Ok(Some(response));
+        match response.status() {
+            StatusCode::NOT_FOUND => {}
+            _ => return self.check_attempt(response, Client::Unpooled).map(Some),
         }
         if self.stage >= Stage::Admitted {
             return Ok(None);
         }
         // The agent never received the attempt. Sending the same attempt again cannot run it twice.
-        self.send_attempt(&self.router.unpooled_client)
-            .await
-            .map(Some)
+        self.send_attempt(Client::Unpooled).await.map(Some)
     }
 
     /// Returns the error for a frame that is not allowed at this point of the stream.
--- a/bulrushward/tests/fault_connections.rs
+++ b/bulrushward/tests/fault_connections.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use bulrushward_fakes::{Direction, EngineSettings, FakeEngine, FaultyProxy};
-use bulrushward_protocol::{Frame, Header};
+use bulrushward_protocol::{Frame, Header, Outcome, Refusal, RefusalReason};
 use rstest::rstest;
 use support::{
     Fleet, Plan, TEST_TIMEOUT, chat_request, config_text, counter, header,
-    scripted_agent::ScriptedAgent,
+    scripted_agent::{Answer, ScriptedAgent},
 };
 
 /// Name of the counter of resumed responses.
@@ -104,18 +104,8 @@
 // A pause of the server must not end a response whose agent is heard on every new connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_survives_any_number_of_lost_connections_with_heartbeats_between_them() {
-    let mut complete = first_frames();
-    complete.extend([
-        Frame::Data {
-            offset: FIRST_EVENT.len() as u64,
-            bytes: LAST_EVENT.into(),
-        },
-        Frame::End {
-            length: (FIRST_EVENT.len() + LAST_EVENT.len()) as u64,
-        },
-    ]);
     let mut script = vec![frames_and_heartbeat(); LOST_CONNECTIONS as usize];
-    script.push(complete);
+    script.push(complete_frames());
     let mut fleet = Fleet::start(1, 0, 0).await;
     let agent = fleet.add_scripted_agent("engine-0", script).await;
     fleet.wait_until_active(1).await;
@@ -175,3 +165,36 @@
     assert!(body.contains("\"deadline\""), "{body}");
     assert!(agent.connections() > CONNECTIONS_WITHOUT_PROGRESS);
 }
+
+/// Returns the frames of a complete response.
+fn complete_frames() -> Vec<Frame> {
+    let mut frames = first_frames();
+    frames.push(Frame::Data {
+        offset: FIRST_EVENT.len() as u64,
+        bytes: LAST_EVENT.into(),
+    });
+    let length = (FIRST_EVENT.len() + LAST_EVENT.len()) as u64;
+    frames.push(Frame::End { length });
+    frames
+}
+
+// A refusal that names no attempt, which may be a copy of an earlier one, must not count as that of this attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_names_no_attempt_is_none_of_a_pooled_connection() {
+    let copy = Refusal {
+        reason: RefusalReason::QueueFull,
+        outcome: Outcome::NotRun,
+        retry_after_ms: 500,
+        message: "a copy".to_owned(),
+    };
+    let script = vec![
+        Answer::Unnamed(Frame::Refused(copy)),
+        Answer::Frames(complete_frames()),
+    ];
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    let agent = fleet.add_scripted_agent("engine-0", script).await;
+    fleet.wait_until_active(1).await;
+    let body = read_all(fleet.chat(0, &chat_request("portfolio", true, 8)).await).await;
+    assert_eq!(body, format!("{FIRST_EVENT}{LAST_EVENT}"));
+    assert_eq!(agent.connections(), 2);
+}
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -40,7 +40,10 @@
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 
-use self::{raw::RawBackend, scripted_agent::ScriptedAgent};
+use self::{
+    raw::RawBackend,
+    scripted_agent::{Answer, ScriptedAgent},
+};
 
 /// API key of the test organisation.
 pub const API_KEY: &str = "test-key";
@@ -273,8 +276,9 @@
     pub async fn add_scripted_agent(
         &mut self,
         backend: &str,
-        script: Vec<Vec<Frame>>,
+        script: Vec<impl Into<Answer>>,
     ) -> ScriptedAgent {
+        let script = script.into_iter().map(Into::into).collect();
         let agent = ScriptedAgent::start(script).await;
         let url = format!("http://{}", free_address());
         self.add_agent_behind("assess", backend, &url, free_address(), agent.address())
--- a/bulrushward/tests/support/scripted_agent.rs
+++ b/bulrushward/tests/support/scripted_agent.rs
@@ -9,7 +9,9 @@
     time::Duration,
 };
 
-use bulrushward_protocol::{AttemptId, Frame, RunRequest, decode, encode_frame};
+use bulrushward_protocol::{
+    AttemptId, Frame, RunRequest, decode, encode_frame, format_id, headers,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -18,11 +20,54 @@
 
 /// Time for which a connection stays open after its last frame.
 const CLOSE_DELAY: Duration = Duration::from_millis(20);
-/// Head of a response whose body ends with the connection.
-const RESPONSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
 
-/// An agent that admits every attempt, sends the frames of one connection after another and then
-/// closes the connection. The frames of the last connection are repeated.
+/// What an agent sends on one connection.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// It admits the attempt and sends frames of it.
+    Frames(Vec<Frame>),
+    /// A frame of a response that does not say to which attempt it belongs.
+    Unnamed(Frame),
+    /// An error of the HTTP server, whose body is no frame.
+    Error,
+}
+
+impl From<Vec<Frame>> for Answer {
+    fn from(frames: Vec<Frame>) -> Self {
+        Self::Frames(frames)
+    }
+}
+
+impl Answer {
+    /// Returns the bytes of the response, whose body ends with the connection.
+    fn response(&self, attempt: AttemptId) -> Vec<u8> {
+        let (status, named, frames) = match self {
+            Self::Frames(frames) => {
+                let admitted = Frame::Admitted { attempt, load: 1 };
+                let frames: Vec<_> = [admitted].into_iter().chain(frames.clone()).collect();
+                (
+                    200,
+                    format!("{}: {}\r\n", headers::ATTEMPT, format_id(attempt)),
+                    frames,
+                )
+            }
+            Self::Unnamed(frame) => (200, String::new(), vec![frame.clone()]),
+            Self::Error => (500, String::new(), Vec::new()),
+        };
+        let head = format!("HTTP/1.1 {status} X\r\n{named}connection: close\r\n\r\n");
+        let mut response = head.into_bytes();
+        for frame in &frames {
+            response.extend_from_slice(&encode_frame(frame).expect("the frame encodes"));
+        }
+        if matches!(self, Self::Error) {
+            response.extend_from_slice(b"an unexpected error");
+        }
+        response
+    }
+}
+
+/// An agent that sends the answers of one connection after another and then closes the connection. The last answer is
+/// repeated.
 #[derive(Debug)]
 pub struct ScriptedAgent {
     address: SocketAddr,
@@ -31,7 +76,7 @@
 }
 
 impl ScriptedAgent {
-    pub async fn start(script: Vec<Vec<Frame>>) -> Self {
+    pub async fn start(script: Vec<Answer>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await;
         let listener = listener.expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
@@ -60,7 +105,7 @@
     }
 }
 
-async fn serve(listener: TcpListener, script: Arc<[Vec<Frame>]>, connections: Arc<AtomicUsize>) {
+async fn serve(listener: TcpListener, script: Arc<[Answer]>, connections: Arc<AtomicUsize>) {
     while let Ok((mut connection, _peer)) = listener.accept().await {
         let (script, connections) = (Arc::clone(&script), Arc::clone(&connections));
         tokio::spawn(async move {
@@ -68,12 +113,7 @@
                 return;
             };
             let index = connections.fetch_add(1, Ordering::SeqCst);
-            let mut response = RESPONSE_HEAD.to_vec();
-            let admitted = Frame::Admitted { attempt, load: 1 };
-            let frames = &script[index.min(script.len() - 1)];
-            for frame in [&admitted].into_iter().chain(frames) {
-                response.extend_from_slice(&encode_frame(frame).expect("the frame encodes"));
-            }
+            let response = script[index.min(script.len() - 1)].response(attempt);
             // Fails if the router has disconnected, which needs no handling.
             let _sent = connection.write_all(&response).await;
             tokio::time::sleep(CLOSE_DELAY).await;
--- a/bulrushward_protocol/src/headers.rs
+++ b/bulrushward_protocol/src/headers.rs
@@ -6,6 +6,8 @@
 pub const REQUEST_ID: &str = "x-bulrushward-request";
 /// Carries the [`crate::Outcome`] on every refusal.
 pub const OUTCOME: &str = "x-bulrushward-outcome";
+/// Carries the attempt to which the response of an agent belongs.
+pub const ATTEMPT: &str = "x-bulrushward-attempt";
 /// Carries the backend server that responded.
 pub const BACKEND: &str = "x-bulrushward-backend";
 /// Carries an optional chat id from the caller.
