Read no error of an agent as the rest of a response

Callers' streams ended with an error event though their agent still had the rest: on a new connection a router took any status but 404 for the resumed response and read the text of an error as frames. Other statuses count as a failed connection now, after which the next one is tried.

a_stream_goes_on_after_an_error_on_a_new_connection failed before (answer-cut, an invalid frame).

--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -272,7 +272,10 @@
             Ok(sent) => sent.map_err(|error| error.to_string())?,
             Err(_elapsed) => return Err("no response to the attempt".to_owned()),
         };
-        self.check_attempt(response, client)
+        match response.status() {
+            StatusCode::OK | StatusCode::BAD_REQUEST => self.check_attempt(response, client),
+            status => Err(format!("the agent responded with {status}")),
+        }
     }
 
     /// Checks that a response belongs to the attempt; agents of earlier versions do not name it.
@@ -347,8 +350,9 @@
             Err(_elapsed) => return Err("no response on a new connection".to_owned()),
         };
         match response.status() {
+            StatusCode::OK => return self.check_attempt(response, Client::Unpooled).map(Some),
             StatusCode::NOT_FOUND => {}
-            _ => return self.check_attempt(response, Client::Unpooled).map(Some),
+            status => return Err(format!("the agent responded with {status}")),
         }
         if self.stage >= Stage::Admitted {
             return Ok(None);
--- a/bulrushward/tests/fault_connections.rs
+++ b/bulrushward/tests/fault_connections.rs
@@ -198,3 +198,19 @@
     assert_eq!(body, format!("{FIRST_EVENT}{LAST_EVENT}"));
     assert_eq!(agent.connections(), 2);
 }
+
+// An error of an agent on a new connection must not be read as the rest of a response.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_after_an_error_on_a_new_connection() {
+    let script = vec![
+        Answer::Frames(first_frames()),
+        Answer::Error,
+        Answer::Frames(complete_frames()),
+    ];
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    let agent = fleet.add_scripted_agent("engine-0", script).await;
+    fleet.wait_until_active(1).await;
+    let body = read_all(fleet.chat(0, &chat_request("portfolio", true, 8)).await).await;
+    assert_eq!(body, format!("{FIRST_EVENT}{LAST_EVENT}"));
+    assert_eq!(agent.connections(), 3);
+}
