Tell a server that a router saw leaving from one that it never knew

A router that restarts while entries have lapsed lists few servers, and took none of those that a peer still kept, since the rule against bringing gone servers back covered all that it did not list. It remembers now which entries it saw removed, for ten minutes, and takes the others over as before.

--- a/bulrushward_policy/src/server_registry.rs
+++ b/bulrushward_policy/src/server_registry.rs
@@ -19,6 +19,8 @@
 /// Shortest time from a failed call to the next response that counts as an outage; leases outlast
 /// shorter gaps.
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
+/// Time for which a removed entry is remembered; a peer may have been cut off for as long.
+const REMOVED_TTL: Duration = Duration::from_mins(10);
 
 /// Revision of the store.
 pub type StoreRevision = u64;
@@ -45,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub struct ServerRegistry<R> {
     entries: BTreeMap<String, Entry<R>>,
+    /// Servers whose entries were removed, and when.
+    removed: BTreeMap<String, Instant>,
     revision: StoreRevision,
     /// Time of the first failed call since the store last responded, or the time at which a newer
     /// revision from a peer showed since then that the store was available.
@@ -57,6 +61,7 @@
     fn default() -> Self {
         Self {
             entries: BTreeMap::new(),
+            removed: BTreeMap::new(),
             revision: 0,
             failing_since: None,
             recovered_at: None,
@@ -120,7 +125,7 @@
     ///
     /// Entries that have lapsed for the peer are kept only if this router observed an outage as
     /// well. Otherwise the store was available all the time, so the missing entries were removed
-    /// from it. They bring back no entry that this router knows to be gone, and replace none that it
+    /// from it. They bring back no entry that this router saw removed, and replace none that it
     /// has, unless `is_leaving` holds for their records: the peer may have seen them long ago.
     pub fn replace_from_snapshot(
         &mut self,
@@ -133,9 +138,8 @@
             return;
         }
         let had_outage = self.failing_since.is_some() || self.is_in_grace(now);
-        let has_listing = self.revision > 0;
-        let is_kept = |id: &str| had_outage && (!has_listing || self.entries.contains_key(id));
-        snapshot.retain(|entry| !entry.has_lapsed || is_kept(&entry.id));
+        let is_gone = |id: &str| self.removed.contains_key(id);
+        snapshot.retain(|entry| !entry.has_lapsed || (had_outage && !is_gone(&entry.id)));
         for lapsed in snapshot.iter_mut().filter(|entry| entry.has_lapsed) {
             if let Some(known) = self.entries.get(&lapsed.id)
                 && !is_leaving(&lapsed.record)
@@ -198,7 +202,10 @@
             return false;
         }
         let before = self.entries.len();
-        self.entries.retain(|_, entry| !entry.has_lapsed);
+        let lapsed = self.entries.extract_if(.., |_, entry| entry.has_lapsed);
+        self.removed.extend(lapsed.map(|(id, _)| (id, now)));
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < REMOVED_TTL;
+        self.removed.retain(|_, at| is_recent(at));
         self.entries.len() != before
     }
 
@@ -214,13 +221,15 @@
             record,
             has_lapsed: false,
         };
+        self.removed.remove(&id);
         self.entries.insert(id, entry);
     }
 
     /// Removes an entry, or marks it as lapsed during the grace period after an outage.
     fn remove(&mut self, id: &str, now: Instant) {
         if !self.is_in_grace(now) {
-            self.entries.remove(id);
+            let removed = self.entries.remove_entry(id);
+            self.removed.extend(removed.map(|(id, _)| (id, now)));
         } else if let Some(entry) = self.entries.get_mut(id) {
             entry.has_lapsed = true;
         }
