Teach soak and stand-in servers that err on resumed streams, and entries without a start

Servers that fail respond to a resumed stream with an error as a success, events from the beginning, a bad head or nothing; a server that leaves may come back with an entry that does not name its start. What is no event of a stream counts as a violation now instead of being passed over.

--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -397,10 +397,15 @@
     connection.sender.send_request(req).await.ok()
 }
 
-/// Returns the complete events of a stream in order.
+/// Returns the complete events of a stream in order; what is none of its events has the number 0.
 pub(crate) fn events(body: &str) -> Vec<StreamEvent> {
+    let other = |text: &str| StreamEvent {
+        id: 0,
+        is_last: false,
+        version: text.to_owned(),
+    };
     body.split_inclusive("\n\n")
         .filter(|event| event.ends_with("\n\n"))
-        .filter_map(parse_event)
+        .map(|event| parse_event(event).unwrap_or_else(|| other(event)))
         .collect()
 }
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -466,6 +466,7 @@
                 server_error: share(),
                 hung: share() / 4.0,
                 paused: share(),
+                not_resumed: share() * 4.0,
             });
             tokio::time::sleep(time).await;
             server.fake_server.set_fault_rates(FaultRates::default());
@@ -530,7 +531,11 @@
         tokio::time::sleep(LEAVING_TIME / 2).await;
         harness.store.set_server(id, None);
         tokio::time::sleep(time / 2).await;
-        harness.register(server, false);
+        if rng.random_bool(0.5) {
+            harness.register_without_start(server);
+        } else {
+            harness.register(server, false);
+        }
         tokio::time::sleep(LEAVING_TIME).await;
     }
     harness.mark_leaving(server);
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -214,13 +214,22 @@
 
     /// Writes a server's registration entry to the store.
     pub(crate) fn register(&self, server: &SoakServer, is_leaving: bool) {
+        self.write_entry(server, is_leaving, server.started_ms);
+    }
+
+    /// Writes the entry of a server that takes requests, but not when it started.
+    pub(crate) fn register_without_start(&self, server: &SoakServer) {
+        self.write_entry(server, false, 0);
+    }
+
+    fn write_entry(&self, server: &SoakServer, is_leaving: bool, started_ms: u64) {
         let cold_until = *lock(&server.cold_until);
         let entry = ServerEntry {
             service: server.service.to_owned(),
             address: server.proxy.address(),
             failure_domain: failure_domain(&server.fake_server.id).to_owned(),
             is_leaving,
-            started_ms: server.started_ms,
+            started_ms,
             cold_for: cold_until.map_or(Duration::ZERO, |until| until - Instant::now()),
             version: server.fake_server.version().to_owned(),
         };
