--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -15,6 +15,7 @@
     handover::SilenceWatch,
     ports::ResponseMetadata,
     read_timeout,
+    received_head::{self, ReceivedHead},
     routed_request::RoutedRequest,
     server_reports::{self, ResponseHead},
     server_selection::ServerChoice,
@@ -23,17 +24,13 @@
     shared::Shared,
 };
 use bulrushward_net::with_causes;
-use bulrushward_policy::{
-    response_owner::ArrivedHead, server_attempt::AttemptFailure, server_health::ServerHealth,
-};
+use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
+use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
-/// Beginning of the content type of a stream of events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Shortest time without a byte after which an idempotent request is sent to another server.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Multiple of the route's target latency after which an idempotent request is sent to another server.
@@ -97,35 +94,6 @@
     read_response(shared, request, head, silence).await
 }
 
-/// Response head of a server; the body is not read yet.
-#[derive(Debug)]
-pub(crate) struct ReceivedHead {
-    res: Response<Incoming>,
-    metadata: ResponseMetadata,
-    connection: Connection,
-    progress: InProgress,
-    /// Event after which the request resumes a stream.
-    resumed_after: Option<String>,
-}
-
-impl ReceivedHead {
-    /// Returns whether the response may be a stream of events; a server need not state its type.
-    pub(crate) fn is_stream(&self) -> bool {
-        let content_type = self.res.headers().get(CONTENT_TYPE);
-        let is_other =
-            content_type.is_some_and(|stated| !stated.as_bytes().starts_with(EVENT_STREAM));
-        self.res.status().is_success() && !is_other
-    }
-
-    /// Gives up a response that does not go on with a stream.
-    pub(crate) fn into_error(self) -> AttemptError {
-        let detail = format!("{} does not go on with the stream", self.res.status());
-        let error = AttemptError::new(AttemptFailure::ServerError, &detail);
-        record_failure(&self.progress, &error);
-        error
-    }
-}
-
 /// Sends a request to a server and returns the head of its response.
 ///
 /// # Errors
@@ -189,7 +157,7 @@
         res.status(),
         sent,
     );
-    validate_head(request, &res, &metadata, connection.is_reused)?;
+    received_head::validate(request, &res, &metadata, connection.is_reused)?;
     Ok((res, metadata, connection))
 }
 
@@ -296,43 +264,6 @@
     })
 }
 
-/// Checks that a response belongs to the request and that the server ran the request.
-fn validate_head(
-    request: &RoutedRequest,
-    res: &Response<Incoming>,
-    metadata: &ResponseMetadata,
-    is_reused: bool,
-) -> Result<(), AttemptError> {
-    let head = ArrivedHead {
-        awaited: &request.request_id,
-        named: metadata.request_id.as_deref(),
-        is_refusal: metadata.is_not_run || res.status() == StatusCode::MISDIRECTED_REQUEST,
-        is_reused,
-    };
-    if !head.is_awaited() {
-        let (status, id) = (res.status().as_u16(), head.named.unwrap_or("none"));
-        let detail = format!("the response, {status}, is for request {id}");
-        return Err(AttemptError::new(AttemptFailure::Broken, &detail));
-    }
-    if res.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Err(AttemptError::new(
-            AttemptFailure::Misdirected,
-            &"another server has this address",
-        ));
-    }
-    if metadata.is_not_run {
-        let detail = format!("refused with status {}", res.status().as_u16());
-        return Err(AttemptError::new(AttemptFailure::Rejected, &detail));
-    }
-    if res.status().is_success() && !metadata.is_signed {
-        return Err(AttemptError::new(
-            AttemptFailure::Broken,
-            &"the response is not signed",
-        ));
-    }
-    Ok(())
-}
-
 /// Reads the complete response, or a stream up to its first events.
 ///
 /// # Errors
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod places;
 mod ports;
 mod read_timeout;
+mod received_head;
 mod relay;
 mod request_handler;
 mod request_log;
