--- a/bulrushward_policy/tests/version_orders.rs
+++ b/bulrushward_policy/tests/version_orders.rs
@@ -142,8 +142,8 @@
                 for router in &mut routers {
                     *router = Router::default();
                     router.list(&changes, now);
-                    let saved = saves.len().checked_sub(age + 1).map(|index| &saves[index]);
-                    if let Some((report, read)) = saved {
+                    let index = saves.len().checked_sub(age + 1);
+                    if let Some((report, read)) = index.map(|index| &saves[index]) {
                         router.observe_changes(&changes, *read, now);
                         router.history.restore(report, now);
                     }
