Refuse a stream of which a peer's only version is not the one that is registered here

Found by reading the diff: asking first had dropped the check that the one version which others name is also the only one that this router knows. Between the answer and the choice of a server another version could have been admitted. No test shows the window; the check stands as before.

--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -110,8 +110,8 @@
 
 /// Goes on with the history of versions of a router that died, if the store tells what happened since.
 ///
-/// Without saved data the history is known only if the fleet starts for the first time. Snapshots of peers that have just started as well shorten the
-/// history again, so it is restored until it lasts.
+/// Without saved data the history is known only if the fleet starts for the first time. Snapshots of peers that have just
+/// started as well shorten the history again, so it is restored until it lasts.
 async fn restore_history(shared: &Shared, saved: Option<SavedHistory>) {
     while !shared.has_servers() {
         tokio::time::sleep(HISTORY_PAUSE).await;
--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -266,7 +266,12 @@
         let Some(origin) = self.ask(places, ask, query).await else {
             return (own, source_of(own, Source::NotAsked));
         };
+        let mut current = registry.servers.versions(service);
         match origin {
+            // This router may know of a version of which the others have not heard yet.
+            Origin::OnlyVersion { version } if current.any(|other| other != Some(version)) => {
+                (Origin::SeveralVersions, Source::SeveralVersions)
+            }
             Origin::NotKnown if stream.is_none() => (origin, Source::NotNamed),
             _ => (origin, source_of(origin, Source::Peer)),
         }
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -176,6 +176,22 @@
     assert_eq!(reports.withheld(1, now), None);
 }
 
+/// A server got requests in the pause that it had asked for, because a peer had told that it is leaving.
+#[test]
+fn a_pause_holds_at_a_server_of_which_a_peer_told_that_it_is_leaving() {
+    let (mut reports, now) = (ServerReports::default(), Instant::now());
+    let notice = LeavingNotice {
+        server: 1,
+        age_ms: 0,
+    };
+    assert!(reports.hear(notice, now));
+    reports.record(1, &pause(2.0), None, now);
+    let rest = seconds(2.0);
+    assert_eq!(reports.withheld(1, now), Some(Withheld::Paused { rest }));
+    let later = now + seconds(2.0);
+    assert_eq!(reports.withheld(1, later), Some(Withheld::SaidToLeave));
+}
+
 fn limit(rate: f64) -> ServerReport {
     ServerReport {
         limit: Some(rate),
