--- a/review/harness/large_bodies.rs
+++ b/review/harness/large_bodies.rs
@@ -66,7 +66,7 @@
         slots: 64,
         ..engine
     };
-    let (fleet, servers) = Fleet::start(folder, ROUTERS, CONFIG, |store, record| {
+    let (fleet, servers) = Fleet::start(folder, ROUTERS, CONFIG, "", |store, record| {
         let mut servers = Vec::new();
         for index in 0..SERVERS {
             let (id, zone) = (format!("i-a{index}"), format!("z{index}"));
--- a/review/harness/lost_watch.rs
+++ b/review/harness/lost_watch.rs
@@ -48,14 +48,15 @@
         slots: 6,
         queue: 24,
     };
-    let (fleet, servers) = Fleet::start(folder, ROUTERS, &config(10, false), |store, record| {
-        (0..3)
-            .map(|index| {
-                let (id, zone) = (format!("i-r{index}"), format!("z{index}"));
-                Server::start(&id, "registry", &zone, behaviour, store, record)
-            })
-            .collect::<io::Result<Vec<_>>>()
-    })?;
+    let (fleet, servers) =
+        Fleet::start(folder, ROUTERS, &config(10, false), "", |store, record| {
+            (0..3)
+                .map(|index| {
+                    let (id, zone) = (format!("i-r{index}"), format!("z{index}"));
+                    Server::start(&id, "registry", &zone, behaviour, store, record)
+                })
+                .collect::<io::Result<Vec<_>>>()
+        })?;
     let begin = Instant::now();
     fleet.store.write("op/config", &config(17, true));
     fleet
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -9,6 +9,7 @@
 mod router;
 mod server;
 mod store;
+mod store_drill;
 mod unread_bodies;
 mod util;
 
@@ -47,6 +48,7 @@
         folder: &Path,
         count: usize,
         config: &str,
+        more_settings: &str,
         servers: impl FnOnce(&Store, &Record) -> std::io::Result<S>,
     ) -> std::io::Result<(Self, S)> {
         let record = Record::create(folder)?;
@@ -57,7 +59,8 @@
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&temporary)?;
         let ips: Vec<IpAddr> = util::free_addresses(count);
-        let routers = (0..count).map(|index| Router::new(index, &ips, address, &temporary));
+        let routers =
+            (0..count).map(|index| Router::new(index, &ips, address, more_settings, &temporary));
         let routers = routers.collect::<Result<Vec<_>, _>>()?;
         for router in &routers {
             router.start()?;
@@ -99,6 +102,7 @@
     let folder = Path::new(folder);
     let verdict = match case.as_str() {
         "large-bodies" => large_bodies::run(folder, is_troubled),
+        "store-drill" => store_drill::run(folder, is_troubled),
         "unread-bodies" => unread_bodies::run(folder, is_troubled),
         "lost-watch" => lost_watch::run(folder, is_troubled),
         _ => Ok(Verdict::CouldNotRun(format!("no case {case}"))),
--- a/review/harness/router.rs
+++ b/review/harness/router.rs
@@ -4,6 +4,7 @@
     fs::{self, File},
     io,
     net::{IpAddr, SocketAddr, TcpStream},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex},
@@ -46,6 +47,7 @@
         index: usize,
         ips: &[IpAddr],
         store: SocketAddr,
+        more: &str,
         folder: &Path,
     ) -> io::Result<Arc<Self>> {
         let ip = ips[index];
@@ -61,7 +63,7 @@
              first_start = true\ndatagram_port = {DATAGRAM_PORT}\nplaces_port = {PLACES_PORT}\n\
              metrics_port = {METRICS_PORT}\nseeds = [{seeds}]\nstore_address = \"{store}\"\nstop_grace_s = 8\n\
              leaving_known_ms = 2000\nconfig_known_ms = 2000\nrepeat_ratio = 0.2\nextra_repeats = 52\n\
-             repeat_window_s = 10\n",
+             repeat_window_s = 10\n{more}",
             seeds = seeds.join(", "),
         );
         let settings = folder.join(format!("{name}.toml"));
@@ -84,7 +86,10 @@
     /// Starts the process with the command of the deploy file.
     pub fn start(&self) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new("target/dist/bulrushward-directd")
+        let mut command = Command::new("target/dist/bulrushward-directd");
+        // SAFETY: the call takes two integers and is allowed between fork and exec.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .env_clear()
             .envs(
                 ["PATH", "HOME", "LANG"]
@@ -195,6 +200,18 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+/// Ends the calling process when its parent ends, however that happens.
+fn end_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    // SAFETY: this option takes a signal number and touches no memory.
+    let _ = unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL as u64) };
+    Ok(())
+}
+
 /// Returns the resident memory of a process in kilobytes; 0 if it has ended.
 fn resident_kb(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -11,8 +11,20 @@
 
 use crate::http::{Head, read_body};
 
+/// Content of the store at one moment.
+#[derive(Clone, Default)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, (String, u64)>,
+    changes: Vec<(u64, String, Option<String>)>,
+}
+
 #[derive(Default)]
 struct State {
+    /// `Store-Era` of all answers.
+    era: u32,
+    /// Whether the store is away, so that calls get no answer.
+    is_away: bool,
     revision: u64,
     items: BTreeMap<String, (String, u64)>,
     /// Revision, key and value in base64, or `None` if the key was removed.
@@ -67,6 +79,58 @@
         )
     }
 
+    /// Returns a copy of the store.
+    pub fn copy(&self) -> Copy {
+        let state = self.0.0.lock().unwrap();
+        Copy {
+            revision: state.revision,
+            items: state.items.clone(),
+            changes: state.changes.clone(),
+        }
+    }
+
+    /// Is away for a time and comes back from a copy; the operator and the servers write again what they had written.
+    ///
+    /// Returns the revisions before and after.
+    pub fn come_back_from(&self, copy: Copy, away: Duration) -> (u64, u64) {
+        let (state, changed) = &*self.0;
+        state.lock().unwrap().is_away = true;
+        changed.notify_all();
+        thread::sleep(away);
+        let mut state = state.lock().unwrap();
+        let (before, lost) = (state.revision, state.items.clone());
+        let removed: Vec<_> = copy.items.keys().cloned().collect();
+        (state.revision, state.items, state.changes) = (copy.revision, copy.items, copy.changes);
+        state.era += 1;
+        let is_theirs = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        for (key, (value, _)) in &lost {
+            let is_same = state
+                .items
+                .get(key)
+                .is_some_and(|(copied, _)| copied == value);
+            if is_theirs(key) && !is_same {
+                state.revision += 1;
+                let revision = state.revision;
+                state.items.insert(key.clone(), (value.clone(), revision));
+                state
+                    .changes
+                    .push((revision, key.clone(), Some(value.clone())));
+            }
+        }
+        for key in removed
+            .into_iter()
+            .filter(|key| is_theirs(key) && !lost.contains_key(key))
+        {
+            state.revision += 1;
+            let revision = state.revision;
+            state.items.remove(&key);
+            state.changes.push((revision, key, None));
+        }
+        state.is_away = false;
+        changed.notify_all();
+        (before, state.revision)
+    }
+
     fn change(&self, key: &str, value: Option<String>) -> u64 {
         self.apply(key, value, false)
     }
@@ -98,7 +162,15 @@
         let mut reader = BufReader::new(stream);
         while let Some(head) = Head::read(&mut reader)? {
             let body = read_body(&mut reader, &head)?;
+            if self.0.0.lock().unwrap().is_away {
+                return Ok(());
+            }
             let (status, text) = self.respond(head.second_word(), &body);
+            if status == 0 {
+                // The store went away while the call waited.
+                return Ok(());
+            }
+            let era = self.0.0.lock().unwrap().era;
             if self.is_lost(head.second_word(), &text) {
                 // A connection on which a response is lost returns nothing further.
                 let mut rest = [0; 1];
@@ -108,7 +180,7 @@
             let length = text.len();
             write!(
                 out,
-                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n{text}"
+                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {length}\r\n\r\n{text}"
             )?;
         }
         Ok(())
@@ -184,6 +256,12 @@
         let end = Instant::now() + wait;
         let mut state = state.lock().unwrap();
         loop {
+            if state.is_away {
+                return (0, String::new());
+            }
+            if after > state.revision {
+                return (410, "{}".to_owned());
+            }
             let newer = state
                 .changes
                 .iter()
--- a/review/harness/unread_bodies.rs
+++ b/review/harness/unread_bodies.rs
@@ -49,7 +49,7 @@
         slots: 40,
         queue: 40,
     };
-    let (fleet, servers) = Fleet::start(folder, ROUTERS, CONFIG, |store, record| {
+    let (fleet, servers) = Fleet::start(folder, ROUTERS, CONFIG, "", |store, record| {
         (0..3)
             .map(|index| {
                 let (id, zone) = (format!("i-r{index}"), format!("z{index}"));
