--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -C opt-level=2 -o target/review/harness review/harness/main.rs
+rustc --edition 2024 -C opt-level=2 -o target/review/harness review/platform/main.rs
