--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -4,12 +4,17 @@
     io::{BufRead, BufReader, Read, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
+use socket2::{SockFilter, SockRef};
+
+/// `BPF_RET | BPF_K`: the number of bytes of a packet that a filter lets pass, 0 to drop it.
+const BPF_RETURN: u16 = 0x06;
+
 /// A request as received.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -59,6 +64,7 @@
 pub struct TestServer {
     pub id: String,
     pub address: SocketAddr,
+    link: Arc<Link>,
     received: Arc<Mutex<Vec<Received>>>,
     /// Number of connections that the peer closed while a step waited for it to do so.
     disconnects: Arc<AtomicUsize>,
@@ -82,6 +88,9 @@
     ) -> Self {
         let listener = TcpListener::bind(address).expect("the port can be bound");
         let address = listener.local_addr().expect("the listener is bound");
+        let listener = Arc::new(listener);
+        let link = Arc::new(Link::new(&listener));
+        let accepted = Arc::clone(&link);
         let received = Arc::new(Mutex::new(Vec::new()));
         let disconnects = Arc::new(AtomicUsize::new(0));
         let script: Arc<Script> = Arc::new(script);
@@ -90,6 +99,8 @@
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let stream = stream.expect("the connection can be accepted");
+                let stream = Arc::new(stream);
+                accepted.add(&stream);
                 if crashed.load(Ordering::SeqCst) {
                     break;
                 }
@@ -102,6 +113,7 @@
         Self {
             id: id.to_owned(),
             address,
+            link,
             received,
             disconnects,
         }
@@ -120,11 +132,68 @@
             .clone()
     }
 
+    /// Cuts the server off: it receives no packets until [`Self::heal`], and its peers keep what they have sent.
+    pub fn cut_off(&self) {
+        self.link.set_cut(true);
+    }
+
+    /// Ends a cut; what peers still have to deliver arrives from now on.
+    pub fn heal(&self) {
+        self.link.set_cut(false);
+    }
+
     pub fn disconnects(&self) -> usize {
         self.disconnects.load(Ordering::SeqCst)
     }
 }
 
+/// The open sockets of a server, whose packets can be dropped before the kernel acknowledges them.
+struct Link {
+    listener: Weak<TcpListener>,
+    accepted: Mutex<Vec<Weak<TcpStream>>>,
+}
+
+impl Link {
+    fn new(listener: &Arc<TcpListener>) -> Self {
+        Self {
+            listener: Arc::downgrade(listener),
+            accepted: Mutex::default(),
+        }
+    }
+
+    fn add(&self, stream: &Arc<TcpStream>) {
+        self.lock().push(Arc::downgrade(stream));
+    }
+
+    fn set_cut(&self, is_cut: bool) {
+        let listener = self.listener.upgrade();
+        if let Some(listener) = &listener {
+            set_filter(SockRef::from(&**listener), is_cut);
+        }
+        for stream in self.lock().iter().filter_map(Weak::upgrade) {
+            set_filter(SockRef::from(&*stream), is_cut);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Weak<TcpStream>>> {
+        self.accepted
+            .lock()
+            .expect("no test panics while holding the lock")
+    }
+}
+
+/// Lets a socket drop all packets, or none.
+fn set_filter(socket: SockRef<'_>, drops_all: bool) {
+    if drops_all {
+        socket
+            .attach_filter(&[SockFilter::new(BPF_RETURN, 0, 0, 0)])
+            .expect("the packet filter can be set");
+    } else {
+        // A socket that was accepted after the cut has none.
+        let _removed = socket.detach_filter();
+    }
+}
+
 /// Returns a complete signed response.
 pub fn ok_response(req: &Received, body: &str) -> Step {
     response(req, "200 OK", "Signed: s\r\n", body)
@@ -216,7 +285,7 @@
             false
         }
         Step::Reset => {
-            socket2::SockRef::from(stream)
+            SockRef::from(stream)
                 .set_linger(Some(Duration::ZERO))
                 .expect("the linger option can be set");
             false
