Log what a server had not acknowledged when its connection is closed

The log did not tell a request that waited in a send queue from one that its server had received: `hop-failed` and `caller-left` say how an attempt ended, not what was delivered of it. `connection-closed` names the server and the bytes that it had not acknowledged.

--- a/bulrushward_direct/src/bounded_stream.rs
+++ b/bulrushward_direct/src/bounded_stream.rs
@@ -54,6 +54,14 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the number of bytes that the peer has not acknowledged; 0 if the connection is closed.
+    pub(crate) fn unacknowledged_bytes(&self) -> usize {
+        let stream = self.stream.upgrade();
+        stream.map_or(0, |stream| {
+            bulrushward_net::unacknowledged_bytes(&*stream).unwrap_or(0)
+        })
+    }
+
     /// Returns whether the connection is open and nothing has arrived on it that was not read.
     pub(crate) fn is_quiet(&self) -> bool {
         let Some(stream) = self.stream.upgrade() else {
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -16,11 +16,13 @@
 use hyper_util::rt::TokioIo;
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tracing::info;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     bounded_stream::{BoundedStream, BoundedStreamHandle},
     call::enable_keepalive,
+    model::ServerId,
     servers::Server,
 };
 
@@ -48,6 +50,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    server: ServerId,
     pub(crate) stream: BoundedStreamHandle,
     _permit: ConnectionPermit,
     /// Whether it has carried a request before.
@@ -67,6 +70,11 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        let unacknowledged = self.stream.unacknowledged_bytes();
+        if unacknowledged > 0 {
+            let server = &self.server;
+            info!(event = "connection-closed", server, unacknowledged);
+        }
         self.task.abort();
     }
 }
@@ -251,6 +259,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        server: server.id.clone(),
         stream: handle,
         _permit: permit,
         is_reused: false,
--- /dev/null
+++ b/bulrushward_net/src/send_queue.rs
@@ -0,0 +1,49 @@
+//! What a TCP connection has still to deliver, as the operating system knows it.
+
+use std::{
+    io,
+    os::fd::{AsFd, AsRawFd},
+};
+
+/// Returns the number of bytes that were written to a connection and that its peer has not acknowledged.
+///
+/// # Errors
+///
+/// Returns the system's error if the descriptor is not that of a TCP socket.
+pub fn unacknowledged_bytes(socket: &impl AsFd) -> io::Result<usize> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open while it is borrowed, and TIOCOUTQ writes one int.
+    let result = unsafe { libc::ioctl(socket.as_fd().as_raw_fd(), libc::TIOCOUTQ, &raw mut bytes) };
+    if result < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    Ok(usize::try_from(bytes).unwrap_or(0))
+}
+
+/// Returns whether segments were sent to which no acknowledgement has arrived.
+///
+/// Bytes that wait only because the peer does not read are not in flight.
+///
+/// # Errors
+///
+/// Returns the system's error if the descriptor is not that of a TCP socket.
+pub fn has_segments_in_flight(socket: &impl AsFd) -> io::Result<bool> {
+    let mut info = std::mem::MaybeUninit::<libc::tcp_info>::zeroed();
+    let mut len = size_of::<libc::tcp_info>() as libc::socklen_t;
+    // SAFETY: the descriptor is open while it is borrowed, and the system writes at most `len` bytes.
+    let result = unsafe {
+        libc::getsockopt(
+            socket.as_fd().as_raw_fd(),
+            libc::IPPROTO_TCP,
+            libc::TCP_INFO,
+            info.as_mut_ptr().cast(),
+            &raw mut len,
+        )
+    };
+    if result < 0 {
+        return Err(io::Error::last_os_error());
+    }
+    // SAFETY: all fields are integers, which are valid whether the system has written them or they are still zero.
+    let info = unsafe { info.assume_init() };
+    Ok(info.tcpi_unacked > 0)
+}
