Deliver nothing of a request after it was given up

Callers had their 502 or 504, or had left, and the request reached a server seconds later, when that server had long said that it was leaving (DRAIN).

Cause: a request that a partition holds up stays in the send queue. The router gave it up by closing the connection in order, after which the kernel goes on sending; or the kernel gave the connection up first (TCP_USER_TIMEOUT, 2 s), after which nothing was left to reset. Nobody owned the end of a request.

Change: a connection to a server, to the store or to a peer is reset whenever it closes, also if the process is killed, unless its owner knows that no request on it is without a complete response (`RequestCycle`); only then it closes in order. The router reads the send queue of a request that is on its way, and gives it up once nothing was acknowledged for 1.5 s, or 0.5 s at a server that leaves, is gone or in an emptied failure domain meanwhile (`DeliveryWatch`): `cut-off`, long before the kernel would. Idle connections to that server are closed with it, and none is used that has unacknowledged bytes.

`deliveries` plays orders of cuts in both directions, slow reads, responses, leaving and give-ups without a network; it fails if open requests are closed in order, if the limit is doubled, or if peers that read slowly count as stalled.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -2,16 +2,13 @@
 //!
 //! Metrics and log lines call an attempt a hop.
 
-use std::{
-    pin::pin,
-    time::{Duration, Instant},
-};
+use std::time::Instant;
 
 use crate::{
     buffered_body::{self, BodyError},
     cold_servers,
     connection::{self, ConnectError, Connection},
-    forwarded_request,
+    exchange, forwarded_request,
     handover::SilenceWatch,
     ports::ResponseMetadata,
     read_timeout,
@@ -26,15 +23,10 @@
 use bulrushward_net::with_causes;
 use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Response, StatusCode, body::Incoming};
 
 /// Largest response that is buffered until it is complete, in bytes.
 const MAX_BUFFERED_BYTES: usize = 8 << 20;
-/// Shortest time without a byte after which an idempotent request is sent to another server.
-const MIN_READ_TIMEOUT: Duration = Duration::from_millis(400);
-/// Multiple of the route's target latency after which an idempotent request is sent to another server.
-const READ_TIMEOUT_FACTOR: u32 = 4;
 
 /// Response of a server, as far as it is read before anything is sent to the caller.
 #[derive(Debug)]
@@ -141,7 +133,7 @@
         check_content(shared, request)?;
         let req = forwarded_request::build(shared, request, choice, last_event_id)?;
         let sent = Instant::now();
-        match send_on(request, req, connection, progress, silence).await {
+        match exchange::send(shared, request, req, connection, progress, silence).await {
             // A server may close idle connections, so this is no failure of the server.
             Err(error) if is_reused && error.failure == AttemptFailure::NotSent => {}
             Err(error) => return Err(error),
@@ -231,39 +223,6 @@
     Ok(())
 }
 
-/// Sends a request on a connection and waits for the response head.
-async fn send_on(
-    request: &RoutedRequest,
-    req: Request<Full<Bytes>>,
-    mut connection: Connection,
-    progress: &InProgress,
-    silence: &mut SilenceWatch<'_>,
-) -> Result<(Response<Incoming>, Connection), AttemptError> {
-    connection.stream.allowance().begin();
-    let received = {
-        let mut response = pin!(connection.sender.try_send_request(req));
-        loop {
-            match read_timeout::until(read_deadline(request), response.as_mut()).await {
-                Some(received) => break received,
-                None if silence.waits_on(progress) => {}
-                None => {
-                    let detail = "no response head in time";
-                    return Err(AttemptError::new(AttemptFailure::Silent, &detail));
-                }
-            }
-        }
-    };
-    received.map(|res| (res, connection)).map_err(|error| {
-        // hyper returns the request if it has sent nothing of it.
-        let failure = if error.message().is_some() {
-            AttemptFailure::NotSent
-        } else {
-            AttemptFailure::Broken
-        };
-        AttemptError::new(failure, &with_causes(error.error()))
-    })
-}
-
 /// Reads the complete response, or a stream up to its first events.
 ///
 /// # Errors
@@ -367,7 +326,7 @@
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
     let first_events = loop {
-        match stream.next_event(read_deadline(request)).await {
+        match stream.next_event(exchange::read_deadline(request)).await {
             Ok(StreamItem::Events(events) | StreamItem::Comments(events)) => break events,
             Ok(StreamItem::End) => break Bytes::new(),
             Err(error)
@@ -399,17 +358,7 @@
         AttemptFailure::Rejected
         | AttemptFailure::ServerError
         | AttemptFailure::Broken
+        | AttemptFailure::CutOff
         | AttemptFailure::Silent => health.record_failure(now),
     });
 }
-
-/// Returns the time by which the server must send something.
-///
-/// For idempotent requests it is early enough to send them to another server; without one, the server may take longer.
-fn read_deadline(request: &RoutedRequest) -> Instant {
-    if !request.route.is_idempotent() || request.route.max_servers < 2 {
-        return request.deadline;
-    }
-    let timeout = (request.route.target_latency * READ_TIMEOUT_FACTOR).max(MIN_READ_TIMEOUT);
-    request.deadline.min(Instant::now() + timeout)
-}
--- a/bulrushward_direct/src/bounded_stream.rs
+++ b/bulrushward_direct/src/bounded_stream.rs
@@ -1,14 +1,20 @@
-//! A connection to a server, the store or a peer from which only so much is read as its content allows.
+//! A connection to a server, the store or a peer: what is read from it is bounded, and what it has not delivered is
+//! discarded when it closes.
 
 use std::{
     io,
     mem::MaybeUninit,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        atomic::{AtomicU64, Ordering},
+    },
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
-use bulrushward_policy::receive_allowance::ReceiveAllowance;
+use bulrushward_net::{has_segments_in_flight, unacknowledged_bytes};
+use bulrushward_policy::{delivery::SendQueue, receive_allowance::ReceiveAllowance};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -18,57 +24,103 @@
 /// Largest number of bytes that is read at once, so that little is read ahead of the content.
 const MAX_READ_BYTES: usize = 16 << 10;
 
-/// A stream that fails once its peer has sent more than its allowance.
+/// A stream that fails once its peer has sent more than its allowance, and that is reset when it closes.
+///
+/// The reset discards what is still to be delivered, also if the process is killed.
 #[derive(Debug)]
 pub(crate) struct BoundedStream {
     stream: Arc<TcpStream>,
-    allowance: Arc<Mutex<ReceiveAllowance>>,
+    shared: Arc<StreamState>,
+}
+
+/// State that a stream and its handles share.
+#[derive(Debug, Default)]
+struct StreamState {
+    allowance: Mutex<ReceiveAllowance>,
+    /// Bytes written since the current exchange began.
+    written: AtomicU64,
 }
 
 /// The allowance and the socket of a [`BoundedStream`], which it does not keep open.
 #[derive(Clone, Debug)]
 pub(crate) struct BoundedStreamHandle {
     stream: Weak<TcpStream>,
-    allowance: Arc<Mutex<ReceiveAllowance>>,
+    shared: Arc<StreamState>,
 }
 
 impl BoundedStream {
-    pub(crate) fn new(stream: TcpStream) -> (Self, BoundedStreamHandle) {
+    /// Wraps a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the connection cannot be set to be reset when it closes.
+    pub(crate) fn new(stream: TcpStream) -> io::Result<(Self, BoundedStreamHandle)> {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
         let stream = Self {
             stream: Arc::new(stream),
-            allowance: Arc::default(),
+            shared: Arc::default(),
         };
         let handle = BoundedStreamHandle {
             stream: Arc::downgrade(&stream.stream),
-            allowance: Arc::clone(&stream.allowance),
+            shared: Arc::clone(&stream.shared),
         };
-        (stream, handle)
+        Ok((stream, handle))
     }
 }
 
 impl BoundedStreamHandle {
     /// Locks the allowance.
     pub(crate) fn allowance(&self) -> MutexGuard<'_, ReceiveAllowance> {
-        self.allowance
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.shared.allowance()
+    }
+
+    /// Begins to count what is written and read for a request.
+    pub(crate) fn begin_exchange(&self) {
+        self.shared.written.store(0, Ordering::Relaxed);
+        self.allowance().begin();
     }
 
-    /// Returns the number of bytes that the peer has not acknowledged; 0 if the connection is closed.
-    pub(crate) fn unacknowledged_bytes(&self) -> usize {
-        let stream = self.stream.upgrade();
-        stream.map_or(0, |stream| {
-            bulrushward_net::unacknowledged_bytes(&*stream).unwrap_or(0)
+    /// Returns what is written and not delivered of the request that was begun last.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is closed.
+    pub(crate) fn send_queue(&self) -> io::Result<SendQueue> {
+        let stream = self.stream.upgrade().ok_or(io::ErrorKind::NotConnected)?;
+        // Read first, as it grows meanwhile.
+        let written = self.shared.written.load(Ordering::Relaxed);
+        let unacknowledged = unacknowledged_bytes(&*stream)? as u64;
+        Ok(SendQueue {
+            written,
+            unacknowledged,
+            is_in_flight: unacknowledged > 0 && has_segments_in_flight(&*stream)?,
         })
     }
 
-    /// Returns whether the connection is open and nothing has arrived on it that was not read.
+    /// Makes the connection deliver what was written when it closes, instead of being reset.
+    pub(crate) fn close_in_order(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            // A closed connection cannot be changed any more.
+            let _closed = SockRef::from(&*stream).set_linger(None);
+        }
+    }
+
+    /// Returns whether the connection is open, all that was written was acknowledged, and all that has arrived was read.
     pub(crate) fn is_quiet(&self) -> bool {
         let Some(stream) = self.stream.upgrade() else {
             return false;
         };
         let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+            && unacknowledged_bytes(&*stream).is_ok_and(|bytes| bytes == 0)
+    }
+}
+
+impl StreamState {
+    fn allowance(&self) -> MutexGuard<'_, ReceiveAllowance> {
+        self.allowance
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -84,11 +136,7 @@
             match self.stream.try_read(buf.initialize_unfilled_to(len)) {
                 Ok(len) => {
                     buf.advance(len);
-                    let mut allowance = self
-                        .allowance
-                        .lock()
-                        .unwrap_or_else(PoisonError::into_inner);
-                    return Poll::Ready(if allowance.receive(len) {
+                    return Poll::Ready(if self.shared.allowance().receive(len) {
                         Ok(())
                     } else {
                         Err(io::Error::new(
@@ -110,7 +158,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        poll_write_with(&self.stream, cx, |stream| stream.try_write(buf))
+        self.poll_write_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -118,7 +166,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        poll_write_with(&self.stream, cx, |stream| stream.try_write_vectored(bufs))
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -129,21 +177,28 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Does nothing: closing the socket tells the peer of the end, and nothing may be sent after the last request.
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(Ok(()))
     }
 }
 
-fn poll_write_with(
-    stream: &TcpStream,
-    cx: &mut Context<'_>,
-    write: impl Fn(&TcpStream) -> io::Result<usize>,
-) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(cx))?;
-        match write(stream) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            result => return Poll::Ready(result),
+impl BoundedStream {
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Ok(len) => {
+                    self.shared.written.fetch_add(len as u64, Ordering::Relaxed);
+                    return Poll::Ready(Ok(len));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
         }
     }
 }
--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -15,7 +15,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
-use crate::{bounded_stream::BoundedStream, buffered_body};
+use crate::{bounded_stream::BoundedStream, buffered_body, delivery};
 
 /// Largest response that is read, in bytes: a base64-encoded configuration of a megabyte, or a page of entries.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -41,6 +41,12 @@
         /// Cause.
         detail: String,
     },
+    /// The peer did not acknowledge the call, which may have been executed nevertheless.
+    #[snafu(display("{address} did not acknowledge the call"))]
+    CutOff {
+        /// Address.
+        address: SocketAddr,
+    },
     /// The time limit was reached.
     #[snafu(display("no response from {address} within {} ms", limit.as_millis()))]
     Timeout {
@@ -53,26 +59,25 @@
 
 /// Interval of the TCP keepalive probes, which systems count in whole seconds.
 ///
-/// A waiting call whose connection is dead fails after three intervals.
+/// A connection that is dead while a response is awaited fails after three intervals.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Keepalive probes that may stay unanswered.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Enables TCP keepalive and a TCP user timeout, so that dead connections are detected.
+/// Enables TCP keepalive, so that the end of a peer is noticed while its response is awaited.
 ///
-/// Sent data must be acknowledged within [`KEEPALIVE_PROBES`] intervals.
+/// No probes are sent while data is unacknowledged, which [`delivery`] notices sooner. A TCP user timeout would end
+/// connections to peers that live but do not read.
 ///
 /// # Errors
 ///
 /// Returns the error of the operating system.
-pub(crate) fn enable_keepalive(stream: &TcpStream, interval: Duration) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(interval * KEEPALIVE_PROBES))?;
+pub(crate) fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
-        .with_time(interval)
-        .with_interval(interval)
+        .with_time(KEEPALIVE_INTERVAL)
+        .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
 
 /// Sends a GET request for `path` to `address`; `limit` includes connecting.
@@ -131,8 +136,8 @@
     let stream = TcpStream::connect(address)
         .await
         .map_err(|error| connect_error(&error))?;
-    enable_keepalive(&stream, KEEPALIVE_INTERVAL).map_err(|error| connect_error(&error))?;
-    let (stream, handle) = BoundedStream::new(stream);
+    enable_keepalive(&stream).map_err(|error| connect_error(&error))?;
+    let (stream, handle) = BoundedStream::new(stream).map_err(|error| connect_error(&error))?;
     let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
         .max_buf_size(MAX_BUFFER)
         .handshake(TokioIo::new(stream))
@@ -142,6 +147,7 @@
     let host =
         HeaderValue::from_str(&address.to_string()).map_err(|error| response_error(&error))?;
     req.headers_mut().insert(HOST, host);
+    handle.begin_exchange();
     let exchange = async {
         let res = sender
             .send_request(req)
@@ -157,11 +163,13 @@
             record_chunk,
         );
         let body = body.await.map_err(|error| response_error(&error))?;
+        handle.close_in_order();
         Ok((status, body))
     };
     let mut exchange = std::pin::pin!(exchange);
     tokio::select! {
         response = &mut exchange => response,
+        () = delivery::stalled(&handle, 0, || false) => CutOffSnafu { address }.fail(),
         // The connection task ends after it has passed on the response, or without one.
         _ended = connection => exchange.await,
     }
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -1,4 +1,4 @@
-//! Connections to backend servers: opened, kept while idle, and closed to cancel their request.
+//! Connections to backend servers: opened, kept while idle, and reset to give up their request.
 
 use std::{
     collections::VecDeque,
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use bulrushward_policy::delivery::{Close, RequestCycle};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -28,8 +29,6 @@
 
 /// Time limit for opening a connection; TCP resends a lost SYN only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Interval of the TCP keepalive probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which an idle connection is kept if the server does not announce its own idle timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest idle timeout of a server that is relied on.
@@ -45,12 +44,16 @@
 /// Smallest buffer of a connection, in bytes, as required by hyper; connections use eight times as much.
 const MIN_BUFFER: usize = 8 << 10;
 
-/// A connection that carries one request at a time and closes when it is dropped.
+/// A connection that carries one request at a time.
+///
+/// Dropping it gives up a request that has no complete response: the connection is reset, so that the server gets nothing
+/// of it later.
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     server: ServerId,
+    cycle: RequestCycle,
     pub(crate) stream: BoundedStreamHandle,
     _permit: ConnectionPermit,
     /// Whether it has carried a request before.
@@ -66,14 +69,23 @@
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && self.stream.is_quiet()
     }
+
+    /// Records that a request is about to be sent.
+    pub(crate) fn begin_exchange(&mut self) {
+        self.cycle.begin();
+        self.stream.begin_exchange();
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        let unacknowledged = self.stream.unacknowledged_bytes();
-        if unacknowledged > 0 {
-            let server = &self.server;
-            info!(event = "connection-closed", server, unacknowledged);
+        if self.cycle.close() == Close::InOrder {
+            self.stream.close_in_order();
+        } else if let Ok(queue) = self.stream.send_queue()
+            && queue.unacknowledged > 0
+        {
+            let (server, unacknowledged) = (&self.server, queue.unacknowledged);
+            info!(event = "request-taken-back", server, unacknowledged);
         }
         self.task.abort();
     }
@@ -219,6 +231,7 @@
     mut connection: Connection,
     keep_alive_timeout: Option<Duration>,
 ) {
+    connection.cycle.complete();
     if connection.sender.is_closed() || !connection.has_id {
         return;
     }
@@ -237,6 +250,12 @@
     });
 }
 
+/// Closes all idle connections of a server that acknowledged nothing on another one.
+pub(crate) fn close_idle(server: &Server) {
+    let idle = std::mem::take(&mut server.state().idle);
+    drop(idle);
+}
+
 /// Closes the idle connections that have expired.
 pub(crate) fn close_expired(server: &Server, now: Instant) {
     server.state().idle.retain(|idle| now < idle.usable_until);
@@ -245,8 +264,8 @@
 async fn open(server: &Server, permit: ConnectionPermit) -> io::Result<Connection> {
     let stream = TcpStream::connect(server.record.address).await?;
     stream.set_nodelay(true)?;
-    enable_keepalive(&stream, PROBE_INTERVAL)?;
-    let (stream, handle) = BoundedStream::new(stream);
+    enable_keepalive(&stream)?;
+    let (stream, handle) = BoundedStream::new(stream)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MIN_BUFFER * 8)
         .handshake(TokioIo::new(stream))
@@ -260,6 +279,7 @@
         sender,
         task: task.abort_handle(),
         server: server.id.clone(),
+        cycle: RequestCycle::default(),
         stream: handle,
         _permit: permit,
         is_reused: false,
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -51,6 +51,8 @@
     RetryBudget,
     TimeOver,
     ServerBroke,
+    /// The server did not acknowledge the request.
+    ServerCutOff,
     ServerSilent,
     Quarantined,
     Stopping,
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -95,6 +95,7 @@
                 AttemptFailure::NotSent
                 | AttemptFailure::Misdirected
                 | AttemptFailure::Broken
+                | AttemptFailure::CutOff
                 | AttemptFailure::Silent,
             ) => PlaceUse::Failed,
         };
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -339,6 +339,7 @@
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
         AttemptFailure::ServerError | AttemptFailure::Broken => Reason::ServerBroke,
         AttemptFailure::ContentBarred => Reason::Quarantined,
+        AttemptFailure::CutOff => Reason::ServerCutOff,
         AttemptFailure::Silent => Reason::ServerSilent,
     }
 }
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -62,6 +62,28 @@
     }
 }
 
+/// Returns whether a server takes no more requests: it is leaving or gone, or its failure domain is emptied.
+pub(crate) fn is_withheld(shared: &Shared, server: &Server) -> bool {
+    let withheld = shared
+        .server_reports()
+        .withheld(server.hash, Instant::now());
+    let domain = &server.record.failure_domain;
+    withheld == Some(Withheld::Leaving)
+        || !is_registered(shared, server)
+        || shared.emptied_domains().contains(domain)
+}
+
+/// Returns whether the entry of a server is there and does not say that it is leaving.
+fn is_registered(shared: &Shared, server: &Server) -> bool {
+    let servers = shared.servers.load();
+    let mut current = servers.of_service(&server.record.service).iter();
+    current.any(|current| {
+        current.hash == server.hash
+            && current.version == server.version
+            && !current.record.is_leaving
+    })
+}
+
 /// Checks that a server still takes requests, since one may have waited for a connection or a place.
 ///
 /// # Errors
@@ -70,20 +92,13 @@
 /// leaving.
 pub(crate) fn check(shared: &Shared, choice: &ServerChoice) -> Result<(), AttemptError> {
     let server = &choice.server;
-    let servers = shared.servers.load();
-    let mut current = servers.of_service(&server.record.service).iter();
-    let is_registered = current.any(|current| {
-        current.hash == server.hash
-            && current.version == server.version
-            && !current.record.is_leaving
-    });
     let withheld = shared
         .server_reports()
         .withheld(server.hash, Instant::now());
     let detail = match withheld {
         Some(Withheld::Leaving) => "the server is leaving",
         Some(Withheld::Paused { .. }) => "the server asked for a pause",
-        _ if !is_registered => "the server is not registered any more",
+        _ if !is_registered(shared, server) => "the server is not registered any more",
         // It may have named a limit after it was selected.
         Some(Withheld::SaidToLeave) | None
             if !choice.has_unit && take_unit(shared, server) == Some(false) =>
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use socket2::{SockFilter, SockRef};
+use socket2::{SockFilter, SockRef, Socket};
 
 /// `BPF_RET | BPF_K`: the number of bytes of a packet that a filter lets pass, 0 to drop it.
 const BPF_RETURN: u16 = 0x06;
@@ -168,10 +168,10 @@
     fn set_cut(&self, is_cut: bool) {
         let listener = self.listener.upgrade();
         if let Some(listener) = &listener {
-            set_filter(SockRef::from(&**listener), is_cut);
+            set_filter(&SockRef::from(&**listener), is_cut);
         }
         for stream in self.lock().iter().filter_map(Weak::upgrade) {
-            set_filter(SockRef::from(&*stream), is_cut);
+            set_filter(&SockRef::from(&*stream), is_cut);
         }
     }
 
@@ -183,7 +183,7 @@
 }
 
 /// Lets a socket drop all packets, or none.
-fn set_filter(socket: SockRef<'_>, drops_all: bool) {
+fn set_filter(socket: &Socket, drops_all: bool) {
     if drops_all {
         socket
             .attach_filter(&[SockFilter::new(BPF_RETURN, 0, 0, 0)])
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod cold_server;
 pub mod crash_evidence;
+pub mod delivery;
 pub mod emptied_domains;
 pub mod event_order;
 mod fair_queue;
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -33,6 +33,8 @@
     ServerError,
     /// The connection broke or the response was invalid; the request may have run.
     Broken,
+    /// The server did not acknowledge the request in time, as if it was cut off; the request may have run.
+    CutOff,
     /// The server sent nothing within the timeout; the request may have run.
     Silent,
 }
