Take a server that is cut off for no crashed one

Callers of requests that were at three servers when these were cut off got 503 "quarantined" from all routers, though the requests were sound.

Cause: a connection that timed out counted as broken, and a server that did not answer afterwards as crashed, so each cut was one crash under the content that it had. Class: silence was taken for evidence.

Change: a connection that timed out is `cut-off`, a server that does not answer an attempt to connect is `unreachable`, and neither is evidence against the content.

The tests of content that crashes servers pass unchanged.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -2,7 +2,7 @@
 //!
 //! Metrics and log lines call an attempt a hop.
 
-use std::time::Instant;
+use std::{error::Error, io, iter, time::Instant};
 
 use crate::{
     buffered_body::{self, BodyError},
@@ -66,6 +66,31 @@
             response: None,
         }
     }
+
+    /// Returns the error of a request whose connection failed before the response was complete.
+    ///
+    /// A connection that timed out was cut off and says nothing of the request; any other end is one of the server.
+    pub(crate) fn of_connection(error: &(dyn Error + 'static)) -> Self {
+        let is_cut_off = iter::successors(Some(error), |error| (*error).source())
+            .filter_map(|error| error.downcast_ref::<io::Error>())
+            .any(|error| is_timeout(error.kind()));
+        let failure = if is_cut_off {
+            AttemptFailure::CutOff
+        } else {
+            AttemptFailure::Broken
+        };
+        Self::new(failure, &with_causes(error))
+    }
+}
+
+/// Returns whether an error of a connection says that the network or the peer's system does not answer.
+fn is_timeout(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+    )
 }
 
 /// Sends a request to a server and returns its complete response, or its stream from the first events on.
@@ -190,9 +215,13 @@
     let connection = acquired.map_err(|error| {
         let failure = match error {
             ConnectError::LimitReached { .. } => AttemptFailure::Crowded,
-            ConnectError::Unreachable { .. } => {
+            ConnectError::Unreachable { ref source } => {
                 cold_servers::record_unreachable(&request.service, &choice.server);
-                AttemptFailure::NotSent
+                if is_timeout(source.kind()) {
+                    AttemptFailure::Unreachable
+                } else {
+                    AttemptFailure::NotSent
+                }
             }
         };
         AttemptError::new(failure, &error)
@@ -270,10 +299,7 @@
     );
     let collected = match read_timeout::until(request.deadline, collected).await {
         Some(Ok(body)) => Ok(body),
-        Some(Err(BodyError::Broken { source })) => Err(AttemptError::new(
-            AttemptFailure::Broken,
-            &with_causes(&source),
-        )),
+        Some(Err(BodyError::Broken { source })) => Err(AttemptError::of_connection(&source)),
         Some(Err(error)) => Err(AttemptError::new(AttemptFailure::Broken, &error)),
         None => Err(AttemptError::new(
             AttemptFailure::Silent,
@@ -354,7 +380,9 @@
         | AttemptFailure::DomainEmptied
         | AttemptFailure::Withheld
         | AttemptFailure::ContentBarred => {}
-        AttemptFailure::NotSent | AttemptFailure::Misdirected => health.record_unreachable(now),
+        AttemptFailure::NotSent | AttemptFailure::Unreachable | AttemptFailure::Misdirected => {
+            health.record_unreachable(now);
+        }
         AttemptFailure::Rejected
         | AttemptFailure::ServerError
         | AttemptFailure::Broken
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -203,13 +203,27 @@
     .context(UnreachableSnafu)
 }
 
-/// Returns whether a new connection to the server can be opened; it is closed at once.
+/// What came of opening a connection to a server to see whether it is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reachability {
+    Reached,
+    /// The server's machine answered that no process listens.
+    Refused,
+    /// Nothing answered, as if the server was cut off.
+    Unanswered,
+}
+
+/// Opens a connection to the server, which is closed at once.
 ///
 /// Returns `None` if all of this router's `share` of the connections are in use.
-pub(crate) async fn is_reachable(server: &Server, share: u32) -> Option<bool> {
+pub(crate) async fn probe(server: &Server, share: u32) -> Option<Reachability> {
     let _permit = ConnectionPermit::acquire(server, share)?;
     let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address)).await;
-    Some(matches!(opened, Ok(Ok(_))))
+    Some(match opened {
+        Ok(Ok(_connection)) => Reachability::Reached,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Reachability::Refused,
+        Ok(Err(_)) | Err(_) => Reachability::Unanswered,
+    })
 }
 
 fn acquire_idle(server: &Server, id: u64) -> Option<Connection> {
--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -1,7 +1,7 @@
 //! Finds out whether servers crashed under requests whose connections broke.
 //!
-//! A broken connection alone proves no crash, as a server may lose a response. A server that cannot be reached
-//! afterwards has crashed.
+//! A broken connection alone proves no crash, as a server may lose a response. A server has crashed if its machine refuses
+//! connections afterwards; one that does not answer may be cut off.
 
 use std::{
     sync::Arc,
@@ -12,8 +12,12 @@
 use tokio::time::sleep;
 
 use crate::{
-    cold_servers, connection, crash_records::BrokenRequest, routed_request::RoutedRequest,
-    servers::Server, shared::Shared,
+    cold_servers,
+    connection::{self, Reachability},
+    crash_records::BrokenRequest,
+    routed_request::RoutedRequest,
+    servers::Server,
+    shared::Shared,
 };
 
 /// Time after a connection broke until the server is called; one that crashes may close its listener last.
@@ -38,7 +42,7 @@
                 start(shared, request, server);
             }
         }
-        AttemptFailure::NotSent => record_unreachable(shared, server),
+        AttemptFailure::NotSent => record_crash(shared, server),
         _ => {}
     }
 }
@@ -50,18 +54,21 @@
     tokio::spawn(async move {
         sleep(CHECK_DELAY).await;
         let share = shared.connection_share(service.connection_limit, server.hash);
-        if connection::is_reachable(&server, share).await == Some(false) {
+        let reachability = connection::probe(&server, share).await;
+        if reachability.is_some_and(|probed| probed != Reachability::Reached) {
             cold_servers::record_unreachable(&service, &server);
             let now = Instant::now();
             server.state().health.record_unreachable(now);
-            record_unreachable(&shared, &server);
+        }
+        if reachability == Some(Reachability::Refused) {
+            record_crash(&shared, &server);
         }
         sleep(CHECK_INTERVAL).await;
         server.state().is_crash_checked = false;
     });
 }
 
-fn record_unreachable(shared: &Shared, server: &Server) {
+fn record_crash(shared: &Shared, server: &Server) {
     let suspects = server.state().take_crash_suspects(Instant::now());
     shared
         .crash_records
--- a/bulrushward_direct/src/exchange.rs
+++ b/bulrushward_direct/src/exchange.rs
@@ -74,12 +74,11 @@
     };
     received.map(|res| (res, connection)).map_err(|error| {
         // hyper returns the request if it has sent nothing of it.
-        let failure = if error.message().is_some() {
-            AttemptFailure::NotSent
+        if error.message().is_some() {
+            AttemptError::new(AttemptFailure::NotSent, &with_causes(error.error()))
         } else {
-            AttemptFailure::Broken
-        };
-        AttemptError::new(failure, &with_causes(error.error()))
+            AttemptError::of_connection(error.error())
+        }
     })
 }
 
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -93,6 +93,7 @@
             ) => PlaceUse::NotUsed,
             Some(
                 AttemptFailure::NotSent
+                | AttemptFailure::Unreachable
                 | AttemptFailure::Misdirected
                 | AttemptFailure::Broken
                 | AttemptFailure::CutOff
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -332,9 +332,10 @@
 
 fn failure_reason(error: &AttemptError) -> Reason {
     match error.failure {
-        AttemptFailure::NotSent | AttemptFailure::Crowded | AttemptFailure::Withheld => {
-            Reason::NoServer
-        }
+        AttemptFailure::NotSent
+        | AttemptFailure::Unreachable
+        | AttemptFailure::Crowded
+        | AttemptFailure::Withheld => Reason::NoServer,
         AttemptFailure::DomainEmptied => Reason::FailureDomainsEmptied,
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
         AttemptFailure::ServerError | AttemptFailure::Broken => Reason::ServerBroke,
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use bulrushward_net::with_causes;
 use bulrushward_policy::{
     event_order::EventOrder, server_attempt::AttemptFailure, server_health::ServerHealth,
     stream_pace::StreamPace,
@@ -168,10 +167,7 @@
                     &"no event in time",
                 )),
                 None => return Ok(self.take_gathered()),
-                Some(Some(Err(error))) => Err(AttemptError::new(
-                    AttemptFailure::Broken,
-                    &with_causes(&error),
-                )),
+                Some(Some(Err(error))) => Err(AttemptError::of_connection(&error)),
                 Some(Some(Ok(frame))) => match self.push(&frame.into_data().unwrap_or_default()) {
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) if self.pace.is_held_back() => {
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -16,6 +16,8 @@
 pub enum AttemptFailure {
     /// The request was never sent: no connection could be made, or the idle one had closed.
     NotSent,
+    /// The request was never sent: the server did not answer an attempt to connect, as if it was cut off.
+    Unreachable,
     /// All connections that this router may open to the server are in use.
     Crowded,
     /// The failure domain of the server was emptied before the request was sent.
@@ -33,7 +35,7 @@
     ServerError,
     /// The connection broke or the response was invalid; the request may have run.
     Broken,
-    /// The server did not acknowledge the request in time, as if it was cut off; the request may have run.
+    /// The server acknowledged nothing in time, as if it was cut off; the request may have run.
     CutOff,
     /// The server sent nothing within the timeout; the request may have run.
     Silent,
@@ -46,6 +48,7 @@
         matches!(
             self,
             Self::NotSent
+                | Self::Unreachable
                 | Self::Crowded
                 | Self::DomainEmptied
                 | Self::Withheld
@@ -69,7 +72,11 @@
     pub fn reached_server(self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::Crowded | Self::DomainEmptied | Self::ContentBarred
+            Self::NotSent
+                | Self::Unreachable
+                | Self::Crowded
+                | Self::DomainEmptied
+                | Self::ContentBarred
         )
     }
 }
