Teach soak and proxies links that hold bytes back and deliver them late

The proxies held bytes back and delivered them later also if their sender had reset the connection meanwhile, which no network does, and only in both directions at once. They hold back either direction or both now; a reset discards what is held and reaches the other side once the link is whole, a close in order does not.

Each series of the soak holds back the links of some servers for 1 to 6 s, and no server may receive a request more than 0.5 s after its caller had a complete response or the router had to know that it left (`given-up-is-not-delivered`).

--- a/bulrushward_fakes/src/proxy.rs
+++ b/bulrushward_fakes/src/proxy.rs
@@ -31,6 +31,8 @@
 }
 
 /// Faults of a proxy that last until they are replaced.
+///
+/// Bytes that are held back are delivered once the fault is cleared, unless their sender has reset the connection.
 #[serde_as]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -39,6 +41,8 @@
     pub refuse: bool,
     /// Accepts connections but holds back all bytes until this is cleared.
     pub hang: bool,
+    /// Holds back the bytes of one direction until this is cleared.
+    pub hold: Option<Direction>,
     /// Delay of each forwarded chunk, in either direction.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "delay_ms")]
--- a/bulrushward_fakes/src/proxy/connections.rs
+++ b/bulrushward_fakes/src/proxy/connections.rs
@@ -7,11 +7,12 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use slab::Slab;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::{
         TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -24,6 +25,9 @@
 /// Size of the forwarding buffer, in bytes.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Interval at which a connection that was closed in order is checked for a reset.
+const RESET_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Faults of one connection; they are never cleared.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ConnectionFaults {
@@ -154,6 +158,22 @@
     }
 }
 
+/// Waits until the peer resets a connection.
+///
+/// # Errors
+///
+/// Returns the error of the reset.
+async fn wait_for_reset(from: &OwnedReadHalf) -> io::Result<()> {
+    loop {
+        from.ready(Interest::ERROR).await?;
+        if let Some(error) = from.as_ref().take_error()? {
+            return Err(error);
+        }
+        // A close in order is reported as well.
+        tokio::time::sleep(RESET_POLL_INTERVAL).await;
+    }
+}
+
 /// Applies the current faults to the bytes of one direction.
 struct Gate {
     direction: Direction,
@@ -169,7 +189,7 @@
             tokio::time::sleep(delay).await;
         }
         self.network_fault
-            .wait_for(|fault| !fault.hang)
+            .wait_for(|fault| !fault.hang && fault.hold != Some(self.direction))
             .await
             .map_err(io::Error::other)?;
         if self.connection_faults.borrow().is_stalled(self.direction) {
@@ -180,6 +200,8 @@
 }
 
 /// Forwards bytes in one direction until end of file; returns both halves, with `to` shut down.
+///
+/// A reset discards what is held back, and reaches the other side once the gate is open.
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
@@ -187,8 +209,19 @@
 ) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
-        let count = from.read(&mut buf).await?;
-        gate.wait().await?;
+        let read = from.read(&mut buf).await;
+        let passed = tokio::select! {
+            passed = gate.wait() => passed.and(read),
+            reset = wait_for_reset(&from) => reset.and(read),
+        };
+        let count = match passed {
+            Ok(count) => count,
+            Err(error) => {
+                gate.wait().await?;
+                to.as_ref().set_zero_linger()?;
+                return Err(error);
+            }
+        };
         if count == 0 {
             to.shutdown().await?;
             return Ok((from, to));
--- a/bulrushward_fakes/tests/proxy.rs
+++ b/bulrushward_fakes/tests/proxy.rs
@@ -6,6 +6,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    task::JoinHandle,
     time::{Instant, timeout},
 };
 
@@ -134,3 +135,59 @@
         tokio::task::yield_now().await;
     }
 }
+
+#[tokio::test]
+async fn bytes_that_are_held_back_are_delivered_late() {
+    for direction in [Direction::ToTarget, Direction::FromTarget] {
+        let proxy = start().await;
+        let mut connection = connect(proxy.address()).await;
+        proxy.set_fault(hold(direction)).await;
+        connection.write_all(b"late").await.unwrap();
+        let mut response = [0; 4];
+        let early = timeout(QUIET_PERIOD, connection.read_exact(&mut response));
+        assert!(early.await.is_err(), "{direction:?}");
+        proxy.restore().await;
+        connection.read_exact(&mut response).await.unwrap();
+        assert_eq!(&response, b"late");
+    }
+}
+
+/// A network that holds bytes back delivers them after their sender has closed its connection, unless it was reset.
+#[tokio::test]
+async fn bytes_that_are_held_back_are_discarded_by_a_reset_only() {
+    for is_reset in [false, true] {
+        let (proxy, received) = start_recorder().await;
+        let mut connection = TcpStream::connect(proxy.address()).await.unwrap();
+        proxy.set_fault(hold(Direction::ToTarget)).await;
+        connection.write_all(b"late").await.unwrap();
+        tokio::time::sleep(QUIET_PERIOD).await;
+        if is_reset {
+            connection.set_zero_linger().unwrap();
+        }
+        drop(connection);
+        tokio::time::sleep(QUIET_PERIOD).await;
+        proxy.restore().await;
+        let expected: &[u8] = if is_reset { b"" } else { b"late" };
+        assert_eq!(received.await.unwrap(), expected);
+    }
+}
+
+fn hold(direction: Direction) -> NetworkFault {
+    NetworkFault {
+        hold: Some(direction),
+        ..NetworkFault::default()
+    }
+}
+
+/// Starts a proxy to a server that reads one connection to its end and returns what it has read.
+async fn start_recorder() -> (FaultyProxy, JoinHandle<Vec<u8>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target = listener.local_addr().unwrap();
+    let received = tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let mut bytes = Vec::new();
+        let _reset = connection.read_to_end(&mut bytes).await;
+        bytes
+    });
+    (FaultyProxy::start(target).unwrap(), received)
+}
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -96,14 +96,21 @@
     DomainReturnsCold,
     /// Callers send prompts with a part under which engines crash; these are replaced after a while.
     PoisonArrives,
+    /// The links of some servers hold back the bytes of one direction or both, and deliver them later.
+    ServerLinksHeld,
 }
 
 /// Faults that each series of random faults has besides; all others are drawn at random.
-const SERIES_FAULTS: [Fault; 3] = [
+const SERIES_FAULTS: [Fault; 4] = [
     Fault::DomainEmptied,
     Fault::DomainReturnsCold,
     Fault::PoisonArrives,
+    Fault::ServerLinksHeld,
 ];
+/// Share of the servers whose links hold bytes back.
+const HELD_SHARE: f64 = 0.4;
+/// Time for which they do, in milliseconds; longer than most requests wait.
+const HELD_MS: Range<u64> = 1_000..6_000;
 /// Limits that servers name, in requests per second.
 const LIMITS: Range<f64> = 0.5..6.0;
 /// Time for which servers name limits; longer than the time after which they hold.
@@ -246,6 +253,10 @@
     } else if fault == Fault::PoisonArrives {
         let _logged = harness.fault_log.begin(fault, "engines");
         send_poison(harness, rng).await
+    } else if fault == Fault::ServerLinksHeld {
+        let _logged = harness.fault_log.begin(fault, "servers");
+        hold_links(harness, rng).await;
+        Ok(())
     } else {
         let _logged = log_router_fault(harness, fault, router);
         inject_router_fault(harness, fault, router, rng, time).await
@@ -388,6 +399,37 @@
     Ok(())
 }
 
+/// Lets the links of some servers hold back bytes for a while.
+async fn hold_links(harness: &Harness, rng: &mut Pcg64Mcg) {
+    let directions = [None, Some(Direction::ToTarget), Some(Direction::FromTarget)];
+    let mut servers = harness.servers();
+    servers.retain(|_| rng.random_bool(HELD_SHARE));
+    let time = Duration::from_millis(rng.random_range(HELD_MS));
+    let hold = *directions.choose(rng).expect("there are directions");
+    let from = Instant::now();
+    harness.record_disturbance();
+    for server in &servers {
+        let fault = NetworkFault {
+            hang: hold.is_none(),
+            hold,
+            ..server.proxy.fault()
+        };
+        server.proxy.set_fault(fault).await;
+    }
+    tokio::time::sleep(time).await;
+    for server in &servers {
+        let fault = NetworkFault {
+            hang: false,
+            hold: None,
+            ..server.proxy.fault()
+        };
+        server.proxy.set_fault(fault).await;
+        let place = OutagePlace::Server(server.fake_server.id.clone());
+        record_outage(harness, place, from, Instant::now());
+    }
+    harness.record_disturbance();
+}
+
 /// Lets callers send prompts under which engines crash, and replaces these engines after a while.
 async fn send_poison(harness: &Harness, rng: &mut Pcg64Mcg) -> io::Result<()> {
     let end = Instant::now() + POISON_TIME;
@@ -591,6 +633,7 @@
             refuse,
             hang,
             delay,
+            ..link.fault()
         })
         .await;
     };
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -17,6 +17,8 @@
 
 /// Time in which a server's work must end after its caller has disconnected.
 const CANCEL_TIME: Duration = Duration::from_millis(1_500);
+/// Time after a request was given up in which it may still be received, as it was on its way.
+const DELIVERY_TIME: Duration = Duration::from_millis(500);
 /// Time after which a server marked as leaving must receive no requests.
 const LEAVING_PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
 /// Time after which an order to empty a failure domain must be in force.
@@ -371,6 +373,28 @@
     Some(time)
 }
 
+/// Returns whether a server received an attempt after its caller had a complete response or had left.
+#[must_use]
+pub fn is_delivered_late(attempt: &Attempt, executions: &[Execution], outages: &[Outage]) -> bool {
+    let mut given_up = attempt.ended;
+    let has_response = matches!(attempt.result, AttemptResult::Complete(_));
+    let of_router = outages.iter().filter(|outage| {
+        // A router that has responded knows that the attempt is over; otherwise it has to learn that the caller left.
+        !has_response
+            && outage.place == OutagePlace::Router(attempt.router)
+            && outage.from <= attempt.ended + DELIVERY_TIME
+    });
+    for outage in of_router {
+        let Some(until) = outage.until else {
+            return false;
+        };
+        given_up = given_up.max(until);
+    }
+    executions
+        .iter()
+        .any(|execution| execution.started > given_up + DELIVERY_TIME)
+}
+
 /// Checks that each stream has events of servers of one version only, over all requests of its caller.
 pub(crate) fn check_versions(attempts: &[Attempt]) -> Vec<String> {
     let mut versions: HashMap<&str, HashSet<String>> = HashMap::new();
@@ -402,6 +426,9 @@
     if !is_idempotent && executions.len() > 1 {
         violations.push("runs-once-at-most");
     }
+    if is_delivered_late(attempt, executions, outages) {
+        violations.push("given-up-is-not-delivered");
+    }
     match &attempt.result {
         AttemptResult::Complete(response) => {
             violations.extend(check_complete_response(attempt, response, executions));
--- a/bulrushward_soak/src/lib.rs
+++ b/bulrushward_soak/src/lib.rs
@@ -16,6 +16,6 @@
 mod run;
 
 pub use callers::{Attempt, AttemptResult, Kind, ReceivedResponse};
-pub use invariants::{Outage, OutagePlace, has_to_know, is_cancelled_late};
+pub use invariants::{Outage, OutagePlace, has_to_know, is_cancelled_late, is_delivered_late};
 pub use planned_stops::{RouterHistory, violated_stop};
 pub use run::{SoakReport, SoakSettings, run};
