Check of each stream that it goes on where it began

The test that replaces it names each stream by the server that received it without `Resumes`, and lets no server receive one with `Resumes` that began at the other; it goes on until eight streams have begun at the new version.

--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -402,7 +402,7 @@
 
 /// A router that heard late of a second version took the first one for the only one, and did not ask who began the stream.
 #[test]
-fn a_router_whose_view_is_late_asks_where_a_stream_began() {
+fn a_router_whose_view_is_late_goes_on_with_streams_where_they_began() {
     // More routers than those that keep the origin of a stream.
     const ROUTERS: usize = 6;
     let stores = [(); 2].map(|()| MemoryStore::with(config(1)));
@@ -431,23 +431,40 @@
     let new = TestServer::start("new", breaks);
     register(&stores[0], "v2", [&new]);
     stores[0].remove(&old.id);
-    wait_until("a router knows the new version", || {
-        others[0].send(&request("POST", "resumable", "n-0", ""));
-        !new.received().is_empty()
-    });
-    let earlier = old.received().len();
-    for index in 1..=8 {
-        let began_as = format!("n-{index}");
+    let mut begun = 0;
+    wait_until("streams begin at the new version", || {
+        begun += 1;
+        let began_as = format!("n-{begun}");
         others[0].send(&request("POST", "resumable", &began_as, ""));
-        let response = late.send(&resumed(&format!("r-{index}"), &began_as, 3));
+        let response = late.send(&resumed(&format!("r-{begun}"), &began_as, 3));
         let text = response.text();
         assert!(response.status == 503 || text == events(4, 6), "{text}");
+        began_at(&new).len() >= 8
+    });
+    // Until the new version is the only one that the other routers know, streams begin at the old one too.
+    for (server, other) in [(&old, &new), (&new, &old)] {
+        let gone_on = server.received();
+        let gone_on = gone_on.iter().filter_map(|req| req.header("resumes"));
+        let elsewhere = began_at(other);
+        for began_as in gone_on {
+            assert!(
+                !elsewhere.iter().any(|id| id == began_as),
+                "{began_as} began at {} and went on at {}",
+                other.id,
+                server.id
+            );
+        }
     }
-    assert_eq!(
-        old.received().len(),
-        earlier,
-        "a stream went on at the other version"
-    );
+}
+
+/// Returns the ids of the streams that began at a server.
+fn began_at(server: &TestServer) -> Vec<String> {
+    let received = server.received();
+    let new = received
+        .iter()
+        .filter(|req| req.header("resumes").is_none());
+    let ids = new.filter_map(|req| req.header("request"));
+    ids.map(str::to_owned).collect()
 }
 
 /// A router that the store had turned away took the only version that it knew for the only one of the service.
