Ask the store before a version is taken for the only one

Change: that a version is the only one is knowledge of the past (`Origin::confirmed`). Before a stream goes on because of it, the router reads the changes of the servers since its view in one call that begins after the request was received; without them the stream is refused (`unconfirmed`).

Both cases of the new test went on at the old version before (200 instead of 503).

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -55,6 +55,7 @@
 mod stream_origins;
 mod supervision;
 mod unit_loans;
+mod version_check;
 
 pub use events::{EventSplitter, EventTooLarge};
 pub use model::{
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -26,7 +26,7 @@
     server_selection::{self, NoServer, ServerChoice},
     servers::Server,
     shared::Shared,
-    stream_origins::RegistryView,
+    stream_origins::{RegistrySource, RegistryView},
     unit_loans,
 };
 
@@ -181,8 +181,12 @@
         servers: &servers,
         is_confirmed: shared.store_state.is_available(),
     };
-    let origins = &shared.stream_origins;
-    let bound = origins.version_bound(&shared.places, registry, &shared.metrics, request);
+    let source = RegistrySource {
+        store: &*shared.store,
+        revision: shared.store_state.servers_revision(),
+    };
+    let (origins, places) = (&shared.stream_origins, &shared.places);
+    let bound = origins.version_bound(places, registry, source, &shared.metrics, request);
     bound.await
 }
 
--- a/bulrushward_direct/src/store_state.rs
+++ b/bulrushward_direct/src/store_state.rs
@@ -3,12 +3,15 @@
 use std::{
     sync::{
         Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::store_recovery::{RecoveryLog, RecoveryReport};
+use bulrushward_policy::{
+    server_registry::StoreRevision,
+    store_recovery::{RecoveryLog, RecoveryReport},
+};
 use rand::RngExt;
 use strum::IntoStaticStr;
 use tokio::sync::watch;
@@ -47,6 +50,8 @@
     /// Whether a peer has a newer configuration.
     is_config_behind: AtomicBool,
     view_times: Mutex<ViewTimes>,
+    /// Revision up to which the store last confirmed the servers; 0 before the first time.
+    servers_revision: AtomicU64,
     recoveries: Mutex<RecoveryLog>,
     /// Time at which the store last returned from an outage.
     returned_at: watch::Sender<Option<Instant>>,
@@ -63,6 +68,7 @@
                 config: now,
                 servers: now,
             }),
+            servers_revision: AtomicU64::new(0),
             recoveries: Mutex::default(),
             returned_at: watch::Sender::new(None),
         }
@@ -80,6 +86,16 @@
         self.is_unresponsive.load(Ordering::Relaxed)
     }
 
+    /// Records up to which revision the store has confirmed the servers.
+    pub(crate) fn record_servers_revision(&self, revision: StoreRevision) {
+        self.servers_revision.store(revision, Ordering::Relaxed);
+    }
+
+    /// Returns the revision up to which the store last confirmed the servers.
+    pub(crate) fn servers_revision(&self) -> StoreRevision {
+        self.servers_revision.load(Ordering::Relaxed)
+    }
+
     /// Records a successful call that confirmed a view.
     pub(crate) fn record_view(&self, view: StoreView) {
         let now = Instant::now();
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -249,6 +249,8 @@
         shared.metrics.record_store_call(call, &result);
         match result {
             Ok(has_changes) => {
+                let revision = fleet_state.servers_revision();
+                shared.store_state.record_servers_revision(revision);
                 shared.store_state.record_view(StoreView::Servers);
                 backoff = Backoff::default();
                 if has_listing && has_changes {
--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -10,6 +10,7 @@
 };
 
 use bulrushward_policy::{
+    server_registry::StoreRevision,
     server_scope::{VersionBound, VersionKey, version_key},
     stream_origin::{self, ASKED, HOLDERS, Origin, OriginQuery, OriginRecords, StreamKey},
     version_history::{HistoryReport, ServiceKey, VersionHistory},
@@ -22,8 +23,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    metrics::DirectMetrics, model::ServerRecord, places::Places, routed_request::RoutedRequest,
-    servers::ServerSet,
+    metrics::DirectMetrics, model::ServerRecord, places::Places, ports::FleetStore,
+    routed_request::RoutedRequest, servers::ServerSet, version_check::VersionCheck,
 };
 
 /// Time after the end of a stream's time in which its caller may resume it.
@@ -75,6 +76,8 @@
     NotNamed,
     /// There was no router to ask, or too many asks are under way.
     NotAsked,
+    /// The store does not confirm that there has been one version only.
+    Unconfirmed,
     /// Streams of different versions began under the same id.
     Contradictory,
 }
@@ -87,6 +90,13 @@
     pub(crate) is_confirmed: bool,
 }
 
+/// The store, and the revision up to which the registered servers are known.
+#[derive(Clone, Copy)]
+pub(crate) struct RegistrySource<'a> {
+    pub(crate) store: &'a dyn FleetStore,
+    pub(crate) revision: StoreRevision,
+}
+
 /// A resumed stream that waits for answers.
 #[derive(Debug)]
 struct Waiting {
@@ -102,6 +112,7 @@
     /// The other routers that are alive, as hashes of their names and as the addresses for messages.
     peers: Mutex<(Vec<u64>, Vec<SocketAddr>)>,
     waiting: Mutex<HashMap<u64, Waiting>>,
+    version_check: VersionCheck,
 }
 
 impl StreamOrigins {
@@ -145,11 +156,12 @@
 
     /// Returns the versions at which a request may run: any if it begins, else the one that began its stream.
     ///
-    /// Asks other routers if this one does not know it.
+    /// Asks other routers if this one does not know it, and the store whether a version is the only one.
     pub(crate) async fn version_bound(
         &self,
         places: &Places,
         registry: RegistryView<'_>,
+        source: RegistrySource<'_>,
         metrics: &DirectMetrics,
         request: &RoutedRequest,
     ) -> VersionBound {
@@ -157,8 +169,9 @@
             return VersionBound::Any;
         }
         let begun = Instant::now();
-        let (origin, source) = self.find(places, registry, request).await;
-        let source: &'static str = source.into();
+        let (origin, known_from) = self.find(places, registry, request).await;
+        let (origin, known_from) = self.confirm(source, request, origin, known_from).await;
+        let source: &'static str = known_from.into();
         metrics.record_resumed_stream(source);
         let (version, age_ms) = match origin {
             Origin::Version { version, age_ms } => (Some(version), Some(age_ms)),
@@ -277,6 +290,26 @@
         }
     }
 
+    /// Returns what is known once it is certain that no other version has appeared before the request was received.
+    async fn confirm(
+        &self,
+        source: RegistrySource<'_>,
+        request: &RoutedRequest,
+        origin: Origin,
+        known_from: Source,
+    ) -> (Origin, Source) {
+        if !matches!(origin, Origin::OnlyVersion { .. }) {
+            return (origin, known_from);
+        }
+        let service = &request.service.name;
+        let RegistrySource { store, revision } = source;
+        let since = self
+            .version_check
+            .since(store, revision, request.received, service);
+        let confirmed = origin.confirmed(since.await.as_deref());
+        (confirmed, source_of(confirmed, Source::Unconfirmed))
+    }
+
     /// Records the versions of servers that are registered now or were until now.
     pub(crate) fn observe_servers<'a>(&self, servers: impl Iterator<Item = &'a ServerRecord>) {
         let now = Instant::now();
@@ -403,7 +436,7 @@
         Origin::Version { .. } => asked,
         Origin::OnlyVersion { .. } => Source::OnlyVersion,
         Origin::Contradictory => Source::Contradictory,
-        Origin::NotKnown if asked == Source::NotAsked => asked,
+        Origin::NotKnown if matches!(asked, Source::NotAsked | Source::Unconfirmed) => asked,
         Origin::NotKnown => Source::NotKnown,
         Origin::SeveralVersions => Source::SeveralVersions,
     }
--- a/bulrushward_direct/tests/stream_versions.rs
+++ b/bulrushward_direct/tests/stream_versions.rs
@@ -14,7 +14,7 @@
     TestRouter,
     caller::Response,
     config, metric,
-    platform::MemoryStore,
+    platform::{MemoryStore, Trouble},
     record, request,
     server::{Received, Step, TestServer, chunk, complete_stream, events, response, stream_head},
     settings, unique_loopback_ip, wait_until,
@@ -467,6 +467,36 @@
     ids.map(str::to_owned).collect()
 }
 
+/// Guards against streams of a new version that go on at the old one, as a router that can ask no other one takes the only
+/// version that it has heard of for the only one that there is.
+#[rstest]
+#[case::changes_are_gathered(false)]
+#[case::the_store_has_just_fallen_silent(true)]
+fn a_router_that_can_ask_nobody_does_not_take_an_old_view_for_the_present(
+    #[case] falls_silent: bool,
+) {
+    let store = MemoryStore::with(config(1));
+    let old = TestServer::start("old", complete_stream);
+    register(&store, "v1", [&old]);
+    let [router] = first_routers(&store, 1);
+    wait_until("the router knows that the fleet starts", || {
+        router.send(&resumed("r-0", "unknown", 3)).status == 200
+    });
+    // The router gathers further changes from now on.
+    let same = TestServer::start("same", complete_stream);
+    register(&store, "v1", [&same]);
+    wait_until("the router knows the servers", || {
+        metric(&router, "servers") == Some(2)
+    });
+    if falls_silent {
+        store.set_trouble(Trouble::Silent);
+    }
+    let new = TestServer::start("new", breaks);
+    register(&store, "v2", [&new]);
+    let sent = Instant::now();
+    assert_refused(&router.send(&resumed("r-1", "begun-at-new", 3)), sent);
+}
+
 /// A router that the store had turned away took the only version that it knew for the only one of the service.
 #[test]
 fn a_router_that_cannot_read_the_store_does_not_know_that_there_is_one_version_only() {
--- a/bulrushward_policy/src/stream_origin.rs
+++ b/bulrushward_policy/src/stream_origin.rs
@@ -89,6 +89,21 @@
         }
     }
 
+    /// Returns what is known once the versions that have been registered `since` are known too; `None` if they are not.
+    ///
+    /// That there is one version only is knowledge of the past: a stream may have begun at one that came later.
+    #[must_use]
+    pub fn confirmed(self, since: Option<&[Option<VersionKey>]>) -> Self {
+        let Self::OnlyVersion { version } = self else {
+            return self;
+        };
+        match since {
+            None => Self::NotKnown,
+            Some(since) if since.iter().all(|later| *later == Some(version)) => self,
+            Some(_) => Self::SeveralVersions,
+        }
+    }
+
     /// Returns what is known from this and from what another router answers, neither of which is a record.
     fn and_also(self, other: Self) -> Self {
         match (self, other) {
