--- a/bulrushward_directd/tests/support/mod.rs
+++ b/bulrushward_directd/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     fs,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     process::{Child, Command, Stdio},
 };
 
@@ -18,6 +18,13 @@
     net::TcpStream,
 };
 
+/// Returns the loopback address of one of the two routers of this test.
+pub fn ip(index: u8) -> Ipv4Addr {
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    // Process ids take 22 bits at most.
+    Ipv4Addr::new(127, a | index << 7, b, c)
+}
+
 /// A router process that is killed at the end of its test.
 pub struct Router {
     child: Child,
@@ -27,16 +34,19 @@
 impl Router {
     /// Starts a router with further lines of settings.
     pub fn start(store: SocketAddr, further: &str) -> Self {
-        let [_, a, b, c] = std::process::id().to_be_bytes();
-        let ip = format!("127.{a}.{b}.{c}");
+        Self::start_at(ip(0), store, further)
+    }
+
+    /// Starts a router at an address.
+    pub fn start_at(ip: Ipv4Addr, store: SocketAddr, further: &str) -> Self {
         let settings = format!(
-            "node = \"n\"\nfailure_domain = \"a\"\ncallers_address = \"{ip}:8227\"\n\
+            "node = \"n-{ip}\"\nfailure_domain = \"a\"\ncallers_address = \"{ip}:8227\"\n\
              readiness_address = \"{ip}:8220\"\nknowledge_address = \"{ip}:8229\"\n\
              datagram_port = 7340\nmetrics_port = 7341\nstore_address = \"{store}\"\n\
              stop_grace_s = 8\nleaving_known_ms = 2000\nconfig_known_ms = 2000\n\
              repeat_ratio = 0.2\nextra_repeats = 50\nrepeat_window_s = 10\n{further}"
         );
-        let path = std::env::temp_dir().join(format!("directd-{}-settings", std::process::id()));
+        let path = std::env::temp_dir().join(format!("directd-{ip}-settings"));
         fs::write(&path, settings).expect("the settings can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_bulrushward-directd"))
             .arg("--settings")
