Deliver nothing of an attempt to an agent after it was given up

An agent received attempts, and ran them, after their router had given them up and its caller had been refused, as the network held them back: the library's client closes the connection of a dropped request in order, and offers no way to reset it. The call that bars an attempt is held back in the same way.

Change: routers call agents, and agents their backend servers, with a client on the HTTP library that the direct routers use too, whose connections are reset when they close. Frames, timeouts and pooling stay as they were.

--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -7,13 +7,16 @@
 
 use bulrushward_protocol::{Frame, Header, RunRequest};
 use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use snafu::Snafu;
+use tokio::time::timeout;
 
 use super::replay_buffer::ReplayBuffer;
 use crate::{
-    error::DaemonError,
     event_stream::{LastEventDetector, is_event_stream},
-    failpoint, http,
+    failpoint,
+    http_client::{HttpClient, HttpError, HttpResponse},
 };
 
 /// Timeout of a health probe.
@@ -51,25 +54,21 @@
     url: String,
     health_path: String,
     read_timeout: Duration,
-    client: reqwest::Client,
-    probe_client: reqwest::Client,
+    client: HttpClient,
+    probe_client: HttpClient,
     healthy: AtomicBool,
 }
 
 impl Backend {
-    pub(crate) fn new(
-        url: String,
-        health_path: String,
-        read_timeout: Duration,
-    ) -> Result<Self, DaemonError> {
-        Ok(Self {
+    pub(crate) fn new(url: String, health_path: String, read_timeout: Duration) -> Self {
+        Self {
             url,
             health_path,
             read_timeout,
-            client: http::pooled_client()?,
-            probe_client: http::unpooled_client()?,
+            client: HttpClient::pooled(),
+            probe_client: HttpClient::unpooled(),
             healthy: AtomicBool::new(true),
-        })
+        }
     }
 
     /// Returns whether the last probe succeeded.
@@ -79,14 +78,8 @@
 
     /// Probes the backend server on a new connection and returns whether it is healthy.
     pub(crate) async fn probe(&self) -> bool {
-        let url = format!("{}{}", self.url, self.health_path);
-        let response = self
-            .probe_client
-            .get(url)
-            .timeout(PROBE_TIMEOUT)
-            .send()
-            .await;
-        let healthy = response.is_ok_and(|response| response.status().is_success());
+        let response = self.call_health().await;
+        let healthy = matches!(response, Some(Ok(response)) if response.status().is_success());
         self.healthy.store(healthy, Ordering::Relaxed);
         healthy
     }
@@ -94,20 +87,23 @@
     /// Returns whether a new connection is refused, which distinguishes a crash of the backend server
     /// from a failure of one connection. A crashed server counts as unhealthy until the next probe.
     pub(crate) async fn has_crashed(&self) -> bool {
-        let url = format!("{}{}", self.url, self.health_path);
-        let response = self
-            .probe_client
-            .get(url)
-            .timeout(PROBE_TIMEOUT)
-            .send()
-            .await;
-        let crashed = matches!(&response, Err(error) if error.is_connect() && !error.is_timeout());
+        let response = self.call_health().await;
+        let crashed = matches!(response, Some(Err(error)) if error.is_refused());
         if crashed {
             self.healthy.store(false, Ordering::Relaxed);
         }
         crashed
     }
 
+    /// Calls the health path on a new connection; returns `None` if there is no response in time.
+    async fn call_health(&self) -> Option<Result<HttpResponse, HttpError>> {
+        let url = format!("{}{}", self.url, self.health_path);
+        let req = Request::get(url).body(Full::default()).ok()?;
+        timeout(PROBE_TIMEOUT, self.probe_client.send(req))
+            .await
+            .ok()
+    }
+
     /// Sends a request and writes its response to the replay buffer, except for the last frame.
     ///
     /// Calls `on_chunk` for each chunk of the response.
@@ -138,20 +134,18 @@
         Ok(())
     }
 
-    async fn send(&self, req: &RunRequest) -> Result<reqwest::Response, BackendError> {
-        let method = reqwest::Method::from_bytes(req.method.as_bytes()).map_err(|error| {
-            BackendError::NotSent {
-                detail: error.to_string(),
-            }
-        })?;
-        let mut builder = self
-            .client
-            .request(method, format!("{}{}", self.url, req.path));
+    async fn send(&self, req: &RunRequest) -> Result<HttpResponse, BackendError> {
+        let mut builder = Request::builder()
+            .method(req.method.as_str())
+            .uri(format!("{}{}", self.url, req.path));
         for header in &req.headers {
             builder = builder.header(&header.name, &header.value);
         }
-        let sent =
-            tokio::time::timeout(self.read_timeout, builder.body(req.body.clone()).send()).await;
+        let built = builder.body(Full::new(req.body.clone()));
+        let built = built.map_err(|error| BackendError::NotSent {
+            detail: error.to_string(),
+        })?;
+        let sent = timeout(self.read_timeout, self.client.send(built)).await;
         let Ok(sent) = sent else {
             return TimedOutSnafu {
                 seconds: self.read_timeout.as_secs(),
@@ -159,8 +153,8 @@
             .fail();
         };
         sent.map_err(|error| {
-            let detail = error_chain(&error);
-            if error.is_connect() || error.is_builder() {
+            let detail = error.to_string();
+            if matches!(error, HttpError::Connect { .. }) {
                 BackendError::NotSent { detail }
             } else {
                 BackendError::Aborted { detail }
@@ -168,14 +162,11 @@
         })
     }
 
-    async fn read_chunk(
-        &self,
-        response: &mut reqwest::Response,
-    ) -> Result<Option<Bytes>, BackendError> {
-        match tokio::time::timeout(self.read_timeout, response.chunk()).await {
+    async fn read_chunk(&self, response: &mut HttpResponse) -> Result<Option<Bytes>, BackendError> {
+        match timeout(self.read_timeout, response.chunk()).await {
             Ok(Ok(chunk)) => Ok(chunk),
             Ok(Err(error)) => AbortedSnafu {
-                detail: error_chain(&error),
+                detail: error.to_string(),
             }
             .fail(),
             Err(_elapsed) => TimedOutSnafu {
@@ -186,7 +177,7 @@
     }
 }
 
-fn response_headers(response: &reqwest::Response) -> Vec<Header> {
+fn response_headers(response: &HttpResponse) -> Vec<Header> {
     let kept = response
         .headers()
         .iter()
@@ -199,14 +190,3 @@
     })
     .collect()
 }
-
-/// Formats an error with its causes, which the library's own message omits.
-fn error_chain(error: &reqwest::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = std::error::Error::source(error);
-    while let Some(cause) = source {
-        text = format!("{text}: {cause}");
-        source = cause.source();
-    }
-    text
-}
--- a/bulrushward/src/agent/mod.rs
+++ b/bulrushward/src/agent/mod.rs
@@ -32,7 +32,7 @@
     attempts::{Attempt, Attempts, Registration},
     backend::Backend,
 };
-use crate::{control::Control, error::DaemonError, metrics::AgentMetrics, settings::AgentSettings};
+use crate::{control::Control, metrics::AgentMetrics, settings::AgentSettings};
 
 /// Interval between checks for waiting attempts whose deadline expired.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -64,15 +64,15 @@
         control: Arc<Control>,
         claims: Arc<dyn Claims>,
         metrics: AgentMetrics,
-    ) -> Result<Arc<Self>, DaemonError> {
+    ) -> Arc<Self> {
         let backend = Backend::new(
             settings.backend_url.clone(),
             settings.health_path.clone(),
             settings.backend_read_timeout,
-        )?;
+        );
         let config = Arc::clone(&control.snapshot().config);
         let queue = Mutex::new(AdmissionQueue::new(admission_settings(&config, &settings)));
-        Ok(Arc::new(Self {
+        Arc::new(Self {
             settings,
             control,
             claims,
@@ -81,7 +81,7 @@
             backend,
             suspect_permit: Semaphore::new(1),
             metrics,
-        }))
+        })
     }
 
     /// Returns the routes of the inner listener, to which routers send attempts.
--- a/bulrushward/src/daemon.rs
+++ b/bulrushward/src/daemon.rs
@@ -68,7 +68,7 @@
     let listen = settings.listen;
     let caller_timeout = settings.caller_timeout;
     let store = Arc::clone(&platform.store);
-    let router = Router::new(settings, Arc::clone(&control), store, router_metrics)?;
+    let router = Router::new(settings, Arc::clone(&control), store, router_metrics);
     router.start();
     let admin = admin_routes(&control, metrics)
         .push(router.admin_routes())
@@ -117,7 +117,7 @@
         Arc::clone(&control),
         Arc::clone(&claims) as _,
         agent_metrics,
-    )?;
+    );
     agent.start();
     let admin = http::listen(
         "admin",
--- a/bulrushward/src/error.rs
+++ b/bulrushward/src/error.rs
@@ -58,12 +58,6 @@
         /// Error of the transport.
         source: TransportError,
     },
-    /// An HTTP client could not be built.
-    #[snafu(display("cannot build the HTTP client: {source}"))]
-    Client {
-        /// Error of the HTTP library.
-        source: reqwest::Error,
-    },
     /// A client of the platform's services could not be built.
     #[snafu(display("cannot build the client of the platform: {source}"))]
     Platform {
--- a/bulrushward/src/http.rs
+++ b/bulrushward/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP clients and listeners.
+//! HTTP listeners.
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -6,37 +6,11 @@
 
 use crate::error::DaemonError;
 
-/// Connect timeout inside the fleet: to agents and backend servers.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Longest time that a process of the fleet or `bulrushctl` may take to send the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest head of a request in bytes, which is also the size of the connection's read buffer.
 const MAX_HEADER_BYTES: usize = 64 << 10;
 
-/// Builds a client that pools connections.
-pub(crate) fn pooled_client() -> Result<reqwest::Client, DaemonError> {
-    client(usize::MAX)
-}
-
-/// Builds a client that opens a new connection for each request.
-///
-/// Used for health probes, and after a pooled connection became unresponsive.
-pub(crate) fn unpooled_client() -> Result<reqwest::Client, DaemonError> {
-    client(0)
-}
-
-fn client(idle_connections: usize) -> Result<reqwest::Client, DaemonError> {
-    reqwest::Client::builder()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .pool_max_idle_per_host(idle_connections)
-        .tcp_nodelay(true)
-        .no_proxy()
-        .redirect(reqwest::redirect::Policy::none())
-        .retry(reqwest::retry::never())
-        .build()
-        .map_err(|source| DaemonError::Client { source })
-}
-
 /// A listener that serves until its handle stops it.
 pub(crate) struct HttpListener {
     /// Bound address.
--- a/bulrushward/src/lib.rs
+++ b/bulrushward/src/lib.rs
@@ -9,6 +9,7 @@
 mod event_stream;
 mod failpoint;
 mod http;
+mod http_client;
 mod metrics;
 mod router;
 mod settings;
--- a/bulrushward/src/router/attempt_stream.rs
+++ b/bulrushward/src/router/attempt_stream.rs
@@ -12,12 +12,17 @@
     encode, format_id, headers,
 };
 use bytes::Bytes;
-use reqwest::StatusCode;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
 use snafu::{ResultExt, Snafu};
+use tokio::time::timeout;
 use tracing::info;
 
 use super::Router;
-use crate::failpoint;
+use crate::{
+    failpoint,
+    http_client::{HttpClient, HttpResponse},
+};
 
 /// Maximum number of consecutive new connections to the agent without progress of the attempt.
 const MAX_RESUMES: u32 = 3;
@@ -74,7 +79,7 @@
 }
 
 impl Client {
-    fn of(self, router: &Router) -> &reqwest::Client {
+    fn of(self, router: &Router) -> &HttpClient {
         match self {
             Self::Pooled => &router.pooled_client,
             Self::Unpooled => &router.unpooled_client,
@@ -89,7 +94,7 @@
     attempt: AttemptId,
     action: Option<ActionKey>,
     encoded_request: Bytes,
-    connection: Option<reqwest::Response>,
+    connection: Option<HttpResponse>,
     decoder: FrameDecoder,
     stage: Stage,
     /// Number of body bytes received.
@@ -264,10 +269,11 @@
         }
     }
 
-    async fn send_attempt(&self, client: Client) -> Result<reqwest::Response, String> {
+    async fn send_attempt(&self, client: Client) -> Result<HttpResponse, String> {
         let url = format!("http://{}/inner/run", self.agent);
-        let sending = client.of(&self.router).post(url);
-        let sending = sending.body(self.encoded_request.clone()).send();
+        let req = Request::post(url).body(Full::new(self.encoded_request.clone()));
+        let req = req.map_err(|error| error.to_string())?;
+        let sending = client.of(&self.router).send(req);
         let response = match tokio::time::timeout(self.router.heartbeat_timeout(), sending).await {
             Ok(sent) => sent.map_err(|error| error.to_string())?,
             Err(_elapsed) => return Err("no response to the attempt".to_owned()),
@@ -281,9 +287,9 @@
     /// Checks that a response belongs to the attempt; agents of earlier versions do not name it.
     fn check_attempt(
         &self,
-        response: reqwest::Response,
+        response: HttpResponse,
         client: Client,
-    ) -> Result<reqwest::Response, String> {
+    ) -> Result<HttpResponse, String> {
         let named = response.headers().get(headers::ATTEMPT);
         let head = ArrivedHead {
             awaited: &format_id(self.attempt),
@@ -340,11 +346,13 @@
     }
 
     /// Opens a new connection; `None` if the agent does not know an attempt that it had admitted.
-    async fn reconnect(&self) -> Result<Option<reqwest::Response>, String> {
+    async fn reconnect(&self) -> Result<Option<HttpResponse>, String> {
         let attempt = format_id(self.attempt);
         let from = self.received;
         let url = format!("http://{}/inner/attempts/{attempt}?from={from}", self.agent);
-        let sending = self.router.unpooled_client.get(url).send();
+        let req = Request::get(url).body(Full::default());
+        let req = req.map_err(|error| error.to_string())?;
+        let sending = self.router.unpooled_client.send(req);
         let response = match tokio::time::timeout(self.router.heartbeat_timeout(), sending).await {
             Ok(sent) => sent.map_err(|error| error.to_string())?,
             Err(_elapsed) => return Err("no response on a new connection".to_owned()),
@@ -408,18 +416,12 @@
         return Outcome::Unknown;
     };
     let url = format!("http://{agent}/inner/bar");
-    let sent = router
-        .unpooled_client
-        .post(url)
-        .timeout(BAR_TIMEOUT)
-        .body(body)
-        .send()
-        .await;
-    let Ok(response) = sent else {
-        return Outcome::Unknown;
-    };
-    let Ok(body) = response.bytes().await else {
+    let Ok(req) = Request::post(url).body(Full::new(body.into())) else {
         return Outcome::Unknown;
     };
-    decode(&body).unwrap_or(Outcome::Unknown)
+    let call = async { router.unpooled_client.send(req).await?.bytes().await };
+    match timeout(BAR_TIMEOUT, call).await {
+        Ok(Ok(body)) => decode(&body).unwrap_or(Outcome::Unknown),
+        Ok(Err(_)) | Err(_) => Outcome::Unknown,
+    }
 }
--- a/bulrushward/src/router/mod.rs
+++ b/bulrushward/src/router/mod.rs
@@ -23,7 +23,7 @@
 
 use self::unresponsive_agents::UnresponsiveAgents;
 use crate::{
-    control::Control, error::DaemonError, http, metrics::RouterMetrics, settings::RouterSettings,
+    control::Control, http_client::HttpClient, metrics::RouterMetrics, settings::RouterSettings,
 };
 
 /// A router of the fleet.
@@ -33,9 +33,9 @@
     control: Arc<Control>,
     store: Arc<RevisionStore>,
     /// Reuses connections to agents.
-    pooled_client: reqwest::Client,
+    pooled_client: HttpClient,
     /// Opens a new connection for each request; used after a connection became unresponsive.
-    unpooled_client: reqwest::Client,
+    unpooled_client: HttpClient,
     retry_budget: Mutex<RetryBudget>,
     unresponsive: UnresponsiveAgents,
     rate_limits: Mutex<OrganisationLimits>,
@@ -48,19 +48,19 @@
         control: Arc<Control>,
         store: Arc<RevisionStore>,
         metrics: RouterMetrics,
-    ) -> Result<Arc<Self>, DaemonError> {
+    ) -> Arc<Self> {
         let fraction = bulrushward_config::Fleet::default().retry_fraction;
-        Ok(Arc::new(Self {
+        Arc::new(Self {
             settings,
             control,
             store,
-            pooled_client: http::pooled_client()?,
-            unpooled_client: http::unpooled_client()?,
+            pooled_client: HttpClient::pooled(),
+            unpooled_client: HttpClient::unpooled(),
             retry_budget: Mutex::new(RetryBudget::new(fraction)),
             unresponsive: UnresponsiveAgents::default(),
             rate_limits: Mutex::default(),
             metrics,
-        }))
+        })
     }
 
     /// Returns the routes for callers.
--- a/bulrushward/tests/fault_connections.rs
+++ b/bulrushward/tests/fault_connections.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bulrushward_fakes::{Direction, EngineSettings, FakeEngine, FaultyProxy};
+use bulrushward_fakes::{Direction, EngineSettings, FakeEngine, FaultyProxy, NetworkFault};
 use bulrushward_protocol::{Frame, Header, Outcome, Refusal, RefusalReason};
 use rstest::rstest;
 use support::{
@@ -12,6 +12,10 @@
     scripted_agent::{Answer, ScriptedAgent},
 };
 
+/// Time after which a router has given up an attempt at an agent that does not respond, in every way.
+const BAR_TIME: Duration = Duration::from_millis(2_500);
+/// Time in which a proxy delivers what it has held back.
+const DELIVERY_TIME: Duration = Duration::from_millis(500);
 /// Name of the counter of resumed responses.
 const RESUMES: &str = "bulrushward_router_resumes_total";
 /// Lost connections of one response, more than a router accepts without progress.
@@ -214,3 +218,29 @@
     assert_eq!(body, format!("{FIRST_EVENT}{LAST_EVENT}"));
     assert_eq!(agent.connections(), 3);
 }
+
+/// Guards against attempts that reach an agent after their router has given them up, as the network held them back.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_attempt_that_was_given_up_is_not_delivered_later() {
+    let plan = Plan {
+        text: config_text("").replace("deadline_seconds = 20", "deadline_seconds = 1"),
+        ..Plan::new(1, 0, 0)
+    };
+    let mut fleet = Fleet::start_plan(plan).await;
+    let script = vec![Answer::Frames(frames_and_heartbeat())];
+    let (agent, proxy) = fleet.add_proxied_scripted_agent("engine-0", script).await;
+    fleet.wait_until_active(1).await;
+    proxy
+        .set_fault(NetworkFault {
+            hold: Some(Direction::ToTarget),
+            ..NetworkFault::default()
+        })
+        .await;
+    let response = fleet.chat(0, &chat_request("portfolio", false, 8)).await;
+    assert!(response.status().is_server_error(), "{}", response.status());
+    // The router asks the agent to bar the attempt, and gives that up as well.
+    tokio::time::sleep(BAR_TIME).await;
+    proxy.restore().await;
+    tokio::time::sleep(DELIVERY_TIME).await;
+    assert_eq!(agent.connections(), 0);
+}
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -272,6 +272,20 @@
         proxy
     }
 
+    /// Starts an agent whose place for routers is taken by a scripted one behind a proxy.
+    pub async fn add_proxied_scripted_agent(
+        &mut self,
+        backend: &str,
+        script: Vec<Answer>,
+    ) -> (ScriptedAgent, FaultyProxy) {
+        let agent = ScriptedAgent::start(script).await;
+        let proxy = FaultyProxy::start(agent.address()).expect("the proxy starts");
+        let url = format!("http://{}", free_address());
+        self.add_agent_behind("assess", backend, &url, free_address(), proxy.address())
+            .await;
+        (agent, proxy)
+    }
+
     /// Starts an agent whose place for routers is taken by a scripted one.
     pub async fn add_scripted_agent(
         &mut self,
