Read a view anew when the response to its waiting call is lost

Now a check without a response within 0.6 s tells as much as one with changes, and what follows is a read of the configuration or a listing of the servers, as after any failed call.

--- a/bulrushward_direct/src/store_probe.rs
+++ b/bulrushward_direct/src/store_probe.rs
@@ -5,10 +5,14 @@
 
 use bulrushward_policy::{fleet_schedule::FleetSchedule, store_wait::PendingWait};
 
+use tokio::time::timeout;
+
 use crate::{metrics::StoreCall, ports::StoreError, shared::Shared, store_state::StoreView};
 
 /// Average interval at which some router of the fleet probes the store.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time limit of a check; a slow store responds within a few hundred milliseconds.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval at which a router checks whether it is its turn.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -45,42 +49,42 @@
 /// Asks for the changes that a waiting call should tell of, and ends it if there are some and it stays silent.
 async fn check_wait(shared: &Shared, view: StoreView, pending: PendingWait) {
     let (store, after) = (&shared.store, pending.after);
-    let has_changes = match view {
-        StoreView::Config => {
-            let update = store.next_config(after, Duration::ZERO, shared.follows_orders);
-            update.await.map(|update| {
-                update.config.is_some()
-                    || update.config_error.is_some()
-                    || update.has_other_changes
-                    || !update.orders.is_empty()
-            })
-        }
-        StoreView::Servers => {
-            let changes = store.next_servers(after, Duration::ZERO).await;
-            changes.map(|changes| !changes.changes.is_empty())
+    let check = async {
+        match view {
+            StoreView::Config => {
+                let update = store.next_config(after, Duration::ZERO, shared.follows_orders);
+                update.await.map(|update| {
+                    update.config.is_some()
+                        || update.config_error.is_some()
+                        || update.has_other_changes
+                        || !update.orders.is_empty()
+                })
+            }
+            StoreView::Servers => {
+                let changes = store.next_servers(after, Duration::ZERO).await;
+                changes.map(|changes| !changes.changes.is_empty())
+            }
         }
     };
-    // The waiting call learns by itself that the history is gone.
-    let has_changes = match has_changes {
-        Err(StoreError::HistoryGone { .. }) => Ok(false),
-        result => result,
+    // The response to the check may be lost as well, so its absence tells as much as changes do.
+    let may_be_behind = match timeout(CHECK_TIMEOUT, check).await {
+        Err(_elapsed) => true,
+        Ok(result) => {
+            // The waiting call learns by itself that the history is gone.
+            let is_told = matches!(result, Ok(true));
+            record(shared, StoreCall::Check, result);
+            is_told
+        }
     };
-    if record(shared, StoreCall::Check, has_changes) == Some(true) {
+    if may_be_behind {
         shared.store_state.waits.end_if_lost(view, pending).await;
     }
 }
 
-/// Records the result of a call and returns what it brought.
-fn record<T>(shared: &Shared, call: StoreCall, result: Result<T, StoreError>) -> Option<T> {
+fn record<T>(shared: &Shared, call: StoreCall, result: Result<T, StoreError>) {
     shared.metrics.record_store_call(call, &result);
     match result {
-        Ok(value) => {
-            shared.store_state.record_success();
-            Some(value)
-        }
-        Err(error) => {
-            shared.store_state.record_failure(&error);
-            None
-        }
+        Ok(_) => shared.store_state.record_success(),
+        Err(error) => shared.store_state.record_failure(&error),
     }
 }
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -54,7 +54,16 @@
     }
 }
 
-/// Waits for the response to a call; returns `None` if the call has to be sent again.
+/// How a call to the store ended.
+enum Polled<T> {
+    Result(Result<T, StoreError>),
+    /// The store may have forgotten the call, which has to be sent again.
+    Forgotten,
+    /// The response to a call that waited for changes is lost, and so may be that to another one: the view is read anew.
+    Lost,
+}
+
+/// Waits for the response to a call.
 ///
 /// `after` is the revision after which it waits for changes; `None` if the store should respond at once.
 async fn poll<T>(
@@ -62,7 +71,7 @@
     view: StoreView,
     after: Option<StoreRevision>,
     call: impl Future<Output = Result<T, StoreError>>,
-) -> Option<Result<T, StoreError>> {
+) -> Polled<T> {
     let sent = Instant::now();
     let wait = after.map(|after| shared.store_state.waits.begin(view, after));
     let lost = async {
@@ -72,13 +81,17 @@
         }
     };
     let is_lost = tokio::select! {
-        result = call => return Some(result),
+        result = call => return Polled::Result(result),
         () = shared.store_state.resend_due(sent) => false,
         () = lost => true,
     };
     let (view, waited_ms) = (<&str>::from(view), sent.elapsed().as_millis() as u64);
     info!(event = "store-call-resent", view, waited_ms, is_lost);
-    None
+    if is_lost {
+        Polled::Lost
+    } else {
+        Polled::Forgotten
+    }
 }
 
 /// What a call for the configuration and the orders brought.
@@ -99,18 +112,24 @@
     loop {
         let result = match after {
             None => read_config(&shared, &fleet_state, needs_listing).await,
-            Some(after) => {
+            Some(known) => {
                 let call =
                     shared
                         .store
-                        .next_config(after, LONG_POLL_TIMEOUT, shared.follows_orders);
-                let Some(result) = poll(&shared, StoreView::Config, Some(after), call).await else {
-                    continue;
+                        .next_config(known, LONG_POLL_TIMEOUT, shared.follows_orders);
+                let result = match poll(&shared, StoreView::Config, Some(known), call).await {
+                    Polled::Result(result) => result,
+                    Polled::Forgotten => continue,
+                    Polled::Lost => {
+                        after = None;
+                        needs_listing = shared.follows_orders;
+                        continue;
+                    }
                 };
                 shared
                     .metrics
                     .record_store_call(StoreCall::ConfigChanges, &result);
-                result.and_then(|update| apply_update(&shared, &fleet_state, after, update))
+                result.and_then(|update| apply_update(&shared, &fleet_state, known, update))
             }
         };
         match result {
@@ -246,13 +265,18 @@
         let (call, result) = if has_listing {
             let after = fleet_state.servers_revision();
             let call = next_servers(store, &fleet_state, after);
-            let Some(result) = poll(&shared, StoreView::Servers, Some(after), call).await else {
-                continue;
+            let result = match poll(&shared, StoreView::Servers, Some(after), call).await {
+                Polled::Result(result) => result,
+                Polled::Forgotten => continue,
+                Polled::Lost => {
+                    has_listing = false;
+                    continue;
+                }
             };
             (StoreCall::ServerChanges, result)
         } else {
             let call = list_servers(store, &fleet_state);
-            let Some(result) = poll(&shared, StoreView::Servers, None, call).await else {
+            let Polled::Result(result) = poll(&shared, StoreView::Servers, None, call).await else {
                 continue;
             };
             (StoreCall::Servers, result)
