--- a/bulrushward/src/control/mod.rs
+++ b/bulrushward/src/control/mod.rs
@@ -173,7 +173,7 @@
     /// Estimates the mean load of the backend servers of this agent's service, assuming that
     /// `work` is added to this agent.
     ///
-    /// The estimate errs on the low side, as described at [`MeanLoadEstimator`].
+    /// The estimate is too low rather than too high, as described at [`MeanLoadEstimator`].
     pub(crate) fn mean_load_with(&self, work: WorkUnits) -> f64 {
         let own = self.load.load(Ordering::Relaxed).saturating_add(work);
         let snapshot = self.snapshot();
--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -69,7 +69,7 @@
 
     /// Returns the error of a request whose connection failed before the response was complete.
     ///
-    /// A connection that timed out was cut off and says nothing of the request; any other end is one of the server.
+    /// A timeout is a fault of the network and no evidence against the request; any other error comes from the server.
     pub(crate) fn of_connection(error: &(dyn Error + 'static)) -> Self {
         let is_cut_off = iter::successors(Some(error), |error| (*error).source())
             .filter_map(|error| error.downcast_ref::<io::Error>())
@@ -187,7 +187,7 @@
     status: StatusCode,
     sent: Instant,
 ) {
-    // Another server that has the address now speaks for itself only.
+    // A misdirected response describes another server that has the address now.
     if status != StatusCode::MISDIRECTED_REQUEST {
         let response = ResponseHead {
             status,
--- a/bulrushward_direct/src/bounded_stream.rs
+++ b/bulrushward_direct/src/bounded_stream.rs
@@ -177,7 +177,7 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Does nothing: closing the socket tells the peer of the end, and nothing may be sent after the last request.
+    /// Does nothing, as the socket is closed right after it, in order or by a reset.
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/bulrushward_direct/src/delivery.rs
+++ b/bulrushward_direct/src/delivery.rs
@@ -22,7 +22,7 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         let Ok(queue) = stream.send_queue() else {
-            // Whoever reads from the connection learns that it is closed.
+            // The read side reports that the connection is closed.
             return std::future::pending().await;
         };
         match watch.observe(queue, stall_limit(is_withheld()), Instant::now()) {
--- a/bulrushward_direct/src/exchange.rs
+++ b/bulrushward_direct/src/exchange.rs
@@ -56,7 +56,7 @@
             let received = tokio::select! {
                 received = waited => received,
                 () = &mut stalled => {
-                    // They lead to the same place and may be as old.
+                    // They may be cut off as well, and a new connection shows that within a shorter time.
                     connection::close_idle(server);
                     let detail = "the server does not acknowledge the request";
                     return Err(AttemptError::new(AttemptFailure::CutOff, &detail));
--- a/bulrushward_direct/src/metrics.rs
+++ b/bulrushward_direct/src/metrics.rs
@@ -64,7 +64,7 @@
     Saved,
     Save,
     Probe,
-    /// Asks whether a waiting call should have told of changes.
+    /// Asks for the changes that a waiting call should have returned.
     Check,
 }
 
--- a/bulrushward_direct/src/store_probe.rs
+++ b/bulrushward_direct/src/store_probe.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Asks for the changes that a waiting call should tell of, and ends it if there are some and it stays silent.
+/// Asks for the changes that a waiting call should have returned, and ends the call if there are some.
 async fn check_wait(shared: &Shared, view: StoreView, pending: PendingWait) {
     let (store, after) = (&shared.store, pending.after);
     let check = async {
@@ -66,7 +66,7 @@
             }
         }
     };
-    // The response to the check may be lost as well, so its absence tells as much as changes do.
+    // The response to the check may be lost as well, so that none counts like changes.
     let may_be_behind = match timeout(CHECK_TIMEOUT, check).await {
         Err(_elapsed) => true,
         Ok(result) => {
--- a/bulrushward_direct/src/store_waits.rs
+++ b/bulrushward_direct/src/store_waits.rs
@@ -58,7 +58,7 @@
         self.of(view).lock().pending()
     }
 
-    /// Ends a waiting call unless it ends soon, as another call was told of changes that it should have told of.
+    /// Ends a waiting call that does not return soon though another call has returned changes.
     pub(crate) async fn end_if_lost(&self, view: StoreView, checked: PendingWait) {
         sleep_until(WaitLog::lost_at(Instant::now()).into()).await;
         let wait = self.of(view);
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -30,7 +30,7 @@
 pub(crate) const COALESCING_FRACTION: f64 = 0.4;
 /// Fraction of the propagation limit of orders for which an order may wait while further changes are awaited.
 ///
-/// The rest is for routers that the store turns away.
+/// The rest is for routers whose calls the store rejects.
 const ORDER_WAIT_FRACTION: f64 = 0.1;
 /// Longest pause after the first failed call; it doubles with each further one up to [`MAX_BACKOFF`].
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
@@ -59,7 +59,7 @@
     Result(Result<T, StoreError>),
     /// The store may have forgotten the call, which has to be sent again.
     Forgotten,
-    /// The response to a call that waited for changes is lost, and so may be that to another one: the view is read anew.
+    /// The response to a call that waited for changes is lost; a repeated one may be lost too, so the view is read instead.
     Lost,
 }
 
--- a/bulrushward_direct/src/version_check.rs
+++ b/bulrushward_direct/src/version_check.rs
@@ -1,6 +1,6 @@
 //! Asks the store which software versions have appeared since the servers were last read.
 //!
-//! A router hears of changes late: it gathers them, and it may be cut off without having noticed yet.
+//! The view of a router is late: changes are coalesced, and an outage is not detected at once.
 
 use std::time::{Duration, Instant};
 
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 struct Check {
     begun: Instant,
-    /// Revision from which on it reports.
+    /// Revision after which changes are included.
     after: StoreRevision,
     versions: NamedVersions,
 }
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -102,7 +102,7 @@
 
 /// The crashes of backend servers by the content that they had begun to run.
 ///
-/// Crashes are a set that grows by merging, so all processes that hear of the same ones agree. A complete response to a
+/// Crashes are a set that grows by merging, so all processes that know the same ones agree. A complete response to a
 /// request with the content refutes the crashes before it.
 #[derive(Debug)]
 pub struct CrashEvidence {
--- a/bulrushward_policy/src/emptied_domains.rs
+++ b/bulrushward_policy/src/emptied_domains.rs
@@ -1,6 +1,6 @@
 //! Failure domains to whose servers nothing may be sent, as an operator ordered in the store.
 //!
-//! Handles: routers that the store turns away while their peers know an order; messages that arrive
+//! Handles: routers whose calls the store rejects while their peers know an order; messages that arrive
 //! late or out of order, so that an order or its withdrawal would be undone; listings and changes
 //! that overlap; servers that are cold after their domain had no requests.
 
--- a/bulrushward_policy/src/mean_load.rs
+++ b/bulrushward_policy/src/mean_load.rs
@@ -96,7 +96,7 @@
 
     /// Extrapolates how far the mean has fallen since the reports were made.
     ///
-    /// The extrapolation is linear, which errs on the low side for loads whose decline slows down.
+    /// The extrapolation is linear, which is too low for loads whose decline slows down.
     fn expected_decrease(&mut self, reports: &[&LoadReport], now: Instant) -> f64 {
         let reporting = reports.len() as f64;
         let mean = reports.iter().map(|report| report.load as f64).sum::<f64>() / reporting;
--- a/bulrushward_policy/src/server_limit.rs
+++ b/bulrushward_policy/src/server_limit.rs
@@ -151,7 +151,7 @@
 
     /// Returns whether the router may use a unit; a `position` of `None` means that the fleet is not known yet.
     ///
-    /// While routers without units of their own ask in vain, this one leaves units to them in proportion.
+    /// While asks of routers without units of their own are refused, this one leaves units to them in proportion.
     pub fn room(
         &self,
         position: Option<FleetPosition>,
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -31,7 +31,7 @@
 const NEWS_EXTENSION: Duration = Duration::from_millis(250);
 /// Time after an announcement of leaving in which routers tell each other of it, and believe each other.
 ///
-/// Most servers end earlier; to a router that hears of it for longer, the server itself can say it.
+/// Most servers end earlier; later requests to a server that still runs announce it again.
 const NOTICE_TTL: Duration = Duration::from_secs(30);
 /// Largest number of servers of which a message tells.
 const MAX_NOTICES: usize = 64;
--- a/bulrushward_policy/src/store_wait.rs
+++ b/bulrushward_policy/src/store_wait.rs
@@ -1,7 +1,7 @@
 //! Whether a call that waits at the store for changes has lost its response.
 //!
-//! Such a call is silent for as long as nothing changes, so its silence alone tells nothing. It has lost its response if
-//! something has changed: another call that was sent later was told so, or a peer knows the change.
+//! Such a call returns only once something changes, so that a lost response cannot be told from a quiet store by the call
+//! itself. It is lost if a call that was sent later has returned changes, or if a peer knows newer ones.
 //!
 //! Handles: single responses that are lost while all other calls are answered, at one router or at all of them at once;
 //! responses that are late; calls that the store has forgotten.
--- a/bulrushward_policy/src/stream_origin.rs
+++ b/bulrushward_policy/src/stream_origin.rs
@@ -91,7 +91,7 @@
 
     /// Returns what is known once the versions that have been registered `since` are known too; `None` if they are not.
     ///
-    /// That there is one version only is knowledge of the past: a stream may have begun at one that came later.
+    /// The view of a router is late, so that a stream may have begun at a version that was registered since.
     #[must_use]
     pub fn confirmed(self, since: Option<&[Option<VersionKey>]>) -> Self {
         let Self::OnlyVersion { version } = self else {
@@ -211,7 +211,7 @@
 /// Asks to several routers for the origin of one stream.
 ///
 /// A record ends it. That there has been one version only is believed once no router that answers has a record or knows of
-/// another version, as each router hears of a new version at another time.
+/// another version, as routers learn of a new version at different times.
 #[derive(Clone, Debug)]
 pub struct OriginQuery<K> {
     unanswered: Vec<K>,
