--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -172,13 +172,10 @@
 
     /// Fetches a complete snapshot from a peer once after the start, as datagrams contain only changes.
     async fn fetch_initial_state(&mut self) {
-        let Some(from) = self
-            .fresh_peers()
-            .next()
-            .map(|peer| peer.message.fleet_state_address)
-        else {
+        let Some(peer) = self.fresh_peers().next() else {
             return;
         };
+        let from = peer.message.fleet_state_address;
         match fetch(from, None).await {
             Ok(snapshot) => {
                 self.has_initial_state = true;
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -734,7 +734,7 @@
 
 /// Returns the number of random routers to which a notice of scarce places goes.
 ///
-/// Each router of a large fleet has few requests, and would send them before it learns of scarce places.
+/// Each router of a large fleet has few requests, and would send them before it hears of scarce places.
 #[must_use]
 pub fn notice_receivers(routers: usize) -> usize {
     (routers / NOTICE_ROUNDS).max(MIN_NOTICE_RECEIVERS)
