Do not let keepalive end a connection to which a request was just written

Change: keepalive begins after 15 s, later than requests wait, so that the router's own limits always end first.

--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -59,15 +59,16 @@
 
 /// Interval of the TCP keepalive probes, which systems count in whole seconds.
 ///
-/// A connection that is dead while a response is awaited fails after three intervals.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// It is longer than requests wait: probes that an idle connection leaves unanswered must not end it just after a request was
+/// written, as the system would not discard the request.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
 /// Keepalive probes that may stay unanswered.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Enables TCP keepalive, so that the end of a peer is noticed while its response is awaited.
+/// Enables TCP keepalive, so that connections to peers that are gone do not stay open forever.
 ///
-/// No probes are sent while data is unacknowledged, which [`delivery`] notices sooner. A TCP user timeout would end
-/// connections to peers that live but do not read.
+/// Peers that do not acknowledge a request are noticed by [`delivery`]. A TCP user timeout would end connections to peers that
+/// live but do not read.
 ///
 /// # Errors
 ///
