Log by what a stream ended, and the first and last event of each run

From the log one could not tell a stream that ended with its last chunk from one that ended with its connection, nor which servers sent which events of an answer. stream-ended says both now (ended_by, runs), also for each complete stream that ended with its connection. No decision changes. The kinds of framing and what they prove are types of the policy package.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -13,10 +13,11 @@
     ports::ResponseMetadata,
     read_timeout,
     received_head::{self, ReceivedHead},
+    response_end,
     routed_request::RoutedRequest,
     server_reports::{self, ResponseHead},
     server_selection::ServerChoice,
-    server_stream::{ServerStream, StreamItem},
+    server_stream::{ServerStream, StreamHead, StreamItem},
     servers::{InProgress, Server},
     shared::Shared,
 };
@@ -274,20 +275,21 @@
         progress,
         resumed_after,
     } = received;
+    let framing = response_end::framing(&res);
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
     forwarded_request::remove_hop_by_hop_headers(&mut headers);
     connection.stream.allowance().begin();
     if request.is_stream() && head.status.is_success() {
-        let stream = ServerStream::new(
-            body,
-            resumed_after.as_deref(),
+        let stream_head = StreamHead {
+            resumed_after,
             progress,
             connection,
-            metadata.keep_alive_timeout,
-            request.deadline,
-            shared.buffers.reservation(),
-        );
+            keep_alive_timeout: metadata.keep_alive_timeout,
+            framing,
+        };
+        let buffer = shared.buffers.reservation();
+        let stream = ServerStream::new(body, stream_head, request.deadline, buffer);
         return read_first_events(request, head.status, headers, stream, silence).await;
     }
     let mut reservation = shared.buffers.reservation();
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -7,6 +7,7 @@
 };
 
 use bulrushward_policy::{
+    body_end::Framing,
     server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
     server_scope::{ServerScope, VersionBound},
 };
@@ -29,6 +30,7 @@
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
     shared::Shared,
+    stream_runs::{StreamRun, StreamRuns},
 };
 
 /// Multiple of the route's target pause after which a resumable stream is resumed at another server.
@@ -44,6 +46,8 @@
     history: AttemptHistory,
     first_events: Option<Bytes>,
     source: ServerStream,
+    /// Parts that earlier servers sent.
+    earlier_runs: StreamRuns,
     /// Servers that may go on with the stream.
     scope: ServerScope,
     last_event_id: Option<String>,
@@ -101,6 +105,7 @@
         has_begun: false,
         first_events: Some(first_events),
         source,
+        earlier_runs: StreamRuns::default(),
         scope,
         last_event_id: None,
         last_forwarded: Instant::now(),
@@ -316,6 +321,7 @@
                     stream,
                     ..
                 } = *open;
+                self.earlier_runs.push(StreamRun::of(&self.source));
                 self.source = stream;
                 Ok(StreamItem::Events(first_events))
             }
@@ -364,7 +370,7 @@
         self.last_forwarded = now;
     }
 
-    /// Counts the end of a stream, and logs it unless the stream was complete, on time and never resumed.
+    /// Counts the end of a stream, and logs it unless the stream was complete by its own mark, on time and never resumed.
     ///
     /// Such ordinary streams would fill the log of a busy router.
     fn record_end(&self, end: StreamEnd, detail: &str) {
@@ -372,9 +378,13 @@
         self.shared.metrics.record_stream_end(outcome);
         let is_on_time = self.longest_pause <= self.request.route.target_pause;
         let is_resumed = self.last_event_id.is_some();
-        if end == StreamEnd::Complete && is_on_time && !is_resumed {
+        let ended_by = self.source.framing();
+        let is_marked = ended_by != Framing::UntilClose;
+        if end == StreamEnd::Complete && is_on_time && !is_resumed && is_marked {
             return;
         }
+        let ended_by: &str = ended_by.into();
+        let runs = self.earlier_runs.with_last(&StreamRun::of(&self.source));
         let ms = self.request.received.elapsed().as_millis() as u64;
         let longest_pause_ms = self.longest_pause.as_millis() as u64;
         let request = &self.request.request_id;
@@ -383,12 +393,12 @@
             let not_resumed = self.not_resumed;
             warn!(
                 event = "stream-ended",
-                request, server, outcome, longest_pause_ms, ms, not_resumed, detail
+                request, server, outcome, longest_pause_ms, ms, ended_by, runs, not_resumed, detail
             );
         } else {
             info!(
                 event = "stream-ended",
-                request, server, outcome, longest_pause_ms, ms, detail
+                request, server, outcome, longest_pause_ms, ms, ended_by, runs, detail
             );
         }
     }
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_policy::{
-    event_order::EventOrder, server_attempt::AttemptFailure, server_health::ServerHealth,
-    stream_pace::StreamPace,
+    body_end::Framing, event_order::EventOrder, server_attempt::AttemptFailure,
+    server_health::ServerHealth, stream_pace::StreamPace,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -51,11 +51,25 @@
     /// Time at which what has arrived is read, if no event was complete in time.
     overdue: Option<Instant>,
     is_complete: bool,
+    framing: Framing,
+    /// Id of the first event that had one.
+    first_id: Option<String>,
     /// Order of the events, if the stream was resumed.
     order: Option<EventOrder>,
     has_had_event: bool,
 }
 
+/// What is known of a stream when the head of its response has arrived.
+#[derive(Debug)]
+pub(crate) struct StreamHead {
+    /// Event after which the stream was resumed.
+    pub(crate) resumed_after: Option<String>,
+    pub(crate) progress: InProgress,
+    pub(crate) connection: Connection,
+    pub(crate) keep_alive_timeout: Option<Duration>,
+    pub(crate) framing: Framing,
+}
+
 /// Next item of a server's stream.
 #[derive(Debug)]
 pub(crate) enum StreamItem {
@@ -70,17 +84,21 @@
 impl ServerStream {
     /// Wraps the body of a response whose head was read.
     ///
-    /// A stream that is `resumed_after` an event must go on with later ones. Its connection is closed soon after `deadline`
+    /// A stream that was resumed after an event must go on with later ones. Its connection is closed soon after `deadline`
     /// at the latest.
     pub(crate) fn new(
         body: Incoming,
-        resumed_after: Option<&str>,
-        progress: InProgress,
-        connection: Connection,
-        keep_alive_timeout: Option<Duration>,
+        head: StreamHead,
         deadline: Instant,
         reservation: Reservation,
     ) -> Self {
+        let StreamHead {
+            resumed_after,
+            progress,
+            connection,
+            keep_alive_timeout,
+            framing,
+        } = head;
         Self {
             body,
             splitter: EventSplitter::default(),
@@ -96,7 +114,9 @@
             keep_alive_timeout,
             overdue: None,
             is_complete: false,
-            order: resumed_after.map(EventOrder::after),
+            framing,
+            first_id: None,
+            order: resumed_after.as_deref().map(EventOrder::after),
             has_had_event: false,
         }
     }
@@ -256,6 +276,9 @@
         }
         if !events.is_empty() {
             self.handle.allowance().record_event();
+            if self.first_id.is_none() {
+                self.first_id = event_ids(&events).into_iter().flatten().next();
+            }
         }
         Ok(events)
     }
@@ -266,6 +289,16 @@
         admitted.or_else(|| self.splitter.last_id())
     }
 
+    /// Returns the id of the first event that had one.
+    pub(crate) fn first_id(&self) -> Option<&str> {
+        self.first_id.as_deref()
+    }
+
+    /// Returns how the response marks the end of the stream.
+    pub(crate) fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Closes the connection, so that the server stops its work.
     pub(crate) fn close(&mut self) {
         self.close_timer = None;
--- a/bulrushward_direct/tests/log_lines.rs
+++ b/bulrushward_direct/tests/log_lines.rs
@@ -99,7 +99,7 @@
     "event=answered request=r-1 route=stream has_prompt=false unread_tokens=0",
 ])]
 #[case::stream_with_a_long_pause(vec![PAUSES], get("stream"), &[
-    "event=stream-ended request=r-1 server=s-0 outcome=complete longest_pause_ms ms",
+    "event=stream-ended request=r-1 server=s-0 outcome=complete longest_pause_ms ms ended_by=chunked runs=s-0:1-2",
 ])]
 #[case::stream_truncated(vec![BROKEN], get("stream"), &[
     "event=answered request=r-1",
