Add failing tests of responses that end with their connection

A server's response without a length and without chunks ends with its connection, and the kernel closes the connections of a killed process in the same way. On 5 of 11 cases fail: a stream that was cut after event 3 is complete for its caller, on a route that may be resumed and on one that may not; a body that was cut is a success; a resumed stream continues at event 5 after 3. The other cases are those that a fix must keep: a living server's response is complete, runs once, and its end is not delayed noticeably.

--- /dev/null
+++ b/bulrushward_direct/tests/ends_of_responses.rs
@@ -0,0 +1,177 @@
+//! Tests of responses that end with their connection, as a complete one does and one of a process that was killed.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use support::{
+    TestRouter, request, router_with_servers,
+    server::{
+        Received, Step, TestServer, chunk, complete_stream, event, events, send_text, stream_head,
+    },
+};
+
+type Script = fn(&Received) -> Vec<Step>;
+
+/// Longest time by which the end of a complete response may be delayed.
+const MAX_DELAY: Duration = Duration::from_millis(300);
+
+/// Returns a head without a length, whose body ends with the connection.
+fn unframed_head(req: &Received, content_type: &str) -> Step {
+    let id = req.header("request").unwrap_or_default();
+    send_text(&format!(
+        "HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\nContent-Type: {content_type}\r\nConnection: close\r\n\r\n"
+    ))
+}
+
+/// Sends the events after the last one of the request up to `last`, and ends with `end`.
+fn unframed_stream(req: &Received, last: u32, end: Step) -> Vec<Step> {
+    let after = req.header("last-event").and_then(|id| id.parse().ok());
+    let mut steps = vec![unframed_head(req, "text/event-stream")];
+    for id in after.unwrap_or(0) + 1..=last {
+        steps.push(send_text(&event(id)));
+        steps.push(Step::Pause(Duration::from_millis(10)));
+    }
+    steps.push(end);
+    steps
+}
+
+fn unframed_body(req: &Received, body: &str, end: Step) -> Vec<Step> {
+    vec![unframed_head(req, "text/plain"), send_text(body), end]
+}
+
+/// Returns the first script for requests that begin, and the second for streams that go on.
+fn first_then(first: Script, then: Script) -> impl Fn(&Received) -> Vec<Step> + Copy {
+    move |req| match req.header("last-event") {
+        None => first(req),
+        Some(_) => then(req),
+    }
+}
+
+fn router_with_two(
+    service: &str,
+    script: impl Fn(&Received) -> Vec<Step> + Copy + Send + Sync + 'static,
+) -> (TestRouter, [TestServer; 2]) {
+    let servers = ["s-1", "s-2"].map(|id| TestServer::start(id, script));
+    let router = router_with_servers(service, &[&servers[0], &servers[1]]);
+    (router, servers)
+}
+
+fn arrivals(servers: &[TestServer]) -> usize {
+    servers.iter().map(|server| server.received().len()).sum()
+}
+
+const KILLED: Script = |req| unframed_stream(req, 3, Step::CrashQuietly);
+const RESET: Script = |req| unframed_stream(req, 3, Step::Reset);
+
+/// A stream of a server that was killed between two events was complete for its caller.
+#[rstest]
+#[case::killed(KILLED)]
+#[case::reset(RESET)]
+fn a_stream_without_framing_that_is_cut_is_no_complete_one(#[case] script: Script) {
+    let server = TestServer::start("s-1", script);
+    let router = router_with_servers("engines", &[&server]);
+    let response = router.send(&request("POST", "stream", "r-1", ""));
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 3), false)
+    );
+}
+
+/// As above for a stream that another server may continue.
+#[rstest]
+#[case::killed(KILLED)]
+#[case::reset(RESET)]
+fn a_stream_without_framing_that_is_cut_goes_on_at_another_server(#[case] script: Script) {
+    let (router, servers) = router_with_two("engines", first_then(script, complete_stream));
+    let response = router.send(&request("POST", "resumable", "r-1", ""));
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 6), true)
+    );
+    assert_eq!(arrivals(&servers), 2);
+}
+
+/// A server that lives and ends its stream with its connection was run twice, or its caller waited.
+#[rstest]
+#[case::not_resumable("stream")]
+#[case::resumable("resumable")]
+fn a_stream_without_framing_of_a_living_server_is_complete(#[case] route: &str) {
+    let (router, servers) = router_with_two("engines", |req: &Received| {
+        unframed_stream(req, 6, Step::Close)
+    });
+    let begun = Instant::now();
+    let response = router.send(&request("POST", route, "r-1", ""));
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 6), true)
+    );
+    assert_eq!(arrivals(&servers), 1);
+    let time = begun.elapsed();
+    assert!(time < Duration::from_millis(60) + MAX_DELAY, "{time:?}");
+}
+
+/// A body of a server that was killed was passed on as if it were whole.
+#[rstest]
+#[case::safe("lookup", 502)]
+#[case::unsafe_("action", 502)]
+fn a_body_without_framing_that_is_cut_is_no_success(#[case] route: &str, #[case] status: u16) {
+    let server = TestServer::start("s-1", |req| unframed_body(req, "who", Step::CrashQuietly));
+    let router = router_with_servers("plain", &[&server]);
+    let response = router.send(&request("POST", route, "r-1", ""));
+    assert_eq!(response.status, status, "{}", response.text());
+    assert_eq!(
+        response.header("x-bulrushward-outcome"),
+        Some("unknown"),
+        "it may have run"
+    );
+    assert_eq!(server.received().len(), 1);
+}
+
+/// A body of a living server that ends with its connection is whole and runs once.
+#[rstest]
+#[case::safe("lookup")]
+#[case::unsafe_("action")]
+fn a_body_without_framing_of_a_living_server_is_whole(#[case] route: &str) {
+    let (router, servers) = router_with_two("plain", |req: &Received| {
+        unframed_body(req, "whole", Step::Close)
+    });
+    let begun = Instant::now();
+    let response = router.send(&request("POST", route, "r-1", ""));
+    assert_eq!(
+        (response.status, response.text()),
+        (200, "whole".to_owned())
+    );
+    assert_eq!(arrivals(&servers), 1);
+    assert!(begun.elapsed() < MAX_DELAY, "{:?}", begun.elapsed());
+}
+
+/// Sends events 1 to 3, then breaks off.
+const BREAKS: Script = |req| {
+    vec![
+        stream_head(req),
+        chunk(&events(1, 3)),
+        Step::Pause(Duration::from_millis(20)),
+        Step::Reset,
+    ]
+};
+const SKIPS_ONE: Script = |req| {
+    vec![
+        stream_head(req),
+        chunk(&events(5, 6)),
+        send_text("0\r\n\r\n"),
+    ]
+};
+
+/// A stream went on with a gap, and was complete though an event of it was missing.
+#[test]
+fn a_stream_whose_events_are_adjacent_does_not_go_on_with_a_gap() {
+    let (router, servers) = router_with_two("engines", first_then(BREAKS, SKIPS_ONE));
+    let response = router.send(&request("POST", "resumable", "r-1", ""));
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 3), false)
+    );
+    assert_eq!(arrivals(&servers), 2);
+}
