--- a/bulrushward_policy/src/buffer_budget.rs
+++ b/bulrushward_policy/src/buffer_budget.rs
@@ -1,9 +1,9 @@
-//! How much memory all responses that are still incomplete may take together.
+//! Limit on the memory that all incomplete responses take together.
 //!
-//! Handles: many servers that send a body or an event without end at the same time, each of them within the limit of
-//! a single response.
+//! Handles: many servers that send an endless body or event at the same time, each within the limit of a single
+//! response.
 
-/// Bytes that each buffer may have whatever the others have, so that ordinary responses always fit.
+/// Bytes that each buffer may always have, so that ordinary responses fit.
 const FREE_BYTES: usize = 64 << 10;
 /// Bytes that all buffers may have beyond these.
 const SHARED_BYTES: usize = 32 << 20;
--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -1,8 +1,8 @@
 //! What one router may send to a backend server that has just started and is still slow.
 //!
-//! Handles: servers that start, or start again under their ids, while all routers find them idle; a whole
-//! failure domain that returns cold; servers that turn cold without a restart; and statements that arrive
-//! late, never or with absurd values.
+//! Handles: servers that start, or restart under their ids, and look idle to all routers; a whole failure
+//! domain that returns cold; servers that become cold without a restart; and statements that arrive late,
+//! never or with extreme values.
 
 use std::{
     collections::VecDeque,
@@ -13,15 +13,15 @@
 
 use crate::fleet_share::FleetPosition;
 
-/// Longest time for which a server is believed to be cold on one statement.
+/// Longest time for which a server counts as cold after one statement.
 pub const MAX_COLD_TIME: Duration = Duration::from_mins(2);
 /// Time after the stated end for which the server still counts as cold, as clocks and delays differ.
 const END_MARGIN: Duration = Duration::from_millis(300);
-/// Interval at which the allowance doubles after that, so that requests return by degrees.
+/// Interval at which the allowance doubles after that, so that requests return gradually.
 const RAMP_STEP: Duration = Duration::from_secs(1);
 /// Number of times that the allowance doubles before it ends.
 const RAMP_STEPS: u32 = 3;
-/// Time in which a router's units of an allowance are used once; exceeds a second, as delays vary on the way.
+/// Time in which a router's units of an allowance are used once; exceeds a second, as network delays vary.
 pub const UNIT_WINDOW: Duration = Duration::from_millis(1_050);
 /// Highest rate that is limited, in requests per second.
 const MAX_RATE: f64 = 1e6;
@@ -36,7 +36,7 @@
 /// Time after which a router that does not know the fleet yet may have a share.
 const FLEET_UNKNOWN_WAIT: Duration = Duration::from_millis(500);
 
-/// Requests that a cold server bears, from all routers together.
+/// Requests that a cold server takes from all routers together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdAllowance {
     /// Whole requests in each window.
@@ -51,19 +51,19 @@
         let is_limit = requests_per_second > 0.0 && requests_per_second <= MAX_RATE;
         is_limit.then(|| Self {
             units: requests_per_second.max(1.0) as u32,
-            // A rate below one is kept by a longer window.
+            // A rate below one has a longer window.
             window: UNIT_WINDOW.mul_f64((1.0 / requests_per_second).clamp(1.0, 60.0)),
         })
     }
 
-    /// Returns the requests in each window of the router at a place in the fleet.
+    /// Returns the requests in each window of the router at a position.
     #[must_use]
     pub fn share(self, position: FleetPosition) -> u32 {
         position.share(self.units)
     }
 }
 
-/// Why a server is taken to be cold.
+/// Why a server counts as cold.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum ColdEvidence {
@@ -96,7 +96,7 @@
     },
 }
 
-/// What one router knows of a server's being cold, and what it has sent there.
+/// What one router knows of a cold server, and what it has sent there.
 #[derive(Clone, Debug, Default)]
 pub struct ColdServer {
     /// Time until which the server's own statement says that it is cold, with the margin.
@@ -104,7 +104,7 @@
     /// Time until which the server is assumed to be cold.
     assumed: Option<(Instant, ColdEvidence)>,
     is_unreachable: bool,
-    /// When the server's failure domain last got requests again; counts once, as the server may state more since.
+    /// When the server's failure domain last got requests again; applied once, as statements may follow.
     returned: Option<Instant>,
     /// Times at which requests were sent, the earliest first.
     sent: VecDeque<Instant>,
@@ -143,7 +143,7 @@
     /// Records that the server's failure domain gets requests again since `returned`; returns whether the server was not
     /// known to be cold before.
     ///
-    /// Servers may turn cold while their domain is empty, and state so only later.
+    /// Servers may become cold while their domain is empty, and state it later.
     pub fn record_domain_returned(
         &mut self,
         cold_for: Duration,
@@ -176,7 +176,7 @@
         }
     }
 
-    /// Returns until when and why the server is taken to be cold.
+    /// Returns until when and why the server counts as cold.
     #[must_use]
     pub fn cold(&self, now: Instant) -> Option<(Instant, ColdEvidence)> {
         let ends = [self.stated, self.assumed].into_iter().flatten();
@@ -233,7 +233,7 @@
 
     /// Records that a request is sent to the server.
     ///
-    /// Requests to a warm server count as well, as it may turn cold within their second.
+    /// Requests to a warm server count as well, as it may become cold in the window.
     pub fn record_sent(&mut self, allowance: ColdAllowance, now: Instant) {
         let is_over = |at: &Instant| now.saturating_duration_since(*at) >= allowance.window;
         while self.sent.front().is_some_and(is_over) || self.sent.len() >= MAX_SENT {
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -18,7 +18,7 @@
 
 use self::record::{Crash, Limits, MAX_CRASHES, Record};
 
-/// Contents whose latest complete response is remembered, those that most requests share among them.
+/// Contents whose latest complete response is remembered, including those that most requests share.
 const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
 /// Time after which a probe without a result is given up.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -53,7 +53,7 @@
     pub const DIRECT: Self = Self {
         // Fewer may be a coincidence.
         crashes: 3,
-        // Peers that serve the content tell of it within this time.
+        // Peers that serve the content report it within this time.
         grace: Duration::from_millis(1_500),
         period: Duration::from_mins(1),
         ambiguous_period: Duration::from_millis(1_500),
@@ -77,7 +77,7 @@
         /// Time until it may be tried again.
         remaining: Duration,
     },
-    /// Its time is over; one request shows whether it still crashes servers.
+    /// Its bar is over; one request shows whether it still crashes servers.
     HalfOpen,
 }
 
@@ -89,7 +89,7 @@
     }
 }
 
-/// Content that is refused from now on, or no longer.
+/// Content whose refusal has begun or ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BarChange {
     /// Content.
@@ -170,7 +170,7 @@
 
     /// Returns the time for which a request with the content is refused, if it is.
     ///
-    /// The process for which `is_prober` returns true probes content whose bar is over; the others follow if it does not.
+    /// The process for which `is_prober` returns true probes content whose bar is over; if it does not, the others do.
     /// It is called for barred content only.
     #[must_use]
     pub fn refusal(
@@ -221,7 +221,7 @@
         merged
     }
 
-    /// Returns what is refused from now on or no longer, each change once.
+    /// Returns the refusals that have begun or ended, each change once.
     pub fn take_changes(&mut self, now: Instant) -> Vec<BarChange> {
         let mut changes = Vec::new();
         for (content, record) in &mut self.records {
@@ -300,7 +300,7 @@
             .count()
     }
 
-    /// Merges a report; returns whether it tells of new crashes.
+    /// Merges a report; returns whether it contains new crashes.
     fn merge_one(&mut self, report: &CrashReport, now: Instant) -> bool {
         let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
         let served = report.served_ms.and_then(at);
@@ -325,12 +325,12 @@
         if let Some(served) = served
             && (record.served.is_none() || record.crashes.iter().any(|crash| crash.at <= served))
         {
-            // A response that refutes nothing is not taken over, as its age grows less exact with each message.
+            // A response that refutes nothing is not merged, as each message makes its age less exact.
             record.record_served(served);
         }
         let is_outdated = |crash: &Crash| record.served.is_some_and(|served| crash.at <= served);
         if crashes.iter().any(is_outdated) {
-            // The peer has not heard of the response.
+            // The peer does not know the response.
             record.times_sent = 0;
         }
         let mut is_new = false;
@@ -381,7 +381,7 @@
     }
 
     /// Removes a record other than `newest`: one of content that was served, or else of the organisation with the most
-    /// records, whose content that is not barred goes first.
+    /// records, preferably of content that is not barred.
     fn evict(&mut self, newest: Content, now: Instant) {
         let mut by_organisation: HashMap<OrganisationHash, usize> = HashMap::new();
         for record in self.records.values() {
--- a/bulrushward_policy/src/crash_evidence/record.rs
+++ b/bulrushward_policy/src/crash_evidence/record.rs
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Returns the times from which and until which the content is barred, if there are enough crashes.
+    /// Returns the start and the end of the bar, if there are enough crashes.
     ///
     /// Crashes that other content explains do not count against content that was ever served.
     pub(super) fn bar(&self, limits: &Limits) -> Option<(Instant, Instant)> {
--- a/bulrushward_policy/src/delivery.rs
+++ b/bulrushward_policy/src/delivery.rs
@@ -1,7 +1,7 @@
 //! Whether the request on a connection is delivered, and how its connection may be closed.
 //!
-//! Handles: peers behind a partition that lasts for less or more than a request waits, acknowledgements that are lost,
-//! peers that read slowly or begin to read late, and requests that are given up at any of these moments.
+//! Handles: peers behind a partition that is shorter or longer than a request's wait, lost acknowledgements, peers that
+//! read slowly or begin to read late, and requests that are given up at any of these times.
 
 use std::time::{Duration, Instant};
 
@@ -27,16 +27,16 @@
     pub written: u64,
     /// Bytes that were written and not acknowledged.
     pub unacknowledged: u64,
-    /// Whether some of them were sent; those that a peer has no room for were not.
+    /// Whether some of them were sent; those beyond the peer's window were not.
     pub is_in_flight: bool,
 }
 
-/// How far the current request on a connection has come.
+/// Progress of the current request on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
     /// All of it was acknowledged.
     Delivered,
-    /// Some of it was not, but the peer acknowledges what it has room for, or was not given enough time.
+    /// Some of it was not, but the peer acknowledges what fits its window, or the limit has not passed.
     Pending,
     /// The peer has acknowledged nothing for too long.
     Stalled,
@@ -74,7 +74,7 @@
         self.acknowledged = acknowledged;
         if queue.unacknowledged == 0 {
             self.progress = now;
-            // More may be written once there is room, so that the queue is empty only for a moment.
+            // More may be written once there is room, so the queue may be empty only briefly.
             let is_settled = self.settled.replace(queue.written) == Some(queue.written);
             return if is_settled && queue.written > self.len {
                 Delivery::Delivered
@@ -122,7 +122,7 @@
 
     /// Returns how the connection is to be closed now.
     ///
-    /// A request without a complete response is given up by this, and must not be delivered later.
+    /// Closing gives up a request without a complete response; it must not be delivered later.
     #[must_use]
     pub fn close(&self) -> Close {
         if self.is_open {
--- a/bulrushward_policy/src/emptied_domains.rs
+++ b/bulrushward_policy/src/emptied_domains.rs
@@ -18,7 +18,7 @@
 
 /// Time for which a withdrawn order is remembered; servers are warm again earlier.
 const WITHDRAWN_TTL: Duration = Duration::from_mins(1);
-/// Time between two withdrawals of orders for a domain, below which they count as one that was told twice.
+/// Time between two withdrawals of orders for a domain, below which they count as one reported twice.
 const MIN_ORDER_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest sum of the lengths of the names in a report that is a part of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 1 << 10;
@@ -46,7 +46,7 @@
 impl EmptiedReport {
     /// Returns whether the report is small enough for a datagram.
     ///
-    /// A part of it would undo the other orders at its receivers.
+    /// Receivers of a part would drop the other orders.
     #[must_use]
     pub fn fits_datagram(&self) -> bool {
         let entries = self.emptied.iter().chain(&self.withdrawn);
@@ -62,7 +62,7 @@
     pub domain: FailureDomain,
     /// Whether the order came into force.
     pub is_emptied: bool,
-    /// Time since the order became known to the router that told of it.
+    /// Time since the order became known to the reporting router.
     pub age: Duration,
 }
 
@@ -73,7 +73,7 @@
 pub struct EmptiedDomains {
     /// Store revision up to which changes are included; `None` until the orders are known.
     revision: Option<StoreRevision>,
-    /// Emptied domains with the times since which they are.
+    /// Emptied domains, each with the start of its order.
     emptied: BTreeMap<FailureDomain, Instant>,
     /// Domains that are no longer emptied, with the times of the withdrawals.
     withdrawn: BTreeMap<FailureDomain, Instant>,
@@ -130,7 +130,7 @@
 
     /// Applies all changes after the revision `after` up to `revision`; returns what changed.
     ///
-    /// A change is a domain and whether it is emptied. Changes that are known already do no harm.
+    /// A change is a domain and whether it is emptied. Known changes have no effect.
     /// Returns `None` if changes before `after` are missing, so that the orders have to be listed.
     pub fn apply_changes(
         &mut self,
@@ -162,7 +162,7 @@
     pub fn merge(&mut self, report: &EmptiedReport, now: Instant) -> Vec<DomainChange> {
         let withdrawn = times(&report.withdrawn, now);
         if self.revision >= Some(report.revision) {
-            // A listing tells nothing of orders that were withdrawn before it.
+            // A listing does not contain orders that were withdrawn before it.
             self.remember_withdrawn(&withdrawn);
             return Vec::new();
         }
@@ -183,9 +183,9 @@
         })
     }
 
-    /// Takes over a newer set of emptied domains and the withdrawals that its source knows.
+    /// Adopts a newer set of emptied domains and the withdrawals that its source knows.
     ///
-    /// Times that are known already stay, as those of a peer are delayed by their way.
+    /// Known times are kept, as those of a peer include the delay of the message.
     fn advance(
         &mut self,
         emptied: BTreeMap<FailureDomain, Instant>,
@@ -220,7 +220,7 @@
 impl EmptiedDomains {
     /// Remembers withdrawals of domains that are not emptied, unless they are known.
     ///
-    /// What a peer tells comes a little later than it was; only a much later one is another withdrawal.
+    /// The times in reports are slightly late; only a much later one is another withdrawal.
     fn remember_withdrawn(&mut self, withdrawn: &BTreeMap<FailureDomain, Instant>) {
         for (domain, at) in withdrawn {
             let known = self.withdrawn.get(domain);
--- a/bulrushward_policy/src/event_order.rs
+++ b/bulrushward_policy/src/event_order.rs
@@ -1,13 +1,13 @@
-//! Which events go on with a stream that was resumed.
+//! Which events continue a resumed stream.
 //!
-//! Handles: servers that begin anew, repeat events, send an error as an event or end at once when they are asked to go on.
+//! Handles: servers that, asked to continue, start over, repeat events, send an error as an event or end at once.
 
 use snafu::Snafu;
 
-/// Why an event does not go on with a stream.
+/// Why an event does not continue a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum OrderError {
-    /// The first event names no place in the stream.
+    /// The first event has no id.
     #[snafu(display("the first event after {last} has no id"))]
     NoId {
         /// Id of the last event.
@@ -27,16 +27,16 @@
 #[derive(Clone, Debug)]
 pub struct EventOrder {
     last: String,
-    has_gone_on: bool,
+    has_continued: bool,
 }
 
 impl EventOrder {
-    /// Creates the order of a stream that goes on after the event `last`.
+    /// Creates the order of a stream that continues after `last`.
     #[must_use]
     pub fn after(last: &str) -> Self {
         Self {
             last: last.to_owned(),
-            has_gone_on: false,
+            has_continued: false,
         }
     }
 
@@ -48,16 +48,16 @@
 
     /// Admits events that arrived together, by their ids in order, or none of them.
     ///
-    /// Ids that are numbers grow; other ids only differ. An event without an id may stand after the first one.
+    /// Numeric ids must increase; other ids must only differ. Only the first event must have an id.
     ///
     /// # Errors
     ///
-    /// Returns [`OrderError`] for the first event that does not go on with the stream.
+    /// Returns [`OrderError`] for the first event that does not continue the stream.
     pub fn admit<'a>(
         &mut self,
         ids: impl IntoIterator<Item = Option<&'a str>>,
     ) -> Result<(), OrderError> {
-        let (mut last, mut has_gone_on) = (self.last.as_str(), self.has_gone_on);
+        let (mut last, mut has_continued) = (self.last.as_str(), self.has_continued);
         for id in ids {
             match id {
                 Some(id) if !comes_after(id, last) => {
@@ -65,12 +65,12 @@
                     return NotAfterSnafu { id, last }.fail();
                 }
                 Some(id) => last = id,
-                None if !has_gone_on => return NoIdSnafu { last }.fail(),
+                None if !has_continued => return NoIdSnafu { last }.fail(),
                 None => {}
             }
-            has_gone_on = true;
+            has_continued = true;
         }
-        (self.last, self.has_gone_on) = (last.to_owned(), has_gone_on);
+        (self.last, self.has_continued) = (last.to_owned(), has_continued);
         Ok(())
     }
 }
--- a/bulrushward_policy/src/fair_queue.rs
+++ b/bulrushward_policy/src/fair_queue.rs
@@ -14,8 +14,8 @@
 
 /// Waiting attempts with ids `I`, with one queue for each organisation `K`.
 ///
-/// The attempts of an organisation start in the order of their ranks `R`, those of equal rank in the
-/// order in which they came.
+/// The attempts of an organisation start in the order of their ranks `R`, those of equal rank in
+/// order of arrival.
 #[derive(Debug)]
 pub struct FairQueue<K, I, R = ()> {
     flows: VecDeque<Flow<K, I, R>>,
--- a/bulrushward_policy/src/fleet_retry_budget.rs
+++ b/bulrushward_policy/src/fleet_retry_budget.rs
@@ -30,9 +30,9 @@
 /// Fraction of the extra retries that routers divide in their first window, as the processes before
 /// them may have used theirs.
 const INITIAL_SPARE_FRACTION: f64 = 0.2;
-/// Routers that are assumed at least, as a router that has just started knows of few others.
+/// Minimum number of assumed routers, as a router that has just started knows few others.
 const MIN_ROUTERS: u32 = 4;
-/// Routers that are assumed for each known one at first, as the fleet may soon restart again.
+/// Routers initially assumed for each known one, as the fleet may soon restart again.
 const ASSUMED_PER_KNOWN: f64 = 4.0 / 3.0;
 /// Fraction of the first window after which routers that are assumed but were not discovered no longer count
 /// in the division of the first spare retries.
--- a/bulrushward_policy/src/fleet_schedule.rs
+++ b/bulrushward_policy/src/fleet_schedule.rs
@@ -1,4 +1,4 @@
-//! When a router does its share of a task that some router of the fleet does at a time.
+//! When a router takes its turn at a task that one router of the fleet does at a time.
 //!
 //! Handles: a fleet of any size that calls a store at the rate of one process, without leader
 //! election. Routers may join and leave; the cost of a missed or duplicate turn is one call.
--- a/bulrushward_policy/src/fleet_share.rs
+++ b/bulrushward_policy/src/fleet_share.rs
@@ -21,7 +21,7 @@
 const MAX_MEMBERS: usize = 4_096;
 /// Time from the start for which a member takes no share of a strict allowance.
 ///
-/// What the process before it has taken lies a second back then.
+/// Units that the previous process took are then a second old.
 const START_TIME: Duration = Duration::from_millis(1_050);
 /// Interval at the end of which a member that has just started checks whether it still discovers others.
 const SETTLING_INTERVAL: Duration = Duration::from_millis(600);
@@ -30,8 +30,8 @@
 
 /// Returns a member's share of `total` in whole units.
 ///
-/// The units that are left after an equal division go to some of the members; `draw` is a number from
-/// 0 to 1 of the member's own, which decides whether it is one of them.
+/// The units that are left after an equal division go to some of the members; `draw`, the member's own
+/// number from 0 to 1, decides whether it is one of them.
 #[must_use]
 pub fn whole_share(total: f64, members: u32, draw: f64) -> u32 {
     let share = total.max(0.0) / f64::from(members.max(1));
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct FleetSize {
     size: u32,
-    /// Since when and to what at most the count has been lower.
+    /// Start and highest value of a period of lower counts.
     lower: Option<(Instant, u32)>,
 }
 
@@ -55,7 +55,7 @@
 
     /// Records the current count and returns the size to divide by.
     ///
-    /// A higher count holds at once, a lower one after it has lasted.
+    /// A higher count applies at once, a lower one only if it lasts.
     pub fn observe(&mut self, count: u32, now: Instant) -> u32 {
         if count >= self.size {
             self.size = count;
@@ -116,7 +116,7 @@
 
 /// The members among which allowances are divided that must never be exceeded.
 ///
-/// Members that were lost stay in it for long, as they may only be out of touch.
+/// Lost members are kept for a long time, as they may only be unreachable.
 #[derive(Clone, Debug)]
 pub struct FleetMembers<K> {
     last_alive: HashMap<K, Instant>,
--- a/bulrushward_policy/src/overload_admission.rs
+++ b/bulrushward_policy/src/overload_admission.rs
@@ -5,8 +5,8 @@
 //! times its usual requests. Without admission the queues of all servers stay full, so that every
 //! response is late and the surplus is rejected anyway.
 //!
-//! The response times of all servers tell of overload. Routers exchange theirs, so that each of them
-//! admits about the same fraction of requests. A slow server among others is no overload.
+//! The response times of all servers show overload. Routers exchange theirs, so that each of them
+//! admits about the same fraction of requests. A single slow server is not an overload.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -21,7 +21,7 @@
 ///
 /// The average starts at zero, so that a few late responses are no overload.
 const MIN_SAMPLE_WEIGHT: f64 = 0.1;
-/// Time constant of the moving averages of which a router rarely has a sample, as in a large fleet.
+/// Time constant of the moving averages that a router rarely samples, as in a large fleet.
 const AVERAGING_TIME: Duration = Duration::from_millis(1_200);
 /// Routers of a fleet for each round in which a response time is reported.
 const ROUTERS_PER_ROUND: u32 = 40;
--- a/bulrushward_policy/src/place_borrower.rs
+++ b/bulrushward_policy/src/place_borrower.rs
@@ -40,7 +40,7 @@
         /// Ask.
         id: AskId,
     },
-    /// Go on with the request.
+    /// Continue the request.
     End {
         /// Ask.
         id: AskId,
@@ -67,7 +67,7 @@
     pending: BTreeMap<AskId, PendingAsk<L>>,
     /// Lenders that did not answer, with the time until which they are not asked.
     silent: HashMap<L, Instant>,
-    /// When each lender was last heard.
+    /// Time of a lender's last message.
     heard: HashMap<L, Instant>,
 }
 
@@ -130,7 +130,7 @@
         self.heard.insert(from, now);
     }
 
-    /// Removes an ask whose caller has left; returns the lender that has to know.
+    /// Removes an ask whose caller has left; returns the lender to notify.
     pub fn withdraw(&mut self, id: AskId) -> Option<L> {
         self.pending.remove(&id).map(|pending| pending.lender)
     }
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -2,10 +2,10 @@
 //!
 //! Handles: a crowd at a plain service of few places behind many routers, each of which has less than one place; an
 //! organisation that sends many times its usual requests; servers that are cold, slow, full or gone; callers that
-//! leave; routers that die with places; messages that are lost or come twice.
+//! leave; routers that die holding places; lost and duplicate messages.
 //!
-//! While more is asked for than the servers can run, requests that can be answered in time go first and late ones
-//! take what is left. An ask that cannot be met is refused as soon as this is known.
+//! While demand exceeds what the servers can run, requests that can be answered in time precede late ones. An ask
+//! that cannot be met is refused as soon as this is known.
 
 mod ask;
 mod lane;
@@ -48,7 +48,7 @@
 const WEIGHTS: (f64, f64) = (0.1, 20.0);
 /// Fraction of the time until the target that expected wait and service may take.
 ///
-/// Service times vary, and the response has a way to go.
+/// Service times vary, and the response must be sent.
 const IN_TIME_FRACTION: f64 = 0.75;
 /// Fraction of the time until the deadline that expected wait and service may take.
 const DEADLINE_FRACTION: f64 = 0.5;
@@ -58,11 +58,11 @@
 const MIN_RELATIVE_FRACTION: f64 = 0.5;
 /// Smallest fraction of the service rate that a wait is estimated with.
 const MIN_RATE_FRACTION: f64 = 0.01;
-/// Smallest number of random routers that a lender tells at once that places are scarce.
+/// Smallest number of random routers that a lender notifies at once of scarce places.
 const MIN_NOTICE_RECEIVERS: usize = 32;
 /// Rounds of notices in which as many are sent as there are routers.
 const NOTICE_ROUNDS: usize = 8;
-/// Interval at which a lender tells that places are scarce.
+/// Interval of a lender's notices of scarce places.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(100);
 /// Ratio of lent and wanted places to slots from which places are scarce.
 const SCARCE_LOAD: f64 = 0.9;
@@ -78,9 +78,9 @@
 const MAX_EXPIRY: Duration = Duration::from_secs(10);
 /// Range of the retry delay.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
-/// Smallest fraction of the service rate at which refused callers are told to come back.
+/// Smallest fraction of the service rate at which refused callers are told to retry.
 const MIN_RETURN_FRACTION: f64 = 0.05;
-/// Fraction of the time until the deadline within which a refused caller is told to come back.
+/// Fraction of the time until the deadline within which a refused caller is told to retry.
 const RETRY_FRACTION: f64 = 0.75;
 
 #[derive(Debug)]
@@ -130,7 +130,7 @@
     asked: RateMeter,
     granted: RateMeter,
     service_time: ServiceTimeEstimator,
-    /// Time up to which refused callers were told to come back.
+    /// Time up to which refused callers were told to retry.
     returns_until: Instant,
     noticed: Instant,
     expired: u64,
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Takes in an ask, which may be the repetition of an earlier one.
+    /// Handles an ask, which may repeat an earlier one.
     pub fn ask(&mut self, ask: Ask<B>, rng: &mut impl Rng, now: Instant) -> Answer {
         if let Some(lent) = self.lent.get(&ask.id) {
             return Answer::Granted {
@@ -266,8 +266,8 @@
         (self.lent.len() + self.waiting.len()) as f64 / f64::from(slots.max(1))
     }
 
-    /// Returns the load to tell to [`notice_receivers`] random routers now, as many of them have no request that
-    /// tells them how scarce places are.
+    /// Returns the load to report to [`notice_receivers`] random routers now, as many of them have no request that
+    /// shows how scarce places are.
     pub fn take_notice(&mut self, now: Instant) -> Option<f64> {
         let load = self.load();
         let is_due = now.saturating_duration_since(self.noticed) >= NOTICE_INTERVAL;
@@ -513,7 +513,7 @@
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
-    /// Returns the grants per second that a lane gets whatever more urgent lanes ask for.
+    /// Returns the grants per second that a lane gets regardless of more urgent lanes.
     fn reserved_rate(&self, lane: usize, now: Instant) -> f64 {
         let asked = self.lanes[lane].asked.per_second(now);
         let rate = MIN_RELATIVE_FRACTION * self.granted_fraction(now) * asked;
@@ -666,7 +666,7 @@
             Timing::InTime => last_start(ask.target.min(ask.deadline)),
             Timing::Late => last_start(ask.deadline).min(now + LATE_CHECK_INTERVAL),
         }
-        // A timer that is due at once would be run again and again.
+        // A timer that is due at once would run repeatedly.
         .max(now + Duration::from_millis(1));
         let weight = self.weight(ask.organisation);
         let queue = self.lanes[lane].queue(timing);
@@ -704,9 +704,9 @@
         Some(lent)
     }
 
-    /// Returns a refusal with a time at which there is expected to be room.
+    /// Returns a refusal with a time at which a free place is expected.
     ///
-    /// Callers are told to come back one after the other, at the rate that is left to them.
+    /// Callers are told to retry one after the other, at the rate that is left to them.
     fn refuse(
         &mut self,
         ask: &Ask<B>,
@@ -734,13 +734,13 @@
 
 /// Returns the number of random routers to which a notice of scarce places goes.
 ///
-/// Each router of a large fleet has few requests, and would send them before it hears of scarce places.
+/// Each router of a large fleet has few requests, and would send them before it knows of scarce places.
 #[must_use]
 pub fn notice_receivers(routers: usize) -> usize {
     (routers / NOTICE_ROUNDS).max(MIN_NOTICE_RECEIVERS)
 }
 
-/// Returns what orders the asks of an organisation in a line.
+/// Returns the rank of an ask in its organisation's queue.
 fn rank<B>(ask: &Ask<B>, timing: Timing) -> Instant {
     match timing {
         Timing::InTime => ask.target,
--- a/bulrushward_policy/src/place_lender/ask.rs
+++ b/bulrushward_policy/src/place_lender/ask.rs
@@ -37,7 +37,7 @@
     pub excluded: Vec<ServerKey>,
 }
 
-/// What an ask gets.
+/// Result of an ask.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// A place at a server.
@@ -91,7 +91,7 @@
     },
     /// The server rejected the request because it was full.
     Rejected,
-    /// The server could not be reached or broke off.
+    /// The server could not be reached or failed.
     Failed,
     /// The place was not used.
     NotUsed,
--- a/bulrushward_policy/src/receive_allowance.rs
+++ b/bulrushward_policy/src/receive_allowance.rs
@@ -1,6 +1,6 @@
 //! How many bytes a sender may send for the content that it delivers.
 //!
-//! Handles: servers, stores and peers that send bytes without end that are no content, such as heads, interim
+//! Handles: servers, stores and peers that endlessly send bytes without content, such as heads, interim
 //! responses, and chunks that are almost empty.
 
 /// Bytes that need no content: the largest head, or chunk headers, and what is read ahead with them.
--- a/bulrushward_policy/src/replaced_servers.rs
+++ b/bulrushward_policy/src/replaced_servers.rs
@@ -10,9 +10,9 @@
 
 use crate::session_locations::ServerKey;
 
-/// Time after which a server is tried again, in case the response that told of its end was wrong.
+/// Time after which a server is tried again, in case the response that showed its end was wrong.
 const REPLACED_TTL: Duration = Duration::from_secs(10);
-/// Time for which a router tells its peers of a server.
+/// Time for which a router reports a server to peers.
 const REPORT_TIME: Duration = Duration::from_millis(1_500);
 /// Largest number of servers that are reported at once.
 const MAX_REPORTED: usize = 64;
@@ -48,7 +48,7 @@
         at.is_some_and(|at| now.saturating_duration_since(*at) < REPLACED_TTL)
     }
 
-    /// Returns the servers to tell peers of, which the router learnt of a short time ago.
+    /// Returns the servers to report to peers, which were recorded a short time ago.
     #[must_use]
     pub fn report(&self, now: Instant) -> Vec<ServerKey> {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < REPORT_TIME;
--- a/bulrushward_policy/src/response_owner.rs
+++ b/bulrushward_policy/src/response_owner.rs
@@ -1,4 +1,4 @@
-//! Whether a response that arrives on a connection is that of the request which the connection carries.
+//! Whether a response that arrives on a connection belongs to the current request of the connection.
 //!
 //! Handles: servers that send a copy of an earlier response where the next one is expected, also of one that names no
 //! request; servers that refuse requests before they have read them.
--- a/bulrushward_policy/src/scarcity.rs
+++ b/bulrushward_policy/src/scarcity.rs
@@ -1,7 +1,7 @@
 //! Whether the places of a service are scarce.
 //!
 //! Handles: a crowd at a plain service of few places. The first evidence are late responses and full servers; once the
-//! places are lent, responses are in time again although the crowd goes on, so that the lender's own view counts.
+//! places are lent, responses are in time again although the crowd lasts, so that the lender's own view counts.
 
 use std::time::{Duration, Instant};
 
@@ -17,7 +17,7 @@
 const CALM_LOAD: f64 = 0.65;
 /// Time for which a service must have free places until they are no longer lent.
 const CALM_TIME: Duration = Duration::from_secs(2);
-/// Age from which the load that the lender has told is ignored.
+/// Age from which the load that the lender reported is ignored.
 const LOAD_MAX_AGE: Duration = Duration::from_secs(1);
 
 /// Evidence of one router about one service.
@@ -26,7 +26,7 @@
     is_scarce: bool,
     /// Last time at which the service had no free places.
     last_scarce: Option<Instant>,
-    /// Ratio of lent and wanted places to slots as the lender told last.
+    /// Ratio of lent and wanted places to slots, as last reported.
     load: Option<(f64, Instant)>,
     rejections: u32,
     first_rejection: Option<Instant>,
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Records the ratio of lent and wanted places to slots that a lender tells.
+    /// Records a lender's ratio of lent and wanted places to slots.
     pub fn record_load(&mut self, load: f64, now: Instant) {
         self.load = Some((load, now));
         if load >= CALM_LOAD {
@@ -60,7 +60,7 @@
         let is_told = self
             .load
             .is_some_and(|(_, at)| now.saturating_duration_since(at) < LOAD_MAX_AGE);
-        // Lent places keep the servers busy, so the lender knows better than response times do.
+        // Lent places keep the servers busy, so the lender's view outweighs response times.
         let limit = if self.is_scarce {
             CALM_PRESSURE
         } else {
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -22,8 +22,7 @@
     Crowded,
     /// The failure domain of the server was emptied before the request was sent.
     DomainEmptied,
-    /// The server took no request any more when the request would have been sent, as it reported itself or as its entry
-    /// says.
+    /// The server, by its own report or its entry, took no more requests before the request was sent.
     Withheld,
     /// The content of the request was barred before the request was sent.
     ContentBarred,
--- a/bulrushward_policy/src/server_choice.rs
+++ b/bulrushward_policy/src/server_choice.rs
@@ -2,8 +2,9 @@
 //!
 //! Handles: returning sessions, which go to a server that has their prompt cached; a session or
 //! organisation with much of the traffic, which is spread before it overloads one server; a failure
-//! domain that gets no requests for a while, whose load the other servers share evenly; servers in need
-//! that take few requests, which go to the sessions that are there; and many routers, which have to agree on the server of a new session without communicating.
+//! domain that gets no requests for a while, whose load the other servers share evenly; servers that
+//! limit their requests, which go to the sessions already there; and many routers, which have to agree
+//! on the server of a new session without communicating.
 
 use rand::{Rng, RngExt};
 
@@ -39,7 +40,7 @@
 const TIE_BREAK_NOISE: f64 = 0.5;
 /// The [`ServerView::miss_tokens`] of a server that names a limit; exceeds the cost of all ranks.
 ///
-/// What the server takes is left to the sessions that are there, and others do not move to and fro.
+/// The server's limit is left to the sessions already there, and others do not move back and forth.
 pub const LIMITED_MISS_TOKENS: f64 = 8_000.0;
 /// Cost of a request in progress in prompt tokens, as each slows down the decoding of the others.
 const REQUEST_TOKENS: f64 = 100.0;
--- a/bulrushward_policy/src/server_limit.rs
+++ b/bulrushward_policy/src/server_limit.rs
@@ -1,4 +1,4 @@
-//! This router's part of the requests that a backend server in need takes from all routers together.
+//! This router's part of the requests that a limited backend server takes from all routers together.
 //!
 //! Handles: limits below one request a second for each router; callers that all come to one router,
 //! whose part is too small for them; routers that start, die or cannot reach each other; messages that
@@ -18,9 +18,9 @@
 
 use crate::fleet_share::FleetPosition;
 
-/// Lowest rate that is kept, in requests per second; some request has to find out when the limit ends.
+/// Lowest enforced rate, in requests per second; only a request shows that the limit has ended.
 pub const MIN_RATE: f64 = 1.0 / 60.0;
-/// Highest rate that is kept, in requests per second.
+/// Highest enforced rate, in requests per second.
 pub const MAX_RATE: f64 = 1e6;
 /// Windows in which units are counted; a longer one leaves a unit to each router of a larger fleet.
 const WINDOWS: [Duration; 3] = [
@@ -58,7 +58,7 @@
         let window = WINDOWS.into_iter().find(|window| units(*window) >= members);
         let window = window.unwrap_or(longest);
         let units = units(window).max(1);
-        // The fraction that is cut off is a large part of few units.
+        // Rounding down would lose a large part of few units.
         let window = if units <= FEW_UNITS {
             Duration::from_secs_f64(f64::from(units) / rate)
         } else {
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Returns the rate that is kept if a server names one, or `None` if that is no rate.
+    /// Returns the rate that is enforced for a named one, or `None` if that is invalid.
     #[must_use]
     pub fn usable_rate(named: f64) -> Option<f64> {
         let is_rate = named.is_finite() && named >= 0.0;
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -1,9 +1,9 @@
 //! What backend servers report about themselves, and when nothing is sent to them for that reason.
 //!
-//! Handles: servers that leave while the store cannot tell of it, or whose entries vanish, return or lack their start
-//! meanwhile; a fleet of which each router would otherwise find out by itself; peers that tell what is
-//! false or outdated; servers that ask for pauses in turn or all at once; requests that wait for a connection
-//! or a place while a report arrives; and values that are absurd or none.
+//! Handles: servers that leave during an outage of the store, or whose entries vanish, return or lack their start
+//! during it; a fleet of which each router would otherwise find out by itself; false or outdated reports of
+//! peers; servers that ask for pauses in turn or all at once; requests that wait for a connection or a place
+//! while a report arrives; and extreme or invalid values.
 
 mod incarnations;
 mod limit;
@@ -27,13 +27,13 @@
 
 /// Longest pause that is granted on one report; the server may ask again.
 pub const MAX_PAUSE: Duration = Duration::from_mins(2);
-/// Extension of a pause from which it counts as news.
+/// Extension of a pause from which it counts as new.
 const NEWS_EXTENSION: Duration = Duration::from_millis(250);
-/// Time after an announcement of leaving in which routers tell each other of it, and believe each other.
+/// Time after an announcement of leaving in which routers report it to, and believe, each other.
 ///
 /// Most servers end earlier; later requests to a server that still runs announce it again.
 const NOTICE_TTL: Duration = Duration::from_secs(30);
-/// Largest number of servers of which a message tells.
+/// Largest number of servers in a message.
 const MAX_NOTICES: usize = 64;
 /// Time for which the reports of a server are kept that is not registered, as its entry may return.
 const UNREGISTERED_TTL: Duration = Duration::from_mins(10);
@@ -49,7 +49,7 @@
     pub limit: Option<f64>,
 }
 
-/// A server that announced its leaving to the router that tells of it.
+/// A server that announced its leaving to the router that reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeavingNotice {
     /// Server.
@@ -58,7 +58,7 @@
     pub age_ms: u32,
 }
 
-/// A server's limit as a response told it to the router that passes it on.
+/// A server's limit, from a response to the router that reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitNotice {
     /// Server.
@@ -74,7 +74,7 @@
 pub enum ReportNews {
     /// The server is leaving.
     Leaving,
-    /// The server takes requests although a peer told that it is leaving.
+    /// The server takes requests although a peer reported it as leaving.
     Stays,
     /// The server wants a pause.
     Pause {
@@ -92,7 +92,7 @@
     },
     /// The server names no limit any more.
     LimitEnded,
-    /// A number is none that makes sense, and is ignored.
+    /// A number is invalid and is ignored.
     Ignored {
         /// The number.
         value: f64,
@@ -105,7 +105,7 @@
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq, PartialOrd, Ord)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Withheld {
-    /// A peer told that it is leaving, so that it is a last resort.
+    /// A peer reported it as leaving, so it is a last resort.
     SaidToLeave,
     /// It asked for a pause.
     Paused {
@@ -147,9 +147,9 @@
     Unknown,
     /// It announced its leaving to this router.
     Announced(Instant),
-    /// Peers told of an announcement at this time.
+    /// Announced at this time, as peers reported.
     Heard(Instant),
-    /// It responded to this router as one that stays.
+    /// It responded to this router as not leaving.
     Denied(Instant),
 }
 
@@ -163,10 +163,10 @@
 impl ServerReports {
     /// Records what a response states, and returns what is new.
     ///
-    /// `sent` is the time at which the request was sent, or `None` if the response may belong to an earlier one, so that it
-    /// proves nothing by what it lacks. A server that announced its leaving to this router leaves for
-    /// good; a response to a later request refutes what peers told. A pause ends at the latest of the times that the server asked for; other responses may
-    /// have been on their way and do not shorten it.
+    /// `sent` is the time at which the request was sent, or `None` if the response may belong to an earlier one, so
+    /// that what it lacks proves nothing. An announcement of leaving to this router is final; a response to a later
+    /// request refutes reports of peers. A pause ends at the latest of the times that the server asked for; other
+    /// responses may have been sent earlier and do not shorten it.
     pub fn record(
         &mut self,
         server: ServerKey,
@@ -228,9 +228,9 @@
         self.incarnations.observe(entry, now);
     }
 
-    /// Returns the servers of which peers should hear, in random order.
+    /// Returns the servers to report to peers, in random order.
     ///
-    /// Only announcements to this router are told, so that a false one ends with the router that tells it.
+    /// Only announcements to this router are reported, so that a false one is not passed on further.
     pub fn notices(&self, rng: &mut impl Rng, now: Instant) -> Vec<LeavingNotice> {
         let announced = self.records.iter().filter_map(|(server, record)| {
             let Leaving::Announced(at) = record.leaving else {
@@ -245,7 +245,7 @@
         announced.sample(rng, MAX_NOTICES)
     }
 
-    /// Records that a peer told of a server that is registered; returns whether this is news.
+    /// Records a peer's report of a registered server; returns whether it is new.
     pub fn hear(&mut self, notice: LeavingNotice, now: Instant) -> bool {
         let age = Duration::from_millis(notice.age_ms.into());
         let Some(announced) = now.checked_sub(age).filter(|at| is_told(*at, now)) else {
@@ -308,7 +308,7 @@
         limit.share(now).map(LimitShare::rate)
     }
 
-    /// Returns the limits of which peers should hear, in random order.
+    /// Returns the limits to report to peers, in random order.
     pub fn limit_notices(&self, rng: &mut impl Rng, now: Instant) -> Vec<LimitNotice> {
         let told = self.records.iter().filter_map(|(server, record)| {
             let (rate, age) = record.limit.as_ref()?.notice(now)?;
@@ -321,9 +321,9 @@
         told.sample(rng, MAX_NOTICES)
     }
 
-    /// Records what a peer tells of the limit of a registered server, unless something later is known.
+    /// Records a peer's report of a registered server's limit, unless a later one is known.
     ///
-    /// Returns whether the limit is another one than before.
+    /// Returns whether the limit has changed.
     pub fn hear_limit(&mut self, notice: LimitNotice, now: Instant) -> bool {
         let age = Duration::from_millis(notice.age_ms.into());
         let limit = &mut self.record_of(notice.server, now).limit;
--- a/bulrushward_policy/src/server_reports/incarnations.rs
+++ b/bulrushward_policy/src/server_reports/incarnations.rs
@@ -1,7 +1,7 @@
 //! Which entries of a server may be of the same process.
 //!
-//! Handles: entries that lack the start of their server, or name it for the first time. What lacks proves nothing, so such an
-//! entry is taken to be of the process that the entry before it was of.
+//! Handles: entries that lack the start of their server, or name it for the first time. A missing start proves nothing,
+//! so such an entry is assumed to be of the same process as the previous one.
 
 use std::{
     collections::HashMap,
@@ -10,7 +10,7 @@
 
 use crate::session_locations::ServerKey;
 
-/// Hash of the id of a server, which it may keep when it starts anew.
+/// Hash of the id of a server, which it may keep when it restarts.
 pub type IdKey = u64;
 
 /// A server as its entry describes it.
@@ -63,7 +63,7 @@
                 .extend(known.unnamed.map(|unnamed| (entry.server, unnamed)));
             known.named = Some(entry.server);
         } else if known.named != Some(entry.server) {
-            // It has started anew.
+            // It has restarted.
             self.other.remove(&entry.server);
             known.named = Some(entry.server);
             known.unnamed = None;
--- a/bulrushward_policy/src/server_reports/limit.rs
+++ b/bulrushward_policy/src/server_reports/limit.rs
@@ -9,7 +9,7 @@
 ///
 /// A router of a large fleet may have to wait that long for a request that it may send to the server.
 const LIMIT_TTL: Duration = Duration::from_mins(2);
-/// Time after a response in which peers are told of the limit that it named, or that it named none.
+/// Time after a response in which its limit, or the lack of one, is reported to peers.
 const NOTICE_TIME: Duration = Duration::from_secs(3);
 
 /// What is known of a server's limit.
@@ -19,12 +19,12 @@
     share: Option<LimitShare>,
     /// When a response was received that named it, or a request was sent whose response did not.
     known: Instant,
-    /// Whether a response to this router told it, or else a peer.
+    /// Whether a response named it, or else a peer.
     is_own: bool,
 }
 
 impl Limit {
-    /// Creates what is known before anything was named.
+    /// Creates the state before any limit is known.
     pub(super) fn new(known: Instant) -> Self {
         Self {
             share: None,
@@ -57,7 +57,7 @@
         Some(ReportNews::LimitEnded)
     }
 
-    /// Records what a peer knew `age` ago, unless something later is known; returns whether the limit changes.
+    /// Records what a peer knew `age` ago, unless it is outdated; returns whether the limit changes.
     pub(super) fn hear(&mut self, named: Option<f64>, age: Duration, now: Instant) -> bool {
         let rate = named.and_then(LimitShare::usable_rate);
         let Some(known) = now.checked_sub(age).filter(|known| *known >= self.known) else {
@@ -94,7 +94,7 @@
         self.share.as_ref().map(LimitShare::rate)
     }
 
-    /// Sets the rate, while units that are in use stay so; returns whether it is another one.
+    /// Sets the rate and keeps the units that are in use; returns whether it has changed.
     fn set(&mut self, rate: Option<f64>) -> bool {
         let is_news = self.rate() != rate;
         match (&mut self.share, rate) {
--- a/bulrushward_policy/src/server_scope.rs
+++ b/bulrushward_policy/src/server_scope.rs
@@ -1,7 +1,7 @@
 //! Servers at which a request may still run.
 //!
-//! Handles: streams that go on after their server failed or fell silent, or that callers resume, while servers of
-//! several software versions stand side by side. What two versions send does not fit together, so a stream goes on only
+//! Handles: streams that continue after their server failed or stopped responding, or that callers resume, while
+//! servers run several software versions. The output of two versions does not fit together, so a stream continues only
 //! at the version that began it.
 
 use strum::IntoStaticStr;
--- a/bulrushward_policy/src/start_wait.rs
+++ b/bulrushward_policy/src/start_wait.rs
@@ -1,8 +1,8 @@
 //! How long requests wait for a router that has just started to learn the configuration and the servers.
 //!
-//! Handles: all routers that start at once, as after a loss of power, while the store is away or slow. Many
-//! callers have lost a response just before, come back at once and come back only once: a refusal is the
-//! last they hear, although the router often knows what it needs a second later.
+//! Handles: all routers that start at once, as after a loss of power, while the store is unavailable or slow.
+//! Many callers have just lost a response and retry at once, but only once: a refusal would be final,
+//! although the router often knows what it needs a second later.
 
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 const DEFAULT_WAIT: Duration = Duration::from_millis(250);
 /// Largest number of requests that wait; each holds a connection and up to 64 KiB of its bytes.
 const MAX_WAITING: usize = 256;
-/// Fraction of their wait over which requests that waited are spread when they go on.
+/// Fraction of their wait over which waiting requests are spread when they continue.
 const RELEASE_FRACTION: f64 = 0.5;
 /// Longest time over which they are spread.
 const MAX_RELEASE_DELAY: Duration = Duration::from_millis(600);
--- a/bulrushward_policy/src/store_recovery.rs
+++ b/bulrushward_policy/src/store_recovery.rs
@@ -1,7 +1,7 @@
 //! When the calls that wait for changes at the store are sent again after an outage.
 //!
 //! Handles: a store that forgets the waiting calls in an outage while their connections stay alive,
-//! so that nothing but a missing response tells of it; a fleet of which all calls are waiting at that
+//! so that only a missing response shows it; a fleet of which all calls are waiting at that
 //! time, so that only the router that probes the store notices; routers that notice the return of
 //! the store one after the other.
 
@@ -17,7 +17,7 @@
 
 /// Time within which the returns that peers report belong to the same outage.
 ///
-/// Routers notice a return one after the other, and reports are delayed on their way.
+/// Routers notice a return one after the other, and reports arrive with a delay.
 const SAME_OUTAGE: Duration = Duration::from_secs(2);
 /// Age from which a peer's report is ignored; gossip reaches all routers earlier.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(10);
@@ -48,7 +48,7 @@
         self.latest = Some((id, now));
     }
 
-    /// Merges the report of a peer; returns whether it tells of the end of a further outage.
+    /// Merges the report of a peer; returns whether it shows the end of a further outage.
     pub fn merge(&mut self, report: RecoveryReport, now: Instant) -> bool {
         let age = Duration::from_millis(report.age_ms.into());
         if age > REPORT_MAX_AGE || self.known.contains(&report.id) {
--- a/bulrushward_policy/src/store_wait.rs
+++ b/bulrushward_policy/src/store_wait.rs
@@ -1,7 +1,7 @@
 //! Whether a call that waits at the store for changes has lost its response.
 //!
-//! Such a call returns only once something changes, so that a lost response cannot be told from a quiet store by the call
-//! itself. It is lost if a call that was sent later has returned changes, or if a peer knows newer ones.
+//! Such a call returns only once something changes, so that the call itself does not show whether its response is lost.
+//! It is lost if a call that was sent later has returned changes, or if a peer knows newer ones.
 //!
 //! Handles: single responses that are lost while all other calls are answered, at one router or at all of them at once;
 //! responses that are late; calls that the store has forgotten.
@@ -12,7 +12,7 @@
 
 /// Time after a check was answered in which the response to the waiting call may still arrive.
 const RESPONSE_GRACE: Duration = Duration::from_millis(150);
-/// Time for which a peer must have known a change that the waiting call has not told of.
+/// Time for which a peer must have known a change that the waiting call has not shown.
 const PEER_GRACE: Duration = Duration::from_millis(300);
 
 /// A call that waits for changes after a revision.
@@ -50,7 +50,7 @@
         self.pending
     }
 
-    /// Returns when a call has lost its response if it is still waiting then, given that a check was told of changes now.
+    /// Returns when a call has lost its response if it is still waiting then, given that a check returned changes now.
     #[must_use]
     pub fn lost_at(now: Instant) -> Instant {
         now + RESPONSE_GRACE
--- a/bulrushward_policy/src/stream_origin.rs
+++ b/bulrushward_policy/src/stream_origin.rs
@@ -1,4 +1,4 @@
-//! Which software version began a stream, as the router that began it and a few others keep it.
+//! Which software version began a stream, as kept by the router that began it and a few others.
 //!
 //! Handles: callers that resume a stream at another router, also after the first one has died; lost messages; routers
 //! that know different parts of the fleet; request ids that are used twice; floods of streams.
@@ -16,7 +16,7 @@
 /// Hash that identifies a stream in all routers.
 pub type StreamKey = u128;
 
-/// Number of other routers that are told of a stream when it begins.
+/// Number of other routers that are notified when a stream begins.
 pub const HOLDERS: usize = 3;
 /// Number of other routers that are asked for the origin of a stream.
 ///
@@ -24,13 +24,13 @@
 pub const ASKED: usize = 6;
 /// Largest number of streams that a router remembers, at roughly 110 bytes each.
 const MAX_RECORDS: usize = 16_384;
-/// Longest time for which a stream is remembered, whatever a peer tells.
+/// Longest time for which a stream is remembered, whatever peers report.
 const MAX_LIFE: Duration = Duration::from_mins(5);
 
 /// Returns the key of the stream that began as a request of an organisation to a service.
 ///
-/// The organisation is a part of it, so that no caller goes on with the stream of another organisation. So is the
-/// service, as versions of different services do not compare.
+/// It includes the organisation, so that no caller continues the stream of another organisation, and the service, as
+/// versions of different services are not comparable.
 #[must_use]
 pub fn stream_key(service: &str, organisation: Option<&str>, request_id: &str) -> StreamKey {
     let mut hash = Xxh3::new();
@@ -91,7 +91,7 @@
 
     /// Returns what is known once the versions that have been registered `since` are known too; `None` if they are not.
     ///
-    /// The view of a router is late, so that a stream may have begun at a version that was registered since.
+    /// The view of a router lags, so that a stream may have begun at a version that was registered since.
     #[must_use]
     pub fn confirmed(self, since: Option<&[Option<VersionKey>]>) -> Self {
         let Self::OnlyVersion { version } = self else {
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Returns what is known from this and from what another router answers, neither of which is a record.
+    /// Combines this with the answer of another router; neither of them is a record.
     fn and_also(self, other: Self) -> Self {
         match (self, other) {
             (Self::NotKnown, known) | (known, Self::NotKnown) => known,
@@ -122,7 +122,7 @@
     until: Instant,
 }
 
-/// Origins of the streams that a router began or was told of.
+/// Origins of the streams that a router began or learnt of.
 #[derive(Debug, Default)]
 pub struct OriginRecords {
     by_stream: HashMap<StreamKey, Record>,
@@ -131,7 +131,7 @@
 }
 
 impl OriginRecords {
-    /// Records that a server of a version began a stream, or goes on with it, for `life`.
+    /// Records that a server of a version began a stream, or continues it, for `life`.
     ///
     /// The oldest records are dropped beyond a limit.
     pub fn record(&mut self, stream: StreamKey, version: VersionKey, life: Duration, now: Instant) {
@@ -210,8 +210,8 @@
 
 /// Asks to several routers for the origin of one stream.
 ///
-/// A record ends it. That there has been one version only is believed once no router that answers has a record or knows of
-/// another version, as routers learn of a new version at different times.
+/// A record ends it. A single version is assumed only once no router that answers has a record or knows of another
+/// version, as routers learn of a new version at different times.
 #[derive(Clone, Debug)]
 pub struct OriginQuery<K> {
     unanswered: Vec<K>,
--- a/bulrushward_policy/src/stream_pace.rs
+++ b/bulrushward_policy/src/stream_pace.rs
@@ -1,7 +1,7 @@
 //! How fast the chunks of one stream are read.
 //!
-//! Handles: servers that send events faster than any of them could be generated, without end, so that one stream takes
-//! the processor from the others.
+//! Handles: servers that endlessly send events faster than these could be generated, so that one stream takes the
+//! processor time of the others.
 
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 const BURST_CHUNKS: f64 = 1_024.0;
 /// Chunks that may be read in each second beyond these.
 const CHUNKS_PER_SECOND: f64 = 400.0;
-/// Chunks of a stream that is held back which are read and passed on together.
+/// Chunks of a throttled stream that are read and passed on together.
 const BATCH_CHUNKS: f64 = 20.0;
 
 /// Pace of one stream.
@@ -38,7 +38,7 @@
         self.is_held_back |= self.chunks < 1.0;
     }
 
-    /// Returns whether the stream is held back, so that its chunks are passed on in batches.
+    /// Returns whether the stream is throttled, so that its chunks are passed on in batches.
     #[must_use]
     pub fn is_held_back(&self) -> bool {
         self.is_held_back
--- a/bulrushward_policy/src/version_history.rs
+++ b/bulrushward_policy/src/version_history.rs
@@ -15,7 +15,7 @@
 /// Hash of the name of a service.
 pub type ServiceKey = u64;
 
-/// Longest time that is looked back.
+/// Longest time that is covered.
 pub const MAX_LOOK_BACK: Duration = Duration::from_mins(5);
 /// Largest number of versions that are remembered for a service, those that were seen last.
 const MAX_VERSIONS: usize = 8;
@@ -48,7 +48,7 @@
 
     /// Records that no server had got a request before now, as no router of the fleet has run before.
     ///
-    /// Missing data does not show that; only who starts the fleet can say it.
+    /// Missing data does not show that; only the operator knows it.
     pub fn begin_fleet(&mut self, now: Instant) {
         self.complete_since = now.checked_sub(MAX_LOOK_BACK);
     }
@@ -88,7 +88,7 @@
         }
     }
 
-    /// Returns what other routers need to go on with this history.
+    /// Returns what other routers need to continue this history.
     #[must_use]
     pub fn report(&self, now: Instant) -> HistoryReport {
         let age_ms = |at: Instant| {
@@ -111,7 +111,7 @@
         self.report(now).complete_ms < other.complete_ms
     }
 
-    /// Goes on with the history of another router, if nothing was missed since its report.
+    /// Continues the history of another router, if nothing was missed since its report.
     ///
     /// The report may be old: versions then count as seen later than they were, and the history as shorter.
     pub fn restore(&mut self, report: &HistoryReport, now: Instant) {
--- a/bulrushward_policy/src/view_lag.rs
+++ b/bulrushward_policy/src/view_lag.rs
@@ -1,7 +1,7 @@
 //! How long a router has been behind its peers in one part of the fleet state.
 //!
-//! Handles: a store that goes on delivering changes of one part while the call for the other part is
-//! lost; the parts therefore have lags of their own.
+//! Handles: a store that still delivers changes of one part while the call for the other part is
+//! lost; the parts therefore have separate lags.
 
 use std::time::{Duration, Instant};
 
--- a/bulrushward_policy/tests/cold_server.rs
+++ b/bulrushward_policy/tests/cold_server.rs
@@ -1,7 +1,7 @@
-//! A cold server gets no more requests in any second than it bears, summed over all routers.
+//! A cold server gets no more requests in any second than it takes, summed over all routers.
 //!
 //! Patterns: fleets of 1 to 1,000 routers that discover each other with datagrams lost; all of them restarted while
-//! every server is cold; a third of the servers cold at once; servers that turn cold unannounced or restart under
+//! every server is cold; a third of the servers cold at once; servers that become cold silently or restart under
 //! their ids; entries that arrive late.
 
 use std::time::{Duration, Instant};
@@ -35,7 +35,7 @@
 enum Turn {
     /// They start, and routers use them as soon as they know their entries.
     Start,
-    /// They were warm and go on to serve.
+    /// They were warm and keep serving.
     Unannounced,
     /// They crash, and restart two seconds later under their ids.
     Restart,
@@ -48,7 +48,7 @@
     cold: usize,
     warm: usize,
     turn: Turn,
-    /// Requests a second that a cold server bears.
+    /// Requests a second that a cold server takes.
     rate: f64,
     /// Requests a second for each server.
     demand: f64,
@@ -80,7 +80,7 @@
 struct Outcome {
     /// Most requests that arrived at a cold server within a second.
     worst: usize,
-    /// Requests to cold servers while they were cold, as a fraction of what they bear.
+    /// Requests to cold servers while they were cold, as a fraction of what they take.
     used: f64,
     sent: usize,
     refused: usize,
@@ -117,7 +117,7 @@
     }
 }
 
-/// Plays a gossip round: each router tells a few others whom it knows.
+/// Runs a gossip round: each router names others to a few peers.
 fn gossip(fleet: &mut [Router], run: &Run, now: Instant, rng: &mut Pcg64) {
     for sender in 0..fleet.len() {
         let known = fleet[sender].known.clone();
@@ -233,7 +233,7 @@
     outcome
 }
 
-/// A fleet that restarts while all servers are cold, with more requests than they bear.
+/// A fleet that restarts while all servers are cold, with more requests than they take.
 fn everything_cold(routers: usize, seed: u64) -> Run {
     Run {
         routers,
@@ -313,7 +313,7 @@
 
 #[rstest]
 #[case::usual(8.0, Turn::Unannounced, 0)]
-// Before the first entry that states it, nothing shows that the server of a crowd has turned cold.
+// Before the first entry that states it, nothing shows that a server in a crowd has become cold.
 #[case::crowd(20.0, Turn::Unannounced, HEARTBEAT_STEPS + COALESCING_STEPS)]
 #[case::restart(8.0, Turn::Restart, 0)]
 #[case::restart_in_a_crowd(20.0, Turn::Restart, 0)]
@@ -437,7 +437,7 @@
     assert_eq!(demand.reserved(2, now + Duration::from_secs(1)), 0);
 }
 
-// The withdrawal of an order is told again with each datagram; it must not undo what the server has stated since.
+// Each datagram repeats the withdrawal of an order; it must not undo what the server has stated since.
 #[test]
 fn a_server_that_states_to_be_warm_after_its_domain_returned_stays_warm() {
     let start = Instant::now();
@@ -453,7 +453,7 @@
     assert!(server.is_stated(at(4_020)));
 }
 
-// A service whose servers bear many requests even when they are cold, in a fleet of one router.
+// A service whose servers take many requests even when they are cold, in a fleet of one router.
 #[rstest]
 #[case(200.0)]
 #[case(257.0)]
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -66,7 +66,7 @@
 }
 
 // Guards against processes that keep the highest count of their peers instead of adding up the crashes that each has
-// seen, so that content goes on crashing servers while every process counts one.
+// seen, so that content keeps crashing servers while every process counts one.
 #[test]
 fn crashes_seen_by_different_processes_add_up() {
     let now = Instant::now();
@@ -121,7 +121,7 @@
     }
     assert!(evidence.record_served(POISON, now));
     assert_eq!(evidence.verdict(POISON, now), Verdict::Clear);
-    // The peer's outdated report changes nothing, and it learns of the response.
+    // The peer's outdated report changes nothing, and it learns the response.
     assert!(evidence.merge(&peer.reports(now, 10), now).is_empty());
     peer.merge(&evidence.reports(now, 10), now);
     for process in [&mut evidence, &mut peer] {
@@ -162,7 +162,7 @@
     );
 }
 
-// Guards against barring what all requests of a route share while a router has yet to hear that it was served again.
+// Guards against barring what all requests of a route share before a router learns that it was served again.
 #[test]
 fn content_that_was_served_before_is_barred_only_if_it_is_not_served_again() {
     let start = Instant::now();
@@ -196,7 +196,7 @@
     now += POLICY.grace;
     assert!(is_refused(&evidence, now));
     assert_eq!(evidence.refusal(session, || true, now), None);
-    // Crashes of its own are its fault.
+    // Its own crashes count.
     for server in 11..=13 {
         evidence.record_crash(session, ORGANISATION, server, now);
     }
@@ -247,7 +247,7 @@
     assert_eq!(evidence.refusal(common, || true, end), None);
     assert!(evidence.record_served(common, end));
     assert_eq!(evidence.refusal(common, || false, end), None);
-    // What is left explains the crashes alone.
+    // Only the poison explains the crashes.
     assert!(is_refused(&evidence, end + seconds(5)));
 }
 
@@ -279,7 +279,7 @@
     assert_eq!(two.verdict(POISON, end), Verdict::HalfOpen);
 }
 
-// Guards against a caller that makes room for its requests by filling the memory with other contents.
+// Guards against a caller that evicts evidence against itself by filling the memory with other contents.
 #[test]
 fn many_contents_of_one_organisation_do_not_displace_others() {
     let now = Instant::now();
@@ -343,7 +343,7 @@
         ..ProptestConfig::default()
     })]
 
-    // Messages are lost, late, repeated and out of order; in the end every process has heard of all others.
+    // Messages are lost, late, repeated and out of order; in the end every process has all reports.
     #[test]
     fn processes_that_have_heard_of_the_same_crashes_agree(
         crashes in proptest::collection::vec((0..4_usize, 1..7_u32, 0..2_000_u64), 1..20),
--- a/bulrushward_policy/tests/crash_evidence_fleet.rs
+++ b/bulrushward_policy/tests/crash_evidence_fleet.rs
@@ -1,4 +1,4 @@
-//! A fleet learns in time which content crashes servers, and goes on sending what runs beside it.
+//! A fleet learns in time which content crashes servers, and still sends what runs beside it.
 
 use std::{
     collections::{BTreeMap, HashSet},
@@ -13,11 +13,11 @@
 const POLICY: BarPolicy = BarPolicy::DIRECT;
 /// Time step of the model.
 const TICK: Duration = Duration::from_millis(25);
-/// Ticks between two rounds in which a process tells some peers what it knows.
+/// Ticks between two rounds in which a process sends some peers what it knows.
 const ROUND: u64 = 10;
-/// Peers that hear of it in each round.
+/// Peers that receive it in each round.
 const PEERS_PER_ROUND: usize = 4;
-/// Peers that hear at once of a crash or of a bar.
+/// Peers notified at once of a crash or of a bar.
 const PEERS_AT_ONCE: usize = 6;
 const REPORTS_PER_MESSAGE: usize = 12;
 /// Ticks until a server begins to run a request, and crashes if it is poison.
@@ -116,7 +116,7 @@
             .push(event);
     }
 
-    /// Tells some random peers what a process knows.
+    /// Sends some random peers what a process knows.
     fn tell(&mut self, from: usize, peers: usize) {
         let now = self.now();
         let reports = self.processes[from].reports(now, REPORTS_PER_MESSAGE);
--- a/bulrushward_policy/tests/deliveries.rs
+++ b/bulrushward_policy/tests/deliveries.rs
@@ -1,4 +1,4 @@
-//! In no order of cuts, slow reads, responses and give-ups is a request delivered after it was given up.
+//! No order of cuts, slow reads, responses and give-ups delivers a request after it was given up.
 
 use std::time::{Duration, Instant};
 
@@ -9,7 +9,7 @@
 
 /// Interval at which a router observes its connections.
 const INTERVAL: Duration = Duration::from_millis(200);
-/// Bytes for which a peer that does not read has room.
+/// Buffer of a peer that does not read, in bytes.
 const ROOM: u64 = 1_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -25,7 +25,7 @@
     Pass {
         ms: u64,
     },
-    /// The peer begins or ceases to read.
+    /// The peer begins or stops reading.
     Reads(bool),
     Responds,
     /// The caller leaves, or the time of the request is over.
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Moves what the network and the peer let pass.
+    /// Moves what the network and the peer accept.
     fn transfer(&mut self) {
         let Some(sent) = &mut self.sent else { return };
         if !self.cut.to_peer && !self.is_reset {
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Lets an interval pass, at the end of which the router observes the connection.
+    /// Waits for an interval, at the end of which the router observes the connection.
     fn pass(&mut self, time: Duration) -> Result<(), TestCaseError> {
         self.transfer();
         self.now += time;
@@ -250,7 +250,7 @@
         for step in steps {
             connection.apply(step)?;
         }
-        // The network is whole again and the peer reads.
+        // The network works again and the peer reads.
         for step in [Step::Heal, Step::Reads(true), Step::Pass { ms: 3_000 }] {
             connection.apply(step)?;
         }
--- a/bulrushward_policy/tests/emptied_domains.rs
+++ b/bulrushward_policy/tests/emptied_domains.rs
@@ -1,5 +1,5 @@
 //! Orders to empty failure domains: a late message must not undo an order or its withdrawal, and routers that the store
-//! turns away must learn of both from their peers in time.
+//! rejects must learn of both from their peers in time.
 
 use std::{
     collections::BTreeSet,
@@ -239,7 +239,7 @@
     assert_eq!(own.recently_emptied_at("a", at(2_310)), Some(withdrawn));
 }
 
-// An order that was given and withdrawn again while this router heard nothing is another withdrawal.
+// An order that was given and withdrawn again unnoticed by this router is another withdrawal.
 #[test]
 fn a_second_withdrawal_that_was_missed_counts() {
     let start = Instant::now();
--- a/bulrushward_policy/tests/event_order.rs
+++ b/bulrushward_policy/tests/event_order.rs
@@ -1,10 +1,10 @@
-//! Events of a resumed stream grow, and none is missing its place.
+//! Event ids of a resumed stream increase, and the first is given.
 
 use bulrushward_policy::event_order::{EventOrder, OrderError};
 use proptest::{collection::vec, prelude::*};
 use rstest::rstest;
 
-/// An error or an earlier event was taken for the next one of the stream.
+/// An error or an earlier event was accepted as the next of the stream.
 #[rstest]
 #[case::next(&[Some("4"), Some("5")], true)]
 #[case::gap(&[Some("9")], true)]
--- a/bulrushward_policy/tests/fleet_retry_budget.rs
+++ b/bulrushward_policy/tests/fleet_retry_budget.rs
@@ -1,8 +1,8 @@
 //! The retries of all routers stay within the fleet's allowance, and are granted while failures are few.
 //!
-//! Patterns: fleets of 1 to 1,000 routers; a crowd that comes through some of them; all of them restarted at once,
-//! also two or three times within a window, or started one after the other; counts of the fleet that differ; routers that do not
-//! see each other; servers that fail most requests for a while.
+//! Patterns: fleets of 1 to 1,000 routers; a crowd that arrives at some of them; all of them restarted at once, also
+//! two or three times within a window, or started one after the other; counts of the fleet that differ; routers that
+//! cannot reach each other; servers that fail most requests for a while.
 
 use std::time::{Duration, Instant};
 
@@ -41,7 +41,7 @@
     crowd: f64,
     /// Largest factor by which a router's count of the fleet is wrong.
     count_error: f64,
-    /// Whether the routers do not see each other once they have been restarted.
+    /// Whether the routers cannot reach each other after a restart.
     is_divided: bool,
     seed: u64,
 }
--- a/bulrushward_policy/tests/leaving_orders.rs
+++ b/bulrushward_policy/tests/leaving_orders.rs
@@ -18,7 +18,7 @@
     limit: None,
 };
 
-/// A process of a server, which no router sees.
+/// A process of a server, unknown to routers.
 type Process = u32;
 
 /// An entry, with the process that wrote it.
@@ -72,7 +72,7 @@
     Cut {
         router: usize,
     },
-    /// The store responds to a router and tells it of all changes, or lists all entries.
+    /// The store responds to a router with all changes, or lists all entries.
     Read {
         router: usize,
         lists: bool,
@@ -118,7 +118,7 @@
     is_cut: bool,
     /// Processes that announced their leaving to this router.
     announced: BTreeSet<Process>,
-    /// Processes that this router knew to be leaving or gone by the store's word, and up to which revision.
+    /// Processes that this router's registry showed as leaving or gone, and up to which revision.
     told: BTreeMap<Process, StoreRevision>,
     /// Processes that were registered.
     registered: BTreeSet<Process>,
@@ -129,7 +129,7 @@
     revision: StoreRevision,
     entries: BTreeMap<usize, Entry>,
     changes: Vec<(StoreRevision, usize, Option<Entry>)>,
-    /// The latest process of each id, which leaves for good.
+    /// The latest process of each id, and whether it leaves.
     processes: [(Process, bool); IDS.len()],
     started: Process,
 }
@@ -164,7 +164,7 @@
 }
 
 impl Router {
-    /// Takes in what the registry holds by now, as each change of the registered servers does.
+    /// Publishes the entries of the registry, as each change of the registered servers does.
     fn publish(&mut self, now: Instant) {
         for (id, entry) in self.registry.records() {
             let id = IDS
@@ -268,7 +268,7 @@
                     .registry
                     .records()
                     .find(|(known, _)| *known == IDS[id]);
-                // Only one that it takes for present is sent a request, and responds.
+                // Only a registered process is sent a request, and responds.
                 if let Some((_, entry)) = entry.filter(|(_, entry)| entry.process == process) {
                     let server = entry.key(id).server;
                     router.reports.record(server, &LEAVING, Some(now), now);
@@ -323,7 +323,7 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(3_000))]
 
-    /// Requests reached servers of which the router had known that they leave.
+    /// Requests reached servers that the router knew to be leaving.
     #[test]
     fn a_server_of_which_a_router_knows_that_it_leaves_gets_no_request_from_it(
         count in prop_oneof![40 => 2..4_usize, 1 => Just(68_usize)],
--- a/bulrushward_policy/tests/overload_admission.rs
+++ b/bulrushward_policy/tests/overload_admission.rs
@@ -228,7 +228,7 @@
         admission.admit("a", TARGET, 5, now, &mut rng);
     }
     assert!(admission.admitted() < 0.5);
-    // Without responses nothing tells of overload any more.
+    // Without responses nothing shows overload any more.
     for _idle in 0..30 {
         now += step;
         admission.admit("a", TARGET, 5, now, &mut rng);
--- a/bulrushward_policy/tests/place_lender/lender.rs
+++ b/bulrushward_policy/tests/place_lender/lender.rs
@@ -1,4 +1,4 @@
-//! One lender by itself: who gets a place, and that no place or ask is kept for ever.
+//! A single lender: which asks get a place, and that no place or ask is kept forever.
 
 use std::time::{Duration, Instant};
 
--- a/bulrushward_policy/tests/place_lender/main.rs
+++ b/bulrushward_policy/tests/place_lender/main.rs
@@ -56,7 +56,7 @@
     assert!(lent.kind_served(0) >= 0.9);
     assert!(lent.refused_by_kind[0] * 10 < lent.by_kind[0].0);
     assert!(lent.worth() > today.worth());
-    // Full servers are hardly bothered any more.
+    // Full servers get few requests to reject.
     assert!(lent.rejected * 4 < today.rejected);
 }
 
--- a/bulrushward_policy/tests/place_lender/simulation.rs
+++ b/bulrushward_policy/tests/place_lender/simulation.rs
@@ -73,7 +73,7 @@
     pub cold_slots: usize,
     /// Time at which the lender is killed.
     pub kill_s: Option<f64>,
-    /// Whether half of the routers believe in another lender.
+    /// Whether half of the routers use another lender.
     pub is_split: bool,
 }
 
--- a/bulrushward_policy/tests/response_owner.rs
+++ b/bulrushward_policy/tests/response_owner.rs
@@ -1,4 +1,4 @@
-//! A copy of another response is never taken for that of the request which waits.
+//! A copy of another response is never accepted for the request that waits.
 
 use bulrushward_policy::response_owner::ArrivedHead;
 use proptest::{collection::vec, prelude::*};
--- a/bulrushward_policy/tests/server_choice.rs
+++ b/bulrushward_policy/tests/server_choice.rs
@@ -226,7 +226,7 @@
     }
 }
 
-/// Sessions moved to servers that take few requests, and back when these had taken them, with a copy of the prompt each
+/// Sessions moved to servers that take few requests, and back once these were full, with a copy of the prompt each
 /// time.
 #[test]
 fn sessions_stay_where_their_prompts_are_while_other_servers_name_limits() {
@@ -247,7 +247,7 @@
         };
         let new = for_session(&req, &views).expect("servers are usable");
         assert!(new >= 13, "a new session goes to server {new}");
-        // One whose prompt a limited server has goes there while that takes requests.
+        // A session uses the limited server with its prompt while that is usable.
         views[3].has_prompt = true;
         assert_eq!(for_session(&req, &views), Some(3));
         views[3].usable = false;
@@ -255,7 +255,7 @@
         assert!(moved >= 13, "a session moves to server {moved}");
         (views[3].usable, views[3].has_prompt) = (true, false);
     }
-    // They are used before the others hold too many.
+    // They are used before the others are too full.
     for view in &mut views[13..] {
         view.load = 120.0;
     }
--- a/bulrushward_policy/tests/server_limit.rs
+++ b/bulrushward_policy/tests/server_limit.rs
@@ -1,4 +1,4 @@
-//! Routers that know a server's limit send it no more than that together, and none of them is left without.
+//! Routers together stay within a server's limit, and each of them gets a part of it.
 //!
 //! Patterns: fleets of 1 to 1,000 routers, with one request a second each or all of them at one router; all servers
 //! limited; messages late or lost; limits that change; routers that start and die; a fleet that is cut in two.
@@ -53,7 +53,7 @@
     loss: f64,
     /// Time at which the limit changes to another one.
     change: Option<(Duration, f64)>,
-    /// Interval at which a router starts anew, as another member.
+    /// Interval at which a router restarts, as another member.
     restart: Option<Duration>,
     /// Time from which the halves of the fleet cannot reach each other.
     cut: Option<Duration>,
@@ -164,7 +164,7 @@
         let is_restart =
             |every: Duration| step > 0 && at.as_millis().is_multiple_of(every.as_millis());
         if play.restart.is_some_and(is_restart) {
-            // The one that ended stays a member for long.
+            // The ended one remains a member for long.
             let index = rng.random_range(0..routers.len());
             let name = names.len() as u64;
             names.push(name);
@@ -248,7 +248,7 @@
         })
     }
 
-    /// Sends a request if the router has a unit or is lent one; returns the server and the delay.
+    /// Sends a request if the router has or borrows a unit; returns the server and the delay.
     fn send(&mut self, router: usize, rng: &mut Pcg64, now: Instant) -> Option<(usize, Duration)> {
         let mut free = Vec::new();
         for server in 0..self.play.servers {
@@ -456,7 +456,7 @@
         ..ProptestConfig::default()
     })]
 
-    /// Any fleet keeps any limit, whatever is lost on the way.
+    /// Any fleet keeps any limit, whatever messages are lost.
     #[test]
     fn a_limit_holds_in_any_fleet(
         routers in 1_usize..200,
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -40,7 +40,7 @@
     Duration::from_secs_f64(seconds)
 }
 
-/// A response that was on its way when the server announced its leaving would bring the server back.
+/// A response that was in transit when the server announced its leaving would bring the server back.
 #[test]
 fn a_server_leaves_until_its_incarnation_is_forgotten() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
@@ -69,7 +69,7 @@
     assert_eq!(reports.withheld(1, later), None);
 }
 
-/// Each router would send a request to a leaving server to hear of it.
+/// Each router would send a request to a leaving server to detect it.
 #[test]
 fn a_peer_tells_of_a_leaving_server_until_the_server_itself_says_otherwise() {
     let mut rng = Pcg64::seed_from_u64(1);
@@ -85,7 +85,7 @@
     assert_eq!(notices, [LeavingNotice { server: 1, age_ms }]);
     assert!(hears.hear(notices[0], later));
     assert_eq!(hears.withheld(1, later), Some(Withheld::SaidToLeave));
-    // What was heard is not told on, so that it ends with the router that said it.
+    // Peers' reports are not resent, so that they end with their source.
     assert_eq!(hears.notices(&mut rng, later), []);
     // A response to a request that was sent before the announcement proves nothing.
     let stays = ServerReport::default();
@@ -95,7 +95,7 @@
         [ReportNews::Stays]
     );
     assert_eq!(hears.withheld(1, later), None);
-    // The same announcement is not believed again, a later one is.
+    // The same announcement is not accepted again, a later one is.
     assert!(!hears.hear(notices[0], later));
     assert!(hears.hear(
         LeavingNotice {
@@ -106,7 +106,7 @@
     ));
 }
 
-/// A stale word of a peer would take a server away for ever.
+/// A peer's outdated report would withhold a server forever.
 #[test]
 fn what_peers_tell_of_a_leaving_server_lapses() {
     let mut rng = Pcg64::seed_from_u64(1);
@@ -176,7 +176,7 @@
     assert_eq!(reports.withheld(1, now), None);
 }
 
-/// A server got requests in the pause that it had asked for, because a peer had told that it is leaving.
+/// A server got requests in the pause that it had asked for, because a peer had reported it as leaving.
 #[test]
 fn a_pause_holds_at_a_server_of_which_a_peer_told_that_it_is_leaving() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
@@ -199,7 +199,7 @@
     }
 }
 
-/// A response that was on its way when the limit was named would end it, or the limit would never end.
+/// A response in transit when the limit was named would end it, or the limit would never end.
 #[test]
 fn a_limit_ends_with_a_response_to_a_later_request_that_names_none() {
     let (mut reports, now) = (ServerReports::default(), Instant::now());
@@ -211,7 +211,7 @@
     assert_eq!(reports.record(1, &limit(3.5), Some(now), now), []);
     let (later, silent) = (now + seconds(1.0), ServerReport::default());
     assert_eq!(reports.record(1, &silent, Some(now), later), []);
-    // So may a late copy of a response have been, whenever the request before it was sent.
+    // A late copy of a response proves nothing, whenever its request was sent.
     assert_eq!(reports.record(1, &silent, None, later), []);
     assert_eq!(reports.limit(1, later), Some(3.5));
     let ended = [ReportNews::LimitEnded];
@@ -228,7 +228,7 @@
     reports.retain_registered([named(2)], now + seconds(60.0));
     assert_eq!(reports.limit(1, now + seconds(60.0)), Some(0.5));
     assert_eq!(reports.limit(2, now), None);
-    // Nobody has named it for long.
+    // It was not named for long.
     assert_eq!(reports.limit(1, now + seconds(121.0)), None);
 }
 
@@ -272,19 +272,19 @@
     };
     assert!(early.iter().all(|notice| hears.hear_limit(*notice, at)));
     assert_eq!(hears.limit(1, at), Some(3.5));
-    // What was heard is not told on.
+    // Peers' reports are not resent.
     assert_eq!(hears.limit_notices(&mut rng, at), []);
-    // The server names none any more to the one, and the other hears of it.
+    // The server names none any more to one router, which reports it.
     let later = now + seconds(1.0);
     told.record(1, &ServerReport::default(), Some(later), later);
     let ended = told.limit_notices(&mut rng, later);
     assert!(ended.iter().all(|notice| hears.hear_limit(*notice, later)));
     assert_eq!(hears.limit(1, later), None);
-    // The earlier message comes again, by another way.
+    // The earlier message arrives again, later.
     let again = late_by(&early, 600).expect("there was a message");
     assert!(!hears.hear_limit(again, now + seconds(1.1)));
     assert_eq!(hears.limit(1, later), None);
-    // Messages of long ago, and rates that make none, change nothing.
+    // Old messages and invalid rates change nothing.
     let old = late_by(&early, 60_000).expect("there was a message");
     assert!(!hears.hear_limit(old, later));
     let rate = Some(f64::NAN);
@@ -293,7 +293,7 @@
 
 const SERVERS: u32 = 5;
 const PAUSE: Duration = Duration::from_secs(2);
-/// Time after a rejection in which requests may still arrive, as they were on their way.
+/// Time after a rejection in which requests in transit may still arrive.
 const REACTION_TIME: Duration = Duration::from_millis(500);
 const STEP: Duration = Duration::from_millis(10);
 /// Time for which a server runs a request.
@@ -382,7 +382,7 @@
     totals
 }
 
-/// Servers that asked for a pause got requests meanwhile, or the others were overloaded by what they did not take.
+/// Servers that asked for a pause got requests in it, or the others were overloaded by the diverted requests.
 #[rstest]
 fn pauses_hold_and_the_other_servers_share_the_load(
     #[values(1, 5, 60, 300)] routers: usize,
@@ -392,7 +392,7 @@
     for seed in 0..4 {
         let totals = play(routers, pattern, requests_per_step, seed);
         assert!(totals.sent > 0);
-        // Two of five servers pause at a time if they do so in turn; the rest shares what is in progress.
+        // Two of five servers pause at a time if they do so in turn; the others share the requests.
         let in_progress = requests_per_step * WORK.div_duration_f64(STEP);
         if matches!(pattern, Pattern::InTurn) {
             assert_eq!(totals.refused, 0);
--- a/bulrushward_policy/tests/start_wait.rs
+++ b/bulrushward_policy/tests/start_wait.rs
@@ -38,7 +38,7 @@
 }
 
 proptest! {
-    // A request that waits longer than its caller is lost.
+    // A request that waits longer than its caller fails.
     #[test]
     fn no_request_outlasts_its_caller(patience_ms in 0_u64..1_000_000, seed: u64) {
         let patience = Duration::from_millis(patience_ms);
--- a/bulrushward_policy/tests/store_wait.rs
+++ b/bulrushward_policy/tests/store_wait.rs
@@ -13,7 +13,7 @@
 const BOUND: Duration = Duration::from_secs(2);
 const STEP: Duration = Duration::from_millis(10);
 
-/// What becomes of a response.
+/// Delivery of a response.
 #[derive(Clone, Copy, Debug)]
 enum Fate {
     Arrives,
@@ -39,12 +39,12 @@
 struct Router {
     log: WaitLog,
     known: u64,
-    /// Response to the waiting call, once the store has something to tell.
+    /// Response to the waiting call, once there are changes.
     response: Option<Response>,
     /// Whether the store has answered the waiting call.
     is_answered: bool,
     next_check: Instant,
-    /// Check that was told of changes, and when the waiting call has to have ended.
+    /// Check that returned changes, and when the waiting call must have ended.
     suspected: Option<(PendingWait, Instant)>,
 }
 
@@ -59,7 +59,7 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(1_000))]
 
-    /// Guards against routers that act on old knowledge for as long as a call waits, as the response to it was lost.
+    /// Guards against routers that use an outdated view for as long as a call waits whose response was lost.
     #[test]
     fn a_change_is_known_in_time_though_the_response_that_tells_of_it_is_lost(
         gaps in vec(1_u64..4_000, 1..6),
--- a/bulrushward_policy/tests/stream_origin.rs
+++ b/bulrushward_policy/tests/stream_origin.rs
@@ -92,7 +92,7 @@
     assert_eq!(query.answer('c', Origin::NotKnown), Some(Origin::NotKnown));
 }
 
-/// A router that had not heard of a second version yet did not ask those that keep the origin of the stream.
+/// A router that did not know a second version yet did not ask those that keep the origin of the stream.
 #[test]
 fn one_version_is_believed_only_if_no_router_knows_better() {
     let only = |version| Origin::OnlyVersion { version };
@@ -158,7 +158,7 @@
     unsent: f64,
 }
 
-/// What became of resumed streams.
+/// Results of resumed streams.
 #[derive(Debug, Default)]
 struct Outcomes {
     resumed: u32,
@@ -261,7 +261,7 @@
     first.map(|index| known[index]).collect()
 }
 
-/// Streams whose router had died went on at any version, or, refused without knowledge, not at all.
+/// Streams whose router had died continued at any version, or were refused for lack of a record.
 #[rstest]
 #[case::calm(Faults::default(), 1.0)]
 #[case::router_dies(Faults { dead: 0.001, ..Faults::default() }, 0.99)]
--- a/bulrushward_policy/tests/stream_pace.rs
+++ b/bulrushward_policy/tests/stream_pace.rs
@@ -1,4 +1,4 @@
-//! A stream that never waits for its server takes a small part of the processor; one that is generated is never held back.
+//! A stream that never waits for its server takes little processor time; one that is generated is never throttled.
 
 use std::time::{Duration, Instant};
 
--- a/bulrushward_policy/tests/version_history.rs
+++ b/bulrushward_policy/tests/version_history.rs
@@ -83,7 +83,7 @@
     assert_eq!(only(&restored, [Some(9)], LIFE, later), None);
 }
 
-/// A step in the life of a service.
+/// A step of a service.
 #[derive(Clone, Debug)]
 enum Step {
     /// The servers have these versions from now on.
@@ -105,7 +105,7 @@
 }
 
 proptest! {
-    /// A stream went on at the version that is there now, though another one may have begun it.
+    /// A stream continued at the present version, though another one may have begun it.
     #[test]
     fn no_other_version_was_there_within_the_life_of_a_stream(steps in steps()) {
         let start = Instant::now();
--- a/bulrushward_policy/tests/version_orders.rs
+++ b/bulrushward_policy/tests/version_orders.rs
@@ -1,4 +1,4 @@
-//! No order of changes, copies, saves and losses of all routers makes a version that was there vanish from the histories.
+//! No order of changes, copies, saves and losses of all routers removes a version from the histories.
 
 use std::{
     collections::BTreeSet,
@@ -29,12 +29,12 @@
     List {
         router: usize,
     },
-    /// A router goes on with what another one knows.
+    /// A router continues the history of another.
     Copy {
         from: usize,
         to: usize,
     },
-    /// A router writes its history to the store; it may be read only much later, and what was written before it as well.
+    /// A router writes its history to the store, where it and earlier ones may be read much later.
     Save {
         router: usize,
     },
@@ -174,7 +174,7 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
-    /// A stream went on at the version that is there now, though another one may have begun it.
+    /// A stream continued at the present version, though another one may have begun it.
     #[test]
     fn a_version_is_the_only_one_only_if_no_other_was_there(count in 2..6_usize, steps in steps()) {
         play(count, steps)?;
@@ -193,7 +193,7 @@
     }
 }
 
-/// Guards the tests above against histories that know nothing.
+/// Guards the tests above against histories without content.
 #[test]
 fn what_was_saved_is_believed_after_the_loss_of_all_routers() {
     let steps = [
--- a/bulrushward_policy/tests/view_lag.rs
+++ b/bulrushward_policy/tests/view_lag.rs
@@ -1,4 +1,4 @@
-//! A part of the fleet state that stays behind is noticed whatever happens to the other parts.
+//! A part of the fleet state that lags is noticed whatever happens to the other parts.
 
 use std::time::{Duration, Instant};
 
