Reword comments of the direct package's smaller modules

Callers see no change. Figurative and inverted sentences in 55 comments become plain technical English; reasons and numbers stay. The tests of the package were not run, as only comments changed.

--- a/bulrushward_direct/src/cold_servers.rs
+++ b/bulrushward_direct/src/cold_servers.rs
@@ -1,4 +1,4 @@
-//! Cold backend servers: what shows that one is cold, and this router's share of the requests that it bears.
+//! Cold backend servers: what shows that one is cold, and this router's share of the requests that it takes.
 
 use std::{
     collections::HashMap,
@@ -41,7 +41,7 @@
     }
 }
 
-/// Logs the services whose rate for cold servers is no usable limit.
+/// Logs the services whose rate for cold servers is unusable.
 pub(crate) fn log_ignored_rates(config: &FleetConfig) {
     for service in &config.services {
         let Some(cold_start) = service.cold_start else {
@@ -70,7 +70,7 @@
     }
 }
 
-/// Records what a response shows of a server, which is not misdirected.
+/// Records what a response of the right server shows.
 pub(crate) fn record_response(
     shared: &Shared,
     request: &RoutedRequest,
@@ -100,7 +100,7 @@
     }
 }
 
-/// Takes the servers of failure domains to be cold that get requests again after they were empty.
+/// Assumes that servers are cold whose failure domains get requests again after they were empty.
 ///
 /// Called with `emptied` locked, so that no request is sent to such a server before.
 pub(crate) fn assume_returned_cold(
@@ -130,9 +130,9 @@
     }
 }
 
-/// Logs which servers are now taken to be cold or warm, and updates the number of cold ones.
+/// Logs which servers now count as cold or warm, and updates the number of cold ones.
 ///
-/// It runs in intervals, which bounds the lines of servers that change often.
+/// It runs at intervals, which bounds the lines of servers that change often.
 pub(crate) fn log_changes(shared: &Shared, now: Instant) {
     let routes = shared.routes.load();
     let Some(routes) = routes.as_ref() else {
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -1,4 +1,4 @@
-//! Which content crashed servers, as this router has seen it and as its peers tell.
+//! Which content crashed servers, as seen by this router and reported by its peers.
 //!
 //! The log names content by its hash, so that the lines of all routers can be joined.
 
@@ -83,7 +83,7 @@
         let mut evidence = self.lock();
         let mut is_refuted = false;
         for content in request.contents() {
-            // Each request with a prompt is another one as a whole, and would displace what they have in common.
+            // Requests with prompts differ as a whole, and would displace what they have in common.
             let is_unique = content.kind == ContentKind::Request && !request.prompt.is_empty();
             if !is_unique || evidence.crashes(content) > 0 {
                 is_refuted |= evidence.record_served(content, now);
@@ -97,7 +97,7 @@
 
     /// Returns the time for which a request is refused because its content crashes servers.
     ///
-    /// Of the routers in `fleet`, one probes the content once its time is over.
+    /// One of the routers in `fleet` probes the content once its bar is over.
     pub(crate) fn refusal(&self, request: &RoutedRequest, fleet: &FleetView) -> Option<Duration> {
         let evidence = self.lock();
         if evidence.is_empty() {
@@ -178,7 +178,7 @@
     }
 }
 
-/// Logs what is refused from now on or no longer; returns whether there is any.
+/// Logs refusals that have begun or ended; returns whether there are any.
 ///
 /// `source` is the peer whose message decided it, or `own`.
 fn log_changes(evidence: &mut CrashEvidence, source: &str, now: Instant) -> bool {
--- a/bulrushward_direct/src/crash_reports.rs
+++ b/bulrushward_direct/src/crash_reports.rs
@@ -1,4 +1,4 @@
-//! Message with which routers tell each other of content that crashes servers.
+//! Message about content that crashes servers, sent between routers.
 
 use bulrushward_protocol::CrashReport;
 use serde::{Deserialize, Serialize};
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -32,7 +32,7 @@
 
 /// Step by which the digest rounds the time for which a server remains cold.
 ///
-/// Routers read a different one of its many values at any moment, and need not copy them from each other.
+/// Routers read different ones of its many values at any time, and need not copy them from each other.
 const COLD_STEP: Duration = Duration::from_secs(4);
 
 /// Digest of the registered servers; routers with equal digests know the same servers.
@@ -142,7 +142,7 @@
 
     /// Activates a configuration if it is newer.
     ///
-    /// Where orders are followed, it waits until they are known, so that no request is sent against one.
+    /// Where orders are followed, it waits until they are known, so that no request violates one.
     pub(crate) fn apply_config(&self, config: FleetConfig, source: Source) {
         let version = config.version;
         if self.shared.follows_orders && self.orders_revision().is_none() {
--- a/bulrushward_direct/src/fleet_view.rs
+++ b/bulrushward_direct/src/fleet_view.rs
@@ -1,4 +1,4 @@
-//! The routers of the fleet as this router knows them, for what they divide among themselves.
+//! The routers of the fleet as this router knows them, for dividing shared allowances.
 
 use std::net::SocketAddr;
 
@@ -6,7 +6,7 @@
 use bulrushward_protocol::ServerKey;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The routers that share the allowances of cold servers and the limits that servers name, and decide who tries barred content.
+/// The routers that share the allowances of cold servers and the limits that servers name, and probe barred content.
 #[derive(Debug, Default)]
 pub(crate) struct FleetView {
     /// Number that differs between all views of this process.
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -47,7 +47,7 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of peers that receive a datagram in each round, which bounds the traffic in a large fleet.
 const PEERS_PER_ROUND: usize = 4;
-/// Number of peers that are told at once of content that crashes servers.
+/// Number of peers notified at once of content that crashes servers.
 const PEERS_AT_ONCE: usize = 6;
 /// Shortest time between two datagrams that are sent at once.
 const NEWS_INTERVAL: Duration = Duration::from_millis(50);
@@ -145,7 +145,7 @@
                 }
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.receive(&buf[..len], from),
-                    // The system also reports here that nothing listens on a peer's port.
+                    // The system also reports here if nothing listens on a peer's port.
                     Err(error) => debug!(event = "datagram-failed", %error),
                 },
             }
@@ -470,7 +470,7 @@
     }
 }
 
-/// Waits until peers should be told of content that crashes servers, and `earliest` has come.
+/// Waits until peers should be told of content that crashes servers, not before `earliest`.
 async fn wait_for_news(shared: &Shared, earliest: Instant) {
     tokio::time::sleep_until(earliest.into()).await;
     shared.crash_records.wait_for_news().await;
--- a/bulrushward_direct/src/hedged_call.rs
+++ b/bulrushward_direct/src/hedged_call.rs
@@ -7,7 +7,7 @@
 
 use crate::ports::StoreError;
 
-/// Most calls that wait at a time.
+/// Limit of concurrent calls.
 const MAX_CALLS: usize = 3;
 /// Interval at which a call is sent again while earlier ones wait; a healthy store responds within milliseconds.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -15,9 +15,9 @@
 type Calls<'a, T> =
     FuturesUnordered<Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send + 'a>>>;
 
-/// Sends a call again and again until one of them has a response, or until the first one fails.
+/// Sends a call repeatedly until one of them has a response, or until the first one fails.
 ///
-/// A store that has been silent responds to new calls as soon as it is back, but not to those that it has lost.
+/// A store responds to new calls as soon as an outage ends, but not to those that it has lost.
 ///
 /// # Errors
 ///
--- a/bulrushward_direct/src/overload.rs
+++ b/bulrushward_direct/src/overload.rs
@@ -49,7 +49,7 @@
 impl OverloadControl {
     /// Decides whether a request is sent to its service, which has `servers` servers.
     ///
-    /// A request is not sent either if the servers need longer than it has left.
+    /// Nor is a request sent if the response time exceeds its remaining time.
     pub(crate) fn admits(&self, request: &RoutedRequest, servers: usize) -> bool {
         if request.service.is_engine {
             // Engines order their queues by priority, and a prompt's length determines the response time.
@@ -153,7 +153,7 @@
             })
     }
 
-    /// Logs the begin and end of an overload.
+    /// Logs the start and end of an overload.
     fn log(&mut self, service: &str, admitted: f64, response_time: Duration) {
         let response_ms = response_time.as_millis() as u64;
         if !self.is_overloaded && admitted < OVERLOADED_BELOW {
--- a/bulrushward_direct/src/places/exchange.rs
+++ b/bulrushward_direct/src/places/exchange.rs
@@ -22,7 +22,7 @@
 
 /// Largest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
-/// Longest time between two looks at what is due while there is anything to do.
+/// Longest time between two polls while there is anything to do.
 const MAX_SLEEP: Duration = Duration::from_millis(100);
 
 impl Places {
@@ -46,7 +46,7 @@
         tokio::select! {
             received = socket.recv_from(&mut buf) => match received {
                 Ok((len, from)) => receive(shared, &buf[..len], from),
-                // The system also reports here that nothing listens on a peer's port.
+                // The system also reports here if nothing listens on a peer's port.
                 Err(error) => debug!(event = "places-datagram-failed", %error),
             },
             () = shared.places.changed.notified() => {}
@@ -197,7 +197,7 @@
         }
     }
 
-    /// Lends free places, and tells random routers of scarce ones.
+    /// Lends free places, and sends notices of scarce ones.
     fn lend(&mut self, shared: &Shared, now: Instant) {
         for (to, message) in self.lending.poll(shared, now) {
             self.outbox.push(to, message, now);
--- a/bulrushward_direct/src/places/lending.rs
+++ b/bulrushward_direct/src/places/lending.rs
@@ -43,7 +43,7 @@
 }
 
 impl Lending {
-    /// Takes in an ask and returns the answer; there is none while this router does not lend.
+    /// Handles an ask and returns the answer, or `None` while this router does not lend.
     pub(super) fn ask(
         &mut self,
         shared: &Shared,
@@ -51,7 +51,7 @@
         ask: Ask<SocketAddr>,
         now: Instant,
     ) -> Option<Message> {
-        // The routers that ask go on to the next lender.
+        // The asking routers try the next lender.
         if shared.is_stopping() {
             return None;
         }
@@ -116,7 +116,7 @@
         answers
     }
 
-    /// Returns the services whose places are scarce, with their loads, if it is time to tell.
+    /// Returns the services whose places are scarce, with their loads, if a notice is due.
     pub(super) fn take_notices(&mut self, now: Instant) -> Vec<(ServiceKey, f64)> {
         let pools = self.pools.iter_mut();
         pools
@@ -127,7 +127,7 @@
     /// Returns the time of the next call of [`Self::poll`] if there is anything to do.
     pub(super) fn next_poll(&self) -> Option<Instant> {
         let next = self.pools.values().flat_map(|pool| {
-            // A pool with lent places ends only after these.
+            // A pool with lent places is kept.
             let end = (pool.lender.lent() == 0).then(|| pool.asked + IDLE_TIME);
             pool.lender.next_poll().into_iter().chain(end)
         });
--- a/bulrushward_direct/src/places/message.rs
+++ b/bulrushward_direct/src/places/message.rs
@@ -25,7 +25,7 @@
 const MAX_PER_DATAGRAM: usize = 12;
 /// Time after which a message that is not repeated otherwise is sent once more, as it may be lost.
 const RESEND_DELAY: Duration = Duration::from_millis(20);
-/// Largest rate that an ask may tell.
+/// Largest rate that an ask may name.
 const MAX_USUAL_RATE: f64 = 1e6;
 
 /// A message between two routers.
@@ -33,7 +33,7 @@
 pub(crate) enum Message {
     /// A request asks for a place.
     Ask(WireAsk),
-    /// What an ask gets.
+    /// Result of an ask.
     Answer {
         id: AskId,
         pool: PoolKey,
@@ -73,7 +73,7 @@
 pub(crate) enum UnitMessage {
     /// A request asks for a unit.
     Ask { server: ServerHash, ask: LoanAsk },
-    /// What an ask gets.
+    /// Result of an ask.
     Answer { id: u64, answer: LoanAnswer },
 }
 
--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -25,7 +25,7 @@
 const SAVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause after a failed call to read the saved sessions.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Number of times that the saved history of versions is restored at most.
+/// Largest number of restores of the saved history of versions.
 const MAX_RESTORES: u32 = 5;
 /// Interval at which a starting router checks whether it knows the servers.
 const HISTORY_PAUSE: Duration = Duration::from_millis(50);
@@ -108,10 +108,10 @@
     }
 }
 
-/// Goes on with the history of versions of a router that died, if the store tells what happened since.
+/// Continues the history of versions of a router that died, if the store has the changes since.
 ///
 /// Without saved data the history is known only if the fleet starts for the first time. Snapshots of peers that have just
-/// started as well shorten the history again, so it is restored until it lasts.
+/// started as well shorten the history again, so it is restored until it stays.
 async fn restore_history(shared: &Shared, saved: Option<SavedHistory>) {
     while !shared.has_servers() {
         tokio::time::sleep(HISTORY_PAUSE).await;
@@ -158,7 +158,7 @@
 
 /// Saves the session locations; returns whether the store acknowledged it.
 async fn save(shared: &Shared, fleet_state: &FleetState) -> bool {
-    // The revision first, so that the history is no older.
+    // Read first, so that the history is not older.
     let revision = fleet_state.servers_revision();
     let servers = shared.servers.load();
     let registered = servers.all().map(|server| &server.record);
--- a/bulrushward_direct/src/start_gate.rs
+++ b/bulrushward_direct/src/start_gate.rs
@@ -16,7 +16,7 @@
 pub(crate) enum WaitEnd {
     /// The router knows what it needs.
     Known,
-    /// The request waits no longer than this.
+    /// The time limit of the wait passed.
     TimeOver,
     /// Too many requests were waiting.
     Crowded,
--- a/bulrushward_direct/src/store_probe.rs
+++ b/bulrushward_direct/src/store_probe.rs
@@ -18,7 +18,7 @@
 
 /// Probes the store until cancelled.
 ///
-/// A router whose calls stay without a response goes on probing until one succeeds, so that it notices the store's
+/// A router whose calls get no response keeps probing until one succeeds, so that it notices the store's
 /// return.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut schedule = FleetSchedule::new(PROBE_INTERVAL, &mut rand::rng());
@@ -66,11 +66,11 @@
             }
         }
     };
-    // The response to the check may be lost as well, so that none counts like changes.
+    // The response to the check may be lost as well, so its lack counts as changes.
     let may_be_behind = match timeout(CHECK_TIMEOUT, check).await {
         Err(_elapsed) => true,
         Ok(result) => {
-            // The waiting call learns by itself that the history is gone.
+            // The waiting call itself fails if the history is gone.
             let is_told = matches!(result, Ok(true));
             record(shared, StoreCall::Check, result);
             is_told
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -48,7 +48,7 @@
         let longest =
             (INITIAL_BACKOFF * 2_u32.saturating_pow(self.failures.min(8))).min(MAX_BACKOFF);
         self.failures += 1;
-        // Jitter keeps routers that lost the store together from returning to it together.
+        // Jitter keeps routers that lost the store together from retrying together.
         let pause = longest.mul_f64(rand::rng().random_range(0.5..1.0));
         tokio::time::sleep(pause).await;
     }
@@ -94,7 +94,7 @@
     }
 }
 
-/// What a call for the configuration and the orders brought.
+/// Result of a call for the configuration and the orders.
 struct WatchStep {
     /// Revision after which to watch for further changes.
     after: StoreRevision,
@@ -195,7 +195,7 @@
         let (config, orders) = tokio::join!(config, orders);
         (config?, orders?)
     } else {
-        // A store in trouble gets one call at a time.
+        // A failing store gets one call at a time.
         (config.await?, orders.await?)
     };
     Ok(WatchStep {
--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Which software version began a stream: learnt from the own streams and from other routers.
+//! Which software version began a stream: known from own streams and from other routers.
 //!
 //! Decisions are those of `bulrushward_policy::stream_origin`; the messages go with those about lent places.
 
@@ -27,7 +27,7 @@
     routed_request::RoutedRequest, servers::ServerSet, version_check::VersionCheck,
 };
 
-/// Time after the end of a stream's time in which its caller may resume it.
+/// Time after a stream's time limit in which its caller may resume it.
 const RETURN_TIME: Duration = Duration::from_secs(15);
 /// Time without an answer after which routers are asked once more; they are given up after as many times.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(25);
@@ -74,7 +74,7 @@
     NotKnown,
     /// The caller does not name the request that began the stream.
     NotNamed,
-    /// There was no router to ask, or too many asks are under way.
+    /// There was no router to ask, or too many asks are pending.
     NotAsked,
     /// The store does not confirm that there has been one version only.
     Unconfirmed,
@@ -130,7 +130,7 @@
         lock(&self.records).len()
     }
 
-    /// Records that a server of this version sent the first event of a stream, or goes on with it, and tells others.
+    /// Records that a server of this version sent the first event of a stream, or continues it, and notifies others.
     pub(crate) fn record_begun(
         &self,
         places: &Places,
@@ -281,7 +281,7 @@
         };
         let mut current = registry.servers.versions(service);
         match origin {
-            // This router may know of a version of which the others have not heard yet.
+            // This router may know a version that the others do not know yet.
             Origin::OnlyVersion { version } if current.any(|other| other != Some(version)) => {
                 (Origin::SeveralVersions, Source::SeveralVersions)
             }
@@ -344,7 +344,7 @@
         lock(&self.history).is_shorter_than(other, Instant::now())
     }
 
-    /// Goes on with the history of another router, from which nothing was missed.
+    /// Continues the history of another router, from which nothing was missed.
     pub(crate) fn restore_history(&self, history: &HistoryReport) {
         lock(&self.history).restore(history, Instant::now());
     }
@@ -430,7 +430,7 @@
     )
 }
 
-/// Returns the source of an origin of which `asked` says who was asked.
+/// Returns the source of an origin; `asked` names who was asked.
 fn source_of(origin: Origin, asked: Source) -> Source {
     match origin {
         Origin::Version { .. } => asked,
--- a/bulrushward_direct/src/unit_loans.rs
+++ b/bulrushward_direct/src/unit_loans.rs
@@ -1,4 +1,4 @@
-//! Loans of units of servers' limits: a request whose router has none left gets one of another router.
+//! Loans of units of servers' limits: a request whose router has none left gets one from another.
 //!
 //! The messages go with those about lent places; decisions are those of `bulrushward_policy::server_limit`.
 
@@ -48,7 +48,7 @@
         Some(receiver)
     }
 
-    /// Passes on an answer; one that comes late or twice is dropped.
+    /// Passes on an answer; a late or duplicate one is dropped.
     pub(crate) fn receive(&self, id: u64, answer: LoanAnswer) {
         if let Some(sender) = self.lock().remove(&id) {
             // The request may have been dropped just now.
@@ -73,7 +73,7 @@
     }
 }
 
-/// Answers a router that asks for a unit; there is no answer if the server names no limit as far as is known.
+/// Answers a router that asks for a unit; there is no answer if the server is not known to name a limit.
 pub(crate) fn lend(shared: &Shared, server: ServerHash, ask: LoanAsk) -> Option<LoanAnswer> {
     let servers = shared.servers.load();
     let server = servers.all().find(|known| known.hash == server)?;
@@ -86,7 +86,7 @@
     Some(answer)
 }
 
-/// Asks another router for a unit of one of the servers whose limits keep a request from them.
+/// Asks another router for a unit of one of the servers whose limits block a request.
 ///
 /// Returns the server, or `None` if there is no unit soon.
 pub(crate) async fn borrow(
