Reword comments of the claims package

Callers see no change. Two comments with inverted or figurative wording become plain technical English.

--- a/bulrushward_claims/src/pending.rs
+++ b/bulrushward_claims/src/pending.rs
@@ -103,7 +103,7 @@
 /// Sends a reply if the caller is still waiting.
 pub(crate) fn send_reply(reply: Option<oneshot::Sender<Reply>>, value: Reply) {
     if let Some(tx) = reply {
-        // If the caller has gone, `send` returns the reply; dropping a `WonClaim` releases it.
+        // If the caller has left, `send` returns the reply; dropping a `WonClaim` releases it.
         drop(tx.send(value));
     }
 }
--- a/bulrushward_claims/src/store.rs
+++ b/bulrushward_claims/src/store.rs
@@ -122,7 +122,7 @@
             send(&shards, pending);
             rx.await.ok()
         };
-        // Returning early closes the reply channel, whereupon the shard's task drops the change or
+        // Returning early closes the reply channel, so that the shard's task drops the change or
         // releases its claim.
         let reply = tokio::select! {
             biased;
