Reword comments of the protocol package

Callers see no change. Two comments with inverted or figurative wording become plain technical English.

--- a/bulrushward_protocol/src/content.rs
+++ b/bulrushward_protocol/src/content.rs
@@ -61,7 +61,7 @@
 /// Hash that identifies one incarnation of a backend server.
 pub type ServerKey = u32;
 
-/// What a process tells its peers about content.
+/// Report of a process to peers about content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Content.
--- a/bulrushward_protocol/src/ids.rs
+++ b/bulrushward_protocol/src/ids.rs
@@ -27,7 +27,7 @@
 pub type Revision = u64;
 /// First 128 bits of the SHA-256 hash of a chunk of the configuration text.
 pub type ChunkDigest = [u8; 16];
-/// Start time of a node in milliseconds since the Unix epoch, which tells its restarts apart.
+/// Start time of a node in milliseconds since the Unix epoch, which identifies its restarts.
 pub type Incarnation = u64;
 /// Amount of estimated work; one unit is about one generated token.
 pub type WorkUnits = u64;
