Do not take the close of a connection for the end of a response

Callers saw: a stream of a server whose process was killed between two events was complete, on routes that may be resumed and on others, and a body that was cut was a success. Cause: a response without a length and without chunks ends with its connection, and the kernel closes the connections of a process that ends in the same order (FIN). ServerStream::finish and the buffered path took any end without an error for the end of the response; nobody knew by what it had ended.

ResponseEnd owns the end of a response from its head on. A length or a last chunk is proof. A cut stream continues at another server or is aborted, a cut body is a failed attempt. The rule is body_end of the policy package. Weighed and not taken: a mark of the last event (servers of the platform send none), the number of tokens that was asked for (an upper bound), a new connection alone (accepted by a replacement), cutting all of them (a living server's response would run twice).

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -13,11 +13,11 @@
     ports::ResponseMetadata,
     read_timeout,
     received_head::{self, ReceivedHead},
-    response_end,
+    response_end::ResponseEnd,
     routed_request::RoutedRequest,
     server_reports::{self, ResponseHead},
     server_selection::ServerChoice,
-    server_stream::{ServerStream, StreamHead, StreamItem},
+    server_stream::{ResumePoint, ServerStream, StreamHead, StreamItem},
     servers::{InProgress, Server},
     shared::Shared,
 };
@@ -105,10 +105,10 @@
     shared: &Shared,
     request: &RoutedRequest,
     choice: &ServerChoice,
-    last_event_id: Option<&str>,
+    resume: Option<&ResumePoint>,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
-    let head = send_head(shared, request, choice, last_event_id, silence).await?;
+    let head = send_head(shared, request, choice, resume, silence).await?;
     read_response(shared, request, head, silence).await
 }
 
@@ -121,20 +121,23 @@
     shared: &Shared,
     request: &RoutedRequest,
     choice: &ServerChoice,
-    last_event_id: Option<&str>,
+    resume: Option<&ResumePoint>,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<ReceivedHead, AttemptError> {
     let progress = InProgress::new(&choice.server, choice.inputs.unread_tokens);
-    let head = fetch_head(shared, request, choice, last_event_id, &progress, silence).await;
+    let head = fetch_head(shared, request, choice, resume, &progress, silence).await;
     match head {
         Ok((res, metadata, connection)) => Ok(ReceivedHead {
+            end: ResponseEnd::of(
+                &res,
+                &choice.server,
+                connection_share(shared, request, choice),
+            ),
             res,
             metadata,
             connection,
             progress,
-            resumed_after: last_event_id
-                .or(request.last_event_id.as_deref())
-                .map(str::to_owned),
+            resumed_at: resume.cloned().or_else(|| request.resume_point()),
         }),
         Err(error) => {
             record_failure(&progress, &error);
@@ -147,10 +150,11 @@
     shared: &Shared,
     request: &RoutedRequest,
     choice: &ServerChoice,
-    last_event_id: Option<&str>,
+    resume: Option<&ResumePoint>,
     progress: &InProgress,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<(Response<Incoming>, ResponseMetadata, Connection), AttemptError> {
+    let last_event_id = resume.map(|point| point.after.as_str());
     let (res, connection, sent) = loop {
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
@@ -204,14 +208,18 @@
     }
 }
 
+/// Returns the number of connections that this router may have to a server.
+fn connection_share(shared: &Shared, request: &RoutedRequest, choice: &ServerChoice) -> u32 {
+    shared.connection_share(request.service.connection_limit, choice.server.hash)
+}
+
 /// Acquires a connection to a server within this router's share of its connections.
 async fn acquire_connection(
     shared: &Shared,
     request: &RoutedRequest,
     choice: &ServerChoice,
 ) -> Result<Connection, AttemptError> {
-    let limit = request.service.connection_limit;
-    let share = shared.connection_share(limit, choice.server.hash);
+    let share = connection_share(shared, request, choice);
     let acquired = connection::acquire(&choice.server, share, &request.request_id).await;
     let connection = acquired.map_err(|error| {
         let failure = match error {
@@ -264,7 +272,7 @@
     received: ReceivedHead,
     silence: &mut SilenceWatch<'_>,
 ) -> Result<AttemptResponse, AttemptError> {
-    let is_resumed = received.resumed_after.is_some() && request.is_stream();
+    let is_resumed = received.resumed_at.is_some() && request.is_stream();
     if is_resumed && received.res.status().is_success() && !received.is_stream() {
         return Err(received.into_error());
     }
@@ -273,20 +281,20 @@
         metadata,
         connection,
         progress,
-        resumed_after,
+        resumed_at,
+        mut end,
     } = received;
-    let framing = response_end::framing(&res);
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
     forwarded_request::remove_hop_by_hop_headers(&mut headers);
     connection.stream.allowance().begin();
     if request.is_stream() && head.status.is_success() {
         let stream_head = StreamHead {
-            resumed_after,
+            resumed_at,
             progress,
             connection,
             keep_alive_timeout: metadata.keep_alive_timeout,
-            framing,
+            end,
         };
         let buffer = shared.buffers.reservation();
         let stream = ServerStream::new(body, stream_head, request.deadline, buffer);
@@ -300,7 +308,7 @@
         |bytes| connection.stream.allowance().record_content(bytes),
     );
     let collected = match read_timeout::until(request.deadline, collected).await {
-        Some(Ok(body)) => Ok(body),
+        Some(Ok(body)) => end.confirm(progress.server()).await.map(|()| body),
         Some(Err(BodyError::Broken { source })) => Err(AttemptError::of_connection(&source)),
         Some(Err(error)) => Err(AttemptError::new(AttemptFailure::Broken, &error)),
         None => Err(AttemptError::new(
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -226,6 +226,31 @@
     })
 }
 
+/// A connection on which nothing is sent.
+#[derive(Debug)]
+pub(crate) struct UnusedConnection {
+    stream: TcpStream,
+    _permit: ConnectionPermit,
+}
+
+impl UnusedConnection {
+    /// Waits until the server closes the connection, or sends something that nobody asked for.
+    pub(crate) async fn closed(&self) {
+        let _closed = self.stream.readable().await;
+    }
+}
+
+/// Opens a connection on which nothing is sent, within this router's `share`.
+pub(crate) async fn open_unused(server: &Server, share: u32) -> Option<UnusedConnection> {
+    let permit = ConnectionPermit::acquire(server, share)?;
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address)).await;
+    let stream = opened.ok()?.ok()?;
+    Some(UnusedConnection {
+        stream,
+        _permit: permit,
+    })
+}
+
 fn acquire_idle(server: &Server, id: u64) -> Option<Connection> {
     let now = Instant::now();
     let mut state = server.state();
--- a/bulrushward_direct/src/received_head.rs
+++ b/bulrushward_direct/src/received_head.rs
@@ -7,7 +7,9 @@
     attempt::{AttemptError, record_failure},
     connection::Connection,
     ports::ResponseMetadata,
+    response_end::ResponseEnd,
     routed_request::RoutedRequest,
+    server_stream::ResumePoint,
     servers::InProgress,
 };
 
@@ -21,8 +23,9 @@
     pub(crate) metadata: ResponseMetadata,
     pub(crate) connection: Connection,
     pub(crate) progress: InProgress,
-    /// Event after which the request resumes a stream.
-    pub(crate) resumed_after: Option<String>,
+    /// Place after which the request resumes a stream.
+    pub(crate) resumed_at: Option<ResumePoint>,
+    pub(crate) end: ResponseEnd,
 }
 
 impl ReceivedHead {
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -28,7 +28,7 @@
     request_handler::log_failed_attempt,
     routed_request::RoutedRequest,
     server_selection::ServerChoice,
-    server_stream::{ServerStream, StreamItem},
+    server_stream::{ResumePoint, ServerStream, StreamItem},
     shared::Shared,
     stream_runs::{StreamRun, StreamRuns},
 };
@@ -50,7 +50,8 @@
     earlier_runs: StreamRuns,
     /// Servers that may go on with the stream.
     scope: ServerScope,
-    last_event_id: Option<String>,
+    /// Place after which the stream was resumed last.
+    resume_point: Option<ResumePoint>,
     /// Whether a server has sent an event.
     has_begun: bool,
     /// Time at which the latest events were sent to the caller.
@@ -107,7 +108,7 @@
         source,
         earlier_runs: StreamRuns::default(),
         scope,
-        last_event_id: None,
+        resume_point: None,
         last_forwarded: Instant::now(),
         longest_pause: Duration::ZERO,
         event_due: None,
@@ -200,9 +201,7 @@
             let server = self.source.progress.server();
             crash_check::record_failure(&self.shared, &self.request, server, error.failure);
         }
-        if let Some(id) = self.source.last_id() {
-            self.last_event_id = Some(id.to_owned());
-        }
+        self.resume_point = self.source.resume_point().or(self.resume_point.take());
         let mut failed_server = self.source.progress.server().id.clone();
         let mut history = self.history.clone();
         let mut successor = None;
@@ -250,7 +249,7 @@
         next: NextAttempt,
         failure: AttemptFailure,
     ) -> Result<ServerChoice, HandoverRefusal> {
-        if self.last_event_id.is_none() {
+        if self.resume_point.is_none() {
             return Err(HandoverRefusal::NoEvent);
         }
         handover::select_next(&self.shared, &self.request, next, failure, &self.scope)
@@ -277,14 +276,18 @@
             server = choice.server.id,
             load = choice.inputs.load,
             usable = choice.inputs.usable,
-            after_event = self.last_event_id.as_deref().unwrap_or_default(),
+            after_event = self
+                .resume_point
+                .as_ref()
+                .map(|point| &*point.after)
+                .unwrap_or_default(),
             version = choice.server.record.version,
         );
-        let last_event_id = self.last_event_id.as_deref();
+        let resume = self.resume_point.as_ref();
         let (shared, request) = (&*self.shared, &*self.request);
         let mut silence = SilenceWatch::new(shared, request, &self.history, &self.scope);
         let head = {
-            let head = attempt::send_head(shared, request, &choice, last_event_id, &mut silence);
+            let head = attempt::send_head(shared, request, &choice, resume, &mut silence);
             let mut head = pin!(head);
             loop {
                 tokio::select! {
@@ -377,7 +380,7 @@
         let outcome = end.into();
         self.shared.metrics.record_stream_end(outcome);
         let is_on_time = self.longest_pause <= self.request.route.target_pause;
-        let is_resumed = self.last_event_id.is_some();
+        let is_resumed = self.resume_point.is_some();
         let ended_by = self.source.framing();
         let is_marked = ended_by != Framing::UntilClose;
         if end == StreamEnd::Complete && is_on_time && !is_resumed && is_marked {
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use bulrushward_policy::event_order::IdSpacing;
 use bulrushward_protocol::{Content, Fingerprint};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method};
@@ -10,6 +11,7 @@
 use crate::{
     model::{Route, RouteKind, Service},
     ports::PromptPart,
+    server_stream::ResumePoint,
 };
 
 /// A request that was read completely and may be sent to servers.
@@ -48,6 +50,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the place after which the caller resumes a stream; the spacing of its ids is not known.
+    pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
+        let after = self.last_event_id.clone()?;
+        let spacing = IdSpacing::from_id(&after);
+        Some(ResumePoint { after, spacing })
+    }
+
     pub(crate) fn is_stream(&self) -> bool {
         self.route.kind == RouteKind::Stream
     }
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -3,8 +3,11 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_policy::{
-    body_end::Framing, event_order::EventOrder, server_attempt::AttemptFailure,
-    server_health::ServerHealth, stream_pace::StreamPace,
+    body_end::Framing,
+    event_order::{EventOrder, IdSpacing},
+    server_attempt::AttemptFailure,
+    server_health::ServerHealth,
+    stream_pace::StreamPace,
 };
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -18,6 +21,7 @@
     connection::{self, CloseTimer, Connection},
     events::{EventSplitter, event_ids, has_event},
     read_timeout,
+    response_end::ResponseEnd,
     servers::InProgress,
 };
 
@@ -51,7 +55,9 @@
     /// Time at which what has arrived is read, if no event was complete in time.
     overdue: Option<Instant>,
     is_complete: bool,
-    framing: Framing,
+    response_end: ResponseEnd,
+    /// Spacing of the ids so far, those of earlier servers included.
+    spacing: IdSpacing,
     /// Id of the first event that had one.
     first_id: Option<String>,
     /// Order of the events, if the stream was resumed.
@@ -62,12 +68,20 @@
 /// What is known of a stream when the head of its response has arrived.
 #[derive(Debug)]
 pub(crate) struct StreamHead {
-    /// Event after which the stream was resumed.
-    pub(crate) resumed_after: Option<String>,
+    pub(crate) resumed_at: Option<ResumePoint>,
     pub(crate) progress: InProgress,
     pub(crate) connection: Connection,
     pub(crate) keep_alive_timeout: Option<Duration>,
-    pub(crate) framing: Framing,
+    pub(crate) end: ResponseEnd,
+}
+
+/// Place in a stream after which it was resumed.
+#[derive(Clone, Debug)]
+pub(crate) struct ResumePoint {
+    /// Id of the last event.
+    pub(crate) after: String,
+    /// Spacing of the ids before.
+    pub(crate) spacing: IdSpacing,
 }
 
 /// Next item of a server's stream.
@@ -93,11 +107,11 @@
         reservation: Reservation,
     ) -> Self {
         let StreamHead {
-            resumed_after,
+            resumed_at,
             progress,
             connection,
             keep_alive_timeout,
-            framing,
+            end,
         } = head;
         Self {
             body,
@@ -114,9 +128,13 @@
             keep_alive_timeout,
             overdue: None,
             is_complete: false,
-            framing,
+            response_end: end,
             first_id: None,
-            order: resumed_after.as_deref().map(EventOrder::after),
+            spacing: resumed_at
+                .as_ref()
+                .map(|point| point.spacing)
+                .unwrap_or_default(),
+            order: resumed_at.map(|point| EventOrder::after(&point.after)),
             has_had_event: false,
         }
     }
@@ -197,7 +215,9 @@
                     Ok(events) => Ok(self.item(events)),
                     Err(error) => Err(error),
                 },
-                Some(None) => self.finish(),
+                // The end follows once the gathered events are passed on.
+                Some(None) if !self.gathered.is_empty() => return Ok(self.take_gathered()),
+                Some(None) => self.finish().await,
             };
             if self.gathered.is_empty() {
                 return item;
@@ -269,16 +289,18 @@
                 &"no memory for incomplete responses",
             ));
         }
+        if events.is_empty() {
+            return Ok(events);
+        }
+        self.handle.allowance().record_event();
+        let ids = event_ids(&events);
         if let Some(order) = &mut self.order {
-            let ids = event_ids(&events);
             let admitted = order.admit(ids.iter().map(Option::as_deref));
             admitted.map_err(|error| AttemptError::new(AttemptFailure::Broken, &error))?;
         }
-        if !events.is_empty() {
-            self.handle.allowance().record_event();
-            if self.first_id.is_none() {
-                self.first_id = event_ids(&events).into_iter().flatten().next();
-            }
+        self.spacing.record(ids.iter().map(Option::as_deref));
+        if self.first_id.is_none() {
+            self.first_id = ids.into_iter().flatten().next();
         }
         Ok(events)
     }
@@ -294,9 +316,17 @@
         self.first_id.as_deref()
     }
 
+    /// Returns the place after which another server may continue the stream, if an event has had an id.
+    pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
+        Some(ResumePoint {
+            after: self.last_id()?.to_owned(),
+            spacing: self.spacing,
+        })
+    }
+
     /// Returns how the response marks the end of the stream.
     pub(crate) fn framing(&self) -> Framing {
-        self.framing
+        self.response_end.framing()
     }
 
     /// Closes the connection, so that the server stops its work.
@@ -305,21 +335,21 @@
         self.connection = None;
     }
 
-    fn finish(&mut self) -> Result<StreamItem, AttemptError> {
+    async fn finish(&mut self) -> Result<StreamItem, AttemptError> {
         if self.splitter.has_partial_event() {
             return Err(AttemptError::new(
                 AttemptFailure::Broken,
                 &"the last event is incomplete",
             ));
         }
-        if !self.has_had_event && !has_event(&self.gathered) {
-            // Without a length or chunks, this is all that shows of a server that crashed. Nor does it show that a resumed
-            // stream had no further event.
+        if !self.has_had_event {
+            // It does not show that a resumed stream had no further event.
             return Err(AttemptError::new(
                 AttemptFailure::Broken,
                 &"the stream ended without an event",
             ));
         }
+        self.response_end.confirm(self.progress.server()).await?;
         self.is_complete = true;
         self.close_timer = None;
         self.progress.update_health(ServerHealth::record_success);
--- a/bulrushward_direct/tests/ends_of_responses.rs
+++ b/bulrushward_direct/tests/ends_of_responses.rs
@@ -63,12 +63,14 @@
 }
 
 const KILLED: Script = |req| unframed_stream(req, 3, Step::CrashQuietly);
+const RESTARTED: Script = |req| unframed_stream(req, 3, Step::Restart);
 const RESET: Script = |req| unframed_stream(req, 3, Step::Reset);
 
 /// A stream of a server that was killed between two events was complete for its caller.
 #[rstest]
 #[case::killed(KILLED)]
 #[case::reset(RESET)]
+#[case::killed_and_back_at_once(RESTARTED)]
 fn a_stream_without_framing_that_is_cut_is_no_complete_one(#[case] script: Script) {
     let server = TestServer::start("s-1", script);
     let router = router_with_servers("engines", &[&server]);
@@ -83,6 +85,7 @@
 #[rstest]
 #[case::killed(KILLED)]
 #[case::reset(RESET)]
+#[case::killed_and_back_at_once(RESTARTED)]
 fn a_stream_without_framing_that_is_cut_goes_on_at_another_server(#[case] script: Script) {
     let (router, servers) = router_with_two("engines", first_then(script, complete_stream));
     let response = router.send(&request("POST", "resumable", "r-1", ""));
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader, Read, Write},
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, Weak,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -52,6 +52,8 @@
     Crash,
     /// Closes the connection and refuses new ones from then on.
     CrashQuietly,
+    /// Closes all connections in order and accepts new ones, as a process that is killed and started again at once.
+    Restart,
 }
 
 pub fn send_text(text: &str) -> Step {
@@ -107,7 +109,10 @@
                 let crashed = Arc::clone(&crashed);
                 let (requests, closed) = (Arc::clone(&requests), Arc::clone(&closed));
                 let script = Arc::clone(&script);
-                std::thread::spawn(move || serve(&stream, &requests, &closed, &crashed, &*script));
+                let link = Arc::clone(&accepted);
+                std::thread::spawn(move || {
+                    serve(&stream, &requests, &closed, &crashed, &link, &*script);
+                });
             }
         });
         Self {
@@ -175,6 +180,13 @@
         }
     }
 
+    fn close_all(&self) {
+        for stream in self.lock().iter().filter_map(Weak::upgrade) {
+            // One that the peer has closed is shut down already.
+            let _shut_down = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Weak<TcpStream>>> {
         self.accepted
             .lock()
@@ -232,6 +244,7 @@
     requests: &Mutex<Vec<Received>>,
     closed: &AtomicUsize,
     crashed: &AtomicBool,
+    link: &Link,
     script: &Script,
 ) {
     let mut reader = BufReader::new(stream);
@@ -245,6 +258,10 @@
             .expect("no test panics while holding the lock")
             .push(req.clone());
         for step in script(&req) {
+            if matches!(step, Step::Restart) {
+                link.close_all();
+                return;
+            }
             if !run_step(stream, step, closed, crashed) {
                 return;
             }
@@ -275,7 +292,7 @@
             closed.fetch_add(1, Ordering::SeqCst);
             false
         }
-        Step::Close => false,
+        Step::Close | Step::Restart => false,
         Step::Crash => {
             stop_listening(stream, crashed);
             run_step(stream, Step::Reset, closed, crashed)
--- a/bulrushward_policy/src/event_order.rs
+++ b/bulrushward_policy/src/event_order.rs
@@ -23,6 +23,32 @@
     },
 }
 
+/// Largest distance between neighbouring numeric ids of a stream, counted from 0 before its first event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct IdSpacing {
+    last: u64,
+    largest: u64,
+}
+
+impl IdSpacing {
+    /// Creates the spacing of a stream of which only the id of the last event is known.
+    #[must_use]
+    pub fn from_id(last: &str) -> Self {
+        Self {
+            last: last.parse().unwrap_or_default(),
+            largest: 0,
+        }
+    }
+
+    /// Records the ids of events in their order; other ids than numbers tell nothing.
+    pub fn record<'a>(&mut self, ids: impl IntoIterator<Item = Option<&'a str>>) {
+        for id in ids.into_iter().flatten().filter_map(|id| id.parse().ok()) {
+            self.largest = self.largest.max(u64::saturating_sub(id, self.last));
+            self.last = id;
+        }
+    }
+}
+
 /// Order of the events of a resumed stream.
 #[derive(Clone, Debug)]
 pub struct EventOrder {
