Refuse a resumed stream that skips events

Callers saw: a stream continued at event 5 after 3 at another server and was complete, event 4 missing. Cause: EventOrder asked only that ids grow. Whether ids are adjacent is not stated by the platform, so it is learnt from the stream: the first event after a change of servers may not be further from the last one than the events before were from each other, counted from 0 before the first. A first event after a take-up by the caller has no events before it at this router, and only has to grow, as before.

A stream that one server sends alone is passed on unchanged, also with gaps or repeated events: a response is its server's word. What is guarded is the joint between two runs.

Evidence: a_stream_whose_events_are_adjacent_does_not_go_on_with_a_gap failed before (complete, with 5 and 6 after 3) and passes; 10 cases on the policy.

--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -134,7 +134,7 @@
                 .as_ref()
                 .map(|point| point.spacing)
                 .unwrap_or_default(),
-            order: resumed_at.map(|point| EventOrder::after(&point.after)),
+            order: resumed_at.map(|point| EventOrder::after(&point.after, point.spacing)),
             has_had_event: false,
         }
     }
--- a/bulrushward_policy/src/event_order.rs
+++ b/bulrushward_policy/src/event_order.rs
@@ -1,6 +1,6 @@
 //! Which events continue a resumed stream.
 //!
-//! Handles: servers that, asked to continue, start over, repeat events, send an error as an event or end at once.
+//! Handles: servers that, asked to continue, start over, repeat or skip events, send an error as an event or end at once.
 
 use snafu::Snafu;
 
@@ -21,6 +21,14 @@
         /// Id of the last event.
         last: String,
     },
+    /// Events seem to be missing between the last one and the first one that continues the stream.
+    #[snafu(display("event {id} follows {last}, further than the events before"))]
+    Gap {
+        /// Id of the event.
+        id: String,
+        /// Id of the last event.
+        last: String,
+    },
 }
 
 /// Largest distance between neighbouring numeric ids of a stream, counted from 0 before its first event.
@@ -47,21 +55,31 @@
             self.last = id;
         }
     }
+
+    /// Returns whether `id` is further from `last` than any events before; `false` if no distance is known.
+    fn has_gap(self, id: &str, last: &str) -> bool {
+        let (Ok(id), Ok(last)) = (id.parse::<u64>(), last.parse()) else {
+            return false;
+        };
+        self.largest > 0 && id.saturating_sub(last) > self.largest
+    }
 }
 
 /// Order of the events of a resumed stream.
 #[derive(Clone, Debug)]
 pub struct EventOrder {
     last: String,
+    spacing: IdSpacing,
     has_continued: bool,
 }
 
 impl EventOrder {
-    /// Creates the order of a stream that continues after `last`.
+    /// Creates the order of a stream that continues after `last` and had ids in this `spacing`.
     #[must_use]
-    pub fn after(last: &str) -> Self {
+    pub fn after(last: &str, spacing: IdSpacing) -> Self {
         Self {
             last: last.to_owned(),
+            spacing,
             has_continued: false,
         }
     }
@@ -74,7 +92,8 @@
 
     /// Admits events that arrived together, by their ids in order, or none of them.
     ///
-    /// Numeric ids must increase; other ids must only differ. Only the first event must have an id.
+    /// Numeric ids must increase; other ids must only differ. The first event must have an id, not further from the last
+    /// one than the events before it.
     ///
     /// # Errors
     ///
@@ -90,6 +109,10 @@
                     let (id, last) = (id.to_owned(), last.to_owned());
                     return NotAfterSnafu { id, last }.fail();
                 }
+                Some(id) if !has_continued && self.spacing.has_gap(id, last) => {
+                    let (id, last) = (id.to_owned(), last.to_owned());
+                    return GapSnafu { id, last }.fail();
+                }
                 Some(id) => last = id,
                 None if !has_continued => return NoIdSnafu { last }.fail(),
                 None => {}
