Answer the requests that are left at the end of a planned stop

Callers saw their connection close without an answer when a direct router's grace was over: requests whose server had not responded, whose response was incomplete, whose stream had not begun or whose body was still arriving. Some of them must not be repeated.

Cause: the process ended while they were in progress; nothing answered them.

Change: the times of a stop are decided in bulrushward_policy (planned_stop) and kept by one owner (stop), which replaces three flags of Shared. 300 ms before the kill, a request whose response has not begun is answered: 503 not-run if no server may have run it (run_mark), else 504 unknown. Up to 150 ms are left to write these answers; streams are aborted as before. A body that is incomplete when new requests are refused (2.6 s) is refused then, as it would be once it is complete. A grace shorter than 2.9 s now shortens the time in which requests are taken. The log line "stopped" gets the field "cut", and its in_progress is counted when the answers are given.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -249,6 +249,7 @@
         return Err(AttemptError::new(AttemptFailure::ContentBarred, &detail));
     }
     shared.crash_records.record_sent(request);
+    request.run_mark.record_sent();
     Ok(())
 }
 
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -92,7 +92,9 @@
     /// Returns the response to a request that may have run.
     pub(crate) fn unknown(reason: Reason) -> Self {
         let status = match reason {
-            Reason::TimeOver | Reason::ServerSilent => StatusCode::GATEWAY_TIMEOUT,
+            Reason::TimeOver | Reason::ServerSilent | Reason::Stopping => {
+                StatusCode::GATEWAY_TIMEOUT
+            }
             _ => StatusCode::BAD_GATEWAY,
         };
         Self {
--- a/bulrushward_direct/src/places/lending.rs
+++ b/bulrushward_direct/src/places/lending.rs
@@ -52,7 +52,7 @@
         now: Instant,
     ) -> Option<Message> {
         // The routers that ask go on to the next lender.
-        if shared.is_stopping() {
+        if shared.stop.is_begun() {
             return None;
         }
         if !self.pools.contains_key(&key) {
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -399,7 +399,7 @@
         if self.is_finished {
             return;
         }
-        if self.shared.is_abandoning() {
+        if self.shared.stop.is_ending() {
             self.record_end(StreamEnd::Abandoned, "the grace time of the stop is over");
         } else {
             self.record_end(StreamEnd::Left, "the caller closed its connection");
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -26,6 +26,7 @@
     server_selection::{self, NoServer, ServerChoice},
     servers::Server,
     shared::Shared,
+    stop_answers,
     stream_origins::{RegistrySource, RegistryView},
     unit_loans,
 };
@@ -36,18 +37,15 @@
     let metadata = shared.conventions.parse_request_headers(req.headers());
     let mut request_log = RequestLog::new(&shared, metadata.request_id.clone(), received);
     let _in_progress = shared.metrics.track_in_progress();
-    if let Some(end) = shared.start_gate.pass(metadata.caller_timeout).await {
-        shared.metrics.record_start_wait(end);
-    }
-    let result =
-        match request_reader::read(&shared, req, metadata, received, &mut request_log).await {
-            Ok(_) if shared.is_refusing() => Err(LocalResponse::not_run(
-                Reason::Stopping,
-                retry_after::STOP_RETRY,
-            )),
-            Ok(request) => send_with_retries(&shared, Arc::new(request), &mut request_log).await,
-            Err(local) => Err(local),
-        };
+    let reading = request_reader::read(&shared, req, metadata, received, &mut request_log);
+    let result = match stop_answers::read(&shared, reading).await {
+        Ok(request) => {
+            let request = Arc::new(request);
+            let serving = send_with_retries(&shared, Arc::clone(&request), &mut request_log);
+            stop_answers::serve(&shared, &request, serving).await
+        }
+        Err(local) => Err(local),
+    };
     let (res, outcome) = match result {
         Ok(res) => {
             request_log.log_response(res.status());
@@ -153,6 +151,7 @@
         }
         record_failed_attempt(shared, &request, server, &error);
         let failed = FailedAttempt::new(&error, &mut history);
+        request.run_mark.record_failure(&history);
         last_error = Some(error);
         let NextAttempt::Send { retry } = failed.next else {
             let wait = server_selection::wait_for_server(shared, &request, &scope);
--- a/bulrushward_direct/src/request_log.rs
+++ b/bulrushward_direct/src/request_log.rs
@@ -127,7 +127,7 @@
         if self.is_logged {
             return;
         }
-        if self.shared.is_abandoning() {
+        if self.shared.stop.is_ending() {
             warn!(
                 event = "abandoned",
                 request = self.request,
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -17,10 +17,11 @@
     retry_after,
     routed_request::{self, RoutedRequest},
     routes::RouteTable,
+    run_mark::RunMark,
     shared::Shared,
 };
 
-/// Matches a request to its route, organisation and service, and reads its body.
+/// Matches a request to its route, organisation and service, and reads its body, once the router knows what it needs.
 ///
 /// # Errors
 ///
@@ -32,6 +33,9 @@
     received: Instant,
     request_log: &mut RequestLog,
 ) -> Result<RoutedRequest, LocalResponse> {
+    if let Some(end) = shared.start_gate.pass(metadata.caller_timeout).await {
+        shared.metrics.record_start_wait(end);
+    }
     let Some(table) = shared.routes.load_full() else {
         let retry = retry_after::for_configuration(shared);
         return Err(LocalResponse::not_run(Reason::NoConfiguration, retry));
@@ -93,6 +97,7 @@
         last_event_id: metadata.last_event_id,
         resumes: metadata.resumes,
         config_version: table.config().version,
+        run_mark: RunMark::default(),
     })
 }
 
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -10,6 +10,7 @@
 use crate::{
     model::{Route, RouteKind, Service},
     ports::PromptPart,
+    run_mark::RunMark,
 };
 
 /// A request that was read completely and may be sent to servers.
@@ -40,6 +41,7 @@
     pub(crate) fingerprint: Fingerprint,
     /// Version of the configuration that was applied, for the log.
     pub(crate) config_version: u64,
+    pub(crate) run_mark: RunMark,
 }
 
 impl RoutedRequest {
--- a/bulrushward_direct/src/run.rs
+++ b/bulrushward_direct/src/run.rs
@@ -16,6 +16,7 @@
     net::{TcpListener, UdpSocket},
     runtime::Runtime,
     signal::unix::{SignalKind, signal},
+    task::JoinHandle,
     time::sleep,
 };
 use tokio_util::sync::CancellationToken;
@@ -34,12 +35,6 @@
     supervision::supervise,
 };
 
-/// Time after the stop signal in which new connections are still accepted.
-///
-/// The platform probes readiness once a second and removes a router after two failed probes.
-const ACCEPT_WHILE_STOPPING: Duration = Duration::from_millis(2_600);
-/// Time between abandoning the remaining requests and the platform killing the process.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Pause before an address that could not be bound is tried again.
 const REBIND_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which the settings file is checked, as it may change without a signal.
@@ -279,29 +274,37 @@
         node = shared.settings().node,
         in_progress = shared.metrics.in_progress(),
     );
-    shared.begin_stop();
+    shared.stop.begin(shared.settings().stop_grace);
     drain.cancel();
-    sleep(ACCEPT_WHILE_STOPPING).await;
-    shared.begin_refusing();
+    shared.stop.refusing().await;
     close.cancel();
-    let time_left = shared
-        .settings()
-        .stop_grace
-        .saturating_sub(STOP_MARGIN + stop_requested.elapsed());
-    let is_complete = tokio::time::timeout(time_left, &mut serving).await.is_ok();
+    let is_complete = tokio::select! {
+        _ended = &mut serving => true,
+        () = shared.stop.ending() => false,
+    };
+    let in_progress = shared.metrics.in_progress();
     if !is_complete {
-        shared.begin_abandoning();
+        write_answers(&shared, serving).await;
     }
     info!(
         event = "stopped",
         node = shared.settings().node,
         complete = is_complete,
-        in_progress = shared.metrics.in_progress(),
+        in_progress,
+        cut = shared.metrics.in_progress(),
         ms = stop_requested.elapsed().as_millis() as u64,
     );
     Ok(())
 }
 
+/// Waits until the last answers are written and the connections are closed, or until the process ends.
+async fn write_answers(shared: &Shared, serving: JoinHandle<()>) {
+    tokio::select! {
+        _ended = serving => {}
+        () = shared.stop.exit() => {}
+    }
+}
+
 fn bind(listener: &'static str, address: SocketAddr) -> Result<TcpListener, DirectError> {
     bulrushward_net::listen(address).context(ListenSnafu { listener, address })
 }
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -40,6 +40,7 @@
     servers::{Server, ServerHash, ServerSet, ServerState},
     settings::DirectSettings,
     start_gate::StartGate,
+    stop::StopClock,
     store_state::{StoreState, StoreView},
     stream_origins::StreamOrigins,
     unit_loans::UnitLoans,
@@ -68,9 +69,7 @@
     cold_demand: Mutex<HashMap<ServiceName, ColdDemand>>,
     /// Time from which the number of routers is known.
     fleet_known: Instant,
-    is_stopping: AtomicBool,
-    is_refusing: AtomicBool,
-    is_abandoning: AtomicBool,
+    pub(crate) stop: StopClock,
     pub(crate) store_state: StoreState,
     has_servers: AtomicBool,
     /// Time at which the current configuration was activated; initially the start of the process.
@@ -111,9 +110,7 @@
             routers: AtomicU32::new(1),
             fleet_view: ArcSwap::default(),
             cold_demand: Mutex::default(),
-            is_stopping: AtomicBool::new(false),
-            is_refusing: AtomicBool::new(false),
-            is_abandoning: AtomicBool::new(false),
+            stop: StopClock::default(),
             store_state: StoreState::default(),
             has_servers: AtomicBool::new(false),
             config_activated: Mutex::new(Instant::now()),
@@ -170,7 +167,7 @@
 
     /// Returns whether requests are accepted: configuration and servers are known and no stop has begun.
     pub(crate) fn is_ready(&self) -> bool {
-        self.is_informed() && !self.is_stopping()
+        self.is_informed() && !self.stop.is_begun()
     }
 
     /// Returns whether configuration and servers are known.
@@ -197,32 +194,6 @@
         }
     }
 
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn begin_stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether requests are refused because too little of a stop's grace time is left to serve them.
-    pub(crate) fn is_refusing(&self) -> bool {
-        self.is_refusing.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn begin_refusing(&self) {
-        self.is_refusing.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether the requests still in progress are abandoned because the grace time of a stop is over.
-    pub(crate) fn is_abandoning(&self) -> bool {
-        self.is_abandoning.load(Ordering::Relaxed)
-    }
-
-    pub(crate) fn begin_abandoning(&self) {
-        self.is_abandoning.store(true, Ordering::Relaxed);
-    }
-
     /// Returns the current values of the gauges that are computed when metrics are scraped.
     pub(crate) fn gauge_snapshot(&self) -> GaugeSnapshot {
         let (mut open, mut idle) = (0, 0);
--- /dev/null
+++ b/bulrushward_direct/src/stop.rs
@@ -0,0 +1,69 @@
+//! The time that is left in a planned stop.
+
+use std::{
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
+
+use bulrushward_policy::planned_stop::{PlannedStop, StopPhase};
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+/// Owner of the time that is left once a stop has begun.
+#[derive(Debug, Default)]
+pub(crate) struct StopClock {
+    plan: OnceLock<PlannedStop>,
+    begun: CancellationToken,
+}
+
+impl StopClock {
+    /// Begins a stop; the process is killed after `grace`. Later calls have no effect.
+    pub(crate) fn begin(&self, grace: Duration) {
+        self.plan
+            .get_or_init(|| PlannedStop::new(Instant::now(), grace));
+        self.begun.cancel();
+    }
+
+    pub(crate) fn is_begun(&self) -> bool {
+        self.plan.get().is_some()
+    }
+
+    /// Returns whether new requests are refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.phase()
+            .is_some_and(|phase| phase >= StopPhase::Refusing)
+    }
+
+    /// Returns whether the requests in progress are answered or aborted as the grace time is over.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.phase() == Some(StopPhase::Ending)
+    }
+
+    /// Waits until new requests are refused.
+    pub(crate) async fn refusing(&self) {
+        sleep_until(self.plan().await.refusing().into()).await;
+    }
+
+    /// Waits until the requests in progress are answered.
+    pub(crate) async fn ending(&self) {
+        sleep_until(self.plan().await.ending().into()).await;
+    }
+
+    /// Waits until the process ends.
+    pub(crate) async fn exit(&self) {
+        sleep_until(self.plan().await.exit().into()).await;
+    }
+
+    fn phase(&self) -> Option<StopPhase> {
+        self.plan.get().map(|plan| plan.phase(Instant::now()))
+    }
+
+    /// Waits until a stop has begun and returns its times.
+    async fn plan(&self) -> PlannedStop {
+        self.begun.cancelled().await;
+        match self.plan.get() {
+            Some(plan) => *plan,
+            None => std::future::pending().await,
+        }
+    }
+}
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod place_lender;
 pub mod place_pools;
 pub mod placement;
+pub mod planned_stop;
 mod rate_meter;
 pub mod receive_allowance;
 pub mod replaced_servers;
