Send nothing during a planned stop that cannot be expected to end in it

Callers of a stopping direct router lost requests that it had taken early and passed on late: after a wait for a place, a late rejection by a server, or a failed attempt, they were sent to a server at any time up to the end of the grace, and were cut while they ran, among them requests that must not be repeated.

Cause: whether the router still sends was asked once, when the request was complete.

Change: each choice of a server asks the owner of the time that is left: before each attempt, where a further server is selected (retries, successors of silent servers, resumed streams) and while a request waits for a place; and once more where a request is sent (send_checks; new failure "stopping", which counts as not run). Later nothing is sent that must not be repeated, and what may be repeated only while the time left is longer than the target latency of its route and the response time of its service, at least 1 s for streams. Refusals say 503 not-run if no server may have run the request, else 504, both with reason "stopping".

server_attempt's list of all failures got the new one; no expectation changed.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -14,6 +14,7 @@
     read_timeout,
     received_head::{self, ReceivedHead},
     routed_request::RoutedRequest,
+    send_checks,
     server_reports::{self, ResponseHead},
     server_selection::ServerChoice,
     server_stream::{ServerStream, StreamItem},
@@ -153,9 +154,7 @@
     let (res, connection, sent) = loop {
         let connection = acquire_connection(shared, request, choice).await?;
         let is_reused = connection.is_reused;
-        check_domain(shared, choice)?;
-        server_reports::check(shared, choice)?;
-        check_content(shared, request)?;
+        send_checks::check(shared, request, choice)?;
         let req = forwarded_request::build(shared, request, choice, last_event_id)?;
         let sent = Instant::now();
         match exchange::send(shared, request, req, connection, progress, silence).await {
@@ -232,27 +231,6 @@
     Ok(connection)
 }
 
-/// Checks that the failure domain of a server was not emptied while a connection was opened.
-fn check_domain(shared: &Shared, choice: &ServerChoice) -> Result<(), AttemptError> {
-    let domain = &choice.server.record.failure_domain;
-    if shared.emptied_domains().contains(domain) {
-        let detail = format!("failure domain {domain} is emptied");
-        return Err(AttemptError::new(AttemptFailure::DomainEmptied, &detail));
-    }
-    Ok(())
-}
-
-/// Checks that the content of a request was not barred while it waited, and records that it is sent.
-fn check_content(shared: &Shared, request: &RoutedRequest) -> Result<(), AttemptError> {
-    if shared.content_refusal(request).is_some() {
-        let detail = "the content crashes servers";
-        return Err(AttemptError::new(AttemptFailure::ContentBarred, &detail));
-    }
-    shared.crash_records.record_sent(request);
-    request.run_mark.record_sent();
-    Ok(())
-}
-
 /// Reads the complete response, or a stream up to its first events.
 ///
 /// # Errors
@@ -380,7 +358,8 @@
         AttemptFailure::Crowded
         | AttemptFailure::DomainEmptied
         | AttemptFailure::Withheld
-        | AttemptFailure::ContentBarred => {}
+        | AttemptFailure::ContentBarred
+        | AttemptFailure::Stopping => {}
         AttemptFailure::NotSent | AttemptFailure::Unreachable | AttemptFailure::Misdirected => {
             health.record_unreachable(now);
         }
--- a/bulrushward_direct/src/handover.rs
+++ b/bulrushward_direct/src/handover.rs
@@ -16,6 +16,7 @@
     server_selection::{self, NoServer, ServerChoice},
     servers::{InProgress, Server},
     shared::Shared,
+    stop_sends,
 };
 
 /// Why no other server takes over.
@@ -44,6 +45,8 @@
     ContentBarred(Duration),
     /// The fleet may send no more retries.
     RetryBudget,
+    /// The router stops, and too little time is left.
+    Stopping,
 }
 
 impl HandoverRefusal {
@@ -58,6 +61,7 @@
             Self::FailureDomainsEmptied => Some(Reason::FailureDomainsEmptied),
             Self::ContentBarred(_) => Some(Reason::Quarantined),
             Self::RetryBudget => Some(Reason::RetryBudget),
+            Self::Stopping => Some(Reason::Stopping),
             Self::Route | Self::TimeOver | Self::NoEvent => None,
         }
     }
@@ -81,6 +85,9 @@
     let NextAttempt::Send { retry } = next else {
         return Err(HandoverRefusal::Route);
     };
+    if !stop_sends::are_permitted(shared, request) {
+        return Err(HandoverRefusal::Stopping);
+    }
     if let Some(retry) = shared.content_refusal(request) {
         return Err(HandoverRefusal::ContentBarred(retry));
     }
--- a/bulrushward_direct/src/overload.rs
+++ b/bulrushward_direct/src/overload.rs
@@ -78,6 +78,15 @@
         response_time.div_duration_f64(target)
     }
 
+    /// Returns the time that the service of a request needs to respond, as far as it is known.
+    pub(crate) fn response_time(&self, request: &RoutedRequest, servers: usize) -> Duration {
+        let by_service = self.lock();
+        let service = by_service.get(&request.service.name);
+        service.map_or(Duration::ZERO, |service| {
+            service.admission.response_time(servers, Instant::now())
+        })
+    }
+
     /// Records the result of an attempt that took `time`.
     pub(crate) fn record_attempt(
         &self,
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -44,6 +44,7 @@
     server_selection::{self, ServerChoice},
     servers::Server,
     shared::Shared,
+    stop_sends,
 };
 
 /// Largest number of requests that wait for a place at this router.
@@ -89,7 +90,8 @@
                 AttemptFailure::Crowded
                 | AttemptFailure::DomainEmptied
                 | AttemptFailure::Withheld
-                | AttemptFailure::ContentBarred,
+                | AttemptFailure::ContentBarred
+                | AttemptFailure::Stopping,
             ) => PlaceUse::NotUsed,
             Some(
                 AttemptFailure::NotSent
@@ -296,7 +298,12 @@
         begun: Instant::now(),
         is_ended: false,
     };
-    let Ok(Ok(end)) = timeout_at(request.deadline.into(), receiver).await else {
+    let answer = tokio::select! {
+        biased;
+        answer = timeout_at(request.deadline.into(), receiver) => answer,
+        () = stop_sends::end(shared, request) => return Borrowed::NoLender,
+    };
+    let Ok(Ok(end)) = answer else {
         return Borrowed::NoLender;
     };
     match end {
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -19,7 +19,7 @@
     handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
     places::{self, Borrowed, Place},
-    relay,
+    refusals, relay,
     request_log::RequestLog,
     request_reader, retry_after,
     routed_request::RoutedRequest,
@@ -91,11 +91,12 @@
     // Whether the successor takes the request over from a silent server.
     let mut is_taken_over = false;
     loop {
-        if let Some(refusal) = refuse_barred(shared, &request, &history, request_log) {
+        if let Some(refusal) = refusals::refuse_barred(shared, &request, &history, request_log) {
             return Err(refusal);
         }
-        if Instant::now() >= request.deadline {
-            let reason = pending.map_or(Reason::TimeOver, |failed: FailedAttempt| failed.reason);
+        if let Some(over) = refusals::time_over(shared, &request) {
+            let failed = pending.filter(|_| over == Reason::TimeOver);
+            let reason = failed.map_or(over, |failed: FailedAttempt| failed.reason);
             return final_response(&history, last_error, reason);
         }
         let mut place = None;
@@ -105,7 +106,7 @@
                 Borrowed::Refused(retry) => {
                     return refuse_without_place(&history, last_error, retry);
                 }
-                Borrowed::NoLender if Instant::now() >= request.deadline => continue,
+                Borrowed::NoLender if refusals::time_over(shared, &request).is_some() => continue,
                 Borrowed::NoLender => {}
             }
         }
@@ -198,21 +199,6 @@
     Err(LocalResponse::not_run(Reason::FailureDomainsEmptied, retry))
 }
 
-/// Returns the refusal of a request whose content crashes servers.
-fn refuse_barred(
-    shared: &Shared,
-    request: &RoutedRequest,
-    history: &AttemptHistory,
-    request_log: &mut RequestLog,
-) -> Option<LocalResponse> {
-    let retry = shared.content_refusal(request)?;
-    request_log.detail = shared.crash_records.describe(request);
-    Some(match history.outcome() {
-        NextAttempt::Unknown => LocalResponse::unknown(Reason::Quarantined),
-        _ => LocalResponse::not_run(Reason::Quarantined, retry),
-    })
-}
-
 /// Returns the server of the granted place, or the one that takes over, or else selects one.
 async fn choose(
     shared: &Arc<Shared>,
@@ -339,6 +325,7 @@
         | AttemptFailure::Unreachable
         | AttemptFailure::Crowded
         | AttemptFailure::Withheld => Reason::NoServer,
+        AttemptFailure::Stopping => Reason::Stopping,
         AttemptFailure::DomainEmptied => Reason::FailureDomainsEmptied,
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
         AttemptFailure::ServerError | AttemptFailure::Broken => Reason::ServerBroke,
@@ -372,6 +359,7 @@
         NextAttempt::NotRun | NextAttempt::Send { .. } => {
             let retry = match reason {
                 Reason::FailureDomainsEmptied => retry_after::for_emptied_domains(),
+                Reason::Stopping => retry_after::STOP_RETRY,
                 _ => retry_after::for_server(),
             };
             Err(LocalResponse::not_run(reason, retry))
--- a/bulrushward_direct/src/stop.rs
+++ b/bulrushward_direct/src/stop.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::planned_stop::{PlannedStop, StopPhase};
+use bulrushward_policy::planned_stop::{PlannedStop, StopPhase, StopSend};
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
@@ -39,6 +39,13 @@
         self.phase() == Some(StopPhase::Ending)
     }
 
+    /// Returns whether a request may be sent to a server now.
+    pub(crate) fn permits(&self, send: impl FnOnce() -> StopSend) -> bool {
+        self.plan
+            .get()
+            .is_none_or(|plan| Instant::now() < plan.send_end(send()))
+    }
+
     /// Waits until new requests are refused.
     pub(crate) async fn refusing(&self) {
         sleep_until(self.plan().await.refusing().into()).await;
@@ -54,6 +61,12 @@
         sleep_until(self.plan().await.exit().into()).await;
     }
 
+    /// Waits until a request may not be sent to any server.
+    pub(crate) async fn send_end(&self, send: impl FnOnce() -> StopSend) {
+        let plan = self.plan().await;
+        sleep_until(plan.send_end(send()).into()).await;
+    }
+
     fn phase(&self) -> Option<StopPhase> {
         self.plan.get().map(|plan| plan.phase(Instant::now()))
     }
--- a/bulrushward_direct/tests/planned_stops.rs
+++ b/bulrushward_direct/tests/planned_stops.rs
@@ -1,12 +1,16 @@
-//! Planned stops: what a router still has when its grace ends is answered.
+//! Planned stops: what a router still has when its grace ends is answered, and what cannot end in it is not passed on.
 //!
-//! Pattern: a router is stopped while servers take long or never respond, or while a body is still arriving.
+//! Pattern: a router is stopped while servers reject late, break late, never respond or have no place.
 
 mod support;
 
 use std::{
     io::{Read, Write},
     net::TcpStream,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     thread::JoinHandle,
     time::{Duration, Instant},
 };
@@ -16,10 +20,13 @@
 use support::{
     CALLERS_PORT, TestRouter,
     caller::{self, Response},
-    config, log, metric,
+    config, lender_and_borrower_with, log, metric,
     platform::MemoryStore,
     record, request,
-    server::{Step, TestServer, ok_response, send_text},
+    server::{
+        Received, Step, TestServer, chunk, complete_stream, event, ok_response, response,
+        stream_head,
+    },
     settings, unique_loopback_ip, wait_until,
 };
 
@@ -36,6 +43,10 @@
     let mut config = config(1);
     for route in &mut config.routes {
         route.timeout = Duration::from_secs(20);
+        if route.name == "lookup" {
+            // Servers may be silent for four times as long before another one takes over.
+            route.target_latency = Duration::from_millis(1_200);
+        }
     }
     config
 }
@@ -74,6 +85,33 @@
     call.join().expect("the caller does not panic")
 }
 
+/// Starts two servers: `first` runs for the first request that either of them gets, `then` for all others.
+fn servers_in_order(
+    first: impl Fn(&Received) -> Vec<Step> + Clone + Send + Sync + 'static,
+    then: impl Fn(&Received) -> Vec<Step> + Clone + Send + Sync + 'static,
+) -> [TestServer; 2] {
+    let is_begun = Arc::new(AtomicBool::new(false));
+    ["s-1", "s-2"].map(|id| {
+        let (first, then, is_begun) = (first.clone(), then.clone(), Arc::clone(&is_begun));
+        TestServer::start(id, move |req| {
+            if is_begun.swap(true, Ordering::SeqCst) {
+                then(req)
+            } else {
+                first(req)
+            }
+        })
+    })
+}
+
+fn received(servers: &[TestServer]) -> usize {
+    servers.iter().map(|server| server.received().len()).sum()
+}
+
+fn reject_after(req: &Received, pause: Duration) -> Vec<Step> {
+    let rejection = response(req, "503 Full", "Not-Run: 1\r\n", "");
+    vec![Step::Pause(pause), rejection]
+}
+
 /// Stops the router and returns the time of the stop.
 fn stop(router: &TestRouter) -> Instant {
     let now = Instant::now();
@@ -98,6 +136,162 @@
     assert!(response.text().contains("\"outcome\":\"unknown\""));
 }
 
+/// Guards against requests that must run once, are passed on late in a stop and are cut while they run.
+#[test]
+fn an_unsafe_request_that_a_server_rejects_late_is_refused() {
+    let servers = servers_in_order(
+        |req| reject_after(req, Duration::from_millis(3_200)),
+        |req| {
+            vec![
+                Step::Pause(Duration::from_secs(4)),
+                ok_response(req, "late"),
+            ]
+        },
+    );
+    let router = start("plain", &[&servers[0], &servers[1]]);
+    let call = call(&router, "action", "r-1");
+    wait_until("the request arrives", || received(&servers) == 1);
+    let stopped = stop(&router);
+    let (response, ended) = finish(call);
+    assert_refused(&response);
+    assert!(ended - stopped < END);
+    assert_eq!(received(&servers), 1);
+}
+
+/// Guards against repeats that can no longer end, and against too careful a stop that refuses those that can.
+#[rstest]
+#[case::with_time_left(3_000, 200)]
+#[case::too_late(4_200, 503)]
+fn a_safe_request_that_a_server_rejects_late_is_repeated_if_time_is_left(
+    #[case] rejected_ms: u64,
+    #[case] status: u16,
+) {
+    let pause = Duration::from_millis(rejected_ms);
+    let servers = servers_in_order(
+        move |req| reject_after(req, pause),
+        |req| vec![ok_response(req, "repeated")],
+    );
+    let router = start("plain", &[&servers[0], &servers[1]]);
+    let call = call(&router, "lookup", "r-1");
+    wait_until("the request arrives", || received(&servers) == 1);
+    router.stop();
+    let (response, _ended) = finish(call);
+    if status == 503 {
+        assert_refused(&response);
+        assert_eq!(received(&servers), 1);
+    } else {
+        assert_eq!(response.status, status, "{response:?}");
+        assert_eq!(received(&servers), 2);
+    }
+}
+
+/// Guards against requests that are held for a place until the end of a stop, or that get one too late.
+#[test]
+fn a_request_that_waits_for_a_place_when_the_stop_begins_is_refused_in_time() {
+    log::capture();
+    let is_slow = Arc::new(AtomicBool::new(false));
+    let slow = Arc::clone(&is_slow);
+    let server = TestServer::start("s-1", move |req| {
+        let pause = if slow.load(Ordering::SeqCst) {
+            Duration::from_millis(3_500)
+        } else {
+            Duration::from_millis(400)
+        };
+        vec![Step::Pause(pause), ok_response(req, "served")]
+    });
+    let store = MemoryStore::with(patient_config());
+    let mut entry = record("plain", server.address);
+    entry.slots = 1;
+    store.put("s-1", entry);
+    // A stopping router does not lend, so that the other one does.
+    let [_lender, mut router] = lender_and_borrower_with(&store, |settings| {
+        settings.stop_grace = GRACE;
+    });
+    let warm = AtomicU32::new(0);
+    wait_until("places are scarce", || {
+        let id = format!("w-{}", warm.fetch_add(1, Ordering::SeqCst));
+        router.send(&text("action", &id, ""));
+        log::lines()
+            .iter()
+            .any(|line| line.contains("event=places-scarce "))
+    });
+    is_slow.store(true, Ordering::SeqCst);
+    let warmed = server.received().len();
+    // Unless its response arrives earlier, a place is lent for some 400 ms, so that many still wait after the first seconds.
+    let calls: Vec<_> = (0..24)
+        .map(|index| call(&router, "action", &format!("r-{index}")))
+        .collect();
+    wait_until("requests wait for a place", || {
+        metric(&router, "places_waiting").is_some_and(|waiting| waiting > 1)
+            && server.received().len() > warmed
+    });
+    let stopped = stop(&router);
+    let results: Vec<_> = calls.into_iter().map(finish).collect();
+    router.join();
+    let ran: Vec<_> = server.received()[warmed..]
+        .iter()
+        .filter_map(|req| req.header("request").map(str::to_owned))
+        .collect();
+    let mut refused = 0;
+    for (index, (response, ended)) in results.iter().enumerate() {
+        assert!(response.is_complete, "r-{index}: {response:?}");
+        if ran.contains(&format!("r-{index}")) {
+            assert!(matches!(response.status, 200 | 504), "{response:?}");
+        } else {
+            assert_refused(response);
+            assert!(*ended - stopped < REFUSING + TOLERANCE, "r-{index}");
+            refused += 1;
+        }
+    }
+    assert!(refused > 0, "no request waited");
+    let late = server.received()[warmed..]
+        .iter()
+        .filter(|req| req.at > stopped + REFUSING + TOLERANCE)
+        .count();
+    assert_eq!(late, 0);
+}
+
+/// Guards against streams that are resumed only to be cut, and against streams that are cut though time is left.
+#[rstest]
+#[case::with_time_left(3_000, true)]
+#[case::too_late(4_300, false)]
+fn a_stream_that_breaks_late_is_resumed_if_time_is_left(
+    #[case] broken_ms: u64,
+    #[case] is_resumed: bool,
+) {
+    let pause = Duration::from_millis(broken_ms);
+    let servers = servers_in_order(
+        move |req| {
+            vec![
+                stream_head(req),
+                chunk(&event(1)),
+                Step::Pause(pause),
+                Step::Reset,
+            ]
+        },
+        complete_stream,
+    );
+    let mut config = patient_config();
+    for route in &mut config.routes {
+        // The server may be silent until it breaks.
+        route.target_pause = Duration::from_secs(10);
+    }
+    let router = start("engines", &[&servers[0], &servers[1]]);
+    config.version = 2;
+    router.store.set_config(config);
+    wait_until("the configuration is known", || {
+        metric(&router, "config_version") == Some(2)
+    });
+    let call = call(&router, "resumable", "r-1");
+    wait_until("the request arrives", || received(&servers) == 1);
+    router.stop();
+    let (response, _ended) = finish(call);
+    assert_eq!(response.status, 200);
+    assert_eq!(response.is_complete, is_resumed, "{response:?}");
+    assert_eq!(received(&servers), if is_resumed { 2 } else { 1 });
+    assert!(response.text().starts_with(&event(1)));
+}
+
 /// Guards against requests whose body is still arriving and that are cut without an answer at the end of a stop.
 #[rstest]
 #[case::never_complete(None)]
@@ -179,7 +373,7 @@
     const CALLS: usize = 12;
     log::capture();
     let server = TestServer::start("s-1", move |req| {
-        let head = send_text(&format!(
+        let head = support::server::send_text(&format!(
             "HTTP/1.1 200 OK\r\nRequest: {}\r\nSigned: s\r\nContent-Length: 9\r\n\r\nhalf",
             req.header("request").unwrap_or_default()
         ));
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -276,6 +276,14 @@
 
 /// Starts two routers that know each other; the second one borrows places from the first one.
 pub fn lender_and_borrower(store: &Arc<MemoryStore>) -> [TestRouter; 2] {
+    lender_and_borrower_with(store, |_settings| {})
+}
+
+/// Starts such routers with changed settings.
+pub fn lender_and_borrower_with(
+    store: &Arc<MemoryStore>,
+    change: impl Fn(&mut DirectSettings),
+) -> [TestRouter; 2] {
     let mut ips = [unique_loopback_ip(), unique_loopback_ip()];
     let names = ips.map(|ip| format!("{ip}:{FLEET_STATE_PORT}"));
     let candidates = [0, 1].map(|index: usize| Candidate {
@@ -286,6 +294,7 @@
     let routers = ips.map(|ip| {
         let mut settings = settings(ip, &ips);
         settings.places_port = Some(7_342);
+        change(&mut settings);
         TestRouter::start_with(settings, store)
     });
     for router in &routers {
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -27,6 +27,8 @@
     Withheld,
     /// The content of the request was barred before the request was sent.
     ContentBarred,
+    /// The router stops, and too little time is left to send the request.
+    Stopping,
     /// The server responded that it did not run the request.
     Rejected,
     /// The address now belongs to another server, which did not run the request.
@@ -53,6 +55,7 @@
                 | Self::DomainEmptied
                 | Self::Withheld
                 | Self::ContentBarred
+                | Self::Stopping
                 | Self::Rejected
                 | Self::Misdirected
         )
@@ -77,6 +80,7 @@
                 | Self::Crowded
                 | Self::DomainEmptied
                 | Self::ContentBarred
+                | Self::Stopping
         )
     }
 }
--- a/bulrushward_policy/tests/server_attempt.rs
+++ b/bulrushward_policy/tests/server_attempt.rs
@@ -3,12 +3,13 @@
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
 use proptest::prelude::*;
 
-const ALL: [AttemptFailure; 10] = [
+const ALL: [AttemptFailure; 11] = [
     AttemptFailure::NotSent,
     AttemptFailure::Crowded,
     AttemptFailure::DomainEmptied,
     AttemptFailure::Withheld,
     AttemptFailure::ContentBarred,
+    AttemptFailure::Stopping,
     AttemptFailure::Rejected,
     AttemptFailure::Misdirected,
     AttemptFailure::ServerError,
