--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -19,13 +19,14 @@
     handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{self, Body, LocalResponse, Reason},
     places::{self, Borrowed, Place},
-    relay,
+    refusals, relay,
     request_log::RequestLog,
     request_reader, retry_after,
     routed_request::RoutedRequest,
     server_selection::{self, NoServer, ServerChoice},
     servers::Server,
     shared::Shared,
+    stop_answers,
     stream_origins::{RegistrySource, RegistryView},
     unit_loans,
 };
@@ -36,18 +37,15 @@
     let metadata = shared.conventions.parse_request_headers(req.headers());
     let mut request_log = RequestLog::new(&shared, metadata.request_id.clone(), received);
     let _in_progress = shared.metrics.track_in_progress();
-    if let Some(end) = shared.start_gate.pass(metadata.caller_timeout).await {
-        shared.metrics.record_start_wait(end);
-    }
-    let result =
-        match request_reader::read(&shared, req, metadata, received, &mut request_log).await {
-            Ok(_) if shared.is_refusing() => Err(LocalResponse::not_run(
-                Reason::Stopping,
-                retry_after::STOP_RETRY,
-            )),
-            Ok(request) => send_with_retries(&shared, Arc::new(request), &mut request_log).await,
-            Err(local) => Err(local),
-        };
+    let reading = request_reader::read(&shared, req, metadata, received, &mut request_log);
+    let result = match stop_answers::read(&shared, reading).await {
+        Ok(request) => {
+            let request = Arc::new(request);
+            let serving = send_with_retries(&shared, Arc::clone(&request), &mut request_log);
+            stop_answers::serve(&shared, &request, serving).await
+        }
+        Err(local) => Err(local),
+    };
     let (res, outcome) = match result {
         Ok(res) => {
             request_log.log_response(res.status());
@@ -93,11 +91,12 @@
     // Whether the successor takes the request over from a silent server.
     let mut is_taken_over = false;
     loop {
-        if let Some(refusal) = refuse_barred(shared, &request, &history, request_log) {
+        if let Some(refusal) = refusals::refuse_barred(shared, &request, &history, request_log) {
             return Err(refusal);
         }
-        if Instant::now() >= request.deadline {
-            let reason = pending.map_or(Reason::TimeOver, |failed: FailedAttempt| failed.reason);
+        if let Some(over) = refusals::time_over(shared, &request) {
+            let failed = pending.filter(|_| over == Reason::TimeOver);
+            let reason = failed.map_or(over, |failed: FailedAttempt| failed.reason);
             return final_response(&history, last_error, reason);
         }
         let mut place = None;
@@ -107,7 +106,7 @@
                 Borrowed::Refused(retry) => {
                     return refuse_without_place(&history, last_error, retry);
                 }
-                Borrowed::NoLender if Instant::now() >= request.deadline => continue,
+                Borrowed::NoLender if refusals::time_over(shared, &request).is_some() => continue,
                 Borrowed::NoLender => {}
             }
         }
@@ -153,6 +152,7 @@
         }
         record_failed_attempt(shared, &request, server, &error);
         let failed = FailedAttempt::new(&error, &mut history);
+        request.run_mark.record_failure(&history);
         last_error = Some(error);
         let NextAttempt::Send { retry } = failed.next else {
             let wait = server_selection::wait_for_server(shared, &request, &scope);
@@ -199,21 +199,6 @@
     Err(LocalResponse::not_run(Reason::FailureDomainsEmptied, retry))
 }
 
-/// Returns the refusal of a request whose content crashes servers.
-fn refuse_barred(
-    shared: &Shared,
-    request: &RoutedRequest,
-    history: &AttemptHistory,
-    request_log: &mut RequestLog,
-) -> Option<LocalResponse> {
-    let retry = shared.content_refusal(request)?;
-    request_log.detail = shared.crash_records.describe(request);
-    Some(match history.outcome() {
-        NextAttempt::Unknown => LocalResponse::unknown(Reason::Quarantined),
-        _ => LocalResponse::not_run(Reason::Quarantined, retry),
-    })
-}
-
 /// Returns the server of the granted place, or the one that takes over, or else selects one.
 async fn choose(
     shared: &Arc<Shared>,
@@ -340,6 +325,7 @@
         | AttemptFailure::Unreachable
         | AttemptFailure::Crowded
         | AttemptFailure::Withheld => Reason::NoServer,
+        AttemptFailure::Stopping => Reason::Stopping,
         AttemptFailure::DomainEmptied => Reason::FailureDomainsEmptied,
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
         AttemptFailure::ServerError | AttemptFailure::Broken => Reason::ServerBroke,
@@ -373,6 +359,7 @@
         NextAttempt::NotRun | NextAttempt::Send { .. } => {
             let retry = match reason {
                 Reason::FailureDomainsEmptied => retry_after::for_emptied_domains(),
+                Reason::Stopping => retry_after::STOP_RETRY,
                 _ => retry_after::for_server(),
             };
             Err(LocalResponse::not_run(reason, retry))
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -11,6 +11,7 @@
 use crate::{
     model::{Route, RouteKind, Service},
     ports::PromptPart,
+    run_mark::RunMark,
     server_stream::ResumePoint,
 };
 
@@ -42,6 +43,7 @@
     pub(crate) fingerprint: Fingerprint,
     /// Version of the configuration that was applied, for the log.
     pub(crate) config_version: u64,
+    pub(crate) run_mark: RunMark,
 }
 
 impl RoutedRequest {
