Reset the connection of an HTTP/1.0 caller whose stream is cut

Callers of HTTP/1.0 saw a stream that was cut as a complete one: the connection closed in order (FIN) after the last event that had arrived. The same happened at the end of the grace time of a stop and when the router's process was killed.

hyper answers HTTP/1.0 without chunks, so the end of a stream is the close of its connection. An error of the body ends it by a plain close, and the system closes the connections of a process that ends in order.

A response that ends only with its connection now sets SO_LINGER to 0 s before its first byte. The option is taken back in poll_shutdown, when hyper has written all bytes to the socket, and only if the body ended without an error. Until then no FIN is sent, and each way of closing is a reset. Responses with chunks or a length are unchanged.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -55,6 +55,7 @@
 mod store_watch;
 mod stream_origins;
 mod supervision;
+mod unframed_body;
 mod unit_loans;
 mod version_check;
 
--- a/bulrushward_direct/src/listener.rs
+++ b/bulrushward_direct/src/listener.rs
@@ -25,6 +25,7 @@
     request_handler,
     shared::Shared,
     supervision::record_panic,
+    unframed_body,
 };
 
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
@@ -136,9 +137,14 @@
     if let Err(error) = stream.set_nodelay(true) {
         debug!(event = "nodelay-failed", %error);
     }
-    let service = service_fn(move |req| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(respond(shared, req).await) }
+    let (stream, close) = LingeringStream::new(stream);
+    let service = service_fn(move |req: Request<Incoming>| {
+        let (shared, close) = (Arc::clone(&shared), close.clone());
+        async move {
+            let version = req.version();
+            let response = respond(shared, req).await;
+            Ok::<_, Infallible>(unframed_body::guard_end(response, version, close))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
@@ -147,8 +153,7 @@
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER))
         .auto_date_header(false);
-    let stream = TokioIo::new(LingeringStream::new(stream));
-    let connection = builder.serve_connection(stream, service);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let ended = tokio::select! {
         // A request that has already arrived is read first.
