--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -63,6 +63,7 @@
 mod stream_origins;
 mod stream_runs;
 mod supervision;
+mod unframed_body;
 mod unit_loans;
 mod version_check;
 
