Refuse responses that the death of a backend server cut

Callers saw 200 with a part of the response, or a long response that ended as if it were complete, when a backend server behind an agent was killed while it sent a response without a length and without chunks; an action was recorded as run with it.

The system closes the connections of a process that was killed in order, as a complete response without a length ends, and the agent took the end of the body for the end of the response unless it was a stream of events.

An agent now connects anew after such an end, 20 ms later, and refuses the response as cut unless the backend server answers.

The tests of the action waits for 6 s, as agents record actions as run after 5 s. is_complete and wait_until_live of the tests' support are visible to other files, and add_raw_agent is split in two.

--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -5,12 +5,13 @@
     time::Duration,
 };
 
+use bulrushward_policy::body_end::{self, BodyEnd, Framing, Sender};
 use bulrushward_protocol::{Frame, Header, RunRequest};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use snafu::Snafu;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::replay_buffer::ReplayBuffer;
 use crate::{
@@ -21,6 +22,8 @@
 
 /// Timeout of a health probe.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time in which the system closes all sockets of a process that ends, its listener among them.
+const EXIT_TIME: Duration = Duration::from_millis(20);
 /// Response headers that apply to one connection only and are not passed on.
 const HOP_BY_HOP_HEADERS: [&str; 6] = [
     "connection",
@@ -43,8 +46,8 @@
     /// No byte arrived within the read timeout.
     #[snafu(display("the backend server sent no data for {seconds} s"))]
     TimedOut { seconds: u64 },
-    /// A streamed response ended before its last event.
-    #[snafu(display("the streamed response ended without its last event"))]
+    /// A response ended, but nothing shows that it is complete.
+    #[snafu(display("the response of the backend server ended before it was complete"))]
     Truncated,
 }
 
@@ -115,6 +118,7 @@
     ) -> Result<(), BackendError> {
         let mut response = self.send(req).await?;
         let headers = response_headers(&response);
+        let framing = response.framing();
         let streamed = is_event_stream(&headers);
         failpoint::hit("agent-first-byte");
         buffer.push_head(Frame::Head {
@@ -128,10 +132,34 @@
             failpoint::hit("agent-streaming");
             on_chunk();
         }
-        if streamed && !last_event.seen() {
-            return TruncatedSnafu.fail();
+        let complete = if streamed {
+            last_event.seen()
+        } else {
+            self.judge_end(framing).await == BodyEnd::Complete
+        };
+        if complete {
+            Ok(())
+        } else {
+            TruncatedSnafu.fail()
+        }
+    }
+
+    /// Judges the end of a response that is no event stream.
+    async fn judge_end(&self, framing: Framing) -> BodyEnd {
+        let sender = match framing {
+            Framing::Length | Framing::Chunked => Sender::Unknown,
+            Framing::UntilClose => self.find_sender().await,
+        };
+        body_end::judge(framing, sender)
+    }
+
+    /// Returns whether the backend server, which has just closed a connection, still runs.
+    async fn find_sender(&self) -> Sender {
+        sleep(EXIT_TIME).await;
+        match self.call_health().await {
+            Some(Ok(_response)) => Sender::Alive,
+            Some(Err(_)) | None => Sender::Gone,
         }
-        Ok(())
     }
 
     async fn send(&self, req: &RunRequest) -> Result<HttpResponse, BackendError> {
--- a/bulrushward/src/http_client.rs
+++ b/bulrushward/src/http_client.rs
@@ -12,9 +12,14 @@
 };
 
 use bulrushward_net::with_causes;
+use bulrushward_policy::body_end::Framing;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, Uri,
+    body::{Body, Incoming},
+    header::TRANSFER_ENCODING,
+};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -116,7 +121,19 @@
         self.0.headers()
     }
 
+    /// Returns how the body shows where it ends; valid until its first part is read.
+    pub(crate) fn framing(&self) -> Framing {
+        let codings = self.headers().get_all(TRANSFER_ENCODING).iter().next_back();
+        let codings = codings.and_then(|codings| codings.to_str().ok());
+        let last = codings.and_then(|codings| codings.rsplit(',').next());
+        let is_chunked = last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+        Framing::of(self.0.body().size_hint().exact(), is_chunked)
+    }
+
     /// Returns the next part of the body, or `None` at its end.
+    ///
+    /// The end of a body that has neither a length nor chunks is the close of its connection, which says nothing of whether it
+    /// is complete.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, HttpError> {
         while let Some(frame) = self.0.frame().await {
             if let Ok(data) = frame.context(BodySnafu)?.into_data() {
--- /dev/null
+++ b/bulrushward/tests/ends_of_responses.rs
@@ -0,0 +1,122 @@
+//! Responses of backend servers that end with their connection, and what callers learn of them.
+
+mod support;
+
+use std::time::Duration;
+
+use bulrushward_fakes::{FakePlain, PlainSettings};
+use rstest::rstest;
+use support::{
+    Fleet, chat_request,
+    dying_backend::DyingBackend,
+    eventually, header,
+    raw::{RawBackend, RawResponse},
+};
+
+/// Path of the action.
+const PATH: &str = "/certificates";
+/// Head of a response whose body ends with its connection.
+const HEAD_UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\n\r\n";
+/// Time after which an agent has recorded an action as run.
+const RECORD_TIME: Duration = Duration::from_secs(6);
+/// Length of a body in bytes that is too long for a router to keep until it is complete.
+const LONG_BODY: usize = 3 << 20;
+
+async fn fleet_with_dying_backend(service: &str, response: String) -> Fleet {
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    let backend = DyingBackend::start(response);
+    fleet.add_admitting_agent(service, &backend.url()).await;
+    backend.arm();
+    fleet
+}
+
+/// Reads a streamed response and returns what arrived and whether it looks complete.
+async fn read_all(mut response: reqwest::Response) -> (String, bool) {
+    let mut body = String::new();
+    loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) => body += &String::from_utf8_lossy(&chunk),
+            Ok(None) => return (body, true),
+            Err(_cut) => return (body, false),
+        }
+    }
+}
+
+/// Guards against a response without a length and chunks that passes for complete after its backend server was killed.
+#[rstest]
+#[case::plain(HEAD_UNTIL_CLOSE)]
+#[case::closing("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")]
+#[case::old_version("HTTP/1.0 200 OK\r\n\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_the_death_of_its_backend_server_cut_is_refused(
+    #[case] head: &str,
+    #[values("GET", "POST")] method: &str,
+) {
+    let fleet = fleet_with_dying_backend("registry", format!("{head}hal")).await;
+    let refused = fleet.call(0, method, PATH, None, "x").await;
+    assert!(
+        refused.status().is_server_error(),
+        "the caller sees {}",
+        refused.status()
+    );
+    assert_eq!(header(&refused, "x-bulrushward-outcome"), "unknown");
+}
+
+/// Guards against a long response that looks complete to its caller after its backend server was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_response_that_the_death_of_its_backend_server_cut_breaks_off() {
+    let response = format!("{HEAD_UNTIL_CLOSE}{}", "x".repeat(LONG_BODY));
+    let fleet = fleet_with_dying_backend("registry", response).await;
+    let response = fleet.call(0, "GET", PATH, None, "").await;
+    assert_eq!(response.status(), 200);
+    let (_body, is_complete) = read_all(response).await;
+    assert!(!is_complete, "the cut response looks complete");
+}
+
+/// Guards against an action that is recorded as run with a response that was cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_action_whose_response_was_cut_is_not_recorded_as_run() {
+    let mut fleet = fleet_with_dying_backend("registry", format!("{HEAD_UNTIL_CLOSE}hal")).await;
+    let _cut = fleet.call(0, "POST", PATH, Some("key"), "x").await;
+    let other = FakePlain::start(PlainSettings::default()).await;
+    let other = other.expect("the plain service starts");
+    fleet.add_agent("plain-0", "registry", &other.url(), "");
+    fleet.update_vm_list();
+    fleet.wait_until_live().await;
+    fleet.wait_until_active(1).await;
+    tokio::time::sleep(RECORD_TIME).await;
+    eventually("another agent answers for the action", async || {
+        let again = fleet.call(0, "POST", PATH, Some("key"), "x").await;
+        let outcome = header(&again, "x-bulrushward-outcome");
+        assert!(["not-run", "unknown"].contains(&&*outcome), "{again:?}");
+        outcome == "unknown"
+    })
+    .await;
+    assert!(other.executions().is_empty(), "the action ran twice");
+}
+
+/// Guards against complete responses without a length that are refused, as those of old servers are.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_ends_with_its_connection_is_complete_if_its_backend_server_lives(
+    #[values("GET", "POST")] method: &str,
+) {
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    let response = RawResponse::Bytes(format!("{HEAD_UNTIL_CLOSE}whole"));
+    let backend = RawBackend::start(response).await;
+    fleet.add_raw_agent("registry", &backend).await;
+    let response = fleet.call(0, method, PATH, None, "x").await;
+    assert_eq!(response.status(), 200);
+    assert_eq!(read_all(response).await, ("whole".to_owned(), true));
+    assert_eq!(backend.requests().len(), 1);
+}
+
+/// Guards against a complete stream of events that is cut because its backend server ended after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_has_its_last_event_is_complete_after_the_death_of_its_backend_server() {
+    let stream = "data: {\"choices\":[]}\n\ndata: [DONE]\n\n";
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+    let fleet = fleet_with_dying_backend("assess", format!("{head}{stream}")).await;
+    let response = fleet.chat(0, &chat_request("portfolio", true, 4)).await;
+    assert_eq!(read_all(response).await, (stream.to_owned(), true));
+}
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "no test binary uses all of it")]
 
+pub mod dying_backend;
 pub mod raw;
 pub mod scripted_agent;
 
@@ -228,7 +229,13 @@
     ///
     /// An agent reports a new revision shortly before it applies it to admissions.
     pub async fn add_raw_agent(&mut self, service: &str, backend: &RawBackend) {
-        self.add_agent("raw", service, &backend.url(), "");
+        self.add_admitting_agent(service, &backend.url()).await;
+        backend.clear_requests();
+    }
+
+    /// Starts an agent for a backend server that has begun to respond to requests, and waits until it admits attempts.
+    pub async fn add_admitting_agent(&mut self, service: &str, url: &str) {
+        self.add_agent("raw", service, url, "");
         self.update_vm_list();
         self.wait_until_live().await;
         self.wait_until_active(1).await;
@@ -242,7 +249,6 @@
             matches!(frames.first(), Some(Frame::Admitted { .. }))
         })
         .await;
-        backend.clear_requests();
     }
 
     /// Starts a router with additional arguments and waits until its configuration is active.
@@ -474,7 +480,7 @@
         }
     }
 
-    async fn wait_until_live(&self) {
+    pub async fn wait_until_live(&self) {
         for process in self.routers.iter().chain(&self.agents) {
             let url = format!("http://{}/health/live", process.admin);
             eventually(&format!("{} responds", process.node), async || {
--- a/bulrushward/tests/support/raw.rs
+++ b/bulrushward/tests/support/raw.rs
@@ -127,7 +127,7 @@
     String::from_utf8_lossy(&request).into_owned()
 }
 
-fn is_complete(request: &[u8]) -> bool {
+pub(super) fn is_complete(request: &[u8]) -> bool {
     let text = String::from_utf8_lossy(request).to_ascii_lowercase();
     let Some((head, body)) = text.split_once("\r\n\r\n") else {
         return false;
