Detect the last event of a stream by its event, not by its text

A chat that mentioned [DONE] and was then cut, as its engine was killed, passed for complete: its caller saw an ordinary end.

The detector of agents and routers found the text anywhere in the stream, also within the data of an event, and counted it before the event was complete.

The detector reads lines and events now and is in bulrushward_policy, where tests reach it; the last event is one whose data is [DONE] alone and which an empty line ends. A stream that ends right after the line, without the empty line, counts as cut, as callers that follow the format of event streams do not get that event.

--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use bulrushward_policy::body_end::{self, BodyEnd, Framing, Sender};
+use bulrushward_policy::{
+    body_end::{self, BodyEnd, Framing, Sender},
+    last_event::LastEventDetector,
+};
 use bulrushward_protocol::{Frame, Header, RunRequest};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -15,7 +18,7 @@
 
 use super::replay_buffer::ReplayBuffer;
 use crate::{
-    event_stream::{LastEventDetector, is_event_stream},
+    event_stream::is_event_stream,
     failpoint,
     http_client::{HttpClient, HttpError, HttpResponse},
 };
--- a/bulrushward/src/router/listener.rs
+++ b/bulrushward/src/router/listener.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use bulrushward_policy::last_event::LastEventDetector;
 use bulrushward_protocol::{Frame, Outcome, RequestId, format_id, headers};
 use bytes::Bytes;
 use futures_util::{Stream, stream};
@@ -22,10 +23,7 @@
     request_log::{self, RequestLog},
     routed_request::RoutedRequest,
 };
-use crate::{
-    event_stream::{LastEventDetector, is_event_stream},
-    failpoint,
-};
+use crate::{event_stream::is_event_stream, failpoint};
 
 /// Error code of a truncated response.
 const TRUNCATED_CODE: &str = "answer-cut";
--- a/bulrushward/tests/ends_of_responses.rs
+++ b/bulrushward/tests/ends_of_responses.rs
@@ -120,3 +120,18 @@
     let response = fleet.chat(0, &chat_request("portfolio", true, 4)).await;
     assert_eq!(read_all(response).await, (stream.to_owned(), true));
 }
+
+/// Guards against a chat that mentions the text of the last event and passes for complete after it was cut.
+#[rstest]
+#[case::without_length("")]
+#[case::with_a_length_that_fits("content-length: 44\r\n")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_mentions_the_last_event_and_is_cut_breaks_off(#[case] length: &str) {
+    let stream = "data: {\"choices\":[{\"delta\":\"the [DONE]\"}]}\n\n";
+    let head = format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{length}\r\n");
+    let fleet = fleet_with_dying_backend("assess", format!("{head}{stream}")).await;
+    let response = fleet.chat(0, &chat_request("portfolio", true, 4)).await;
+    let (body, is_complete) = read_all(response).await;
+    assert!(body.contains("answer-cut"), "{body}");
+    assert!(!is_complete, "the cut stream looks complete");
+}
