--- a/bulrushward/tests/ends_of_responses.rs
+++ b/bulrushward/tests/ends_of_responses.rs
@@ -7,11 +7,15 @@
 use bulrushward_fakes::{FakePlain, PlainSettings};
 use rstest::rstest;
 use support::{
-    Fleet, chat_request,
+    API_KEY, Fleet, chat_request,
     dying_backend::DyingBackend,
     eventually, header,
     raw::{RawBackend, RawResponse},
 };
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// Path of the action.
 const PATH: &str = "/certificates";
@@ -135,3 +139,31 @@
     assert!(body.contains("answer-cut"), "{body}");
     assert!(!is_complete, "the cut stream looks complete");
 }
+
+/// Guards against a cut response that a caller of HTTP/1.0, which gets neither a length nor chunks, takes for complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_of_the_old_version_sees_that_a_long_response_was_cut() {
+    let response = format!("{HEAD_UNTIL_CLOSE}{}", "x".repeat(LONG_BODY));
+    let fleet = fleet_with_dying_backend("registry", response).await;
+    let mut caller = TcpStream::connect(fleet.routers[0].data)
+        .await
+        .expect("the router accepts the connection");
+    let req =
+        format!("GET /svc/registry{PATH} HTTP/1.0\r\nauthorization: Bearer {API_KEY}\r\n\r\n");
+    caller
+        .write_all(req.as_bytes())
+        .await
+        .expect("the request is sent");
+    let mut received = Vec::new();
+    let end = caller.read_to_end(&mut received).await;
+    let head: String = String::from_utf8_lossy(&received)
+        .chars()
+        .take(300)
+        .collect();
+    let is_framed = head.contains("content-length: ") || head.contains("transfer-encoding: ");
+    assert!(
+        end.is_err() || is_framed,
+        "{} bytes look complete: {head}",
+        received.len()
+    );
+}
