Close the connections of a proxy at once and in order

Callers saw the connections of a proxy end one after another, each when its task ran, so the first end said nothing about the others. A killed process closes its listener and then all of its connections at once; a cut of a link that looks like the end of one response must have closed the connections beside it before. The proxy now shuts down all sockets itself: the oldest first when it is taken down, the newest first when its link is cut.

--- a/bulrushward_fakes/src/proxy.rs
+++ b/bulrushward_fakes/src/proxy.rs
@@ -12,7 +12,7 @@
     task::JoinHandle,
 };
 
-use self::connections::{Connections, relay};
+use self::connections::{CloseOrder, Connections, relay};
 
 /// Number of connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -140,19 +140,19 @@
         self.connections.stall(direction);
     }
 
-    /// Closes the existing connections.
+    /// Closes the existing connections in order, the newest first.
     pub fn close_connections(&self) {
-        self.connections.close_all();
+        self.connections.close_all(CloseOrder::NewestFirst);
     }
 
-    /// Refuses new connections and closes the existing ones.
+    /// Refuses new connections and closes the existing ones in order, as the system does when a process ends.
     pub async fn take_down(&self) {
         self.set_fault(NetworkFault {
             refuse: true,
             ..self.fault()
         })
         .await;
-        self.close_connections();
+        self.connections.close_all(CloseOrder::OldestFirst);
     }
 
     /// Clears the current fault; stalled connections stay stalled.
@@ -189,7 +189,7 @@
 impl Drop for FaultyProxy {
     fn drop(&mut self) {
         self.task.abort();
-        self.connections.close_all();
+        self.connections.close_all(CloseOrder::OldestFirst);
     }
 }
 
@@ -241,9 +241,12 @@
                 _ = fault.wait_for(|fault| fault.refuse) => return,
                 accepted = listener.accept() => {
                     let Ok((caller, _)) = accepted else { continue };
-                    self.connections.spawn(|connection_faults| {
+                    let spawned = self.connections.spawn(caller, |caller, connection_faults| {
                         relay(caller, self.target, self.fault.clone(), connection_faults)
                     });
+                    if let Err(error) = spawned {
+                        tracing::warn!(%error, "a connection cannot be forwarded");
+                    }
                 }
             }
         }
--- a/bulrushward_fakes/src/proxy/connections.rs
+++ b/bulrushward_fakes/src/proxy/connections.rs
@@ -1,8 +1,10 @@
 //! Open connections of a proxy.
 
 use std::{
+    collections::BTreeMap,
     io,
-    net::SocketAddr,
+    net::{Shutdown, SocketAddr, TcpStream as StdTcpStream},
+    os::fd::AsFd,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -10,7 +12,6 @@
     time::Duration,
 };
 
-use slab::Slab;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::{
@@ -45,10 +46,26 @@
     }
 }
 
+/// Order in which connections are closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseOrder {
+    OldestFirst,
+    NewestFirst,
+}
+
+/// An open connection.
+#[derive(Debug)]
+struct Connection {
+    faults: watch::Sender<ConnectionFaults>,
+    /// Second handle of the socket to the caller.
+    caller: StdTcpStream,
+}
+
 /// The open connections of a proxy.
 #[derive(Debug)]
 pub(crate) struct Connections {
-    faults: Mutex<Slab<watch::Sender<ConnectionFaults>>>,
+    /// By the number of connections that were accepted before.
+    by_number: Mutex<BTreeMap<u64, Connection>>,
     open: watch::Sender<usize>,
     accepted: AtomicU64,
 }
@@ -56,7 +73,7 @@
 impl Default for Connections {
     fn default() -> Self {
         Self {
-            faults: Mutex::default(),
+            by_number: Mutex::default(),
             open: watch::Sender::new(0),
             accepted: AtomicU64::new(0),
         }
@@ -64,17 +81,26 @@
 }
 
 impl Connections {
-    /// Runs a connection in its own task.
-    pub(crate) fn spawn<F, R>(self: &Arc<Self>, run: F)
+    /// Runs a connection of a caller in its own task.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no file descriptor for a second handle of the socket.
+    pub(crate) fn spawn<F, R>(self: &Arc<Self>, caller: TcpStream, run: F) -> io::Result<()>
     where
-        F: FnOnce(watch::Receiver<ConnectionFaults>) -> R,
+        F: FnOnce(TcpStream, watch::Receiver<ConnectionFaults>) -> R,
         R: Future<Output = io::Result<()>> + Send + 'static,
     {
+        let handle = StdTcpStream::from(caller.as_fd().try_clone_to_owned()?);
         let tx = watch::Sender::new(ConnectionFaults::default());
         let mut close = tx.subscribe();
-        let connection = run(tx.subscribe());
-        let key = self.lock().insert(tx);
-        self.accepted.fetch_add(1, Ordering::Relaxed);
+        let connection = run(caller, tx.subscribe());
+        let key = self.accepted.fetch_add(1, Ordering::Relaxed);
+        let entry = Connection {
+            faults: tx,
+            caller: handle,
+        };
+        self.lock().insert(key, entry);
         self.open.send_modify(|open| *open += 1);
         let connections = Arc::clone(self);
         tokio::spawn(async move {
@@ -86,9 +112,10 @@
                 }
                 _ = close.wait_for(|faults| faults.closed) => {}
             }
-            connections.lock().remove(key);
+            connections.lock().remove(&key);
             connections.open.send_modify(|open| *open -= 1);
         });
+        Ok(())
     }
 
     pub(crate) fn stall(&self, direction: Direction) {
@@ -98,8 +125,20 @@
         });
     }
 
-    pub(crate) fn close_all(&self) {
-        self.update_all(|faults| faults.closed = true);
+    /// Closes all connections in order (FIN), before any of their tasks runs again.
+    pub(crate) fn close_all(&self, order: CloseOrder) {
+        let connections = self.lock();
+        let close = |connection: &Connection| {
+            // An error means that the caller has closed it.
+            let _closed = connection.caller.shutdown(Shutdown::Both);
+        };
+        match order {
+            CloseOrder::OldestFirst => connections.values().for_each(close),
+            CloseOrder::NewestFirst => connections.values().rev().for_each(close),
+        }
+        for connection in connections.values() {
+            connection.faults.send_modify(|faults| faults.closed = true);
+        }
     }
 
     pub(crate) fn open(&self) -> usize {
@@ -118,13 +157,15 @@
     }
 
     fn update_all(&self, change: impl Fn(&mut ConnectionFaults)) {
-        for (_, faults) in self.lock().iter() {
-            faults.send_modify(&change);
+        for connection in self.lock().values() {
+            connection.faults.send_modify(&change);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Slab<watch::Sender<ConnectionFaults>>> {
-        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<u64, Connection>> {
+        self.by_number
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/bulrushward_fakes/tests/proxy.rs
+++ b/bulrushward_fakes/tests/proxy.rs
@@ -12,6 +12,8 @@
 
 /// Period in which no bytes may arrive.
 const QUIET_PERIOD: Duration = Duration::from_millis(200);
+/// Connections that are opened after another one; closing them takes longer than it takes to read an end.
+const NEWER_CONNECTIONS: usize = 60;
 
 /// Starts an echo server and a proxy to it.
 async fn start() -> FaultyProxy {
@@ -111,6 +113,44 @@
     connect(proxy.address()).await;
 }
 
+/// Guards against ends of connections that no killed process makes: a reset, or a close before the listener is closed.
+#[tokio::test]
+async fn connections_of_a_proxy_that_is_taken_down_are_closed_in_order() {
+    let proxy = start().await;
+    let mut old = [
+        connect(proxy.address()).await,
+        connect(proxy.address()).await,
+    ];
+    proxy.take_down().await;
+    for connection in &mut old {
+        assert_eq!(connection.read(&mut [0; 4]).await.unwrap(), 0);
+    }
+    let error = TcpStream::connect(proxy.address()).await.unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionRefused);
+}
+
+/// Guards against a cut that looks like the end of one response: who reads it must find the other connections closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cut_closes_newer_connections_first() {
+    let proxy = start().await;
+    let mut old = connect(proxy.address()).await;
+    let mut newer = Vec::new();
+    for _ in 0..NEWER_CONNECTIONS {
+        newer.push(connect(proxy.address()).await.into_std().unwrap());
+    }
+    let reader = tokio::spawn(async move {
+        let count = old.read(&mut [0; 4]).await.unwrap();
+        let open = newer
+            .iter()
+            .filter(|other| other.peek(&mut [0; 4]).is_err());
+        (count, open.count())
+    });
+    // Lets the reader wait first.
+    tokio::task::yield_now().await;
+    proxy.close_connections();
+    assert_eq!(reader.await.unwrap(), (0, 0));
+}
+
 #[tokio::test]
 async fn delay_applies_in_both_directions() {
     let proxy = start().await;
