Let the soak end servers' processes as the system does, and check what looks complete

Its servers sent chunks and lengths only, and broke off with errors, where the system closes the connections of a killed process in order.

Servers now vary the framings of their responses. Beside each series of random faults, eight are killed: the listener and all connections close in order, and the server returns at its address with a new start, half of them within 20 ms. One more leaves and exits while it works. 15 % of the callers' connections speak HTTP/1.0, without a link that could end them in order.

The check of responses that look complete moves to whole_responses.rs and is stricter: a stream must have exactly the bytes of its events, a response with status 500 its whole body. A new check reports what a living server ended with its connection and the router lost or sent again where nothing was disturbed. Excused is one thing: an HTTP/1.0 response whose router got SIGKILL meanwhile, as the system ends that connection in order. faults.rs and invariants.rs shrink.

In the tests of other checks, attempts name the version of HTTP; nothing else changes there.

--- a/bulrushward_soak/src/callers.rs
+++ b/bulrushward_soak/src/callers.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
-    Request, Response, StatusCode,
+    Request, Response, StatusCode, Version,
     body::Incoming,
     client::conn::http1::{SendRequest, handshake},
 };
@@ -30,7 +30,7 @@
     time::{sleep, timeout},
 };
 
-use crate::harness::Harness;
+use crate::{harness::Harness, router::CALLERS_PORT};
 
 /// Timeout that a caller announces to the router for a plain request.
 const PLAIN_CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -43,6 +43,8 @@
 const FAILURE_DELAY_MS: Range<u64> = 100..400;
 /// Share of new connections that are idle before their first request.
 const IDLE_CONNECTION_RATE: f64 = 0.15;
+/// Share of new connections that speak HTTP/1.0, where streams end with their connections.
+const OLD_VERSION_RATE: f64 = 0.15;
 /// Time for which they are idle, in milliseconds.
 const IDLE_TIME_MS: Range<u64> = 500..4_000;
 /// Share of streams that are read slowly.
@@ -141,6 +143,8 @@
     pub kind: Kind,
     /// Index of the router that the request was sent to.
     pub router: usize,
+    /// Version of HTTP that the caller speaks.
+    pub version: Version,
     /// When the caller sent the request.
     pub sent: Instant,
     /// When the response was complete or the connection closed.
@@ -205,6 +209,7 @@
 /// A connection to a router that is closed when dropped.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    version: Version,
     task: AbortHandle,
 }
 
@@ -217,6 +222,7 @@
 /// Sends requests until `attempts.is_over` is set, and reuses its connection while it is usable.
 pub(crate) async fn caller(harness: Arc<Harness>, attempts: Arc<Attempts>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut version_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut router = 0;
     let mut connection = None;
     // Stream that broke off and is resumed next.
@@ -232,7 +238,8 @@
         .await;
         if connection.is_none() {
             router = harness.balancer.choose(&mut rng);
-            connection = connect(harness.caller_address(router)).await;
+            let is_old = version_rng.random_bool(OLD_VERSION_RATE);
+            connection = connect_caller(&harness, router, is_old).await;
             if rng.random_bool(IDLE_CONNECTION_RATE) {
                 sleep(random_ms(&mut rng, IDLE_TIME_MS)).await;
             }
@@ -288,6 +295,7 @@
             id,
             kind,
             router,
+            version: open.version,
             sent,
             ended,
             time_limit: kind.caller_timeout().min(kind.route_timeout()),
@@ -296,7 +304,8 @@
         };
         rest = attempt.rest().filter(|_| rng.random_bool(RESUME_RATE));
         attempts.add(attempt);
-        if status.is_some() && !open.sender.is_closed() {
+        let is_reusable = open.version != Version::HTTP_10 && !open.sender.is_closed();
+        if status.is_some() && is_reusable {
             connection = Some(open);
         } else {
             drop(open);
@@ -311,6 +320,18 @@
     Duration::from_millis(rng.random_range(ms))
 }
 
+/// Connects a caller to a router, without a link between them if it speaks HTTP/1.0: a link that is cut between them would end
+/// its responses in order.
+async fn connect_caller(harness: &Harness, router: usize, is_old: bool) -> Option<Connection> {
+    if !is_old {
+        return connect(harness.caller_address(router)).await;
+    }
+    let address = harness.routers()[router].address(CALLERS_PORT);
+    let mut connection = connect(address).await?;
+    connection.version = Version::HTTP_10;
+    Some(connection)
+}
+
 async fn connect(address: SocketAddr) -> Option<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
@@ -323,6 +344,7 @@
     });
     Some(Connection {
         sender,
+        version: Version::HTTP_11,
         task: task.abort_handle(),
     })
 }
@@ -336,7 +358,9 @@
     if connection.sender.ready().await.is_err() {
         return AttemptResult::NoResponse;
     }
-    let Ok(res) = connection.sender.send_request(req.build()).await else {
+    let mut req = req.build();
+    *req.version_mut() = connection.version;
+    let Ok(res) = connection.sender.send_request(req).await else {
         return AttemptResult::NoResponse;
     };
     let (head, mut body) = res.into_parts();
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -9,7 +9,7 @@
 };
 
 use bulrushward_fakes::{Direction, FaultyProxy, NetworkFault};
-use bulrushward_platform_stand_in::{FaultRates, STREAM_TIMEOUT};
+use bulrushward_platform_stand_in::FaultRates;
 use nix::sys::signal::Signal;
 use rand::{
     Rng, RngExt, SeedableRng,
@@ -22,6 +22,7 @@
     fault_log::FaultGuard,
     harness::{COLD_TIME, DOMAINS, Harness, SoakServer, failure_domain},
     invariants::{Outage, OutagePlace},
+    process_ends,
 };
 
 /// Time between the starts of two faults, in milliseconds; shorter than most faults, so that
@@ -34,9 +35,6 @@
 /// Time without other faults before and after each of these phases; longer than the undisturbed time
 /// after which the time limits of routers are checked.
 const QUIET_TIME: Duration = Duration::from_millis(3_400);
-/// Time between marking a server as leaving and removing its entry, and shortest time between removing its
-/// entry and stopping it.
-const LEAVING_TIME: Duration = Duration::from_millis(2_600);
 /// Time between the stops of two routers in the rolling stops, in milliseconds; shorter than a stop, so that
 /// stops overlap.
 const STOP_INTERVAL_MS: Range<u64> = 200..1_500;
@@ -146,6 +144,8 @@
                 let harness = Arc::clone(harness);
                 running.spawn(inject_or_report(harness, fault, series_rng.next_u64()));
             }
+            let seed = seed ^ injected.len() as u64;
+            running.spawn(process_ends::end_processes(Arc::clone(harness), !seed));
         }
         injected.push(fault);
         running.spawn(inject_or_report(Arc::clone(harness), fault, rng.next_u64()));
@@ -514,7 +514,7 @@
             server.fake_server.set_fault_rates(FaultRates::default());
             Ok(())
         }
-        Fault::ServerLeaves => leave(harness, server, rng, time).await,
+        Fault::ServerLeaves => process_ends::leave(harness, server, rng, time).await,
         Fault::ServerPauses => {
             server.fake_server.pause_for(time);
             tokio::time::sleep(time).await;
@@ -554,46 +554,6 @@
     }
 }
 
-/// Replaces a server, which announces its leaving before its entry is removed.
-async fn leave(
-    harness: &Harness,
-    server: &SoakServer,
-    rng: &mut Pcg64Mcg,
-    time: Duration,
-) -> io::Result<()> {
-    let id = &server.fake_server.id;
-    let other = format!("{}-{}", server.service, rng.next_u32());
-    harness.add_server(&other, server.service, true).await?;
-    if harness.remove_server(id).is_none() {
-        return Ok(());
-    }
-    server.fake_server.announce_leaving();
-    if rng.random_bool(0.5) {
-        // The store does not know of it, and its entry lapses and returns.
-        tokio::time::sleep(LEAVING_TIME / 2).await;
-        harness.store.set_server(id, None);
-        tokio::time::sleep(time / 2).await;
-        if rng.random_bool(0.5) {
-            harness.register_without_start(server);
-        } else {
-            harness.register(server, false);
-        }
-        tokio::time::sleep(LEAVING_TIME).await;
-    }
-    harness.mark_leaving(server);
-    tokio::time::sleep(LEAVING_TIME).await;
-    harness.store.set_server(id, None);
-    tokio::time::sleep(LEAVING_TIME).await;
-    let work_ends = async {
-        while harness.execution_log.is_executing(id) {
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-    };
-    // A request at a server that hangs ends with the timeout of its route at the latest.
-    let _elapsed = tokio::time::timeout(STREAM_TIMEOUT, work_ends).await;
-    Ok(())
-}
-
 /// Lets half of the servers of a service name a limit for a while.
 async fn limit_servers(
     servers: &[Arc<SoakServer>],
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -48,6 +48,28 @@
     cold_until: Mutex<Option<Instant>>,
 }
 
+impl SoakServer {
+    /// Returns a server that starts now and varies the framings of its responses.
+    fn new(
+        fake_server: FakeServer,
+        proxy: FaultyProxy,
+        service: &'static str,
+        cold_until: Option<Instant>,
+    ) -> Self {
+        fake_server.vary_framings();
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            fake_server,
+            proxy,
+            service,
+            started_ms: now.as_millis() as u64,
+            cold_until: Mutex::new(cold_until),
+        }
+    }
+}
+
 /// A failure domain to whose servers nothing may be sent.
 #[derive(Clone, Debug)]
 pub(crate) struct EmptiedDomain {
@@ -188,27 +210,37 @@
         is_cold: bool,
     ) -> io::Result<()> {
         let starts = self.server_starts.fetch_add(1, Ordering::Relaxed);
-        // A server that returns under its id has the other version.
+        // A server that returns under its id, at another address, has the other version.
         let version = format!("v{}", 1 + starts % VERSIONS);
         let fake_server = FakeServer::start_version(id, &version, &self.execution_log).await?;
         let proxy = FaultyProxy::start(fake_server.address())?;
-        let now = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let server = Arc::new(SoakServer {
-            fake_server,
-            proxy,
-            service,
-            started_ms: now.as_millis() as u64,
-            cold_until: Mutex::new(is_cold.then(|| Instant::now() + COLD_TIME)),
-        });
+        let cold_until = is_cold.then(|| Instant::now() + COLD_TIME);
+        let server = SoakServer::new(fake_server, proxy, service, cold_until);
         let mut servers = lock(&self.servers);
         if is_cold {
             lock(&self.cold_since).push((id.to_owned(), Instant::now()));
         }
-        self.register(&server, false);
         servers.retain(|known| known.fake_server.id != id);
-        servers.push(server);
+        self.register(&server, false);
+        servers.push(Arc::new(server));
+        Ok(())
+    }
+
+    /// Starts a server that was taken down again at its address, unless it was removed or replaced meanwhile.
+    ///
+    /// It is cold only for as long as it was to be before: routers that do not know of the new start yet heed no more.
+    pub(crate) async fn restart_server(&self, server: &Arc<SoakServer>) -> io::Result<()> {
+        let (id, version) = (&server.fake_server.id, server.fake_server.version());
+        let fake_server = FakeServer::start_version(id, version, &self.execution_log).await?;
+        let mut servers = lock(&self.servers);
+        let Some(index) = servers.iter().position(|known| Arc::ptr_eq(known, server)) else {
+            return Ok(());
+        };
+        let proxy = FaultyProxy::start_at(server.proxy.address(), fake_server.address())?;
+        let cold_until = *lock(&server.cold_until);
+        let started = SoakServer::new(fake_server, proxy, server.service, cold_until);
+        self.register(&started, false);
+        servers[index] = Arc::new(started);
         Ok(())
     }
 
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_platform_stand_in::{Crash, Execution, StreamEvent, event_count, plain_body};
+use bulrushward_platform_stand_in::{Crash, Execution, StreamEvent};
 
 use crate::{
     callers::{Attempt, AttemptResult, Kind, ReceivedResponse, events},
@@ -467,22 +467,6 @@
         if !response.is_signed || signed_for != Some(attempt.id.as_str()) {
             violations.push("answers-are-ones-own");
         }
-        let is_complete = if attempt.kind.is_stream() {
-            let events = events(&response.body);
-            let last = events.last();
-            is_consecutive(&events, attempt.after())
-                && last.is_some_and(|last| last.is_last)
-                && last.map(|last| last.id) == Some(event_count(attempt.began_as()))
-        } else {
-            let server = response
-                .signature
-                .as_ref()
-                .map(|(server, _)| server.as_str());
-            server.is_some_and(|server| response.body == plain_body(&attempt.id, server))
-        };
-        if !is_complete {
-            violations.push("answers-are-whole");
-        }
     } else if response.is_signed && response.status != 500 {
         violations.push("failures-are-as-the-server-gave-them");
     }
--- a/bulrushward_soak/src/lib.rs
+++ b/bulrushward_soak/src/lib.rs
@@ -11,11 +11,14 @@
 mod harness;
 mod invariants;
 mod planned_stops;
+mod process_ends;
 mod report_checks;
 mod router;
 mod run;
+mod whole_responses;
 
 pub use callers::{Attempt, AttemptResult, Kind, ReceivedResponse};
 pub use invariants::{Outage, OutagePlace, has_to_know, is_cancelled_late, is_delivered_late};
 pub use planned_stops::{RouterHistory, violated_stop};
 pub use run::{SoakReport, SoakSettings, run};
+pub use whole_responses::{incomplete, is_lost};
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -15,7 +15,7 @@
     callers::{self, AttemptResult, Attempts},
     faults,
     harness::Harness,
-    invariants, planned_stops, report_checks,
+    invariants, planned_stops, report_checks, whole_responses,
 };
 
 /// Smallest number of callers.
@@ -134,6 +134,12 @@
     let all = attempts.all();
     let execution_log = harness.execution_log.all();
     violations.extend(invariants::check(&all, &execution_log, &harness.outages()));
+    violations.extend(whole_responses::check(&harness, &all));
+    violations.extend(whole_responses::check_completions(
+        &harness,
+        &all,
+        &execution_log,
+    ));
     violations.extend(invariants::check_leaving(&harness, &all, &execution_log));
     violations.extend(invariants::check_emptied(&harness, &all, &execution_log));
     violations.extend(invariants::check_cold(&harness));
--- a/bulrushward_soak/tests/cancelled_work.rs
+++ b/bulrushward_soak/tests/cancelled_work.rs
@@ -4,6 +4,7 @@
 
 use bulrushward_platform_stand_in::Execution;
 use bulrushward_soak::{Attempt, AttemptResult, Kind, Outage, OutagePlace, is_cancelled_late};
+use hyper::Version;
 use rstest::rstest;
 
 /// Server of the execution, and another one.
@@ -28,6 +29,7 @@
         id: "1-1".to_owned(),
         kind: Kind::Stream,
         router: ROUTER,
+        version: Version::HTTP_11,
         sent: at(10.0),
         ended: at(11.0),
         time_limit: Duration::from_secs(8),
--- a/bulrushward_soak/tests/late_deliveries.rs
+++ b/bulrushward_soak/tests/late_deliveries.rs
@@ -6,6 +6,7 @@
 use bulrushward_soak::{
     Attempt, AttemptResult, Kind, Outage, OutagePlace, ReceivedResponse, is_delivered_late,
 };
+use hyper::Version;
 use rstest::rstest;
 
 const ROUTER: usize = 0;
@@ -27,6 +28,7 @@
         id: "1-1".to_owned(),
         kind: Kind::Lookup,
         router: ROUTER,
+        version: Version::HTTP_11,
         sent: at(10.0),
         ended: at(11.0),
         time_limit: Duration::from_secs(8),
--- a/bulrushward_soak/tests/planned_stops.rs
+++ b/bulrushward_soak/tests/planned_stops.rs
@@ -6,6 +6,7 @@
 use bulrushward_soak::{
     Attempt, AttemptResult, Kind, ReceivedResponse, RouterHistory, violated_stop,
 };
+use hyper::Version;
 use rstest::rstest;
 
 /// Time of SIGTERM in each case, in seconds after the start; the grace period is six seconds.
@@ -59,6 +60,7 @@
             id: "1-1".to_owned(),
             kind: Kind::Resumable,
             router: 0,
+            version: Version::HTTP_11,
             sent: at(self.sent),
             ended: at(self.ended),
             time_limit: Duration::from_secs_f64(self.time_limit),
