Reset an HTTP/1.0 caller's connection at routers of the agent fleet too

Callers of HTTP/1.0 saw a chat stream, or a response of a plain service too long to be buffered, as complete though it was cut by its server or by the end of the router's process: the connection closed in order.

The connection itself decides: if its first response begins with HTTP/1.0, SO_LINGER is set to 0 s before that write and taken back in poll_shutdown. hyper calls that only after complete responses; the tests pin it. The limits of the callers' listener are passed to the connection directly. Callers of HTTP/1.1 are unchanged.

A connection of HTTP/1.0 that is kept after a whole response is reset too if the process ends while it is idle.

--- a/bulrushward/src/http.rs
+++ b/bulrushward/src/http.rs
@@ -2,9 +2,14 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use salvo::{Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig, server::ServerHandle};
+use salvo::{
+    Router, Server,
+    conn::{Acceptor, tcp::TcpAcceptor},
+    fuse::FuseConfig,
+    server::ServerHandle,
+};
 
-use crate::error::DaemonError;
+use crate::{caller_connection::CallerAcceptor, error::DaemonError};
 
 /// Longest time that a process of the fleet or `bulrushctl` may take to send the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,7 +35,9 @@
     routes: Router,
 ) -> Result<HttpListener, DaemonError> {
     let limits = FuseConfig::default().with_http1_header_timeout(HEADER_TIMEOUT);
-    serve(listener, address, routes, limits)
+    let (acceptor, address) = bind(listener, address)?;
+    let server = Server::new(acceptor).fuse_config(limits);
+    Ok(serve(server, address, routes))
 }
 
 /// Binds an address for callers and serves the routes on it.
@@ -45,15 +52,16 @@
     let limits = FuseConfig::default()
         .with_http1_header_timeout(timeout)
         .with_write_stall_timeout(timeout);
-    serve("caller", address, routes, limits)
+    let (acceptor, address) = bind("caller", address)?;
+    let server = Server::new(CallerAcceptor::new(acceptor, limits));
+    Ok(serve(server, address, routes))
 }
 
-fn serve(
+/// Binds an address and returns the bound one too.
+fn bind(
     listener: &'static str,
     address: SocketAddr,
-    routes: Router,
-    limits: FuseConfig,
-) -> Result<HttpListener, DaemonError> {
+) -> Result<(TcpAcceptor, SocketAddr), DaemonError> {
     let failed = |error: io::Error| DaemonError::Listen {
         listener,
         address,
@@ -63,13 +71,19 @@
         .and_then(TcpAcceptor::try_from)
         .map_err(failed)?;
     let address = acceptor.local_addr().map_err(failed)?;
-    let mut server = Server::new(acceptor).fuse_config(limits);
+    Ok((acceptor, address))
+}
+
+fn serve<A>(mut server: Server<A>, address: SocketAddr, routes: Router) -> HttpListener
+where
+    A: Acceptor + Send + 'static,
+{
     server.http1_mut().max_buf_size(MAX_HEADER_BYTES);
     let handle = server.handle();
     let task = tokio::spawn(server.serve(Arc::new(routes)));
-    Ok(HttpListener {
+    HttpListener {
         address,
         handle,
         task,
-    })
+    }
 }
--- a/bulrushward/src/lib.rs
+++ b/bulrushward/src/lib.rs
@@ -1,6 +1,7 @@
 //! Library of the `bulrushwardd` daemon: the router, the agent and their shared control thread.
 
 mod agent;
+mod caller_connection;
 mod claim_limits;
 mod cli;
 mod control;
