Judge the end of a connection by its socket, and charge no content for it

Callers would have seen: a stream of 500 events of a kilobyte, cut by a server that was back at once, complete, because its end was read 0.2 s late and the witness had been opened again at the new process; 502 for whole responses of servers of which a router may have one connection; a whole stream cut when one SYN was lost; content barred for the fleet after servers exited behind a response.

The witness asks the socket that carries the response: after its own close it is opened again only once that socket is open, has nothing unread and has been quiet for 50 ms, as the data of a dead process is still delivered before its close. It leaves the last connection of the share to requests, and the ended connection is released before the check. Only a refusal shows that a server is gone; no answer is no evidence. A response that may be cut is a failure of its own, unconfirmed, and no evidence of a crash.

--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -6,7 +6,7 @@
 };
 
 use bulrushward_policy::{
-    body_end::{self, BodyEnd, Framing, Sender},
+    body_end::{self, BodyEnd, Framing, SenderState},
     last_event::LastEventDetector,
 };
 use bulrushward_protocol::{Frame, Header, RunRequest};
@@ -150,18 +150,18 @@
     /// Judges the end of a response that is no event stream.
     async fn judge_end(&self, framing: Framing) -> BodyEnd {
         let sender = match framing {
-            Framing::Length | Framing::Chunked => Sender::Unknown,
+            Framing::Length | Framing::Chunked => SenderState::Unknown,
             Framing::UntilClose => self.find_sender().await,
         };
         body_end::judge(framing, sender)
     }
 
     /// Returns whether the backend server, which has just closed a connection, still runs.
-    async fn find_sender(&self) -> Sender {
+    async fn find_sender(&self) -> SenderState {
         sleep(EXIT_TIME).await;
         match self.call_health().await {
-            Some(Ok(_response)) => Sender::Alive,
-            Some(Err(_)) | None => Sender::Gone,
+            Some(Ok(_response)) => SenderState::Alive,
+            Some(Err(_)) | None => SenderState::Gone,
         }
     }
 
--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -131,6 +131,7 @@
         Ok((res, metadata, connection)) => Ok(ReceivedHead {
             end: ResponseEnd::of(
                 &res,
+                &connection.stream,
                 &choice.server,
                 connection_share(shared, request, choice),
             ),
@@ -261,7 +262,7 @@
         connection,
         progress,
         resumed_at,
-        mut end,
+        end,
     } = received;
     let (head, body) = res.into_parts();
     let mut headers = head.headers;
@@ -287,7 +288,7 @@
         |bytes| connection.stream.allowance().record_content(bytes),
     );
     let collected = match read_timeout::until(request.deadline, collected).await {
-        Some(Ok(body)) => end.confirm(progress.server()).await.map(|()| body),
+        Some(Ok(body)) => Ok(body),
         Some(Err(BodyError::Broken { source })) => Err(AttemptError::of_connection(&source)),
         Some(Err(error)) => Err(AttemptError::new(AttemptFailure::Broken, &error)),
         None => Err(AttemptError::new(
@@ -295,14 +296,21 @@
             &"the response body is incomplete",
         )),
     };
-    let body = match collected {
+    let confirmed = match collected {
+        Ok(body) => {
+            // Released first, as the confirmation may need its place.
+            connection::release(progress.server(), connection, metadata.keep_alive_timeout);
+            end.confirm(progress.server()).await.map(|()| body)
+        }
+        Err(error) => Err(error),
+    };
+    let body = match confirmed {
         Ok(body) => body,
         Err(error) => {
             record_failure(&progress, &error);
             return Err(error);
         }
     };
-    connection::release(progress.server(), connection, metadata.keep_alive_timeout);
     shared.crash_records.record_served(request);
     let response = AttemptResponse::Complete {
         status: head.status,
@@ -376,6 +384,7 @@
         AttemptFailure::Rejected
         | AttemptFailure::ServerError
         | AttemptFailure::Broken
+        | AttemptFailure::Unconfirmed
         | AttemptFailure::CutOff
         | AttemptFailure::Silent => health.record_failure(now),
     });
--- a/bulrushward_direct/src/bounded_stream.rs
+++ b/bulrushward_direct/src/bounded_stream.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use bulrushward_net::{has_segments_in_flight, unacknowledged_bytes};
+use bulrushward_net::{has_segments_in_flight, quiet_time, unacknowledged_bytes};
 use bulrushward_policy::{delivery::SendQueue, receive_allowance::ReceiveAllowance};
 use socket2::SockRef;
 use tokio::{
@@ -105,6 +105,27 @@
         }
     }
 
+    /// Returns for how long no data has arrived, or `None` if a side has closed the connection, whatever was read of it.
+    pub(crate) fn quiet_time(&self) -> Option<Duration> {
+        quiet_time(&*self.stream.upgrade()?).ok()?
+    }
+
+    /// Returns whether data has arrived that was not read.
+    fn has_unread(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else {
+            return false;
+        };
+        let peeked = SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]);
+        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Returns whether the peer has had nothing to deliver for some `time` and has not closed the connection.
+    ///
+    /// While data arrives or waits, the close of a peer that has ended may be queued behind it.
+    pub(crate) fn is_idle_for(&self, time: Duration) -> bool {
+        self.quiet_time().is_some_and(|quiet| quiet >= time) && !self.has_unread()
+    }
+
     /// Returns whether the connection is open, all that was written was acknowledged, and all that has arrived was read.
     pub(crate) fn is_quiet(&self) -> bool {
         let Some(stream) = self.stream.upgrade() else {
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -240,9 +240,9 @@
     }
 }
 
-/// Opens a connection on which nothing is sent, within this router's `share`.
+/// Opens a connection on which nothing is sent, unless it would be the last one of this router's `share`.
 pub(crate) async fn open_unused(server: &Server, share: u32) -> Option<UnusedConnection> {
-    let permit = ConnectionPermit::acquire(server, share)?;
+    let permit = ConnectionPermit::acquire(server, share.saturating_sub(1))?;
     let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address)).await;
     let stream = opened.ok()?.ok()?;
     Some(UnusedConnection {
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -98,6 +98,7 @@
                 | AttemptFailure::Unreachable
                 | AttemptFailure::Misdirected
                 | AttemptFailure::Broken
+                | AttemptFailure::Unconfirmed
                 | AttemptFailure::CutOff
                 | AttemptFailure::Silent,
             ) => PlaceUse::Failed,
--- a/bulrushward_direct/src/response_end.rs
+++ b/bulrushward_direct/src/response_end.rs
@@ -2,11 +2,11 @@
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bulrushward_policy::{
-    body_end::{self, BodyEnd, Framing, Sender, Witness},
+    body_end::{self, BodyEnd, Framing, SenderState, Witness},
     server_attempt::AttemptFailure,
 };
 use hyper::{
@@ -18,6 +18,7 @@
 
 use crate::{
     attempt::AttemptError,
+    bounded_stream::BoundedStreamHandle,
     connection::{self, Reachability},
     servers::Server,
 };
@@ -35,20 +36,23 @@
     framing: Framing,
     /// Open only for a response that ends with its connection.
     witness: Option<ProcessWitness>,
-    /// Time at which the body ended.
-    ended: Option<Instant>,
+    /// Number of connections that this router may have to the server.
     share: u32,
 }
 
 impl ResponseEnd {
-    /// Begins with the head of a response; `share` is the number of connections that this router may have to the server.
-    pub(crate) fn of(res: &Response<Incoming>, server: &Arc<Server>, share: u32) -> Self {
+    /// Begins with the head of a response that `carrier` brings.
+    pub(crate) fn of(
+        res: &Response<Incoming>,
+        carrier: &BoundedStreamHandle,
+        server: &Arc<Server>,
+        share: u32,
+    ) -> Self {
         let framing = framing(res);
         let is_witnessed = framing == Framing::UntilClose;
         Self {
             framing,
-            witness: is_witnessed.then(|| ProcessWitness::open(server, share)),
-            ended: None,
+            witness: is_witnessed.then(|| ProcessWitness::open(server, share, carrier)),
             share,
         }
     }
@@ -65,15 +69,17 @@
     /// # Errors
     ///
     /// Returns [`AttemptError`] if the body may have been cut.
-    pub(crate) async fn confirm(&mut self, server: &Server) -> Result<(), AttemptError> {
-        let ended = *self.ended.get_or_insert_with(Instant::now);
+    pub(crate) async fn confirm(&self, server: &Server) -> Result<(), AttemptError> {
         let sender = match &self.witness {
-            None => Sender::Unknown,
+            None => SenderState::Unknown,
             Some(witness) => {
                 sleep(SETTLE_TIME).await;
-                let reached = connection::probe(server, self.share).await;
-                let is_reached = reached.map(|reached| reached == Reachability::Reached);
-                Sender::from_evidence(witness.at_end(ended), is_reached)
+                let is_accepted = match connection::probe(server, self.share).await {
+                    Some(Reachability::Reached) => Some(true),
+                    Some(Reachability::Refused) => Some(false),
+                    Some(Reachability::Unanswered) | None => None,
+                };
+                SenderState::from_evidence(witness.state(), is_accepted)
             }
         };
         match body_end::judge(self.framing, sender) {
@@ -82,7 +88,7 @@
                 let sender: &str = sender.into();
                 let detail =
                     format!("the response ended with its connection, the server is {sender}");
-                Err(AttemptError::new(AttemptFailure::Broken, &detail))
+                Err(AttemptError::new(AttemptFailure::Unconfirmed, &detail))
             }
         }
     }
@@ -100,44 +106,30 @@
 
 /// A connection that carries nothing and is closed by the server's system when its process ends.
 ///
-/// Unlike a new connection, it is not accepted by a process that has replaced this one meanwhile.
+/// Unlike a connection that is opened afterwards, it was accepted before the process could be replaced.
 #[derive(Debug)]
 struct ProcessWitness {
-    state: Arc<Mutex<WitnessState>>,
+    state: Arc<Mutex<Witness>>,
     task: AbortHandle,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-enum WitnessState {
-    #[default]
-    Opening,
-    Open {
-        since: Instant,
-    },
-    Closed {
-        at: Instant,
-    },
-}
-
 impl ProcessWitness {
-    fn open(server: &Arc<Server>, share: u32) -> Self {
-        let state = Arc::default();
-        let task = tokio::spawn(hold_open(Arc::clone(server), share, Arc::clone(&state)));
+    fn open(server: &Arc<Server>, share: u32, carrier: &BoundedStreamHandle) -> Self {
+        let state = Arc::new(Mutex::new(Witness::None));
+        let held = hold_open(
+            Arc::clone(server),
+            share,
+            carrier.clone(),
+            Arc::clone(&state),
+        );
         Self {
             state,
-            task: task.abort_handle(),
+            task: tokio::spawn(held).abort_handle(),
         }
     }
 
-    /// Returns what the connection shows of a body that `ended` at least [`SETTLE_TIME`] ago.
-    fn at_end(&self, ended: Instant) -> Witness {
-        match *lock(&self.state) {
-            WitnessState::Open { since } if since <= ended => Witness::Held,
-            WitnessState::Closed { at } if at + SETTLE_TIME >= ended => Witness::Closed,
-            WitnessState::Opening | WitnessState::Open { .. } | WitnessState::Closed { .. } => {
-                Witness::None
-            }
-        }
+    fn state(&self) -> Witness {
+        *lock(&self.state)
     }
 }
 
@@ -147,19 +139,43 @@
     }
 }
 
-async fn hold_open(server: Arc<Server>, share: u32, state: Arc<Mutex<WitnessState>>) {
+/// Holds a connection open beside the `carrier` of a response, and records its state.
+async fn hold_open(
+    server: Arc<Server>,
+    share: u32,
+    carrier: BoundedStreamHandle,
+    state: Arc<Mutex<Witness>>,
+) {
+    let mut is_closed_unused = false;
     loop {
-        if let Some(connection) = connection::open_unused(&server, share).await {
-            *lock(&state) = WitnessState::Open {
-                since: Instant::now(),
-            };
+        let opened = connection::open_unused(&server, share).await;
+        if carrier.quiet_time().is_none() {
+            // A process that has replaced the sender may have accepted it.
+            return;
+        }
+        if let Some(connection) = opened {
+            *lock(&state) = Witness::Held;
             connection.closed().await;
-            *lock(&state) = WitnessState::Closed { at: Instant::now() };
+            *lock(&state) = if is_closed_unused {
+                Witness::None
+            } else {
+                Witness::Closed
+            };
+            sleep(SETTLE_TIME).await;
+            while !carrier.is_idle_for(SETTLE_TIME) {
+                if carrier.quiet_time().is_none() {
+                    return;
+                }
+                sleep(SETTLE_TIME).await;
+            }
+            // The server lives, and closes connections that carry nothing.
+            is_closed_unused = true;
+            *lock(&state) = Witness::None;
         }
         sleep(REOPEN_PAUSE).await;
     }
 }
 
-fn lock(state: &Mutex<WitnessState>) -> MutexGuard<'_, WitnessState> {
+fn lock(state: &Mutex<Witness>) -> MutexGuard<'_, Witness> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -349,13 +349,14 @@
                 &"the stream ended without an event",
             ));
         }
-        self.response_end.confirm(self.progress.server()).await?;
-        self.is_complete = true;
         self.close_timer = None;
-        self.progress.update_health(ServerHealth::record_success);
+        // Released first, as the confirmation may need its place.
         if let Some(connection) = self.connection.take() {
             connection::release(self.progress.server(), connection, self.keep_alive_timeout);
         }
+        self.response_end.confirm(self.progress.server()).await?;
+        self.is_complete = true;
+        self.progress.update_health(ServerHealth::record_success);
         Ok(StreamItem::End)
     }
 }
--- a/bulrushward_direct/tests/ends_of_responses.rs
+++ b/bulrushward_direct/tests/ends_of_responses.rs
@@ -6,10 +6,14 @@
 
 use rstest::rstest;
 use support::{
-    TestRouter, request, router_with_servers,
+    TestRouter, config, metric,
+    platform::MemoryStore,
+    record, request, router_with_servers,
     server::{
-        Received, Step, TestServer, chunk, complete_stream, event, events, send_text, stream_head,
+        Received, Step, TestServer, chunk, complete_stream, event, events, ok_response, send_text,
+        stream_head,
     },
+    wait_until,
 };
 
 type Script = fn(&Received) -> Vec<Step>;
@@ -178,3 +182,130 @@
     );
     assert_eq!(arrivals(&servers), 2);
 }
+
+fn pause(ms: u64) -> Step {
+    Step::Pause(Duration::from_millis(ms))
+}
+
+fn router_with_limit(service: &str, limit: u32, server: &TestServer) -> TestRouter {
+    let mut config = config(1);
+    for service in &mut config.services {
+        service.connection_limit = limit;
+    }
+    let store = MemoryStore::with(config);
+    store.put(&server.id, record(service, server.address));
+    let router = TestRouter::start(&store);
+    wait_until("the router knows the server", || {
+        metric(&router, "servers") == Some(1)
+    });
+    router
+}
+
+/// Returns an event of over a kilobyte.
+fn long_event(id: u32) -> String {
+    format!("id: {id}\ndata: {}\n\n", "x".repeat(1_000))
+}
+
+/// A stream was complete if its end was read only after a replacement of the killed server had accepted a connection.
+#[rstest]
+fn a_cut_stream_whose_end_is_read_late_is_no_complete_one(#[values(100, 500, 2_000)] len: u32) {
+    let server = TestServer::start("s-1", move |req| {
+        let body: String = (1..=len).map(long_event).collect();
+        let head = unframed_head(req, "text/event-stream");
+        vec![head, pause(100), send_text(&body), Step::Restart]
+    });
+    let router = router_with_servers("engines", &[&server]);
+    let response = router.send(&request("POST", "stream", "r-1", ""));
+    assert!(!response.is_complete);
+}
+
+/// With few connections the whole response of a living server was taken for a cut one.
+#[rstest]
+#[case::stream("engines", "stream")]
+#[case::body("plain", "action")]
+fn a_response_without_framing_needs_one_connection(#[case] service: &str, #[case] route: &str) {
+    let server = TestServer::start("s-1", |req| {
+        vec![
+            unframed_head(req, "text/event-stream"),
+            send_text(&events(1, 3)),
+            pause(50),
+            Step::Close,
+        ]
+    });
+    let router = router_with_limit(service, 2, &server);
+    let response = router.send(&request("POST", route, "r-1", ""));
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 3), true)
+    );
+}
+
+/// The connection that shows whether a server lives took the place of another request.
+#[test]
+fn other_requests_have_the_last_connection() {
+    let server = TestServer::start("s-1", |req| match req.header("request") {
+        Some("r-2") => vec![ok_response(req, "second")],
+        _ => vec![
+            unframed_head(req, "text/plain"),
+            send_text("first"),
+            pause(600),
+            Step::Close,
+        ],
+    });
+    let router = router_with_limit("plain", 4, &server);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| router.send(&request("POST", "action", "r-1", "")));
+        wait_until("the first request arrives", || {
+            !server.received().is_empty()
+        });
+        std::thread::sleep(Duration::from_millis(100));
+        let second = router.send(&request("POST", "action", "r-2", ""));
+        let first = first.join().expect("the caller does not panic");
+        assert_eq!((first.status, second.status), (200, 200));
+    });
+}
+
+/// A lost packet while a server was asked whether it lives made its whole stream a cut one.
+#[test]
+fn a_server_that_does_not_answer_is_not_known_to_be_gone() {
+    let server = TestServer::start("s-1", |req| {
+        vec![
+            unframed_head(req, "text/event-stream"),
+            send_text(&events(1, 3)),
+            pause(400),
+            send_text(&events(4, 6)),
+            Step::Close,
+        ]
+    });
+    let router = router_with_servers("engines", &[&server]);
+    let response = std::thread::scope(|scope| {
+        let response = scope.spawn(|| router.send(&request("POST", "stream", "r-1", "")));
+        wait_until("the request arrives", || !server.received().is_empty());
+        std::thread::sleep(Duration::from_millis(200));
+        server.cut_off();
+        response.join().expect("the caller does not panic")
+    });
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 6), true)
+    );
+}
+
+/// Servers that exited after a whole response had its content barred.
+#[test]
+fn a_response_that_may_be_cut_is_no_evidence_against_its_content() {
+    let servers: Vec<_> = (0..8)
+        .map(|index| {
+            TestServer::start(&format!("s-{index}"), |req| {
+                unframed_body(req, "whole", Step::CrashQuietly)
+            })
+        })
+        .collect();
+    let router = router_with_servers("plain", &servers.iter().collect::<Vec<_>>());
+    let statuses = [1, 2, 3, 4, 5].map(|index| {
+        let response = router.send(&request("POST", "action", &format!("r-{index}"), "same"));
+        std::thread::sleep(Duration::from_millis(600));
+        response.status
+    });
+    assert_eq!(statuses, [502; 5]);
+}
--- a/bulrushward_net/src/lib.rs
+++ b/bulrushward_net/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use error_text::with_causes;
 pub use listen::listen;
-pub use send_queue::{has_segments_in_flight, unacknowledged_bytes};
+pub use send_queue::{has_segments_in_flight, quiet_time, unacknowledged_bytes};
--- a/bulrushward_net/src/send_queue.rs
+++ b/bulrushward_net/src/send_queue.rs
@@ -3,8 +3,12 @@
 use std::{
     io,
     os::fd::{AsFd, AsRawFd},
+    time::Duration,
 };
 
+/// State of an open connection in `tcp_info`.
+const TCP_ESTABLISHED: u8 = 1;
+
 /// Returns the number of bytes that were written to a connection and that its peer has not acknowledged.
 ///
 /// # Errors
@@ -28,6 +32,21 @@
 ///
 /// Returns the system's error if the descriptor is not that of a TCP socket.
 pub fn has_segments_in_flight(socket: &impl AsFd) -> io::Result<bool> {
+    Ok(tcp_info(socket)?.tcpi_unacked > 0)
+}
+
+/// Returns for how long no data has arrived on a connection, or `None` if a side has closed or reset it.
+///
+/// # Errors
+///
+/// Returns the system's error if the descriptor is not that of a TCP socket.
+pub fn quiet_time(socket: &impl AsFd) -> io::Result<Option<Duration>> {
+    let info = tcp_info(socket)?;
+    let quiet = Duration::from_millis(info.tcpi_last_data_recv.into());
+    Ok((info.tcpi_state == TCP_ESTABLISHED).then_some(quiet))
+}
+
+fn tcp_info(socket: &impl AsFd) -> io::Result<libc::tcp_info> {
     let mut info = std::mem::MaybeUninit::<libc::tcp_info>::zeroed();
     let mut len = size_of::<libc::tcp_info>() as libc::socklen_t;
     // SAFETY: the descriptor is open while it is borrowed, and the system writes at most `len` bytes.
@@ -44,6 +63,5 @@
         return Err(io::Error::last_os_error());
     }
     // SAFETY: all fields are integers, which are valid whether the system has written them or they are still zero.
-    let info = unsafe { info.assume_init() };
-    Ok(info.tcpi_unacked > 0)
+    Ok(unsafe { info.assume_init() })
 }
--- a/bulrushward_policy/src/body_end.rs
+++ b/bulrushward_policy/src/body_end.rs
@@ -32,7 +32,7 @@
 /// What is known of the process that sent a body, after it closed the connection.
 #[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
 #[strum(serialize_all = "kebab-case")]
-pub enum Sender {
+pub enum SenderState {
     /// It runs.
     Alive,
     /// It was killed, or exited.
@@ -46,20 +46,20 @@
 pub enum Witness {
     /// The process that accepted it before the body ended holds it open.
     Held,
-    /// It was closed while the body ended.
+    /// It was closed together with the connection that carried the body.
     Closed,
-    /// None was open when the body ended.
+    /// None was open when the body ended, or the server closes such connections by itself.
     None,
 }
 
-impl Sender {
+impl SenderState {
     /// Returns what a connection from before the end of the body tells, and one that was opened after it.
     ///
-    /// `is_reached` is `None` if no connection could be tried. Only a connection from before the end tells the process
-    /// from another one that was started at once.
+    /// `is_accepted` is `None` if no connection could be tried or nothing answered. Only a connection from before the end
+    /// tells the process from another one that was started at once.
     #[must_use]
-    pub fn from_evidence(witness: Witness, is_reached: Option<bool>) -> Self {
-        match (witness, is_reached) {
+    pub fn from_evidence(witness: Witness, is_accepted: Option<bool>) -> Self {
+        match (witness, is_accepted) {
             (Witness::Closed, _) | (_, Some(false)) => Self::Gone,
             (Witness::Held, _) | (Witness::None, Some(true)) => Self::Alive,
             (Witness::None, None) => Self::Unknown,
@@ -81,11 +81,11 @@
 ///
 /// A length or a last chunk is proof, as HTTP libraries report its absence as an error.
 #[must_use]
-pub fn judge(framing: Framing, sender: Sender) -> BodyEnd {
+pub fn judge(framing: Framing, sender: SenderState) -> BodyEnd {
     match (framing, sender) {
-        (Framing::Length | Framing::Chunked, _) | (Framing::UntilClose, Sender::Alive) => {
+        (Framing::Length | Framing::Chunked, _) | (Framing::UntilClose, SenderState::Alive) => {
             BodyEnd::Complete
         }
-        (Framing::UntilClose, Sender::Gone | Sender::Unknown) => BodyEnd::Cut,
+        (Framing::UntilClose, SenderState::Gone | SenderState::Unknown) => BodyEnd::Cut,
     }
 }
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -36,6 +36,8 @@
     ServerError,
     /// The connection broke or the response was invalid; the request may have run.
     Broken,
+    /// The response ended with its connection, and nothing shows that it is complete; the request has run.
+    Unconfirmed,
     /// The server acknowledged nothing in time, as if it was cut off; the request may have run.
     CutOff,
     /// The server sent nothing within the timeout; the request may have run.
--- a/bulrushward_policy/tests/ends_of_bodies.rs
+++ b/bulrushward_policy/tests/ends_of_bodies.rs
@@ -1,6 +1,6 @@
 //! By what the body of a response ended.
 
-use bulrushward_policy::body_end::{BodyEnd, Framing, Sender, judge};
+use bulrushward_policy::body_end::{BodyEnd, Framing, SenderState, judge};
 use rstest::rstest;
 
 /// Guards against a length or chunks that are overlooked, and against either that is assumed.
@@ -21,9 +21,9 @@
 #[rstest]
 fn a_body_that_ends_with_its_connection_is_complete_only_if_its_sender_lives(
     #[values(Framing::Length, Framing::Chunked, Framing::UntilClose)] framing: Framing,
-    #[values(Sender::Alive, Sender::Gone, Sender::Unknown)] sender: Sender,
+    #[values(SenderState::Alive, SenderState::Gone, SenderState::Unknown)] sender: SenderState,
 ) {
-    let is_cut = framing == Framing::UntilClose && sender != Sender::Alive;
+    let is_cut = framing == Framing::UntilClose && sender != SenderState::Alive;
     let expected = if is_cut {
         BodyEnd::Cut
     } else {
--- a/bulrushward_policy/tests/server_attempt.rs
+++ b/bulrushward_policy/tests/server_attempt.rs
@@ -3,13 +3,14 @@
 use bulrushward_policy::server_attempt::{AttemptFailure, AttemptHistory, NextAttempt};
 use proptest::prelude::*;
 
-const ALL: [AttemptFailure; 11] = [
+const ALL: [AttemptFailure; 12] = [
     AttemptFailure::NotSent,
     AttemptFailure::Crowded,
     AttemptFailure::DomainEmptied,
     AttemptFailure::Withheld,
     AttemptFailure::ContentBarred,
     AttemptFailure::Stopping,
+    AttemptFailure::Unconfirmed,
     AttemptFailure::Rejected,
     AttemptFailure::Misdirected,
     AttemptFailure::ServerError,
