Pass on the events that were read before memory ran out

By reading (review): if the memory for incomplete responses ran out with a chunk that completed events, these events were dropped after their ids had counted as read, and a resumed stream would have skipped them. They are passed on first now, and the failure follows. Not shown by a test: it takes 32 MB of incomplete events in one router. The tests of streams and of endless responses pass.

--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -182,6 +182,9 @@
     }
 
     async fn read(&mut self, until: Instant) -> Result<StreamItem, AttemptError> {
+        if self.end.is_some() && !self.gathered.is_empty() {
+            return Ok(self.take_gathered());
+        }
         if let Some(end) = self.end.take() {
             return end;
         }
@@ -210,6 +213,9 @@
                     Ok(events) if events.is_empty() => continue,
                     Ok(events) if self.pace.is_held_back() => {
                         self.gathered.extend_from_slice(&events);
+                        if self.end.is_some() {
+                            return Ok(self.take_gathered());
+                        }
                         continue;
                     }
                     Ok(events) => Ok(self.item(events)),
@@ -284,10 +290,13 @@
             AttemptError::new(AttemptFailure::Broken, &"an event is too large")
         })?;
         if !self.reservation.resize(self.splitter.capacity()) {
-            return Err(AttemptError::new(
-                AttemptFailure::Broken,
-                &"no memory for incomplete responses",
-            ));
+            let detail = "no memory for incomplete responses";
+            let error = AttemptError::new(AttemptFailure::Broken, &detail);
+            if events.is_empty() {
+                return Err(error);
+            }
+            // Complete events are passed on first, as the stream is resumed after them.
+            self.end = Some(Err(error));
         }
         if events.is_empty() {
             return Ok(events);
