Join no events of a server that was replaced under its id

A server that restarts under its id takes a connection before its entry says so: a resumed stream was not compared again after its head, and a stream whose server's entry changed after the first event was continued at the old version. Both shown by the reviewer with scripted servers.

An event that arrives after the entry of its server has changed may come from the process that replaced it. A stream that is joined from two runs, or that its caller took up, is cut then; another one passes on and is not continued elsewhere. Entries are compared only when they have changed. An entry that changes after the last event is still missed.

--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -45,6 +45,7 @@
 mod run_mark;
 mod saved_sessions;
 mod send_checks;
+mod server_identity;
 mod server_reports;
 mod server_selection;
 mod server_stream;
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -27,6 +27,7 @@
     metrics::InProgressGuard,
     request_handler::log_failed_attempt,
     routed_request::RoutedRequest,
+    server_identity::ServerIdentity,
     server_selection::ServerChoice,
     server_stream::{ResumePoint, ServerStream, StreamItem},
     shared::Shared,
@@ -50,6 +51,7 @@
     earlier_runs: StreamRuns,
     /// Servers that may go on with the stream.
     scope: ServerScope,
+    identity: ServerIdentity,
     /// Place after which the stream was resumed last.
     resume_point: Option<ResumePoint>,
     /// Whether a server has sent an event.
@@ -107,6 +109,7 @@
         first_events: Some(first_events),
         source,
         earlier_runs: StreamRuns::default(),
+        identity: ServerIdentity::default(),
         scope,
         resume_point: None,
         last_forwarded: Instant::now(),
@@ -160,6 +163,10 @@
                 StreamItem::Events(events) => {
                     if !self.has_begun {
                         self.begin();
+                    } else if !self.is_of_one_version() {
+                        self.is_finished = true;
+                        self.record_end(StreamEnd::Cut, "the server was replaced");
+                        return Some(Err(StreamTruncated));
                     }
                     self.record_pause();
                     return Some(Ok(events));
@@ -189,6 +196,21 @@
         }
     }
 
+    /// Returns whether the latest event may follow those that the caller has.
+    ///
+    /// If the entry of the server changed, the event may come from the process that replaced it, at another version.
+    fn is_of_one_version(&mut self) -> bool {
+        let servers = self.shared.servers.load();
+        let is_replaced = matches!(self.scope.version(), VersionBound::Only(_))
+            && self
+                .identity
+                .is_replaced(&servers, self.source.progress.server());
+        if is_replaced {
+            self.scope.forget_version();
+        }
+        !is_replaced || (self.earlier_runs.is_empty() && !self.request.is_resumed())
+    }
+
     /// Looks for another server that continues the stream after its server was silent or failed.
     ///
     /// A silent server may still go on. It keeps the stream if no other server may take over, and it is read from
@@ -325,6 +347,7 @@
                     ..
                 } = *open;
                 self.earlier_runs.push(StreamRun::of(&self.source));
+                self.identity.reset();
                 self.source = stream;
                 Ok(StreamItem::Events(first_events))
             }
--- a/bulrushward_direct/src/stream_runs.rs
+++ b/bulrushward_direct/src/stream_runs.rs
@@ -42,6 +42,11 @@
         self.0.push(run);
     }
 
+    /// Returns whether only one server has sent a part.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns the text of all parts, of which `last` is the last one.
     pub(crate) fn with_last(&self, last: &StreamRun) -> String {
         let texts: Vec<_> = self
--- a/bulrushward_policy/src/server_scope.rs
+++ b/bulrushward_policy/src/server_scope.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// Records that another process may have sent the latest event, so that the version of the stream is not known.
+    pub fn forget_version(&mut self) {
+        self.version = VersionBound::Unknown;
+    }
+
     /// Checks that a server may run the request.
     ///
     /// # Errors
