Excuse no response that a killed router cut in the soak

The soak excused callers of HTTP/1.0 whose router received SIGKILL, as the system closed their connections in order.

--- a/bulrushward_soak/src/router.rs
+++ b/bulrushward_soak/src/router.rs
@@ -40,8 +40,6 @@
     unplanned: Vec<Instant>,
     /// Times at which its processes received SIGTERM, in order.
     stops: Vec<Instant>,
-    /// Times at which its processes received SIGKILL, in order.
-    kills: Vec<Instant>,
     /// Starts and ends of its pauses, in order.
     pauses: Vec<(Instant, Instant)>,
     /// When the process was last asked to stop or killed, if it was not started since.
@@ -101,7 +99,6 @@
             disturbances: vec![Instant::now()],
             unplanned: vec![Instant::now()],
             stops: Vec::new(),
-            kills: Vec::new(),
             pauses: Vec::new(),
             absent_since: None,
             absences: Vec::new(),
@@ -147,7 +144,6 @@
             }
             Signal::SIGCONT => self.end_pause(),
             Signal::SIGKILL => {
-                self.kills.push(Instant::now());
                 self.end_pause();
                 self.is_stopping = false;
             }
@@ -222,11 +218,6 @@
         &self.stops
     }
 
-    /// Returns whether a process of the router received SIGKILL between two times.
-    pub(crate) fn was_killed(&self, from: Instant, until: Instant) -> bool {
-        self.kills.iter().any(|at| (from..=until).contains(at))
-    }
-
     /// Returns the starts and ends of the pauses of the router's processes.
     pub(crate) fn pauses(&self) -> &[(Instant, Instant)] {
         &self.pauses
--- a/bulrushward_soak/src/run.rs
+++ b/bulrushward_soak/src/run.rs
@@ -134,7 +134,7 @@
     let all = attempts.all();
     let execution_log = harness.execution_log.all();
     violations.extend(invariants::check(&all, &execution_log, &harness.outages()));
-    violations.extend(whole_responses::check(&harness, &all));
+    violations.extend(whole_responses::check(&all));
     violations.extend(whole_responses::check_completions(
         &harness,
         &all,
--- a/bulrushward_soak/src/whole_responses.rs
+++ b/bulrushward_soak/src/whole_responses.rs
@@ -8,7 +8,6 @@
 use bulrushward_platform_stand_in::{
     Completion, ERROR_BODY, Execution, event_count, plain_body, stream_text,
 };
-use hyper::Version;
 
 use crate::{
     callers::{Attempt, AttemptResult, ReceivedResponse, events},
@@ -61,15 +60,9 @@
 }
 
 /// Checks all attempts; returns one line for each response that looks complete and is not.
-///
-/// The system ends the connections of a killed router in order, which looks complete to callers that speak HTTP/1.0.
-pub(crate) fn check(harness: &Harness, attempts: &[Attempt]) -> Vec<String> {
-    let is_excused = |attempt: &Attempt| {
-        attempt.version == Version::HTTP_10
-            && harness.routers()[attempt.router].was_killed(attempt.sent, attempt.ended)
-    };
+pub(crate) fn check(attempts: &[Attempt]) -> Vec<String> {
     let violations = attempts.iter().filter_map(|attempt| {
-        let incomplete = incomplete(attempt).filter(|_| !is_excused(attempt))?;
+        let incomplete = incomplete(attempt)?;
         let Attempt {
             id, kind, router, ..
         } = attempt;
