--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -62,7 +62,7 @@
 mod store_waits;
 mod store_watch;
 mod stream_origins;
-mod stream_runs;
+mod stream_record;
 mod supervision;
 mod unframed_body;
 mod unit_loans;
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -7,7 +7,6 @@
 };
 
 use bulrushward_policy::{
-    body_end::Framing,
     server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
     server_scope::{ServerScope, VersionBound},
 };
@@ -15,8 +14,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use strum::IntoStaticStr;
-use tracing::{info, warn};
+use tracing::info;
 
 use crate::{
     attempt::{self, AttemptError, AttemptResponse, OpenStream, record_failure},
@@ -31,7 +29,7 @@
     server_selection::ServerChoice,
     server_stream::{ResumePoint, ServerStream, StreamItem},
     shared::Shared,
-    stream_runs::{StreamRun, StreamRuns},
+    stream_record::{StreamEnd, StreamRecord},
 };
 
 /// Multiple of the route's target pause after which a resumable stream is resumed at another server.
@@ -47,8 +45,7 @@
     history: AttemptHistory,
     first_events: Option<Bytes>,
     source: ServerStream,
-    /// Parts that earlier servers sent.
-    earlier_runs: StreamRuns,
+    record: StreamRecord,
     /// Servers that may go on with the stream.
     scope: ServerScope,
     identity: ServerIdentity,
@@ -56,31 +53,13 @@
     resume_point: Option<ResumePoint>,
     /// Whether a server has sent an event.
     has_begun: bool,
-    /// Time at which the latest events were sent to the caller.
-    last_forwarded: Instant,
-    longest_pause: Duration,
     /// Time by which the next event is awaited, whatever comments arrive before it.
     event_due: Option<Instant>,
-    /// Reason why a stream that was cut was not resumed.
-    not_resumed: &'static str,
     /// Whether it was logged that a silent server keeps the stream.
     is_kept_logged: bool,
     is_finished: bool,
 }
 
-/// How a stream ended for the caller.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-enum StreamEnd {
-    Complete,
-    /// Aborted in a way that the caller notices.
-    Cut,
-    /// Closed by the caller.
-    Left,
-    /// Still in progress at the end of the grace time of a stop.
-    Abandoned,
-}
-
 /// Result of looking for another server that continues a stream.
 enum Handover {
     /// The stream goes on, at another server or at a silent one that has sent something meanwhile.
@@ -108,14 +87,11 @@
         has_begun: false,
         first_events: Some(first_events),
         source,
-        earlier_runs: StreamRuns::default(),
+        record: StreamRecord::new(Instant::now()),
         identity: ServerIdentity::default(),
         scope,
         resume_point: None,
-        last_forwarded: Instant::now(),
-        longest_pause: Duration::ZERO,
         event_due: None,
-        not_resumed: "",
         is_kept_logged: false,
         is_finished: false,
     };
@@ -168,11 +144,13 @@
                         self.record_end(StreamEnd::Cut, "the server was replaced");
                         return Some(Err(StreamTruncated));
                     }
-                    self.record_pause();
+                    self.event_due = None;
+                    self.record.record_pause(Instant::now());
                     return Some(Ok(events));
                 }
                 StreamItem::End => {
-                    self.record_pause();
+                    self.event_due = None;
+                    self.record.record_pause(Instant::now());
                     self.is_finished = true;
                     self.shared.crash_records.record_served(&self.request);
                     self.record_end(StreamEnd::Complete, "");
@@ -208,7 +186,7 @@
         if is_replaced {
             self.scope.forget_version();
         }
-        !is_replaced || (self.earlier_runs.is_empty() && !self.request.is_resumed())
+        !is_replaced || (!self.record.is_joined() && !self.request.is_resumed())
     }
 
     /// Looks for another server that continues the stream after its server was silent or failed.
@@ -241,7 +219,7 @@
                 }
                 Err(refusal) => {
                     self.log_failed_attempt(&failed_server, &error);
-                    self.not_resumed = refusal.into();
+                    self.record.not_resumed = refusal.into();
                     self.record_end(StreamEnd::Cut, &error.detail);
                     return Handover::Failed;
                 }
@@ -346,7 +324,7 @@
                     stream,
                     ..
                 } = *open;
-                self.earlier_runs.push(StreamRun::of(&self.source));
+                self.record.record_run(&self.source);
                 self.identity.reset();
                 self.source = stream;
                 Ok(StreamItem::Events(first_events))
@@ -388,45 +366,11 @@
         request.deadline.min(Instant::now() + timeout)
     }
 
-    fn record_pause(&mut self) {
-        self.event_due = None;
-        let now = Instant::now();
-        let pause = now.saturating_duration_since(self.last_forwarded);
-        self.longest_pause = self.longest_pause.max(pause);
-        self.last_forwarded = now;
-    }
-
-    /// Counts the end of a stream, and logs it unless the stream was complete by its own mark, on time and never resumed.
-    ///
-    /// Such ordinary streams would fill the log of a busy router.
     fn record_end(&self, end: StreamEnd, detail: &str) {
-        let outcome = end.into();
-        self.shared.metrics.record_stream_end(outcome);
-        let is_on_time = self.longest_pause <= self.request.route.target_pause;
+        self.shared.metrics.record_stream_end(end.into());
         let is_resumed = self.resume_point.is_some();
-        let ended_by = self.source.framing();
-        let is_marked = ended_by != Framing::UntilClose;
-        if end == StreamEnd::Complete && is_on_time && !is_resumed && is_marked {
-            return;
-        }
-        let ended_by: &str = ended_by.into();
-        let runs = self.earlier_runs.with_last(&StreamRun::of(&self.source));
-        let ms = self.request.received.elapsed().as_millis() as u64;
-        let longest_pause_ms = self.longest_pause.as_millis() as u64;
-        let request = &self.request.request_id;
-        let server = &self.source.progress.server().id;
-        if matches!(end, StreamEnd::Cut | StreamEnd::Abandoned) {
-            let not_resumed = self.not_resumed;
-            warn!(
-                event = "stream-ended",
-                request, server, outcome, longest_pause_ms, ms, ended_by, runs, not_resumed, detail
-            );
-        } else {
-            info!(
-                event = "stream-ended",
-                request, server, outcome, longest_pause_ms, ms, ended_by, runs, detail
-            );
-        }
+        self.record
+            .log(end, &self.request, &self.source, is_resumed, detail);
     }
 }
 
