Let requests displace the connections that show whether a server lives

A request that finds none now has a witness closed, whose response then ends without that evidence, and the connection that is opened after the end may exceed the share, as it is closed at once.

--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -16,7 +16,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::{OptionExt, ResultExt, Snafu};
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    net::TcpStream,
+    task::{AbortHandle, yield_now},
+    time::timeout,
+};
+use tokio_util::sync::CancellationToken;
 use tracing::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -195,6 +200,11 @@
         drop(idle);
         permit = ConnectionPermit::acquire(server, share);
     }
+    if permit.is_none() && evict_unused(server) {
+        // The connection is closed by its task, which runs first.
+        yield_now().await;
+        permit = ConnectionPermit::acquire(server, share);
+    }
     let permit = permit.context(LimitReachedSnafu { share })?;
     match timeout(CONNECT_TIMEOUT, open(server, permit)).await {
         Ok(opened) => opened,
@@ -226,17 +236,36 @@
     })
 }
 
-/// A connection on which nothing is sent.
+/// A connection on which nothing is sent, and which makes room for requests.
 #[derive(Debug)]
 pub(crate) struct UnusedConnection {
     stream: TcpStream,
+    evicted: CancellationToken,
     _permit: ConnectionPermit,
 }
 
+/// Why an unused connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnusedEnd {
+    /// The server closed it, or sent something that nobody asked for.
+    Closed,
+    /// A request needs its place.
+    Evicted,
+}
+
 impl UnusedConnection {
-    /// Waits until the server closes the connection, or sends something that nobody asked for.
-    pub(crate) async fn closed(&self) {
-        let _closed = self.stream.readable().await;
+    /// Waits until the connection has to be dropped.
+    pub(crate) async fn ended(&self) -> UnusedEnd {
+        tokio::select! {
+            _readable = self.stream.readable() => UnusedEnd::Closed,
+            () = self.evicted.cancelled() => UnusedEnd::Evicted,
+        }
+    }
+}
+
+impl Drop for UnusedConnection {
+    fn drop(&mut self) {
+        self.evicted.cancel();
     }
 }
 
@@ -245,12 +274,28 @@
     let permit = ConnectionPermit::acquire(server, share.saturating_sub(1))?;
     let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address)).await;
     let stream = opened.ok()?.ok()?;
+    let evicted = CancellationToken::new();
+    let mut state = server.state();
+    state.unused.retain(|unused| !unused.is_cancelled());
+    state.unused.push(evicted.clone());
     Some(UnusedConnection {
         stream,
+        evicted,
         _permit: permit,
     })
 }
 
+/// Has an unused connection closed; returns whether there was one.
+fn evict_unused(server: &Server) -> bool {
+    let mut state = server.state();
+    state.unused.retain(|unused| !unused.is_cancelled());
+    let unused = state.unused.pop();
+    unused.is_some_and(|unused| {
+        unused.cancel();
+        true
+    })
+}
+
 fn acquire_idle(server: &Server, id: u64) -> Option<Connection> {
     let now = Instant::now();
     let mut state = server.state();
--- a/bulrushward_direct/src/response_end.rs
+++ b/bulrushward_direct/src/response_end.rs
@@ -19,7 +19,7 @@
 use crate::{
     attempt::AttemptError,
     bounded_stream::BoundedStreamHandle,
-    connection::{self, Reachability},
+    connection::{self, Reachability, UnusedEnd},
     servers::Server,
 };
 
@@ -36,12 +36,11 @@
     framing: Framing,
     /// Open only for a response that ends with its connection.
     witness: Option<ProcessWitness>,
-    /// Number of connections that this router may have to the server.
-    share: u32,
 }
 
 impl ResponseEnd {
-    /// Begins with the head of a response that `carrier` brings.
+    /// Begins with the head of a response that `carrier` brings; `share` is the number of connections that this router
+    /// may have to the server.
     pub(crate) fn of(
         res: &Response<Incoming>,
         carrier: &BoundedStreamHandle,
@@ -53,7 +52,6 @@
         Self {
             framing,
             witness: is_witnessed.then(|| ProcessWitness::open(server, share, carrier)),
-            share,
         }
     }
 
@@ -74,7 +72,8 @@
             None => SenderState::Unknown,
             Some(witness) => {
                 sleep(SETTLE_TIME).await;
-                let is_accepted = match connection::probe(server, self.share).await {
+                // Closed at once, so it may exceed the share.
+                let is_accepted = match connection::probe(server, u32::MAX).await {
                     Some(Reachability::Reached) => Some(true),
                     Some(Reachability::Refused) => Some(false),
                     Some(Reachability::Unanswered) | None => None,
@@ -155,7 +154,10 @@
         }
         if let Some(connection) = opened {
             *lock(&state) = Witness::Held;
-            connection.closed().await;
+            if connection.ended().await == UnusedEnd::Evicted {
+                *lock(&state) = Witness::None;
+                return;
+            }
             *lock(&state) = if is_closed_unused {
                 Witness::None
             } else {
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -16,6 +16,7 @@
     version_history::ServiceKey,
 };
 use bulrushward_protocol::ServerKey;
+use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
@@ -48,6 +49,8 @@
     pub(crate) position: Option<(u64, FleetPosition)>,
     /// Idle connections, the most recently used last.
     pub(crate) idle: Vec<IdleConnection>,
+    /// Open connections that carry nothing and make room for requests when they are cancelled.
+    pub(crate) unused: Vec<CancellationToken>,
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
     broken_requests: Vec<BrokenRequest>,
     /// Whether it is being checked if the server has crashed.
--- a/bulrushward_direct/tests/ends_of_responses.rs
+++ b/bulrushward_direct/tests/ends_of_responses.rs
@@ -265,6 +265,33 @@
     });
 }
 
+/// A request was refused as the connections that show whether a server lives had taken the others.
+#[test]
+fn requests_make_connections_that_carry_nothing_give_way() {
+    let server = TestServer::start("s-1", |req| {
+        vec![
+            unframed_head(req, "text/plain"),
+            send_text("body"),
+            pause(600),
+            Step::Close,
+        ]
+    });
+    // Two routers would share the eight connections.
+    let router = router_with_limit("plain", 8, &server);
+    let statuses = std::thread::scope(|scope| {
+        let callers = [1, 2, 3, 4].map(|index| {
+            std::thread::sleep(Duration::from_millis(60));
+            let router = &router;
+            scope.spawn(move || {
+                let sent = request("POST", "action", &format!("r-{index}"), "");
+                router.send(&sent).status
+            })
+        });
+        callers.map(|caller| caller.join().expect("the caller does not panic"))
+    });
+    assert_eq!(statuses, [200; 4]);
+}
+
 /// A lost packet while a server was asked whether it lives made its whole stream a cut one.
 #[test]
 fn a_server_that_does_not_answer_is_not_known_to_be_gone() {
