Take a refused connection after the head as the end of its server

Cause, by reading: the server was killed right behind the head and was back within 20 ms. The witness was refused in between, which counted as no witness, and the connection that is opened after the end reached the next process. A refusal after the head shows that the process which sent it has ended, and the response counts as cut.

--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -21,7 +21,7 @@
     task::{AbortHandle, yield_now},
     time::timeout,
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, DropGuard};
 use tracing::info;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -130,6 +130,13 @@
     Unreachable { source: io::Error },
 }
 
+impl ConnectError {
+    /// Returns whether the server's machine answered that no process listens.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::Unreachable { source } if source.kind() == io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Timer that closes a connection at a deadline, even if nothing reads from it.
 #[derive(Debug)]
 pub(crate) struct CloseTimer {
@@ -241,6 +248,8 @@
 pub(crate) struct UnusedConnection {
     stream: TcpStream,
     evicted: CancellationToken,
+    /// Cancels the token that the server's state holds.
+    _registered: DropGuard,
     _permit: ConnectionPermit,
 }
 
@@ -263,33 +272,37 @@
     }
 }
 
-impl Drop for UnusedConnection {
-    fn drop(&mut self) {
-        self.evicted.cancel();
-    }
-}
-
 /// Opens a connection on which nothing is sent, unless it would be the last one of this router's `share`.
-pub(crate) async fn open_unused(server: &Server, share: u32) -> Option<UnusedConnection> {
-    let permit = ConnectionPermit::acquire(server, share.saturating_sub(1))?;
-    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address)).await;
-    let stream = opened.ok()?.ok()?;
+///
+/// # Errors
+///
+/// Returns [`ConnectError`] if no connection may or can be opened.
+pub(crate) async fn open_unused(
+    server: &Server,
+    share: u32,
+) -> Result<UnusedConnection, ConnectError> {
+    let permit = ConnectionPermit::acquire(server, share.saturating_sub(1));
+    let permit = permit.context(LimitReachedSnafu { share })?;
     let evicted = CancellationToken::new();
-    let mut state = server.state();
-    state.unused.retain(|unused| !unused.is_cancelled());
-    state.unused.push(evicted.clone());
-    Some(UnusedConnection {
+    let registered = evicted.clone().drop_guard();
+    server.state().add_unused(evicted.clone());
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(server.record.address));
+    let opened = tokio::select! {
+        opened = opened => opened.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into())),
+        () = evicted.cancelled() => return LimitReachedSnafu { share }.fail(),
+    };
+    let stream = opened.context(UnreachableSnafu)?;
+    Ok(UnusedConnection {
         stream,
         evicted,
+        _registered: registered,
         _permit: permit,
     })
 }
 
 /// Has an unused connection closed; returns whether there was one.
 fn evict_unused(server: &Server) -> bool {
-    let mut state = server.state();
-    state.unused.retain(|unused| !unused.is_cancelled());
-    let unused = state.unused.pop();
+    let unused = server.state().take_unused();
     unused.is_some_and(|unused| {
         unused.cancel();
         true
--- a/bulrushward_direct/src/response_end.rs
+++ b/bulrushward_direct/src/response_end.rs
@@ -19,7 +19,7 @@
 use crate::{
     attempt::AttemptError,
     bounded_stream::BoundedStreamHandle,
-    connection::{self, Reachability, UnusedEnd},
+    connection::{self, ConnectError, Reachability, UnusedEnd},
     servers::Server,
 };
 
@@ -148,11 +148,16 @@
     let mut is_closed_unused = false;
     loop {
         let opened = connection::open_unused(&server, share).await;
+        if opened.as_ref().is_err_and(ConnectError::is_refused) {
+            // The process that sent the head has closed its listener.
+            *lock(&state) = Witness::Closed;
+            return;
+        }
         if carrier.quiet_time().is_none() {
             // A process that has replaced the sender may have accepted it.
             return;
         }
-        if let Some(connection) = opened {
+        if let Ok(connection) = opened {
             *lock(&state) = Witness::Held;
             if connection.ended().await == UnusedEnd::Evicted {
                 *lock(&state) = Witness::None;
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -50,7 +50,7 @@
     /// Idle connections, the most recently used last.
     pub(crate) idle: Vec<IdleConnection>,
     /// Open connections that carry nothing and make room for requests when they are cancelled.
-    pub(crate) unused: Vec<CancellationToken>,
+    unused: Vec<CancellationToken>,
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
     broken_requests: Vec<BrokenRequest>,
     /// Whether it is being checked if the server has crashed.
@@ -58,6 +58,18 @@
 }
 
 impl ServerState {
+    /// Adds a connection that carries nothing, until its token is cancelled.
+    pub(crate) fn add_unused(&mut self, unused: CancellationToken) {
+        self.unused.retain(|unused| !unused.is_cancelled());
+        self.unused.push(unused);
+    }
+
+    /// Removes such a connection, which is to be cancelled.
+    pub(crate) fn take_unused(&mut self) -> Option<CancellationToken> {
+        self.unused.retain(|unused| !unused.is_cancelled());
+        self.unused.pop()
+    }
+
     /// Records that a connection broke before the server responded to a request.
     pub(crate) fn record_broken_request(&mut self, request: BrokenRequest) {
         self.remove_old_broken_requests(request.at);
--- a/bulrushward_policy/src/body_end.rs
+++ b/bulrushward_policy/src/body_end.rs
@@ -46,7 +46,7 @@
 pub enum Witness {
     /// The process that accepted it before the body ended holds it open.
     Held,
-    /// It was closed together with the connection that carried the body.
+    /// It was closed together with the connection that carried the body, or refused after the head had arrived.
     Closed,
     /// None was open when the body ended, or the server closes such connections by itself.
     None,
