Take a crash after the first event as evidence against the content

Callers saw servers crash one after another: a request that crashes its server after the first event of its stream was sent on each time that it came.

Cause: Relay::hand_over looked for a crash only if no event had been passed on.

Now the end of each attempt is looked at, also that of a server that kept its stream while another one was asked. A stream that has gone on for 2 s is no evidence and refutes crashes each time that it has gone on for 2 s more; refutations are told before suspects; content that was served is barred only once a stream that began after the third crash could survive.

--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -25,7 +25,7 @@
 /// Time in which a server is called once at most.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Records how an attempt failed whose response had not begun.
+/// Records how an attempt failed whose request may have crashed the server, at whatever byte of the response.
 pub(crate) fn record_failure(
     shared: &Arc<Shared>,
     request: &RoutedRequest,
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -15,7 +15,7 @@
 
 use crate::{crash_reports::CrashReports, fleet_view::FleetView, routed_request::RoutedRequest};
 
-/// A request whose connection broke before its response had begun.
+/// A request whose connection broke before its server was known to bear it.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenRequest {
     request_id: String,
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -7,6 +7,7 @@
 };
 
 use bulrushward_policy::{
+    run_survival::RunSurvival,
     server_attempt::{AttemptFailure, AttemptHistory, NextAttempt},
     server_scope::{ServerScope, VersionBound},
 };
@@ -53,6 +54,8 @@
     resume_point: Option<ResumePoint>,
     /// Whether a server has sent an event.
     has_begun: bool,
+    /// What the events of the current server show.
+    survival: RunSurvival,
     /// Time by which the next event is awaited, whatever comments arrive before it.
     event_due: Option<Instant>,
     /// Whether it was logged that a silent server keeps the stream.
@@ -85,6 +88,7 @@
         request,
         history,
         has_begun: false,
+        survival: RunSurvival::default(),
         first_events: Some(first_events),
         source,
         record: StreamRecord::new(Instant::now()),
@@ -97,6 +101,7 @@
     };
     if relay.first_events.as_deref().is_some_and(has_event) {
         relay.begin();
+        relay.record_events();
     }
     let frames = stream::unfold(relay, async |mut relay| {
         let events = relay.next().await?;
@@ -144,6 +149,7 @@
                         self.record_end(StreamEnd::Cut, "the server was replaced");
                         return Some(Err(StreamTruncated));
                     }
+                    self.record_events();
                     self.event_due = None;
                     self.record.record_pause(Instant::now());
                     return Some(Ok(events));
@@ -160,6 +166,22 @@
         }
     }
 
+    /// Records events, which may show that the server bears the content of the request.
+    fn record_events(&mut self) {
+        if self.survival.record_events(Instant::now()) {
+            self.shared.crash_records.record_served(&self.request);
+        }
+    }
+
+    /// Records how the current server failed.
+    fn record_source_failure(&self, error: &AttemptError) {
+        record_failure(&self.source.progress, error);
+        if self.survival.is_suspect() {
+            let server = self.source.progress.server();
+            crash_check::record_failure(&self.shared, &self.request, server, error.failure);
+        }
+    }
+
     /// Records that the first event arrived, and at which version.
     fn begin(&mut self) {
         self.has_begun = true;
@@ -196,11 +218,7 @@
     async fn hand_over(&mut self, mut error: AttemptError) -> Handover {
         let mut is_source_open =
             error.failure == AttemptFailure::Silent && Instant::now() < self.request.deadline;
-        record_failure(&self.source.progress, &error);
-        if !self.has_begun {
-            let server = self.source.progress.server();
-            crash_check::record_failure(&self.shared, &self.request, server, error.failure);
-        }
+        self.record_source_failure(&error);
         self.resume_point = self.source.resume_point().or(self.resume_point.take());
         let mut failed_server = self.source.progress.server().id.clone();
         let mut history = self.history.clone();
@@ -296,7 +314,7 @@
                         Ok(item) => return Ok(item),
                         Err(closed) => {
                             *is_source_open = false;
-                            record_failure(&self.source.progress, &closed);
+                            self.record_source_failure(&closed);
                         }
                     }
                 }
@@ -326,6 +344,7 @@
                 } = *open;
                 self.record.record_run(&self.source);
                 self.identity.reset();
+                self.survival = RunSurvival::default();
                 self.source = stream;
                 Ok(StreamItem::Events(first_events))
             }
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -70,7 +70,7 @@
         self.unused.pop()
     }
 
-    /// Records that a connection broke before the server responded to a request.
+    /// Records that the connection of a request broke.
     pub(crate) fn record_broken_request(&mut self, request: BrokenRequest) {
         self.remove_old_broken_requests(request.at);
         if self.broken_requests.len() < MAX_BROKEN_REQUESTS {
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -17,6 +17,7 @@
 use strum::IntoStaticStr;
 
 use self::record::{Crash, Limits, MAX_CRASHES, Record};
+use crate::run_survival::SURVIVAL_TIME;
 
 /// Contents whose latest complete response is remembered, including those that most requests share.
 const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
@@ -53,8 +54,8 @@
     pub const DIRECT: Self = Self {
         // Fewer may be a coincidence.
         crashes: 3,
-        // Peers that serve the content report it within this time.
-        grace: Duration::from_millis(1_500),
+        // A stream that begins after the crash shows within this time that its server bears it, and peers hear of it.
+        grace: SURVIVAL_TIME.saturating_add(Duration::from_millis(1_500)),
         period: Duration::from_mins(1),
         ambiguous_period: Duration::from_millis(1_500),
         // Servers that failed together are back within a few seconds.
@@ -238,6 +239,8 @@
     }
 
     /// Returns up to `limit` reports for peers, those that were sent least often first.
+    ///
+    /// Among these, refutations come first: there are few, and peers refuse sound content until they hear of them.
     pub fn reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
         self.remove_expired(now);
         let limits = &self.limits;
@@ -250,6 +253,7 @@
             .map(|(content, record)| {
                 let order = (
                     record.times_sent,
+                    !record.crashes.is_empty(),
                     MAX_CRASHES - record.crashes.len(),
                     *content,
                 );
@@ -259,7 +263,7 @@
         due.sort_unstable_by_key(|(order, _)| *order);
         due.into_iter()
             .take(limit)
-            .map(|((_, _, content), record)| {
+            .map(|((_, _, _, content), record)| {
                 record.times_sent += 1;
                 record.report(content, now)
             })
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod replaced_servers;
 pub mod response_owner;
 pub mod retry_budget;
+pub mod run_survival;
 pub mod scarcity;
 pub mod server_attempt;
 pub mod server_choice;
