Take a server that is gone at the end of a response without a length as crashed

Callers saw servers crash one after another: a request whose servers crash while they send a response without a length was sent on each time that it came, and to two servers each time where the route allows it.

Cause: the end of such a response is confirmed by a connection. The listener refused it, but the failure was the same Unconfirmed as where nothing is known, which is no evidence. Two new cases of the table test of crashes within responses and one of a repeated request failed before; all their statuses were 502, and the fourth request was sent like the first.

ServerGone now names the end of a response whose server refuses connections. It proves the crash of all requests at that server, without a second call.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -385,6 +385,7 @@
         | AttemptFailure::ServerError
         | AttemptFailure::Broken
         | AttemptFailure::Unconfirmed
+        | AttemptFailure::ServerGone
         | AttemptFailure::CutOff
         | AttemptFailure::Silent => health.record_failure(now),
     });
--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -42,6 +42,11 @@
                 start(shared, request, server);
             }
         }
+        AttemptFailure::ServerGone => {
+            let broken = BrokenRequest::new(request);
+            server.state().record_broken_request(broken);
+            record_crash(shared, server);
+        }
         AttemptFailure::NotSent => record_crash(shared, server),
         _ => {}
     }
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -99,6 +99,7 @@
                 | AttemptFailure::Misdirected
                 | AttemptFailure::Broken
                 | AttemptFailure::Unconfirmed
+                | AttemptFailure::ServerGone
                 | AttemptFailure::CutOff
                 | AttemptFailure::Silent,
             ) => PlaceUse::Failed,
--- a/bulrushward_direct/src/request_handler.rs
+++ b/bulrushward_direct/src/request_handler.rs
@@ -328,9 +328,10 @@
         AttemptFailure::Stopping => Reason::Stopping,
         AttemptFailure::DomainEmptied => Reason::FailureDomainsEmptied,
         AttemptFailure::Rejected | AttemptFailure::Misdirected => Reason::ServersRefused,
-        AttemptFailure::ServerError | AttemptFailure::Broken | AttemptFailure::Unconfirmed => {
-            Reason::ServerBroke
-        }
+        AttemptFailure::ServerError
+        | AttemptFailure::Broken
+        | AttemptFailure::Unconfirmed
+        | AttemptFailure::ServerGone => Reason::ServerBroke,
         AttemptFailure::ContentBarred => Reason::Quarantined,
         AttemptFailure::CutOff => Reason::ServerCutOff,
         AttemptFailure::Silent => Reason::ServerSilent,
--- a/bulrushward_direct/src/response_end.rs
+++ b/bulrushward_direct/src/response_end.rs
@@ -68,8 +68,8 @@
     ///
     /// Returns [`AttemptError`] if the body may have been cut.
     pub(crate) async fn confirm(&self, server: &Server) -> Result<(), AttemptError> {
-        let sender = match &self.witness {
-            None => SenderState::Unknown,
+        let (sender, is_accepted) = match &self.witness {
+            None => (SenderState::Unknown, None),
             Some(witness) => {
                 sleep(SETTLE_TIME).await;
                 // Closed at once, so it may exceed the share.
@@ -78,7 +78,8 @@
                     Some(Reachability::Refused) => Some(false),
                     Some(Reachability::Unanswered) | None => None,
                 };
-                SenderState::from_evidence(witness.state(), is_accepted)
+                let sender = SenderState::from_evidence(witness.state(), is_accepted);
+                (sender, is_accepted)
             }
         };
         match body_end::judge(self.framing, sender) {
@@ -87,7 +88,12 @@
                 let sender: &str = sender.into();
                 let detail =
                     format!("the response ended with its connection, the server is {sender}");
-                Err(AttemptError::new(AttemptFailure::Unconfirmed, &detail))
+                // A server that closes its connections and accepts others may live.
+                let failure = match is_accepted {
+                    Some(false) => AttemptFailure::ServerGone,
+                    Some(true) | None => AttemptFailure::Unconfirmed,
+                };
+                Err(AttemptError::new(failure, &detail))
             }
         }
     }
--- a/bulrushward_direct/tests/crashes_in_responses.rs
+++ b/bulrushward_direct/tests/crashes_in_responses.rs
@@ -101,6 +101,29 @@
     vec![send_text(&head), pause(20), Step::CrashQuietly]
 };
 
+/// Returns a response without a length and without chunks that begins with `text`.
+fn unframed(req: &Received, content_type: &str, text: &str) -> Step {
+    let id = req.header("request").unwrap_or_default();
+    send_text(&format!(
+        "HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\nContent-Type: {content_type}\r\n\r\n{text}"
+    ))
+}
+
+const WITHIN_AN_UNFRAMED_BODY: Script = |req| {
+    vec![
+        unframed(req, "text/plain", "half"),
+        pause(20),
+        Step::CrashQuietly,
+    ]
+};
+const BETWEEN_UNFRAMED_EVENTS: Script = |req| {
+    vec![
+        unframed(req, "text/event-stream", &event(1)),
+        pause(20),
+        Step::CrashQuietly,
+    ]
+};
+
 // Guards against a request that crashes servers at a moment of the response at which the router does not look for a crash.
 #[rstest]
 #[case::before_the_head("engines", "stream", BEFORE_THE_HEAD)]
@@ -111,6 +134,8 @@
 #[case::after_many_events("engines", "stream", AFTER_MANY_EVENTS)]
 #[case::within_a_body_with_length("plain", "action", WITHIN_A_BODY_WITH_LENGTH)]
 #[case::within_a_chunked_body("plain", "action", WITHIN_A_CHUNKED_BODY)]
+#[case::within_an_unframed_body("plain", "action", WITHIN_AN_UNFRAMED_BODY)]
+#[case::between_unframed_events("engines", "stream", BETWEEN_UNFRAMED_EVENTS)]
 fn a_request_that_crashes_servers_is_barred(
     #[case] service: &str,
     #[case] route: &str,
@@ -146,6 +171,18 @@
     assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
 }
 
+// Guards against a request of which each repetition crashes two servers within a response that has no length.
+#[test]
+fn a_repeated_request_that_crashes_servers_in_unframed_bodies_is_barred() {
+    let (router, servers) = start("plain", WITHIN_AN_UNFRAMED_BODY);
+    let statuses = send_poison(&router, "lookup", 4);
+    assert_eq!(
+        (poisoned(&servers), statuses[3]),
+        (CRASHES, 503),
+        "{statuses:?}"
+    );
+}
+
 // Guards against barring sound content whose servers die for another reason under streams that have gone on for long.
 #[test]
 fn a_stream_that_went_on_for_long_is_no_evidence_against_its_content() {
--- a/bulrushward_policy/src/server_attempt.rs
+++ b/bulrushward_policy/src/server_attempt.rs
@@ -38,6 +38,8 @@
     Broken,
     /// The response ended with its connection, and nothing shows that it is complete; the request has run.
     Unconfirmed,
+    /// The response ended with its connection, and its server has stopped to listen; the request has run.
+    ServerGone,
     /// The server acknowledged nothing in time, as if it was cut off; the request may have run.
     CutOff,
     /// The server sent nothing within the timeout; the request may have run.
