Bound the time until a change is known whose waiting calls have gone silent

Callers were served by the service that a route had been taken away from, up to 0.7 s after the bound of 2 s.

Cause: the time is the sum of waits that several modules choose, and the first has no bound: turns to check a waiting call are drawn at random. Then come 150 ms until the call is given up, gossip in rounds of 250 ms, 300 ms for which a peer must be ahead (looked at once a round), and the calls.

Turns are dealt now: the routers that are alive rank by hash, and each has one slot of 400 ms in a cycle of the time of day, with as many checks as before. A router that has read changes which its own waiting call missed tells six peers at once; those that are behind ask the store at once and pass it on. The same path serves the list of servers; orders travel in the datagrams themselves.

store-call-resent says what showed the loss. Fetching from peers, the latest message of a peer and the backoff have files of their own; next_event_due moved beside the other read timeouts.

--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -3,6 +3,7 @@
 //! Each round, a router sends some peers a datagram with its fleet state version and its requests in progress.
 //! A router whose fleet state is behind fetches a snapshot from a peer.
 
+mod fetch;
 mod message;
 
 use std::{
@@ -17,7 +18,6 @@
     emptied_domains::EmptiedReport, fleet_liveness::FleetLiveness, fleet_share::FleetMembers,
     server_load::PeerLoad, server_registry::StoreRevision, view_lag::ViewLag,
 };
-use hyper::StatusCode;
 use rand::seq::IndexedRandom;
 use tokio::{
     net::UdpSocket,
@@ -25,24 +25,26 @@
 };
 use tracing::{debug, info, warn};
 
-use self::message::{GossipMessage, GossipOrders, GossipTail, PeerSighting, ServerInProgress};
+pub(crate) use self::fetch::FLEET_STATE_PATH;
+use self::fetch::fetch;
+use self::message::{
+    GossipMessage, GossipOrders, GossipTail, Peer, PeerSighting, ServerInProgress,
+};
 use crate::{
-    call, cold_servers,
+    cold_servers,
     connection::close_expired,
     crash_reports::CrashReports,
-    fleet_state::{FleetState, FleetStateSnapshot, StateVersion},
+    fleet_state::{FleetState, StateVersion},
     fleet_view::FleetView,
     model::ConfigVersion,
     server_reports::{self, ReportMessage},
     servers::ServerHash,
     shared::Shared,
+    store_news::MissedChanges,
+    store_state::StoreView,
     store_watch::COALESCING_FRACTION,
 };
 
-/// Path at which a router serves its fleet state.
-///
-/// The configuration version that the requesting router has is appended.
-pub(crate) const FLEET_STATE_PATH: &str = "/fleet-state/";
 /// Interval between two gossip rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Number of peers that receive a datagram in each round, which bounds the traffic in a large fleet.
@@ -51,8 +53,6 @@
 const PEERS_AT_ONCE: usize = 6;
 /// Shortest time between two datagrams that are sent at once.
 const NEWS_INTERVAL: Duration = Duration::from_millis(50);
-/// Age up to which the requests in progress and the state version in a message are used.
-const MESSAGE_MAX_AGE: Duration = Duration::from_secs(3);
 /// Time for which a datagram of a process may still arrive after the process was restarted.
 const MAX_DATAGRAM_DELAY: Duration = Duration::from_secs(1);
 /// Time without a message after which a peer is forgotten, so that it receives no more datagrams.
@@ -63,26 +63,11 @@
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Largest number of servers in one message; the busiest are included.
 const MAX_SERVERS_PER_MESSAGE: usize = 256;
-/// Time limit for fetching a snapshot from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// Fraction of the propagation limit for which a router that is behind waits for its own store.
 ///
 /// After that it fetches the state from a peer. The wait exceeds the time for which changes are coalesced.
 const STORE_PREFERENCE_FRACTION: f64 = COALESCING_FRACTION + 0.1;
 
-/// A peer with its latest message.
-#[derive(Clone, Debug)]
-struct Peer {
-    message: GossipMessage,
-    received_at: Instant,
-}
-
-impl Peer {
-    fn is_fresh(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.received_at) < MESSAGE_MAX_AGE
-    }
-}
-
 /// Gossip with peers, run by the control thread.
 pub(crate) struct Gossip {
     shared: Arc<Shared>,
@@ -222,7 +207,10 @@
             postcard::take_from_bytes(orders).unwrap_or_default();
         let (crashes, reports): (CrashReports, _) =
             postcard::take_from_bytes(crashes).unwrap_or_default();
-        let reports: ReportMessage = postcard::from_bytes(reports).unwrap_or_default();
+        let (reports, missed): (ReportMessage, _) =
+            postcard::take_from_bytes(reports).unwrap_or_default();
+        let missed: MissedChanges = postcard::from_bytes(missed).unwrap_or_default();
+        self.record_news(missed, &message.state_version);
         self.merge_tail(&tail, &message.node);
         self.shared.crash_records.merge(&crashes, &message.node);
         server_reports::merge(&self.shared, &reports, &message.node);
@@ -247,6 +235,18 @@
         self.by_node.insert(peer.message.node.clone(), peer);
     }
 
+    /// Asks the store for changes that a peer knows and that calls which wait for them may have missed.
+    fn record_news(&self, missed: MissedChanges, peer: &StateVersion) {
+        let own = self.fleet_state.version();
+        let waits = &self.shared.store_state.waits;
+        if missed.config && peer.config > own.config {
+            waits.record_news(StoreView::Config);
+        }
+        if missed.servers && peer.has_newer_servers_than(&own) {
+            waits.record_news(StoreView::Servers);
+        }
+    }
+
     fn merge_tail(&self, tail: &GossipTail, node: &str) {
         if let Some(recovery) = tail.recovery {
             self.shared.store_state.merge_recovery(recovery);
@@ -278,8 +278,11 @@
         }
         self.by_node
             .retain(|_, peer| now.saturating_duration_since(peer.received_at) < PEER_TTL);
-        self.shared
-            .set_alive_peers(self.liveness.alive().copied().collect());
+        let alive: Vec<_> = self.liveness.alive().copied().collect();
+        let own = self.shared.settings().knowledge_address;
+        let turns = &self.shared.store_state.check_turns;
+        turns.set_routers(own, &alive);
+        self.shared.set_alive_peers(alive);
         self.update_members(now);
     }
 
@@ -342,6 +345,7 @@
             orders,
             crashes,
             reports,
+            self.shared.store_state.news.message(),
         );
         let bytes = match postcard::to_stdvec(&parts) {
             Ok(bytes) => bytes,
@@ -470,23 +474,11 @@
     }
 }
 
-/// Waits until peers should be told of content that crashes servers, not before `earliest`.
+/// Waits until peers should be told of content that crashes servers or of missed changes, not before `earliest`.
 async fn wait_for_news(shared: &Shared, earliest: Instant) {
     tokio::time::sleep_until(earliest.into()).await;
-    shared.crash_records.wait_for_news().await;
-}
-
-async fn fetch(
-    from: SocketAddr,
-    known_config: Option<ConfigVersion>,
-) -> Result<FleetStateSnapshot, String> {
-    let known_config = known_config.map_or_else(String::new, |version| version.to_string());
-    let path = format!("{FLEET_STATE_PATH}{known_config}");
-    let (status, bytes) = call::get(from, &path, FETCH_TIMEOUT)
-        .await
-        .map_err(|error| error.to_string())?;
-    if status != StatusCode::OK {
-        return Err(format!("status {status}"));
+    tokio::select! {
+        () = shared.crash_records.wait_for_news() => {}
+        () = shared.store_state.news.wait() => {}
     }
-    postcard::from_bytes(&bytes).map_err(|error| format!("unreadable snapshot: {error}"))
 }
--- a/bulrushward_direct/src/gossip/message.rs
+++ b/bulrushward_direct/src/gossip/message.rs
@@ -1,6 +1,9 @@
 //! Datagrams of the gossip between routers.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bulrushward_policy::{emptied_domains::EmptiedReport, store_recovery::RecoveryReport};
 use serde::{Deserialize, Serialize};
@@ -10,6 +13,22 @@
     servers::ServerHash,
 };
 
+/// Age up to which the requests in progress and the state version in a message are used.
+const MESSAGE_MAX_AGE: Duration = Duration::from_secs(3);
+
+/// A peer with its latest message.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) message: GossipMessage,
+    pub(super) received_at: Instant,
+}
+
+impl Peer {
+    pub(super) fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.received_at) < MESSAGE_MAX_AGE
+    }
+}
+
 /// Message that a router sends to its peers in each round.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct GossipMessage {
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -1,10 +1,6 @@
 //! Relays a server's stream to the caller and resumes it at another server where that is allowed.
 
-use std::{
-    pin::pin,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, sync::Arc, time::Instant};
 
 use bulrushward_policy::{
     run_survival::RunSurvival,
@@ -24,6 +20,7 @@
     handover::{self, HandoverRefusal, SilenceWatch},
     local_response::{Body, StreamTruncated},
     metrics::InProgressGuard,
+    read_timeout,
     request_handler::log_failed_attempt,
     routed_request::RoutedRequest,
     server_identity::ServerIdentity,
@@ -33,11 +30,6 @@
     stream_record::{StreamEnd, StreamRecord},
 };
 
-/// Multiple of the route's target pause after which a resumable stream is resumed at another server.
-const READ_TIMEOUT_FACTOR: u32 = 4;
-/// Shortest pause after which a resumable stream is resumed at another server.
-const MIN_READ_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A stream that is being relayed to the caller.
 struct Relay {
     _in_progress: InProgressGuard,
@@ -123,7 +115,9 @@
             return None;
         }
         loop {
-            let until = self.event_due.unwrap_or_else(|| self.read_deadline());
+            let until = self
+                .event_due
+                .unwrap_or_else(|| read_timeout::next_event_due(&self.request));
             self.event_due = Some(until);
             let item = match self.source.next(until).await {
                 Ok(item) => item,
@@ -372,19 +366,6 @@
         handover::log_kept(&self.request, server, reason);
     }
 
-    /// Returns the time by which the server must send something.
-    ///
-    /// Only streams that may be resumed at another server have a read timeout of their own. It starts the search for
-    /// such a server.
-    fn read_deadline(&self) -> Instant {
-        let request = &self.request;
-        if !request.route.is_idempotent() {
-            return request.deadline;
-        }
-        let timeout = (request.route.target_pause * READ_TIMEOUT_FACTOR).max(MIN_READ_TIMEOUT);
-        request.deadline.min(Instant::now() + timeout)
-    }
-
     fn record_end(&self, end: StreamEnd, detail: &str) {
         self.shared.metrics.record_stream_end(end.into());
         let is_resumed = self.resume_point.is_some();
--- a/bulrushward_direct/src/store_probe.rs
+++ b/bulrushward_direct/src/store_probe.rs
@@ -3,17 +3,17 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bulrushward_policy::{fleet_schedule::FleetSchedule, store_wait::PendingWait};
-
+use bulrushward_policy::store_wait::PendingWait;
 use tokio::time::timeout;
 
-use crate::{metrics::StoreCall, ports::StoreError, shared::Shared, store_state::StoreView};
+use crate::{
+    metrics::StoreCall, ports::StoreError, shared::Shared, store_state::StoreView,
+    store_waits::LossSign,
+};
 
-/// Average interval at which some router of the fleet probes the store.
-const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time limit of a check; a slow store responds within a few hundred milliseconds.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
-/// Interval at which a router checks whether it is its turn.
+/// Interval of the probes of a router whose calls get no response, and in which a changed fleet moves its turn.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Probes the store until cancelled.
@@ -21,10 +21,10 @@
 /// A router whose calls get no response keeps probing until one succeeds, so that it notices the store's
 /// return.
 pub(crate) async fn run(shared: Arc<Shared>) {
-    let mut schedule = FleetSchedule::new(PROBE_INTERVAL, &mut rand::rng());
     loop {
-        tokio::time::sleep(CHECK_INTERVAL).await;
-        let is_turn = schedule.advance(CHECK_INTERVAL, shared.routers(), &mut rand::rng());
+        let until_turn = shared.store_state.check_turns.until_next();
+        tokio::time::sleep(until_turn.min(CHECK_INTERVAL)).await;
+        let is_turn = until_turn <= CHECK_INTERVAL;
         let is_unresponsive = shared.store_state.is_unresponsive();
         if !is_turn && !is_unresponsive {
             continue;
@@ -77,7 +77,8 @@
         }
     };
     if may_be_behind {
-        shared.store_state.waits.end_if_lost(view, pending).await;
+        let waits = &shared.store_state.waits;
+        waits.end_if_lost(view, pending, LossSign::Check).await;
     }
 }
 
--- a/bulrushward_direct/src/store_state.rs
+++ b/bulrushward_direct/src/store_state.rs
@@ -17,7 +17,9 @@
 use tokio::sync::watch;
 use tracing::{info, warn};
 
-use crate::{ports::StoreError, store_waits::StoreWaits};
+use crate::{
+    check_turns::CheckTurns, ports::StoreError, store_news::StoreNews, store_waits::StoreWaits,
+};
 
 /// Longest delay before a waiting call is sent again after the store has returned.
 ///
@@ -54,6 +56,8 @@
     servers_revision: AtomicU64,
     recoveries: Mutex<RecoveryLog>,
     pub(crate) waits: StoreWaits,
+    pub(crate) news: StoreNews,
+    pub(crate) check_turns: CheckTurns,
     /// Time at which the store last returned from an outage.
     returned_at: watch::Sender<Option<Instant>>,
 }
@@ -72,6 +76,8 @@
             servers_revision: AtomicU64::new(0),
             recoveries: Mutex::default(),
             waits: StoreWaits::default(),
+            news: StoreNews::default(),
+            check_turns: CheckTurns::default(),
             returned_at: watch::Sender::new(None),
         }
     }
--- a/bulrushward_direct/src/store_waits.rs
+++ b/bulrushward_direct/src/store_waits.rs
@@ -9,6 +9,7 @@
     server_registry::StoreRevision,
     store_wait::{PendingWait, WaitLog},
 };
+use strum::IntoStaticStr;
 use tokio::{sync::Notify, time::sleep_until};
 
 use crate::store_state::StoreView;
@@ -20,10 +21,23 @@
     servers: ViewWait,
 }
 
+/// What shows that a waiting call has lost its response.
+#[derive(Clone, Copy, Debug, IntoStaticStr, PartialEq, Eq)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum LossSign {
+    /// A check has returned changes, or nothing.
+    Check,
+    /// A peer has known a change for some time.
+    PeerAhead,
+    /// A peer has read a change that its own waiting call had missed.
+    News,
+}
+
 #[derive(Debug, Default)]
 struct ViewWait {
     log: Mutex<WaitLog>,
     lost: Notify,
+    sign: Mutex<Option<LossSign>>,
 }
 
 /// A waiting call, which ends when this is dropped.
@@ -33,15 +47,16 @@
 }
 
 impl WaitGuard<'_> {
-    /// Waits until the call has lost its response.
-    pub(crate) async fn lost(&self) {
+    /// Waits until the call has lost its response, and returns what shows it.
+    pub(crate) async fn lost(&self) -> Option<LossSign> {
         self.wait.lost.notified().await;
+        *lock(&self.wait.sign)
     }
 }
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        self.wait.lock().end();
+        lock(&self.wait.log).end();
     }
 }
 
@@ -49,32 +64,37 @@
     /// Records that a call is sent that waits for changes after a revision.
     pub(crate) fn begin(&self, view: StoreView, after: StoreRevision) -> WaitGuard<'_> {
         let wait = self.of(view);
-        wait.lock().begin(after, Instant::now());
+        lock(&wait.log).begin(after, Instant::now());
         WaitGuard { wait }
     }
 
     /// Returns the call that waits for changes of a view.
     pub(crate) fn pending(&self, view: StoreView) -> Option<PendingWait> {
-        self.of(view).lock().pending()
+        lock(&self.of(view).log).pending()
     }
 
     /// Ends a waiting call that does not return soon though another call has returned changes.
-    pub(crate) async fn end_if_lost(&self, view: StoreView, checked: PendingWait) {
+    pub(crate) async fn end_if_lost(&self, view: StoreView, checked: PendingWait, sign: LossSign) {
         sleep_until(WaitLog::lost_at(Instant::now()).into()).await;
         let wait = self.of(view);
-        if wait.lock().is_waiting(checked) {
-            wait.lost.notify_waiters();
+        if lock(&wait.log).is_waiting(checked) {
+            wait.end(sign);
         }
     }
 
     /// Records whether a peer knows changes of a view that this router does not.
     pub(crate) fn observe_peers(&self, view: StoreView, is_peer_ahead: bool) {
         let wait = self.of(view);
-        if wait.lock().observe_peers(is_peer_ahead, Instant::now()) {
-            wait.lost.notify_waiters();
+        if lock(&wait.log).observe_peers(is_peer_ahead, Instant::now()) {
+            wait.end(LossSign::PeerAhead);
         }
     }
 
+    /// Ends a waiting call, as a peer knows changes that such a call of its own has missed.
+    pub(crate) fn record_news(&self, view: StoreView) {
+        self.of(view).end(LossSign::News);
+    }
+
     fn of(&self, view: StoreView) -> &ViewWait {
         match view {
             StoreView::Config => &self.config,
@@ -84,7 +104,12 @@
 }
 
 impl ViewWait {
-    fn lock(&self) -> MutexGuard<'_, WaitLog> {
-        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    fn end(&self, sign: LossSign) {
+        *lock(&self.sign) = Some(sign);
+        self.lost.notify_waiters();
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -6,7 +6,6 @@
 };
 
 use bulrushward_policy::server_registry::StoreRevision;
-use rand::RngExt;
 use tracing::info;
 
 use crate::{
@@ -15,6 +14,7 @@
     metrics::StoreCall,
     ports::{ConfigUpdate, FleetStore, StoreError},
     shared::Shared,
+    store_backoff::Backoff,
     store_state::StoreView,
 };
 
@@ -32,27 +32,6 @@
 ///
 /// The rest is for routers whose calls the store rejects.
 const ORDER_WAIT_FRACTION: f64 = 0.1;
-/// Longest pause after the first failed call; it doubles with each further one up to [`MAX_BACKOFF`].
-const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
-/// Longest pause between calls while the store is unavailable.
-const MAX_BACKOFF: Duration = Duration::from_millis(500);
-
-/// Exponential backoff with jitter between failed calls.
-#[derive(Debug, Default)]
-struct Backoff {
-    failures: u32,
-}
-
-impl Backoff {
-    async fn pause(&mut self) {
-        let longest =
-            (INITIAL_BACKOFF * 2_u32.saturating_pow(self.failures.min(8))).min(MAX_BACKOFF);
-        self.failures += 1;
-        // Jitter keeps routers that lost the store together from retrying together.
-        let pause = longest.mul_f64(rand::rng().random_range(0.5..1.0));
-        tokio::time::sleep(pause).await;
-    }
-}
 
 /// How a call to the store ended.
 enum Polled<T> {
@@ -80,13 +59,14 @@
             None => std::future::pending().await,
         }
     };
-    let is_lost = tokio::select! {
+    let sign = tokio::select! {
         result = call => return Polled::Result(result),
-        () = shared.store_state.resend_due(sent) => false,
-        () = lost => true,
+        () = shared.store_state.resend_due(sent) => None,
+        sign = lost => sign,
     };
     let (view, waited_ms) = (<&str>::from(view), sent.elapsed().as_millis() as u64);
-    info!(event = "store-call-resent", view, waited_ms, is_lost);
+    let (is_lost, sign) = (sign.is_some(), sign.map_or("", <&str>::from));
+    info!(event = "store-call-resent", view, waited_ms, is_lost, sign);
     if is_lost {
         Polled::Lost
     } else {
@@ -109,6 +89,7 @@
     let mut backoff = Backoff::default();
     let mut after = None;
     let mut needs_listing = shared.follows_orders;
+    let mut has_missed = false;
     loop {
         let result = match after {
             None => read_config(&shared, &fleet_state, needs_listing).await,
@@ -121,6 +102,7 @@
                     Polled::Result(result) => result,
                     Polled::Forgotten => continue,
                     Polled::Lost => {
+                        has_missed = true;
                         after = None;
                         needs_listing = shared.follows_orders;
                         continue;
@@ -138,6 +120,9 @@
                     None => shared.store_state.record_view(StoreView::Config),
                     Some(error) => shared.store_state.record_failure(error),
                 }
+                if std::mem::take(&mut has_missed) {
+                    shared.store_state.news.record_missed(StoreView::Config);
+                }
                 backoff = Backoff::default();
                 after = Some(step.after);
                 needs_listing = false;
@@ -260,6 +245,7 @@
 pub(crate) async fn watch_servers(shared: Arc<Shared>, fleet_state: Arc<FleetState>) {
     let mut backoff = Backoff::default();
     let mut has_listing = false;
+    let mut has_missed = false;
     loop {
         let store = shared.store.as_ref();
         let (call, result) = if has_listing {
@@ -269,6 +255,7 @@
                 Polled::Result(result) => result,
                 Polled::Forgotten => continue,
                 Polled::Lost => {
+                    has_missed = true;
                     has_listing = false;
                     continue;
                 }
@@ -287,6 +274,9 @@
                 let revision = fleet_state.servers_revision();
                 shared.store_state.record_servers_revision(revision);
                 shared.store_state.record_view(StoreView::Servers);
+                if std::mem::take(&mut has_missed) {
+                    shared.store_state.news.record_missed(StoreView::Servers);
+                }
                 backoff = Backoff::default();
                 if has_listing && has_changes {
                     coalesce(shared.settings().leaving_known).await;
--- a/bulrushward_direct/tests/store_outages.rs
+++ b/bulrushward_direct/tests/store_outages.rs
@@ -244,7 +244,7 @@
 #[rstest]
 fn a_change_is_known_in_time_though_only_the_responses_that_tell_of_it_are_lost(
     #[values(View::Config, View::Servers)] view: View,
-    #[values(1, 4)] routers: usize,
+    #[values(1, 4, 7)] routers: usize,
 ) {
     let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
     let first = router_with_servers("plain", &[&one]);
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod fleet_retry_budget;
 pub mod fleet_schedule;
 pub mod fleet_share;
+pub mod fleet_turns;
 pub mod last_event;
 pub mod load_bound;
 pub mod mean_load;
