Take a status that no response may have for a server error

Callers of direct routers and of the agent fleet got statuses 101, 600 and 999 of a faulty server as answers. 000, 099, 1000 and three characters that are no number were refused already.

HTTP knows 100 to 599, asks clients to take any other status for a server error, and 101 answers only a request to switch protocols, which is never sent. Such a response is a failed attempt now: safe requests go to another server, and the caller gets 502, unknown, without the server's signature. The decision is one function of the policy package for both kinds of router.

--- a/bulrushward/src/agent/backend.rs
+++ b/bulrushward/src/agent/backend.rs
@@ -8,6 +8,7 @@
 use bulrushward_policy::{
     body_end::{self, BodyEnd, Framing, SenderState},
     last_event::LastEventDetector,
+    response_status,
 };
 use bulrushward_protocol::{Frame, Header, RunRequest};
 use bytes::Bytes;
@@ -49,6 +50,11 @@
     /// No byte arrived within the read timeout.
     #[snafu(display("the backend server sent no data for {seconds} s"))]
     TimedOut { seconds: u64 },
+    /// The response has a status that no response may have; the request may have run.
+    #[snafu(display(
+        "the backend server responded with {status}, which is no status of a response"
+    ))]
+    InvalidStatus { status: u16 },
     /// A response ended, but nothing shows that it is complete.
     #[snafu(display("the response of the backend server ended before it was complete"))]
     Truncated,
@@ -120,14 +126,15 @@
         on_chunk: &(dyn Fn() + Sync),
     ) -> Result<(), BackendError> {
         let mut response = self.send(req).await?;
+        let status = response.status().as_u16();
+        if !response_status::is_final(status) {
+            return InvalidStatusSnafu { status }.fail();
+        }
         let headers = response_headers(&response);
         let framing = response.framing();
         let streamed = is_event_stream(&headers);
         failpoint::hit("agent-first-byte");
-        buffer.push_head(Frame::Head {
-            status: response.status().as_u16(),
-            headers,
-        });
+        buffer.push_head(Frame::Head { status, headers });
         let mut last_event = LastEventDetector::default();
         while let Some(chunk) = self.read_chunk(&mut response).await? {
             last_event.push(&chunk);
--- a/bulrushward/tests/bad_input.rs
+++ b/bulrushward/tests/bad_input.rs
@@ -317,6 +317,11 @@
 #[case::bad_length("HTTP/1.1 200 OK\r\ncontent-length: many\r\n\r\nx")]
 #[case::truncated_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab")]
 #[case::endless_headers("endless")]
+#[case::status_000("HTTP/1.1 000 x\r\ncontent-length: 1\r\n\r\nx")]
+#[case::status_101("HTTP/1.1 101 Switching Protocols\r\n\r\nx")]
+#[case::status_600("HTTP/1.1 600 x\r\ncontent-length: 1\r\n\r\nx")]
+#[case::status_999("HTTP/1.1 999 x\r\ncontent-length: 1\r\n\r\nx")]
+#[case::status_1000("HTTP/1.1 1000 x\r\ncontent-length: 1\r\n\r\nx")]
 #[tokio::test(flavor = "multi_thread")]
 async fn an_invalid_response_of_a_backend_server_becomes_a_502_with_its_outcome(
     #[case] response: &str,
--- a/bulrushward_direct/src/received_head.rs
+++ b/bulrushward_direct/src/received_head.rs
@@ -1,6 +1,8 @@
 //! Head of a server's response: whose it is, and whether it may be passed on.
 
-use bulrushward_policy::{response_owner::ArrivedHead, server_attempt::AttemptFailure};
+use bulrushward_policy::{
+    response_owner::ArrivedHead, response_status, server_attempt::AttemptFailure,
+};
 use hyper::{Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 
 use crate::{
@@ -78,6 +80,10 @@
         let detail = format!("refused with status {}", res.status().as_u16());
         return Err(AttemptError::new(AttemptFailure::Rejected, &detail));
     }
+    if !response_status::is_final(res.status().as_u16()) {
+        let detail = format!("{} is no status of a response", res.status().as_u16());
+        return Err(AttemptError::new(AttemptFailure::ServerError, &detail));
+    }
     if res.status().is_success() && !metadata.is_signed {
         return Err(AttemptError::new(
             AttemptFailure::Broken,
