Test early responses that are reset during an upload at agents

Other operators saw a part of an early response pass for a complete one after a reset during a long upload.

--- a/bulrushward/tests/ends_of_responses.rs
+++ b/bulrushward/tests/ends_of_responses.rs
@@ -115,6 +115,25 @@
     assert_eq!(backend.requests().len(), 1);
 }
 
+/// Guards against a part of an early response that passes for complete after its connection was reset during the upload.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_early_response_that_is_reset_during_the_upload_is_refused(
+    #[values("GET", "POST")] method: &str,
+    #[values("", "content-length: 9\r\n")] length: &str,
+    #[values(5, 60)] pause_ms: u64,
+) {
+    let response = format!("HTTP/1.1 200 OK\r\n{length}\r\nhalf");
+    let response = RawResponse::EarlyThenReset(response, Duration::from_millis(pause_ms));
+    let backend = RawBackend::start(response).await;
+    let mut fleet = Fleet::start(1, 0, 0).await;
+    fleet.add_raw_agent("registry", &backend).await;
+    let body = "x".repeat(3 << 20);
+    let refused = fleet.call(0, method, PATH, None, &body).await;
+    assert_eq!(refused.status(), 502);
+    assert_eq!(header(&refused, "x-bulrushward-outcome"), "unknown");
+}
+
 /// Guards against a complete stream of events that is cut because its backend server ended after it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_has_its_last_event_is_complete_after_the_death_of_its_backend_server() {
--- a/bulrushward/tests/support/raw.rs
+++ b/bulrushward/tests/support/raw.rs
@@ -24,6 +24,10 @@
 pub enum RawResponse {
     /// These bytes, after which the connection is closed.
     Bytes(String),
+    /// These bytes before the request is read to its end, and a reset after a pause.
+    EarlyThenReset(String, Duration),
+    /// The first text, and then the second one until the connection is closed.
+    Endless(&'static str, String),
     /// An endless sequence of headers.
     EndlessHeaders,
 }
@@ -88,7 +92,12 @@
     response: RawResponse,
     requests: Arc<Mutex<Vec<String>>>,
 ) {
-    let request = read_request(&mut connection).await;
+    let request = match response {
+        RawResponse::EarlyThenReset(..) => read_start(&mut connection).await,
+        RawResponse::Bytes(_) | RawResponse::Endless(..) | RawResponse::EndlessHeaders => {
+            read_request(&mut connection).await
+        }
+    };
     if request.starts_with("GET /health ") {
         // Fails if the client has disconnected, which needs no handling.
         let _sent = connection.write_all(HEALTHY_RESPONSE).await;
@@ -103,6 +112,20 @@
             // Fails if the agent has disconnected, which needs no handling.
             let _sent = connection.write_all(bytes.as_bytes()).await;
         }
+        RawResponse::EarlyThenReset(bytes, pause) => {
+            let _sent = connection.write_all(bytes.as_bytes()).await;
+            tokio::time::sleep(pause).await;
+            // What was not read resets the connection.
+            connection
+                .set_zero_linger()
+                .expect("the linger option can be set");
+        }
+        RawResponse::Endless(head, part) => {
+            let mut sent = connection.write_all(head.as_bytes()).await;
+            while sent.is_ok() {
+                sent = connection.write_all(part.as_bytes()).await;
+            }
+        }
         RawResponse::EndlessHeaders => {
             let mut sent = connection.write_all(b"HTTP/1.1 200 OK\r\n").await;
             let line = b"x-more: and more\r\n";
@@ -115,6 +138,13 @@
     }
 }
 
+/// Reads the beginning of a request.
+async fn read_start(connection: &mut TcpStream) -> String {
+    let mut buf = [0; 4096];
+    let len = connection.read(&mut buf).await.unwrap_or_default();
+    String::from_utf8_lossy(&buf[..len]).into_owned()
+}
+
 async fn read_request(connection: &mut TcpStream) -> String {
     let mut request = Vec::new();
     let mut buf = [0; 4096];
