Count the memory of a response's frames at agents and their routers

Here an agent took 486 MB for responses of tiny events that callers did not read, and 177 MB for chunks of one byte, within 32 s and 16 s; requests of other callers end with it.

Cause: an agent keeps 4 MB of a response for routers to resume it, and a router 1 MB until it is complete, but both counted the bytes of the body and not the frames that hold them.

--- a/bulrushward/src/agent/replay_buffer.rs
+++ b/bulrushward/src/agent/replay_buffer.rs
@@ -6,9 +6,10 @@
 };
 
 use bulrushward_protocol::{Frame, Outcome, Refusal};
+use bytes::Bytes;
 use tokio::sync::watch;
 
-/// Maximum bytes of a response that are buffered, both read and unread ones.
+/// Maximum bytes that the frames of a response take, both read and unread ones.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
 /// Progress of an attempt.
@@ -48,6 +49,11 @@
     readers_added: u64,
 }
 
+/// Returns the memory that a frame of the body takes, most of which is the frame itself if servers send tiny parts.
+fn size_in_memory(body: &Bytes) -> usize {
+    body.len() + size_of::<Frame>()
+}
+
 /// The frames of one attempt after its admission, and its progress.
 #[derive(Debug)]
 pub(crate) struct ReplayBuffer {
@@ -109,7 +115,7 @@
     }
 
     /// Appends a chunk of the body. Waits while the buffer is full of unread frames.
-    pub(crate) async fn push_data(&self, bytes: bytes::Bytes) {
+    pub(crate) async fn push_data(&self, bytes: Bytes) {
         let mut consumed = self.consumed.subscribe();
         while !self.try_push_data(&bytes) {
             // The sender lives as long as this buffer, so the wait cannot fail.
@@ -117,14 +123,15 @@
         }
     }
 
-    fn try_push_data(&self, bytes: &bytes::Bytes) -> bool {
+    fn try_push_data(&self, bytes: &Bytes) -> bool {
         let mut state = self.lock();
-        while state.buffered_bytes + bytes.len() > MAX_BUFFERED_BYTES
+        let size = size_in_memory(bytes);
+        while state.buffered_bytes + size > MAX_BUFFERED_BYTES
             && state.read_position > state.discarded
         {
             state.discard_oldest();
         }
-        if state.buffered_bytes > 0 && state.buffered_bytes + bytes.len() > MAX_BUFFERED_BYTES {
+        if state.buffered_bytes > 0 && state.buffered_bytes + size > MAX_BUFFERED_BYTES {
             return false;
         }
         let frame = Frame::Data {
@@ -132,7 +139,7 @@
             bytes: bytes.clone(),
         };
         state.length += bytes.len() as u64;
-        state.buffered_bytes += bytes.len();
+        state.buffered_bytes += size;
         self.append(&mut state, frame);
         true
     }
@@ -227,7 +234,7 @@
 impl State {
     fn discard_oldest(&mut self) {
         if let Some(Frame::Data { bytes, .. }) = self.frames.pop_front() {
-            self.buffered_bytes -= bytes.len();
+            self.buffered_bytes -= size_in_memory(&bytes);
         }
         self.discarded += 1;
     }
--- a/bulrushward/src/router/forward.rs
+++ b/bulrushward/src/router/forward.rs
@@ -21,7 +21,7 @@
 };
 use crate::failpoint;
 
-/// Maximum bytes of a response that are buffered until it is complete, so that a failure can still
+/// Maximum bytes that the frames of a response take until it is complete, so that a failure can still
 /// be retried. Longer responses are streamed, and a failure truncates them visibly.
 const MAX_BUFFERED_BYTES: usize = 1 << 20;
 /// Maximum number of other agents that are asked to bar an attempt in the claims record.
@@ -234,7 +234,7 @@
     while !complete && !req.streamed && buffered < MAX_BUFFERED_BYTES {
         match stream.next().await? {
             Frame::Data { bytes, .. } => {
-                buffered += bytes.len();
+                buffered += bytes.len() + size_of::<Frame>();
                 chunks.push_back(bytes);
             }
             Frame::Refused(refusal) => return Ok(ResponseStart::Refused(refusal)),
--- a/bulrushward/tests/support/mod.rs
+++ b/bulrushward/tests/support/mod.rs
@@ -103,6 +103,15 @@
         stat.is_ok_and(|stat| stat.contains(") T "))
     }
 
+    /// Returns the largest memory in use so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|peak| peak.trim().trim_end_matches(" kB").parse().ok());
+        peak.expect("the system reports the peak")
+    }
+
     fn pid(&self) -> Pid {
         Pid::from_raw(self.child.id().cast_signed())
     }
