Call a server again whose listener may close late

Callers' requests that crash servers were sent on if the listener of a crashing process closed more than 10 ms after its connections, as beside load: the server was called once, and found alive.

A server that can be reached is now called again 140 ms later.

--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -20,10 +20,12 @@
     shared::Shared,
 };
 
-/// Time after a connection broke until the server is called; one that crashes may close its listener last.
-const CHECK_DELAY: Duration = Duration::from_millis(10);
-/// Time in which a server is called once at most.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pauses after a connection broke until the server is called, and called again if it can be reached.
+///
+/// A process that ends beside others may close its listener long after its connections.
+const CHECK_PAUSES: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(140)];
+/// Time after these calls in which the server is not called.
+const REST: Duration = Duration::from_millis(350);
 
 /// Records how an attempt failed whose request may have crashed the server, at whatever byte of the response.
 pub(crate) fn record_failure(
@@ -57,18 +59,24 @@
     let (shared, server) = (Arc::clone(shared), Arc::clone(server));
     let service = request.service.clone();
     tokio::spawn(async move {
-        sleep(CHECK_DELAY).await;
-        let share = shared.connection_share(service.connection_limit, server.hash);
-        let reachability = connection::probe(&server, share).await;
-        if reachability.is_some_and(|probed| probed != Reachability::Reached) {
-            cold_servers::record_unreachable(&service, &server);
-            let now = Instant::now();
-            server.state().health.record_unreachable(now);
-        }
-        if reachability == Some(Reachability::Refused) {
-            record_crash(&shared, &server);
+        for pause in CHECK_PAUSES {
+            sleep(pause).await;
+            let share = shared.connection_share(service.connection_limit, server.hash);
+            let reachability = connection::probe(&server, share).await;
+            if reachability == Some(Reachability::Reached) {
+                continue;
+            }
+            if reachability.is_some() {
+                cold_servers::record_unreachable(&service, &server);
+                let now = Instant::now();
+                server.state().health.record_unreachable(now);
+            }
+            if reachability == Some(Reachability::Refused) {
+                record_crash(&shared, &server);
+            }
+            break;
         }
-        sleep(CHECK_INTERVAL).await;
+        sleep(REST).await;
         server.state().is_crash_checked = false;
     });
 }
--- a/bulrushward_direct/tests/crashes_in_responses.rs
+++ b/bulrushward_direct/tests/crashes_in_responses.rs
@@ -85,6 +85,7 @@
     steps.push(Step::Crash);
     steps
 };
+const WITH_A_LATE_LISTENER: Script = |_| vec![Step::CrashSlowly(Duration::from_millis(60))];
 const AFTER_THE_HEAD: Script = |req| vec![stream_head(req), pause(20), Step::CrashQuietly];
 const BEFORE_THE_HEAD: Script = |_| vec![pause(20), Step::Crash];
 const WITHIN_A_BODY_WITH_LENGTH: Script = |req| {
@@ -128,6 +129,7 @@
 #[rstest]
 #[case::before_the_head("engines", "stream", BEFORE_THE_HEAD)]
 #[case::after_the_head("engines", "stream", AFTER_THE_HEAD)]
+#[case::with_a_listener_that_closes_late("plain", "action", WITH_A_LATE_LISTENER)]
 #[case::after_the_first_event("engines", "stream", AFTER_FIRST_EVENT)]
 #[case::after_the_first_event_in_order("engines", "stream", AFTER_FIRST_EVENT_IN_ORDER)]
 #[case::within_an_event("engines", "stream", WITHIN_AN_EVENT)]
--- a/bulrushward_direct/tests/support/server.rs
+++ b/bulrushward_direct/tests/support/server.rs
@@ -52,6 +52,8 @@
     Crash,
     /// Closes the connection and refuses new ones from then on.
     CrashQuietly,
+    /// Closes the connection and refuses new ones after a pause.
+    CrashSlowly(Duration),
     /// Closes all connections in order and accepts new ones, as a process that is killed and started again at once.
     Restart,
 }
@@ -301,6 +303,13 @@
             stop_listening(stream, crashed);
             false
         }
+        Step::CrashSlowly(pause) => {
+            // One that the peer has closed is shut down already.
+            let _shut_down = stream.shutdown(Shutdown::Both);
+            std::thread::sleep(pause);
+            stop_listening(stream, crashed);
+            false
+        }
         Step::Reset => {
             SockRef::from(stream)
                 .set_linger(Some(Duration::ZERO))
