Let a stopping router pass on streams whose end is being confirmed

Cause: the end of a response without a length is confirmed for 50 ms, and the process ended meanwhile. The owner of the stop now counts these ends and lets the process end up to 90 ms later for them, of the 150 ms that are kept for its end.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -134,6 +134,7 @@
                 &connection.stream,
                 &choice.server,
                 connection_share(shared, request, choice),
+                &shared.stop.pending_ends,
             ),
             res,
             metadata,
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -29,6 +29,7 @@
 mod metrics;
 mod model;
 mod overload;
+mod pending_ends;
 mod places;
 mod ports;
 mod read_timeout;
--- a/bulrushward_direct/src/response_end.rs
+++ b/bulrushward_direct/src/response_end.rs
@@ -20,6 +20,7 @@
     attempt::AttemptError,
     bounded_stream::BoundedStreamHandle,
     connection::{self, ConnectError, Reachability, UnusedEnd},
+    pending_ends::PendingEnds,
     servers::Server,
 };
 
@@ -36,22 +37,25 @@
     framing: Framing,
     /// Open only for a response that ends with its connection.
     witness: Option<ProcessWitness>,
+    pending: Arc<PendingEnds>,
 }
 
 impl ResponseEnd {
     /// Begins with the head of a response that `carrier` brings; `share` is the number of connections that this router
-    /// may have to the server.
+    /// may have to the server. `pending` counts the ends that are being confirmed.
     pub(crate) fn of(
         res: &Response<Incoming>,
         carrier: &BoundedStreamHandle,
         server: &Arc<Server>,
         share: u32,
+        pending: &Arc<PendingEnds>,
     ) -> Self {
         let framing = framing(res);
         let is_witnessed = framing == Framing::UntilClose;
         Self {
             framing,
             witness: is_witnessed.then(|| ProcessWitness::open(server, share, carrier)),
+            pending: Arc::clone(pending),
         }
     }
 
@@ -68,6 +72,7 @@
     ///
     /// Returns [`AttemptError`] if the body may have been cut.
     pub(crate) async fn confirm(&self, server: &Server) -> Result<(), AttemptError> {
+        let _pending = self.pending.begin();
         let (sender, is_accepted) = match &self.witness {
             None => (SenderState::Unknown, None),
             Some(witness) => {
--- a/bulrushward_direct/src/stop.rs
+++ b/bulrushward_direct/src/stop.rs
@@ -1,19 +1,26 @@
 //! The time that is left in a planned stop.
 
 use std::{
-    sync::OnceLock,
+    sync::{Arc, OnceLock},
     time::{Duration, Instant},
 };
 
 use bulrushward_policy::planned_stop::{PlannedStop, StopPhase, StopSend};
-use tokio::time::sleep_until;
+use tokio::time::{sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+use crate::pending_ends::PendingEnds;
+
+/// Time in which an end that was confirmed is written to the caller.
+const PASS_ON_TIME: Duration = Duration::from_millis(10);
+
 /// Owner of the time that is left once a stop has begun.
 #[derive(Debug, Default)]
 pub(crate) struct StopClock {
     plan: OnceLock<PlannedStop>,
     begun: CancellationToken,
+    /// Responses whose end is being confirmed.
+    pub(crate) pending_ends: Arc<PendingEnds>,
 }
 
 impl StopClock {
@@ -57,8 +64,19 @@
     }
 
     /// Waits until the process ends.
+    ///
+    /// Responses that are only to be confirmed are passed on before.
     pub(crate) async fn exit(&self) {
-        sleep_until(self.plan().await.exit().into()).await;
+        let plan = self.plan().await;
+        sleep_until(plan.exit().into()).await;
+        let passed_on = async {
+            self.pending_ends.none().await;
+            sleep(PASS_ON_TIME).await;
+        };
+        tokio::select! {
+            () = passed_on => {}
+            () = sleep_until(plan.last_exit().into()) => {}
+        }
     }
 
     /// Waits until a request may not be sent to any server.
--- a/bulrushward_direct/tests/planned_stops.rs
+++ b/bulrushward_direct/tests/planned_stops.rs
@@ -24,8 +24,8 @@
     platform::MemoryStore,
     record, request,
     server::{
-        Received, Step, TestServer, chunk, complete_stream, event, ok_response, response,
-        stream_head,
+        Received, Step, TestServer, chunk, complete_stream, event, events, ok_response, response,
+        send_text, stream_head,
     },
     settings, unique_loopback_ip, wait_until,
 };
@@ -33,6 +33,8 @@
 const GRACE: Duration = Duration::from_secs(5);
 /// Time after the stop at which requests that are still in progress are answered by the router.
 const END: Duration = Duration::from_millis(4_700);
+/// Time after the stop at which the process ends.
+const EXIT: Duration = Duration::from_millis(4_850);
 /// Time after the stop from which nothing new is taken.
 const REFUSING: Duration = Duration::from_millis(2_600);
 /// Time by which a busy machine may delay what a test waits for.
@@ -442,3 +444,42 @@
     router.join();
     assert_eq!(server.received().len(), 1);
 }
+
+/// A stream that its server had ended was cut, as the grace ended while the end was being confirmed.
+#[rstest]
+fn a_stream_that_has_ended_before_the_end_of_the_grace_is_complete(
+    #[values(5, 20, 40)] before_exit_ms: u64,
+) {
+    let begun_at = Arc::new(std::sync::Mutex::new(None));
+    let stopped_at = Arc::clone(&begun_at);
+    let server = TestServer::start("s-1", move |req| {
+        let id = req.header("request").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest: {id}\r\nSigned: s\r\nContent-Type: text/event-stream\r\n\r\n"
+        );
+        let stopped_at: Instant = loop {
+            let stopped_at = *stopped_at.lock().expect("no test panics with the lock");
+            match stopped_at {
+                Some(at) => break at,
+                None => std::thread::sleep(Duration::from_millis(5)),
+            }
+        };
+        let end = stopped_at + EXIT.saturating_sub(Duration::from_millis(before_exit_ms));
+        let pause = end.saturating_duration_since(Instant::now());
+        vec![
+            send_text(&(head + &event(1))),
+            Step::Pause(pause),
+            send_text(&event(2)),
+            Step::Close,
+        ]
+    });
+    let router = start("engines", &[&server]);
+    let call = call(&router, "stream", "r-1");
+    wait_until("the request arrives", || !server.received().is_empty());
+    *begun_at.lock().expect("no test panics with the lock") = Some(stop(&router));
+    let (response, _) = finish(call);
+    assert_eq!(
+        (response.text(), response.is_complete),
+        (events(1, 2), true)
+    );
+}
--- a/bulrushward_policy/src/planned_stop.rs
+++ b/bulrushward_policy/src/planned_stop.rs
@@ -12,6 +12,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Longest time for writing the last answers; the rest of [`STOP_MARGIN`] is for ending the process.
 const ANSWER_TIME: Duration = Duration::from_millis(150);
+/// Longest time beyond that for responses whose end is being confirmed.
+const CONFIRM_TIME: Duration = Duration::from_millis(90);
 
 /// Phase of a stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -83,6 +85,12 @@
         self.exit
     }
 
+    /// Returns the time at which the process ends though responses are about to be complete.
+    #[must_use]
+    pub fn last_exit(&self) -> Instant {
+        self.exit + CONFIRM_TIME
+    }
+
     /// Returns the time from which a request may not be sent to any server, be it for the first time or again.
     ///
     /// A request that must run once is only sent while requests are taken. One that may be repeated is sent later too if
