--- a/bulrushward/tests/fault_chats.rs
+++ b/bulrushward/tests/fault_chats.rs
@@ -307,6 +307,32 @@
     }
 }
 
+/// Guards against a stream that crashes an engine after its first events and is sent on, as its response has begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_request_crashes_at_most_two_engines() {
+    let fleet = Fleet::start(2, 4, 0).await;
+    for engine in &fleet.engines {
+        engine.faults().update(|faults| {
+            faults.crash_on = "poison".to_owned();
+            faults.crash_after_tokens = 3;
+        });
+    }
+    let poison = chat_request("poison", true, 60);
+    for retry in 0..5 {
+        let mut response = fleet.chat(retry % 2, &poison).await;
+        let mut body = String::new();
+        while let Ok(Some(chunk)) = response.chunk().await {
+            body += &String::from_utf8_lossy(&chunk);
+        }
+        assert_eq!(streamed_text(&body), None, "it never looks complete");
+    }
+    let crashes: u64 = fleet.engines.iter().map(FakeEngine::crashes).sum();
+    assert!(
+        (1..=2).contains(&crashes),
+        "the request crashed {crashes} engines"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_truncated_by_its_engine_never_looks_complete() {
     let fleet = Fleet::start(1, 1, 0).await;
