--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -184,7 +184,7 @@
     Ok((res, metadata, connection))
 }
 
-/// Records what the head of a response tells of its server.
+/// Records the server's state from the head of a response.
 fn record_head(
     shared: &Shared,
     request: &RoutedRequest,
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -44,7 +44,7 @@
 const IDLE_TIMEOUT_FRACTION: f64 = 0.5;
 /// Largest number of idle connections that are kept to one server.
 const MAX_IDLE: usize = 16;
-/// Number of requests on a connection whose late responses are told apart from those of later requests.
+/// Number of requests on a connection whose late responses are distinguished from those of later requests.
 const MAX_CARRIED: usize = 32;
 /// Smallest buffer of a connection, in bytes, as required by hyper; connections use eight times as much.
 const MIN_BUFFER: usize = 8 << 10;
@@ -256,7 +256,7 @@
 /// Why an unused connection has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UnusedEnd {
-    /// The server closed it, or sent something that nobody asked for.
+    /// The server closed it, or sent bytes without a request.
     Closed,
     /// A request needs its place.
     Evicted,
--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -15,7 +15,7 @@
 
 use crate::{crash_reports::CrashReports, fleet_view::FleetView, routed_request::RoutedRequest};
 
-/// A request whose connection broke before its server was known to bear it.
+/// A request whose connection broke before its server was known to survive it.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenRequest {
     request_id: String,
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub(crate) struct CrashRecords {
     evidence: Mutex<CrashEvidence>,
-    /// Notified if peers should be told at once.
+    /// Notified if a message should be sent to peers at once.
     news: Notify,
 }
 
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Waits until peers should be told at once.
+    /// Waits until a message should be sent to peers at once.
     pub(crate) async fn wait_for_news(&self) {
         self.news.notified().await;
     }
--- a/bulrushward_direct/src/delivery.rs
+++ b/bulrushward_direct/src/delivery.rs
@@ -12,7 +12,7 @@
 
 /// Waits until a request of more than `len` bytes is stalled; forever once it is delivered.
 ///
-/// `is_withheld` tells whether its server takes no more requests by now.
+/// `is_withheld` returns whether its server takes no more requests by now.
 pub(crate) async fn stalled(
     stream: &BoundedStreamHandle,
     len: usize,
--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -474,7 +474,7 @@
     }
 }
 
-/// Waits until peers should be told of content that crashes servers or of missed changes, not before `earliest`.
+/// Waits until content that crashes servers, or missed changes, should be sent to peers, not before `earliest`.
 async fn wait_for_news(shared: &Shared, earliest: Instant) {
     tokio::time::sleep_until(earliest.into()).await;
     tokio::select! {
--- a/bulrushward_direct/src/model.rs
+++ b/bulrushward_direct/src/model.rs
@@ -127,16 +127,16 @@
     pub can_copy_prompts: bool,
     /// Requests that one server runs at once, if the configuration specifies it.
     pub slots: Option<u32>,
-    /// What its servers bear while they are cold; `None` if they need no care then.
+    /// Limits of its servers while they are cold; `None` if they have none then.
     pub cold_start: Option<ColdStart>,
 }
 
-/// What a server bears that has just started.
+/// Limits of a server that has just started.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ColdStart {
     /// Time from the start of a server for which it is cold.
     pub duration: Duration,
-    /// Requests per second that it bears from all routers together.
+    /// Requests per second that it can run, from all routers together.
     pub requests_per_second: f64,
 }
 
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Records events, which may show that the server bears the content of the request.
+    /// Records events, which may show that the content of the request does not crash the server.
     fn record_events(&mut self) {
         if self.survival.record_events(Instant::now()) {
             self.shared.crash_records.record_served(&self.request);
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -127,7 +127,7 @@
     }
 }
 
-/// Records what a peer, `node`, tells of registered servers.
+/// Merges the reports of a peer, `node`, on registered servers.
 pub(crate) fn merge(shared: &Shared, message: &ReportMessage, node: &str) {
     let (servers, now) = (shared.servers.load(), Instant::now());
     let find = |key| servers.all().find(|server| server.hash == key);
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -20,7 +20,7 @@
 
 /// Largest number of extra retries that may be set.
 const MAX_EXTRA_REPEATS: f64 = 1e6;
-/// Time in which gossip tells a router that has just started of nearly all others.
+/// Time in which a router that has just started learns of nearly all others through gossip.
 const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(1);
 /// Longest time that may be set.
 const MAX_TIME: Duration = Duration::from_hours(24);
@@ -245,7 +245,7 @@
         others.len() as u32 + 1
     }
 
-    /// Returns the time from the start until gossip has told the number of routers.
+    /// Returns the time from the start until the number of routers is known through gossip.
     pub(crate) fn peer_discovery_time(&self) -> Duration {
         if self.configured_routers() > 1 {
             PEER_DISCOVERY_TIME
--- a/bulrushward_direct/src/store_news.rs
+++ b/bulrushward_direct/src/store_news.rs
@@ -1,7 +1,7 @@
-//! News of changes for which a call was waiting that did not tell of them.
+//! News of changes that a call which waits for them did not return.
 //!
-//! Where one router's call has gone silent, those of others may have as well. Routers that hear the news ask the store at
-//! once, over a new connection, and pass the news on.
+//! Where one router's call has gone silent, those of others may have as well. Routers that receive the news read the store
+//! at once, over a new connection, and pass the news on.
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
@@ -13,7 +13,7 @@
 
 use crate::store_state::StoreView;
 
-/// Time for which news are told in each round of gossip.
+/// Time for which news are sent in each round of gossip.
 const TELL_TIME: Duration = Duration::from_millis(1_500);
 
 /// Views of which the sender's waiting call has missed changes; a part of a datagram.
@@ -25,11 +25,11 @@
     pub(crate) servers: bool,
 }
 
-/// The news that this router tells its peers.
+/// The news that this router sends to its peers.
 #[derive(Debug, Default)]
 pub(crate) struct StoreNews {
     until: Mutex<ToldUntil>,
-    /// Notified if peers should be told at once.
+    /// Notified if the news should be sent at once.
     fresh: Notify,
 }
 
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Waits until peers should be told at once.
+    /// Waits until the news should be sent at once.
     pub(crate) async fn wait(&self) {
         self.fresh.notified().await;
     }
--- a/bulrushward_direct/src/stream_record.rs
+++ b/bulrushward_direct/src/stream_record.rs
@@ -1,4 +1,4 @@
-//! What the log tells of a stream: by what it ended, its pauses, and the servers that sent its parts.
+//! Log record of a stream: by what it ended, its pauses, and the servers that sent its parts.
 
 use std::{
     fmt,
--- a/bulrushward_direct/tests/cold_servers.rs
+++ b/bulrushward_direct/tests/cold_servers.rs
@@ -19,7 +19,7 @@
     unique_loopback_ip, wait_until,
 };
 
-/// Requests per second that a cold server bears in most tests.
+/// Requests per second that a cold server can run in most tests.
 const RATE: f64 = 3.0;
 
 fn config_with(requests_per_second: f64) -> FleetConfig {
@@ -197,7 +197,7 @@
     }
 }
 
-/// Two routers that each took what the server bears would send it twice as much.
+/// Two routers that each used the whole limit of the server would send it twice as much.
 #[test]
 fn routers_share_what_a_cold_server_bears() {
     const SHARED_RATE: f64 = 20.0;
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -54,7 +54,7 @@
     pub const DIRECT: Self = Self {
         // Fewer may be a coincidence.
         crashes: 3,
-        // A stream that begins after the crash shows within this time that its server bears it, and peers hear of it.
+        // A stream that begins after the crash survives within this time, and its refutation reaches the peers.
         grace: SURVIVAL_TIME.saturating_add(Duration::from_millis(1_500)),
         period: Duration::from_mins(1),
         ambiguous_period: Duration::from_millis(1_500),
@@ -240,7 +240,7 @@
 
     /// Returns up to `limit` reports for peers, those that were sent least often first.
     ///
-    /// Among these, refutations come first: there are few, and peers refuse sound content until they hear of them.
+    /// Among these, refutations come first: there are few, and peers refuse sound content until they receive them.
     pub fn reports(&mut self, now: Instant, limit: usize) -> Vec<CrashReport> {
         self.remove_expired(now);
         let limits = &self.limits;
--- a/bulrushward_policy/src/event_order.rs
+++ b/bulrushward_policy/src/event_order.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Records the ids of events in their order; other ids than numbers tell nothing.
+    /// Records the ids of events in their order; other ids than numbers have no order.
     pub fn record<'a>(&mut self, ids: impl IntoIterator<Item = Option<&'a str>>) {
         for id in ids.into_iter().flatten().filter_map(|id| id.parse().ok()) {
             self.largest = self.largest.max(u64::saturating_sub(id, self.last));
--- a/bulrushward_policy/src/overload_admission.rs
+++ b/bulrushward_policy/src/overload_admission.rs
@@ -48,7 +48,7 @@
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(4);
 /// Smallest ratio of an organisation's admitted fraction to that of all.
 const MIN_ORGANISATION_RATIO: f64 = 0.5;
-/// Largest number of organisations that are told apart.
+/// Largest number of organisations that are distinguished.
 const MAX_ORGANISATIONS: usize = 256;
 
 /// Response times of a server that one router measured in the latest rounds of reports.
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -36,7 +36,7 @@
 const MAX_LANES: usize = 32;
 /// Asks per second of an organisation that are never surplus.
 const MIN_REGULAR_RATE: f64 = 2.0;
-/// Largest number of organisations that are told apart.
+/// Largest number of organisations that are distinguished.
 const MAX_ORGANISATIONS: usize = 1_024;
 /// Time after which an organisation that asks for nothing is forgotten.
 const ORGANISATION_TTL: Duration = Duration::from_secs(30);
--- a/bulrushward_policy/src/server_reports/limit.rs
+++ b/bulrushward_policy/src/server_reports/limit.rs
@@ -71,7 +71,7 @@
         self.set(rate)
     }
 
-    /// Returns the rate and its age if peers should be told.
+    /// Returns the rate and its age if it should be sent to peers.
     pub(super) fn notice(&self, now: Instant) -> Option<(Option<f64>, Duration)> {
         let age = now.saturating_duration_since(self.known);
         let is_told = self.is_own && age < NOTICE_TIME;
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -34,7 +34,7 @@
 pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Time for which a server is cold after it started during the traffic.
 pub(crate) const COLD_TIME: Duration = Duration::from_secs(3);
-/// Requests per second that a cold server bears; less than the callers send to a server.
+/// Requests per second that a cold server can run; less than the callers send to a server.
 pub(crate) const COLD_REQUESTS_PER_SECOND: f64 = 2.0;
 
 /// A fake server and the proxy through which routers reach it.
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -33,7 +33,7 @@
 const MAX_LATE_CRASHES: usize = 3;
 /// Interval at which it is checked whether a router was informed.
 const INFORMED_STEP: Duration = Duration::from_millis(20);
-/// Requests that a cold server may get in a second: a multiple of what it bears, and some more.
+/// Requests that a cold server may get in a second: a multiple of its limit, and some more.
 const COLD_OVERRUN: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
 const SECOND: Duration = Duration::from_secs(1);
@@ -234,7 +234,7 @@
     late.collect()
 }
 
-/// Checks that no cold server got more requests in any second than it bears, from all routers together.
+/// Checks that no cold server got more requests in any second than its limit allows, from all routers together.
 pub(crate) fn check_cold(harness: &Harness) -> Vec<String> {
     let outages = harness.outages();
     let mut violations = Vec::new();
--- a/bulrushward_soak/src/report_checks.rs
+++ b/bulrushward_soak/src/report_checks.rs
@@ -31,7 +31,7 @@
 /// Time after a response with a limit from which requests of the router that got it count.
 const LIMIT_REACTION_TIME: Duration = Duration::from_millis(500);
 
-/// Checks what reached servers that named limits, from routers that had been told and were not disturbed since.
+/// Checks what reached servers that named limits, from routers that knew the limit and were not disturbed since.
 pub(crate) fn check_limits(harness: &Harness, attempts: &[Attempt]) -> Vec<String> {
     let routers: HashMap<&str, usize> = attempts
         .iter()
@@ -76,7 +76,7 @@
     limit: f64,
     first: Instant,
     last: Instant,
-    /// When each router was first told.
+    /// When each router first received the limit.
     told: HashMap<usize, Instant>,
 }
 
