Keep a revision that arrives while a newer one is read that is invalid

An operator's revision was accepted and never became active at a process that was reading an invalid revision of a peer with a higher number.

Cause: RevisionPipeline drops what is older than a revision that is still being read, and nothing brings it back when that one is refused. Now the newest of these is kept, and read if the newer ones are invalid.

--- a/bulrushward/src/control/revision_pipeline.rs
+++ b/bulrushward/src/control/revision_pipeline.rs
@@ -71,6 +71,8 @@
     parsing: Option<AcceptedRevision>,
     /// Newest revision that waits to be parsed.
     queued: Option<(AcceptedRevision, Origin)>,
+    /// Newest revision that is older than these, and is parsed if they are invalid.
+    fallback: Option<(AcceptedRevision, Origin)>,
     metrics: ControlMetrics,
     results: mpsc::Sender<TaskResult>,
 }
@@ -85,6 +87,7 @@
             fetching: None,
             parsing: None,
             queued: None,
+            fallback: None,
             metrics,
             results,
         };
@@ -161,12 +164,23 @@
     pub(crate) fn enqueue(&mut self, accepted: AcceptedRevision, origin: Origin) -> bool {
         let is_newer = accepted.revision > self.newest();
         if is_newer {
-            self.queued = Some((accepted, origin));
+            if let Some((replaced, origin)) = self.queued.replace((accepted, origin)) {
+                self.keep_as_fallback(replaced, origin);
+            }
             self.parse_next();
+        } else {
+            self.keep_as_fallback(accepted, origin);
         }
         is_newer
     }
 
+    fn keep_as_fallback(&mut self, accepted: AcceptedRevision, origin: Origin) {
+        let known = self.fallback.as_ref().map(|(known, _)| known.revision);
+        if accepted.revision > known.unwrap_or(0).max(self.active.revision()) {
+            self.fallback = Some((accepted, origin));
+        }
+    }
+
     /// Handles the result of parsing; returns the revision if it should be activated.
     pub(crate) fn finish_parse(
         &mut self,
@@ -176,6 +190,9 @@
         now: Instant,
     ) -> Option<ParsedRevision> {
         self.parsing = None;
+        if result.is_err() && self.queued.is_none() {
+            self.queued = self.fallback.take();
+        }
         self.parse_next();
         let revision = accepted.revision;
         let config = match result {
@@ -188,7 +205,11 @@
                 return None;
             }
         };
-        self.active.adopt(revision).then_some(ParsedRevision {
+        let is_adopted = self.active.adopt(revision);
+        let active = self.active.revision();
+        self.fallback
+            .take_if(|(fallback, _)| fallback.revision <= active);
+        is_adopted.then_some(ParsedRevision {
             accepted,
             config,
             origin,
--- a/bulrushward/tests/control_exchange.rs
+++ b/bulrushward/tests/control_exchange.rs
@@ -22,13 +22,16 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 use support::{
-    Fleet, Process, config_text, counter, eventually, exchange_with, probe_exchange, revision_of,
+    Fleet, Process, config_text, counter, eventually, exchange_with, organisations, probe_exchange,
+    revision_of,
 };
 
 /// Metric that counts rejected messages.
 const BAD_MESSAGES: &str = "bulrushward_control_bad_messages_total";
 /// Revision that a faulty peer claims to have.
 const CLAIMED_REVISION: u64 = 99;
+/// Largest number of bytes of chunks in one message, more than one chunk has.
+const MAX_CHUNK_BYTES: usize = 48 << 10;
 /// Seed of the random messages.
 const SEED: u64 = 7;
 
@@ -194,7 +197,12 @@
                     digest: *digest,
                     text: self.chunk_text(claimed.chunk(digest).expect("the chunk exists")),
                 });
-                ConfigurationMessage::Chunks(chunks.collect())
+                let mut bytes = 0;
+                let fits = |chunk: &Chunk| {
+                    bytes += chunk.text.len();
+                    bytes <= MAX_CHUNK_BYTES
+                };
+                ConfigurationMessage::Chunks(chunks.take_while(fits).collect())
             }
             (other, _) => panic!("unexpected request {other:?}"),
         }
@@ -208,6 +216,37 @@
     }
 }
 
+/// Guards against a revision that is lost because it arrived while a newer one was read that turned out to be invalid.
+#[tokio::test]
+async fn a_revision_that_arrives_while_an_invalid_one_is_read_becomes_active() {
+    let fleet = Fleet::start(1, 0, 0).await;
+    let router = &fleet.routers[0];
+    // Reading it takes seconds.
+    let text = config_text(&organisations(16_000)) + "\nno configuration";
+    let claimed = claimed_revision(&text);
+    let chunks = claimed.manifest().chunks.len();
+    let mut base_exchange = probe_exchange(router);
+    base_exchange.own.node = "bad-peer".to_owned();
+    base_exchange.own.control_address = support::unused_address();
+    base_exchange.revision = CLAIMED_REVISION;
+    let address = base_exchange.own.control_address;
+    let fault = PeerFault::InvalidText;
+    let peer = FaultyPeer::start(address, fault, claimed, base_exchange.clone());
+    exchange_with(router.control, base_exchange).await;
+    eventually("the router has the invalid revision", async || {
+        peer.chunk_count.load(Ordering::Relaxed) >= chunks
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let (status, response) = fleet.submit(0, 1, &config_text("# next\n")).await;
+    assert_eq!(status, 200, "{response}");
+    assert_eq!(revision_of(router).await, Some(1), "both are still read");
+    eventually("the submitted revision is active", async || {
+        revision_of(router).await == Some(2)
+    })
+    .await;
+}
+
 fn manifest_message(manifest: &Manifest) -> ConfigurationMessage {
     ConfigurationMessage::Manifest(manifest.encode().expect("the message encodes"))
 }
@@ -215,6 +254,8 @@
 /// A peer with a fault, from which other processes fetch its revision.
 struct FaultyPeer {
     request_count: Arc<AtomicUsize>,
+    /// Number of chunks that were sent.
+    chunk_count: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -228,6 +269,8 @@
     ) -> Self {
         let listener = Listener::bind(address).expect("the peer listens");
         let request_count = Arc::new(AtomicUsize::new(0));
+        let chunk_count = Arc::new(AtomicUsize::new(0));
+        let sent = Arc::clone(&chunk_count);
         let stop = Arc::new(AtomicBool::new(false));
         let (count, stopped) = (Arc::clone(&request_count), Arc::clone(&stop));
         let thread = std::thread::spawn(move || {
@@ -236,7 +279,11 @@
                     let mut reply = base_exchange.clone();
                     if let Some(request) = exchange.configuration {
                         count.fetch_add(1, Ordering::Relaxed);
-                        reply.configuration = Some(fault.response(&request, &claimed));
+                        let response = fault.response(&request, &claimed);
+                        if let ConfigurationMessage::Chunks(chunks) = &response {
+                            sent.fetch_add(chunks.len(), Ordering::Relaxed);
+                        }
+                        reply.configuration = Some(response);
                     }
                     reply
                 };
@@ -245,6 +292,7 @@
         });
         Self {
             request_count,
+            chunk_count,
             stop,
             thread: Some(thread),
         }
