Check a server for each connection that breaks after its last call

A request that crashed a server was sent on if another connection to the server had broken less than half a second before: the server had been called for that one, and was not called again.

A check ends now only if no connection has broken since its last call, and there is no rest after it.

The new test resets connections of all servers before each crash: the fourth request was sent before (502) and is refused now.

--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -15,17 +15,18 @@
     cold_servers,
     connection::{self, Reachability},
     crash_records::BrokenRequest,
+    model::Service,
     routed_request::RoutedRequest,
     servers::Server,
     shared::Shared,
 };
 
-/// Pauses after a connection broke until the server is called, and called again if it can be reached.
+/// Time after a connection broke until the server is called.
+const CHECK_DELAY: Duration = Duration::from_millis(10);
+/// Time after which a server that could be reached is called again.
 ///
 /// A process that ends beside others may close its listener long after its connections.
-const CHECK_PAUSES: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(140)];
-/// Time after these calls in which the server is not called.
-const REST: Duration = Duration::from_millis(350);
+const SECOND_CHECK_DELAY: Duration = Duration::from_millis(140);
 
 /// Records how an attempt failed whose request may have crashed the server, at whatever byte of the response.
 pub(crate) fn record_failure(
@@ -39,7 +40,7 @@
             let broken = BrokenRequest::new(request);
             let mut state = server.state();
             state.record_broken_request(broken);
-            if !std::mem::replace(&mut state.is_crash_checked, true) {
+            if state.begin_crash_check() {
                 drop(state);
                 start(shared, request, server);
             }
@@ -59,28 +60,40 @@
     let (shared, server) = (Arc::clone(shared), Arc::clone(server));
     let service = request.service.clone();
     tokio::spawn(async move {
-        for pause in CHECK_PAUSES {
-            sleep(pause).await;
-            let share = shared.connection_share(service.connection_limit, server.hash);
-            let reachability = connection::probe(&server, share).await;
-            if reachability == Some(Reachability::Reached) {
-                continue;
+        loop {
+            sleep(CHECK_DELAY).await;
+            let mut called = Instant::now();
+            if is_reached(&shared, &service, &server).await {
+                sleep(SECOND_CHECK_DELAY).await;
+                called = Instant::now();
+                is_reached(&shared, &service, &server).await;
             }
-            if reachability.is_some() {
-                cold_servers::record_unreachable(&service, &server);
-                let now = Instant::now();
-                server.state().health.record_unreachable(now);
+            // Connections that broke since then need a call of their own.
+            if server.state().end_crash_check(called) {
+                return;
             }
-            if reachability == Some(Reachability::Refused) {
-                record_crash(&shared, &server);
-            }
-            break;
         }
-        sleep(REST).await;
-        server.state().is_crash_checked = false;
     });
 }
 
+/// Calls a server once and records what that shows; returns whether it accepts connections.
+async fn is_reached(shared: &Shared, service: &Service, server: &Server) -> bool {
+    let share = shared.connection_share(service.connection_limit, server.hash);
+    let reachability = connection::probe(server, share).await;
+    if matches!(
+        reachability,
+        Some(Reachability::Refused | Reachability::Unanswered)
+    ) {
+        cold_servers::record_unreachable(service, server);
+        let now = Instant::now();
+        server.state().health.record_unreachable(now);
+    }
+    if reachability == Some(Reachability::Refused) {
+        record_crash(shared, server);
+    }
+    reachability == Some(Reachability::Reached)
+}
+
 fn record_crash(shared: &Shared, server: &Server) {
     let suspects = server.state().take_crash_suspects(Instant::now());
     shared
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -54,7 +54,7 @@
     /// Requests whose connections broke recently; the server has crashed if it cannot be reached afterwards.
     broken_requests: Vec<BrokenRequest>,
     /// Whether it is being checked if the server has crashed.
-    pub(crate) is_crash_checked: bool,
+    is_crash_checked: bool,
 }
 
 impl ServerState {
@@ -84,6 +84,20 @@
         std::mem::take(&mut self.broken_requests)
     }
 
+    /// Returns whether a check has to begin, as none is going on.
+    pub(crate) fn begin_crash_check(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_crash_checked, true)
+    }
+
+    /// Ends the check whose last call was sent at `called`, unless connections have broken since; returns whether it ended.
+    pub(crate) fn end_crash_check(&mut self, called: Instant) -> bool {
+        self.is_crash_checked = self
+            .broken_requests
+            .iter()
+            .any(|broken| broken.at >= called);
+        !self.is_crash_checked
+    }
+
     fn remove_old_broken_requests(&mut self, now: Instant) {
         self.broken_requests
             .retain(|broken| now.saturating_duration_since(broken.at) < CRASH_DETECTION_WINDOW);
--- a/bulrushward_direct/tests/crashes_in_responses.rs
+++ b/bulrushward_direct/tests/crashes_in_responses.rs
@@ -173,6 +173,34 @@
     assert_eq!(statuses.last(), Some(&503), "{statuses:?}");
 }
 
+// Guards against a crash that is not noticed as the server was called a moment before, for another connection that broke.
+#[test]
+fn a_crash_soon_after_another_broken_connection_is_noticed() {
+    let (router, servers) = start("plain", |req| match req.header("request") {
+        Some(id) if id.starts_with("reset") => vec![Step::Reset],
+        _ => vec![Step::Crash],
+    });
+    for round in 0..CRASHES {
+        let crashed = poisoned(&servers);
+        // All servers that are left have been called by then.
+        for index in 0..60 {
+            router.send(&request(
+                "POST",
+                "action",
+                &format!("reset-{round}-{index}"),
+                "poison",
+            ));
+        }
+        std::thread::sleep(CHECK_TIME);
+        let resets = poisoned(&servers) - crashed;
+        assert!(resets > 0);
+        router.send(&request("POST", "action", &format!("p-{round}"), "poison"));
+        std::thread::sleep(CHECK_TIME);
+    }
+    let refused = router.send(&request("POST", "action", "p-3", "poison"));
+    assert_eq!(refused.status, 503);
+}
+
 // Guards against a request of which each repetition crashes two servers within a response that has no length.
 #[test]
 fn a_repeated_request_that_crashes_servers_in_unframed_bodies_is_barred() {
