Give callers of the stop tests a patience that no lender refuses

A lender refuses a request at once whose expected wait and service exceed half of the time to its deadline. The test sent 24 requests of some 0.4 s each with 20 s of patience, so that the last one needs 10 s of 10 s: a few milliseconds decided. The refusal is right, and came before the stop.

Change: callers wait for a minute, so that the last one needs a third of what is allowed. Checks, number of requests and bounds are as before; failed assertions print the response.

--- a/bulrushward_direct/tests/planned_stops.rs
+++ b/bulrushward_direct/tests/planned_stops.rs
@@ -39,12 +39,16 @@
 const REFUSING: Duration = Duration::from_millis(2_600);
 /// Time by which a busy machine may delay what a test waits for.
 const TOLERANCE: Duration = Duration::from_millis(900);
+/// Time that callers wait for a response.
+///
+/// A lender refuses requests at once whose wait may exceed half of it.
+const PATIENCE: Duration = Duration::from_mins(1);
 
 /// Returns a configuration whose requests may outlast a stop.
 fn patient_config() -> FleetConfig {
     let mut config = config(1);
     for route in &mut config.routes {
-        route.timeout = Duration::from_secs(20);
+        route.timeout = PATIENCE;
         if route.name == "lookup" {
             // Servers may be silent for four times as long before another one takes over.
             route.target_latency = Duration::from_millis(1_200);
@@ -69,7 +73,8 @@
 }
 
 fn text(route: &str, id: &str, body: &str) -> String {
-    request("POST", route, id, body).replace("Patience-Ms: 2500", "Patience-Ms: 20000")
+    let patience = format!("Patience-Ms: {}", PATIENCE.as_millis());
+    request("POST", route, id, body).replace("Patience-Ms: 2500", &patience)
 }
 
 /// A request that is being sent, with the time at which its response ended.
@@ -126,16 +131,28 @@
     assert_eq!(response.status, 503, "{response:?}");
     assert!(response.is_complete, "{response:?}");
     assert!(response.header("retry-after").is_some(), "{response:?}");
-    assert!(response.text().contains("\"error\":\"stopping\""));
-    assert!(response.text().contains("\"outcome\":\"not-run\""));
+    assert!(
+        response.text().contains("\"error\":\"stopping\""),
+        "{response:?}"
+    );
+    assert!(
+        response.text().contains("\"outcome\":\"not-run\""),
+        "{response:?}"
+    );
 }
 
 #[track_caller]
 fn assert_unknown(response: &Response) {
     assert_eq!(response.status, 504, "{response:?}");
     assert!(response.is_complete, "{response:?}");
-    assert!(response.text().contains("\"error\":\"stopping\""));
-    assert!(response.text().contains("\"outcome\":\"unknown\""));
+    assert!(
+        response.text().contains("\"error\":\"stopping\""),
+        "{response:?}"
+    );
+    assert!(
+        response.text().contains("\"outcome\":\"unknown\""),
+        "{response:?}"
+    );
 }
 
 /// Guards against requests that must run once, are passed on late in a stop and are cut while they run.
