End a server's process in the soak before it returns under its id

Cause: the soak had two processes of one id.

Change: before a server returns under its id, the process that has the id ends as a killed one does.

--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -389,7 +389,9 @@
     for server in servers {
         let id = &server.fake_server.id;
         // A server that has been marked as leaving meanwhile does not come back.
-        if harness.remove_server(id).is_some() {
+        if let Some(known) = harness.remove_server(id) {
+            // Another fault may have restarted it at its address.
+            process_ends::end_process(harness, &known).await;
             harness.add_server(id, server.service, true).await?;
         }
     }
@@ -492,6 +494,9 @@
             tokio::time::sleep(time).await;
             // The server either restarts under its id or is replaced by a server with a new id.
             if rng.random_bool(0.5) {
+                if let Some(known) = harness.remove_server(id) {
+                    process_ends::end_process(harness, &known).await;
+                }
                 return harness.add_server(id, server.service, true).await;
             }
             harness.store.set_server(id, None);
--- a/bulrushward_soak/src/process_ends.rs
+++ b/bulrushward_soak/src/process_ends.rs
@@ -83,7 +83,7 @@
 }
 
 /// Closes a server's listener and connections and waits until these are gone.
-async fn end_process(harness: &Harness, server: &SoakServer) {
+pub(crate) async fn end_process(harness: &Harness, server: &SoakServer) {
     harness.record_disturbance();
     server.proxy.take_down().await;
     while server.proxy.connections() > 0 {
