Keep what a restarted server reports before its restart is known

Cause: reports belong to one incarnation, and which one responds was taken from the store. The server was killed and back at its address under its id, announced its leaving 267 ms after its start, and the router read its new entry 68 ms later: the announcement stayed with the process before. The same holds for pauses and limits.

Change: a refused connection shows that the registered process has ended. What responses state on connections that were opened after that is also kept for its successor, and becomes the record of the next entry that names another start at the same address. A connection that was opened before does not count, as a leaving process may close its listener first; nor does what was said before another refusal. As the entry may be of yet another process, an inherited leaving lapses after 30 s, and a response refutes it. Not covered: a process that is back before any connection of this router is refused.

--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -172,35 +172,23 @@
         }
     };
     let metadata = shared.conventions.parse_response_headers(res.headers());
-    record_head(
-        shared,
-        request,
-        progress.server(),
-        &metadata,
-        res.status(),
+    let head = ResponseHead {
+        status: res.status(),
+        metadata: &metadata,
+        opened: connection.opened,
         sent,
-    );
+    };
+    record_head(shared, request, progress.server(), head);
     received_head::validate(request, &res, &metadata, connection.is_reused)?;
     Ok((res, metadata, connection))
 }
 
 /// Records the server's state from the head of a response.
-fn record_head(
-    shared: &Shared,
-    request: &RoutedRequest,
-    server: &Server,
-    metadata: &ResponseMetadata,
-    status: StatusCode,
-    sent: Instant,
-) {
+fn record_head(shared: &Shared, request: &RoutedRequest, server: &Server, head: ResponseHead<'_>) {
+    let metadata = head.metadata;
     // A misdirected response describes another server that has the address now.
-    if status != StatusCode::MISDIRECTED_REQUEST {
-        let response = ResponseHead {
-            status,
-            metadata,
-            sent,
-        };
-        server_reports::record_response(shared, request, server, response);
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        server_reports::record_response(shared, request, server, head);
         cold_servers::record_response(shared, request, server, metadata);
     }
     if let Some(load) = metadata.load {
@@ -223,6 +211,9 @@
     let share = connection_share(shared, request, choice);
     let acquired = connection::acquire(&choice.server, share, &request.request_id).await;
     let connection = acquired.map_err(|error| {
+        if error.is_refused() {
+            server_reports::record_refused(shared, &choice.server);
+        }
         let failure = match error {
             ConnectError::LimitReached { .. } => AttemptFailure::Crowded,
             ConnectError::Unreachable { ref source } => {
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -56,6 +56,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// Time before which the server has not accepted it.
+    pub(crate) opened: Instant,
     task: AbortHandle,
     server: ServerId,
     cycle: RequestCycle,
@@ -359,6 +361,7 @@
 }
 
 async fn open(server: &Server, permit: ConnectionPermit) -> io::Result<Connection> {
+    let opened = Instant::now();
     let stream = TcpStream::connect(server.record.address).await?;
     stream.set_nodelay(true)?;
     enable_keepalive(&stream)?;
@@ -374,6 +377,7 @@
     });
     Ok(Connection {
         sender,
+        opened,
         task: task.abort_handle(),
         server: server.id.clone(),
         cycle: RequestCycle::default(),
--- a/bulrushward_direct/src/crash_check.rs
+++ b/bulrushward_direct/src/crash_check.rs
@@ -17,6 +17,7 @@
     crash_records::BrokenRequest,
     model::Service,
     routed_request::RoutedRequest,
+    server_reports,
     servers::Server,
     shared::Shared,
 };
@@ -89,6 +90,7 @@
         server.state().health.record_unreachable(now);
     }
     if reachability == Some(Reachability::Refused) {
+        server_reports::record_refused(shared, server);
         record_crash(shared, server);
     }
     reachability == Some(Reachability::Reached)
--- a/bulrushward_direct/src/server_reports.rs
+++ b/bulrushward_direct/src/server_reports.rs
@@ -31,6 +31,8 @@
 pub(crate) struct ResponseHead<'a> {
     pub(crate) status: StatusCode,
     pub(crate) metadata: &'a ResponseMetadata,
+    /// Time at which the connection was opened.
+    pub(crate) opened: Instant,
     /// Time at which the request was sent.
     pub(crate) sent: Instant,
 }
@@ -51,17 +53,24 @@
         pause_s: pause.map(number),
         limit: metadata.rate_limit.as_ref().map(number),
     };
-    let mut reports = shared.server_reports();
+    let (mut reports, now) = (shared.server_reports(), Instant::now());
     // A late copy of an earlier response may have been made before the server began to report something.
     let is_of_request = metadata.request_id.as_ref() == Some(&request.request_id);
     let sent = is_of_request.then_some(response.sent);
-    let news = reports.record(server.hash, &report, sent, Instant::now());
+    let news = reports.record(server.hash, &report, sent, now);
+    reports.record_successor(server.hash, &report, response.opened, now);
     drop(reports);
     for news in news {
         log(request, server, metadata, news);
     }
 }
 
+/// Records that no process listened at the address of a server.
+pub(crate) fn record_refused(shared: &Shared, server: &Server) {
+    let now = Instant::now();
+    shared.server_reports().record_refused(server.hash, now);
+}
+
 /// Returns whether a server takes no more requests: it is leaving or gone, or its failure domain is emptied.
 pub(crate) fn is_withheld(shared: &Shared, server: &Server) -> bool {
     let withheld = shared
--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -143,6 +143,7 @@
             id: xxh3_64(self.id.as_bytes()),
             server: self.hash,
             names_start: self.record.started_ms != 0,
+            address: self.record.address,
         }
     }
 
--- a/bulrushward_direct/tests/leaving.rs
+++ b/bulrushward_direct/tests/leaving.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::{
+    net::TcpListener,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -13,7 +14,7 @@
 use bulrushward_direct::ServerRecord;
 use rstest::rstest;
 use support::{
-    TestRouter, caller, lender_and_borrower, metric,
+    TestRouter, caller, config, lender_and_borrower, metric,
     platform::MemoryStore,
     record, request, router_with_servers,
     server::{Received, Step, TestServer, complete_stream, ok_response, response, send_text},
@@ -108,6 +109,42 @@
     wait_until("the new incarnation is used", || send("r-4").status == 200);
 }
 
+/// A server got requests again that had restarted and announced its leaving before the router knew of its restart.
+#[test]
+fn a_server_that_leaves_before_its_restart_is_known_gets_no_further_request() {
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = closed.local_addr().expect("the listener is bound");
+    drop(closed);
+    let store = MemoryStore::with(config(1));
+    store.put("s-1", record("plain", address));
+    let router = TestRouter::start(&store);
+    let send = |id: &str| router.send(&request("POST", "action", id, ""));
+    wait_until("the server is known", || {
+        metric(&router, "servers") == Some(1)
+    });
+    assert_eq!(send("r-1").status, 503);
+    let restarted = TestServer::start_at(address, "s-1", |req| {
+        leaving_response(req, "200 OK", "Signed: s\r\n")
+    });
+    wait_until("the leaving is announced", || send("r-2").status == 200);
+    let entry = ServerRecord {
+        started_ms: 2,
+        ..record("plain", address)
+    };
+    store.put("s-1", entry);
+    let other = TestServer::echo("s-2");
+    store.put("s-2", record("plain", other.address));
+    wait_until("the restart is known", || {
+        metric(&router, "servers") == Some(2)
+    });
+    store.remove("s-2");
+    wait_until("there is no other server", || {
+        metric(&router, "servers") == Some(1)
+    });
+    assert_eq!(send("r-3").status, 503);
+    assert_eq!(restarted.received().len(), 1);
+}
+
 #[test]
 fn another_server_at_the_address_does_not_announce_the_leaving_of_the_registered_one() {
     let moved = TestServer::start("s-1", |req| {
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -1,12 +1,14 @@
 //! What backend servers report about themselves, and when nothing is sent to them for that reason.
 //!
 //! Handles: servers that leave during an outage of the store, or whose entries vanish, return or lack their start
-//! during it; a fleet of which each router would otherwise find out by itself; false or outdated reports of
-//! peers; servers that ask for pauses in turn or all at once; requests that wait for a connection or a place
+//! during it; servers that restart and report something before their new entry is known; a fleet of which each router would
+//! otherwise find out by itself; false or outdated reports of peers; servers that ask for pauses in turn or all at once; requests that wait for a connection or a place
 //! while a report arrives; and extreme or invalid values.
 
 mod incarnations;
 mod limit;
+mod record;
+mod successors;
 
 use std::{
     collections::HashMap,
@@ -18,7 +20,12 @@
 use strum::IntoStaticStr;
 
 pub use self::incarnations::{EntryKey, IdKey};
-use self::{incarnations::Incarnations, limit::Limit};
+use self::{
+    incarnations::Incarnations,
+    limit::Limit,
+    record::{Leaving, Record},
+    successors::Successors,
+};
 use crate::{
     fleet_share::FleetPosition,
     server_limit::{LimitShare, LoanAnswer, LoanAsk, UnitRoom},
@@ -27,8 +34,6 @@
 
 /// Longest pause that is granted on one report; the server may ask again.
 pub const MAX_PAUSE: Duration = Duration::from_mins(2);
-/// Extension of a pause from which it counts as new.
-const NEWS_EXTENSION: Duration = Duration::from_millis(250);
 /// Time after an announcement of leaving in which routers report it to, and believe, each other.
 ///
 /// Most servers end earlier; later requests to a server that still runs announce it again.
@@ -116,47 +121,11 @@
     Leaving,
 }
 
-/// What one incarnation of a server has reported.
-#[derive(Clone, Debug)]
-struct Record {
-    leaving: Leaving,
-    pause_end: Option<Instant>,
-    limit: Option<Limit>,
-    /// When the server was last registered, or reported something.
-    last_known: Instant,
-}
-
-impl Record {
-    fn withheld(&self, now: Instant) -> Option<Withheld> {
-        let pause_end = self.pause_end.filter(|end| now < *end);
-        let paused = pause_end.map(|end| Withheld::Paused {
-            rest: end.saturating_duration_since(now),
-        });
-        match self.leaving {
-            Leaving::Announced(_) => Some(Withheld::Leaving),
-            Leaving::Heard(at) if is_told(at, now) => paused.or(Some(Withheld::SaidToLeave)),
-            Leaving::Heard(_) | Leaving::Denied(_) | Leaving::Unknown => paused,
-        }
-    }
-}
-
-/// What is known of a server's leaving.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Leaving {
-    #[default]
-    Unknown,
-    /// It announced its leaving to this router.
-    Announced(Instant),
-    /// Announced at this time, as peers reported.
-    Heard(Instant),
-    /// It responded to this router as not leaving.
-    Denied(Instant),
-}
-
 /// The reports of all servers, which each belong to one incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct ServerReports {
     records: HashMap<ServerKey, Record>,
+    successors: Successors,
     incarnations: Incarnations,
 }
 
@@ -174,42 +143,31 @@
         sent: Option<Instant>,
         now: Instant,
     ) -> Vec<ReportNews> {
-        let mut news = Vec::new();
-        if report.is_leaving {
-            let record = self.record_of(server, now);
-            if !matches!(record.leaving, Leaving::Announced(_)) {
-                record.leaving = Leaving::Announced(now);
-                news.push(ReportNews::Leaving);
-            }
-        } else if let Some(record) = self.records.get_mut(&server)
-            && let Leaving::Heard(announced) = record.leaving
-            && let Some(sent) = sent.filter(|sent| announced < *sent)
-        {
-            record.leaving = Leaving::Denied(sent);
-            news.push(ReportNews::Stays);
-        }
-        if let Some(named) = report.limit {
-            let limit = &mut self.record_of(server, now).limit;
-            let limit = limit.get_or_insert_with(|| Limit::new(now));
-            news.extend(limit.record_named(named, now));
-        } else if let Some(sent) = sent {
-            let record = self.records.get_mut(&server);
-            let limit = record.and_then(|record| record.limit.as_mut());
-            news.extend(limit.and_then(|limit| limit.record_unnamed(sent)));
-        }
-        let Some(pause_s) = report.pause_s else {
-            return news;
+        let record = if *report == ServerReport::default() {
+            self.records.get_mut(&server)
+        } else {
+            Some(self.record_of(server, now))
         };
-        match Duration::try_from_secs_f64(pause_s) {
-            Ok(asked) if asked.is_zero() => {}
-            Ok(asked) => news.extend(self.record_pause(server, asked, now)),
-            // No duration is that long, but the server wants a long pause.
-            Err(_too_long) if pause_s.is_finite() && pause_s > 0.0 => {
-                news.extend(self.record_pause(server, Duration::MAX, now));
-            }
-            Err(_no_time) => news.push(ReportNews::Ignored { value: pause_s }),
-        }
-        news
+        record.map_or_else(Vec::new, |record| record.apply(report, sent, now))
+    }
+
+    /// Records that no process listened at the address of a server.
+    pub fn record_refused(&mut self, server: ServerKey, now: Instant) {
+        self.successors.record_refused(server, now);
+    }
+
+    /// Records what a response states on a connection that was opened at `opened`, if it may come from a process that has
+    /// replaced the registered one.
+    ///
+    /// It counts for the next entry of the server, if that names another start and the same address.
+    pub fn record_successor(
+        &mut self,
+        server: ServerKey,
+        report: &ServerReport,
+        opened: Instant,
+        now: Instant,
+    ) {
+        self.successors.record(server, report, opened, now);
     }
 
     /// Returns why nothing is sent to a server now.
@@ -225,7 +183,10 @@
 
     /// Records that the entry of a server is registered.
     pub fn observe_entry(&mut self, entry: EntryKey, now: Instant) {
-        self.incarnations.observe(entry, now);
+        let replaced = self.incarnations.observe(entry, now);
+        if let Some(record) = replaced.and_then(|replaced| self.successors.take(replaced)) {
+            self.records.entry(entry.server).or_insert(record);
+        }
     }
 
     /// Returns the servers to report to peers, in random order.
@@ -254,12 +215,13 @@
         let record = self.record_of(notice.server, now);
         match record.leaving {
             Leaving::Announced(_) => false,
+            Leaving::Inherited(at) if is_told(at, now) => false,
             Leaving::Denied(at) if announced <= at => false,
             Leaving::Heard(at) => {
                 record.leaving = Leaving::Heard(at.max(announced));
                 false
             }
-            Leaving::Unknown | Leaving::Denied(_) => {
+            Leaving::Unknown | Leaving::Denied(_) | Leaving::Inherited(_) => {
                 record.leaving = Leaving::Heard(announced);
                 true
             }
@@ -346,6 +308,7 @@
             }
         }
         self.incarnations.remove_older(UNREGISTERED_TTL, now);
+        self.successors.remove_older(UNREGISTERED_TTL, now);
         self.records.retain(|_, record| {
             now.saturating_duration_since(record.last_known) < UNREGISTERED_TTL
         });
@@ -359,30 +322,11 @@
             .share_mut(now)
     }
 
-    fn record_pause(
-        &mut self,
-        server: ServerKey,
-        asked: Duration,
-        now: Instant,
-    ) -> Option<ReportNews> {
-        let length = asked.min(MAX_PAUSE);
-        let end = now + length;
-        let record = self.record_of(server, now);
-        let known_end = record.pause_end.unwrap_or(now).max(now);
-        record.pause_end = Some(known_end.max(end));
-        (end >= known_end + NEWS_EXTENSION || known_end == now).then_some(ReportNews::Pause {
-            length,
-            is_cut: length < asked,
-        })
-    }
-
     fn record_of(&mut self, server: ServerKey, now: Instant) -> &mut Record {
-        let record = self.records.entry(server).or_insert(Record {
-            leaving: Leaving::default(),
-            pause_end: None,
-            limit: None,
-            last_known: now,
-        });
+        let record = self
+            .records
+            .entry(server)
+            .or_insert_with(|| Record::new(now));
         record.last_known = now;
         record
     }
--- a/bulrushward_policy/src/server_reports/incarnations.rs
+++ b/bulrushward_policy/src/server_reports/incarnations.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::HashMap,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -22,6 +23,8 @@
     pub server: ServerKey,
     /// Whether the entry names the start.
     pub names_start: bool,
+    /// Address.
+    pub address: SocketAddr,
 }
 
 /// The entries of one id.
@@ -44,8 +47,8 @@
 }
 
 impl Incarnations {
-    /// Records that an entry is registered.
-    pub(super) fn observe(&mut self, entry: EntryKey, now: Instant) {
+    /// Records that an entry is registered; returns the one that it replaces, if the server has restarted at its address.
+    pub(super) fn observe(&mut self, entry: EntryKey, now: Instant) -> Option<ServerKey> {
         let known = self.by_id.entry(entry.id).or_insert(Entries {
             latest: entry,
             named: None,
@@ -53,6 +56,7 @@
             last_known: now,
         });
         known.last_known = now;
+        let mut replaced = None;
         if !entry.names_start {
             known.unnamed = Some(entry.server);
             if let Some(named) = known.named {
@@ -64,11 +68,13 @@
             known.named = Some(entry.server);
         } else if known.named != Some(entry.server) {
             // It has restarted.
+            replaced = (known.latest.address == entry.address).then_some(known.latest.server);
             self.other.remove(&entry.server);
             known.named = Some(entry.server);
             known.unnamed = None;
         }
         known.latest = entry;
+        replaced
     }
 
     /// Returns the keys under which the process of an entry may have reported something.
--- a/bulrushward_policy/tests/leaving_orders.rs
+++ b/bulrushward_policy/tests/leaving_orders.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     time::{Duration, Instant},
 };
 
@@ -12,6 +13,8 @@
 use proptest::{collection::vec, prelude::*};
 
 const IDS: [&str; 2] = ["a", "b"];
+/// Address of all servers, so that restarts are at the same one.
+const ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_000));
 const LEAVING: ServerReport = ServerReport {
     is_leaving: true,
     pause_s: None,
@@ -42,6 +45,7 @@
             id: id as u64,
             server: (id as u32) << 16 | start,
             names_start: self.names_start,
+            address: ADDRESS,
         }
     }
 }
--- a/bulrushward_policy/tests/server_reports.rs
+++ b/bulrushward_policy/tests/server_reports.rs
@@ -1,6 +1,9 @@
 //! What servers report withholds requests from them, and from no other server.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    time::{Duration, Instant},
+};
 
 use bulrushward_policy::{
     server_choice::{self, ServerView},
@@ -14,6 +17,7 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
+const ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9_000));
 const LEAVING: ServerReport = ServerReport {
     is_leaving: true,
     pause_s: None,
@@ -33,6 +37,7 @@
         id: server.into(),
         server,
         names_start: true,
+        address: ADDRESS,
     }
 }
 
@@ -69,6 +74,90 @@
     assert_eq!(reports.withheld(1, later), None);
 }
 
+/// What happens to a server in the order of the seconds given, from its first entry on; it announces its leaving at 5 s, and
+/// its restart is known at 6 s.
+#[derive(Clone, Copy, Debug)]
+struct Restart {
+    refused: &'static [f64],
+    /// When the connection was opened on which the leaving is announced.
+    opened: f64,
+    is_at_address: bool,
+}
+
+impl Default for Restart {
+    fn default() -> Self {
+        Self {
+            refused: &[1.0],
+            opened: 4.0,
+            is_at_address: true,
+        }
+    }
+}
+
+/// A server that restarted and announced its leaving before its entry was known got requests again.
+#[rstest]
+#[case::after_a_restart(Restart::default(), true)]
+#[case::after_two_restarts(Restart { refused: &[1.0, 3.0], ..Restart::default() }, true)]
+#[case::without_a_sign_of_a_restart(Restart { refused: &[], ..Restart::default() }, false)]
+// A process that leaves may close its listener before its connections.
+#[case::on_an_older_connection(Restart { opened: 0.5, ..Restart::default() }, false)]
+#[case::and_ended(Restart { refused: &[1.0, 5.5], ..Restart::default() }, false)]
+#[case::elsewhere(Restart { is_at_address: false, ..Restart::default() }, false)]
+fn an_announcement_counts_for_the_process_that_made_it(
+    #[case] restart: Restart,
+    #[case] counts: bool,
+) {
+    let (mut reports, start) = (ServerReports::default(), Instant::now());
+    let at = |s| start + seconds(s);
+    let before = named(1);
+    let after = EntryKey {
+        server: 2,
+        address: if restart.is_at_address {
+            ADDRESS
+        } else {
+            SocketAddr::new(ADDRESS.ip(), 9_001)
+        },
+        ..before
+    };
+    reports.observe_entry(before, start);
+    for refused in restart.refused.iter().filter(|s| **s < 5.0) {
+        reports.record_refused(1, at(*refused));
+    }
+    reports.record(1, &LEAVING, Some(at(4.5)), at(5.0));
+    reports.record_successor(1, &LEAVING, at(restart.opened), at(5.0));
+    for refused in restart.refused.iter().filter(|s| **s > 5.0) {
+        reports.record_refused(1, at(*refused));
+    }
+    reports.observe_entry(after, at(6.0));
+    let expected = counts.then_some(Withheld::Leaving);
+    assert_eq!(reports.withheld(2, at(6.0)), expected);
+    // The entry may be of a process after that, which nobody asks while it is withheld.
+    assert_eq!(reports.withheld(2, at(36.0)), None);
+}
+
+/// Pauses and limits that a server named before its restart was known were forgotten.
+#[test]
+fn pauses_and_limits_count_for_the_process_that_named_them() {
+    let (mut reports, start) = (ServerReports::default(), Instant::now());
+    let at = |s| start + seconds(s);
+    let after = EntryKey {
+        server: 2,
+        ..named(1)
+    };
+    reports.observe_entry(named(1), start);
+    reports.record(1, &limit(9.0), Some(start), start);
+    reports.record_refused(1, at(1.0));
+    reports.record_successor(1, &limit(3.5), at(2.0), at(2.0));
+    reports.record_successor(1, &pause(5.0), at(2.0), at(2.0));
+    reports.observe_entry(after, at(3.0));
+    assert_eq!(reports.limit(2, at(3.0)), Some(3.5));
+    let rest = seconds(4.0);
+    assert_eq!(
+        reports.withheld(2, at(3.0)),
+        Some(Withheld::Paused { rest })
+    );
+}
+
 /// Each router would send a request to a leaving server to detect it.
 #[test]
 fn a_peer_tells_of_a_leaving_server_until_the_server_itself_says_otherwise() {
