Count what a restarted server got before its restart was known

A test shows it: a server that had just got its whole allowance got another one at once when its new entry said that it is cold.

Cause: a new incarnation began with an empty record of what was sent, though requests that were sent before its entry was known may have reached it.

Change: a server that restarts at its address keeps the record of the latest window of requests. It costs at most a window (some 1.05 s) of the router's share where they reached the process before.

--- a/bulrushward_direct/src/servers.rs
+++ b/bulrushward_direct/src/servers.rs
@@ -58,6 +58,14 @@
 }
 
 impl ServerState {
+    /// Returns the state of a process that has replaced this one at its address.
+    fn after_restart(&self) -> Self {
+        Self {
+            cold: self.cold.after_restart(),
+            ..Self::default()
+        }
+    }
+
     /// Adds a connection that carries nothing, until its token is cancelled.
     pub(crate) fn add_unused(&mut self, unused: CancellationToken) {
         self.unused.retain(|unused| !unused.is_cancelled());
@@ -120,13 +128,16 @@
 impl Server {
     fn new(id: &str, record: &ServerRecord, previous: Option<&Self>) -> Self {
         let same_incarnation = previous.filter(|server| server.is_same_incarnation(record));
+        let state = same_incarnation.map(|server| Arc::clone(&server.state));
+        let at_address = previous.filter(|server| server.record.address == record.address);
+        let restarted = || at_address.map(|server| server.state().after_restart());
         Self {
             id: id.to_owned(),
             // A restarted server keeps its id but has lost its prompt cache, so it gets another hash.
             hash: xxh3_64_with_seed(id.as_bytes(), record.started_ms) as ServerHash,
             record: record.clone(),
             version: record.version.as_deref().map(version_key),
-            state: same_incarnation.map_or_else(Arc::default, |server| Arc::clone(&server.state)),
+            state: state.unwrap_or_else(|| Arc::new(Mutex::new(restarted().unwrap_or_default()))),
             connections: same_incarnation
                 .map_or_else(Arc::default, |server| Arc::clone(&server.connections)),
         }
--- a/bulrushward_direct/tests/cold_servers.rs
+++ b/bulrushward_direct/tests/cold_servers.rs
@@ -139,6 +139,31 @@
     });
 }
 
+/// A server that restarted cold got a whole allowance on top of what it had got before its new entry was known.
+#[test]
+fn what_a_server_got_before_its_restart_was_known_counts() {
+    // One request in some ten seconds.
+    let store = MemoryStore::with(config_with(0.1));
+    let server = TestServer::start("s-1", serve);
+    store.put("s-1", record("plain", server.address));
+    let router = TestRouter::start(&store);
+    wait_until("the server is used", || {
+        send(&router, "lookup").status == 200
+    });
+    // A router that has just started takes no share of a cold server.
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(send(&router, "lookup").status, 200);
+    let entry = ServerRecord {
+        started_ms: 2,
+        ..cold_record("plain", &server, LONG)
+    };
+    store.put("s-1", entry);
+    wait_until("the restart is known", || {
+        metric(&router, "bulrushward_direct_cold_servers").is_some_and(|count| count == "1")
+    });
+    assert_refused(&send(&router, "lookup"), Duration::from_secs(11));
+}
+
 #[test]
 fn a_response_shows_that_a_server_has_turned_cold() {
     let server = TestServer::start("s-1", |req| {
--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -111,6 +111,17 @@
 }
 
 impl ColdServer {
+    /// Returns what is known of the server after it has restarted at its address.
+    ///
+    /// The new process may have received the latest requests, as its entry became known later.
+    #[must_use]
+    pub fn after_restart(&self) -> Self {
+        Self {
+            sent: self.sent.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Records how long the server states to be cold; returns whether it was not known to be cold before.
     ///
     /// A statement replaces what was assumed.
--- a/bulrushward_policy/tests/cold_server.rs
+++ b/bulrushward_policy/tests/cold_server.rs
@@ -424,6 +424,22 @@
     assert!(server.cold(now).is_none());
 }
 
+/// A server that has restarted would get a whole allowance more than it bears.
+#[test]
+fn what_was_sent_before_a_restart_was_known_counts() {
+    let allowance = ColdAllowance::new(1.0).expect("the rate is positive");
+    let (now, mut server) = (Instant::now(), ColdServer::default());
+    server.record_sent(allowance, now);
+    let mut restarted = server.after_restart();
+    assert_eq!(restarted.room(allowance, ALONE, now), Room::Unlimited);
+    restarted.record_statement(Duration::from_secs(9), ColdEvidence::Entry, now);
+    let used_up = Room::UsedUp {
+        next: Duration::from_millis(1_050),
+        is_assumed: false,
+    };
+    assert_eq!(restarted.room(allowance, ALONE, now), used_up);
+}
+
 #[test]
 fn less_urgent_requests_leave_units_to_more_urgent_ones() {
     let (now, mut demand) = (Instant::now(), ColdDemand::default());
