Follow a store that has returned from a copy

Cause: positions in the store's history were compared by revision alone, and these go back. Listings and changes below the known revision were ignored, and counted as applied. Nothing read Store-Era.

A watch since another era fails like one whose history is gone, as soon as any response shows the later era. Stores that name no era behave as before; the format between routers is the same.

--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, StatusCode,
+    Request, Response,
     header::{CONTENT_TYPE, HOST, HeaderValue},
 };
 use hyper_util::rt::TokioIo;
@@ -90,7 +90,7 @@
     address: SocketAddr,
     path: &str,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     with_timeout(limit, address, Request::get(path).body(Full::default())).await
 }
 
@@ -104,7 +104,7 @@
     path: &str,
     json: Vec<u8>,
     limit: Duration,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let req = Request::post(path)
         .header(CONTENT_TYPE, "application/json")
         .body(Full::new(json.into()));
@@ -115,7 +115,7 @@
     limit: Duration,
     address: SocketAddr,
     req: Result<Request<Full<Bytes>>, hyper::http::Error>,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     match timeout(limit, send(address, req)).await {
         Ok(response) => response,
         Err(_elapsed) => TimeoutSnafu { address, limit }.fail(),
@@ -125,7 +125,7 @@
 async fn send(
     address: SocketAddr,
     req: Result<Request<Full<Bytes>>, hyper::http::Error>,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let connect_error = |error: &dyn ToString| CallError::Connect {
         address,
         detail: error.to_string(),
@@ -154,18 +154,13 @@
             .send_request(req)
             .await
             .map_err(|error| response_error(&error))?;
-        let status = res.status();
+        let (head, body) = res.into_parts();
         handle.allowance().begin();
         let record_chunk = |len| handle.allowance().record_content(len);
-        let body = buffered_body::collect(
-            res.into_body(),
-            MAX_RESPONSE_BYTES,
-            |_bytes| true,
-            record_chunk,
-        );
+        let body = buffered_body::collect(body, MAX_RESPONSE_BYTES, |_bytes| true, record_chunk);
         let body = body.await.map_err(|error| response_error(&error))?;
         handle.close_in_order();
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     };
     let mut exchange = std::pin::pin!(exchange);
     tokio::select! {
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -14,6 +14,7 @@
 use bulrushward_policy::{
     emptied_domains::{DomainChange, EmptiedDomains, EmptiedReport, FailureDomain},
     server_registry::{EntrySnapshot, ServerRegistry, StoreRevision},
+    store_revision::{era, revision_in_era},
     version_history::HistoryReport,
 };
 use serde::{Deserialize, Serialize};
@@ -104,7 +105,7 @@
     pub(crate) fn new(shared: &Arc<Shared>) -> Arc<Self> {
         Arc::new(Self {
             shared: Arc::clone(shared),
-            registry: Mutex::default(),
+            registry: Mutex::new(ServerRegistry::new(is_outdated)),
             digest: AtomicU64::new(0),
             waiting_config: Mutex::default(),
             reported_orders: Mutex::default(),
@@ -287,6 +288,7 @@
         if listing.revision < registry.revision() {
             return;
         }
+        log_return(registry.revision(), listing.revision, Source::Store);
         registry.replace(listing.servers, listing.revision, Instant::now());
         let origins = &self.shared.stream_origins;
         match missed {
@@ -342,7 +344,8 @@
                 revision = changes.revision
             );
         }
-        if !changes.changes.is_empty() {
+        let has_returned = registry.use_returned(now);
+        if has_returned || !changes.changes.is_empty() {
             self.publish(&registry, Source::Store);
         }
     }
@@ -395,6 +398,7 @@
         if snapshot.revision > registry.revision() {
             let is_leaving = |record: &ServerRecord| record.is_leaving;
             let (servers, revision) = (snapshot.servers, snapshot.revision);
+            log_return(registry.revision(), revision, Source::Peer);
             registry.replace_from_snapshot(servers, revision, is_leaving, Instant::now());
             let origins = &self.shared.stream_origins;
             origins.restore_history(&snapshot.versions);
@@ -432,6 +436,24 @@
     }
 }
 
+/// Logs that the store has returned from a copy, if a later era has begun than that of `known`.
+fn log_return(known: StoreRevision, revision: StoreRevision, source: Source) {
+    let (known_era, era) = (era(known), era(revision));
+    if known > 0 && era > known_era {
+        let (lost, copy) = (revision_in_era(known), revision_in_era(revision));
+        warn!(event = "store-returned", era, known_revision = lost, revision = copy, %source);
+    }
+}
+
+/// Returns whether a server's record is from before another one, as a store that returned from a copy may list it.
+///
+/// A server that is leaving stays so until it starts again.
+fn is_outdated(listed: &ServerRecord, known: &ServerRecord) -> bool {
+    let is_same_start = listed.started_ms == known.started_ms && listed.address == known.address;
+    let is_earlier_start = listed.started_ms != 0 && listed.started_ms < known.started_ms;
+    is_earlier_start || (is_same_start && known.is_leaving)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/bulrushward_direct/src/gossip/fetch.rs
+++ b/bulrushward_direct/src/gossip/fetch.rs
@@ -24,11 +24,11 @@
 ) -> Result<FleetStateSnapshot, String> {
     let known_config = known_config.map_or_else(String::new, |version| version.to_string());
     let path = format!("{FLEET_STATE_PATH}{known_config}");
-    let (status, bytes) = call::get(from, &path, FETCH_TIMEOUT)
+    let res = call::get(from, &path, FETCH_TIMEOUT)
         .await
         .map_err(|error| error.to_string())?;
-    if status != StatusCode::OK {
-        return Err(format!("status {status}"));
+    if res.status() != StatusCode::OK {
+        return Err(format!("status {}", res.status()));
     }
-    postcard::from_bytes(&bytes).map_err(|error| format!("unreadable snapshot: {error}"))
+    postcard::from_bytes(res.body()).map_err(|error| format!("unreadable snapshot: {error}"))
 }
--- a/bulrushward_direct/tests/emptied_domains.rs
+++ b/bulrushward_direct/tests/emptied_domains.rs
@@ -114,6 +114,34 @@
     log::wait_for_line("event=failure-domain-restored domain=b source=store revision age_ms");
 }
 
+/// Routers took what the store listed after its return for old, and never followed another order.
+#[test]
+fn orders_are_followed_after_the_store_has_returned_from_a_copy() {
+    let (one, two) = (TestServer::echo("s-1"), TestServer::echo("s-2"));
+    let store = store_with("plain", &[(&one, "a"), (&two, "b")]);
+    let router = start_ready(&store, &[]);
+    store.copy();
+    // The copy lacks this order and changes with higher revisions.
+    store.set_emptied("b", true);
+    wait_emptied(&router, 1);
+    for version in 2..5 {
+        store.set_config(config(version));
+    }
+    store.return_from_copy();
+    let returned = Instant::now();
+    while returned.elapsed() < Duration::from_secs(1) {
+        assert_only_first_serves(&router);
+    }
+    store.set_emptied("c", true);
+    assert!(wait_emptied(&router, 2) < AIM);
+    // The order is written again.
+    store.set_emptied("b", true);
+    assert_only_first_serves(&router);
+    store.set_emptied("b", false);
+    assert!(wait_emptied(&router, 1) < AIM);
+    assert!(bodies(&router, "lookup").contains(&"s-2".to_owned()));
+}
+
 #[test]
 fn an_order_holds_for_a_request_whose_connection_is_being_opened() {
     log::capture();
--- a/bulrushward_direct/tests/leaving.rs
+++ b/bulrushward_direct/tests/leaving.rs
@@ -145,6 +145,43 @@
     assert_eq!(restarted.received().len(), 1);
 }
 
+/// A store that has returned from a copy lists leaving servers as ready, and servers that have gone.
+#[test]
+fn servers_that_left_before_the_store_returned_from_a_copy_get_no_request() {
+    let servers = ["s-1", "s-2", "s-3"].map(TestServer::echo);
+    let router = router_with_servers("plain", &[&servers[0], &servers[1], &servers[2]]);
+    let sent_to = |count: u32| -> Vec<String> {
+        let ids = (0..count).map(|index| format!("r-{index}"));
+        let responses = ids.map(|id| router.send(&request("GET", "lookup", &id, "")));
+        responses.map(|response| response.text()).collect()
+    };
+    router.store.copy();
+    let leaving = ServerRecord {
+        is_leaving: true,
+        ..record("plain", servers[0].address)
+    };
+    router.store.put("s-1", leaving);
+    router.store.remove("s-2");
+    wait_until("one server is left", || {
+        metric(&router, "servers") == Some(2) && sent_to(10).iter().all(|body| body == "s-3")
+    });
+    router.store.return_from_copy();
+    let entry = record("plain", servers[2].address);
+    router.store.put("s-4", entry);
+    wait_until("the store is followed", || {
+        metric(&router, "servers") == Some(3)
+    });
+    assert!(sent_to(30).iter().all(|body| body == "s-3"));
+    let restarted = ServerRecord {
+        started_ms: 2,
+        ..record("plain", servers[0].address)
+    };
+    router.store.put("s-1", restarted);
+    wait_until("the new process is used", || {
+        sent_to(10).iter().any(|body| body == "s-1")
+    });
+}
+
 #[test]
 fn another_server_at_the_address_does_not_announce_the_leaving_of_the_registered_one() {
     let moved = TestServer::start("s-1", |req| {
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -16,6 +16,7 @@
     ResponseMetadata, ServerChanges, ServerId, ServerListing, ServerRecord, StatedNumber,
     StoreError,
 };
+use bulrushward_policy::store_revision::{era, position, revision_in_era};
 use bytes::Bytes;
 use hyper::HeaderMap;
 use tokio::{sync::Notify, time::timeout};
@@ -133,7 +134,7 @@
     Some(text.parse().map_err(|_error| text.to_owned()))
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Contents {
     revision: u64,
     config: Option<(FleetConfig, u64)>,
@@ -202,6 +203,7 @@
     /// Result of calls that list the orders, instead of the present ones.
     order_listing: Mutex<Option<Result<OrderListing, StoreError>>>,
     saved: Mutex<Option<Bytes>>,
+    copy: Mutex<Contents>,
     changed: Notify,
 }
 
@@ -317,6 +319,31 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies the contents.
+    pub fn copy(&self) {
+        let contents = self.lock().clone();
+        *self
+            .copy
+            .lock()
+            .expect("no test panics while holding the lock") = contents;
+    }
+
+    /// Returns from the latest copy, with which a new era begins.
+    pub fn return_from_copy(&self) {
+        let copy = self.copy.lock();
+        let copy = copy.expect("no test panics while holding the lock").clone();
+        let mut contents = self.lock();
+        let revision = position(era(contents.revision) + 1, revision_in_era(copy.revision));
+        *contents = Contents {
+            revision,
+            discarded_revision: revision,
+            changes: Vec::new(),
+            order_changes: Vec::new(),
+            ..copy
+        };
+        self.changed.notify_waiters();
+    }
+
     /// Returns the bytes that a router saved last.
     pub fn saved_bytes(&self) -> Option<Bytes> {
         self.saved
--- a/bulrushward_policy/src/emptied_domains.rs
+++ b/bulrushward_policy/src/emptied_domains.rs
@@ -2,16 +2,17 @@
 //!
 //! Handles: routers whose calls the store rejects while their peers know an order; messages that arrive
 //! late or out of order, so that an order or its withdrawal would be undone; listings and changes
-//! that overlap; servers that are cold after their domain had no requests.
+//! that overlap; servers that are cold after their domain had no requests; a store that returns from a copy without the
+//! latest orders.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
 use serde::{Deserialize, Serialize};
 
-use crate::server_registry::StoreRevision;
+use crate::store_revision::{SETTLING_TIME, StoreRevision, era};
 
 /// Name of a failure domain.
 pub type FailureDomain = String;
@@ -77,6 +78,10 @@
     emptied: BTreeMap<FailureDomain, Instant>,
     /// Domains that are no longer emptied, with the times of the withdrawals.
     withdrawn: BTreeMap<FailureDomain, Instant>,
+    /// Emptied domains whose orders the store lacks since it returned from a copy.
+    unconfirmed: BTreeSet<FailureDomain>,
+    /// End of the time in which these orders are written again.
+    settled_at: Option<Instant>,
 }
 
 impl EmptiedDomains {
@@ -121,11 +126,18 @@
         revision: StoreRevision,
         now: Instant,
     ) -> Vec<DomainChange> {
-        if self.revision >= Some(revision) {
+        if self.revision > Some(revision) {
             return Vec::new();
         }
         let domains = domains.into_iter().map(|domain| (domain, now));
-        self.advance(domains.collect(), &BTreeMap::new(), revision, now)
+        let domains: BTreeMap<_, _> = domains.collect();
+        let is_same_era = era(revision) == era(self.revision.unwrap_or_default());
+        let mut changes =
+            self.end_unconfirmed(now, |domain| is_same_era && !domains.contains_key(domain));
+        if self.revision < Some(revision) {
+            changes.extend(self.advance(domains, &BTreeMap::new(), revision, now));
+        }
+        changes
     }
 
     /// Applies all changes after the revision `after` up to `revision`; returns what changed.
@@ -142,10 +154,19 @@
         if self.revision? < after {
             return None;
         }
-        if self.revision >= Some(revision) {
+        if self.revision > Some(revision) {
             return Some(Vec::new());
         }
+        let is_known = self.revision == Some(revision);
+        let is_changed = |domain: &str| changes.iter().any(|(changed, _)| changed == domain);
+        let mut ended = self.end_unconfirmed(now, |domain| is_known || !is_changed(domain));
+        if is_known {
+            return Some(ended);
+        }
+        self.unconfirmed.retain(|domain| !is_changed(domain));
         let mut emptied = self.emptied.clone();
+        // No change confirms the others.
+        emptied.retain(|domain, _since| !self.unconfirmed.contains(domain));
         let mut withdrawn = BTreeMap::new();
         for (domain, is_emptied) in changes {
             if *is_emptied {
@@ -155,7 +176,8 @@
                 withdrawn.insert(domain.clone(), now);
             }
         }
-        Some(self.advance(emptied, &withdrawn, revision, now))
+        ended.extend(self.advance(emptied, &withdrawn, revision, now));
+        Some(ended)
     }
 
     /// Merges the report of a peer unless it is older; returns what changed.
@@ -173,9 +195,13 @@
     /// Returns the orders for peers, or `None` if they are not known.
     #[must_use]
     pub fn report(&self, now: Instant) -> Option<EmptiedReport> {
+        let confirmed = |(domain, _since): &(&FailureDomain, &Instant)| {
+            // A peer that knows these orders keeps them as well.
+            !self.unconfirmed.contains(*domain)
+        };
         Some(EmptiedReport {
             revision: self.revision?,
-            emptied: ages(self.emptied.iter(), now),
+            emptied: ages(self.emptied.iter().filter(confirmed), now),
             withdrawn: ages(
                 self.withdrawn.iter().filter(|(_, at)| is_recent(**at, now)),
                 now,
@@ -188,11 +214,16 @@
     /// Known times are kept, as those of a peer include the delay of the message.
     fn advance(
         &mut self,
-        emptied: BTreeMap<FailureDomain, Instant>,
+        mut emptied: BTreeMap<FailureDomain, Instant>,
         withdrawn: &BTreeMap<FailureDomain, Instant>,
         revision: StoreRevision,
         now: Instant,
     ) -> Vec<DomainChange> {
+        if era(revision) > era(self.revision.unwrap_or_default()) {
+            self.unconfirmed = self.emptied.keys().cloned().collect();
+            self.settled_at = Some(now + SETTLING_TIME);
+        }
+        self.keep_unconfirmed(&mut emptied, withdrawn);
         self.revision = Some(revision);
         let previous = std::mem::take(&mut self.emptied);
         let mut changes = Vec::new();
@@ -218,6 +249,44 @@
 }
 
 impl EmptiedDomains {
+    /// Adds the orders that may be written again to a newer set, unless their withdrawals are known to its source.
+    fn keep_unconfirmed(
+        &mut self,
+        emptied: &mut BTreeMap<FailureDomain, Instant>,
+        withdrawn: &BTreeMap<FailureDomain, Instant>,
+    ) {
+        let known = &self.emptied;
+        self.unconfirmed.retain(|domain| {
+            let Some(since) = known.get(domain) else {
+                return false;
+            };
+            let is_withdrawn = withdrawn.get(domain).is_some_and(|at| at > since);
+            !is_withdrawn && !emptied.contains_key(domain)
+        });
+        for domain in &self.unconfirmed {
+            emptied.insert(domain.clone(), known[domain]);
+        }
+    }
+
+    /// Ends the orders that have not been written again in time and for which `is_lacking` holds; returns what changed.
+    fn end_unconfirmed(
+        &mut self,
+        now: Instant,
+        is_lacking: impl Fn(&str) -> bool,
+    ) -> Vec<DomainChange> {
+        if self.settled_at.is_none_or(|settled| now < settled) {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for domain in self.unconfirmed.extract_if(.., |domain| is_lacking(domain)) {
+            if let Some(since) = self.emptied.remove(&domain) {
+                changes.push(change(&domain, false, since, now));
+                self.withdrawn.insert(domain, now);
+            }
+        }
+        changes
+    }
+
     /// Remembers withdrawals of domains that are not emptied, unless they are known.
     ///
     /// The times in reports are slightly late; only a much later one is another withdrawal.
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod session_locations;
 pub mod start_wait;
 pub mod store_recovery;
+pub mod store_revision;
 pub mod store_wait;
 pub mod stream_origin;
 pub mod stream_pace;
--- a/bulrushward_policy/src/server_registry.rs
+++ b/bulrushward_policy/src/server_registry.rs
@@ -5,7 +5,8 @@
 //! Handles: entries that lapse during an outage and are registered again soon after it; servers
 //! that leave during a gap in the store's change history; snapshots from a peer while the store
 //! rejects this router, although the peer may have been cut off from the store itself until
-//! recently and then keeps entries that this router has seen leaving.
+//! recently and then keeps entries that this router has seen leaving; a store that returns from a
+//! copy, which lists servers as they were some time ago.
 
 use std::{
     collections::BTreeMap,
@@ -14,6 +15,9 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use crate::store_revision::StoreRevision;
+use crate::store_revision::{SETTLING_TIME, era};
+
 /// Time after a store outage in which lapsed entries are kept; servers register again within it.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_100);
 /// Shortest time from a failed call to the next response that counts as an outage; leases outlast
@@ -22,9 +26,6 @@
 /// Time for which a removed entry is remembered; a peer may have been cut off for as long.
 const REMOVED_TTL: Duration = Duration::from_mins(10);
 
-/// Revision of the store.
-pub type StoreRevision = u64;
-
 #[derive(Clone, Debug)]
 struct Entry<R> {
     record: R,
@@ -55,16 +56,33 @@
     failing_since: Option<Instant>,
     /// End of the latest outage.
     recovered_at: Option<Instant>,
+    /// When the era of the store began for this router.
+    restored_at: Option<Instant>,
+    /// Listed entries of servers that were removed before the era began, and are used if they stay.
+    returning: BTreeMap<String, R>,
+    /// Whether the first record of a server is from before the second one.
+    is_outdated: fn(&R, &R) -> bool,
 }
 
 impl<R> Default for ServerRegistry<R> {
     fn default() -> Self {
+        Self::new(|_, _| false)
+    }
+}
+
+impl<R> ServerRegistry<R> {
+    /// Creates an empty registry; `is_outdated` returns whether the first record of a server is from before the second.
+    #[must_use]
+    pub fn new(is_outdated: fn(&R, &R) -> bool) -> Self {
         Self {
             entries: BTreeMap::new(),
             removed: BTreeMap::new(),
             revision: 0,
             failing_since: None,
             recovered_at: None,
+            restored_at: None,
+            returning: BTreeMap::new(),
+            is_outdated,
         }
     }
 }
@@ -105,8 +123,19 @@
             // Only this router is cut off: the peer reaches the store, so leases did not expire.
             *since = now;
         }
+        if era(revision) > era(self.revision) {
+            self.restored_at = Some(now);
+            // Entries that the copy lacks are written again, as after an outage.
+            self.recovered_at = Some(now)
+                .filter(|_| self.revision > 0)
+                .or(self.recovered_at);
+        }
         self.revision = revision;
-        let current: BTreeMap<_, _> = records.into_iter().collect();
+        let mut current: BTreeMap<_, _> = records.into_iter().collect();
+        self.returning.clear();
+        if self.is_settling(now) {
+            self.keep_known(&mut current);
+        }
         let missing: Vec<_> = self
             .entries
             .keys()
@@ -169,7 +198,17 @@
             record: entry.record.clone(),
             has_lapsed: entry.has_lapsed,
         };
-        self.entries.iter().map(to_snapshot).collect()
+        // Those that were set aside are listed as well, as the peer may not have seen them removed.
+        let returning = self.returning.iter().map(|(id, record)| EntrySnapshot {
+            id: id.clone(),
+            record: record.clone(),
+            has_lapsed: false,
+        });
+        self.entries
+            .iter()
+            .map(to_snapshot)
+            .chain(returning)
+            .collect()
     }
 
     /// Applies the changes from `base` to `revision`; `None` means that an entry was removed.
@@ -196,6 +235,20 @@
         true
     }
 
+    /// Uses the entries that an outdated list may have brought back, once the store shows that they stay; returns whether
+    /// there were any.
+    ///
+    /// Called after all changes up to now have been applied.
+    pub fn use_returned(&mut self, now: Instant) -> bool {
+        if self.returning.is_empty() || self.is_settling(now) {
+            return false;
+        }
+        for (id, record) in std::mem::take(&mut self.returning) {
+            self.insert(id, record);
+        }
+        true
+    }
+
     /// Removes lapsed entries after the grace period; returns whether there were any.
     pub fn remove_lapsed(&mut self, now: Instant) -> bool {
         if self.failing_since.is_some() || self.is_in_grace(now) {
@@ -222,11 +275,13 @@
             has_lapsed: false,
         };
         self.removed.remove(&id);
+        self.returning.remove(&id);
         self.entries.insert(id, entry);
     }
 
     /// Removes an entry, or marks it as lapsed during the grace period after an outage.
     fn remove(&mut self, id: &str, now: Instant) {
+        self.returning.remove(id);
         if !self.is_in_grace(now) {
             let removed = self.entries.remove_entry(id);
             self.removed.extend(removed.map(|(id, _)| (id, now)));
@@ -235,6 +290,26 @@
         }
     }
 
+    /// Replaces what is older in a list from a copy than what is known, and sets aside servers that were removed.
+    fn keep_known(&mut self, listed: &mut BTreeMap<String, R>) {
+        let removed = &self.removed;
+        let gone = listed.extract_if(.., |id, _| removed.contains_key(id));
+        self.returning.extend(gone);
+        for (id, record) in listed {
+            if let Some(known) = self.entries.get(id)
+                && (self.is_outdated)(record, &known.record)
+            {
+                *record = known.record.clone();
+            }
+        }
+    }
+
+    /// Returns whether servers may not have written their entries again since the store returned from a copy.
+    fn is_settling(&self, now: Instant) -> bool {
+        self.restored_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SETTLING_TIME)
+    }
+
     /// Returns whether missing entries may still be registered again after an outage.
     fn is_in_grace(&self, now: Instant) -> bool {
         self.recovered_at
