Bound the memory of callers' bodies as a whole

Cause: a body is kept until its request is answered, and bodies were limited one by one.

Change: all bodies of a router take from one budget, half of the memory that the settings name (new setting memory_mb, filled in by the platform). What a body announces is reserved before any of it is read; without room, a request is refused at once as not run.

--- a/bulrushward_direct/src/buffered_body.rs
+++ b/bulrushward_direct/src/buffered_body.rs
@@ -17,7 +17,7 @@
     /// It is longer than allowed.
     #[snafu(display("the body is longer than {limit} bytes"))]
     TooLarge { limit: usize },
-    /// Incomplete responses take too much memory together.
+    /// The buffers take too much memory together.
     #[snafu(display("no memory for incomplete responses"))]
     OutOfMemory,
     /// The connection broke.
@@ -84,6 +84,7 @@
 ) -> Result<Bytes, BodyError> {
     let announced = body.size_hint().lower();
     ensure!(announced <= limit as u64, TooLargeSnafu { limit });
+    let exact = body.size_hint().exact().map(|len| len as usize);
     let mut buf = Vec::with_capacity(announced.min(MAX_FIRST_CAPACITY) as usize);
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame.context(BrokenSnafu)?.into_data() else {
@@ -93,7 +94,8 @@
         let len = buf.len() + chunk.len();
         ensure!(len <= limit, TooLargeSnafu { limit });
         if len > buf.capacity() {
-            let capacity = (2 * buf.capacity()).clamp(len, limit);
+            // A body of known length needs no more than that.
+            let capacity = (2 * buf.capacity()).clamp(len, exact.unwrap_or(limit).max(len));
             ensure!(resize(capacity), OutOfMemorySnafu);
             buf.reserve_exact(capacity - buf.len());
         }
--- a/bulrushward_direct/src/fleet_state.rs
+++ b/bulrushward_direct/src/fleet_state.rs
@@ -438,10 +438,14 @@
 
 /// Logs that the store has returned from a copy, if a later era has begun than that of `known`.
 fn log_return(known: StoreRevision, revision: StoreRevision, source: Source) {
-    let (known_era, era) = (era(known), era(revision));
-    if known > 0 && era > known_era {
-        let (lost, copy) = (revision_in_era(known), revision_in_era(revision));
-        warn!(event = "store-returned", era, known_revision = lost, revision = copy, %source);
+    if known > 0 && era(revision) > era(known) {
+        warn!(
+            event = "store-returned",
+            era = era(revision),
+            known_revision = revision_in_era(known),
+            revision = revision_in_era(revision),
+            %source
+        );
     }
 }
 
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -4,6 +4,7 @@
 //! registered servers. All routing decisions are made in this crate and in `bulrushward_policy`.
 
 mod attempt;
+mod body_memory;
 mod bounded_stream;
 mod buffered_body;
 pub mod call;
--- a/bulrushward_direct/src/local_response.rs
+++ b/bulrushward_direct/src/local_response.rs
@@ -36,6 +36,8 @@
     UnknownKey,
     BodyTooLarge,
     BodyCut,
+    /// Bodies take all the memory that they may.
+    NoMemory,
     UnknownService,
     NoServer,
     /// The stream began at another version than those of the servers that can be used.
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -3,11 +3,16 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::{Request, StatusCode, body::Incoming, header::HOST};
+use hyper::{
+    Request, StatusCode,
+    body::{Body, Incoming},
+    header::HOST,
+};
 use tokio::time::{Instant as TokioInstant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    body_memory::BodyReservation,
     buffered_body::{self, BodyError},
     forwarded_request::remove_hop_by_hop_headers,
     local_response::{LocalResponse, Reason},
@@ -60,13 +65,15 @@
             caller_timeout.min(route.timeout)
         });
     let deadline = received + timeout;
-    let body = read_body(body, table.config().limits.body_bytes, deadline).await?;
     let session = routed_request::session_key(&metadata.prompt);
     let routing_key = session.unwrap_or_else(|| xxh3_64(metadata.request_id.as_bytes()));
     let service = route
         .service_for(routing_key)
         .and_then(|name| table.service(name))
         .ok_or_else(|| LocalResponse::not_run(Reason::UnknownService, retry_after::START_RETRY))?;
+    let mut memory = shared.body_memory.reservation(&service.name);
+    let limit = table.config().limits.body_bytes;
+    let body = read_body(body, limit, deadline, &mut memory).await?;
     let mut headers = head.headers;
     remove_hop_by_hop_headers(&mut headers);
     shared.conventions.strip_request_headers(&mut headers);
@@ -84,6 +91,7 @@
         target: target.to_owned(),
         headers,
         body,
+        _memory: memory,
         route: route.clone(),
         service: service.clone(),
         organisation: organisation_name,
@@ -125,20 +133,33 @@
     Ok(found)
 }
 
+/// Reads a body, for which `memory` is reserved before any of it is read.
+///
+/// # Errors
+///
+/// Returns the [`LocalResponse`] if there is no memory for the body, or if it is too large, incomplete or too late.
 async fn read_body(
     body: Incoming,
     limit: usize,
     deadline: Instant,
+    memory: &mut BodyReservation,
 ) -> Result<Bytes, LocalResponse> {
     let too_large =
         LocalResponse::client_error(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge);
+    let no_memory = LocalResponse::not_run(Reason::NoMemory, retry_after::for_overload());
+    let announced = body.size_hint().lower().min(limit as u64) as usize;
+    if !memory.resize(announced) {
+        return Err(no_memory);
+    }
+    let resize = |bytes: usize| memory.resize(bytes.max(announced));
     let collected = timeout_at(
         TokioInstant::from_std(deadline),
-        buffered_body::collect(body, limit, |_bytes| true, |_len| {}),
+        buffered_body::collect(body, limit, resize, |_len| {}),
     );
     match collected.await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLarge { .. })) => Err(too_large),
+        Ok(Err(BodyError::OutOfMemory)) => Err(no_memory),
         Ok(Err(_aborted)) => Err(LocalResponse::client_error(
             StatusCode::BAD_REQUEST,
             Reason::BodyCut,
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    body_memory::BodyReservation,
     model::{Route, RouteKind, Service},
     ports::PromptPart,
     run_mark::RunMark,
@@ -28,6 +29,8 @@
     /// Headers to forward.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory of the body.
+    pub(crate) _memory: BodyReservation,
     pub(crate) route: Route,
     pub(crate) service: Service,
     pub(crate) organisation: Option<String>,
--- a/bulrushward_direct/src/settings.rs
+++ b/bulrushward_direct/src/settings.rs
@@ -6,6 +6,7 @@
     collections::HashSet,
     fs, io,
     net::{IpAddr, SocketAddr},
+    ops::RangeInclusive,
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -26,6 +27,14 @@
 const MAX_TIME: Duration = Duration::from_hours(24);
 /// Smallest window of the retry budget that may be set.
 const MIN_REPEAT_WINDOW: Duration = Duration::from_secs(1);
+/// Memory that a process is assumed to have if the settings name none, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Memory that may be set, in megabytes.
+const MEMORY_MB: RangeInclusive<f64> = 1.0..=1e6;
+/// Part of the memory that bodies of callers may take together.
+///
+/// The rest is for the program, for responses and for what the system has received.
+const BODY_MEMORY_FRACTION: f64 = 0.5;
 /// Smallest propagation limit that may be set; one call to a slow store takes as long.
 const MIN_PROPAGATION_LIMIT: Duration = Duration::from_millis(100);
 
@@ -146,6 +155,9 @@
     pub repeat_ratio: f64,
     /// Retries that the fleet may send beyond that ratio in any window of the retry budget.
     pub extra_repeats: f64,
+    /// Memory in megabytes that the process may take, of which bodies of callers get a half.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// Window of the retry budget in seconds.
     #[serde(rename = "repeat_window_s")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
@@ -155,6 +167,10 @@
     pub log: String,
 }
 
+fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
 fn default_log() -> String {
     "info".to_owned()
 }
@@ -234,6 +250,11 @@
         }
     }
 
+    /// Returns the bytes that bodies of callers may take together.
+    pub(crate) fn body_memory(&self) -> usize {
+        (self.memory_mb * BODY_MEMORY_FRACTION * 1e6) as usize
+    }
+
     /// Returns the number of routers that the settings name, this one included.
     #[must_use]
     pub fn configured_routers(&self) -> u32 {
@@ -292,6 +313,12 @@
                 "at least 100",
             )?;
         }
+        require(
+            "memory_mb",
+            &self.memory_mb,
+            MEMORY_MB.contains(&self.memory_mb),
+            "1 to 1000000",
+        )?;
         require(
             "repeat_ratio",
             &self.repeat_ratio,
--- a/bulrushward_direct/src/shared.rs
+++ b/bulrushward_direct/src/shared.rs
@@ -26,6 +26,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    body_memory::BodyMemory,
     buffered_body::SharedBuffers,
     crash_records::CrashRecords,
     fleet_view::FleetView,
@@ -92,12 +93,14 @@
     pub(crate) unit_loans: UnitLoans,
     pub(crate) stream_origins: StreamOrigins,
     pub(crate) buffers: SharedBuffers,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) metrics: DirectMetrics,
 }
 
 impl Shared {
     pub(crate) fn new(settings: DirectSettings, dependencies: RouterDependencies) -> Arc<Self> {
         let fleet_known = Instant::now() + settings.peer_discovery_time();
+        let body_memory = BodyMemory::new(settings.body_memory());
         Arc::new(Self {
             fleet_known,
             follows_orders: settings.orders_known.is_some(),
@@ -128,6 +131,7 @@
             unit_loans: UnitLoans::default(),
             stream_origins: StreamOrigins::default(),
             buffers: SharedBuffers::default(),
+            body_memory,
             metrics: DirectMetrics::new(),
         })
     }
@@ -138,6 +142,7 @@
     }
 
     pub(crate) fn set_settings(&self, settings: DirectSettings) {
+        self.body_memory.set_capacity(settings.body_memory());
         self.settings.store(Arc::new(settings));
     }
 
--- a/bulrushward_direct/tests/support/mod.rs
+++ b/bulrushward_direct/tests/support/mod.rs
@@ -155,6 +155,7 @@
         first_start: false,
         repeat_ratio: 0.2,
         extra_repeats: 50.0,
+        memory_mb: 256.0,
         repeat_window: Duration::from_secs(10),
         log: "info".to_owned(),
     }
--- a/bulrushward_directd/tests/settings.rs
+++ b/bulrushward_directd/tests/settings.rs
@@ -110,6 +110,11 @@
     "= -1",
     "line 13: extra_repeats has value -1, expected 0 to 1000000"
 )]
+#[case::no_memory(
+    "extra_repeats = 50",
+    "extra_repeats = 50\nmemory_mb = 0",
+    "line 14: memory_mb has value 0, expected 1 to 1000000"
+)]
 #[case::endless_extra("= 50", "= inf", "line 13: extra_repeats has value inf")]
 #[case::window(
     "repeat_window_s = 10",
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod active_revision;
 pub mod admission;
 pub mod attempt;
+pub mod body_budget;
 pub mod body_end;
 pub mod buffer_budget;
 pub mod chat_key;
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -1,9 +1,10 @@
 //! What backend servers report about themselves, and when nothing is sent to them for that reason.
 //!
 //! Handles: servers that leave during an outage of the store, or whose entries vanish, return or lack their start
-//! during it; servers that restart and report something before their new entry is known; a fleet of which each router would
-//! otherwise find out by itself; false or outdated reports of peers; servers that ask for pauses in turn or all at once; requests that wait for a connection or a place
-//! while a report arrives; and extreme or invalid values.
+//! during it; servers that restart and report something before their new entry is known; a fleet of which each
+//! router would otherwise find out by itself; false or outdated reports of peers; servers that ask for pauses in
+//! turn or all at once; requests that wait for a connection or a place while a report arrives; and extreme or
+//! invalid values.
 
 mod incarnations;
 mod limit;
