End each change of a proxy's fault, and leave the other parts as they are

A change of the fault waits until the listener is open or closed as that change says. If another change follows before, the listener never gets there, and the wait never ends. Besides, faults of links read the whole fault and wrote it back, which reopens the link of a server that is taken down in between.

Change: a change alters a part of the fault at once, and ends when the listener is as the fault says by then.

Result: changes_that_overlap_all_end did not end within 5 s and passes now; the product is not touched.

--- a/bulrushward_fakes/src/proxy.rs
+++ b/bulrushward_fakes/src/proxy.rs
@@ -119,12 +119,24 @@
 
     /// Replaces the current fault and returns once the listener is open or closed accordingly.
     pub async fn set_fault(&self, fault: NetworkFault) {
-        self.fault.send_replace(fault);
-        let mut listening = self.listening.clone();
-        // An error means that the acceptor has ended, so that there is nothing to wait for.
-        let _ended = listening
-            .wait_for(|listening| *listening != fault.refuse)
-            .await;
+        self.change_fault(|current| *current = fault).await;
+    }
+
+    /// Changes a part of the current fault and returns once the listener is open or closed as the fault says by then.
+    pub async fn change_fault(&self, change: impl FnOnce(&mut NetworkFault)) {
+        self.fault.send_modify(change);
+        let (mut fault, mut listening) = (self.fault.subscribe(), self.listening.clone());
+        while fault.borrow_and_update().refuse == *listening.borrow_and_update() {
+            // Another change of the fault may come before the listener has followed this one.
+            let changed = tokio::select! {
+                changed = listening.changed() => changed,
+                changed = fault.changed() => changed,
+            };
+            // An error means that the acceptor has ended, so that there is nothing to wait for.
+            if changed.is_err() {
+                return;
+            }
+        }
     }
 
     /// Returns the current fault.
@@ -147,11 +159,7 @@
 
     /// Refuses new connections and closes the existing ones in order, as the system does when a process ends.
     pub async fn take_down(&self) {
-        self.set_fault(NetworkFault {
-            refuse: true,
-            ..self.fault()
-        })
-        .await;
+        self.change_fault(|fault| fault.refuse = true).await;
         self.connections.close_all(CloseOrder::OldestFirst);
     }
 
--- a/bulrushward_fakes/tests/proxy.rs
+++ b/bulrushward_fakes/tests/proxy.rs
@@ -231,3 +231,35 @@
     });
     (FaultyProxy::start(target).unwrap(), received)
 }
+
+/// A change of the fault never ended if another one followed before the listener had been opened or closed.
+#[tokio::test]
+async fn changes_that_overlap_all_end() {
+    let proxy = FaultyProxy::start(SocketAddr::from(([127, 0, 0, 1], 1))).unwrap();
+    let refuse = |refuse| NetworkFault {
+        refuse,
+        ..NetworkFault::default()
+    };
+    for last in [true, false] {
+        proxy.set_fault(refuse(last)).await;
+        let both = async {
+            tokio::join!(
+                proxy.set_fault(refuse(!last)),
+                proxy.set_fault(refuse(last))
+            )
+        };
+        timeout(Duration::from_secs(5), both).await.unwrap();
+        assert_eq!(TcpStream::connect(proxy.address()).await.is_err(), last);
+    }
+}
+
+/// A change of another part of the fault reopened the listener of a server that was taken down at the same time.
+#[tokio::test]
+async fn a_changed_part_of_the_fault_leaves_the_others() {
+    let proxy = FaultyProxy::start(SocketAddr::from(([127, 0, 0, 1], 1))).unwrap();
+    proxy.take_down().await;
+    proxy.change_fault(|fault| fault.hang = true).await;
+    let fault = proxy.fault();
+    assert!(fault.refuse && fault.hang);
+    assert!(TcpStream::connect(proxy.address()).await.is_err());
+}
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -411,21 +411,13 @@
     let from = Instant::now();
     harness.record_disturbance();
     for server in &servers {
-        let fault = NetworkFault {
-            hang: hold.is_none(),
-            hold,
-            ..server.proxy.fault()
-        };
-        server.proxy.set_fault(fault).await;
+        let change = |fault: &mut NetworkFault| (fault.hang, fault.hold) = (hold.is_none(), hold);
+        server.proxy.change_fault(change).await;
     }
     tokio::time::sleep(time).await;
     for server in &servers {
-        let fault = NetworkFault {
-            hang: false,
-            hold: None,
-            ..server.proxy.fault()
-        };
-        server.proxy.set_fault(fault).await;
+        let change = |fault: &mut NetworkFault| (fault.hang, fault.hold) = (false, None);
+        server.proxy.change_fault(change).await;
         let place = OutagePlace::Server(server.fake_server.id.clone());
         record_outage(harness, place, from, Instant::now());
     }
@@ -593,14 +585,8 @@
     };
     // The link of a server that has crashed stays closed.
     let set_fault = async |hang, delay| {
-        let refuse = link.fault().refuse;
-        link.set_fault(NetworkFault {
-            refuse,
-            hang,
-            delay,
-            ..link.fault()
-        })
-        .await;
+        let change = |fault: &mut NetworkFault| (fault.hang, fault.delay) = (hang, delay);
+        link.change_fault(change).await;
     };
     set_fault(hangs, delay).await;
     tokio::time::sleep(time).await;
