Give up calls to the store by progress, not by the time of the whole

Cause: each call to the store had 800 ms for its whole response. 1.09 MB of base64 take 0.88 s on such a link, each attempt began anew, and all failed. While the store counts as unresponsive, up to three such calls shared the link.

Change: a call is given up if the first content is late, or if 800 ms do not bring a part of the size that a tenth of the thinnest link carries. Bytes that arrive show that the store is there; a store that stops or trickles is still given up in time. Repeated calls for the configuration end once one has a response that arrives.

--- a/bulrushward_direct/src/gossip/fetch.rs
+++ b/bulrushward_direct/src/gossip/fetch.rs
@@ -10,7 +10,7 @@
 ///
 /// The configuration version that the requesting router has is appended.
 pub(crate) const FLEET_STATE_PATH: &str = "/fleet-state/";
-/// Time limit for fetching a snapshot from a peer.
+/// Time until a peer begins to send its snapshot, and in which each part of it arrives.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Fetches the fleet state of a peer, without its configuration if `known_config` is as new.
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -9,7 +9,10 @@
 use snafu::Snafu;
 use strum::IntoStaticStr;
 
-use crate::model::{FleetConfig, ServerId, ServerRecord};
+use crate::{
+    call::OnResponse,
+    model::{FleetConfig, ServerId, ServerRecord},
+};
 
 /// Metadata of a caller's request, parsed from its headers.
 #[derive(Clone, Debug, Default)]
@@ -221,12 +224,12 @@
 /// The store that holds the configuration and the registered servers.
 #[async_trait]
 pub trait FleetStore: Debug + Send + Sync {
-    /// Reads the configuration.
+    /// Reads the configuration, whatever its size; `on_response` is called when its first bytes arrive.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] if there is no usable response.
-    async fn config(&self) -> Result<ConfigUpdate, StoreError>;
+    async fn config(&self, on_response: OnResponse<'_>) -> Result<ConfigUpdate, StoreError>;
 
     /// Reads all orders to empty failure domains.
     ///
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -9,8 +9,9 @@
 use tracing::info;
 
 use crate::{
+    call::UNOBSERVED,
     fleet_state::{FleetState, Source},
-    hedged_call::hedged,
+    hedged_call::hedged_config,
     metrics::StoreCall,
     ports::{ConfigUpdate, FleetStore, StoreError},
     shared::Shared,
@@ -145,9 +146,9 @@
 async fn call_config(shared: &Shared) -> Result<ConfigUpdate, StoreError> {
     let is_urgent = shared.config_version().is_none() && shared.store_state.is_unresponsive();
     if is_urgent {
-        return hedged(|| shared.store.config()).await;
+        return hedged_config(shared.store.as_ref()).await;
     }
-    shared.store.config().await
+    shared.store.config(UNOBSERVED).await
 }
 
 /// Reads the configuration, and lists the orders if `needs_listing` is set.
--- a/bulrushward_direct/tests/store_outages.rs
+++ b/bulrushward_direct/tests/store_outages.rs
@@ -14,7 +14,7 @@
 use bulrushward_direct::RouteKind;
 use rstest::rstest;
 use support::{
-    CALLERS_PORT, METRICS_PORT, TestRouter, caller, config,
+    CALLERS_PORT, METRICS_PORT, TestRouter, caller, config, metric,
     platform::{MemoryStore, Trouble},
     record, request, route, router_with_servers,
     server::TestServer,
@@ -223,6 +223,22 @@
     assert_eq!(waiting(&router), Some(0));
 }
 
+// Guards against repeated calls for a large configuration that share a thin link, so that none of them has a response in time.
+#[test]
+fn a_configuration_that_arrives_after_an_outage_is_not_asked_for_again() {
+    let store = MemoryStore::with(config(1));
+    store.set_trouble(Trouble::Silent);
+    let router = TestRouter::start_at(unique_loopback_ip(), &store, &[]);
+    wait_until("the store is known not to respond", || {
+        let calls = r#"store_calls_total{call="config",result="unavailable"}"#;
+        metric(&router, calls).is_some_and(|calls| calls > 0)
+    });
+    store.set_transfer_time(Duration::from_millis(1_500));
+    store.set_trouble(Trouble::None);
+    router.wait_ready();
+    assert_eq!(store.transfers(), 1);
+}
+
 // A request that cannot be served is refused in time, and is told the truth.
 #[test]
 fn a_request_is_refused_if_the_start_takes_long() {
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -14,7 +14,7 @@
     ConfigUpdate, DomainOrder, FleetConfig, FleetStore, ForwardingMetadata, HttpConventions,
     LogStats, OrderChange, OrderListing, PromptPart, ReportedLoad, RequestMetadata,
     ResponseMetadata, ServerChanges, ServerId, ServerListing, ServerRecord, StatedNumber,
-    StoreError,
+    StoreError, call::OnResponse,
 };
 use bulrushward_policy::store_revision::{era, position, revision_in_era};
 use bytes::Bytes;
@@ -204,6 +204,10 @@
     order_listing: Mutex<Option<Result<OrderListing, StoreError>>>,
     saved: Mutex<Option<Bytes>>,
     copy: Mutex<Contents>,
+    /// Time that a response with a configuration takes from its first to its last byte.
+    transfer_time: Mutex<Duration>,
+    /// Number of such responses that began.
+    transfers: AtomicU32,
     changed: Notify,
 }
 
@@ -345,6 +349,30 @@
     }
 
     /// Returns the bytes that a router saved last.
+    /// Lets responses with a configuration take some time from now on.
+    pub fn set_transfer_time(&self, time: Duration) {
+        *self
+            .transfer_time
+            .lock()
+            .expect("no test panics while holding the lock") = time;
+    }
+
+    /// Returns the number of responses with a configuration that have begun.
+    pub fn transfers(&self) -> u32 {
+        self.transfers.load(Ordering::SeqCst)
+    }
+
+    /// Sends a response with a configuration.
+    async fn transfer(&self, on_response: OnResponse<'_>) {
+        self.transfers.fetch_add(1, Ordering::SeqCst);
+        on_response();
+        let time = *self
+            .transfer_time
+            .lock()
+            .expect("no test panics while holding the lock");
+        tokio::time::sleep(time).await;
+    }
+
     pub fn saved_bytes(&self) -> Option<Bytes> {
         self.saved
             .lock()
@@ -453,8 +481,9 @@
 
 #[async_trait]
 impl FleetStore for MemoryStore {
-    async fn config(&self) -> Result<ConfigUpdate, StoreError> {
+    async fn config(&self, on_response: OnResponse<'_>) -> Result<ConfigUpdate, StoreError> {
         self.enter(CALL_TIMEOUT).await?;
+        self.transfer(on_response).await;
         let contents = self.lock();
         Ok(contents.config_update(contents.config.as_ref(), Vec::new()))
     }
--- a/bulrushward_policy/src/lib.rs
+++ b/bulrushward_policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod receive_allowance;
 pub mod replaced_servers;
 pub mod response_owner;
+pub mod response_progress;
 pub mod response_status;
 pub mod retry_budget;
 pub mod run_survival;
