Let a response of the store that arrives count as no loss

Cause: a check reads the same large response, cannot have it within 600 ms, and its lack counts as changes; 150 ms later the waiting call is ended though its response is arriving. With that mended, changes were still read several times over the link, other calls behind them made the store count as lost, and the pause after a change was added to the time of its transfer.

Change: the store's client tells when a response begins to arrive. From then on the waiting call is neither lost nor sent again, for checks, peers and news alike, and calls that fail beside a transfer do not make the store count as lost. A check stops once the response is longer than one without changes. The pause after a change begins with its response. A router does not fetch a configuration from a peer while one arrives from the store. Calls and their waits have moved from store_watch.rs to store_poll.rs.

--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -437,6 +437,8 @@
         store_state.set_behind(is_config_behind, are_servers_behind);
         let may_wait_for_store = store_state.is_available() && own.config.is_some();
         let config_lag = self.config_lag.observe(own.config, is_config_behind, now);
+        // A second copy would share the link with the one that is arriving.
+        let config_lag = config_lag.filter(|_| !store_state.transfers.is_any_arriving());
         let servers_lag = self
             .servers_lag
             .observe(own.revision, are_servers_behind, now);
--- a/bulrushward_direct/src/hedged_call.rs
+++ b/bulrushward_direct/src/hedged_call.rs
@@ -8,7 +8,10 @@
     time::{Instant, sleep_until},
 };
 
-use crate::ports::{ConfigUpdate, FleetStore, StoreError};
+use crate::{
+    call::OnResponse,
+    ports::{ConfigUpdate, FleetStore, StoreError},
+};
 
 /// Limit of concurrent calls.
 const MAX_CALLS: usize = 3;
@@ -23,18 +26,22 @@
 /// # Errors
 ///
 /// Returns the [`StoreError`] of the first call that fails.
-pub(crate) async fn hedged_config(store: &dyn FleetStore) -> Result<ConfigUpdate, StoreError> {
+pub(crate) async fn hedged_config(
+    store: &dyn FleetStore,
+    on_response: OnResponse<'_>,
+) -> Result<ConfigUpdate, StoreError> {
     let first = watch::Sender::new(None);
     let call = async |index: usize| {
-        let on_response = || {
+        let claim_first = || {
             first.send_if_modified(|first| {
                 let is_first = first.is_none();
                 first.get_or_insert(index);
                 is_first
             });
+            on_response();
         };
         tokio::select! {
-            result = store.config(&on_response) => Some(result),
+            result = store.config(&claim_first) => Some(result),
             () = overtaken(first.subscribe(), index) => None,
         }
     };
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -240,7 +240,8 @@
 
     /// Waits up to `wait` for a configuration that was written after a revision.
     ///
-    /// The call waits for changed orders to empty failure domains as well if `with_orders` is set.
+    /// The call waits for changed orders to empty failure domains as well if `with_orders` is set. `on_response` is called
+    /// when the first bytes of the response arrive.
     ///
     /// # Errors
     ///
@@ -251,16 +252,29 @@
         after: StoreRevision,
         wait: Duration,
         with_orders: bool,
+        on_response: OnResponse<'_>,
     ) -> Result<ConfigUpdate, StoreError>;
 
-    /// Reads all registered servers.
+    /// Returns whether a call that waits for a configuration has something to return, without reading it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] as [`Self::next_config`] does.
+    async fn has_next_config(
+        &self,
+        after: StoreRevision,
+        with_orders: bool,
+    ) -> Result<bool, StoreError>;
+
+    /// Reads all registered servers; `on_response` is called when the first bytes arrive.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] if there is no usable response.
-    async fn servers(&self) -> Result<ServerListing, StoreError>;
+    async fn servers(&self, on_response: OnResponse<'_>) -> Result<ServerListing, StoreError>;
 
-    /// Waits up to `wait` for changes to the registered servers after a revision.
+    /// Waits up to `wait` for changes to the registered servers after a revision; `on_response` is called when the first
+    /// bytes of the response arrive.
     ///
     /// # Errors
     ///
@@ -270,8 +284,16 @@
         &self,
         after: StoreRevision,
         wait: Duration,
+        on_response: OnResponse<'_>,
     ) -> Result<ServerChanges, StoreError>;
 
+    /// Returns whether a call that waits for changes to the registered servers has something to return, without reading it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError`] as [`Self::next_servers`] does.
+    async fn has_next_servers(&self, after: StoreRevision) -> Result<bool, StoreError>;
+
     /// Checks at the least cost whether the store responds.
     ///
     /// # Errors
--- a/bulrushward_direct/src/saved_sessions.rs
+++ b/bulrushward_direct/src/saved_sessions.rs
@@ -11,7 +11,8 @@
 use tracing::{debug, info};
 
 use crate::{
-    fleet_state::FleetState, location_updates::SessionLocation, metrics::StoreCall, shared::Shared,
+    call::UNOBSERVED, fleet_state::FleetState, location_updates::SessionLocation,
+    metrics::StoreCall, shared::Shared,
 };
 
 /// Version of the encoding; data with another version is ignored.
@@ -128,7 +129,7 @@
     for _ in 0..MAX_RESTORES {
         let missed = shared
             .store
-            .next_servers(saved.revision, Duration::ZERO)
+            .next_servers(saved.revision, Duration::ZERO, UNOBSERVED)
             .await;
         shared
             .metrics
--- a/bulrushward_direct/src/store_probe.rs
+++ b/bulrushward_direct/src/store_probe.rs
@@ -1,7 +1,10 @@
 //! Probes the platform's store, as calls that wait there show neither that it has stopped responding nor that their own
 //! responses are lost.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bulrushward_policy::store_wait::PendingWait;
 use tokio::time::timeout;
@@ -33,8 +36,9 @@
         let views = [StoreView::Config, StoreView::Servers];
         let waiting = views.map(|view| Some((view, waits.pending(view)?)));
         if is_unresponsive || waiting.iter().all(Option::is_none) {
+            let sent = Instant::now();
             let result = shared.store.probe().await;
-            record(&shared, StoreCall::Probe, result);
+            record(&shared, StoreCall::Probe, sent, result);
             continue;
         }
         let checks = waiting.map(async |waiting| {
@@ -46,33 +50,23 @@
     }
 }
 
-/// Asks for the changes that a waiting call should have returned, and ends the call if there are some.
+/// Asks whether there are changes that a waiting call should have returned, and ends the call if there are some.
 async fn check_wait(shared: &Shared, view: StoreView, pending: PendingWait) {
     let (store, after) = (&shared.store, pending.after);
     let check = async {
         match view {
-            StoreView::Config => {
-                let update = store.next_config(after, Duration::ZERO, shared.follows_orders);
-                update.await.map(|update| {
-                    update.config.is_some()
-                        || update.config_error.is_some()
-                        || update.has_other_changes
-                        || !update.orders.is_empty()
-                })
-            }
-            StoreView::Servers => {
-                let changes = store.next_servers(after, Duration::ZERO).await;
-                changes.map(|changes| !changes.changes.is_empty())
-            }
+            StoreView::Config => store.has_next_config(after, shared.follows_orders).await,
+            StoreView::Servers => store.has_next_servers(after).await,
         }
     };
-    // The response to the check may be lost as well, so its lack counts as changes.
+    let sent = Instant::now();
     let may_be_behind = match timeout(CHECK_TIMEOUT, check).await {
-        Err(_elapsed) => true,
+        // The response to the check may be lost as well, so its lack counts as changes unless it may be queued.
+        Err(_elapsed) => !shared.store_state.transfers.may_have_delayed(sent),
         Ok(result) => {
             // The waiting call itself fails if the history is gone.
             let is_told = matches!(result, Ok(true));
-            record(shared, StoreCall::Check, result);
+            record(shared, StoreCall::Check, sent, result);
             is_told
         }
     };
@@ -82,10 +76,10 @@
     }
 }
 
-fn record<T>(shared: &Shared, call: StoreCall, result: Result<T, StoreError>) {
+fn record<T>(shared: &Shared, call: StoreCall, sent: Instant, result: Result<T, StoreError>) {
     shared.metrics.record_store_call(call, &result);
     match result {
         Ok(_) => shared.store_state.record_success(),
-        Err(error) => shared.store_state.record_failure(&error),
+        Err(error) => shared.store_state.record_failure(&error, sent),
     }
 }
--- a/bulrushward_direct/src/store_state.rs
+++ b/bulrushward_direct/src/store_state.rs
@@ -18,7 +18,8 @@
 use tracing::{info, warn};
 
 use crate::{
-    check_turns::CheckTurns, ports::StoreError, store_news::StoreNews, store_waits::StoreWaits,
+    check_turns::CheckTurns, ports::StoreError, store_news::StoreNews,
+    store_transfers::StoreTransfers, store_waits::StoreWaits,
 };
 
 /// Longest delay before a waiting call is sent again after the store has returned.
@@ -56,6 +57,7 @@
     servers_revision: AtomicU64,
     recoveries: Mutex<RecoveryLog>,
     pub(crate) waits: StoreWaits,
+    pub(crate) transfers: StoreTransfers,
     pub(crate) news: StoreNews,
     pub(crate) check_turns: CheckTurns,
     /// Time at which the store last returned from an outage.
@@ -76,6 +78,7 @@
             servers_revision: AtomicU64::new(0),
             recoveries: Mutex::default(),
             waits: StoreWaits::default(),
+            transfers: StoreTransfers::default(),
             news: StoreNews::default(),
             check_turns: CheckTurns::default(),
             returned_at: watch::Sender::new(None),
@@ -128,13 +131,14 @@
         }
     }
 
-    /// Records a failed call.
-    pub(crate) fn record_failure(&self, error: &StoreError) {
+    /// Records a failed call that was sent at some time.
+    pub(crate) fn record_failure(&self, error: &StoreError, sent: Instant) {
         match error {
             StoreError::HistoryGone { .. } => {
                 info!(event = "store-history-gone", %error);
                 return;
             }
+            StoreError::Unavailable { .. } if self.transfers.may_have_delayed(sent) => return,
             StoreError::Unavailable { .. } => self.is_unresponsive.store(true, Ordering::Relaxed),
             StoreError::Refused { .. } => {}
         }
--- a/bulrushward_direct/src/store_waits.rs
+++ b/bulrushward_direct/src/store_waits.rs
@@ -47,6 +47,11 @@
 }
 
 impl WaitGuard<'_> {
+    /// Records that the response begins to arrive.
+    pub(crate) fn record_response(&self) {
+        lock(&self.wait.log).record_response();
+    }
+
     /// Waits until the call has lost its response, and returns what shows it.
     pub(crate) async fn lost(&self) -> Option<LossSign> {
         self.wait.lost.notified().await;
@@ -92,7 +97,10 @@
 
     /// Ends a waiting call, as a peer knows changes that such a call of its own has missed.
     pub(crate) fn record_news(&self, view: StoreView) {
-        self.of(view).end(LossSign::News);
+        let wait = self.of(view);
+        if lock(&wait.log).pending().is_some() {
+            wait.end(LossSign::News);
+        }
     }
 
     fn of(&self, view: StoreView) -> &ViewWait {
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -1,21 +1,18 @@
 //! Watches the configuration, the operators' orders and the registered servers in the platform's store by long polling.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bulrushward_policy::server_registry::StoreRevision;
-use tracing::info;
 
 use crate::{
-    call::UNOBSERVED,
+    call::{OnResponse, UNOBSERVED},
     fleet_state::{FleetState, Source},
     hedged_call::hedged_config,
     metrics::StoreCall,
     ports::{ConfigUpdate, FleetStore, StoreError},
     shared::Shared,
     store_backoff::Backoff,
+    store_poll::{Polled, StorePoll},
     store_state::StoreView,
 };
 
@@ -34,47 +31,6 @@
 /// The rest is for routers whose calls the store rejects.
 const ORDER_WAIT_FRACTION: f64 = 0.1;
 
-/// How a call to the store ended.
-enum Polled<T> {
-    Result(Result<T, StoreError>),
-    /// The store may have forgotten the call, which has to be sent again.
-    Forgotten,
-    /// The response to a call that waited for changes is lost; a repeated one may be lost too, so the view is read instead.
-    Lost,
-}
-
-/// Waits for the response to a call.
-///
-/// `after` is the revision after which it waits for changes; `None` if the store should respond at once.
-async fn poll<T>(
-    shared: &Shared,
-    view: StoreView,
-    after: Option<StoreRevision>,
-    call: impl Future<Output = Result<T, StoreError>>,
-) -> Polled<T> {
-    let sent = Instant::now();
-    let wait = after.map(|after| shared.store_state.waits.begin(view, after));
-    let lost = async {
-        match &wait {
-            Some(wait) => wait.lost().await,
-            None => std::future::pending().await,
-        }
-    };
-    let sign = tokio::select! {
-        result = call => return Polled::Result(result),
-        () = shared.store_state.resend_due(sent) => None,
-        sign = lost => sign,
-    };
-    let (view, waited_ms) = (<&str>::from(view), sent.elapsed().as_millis() as u64);
-    let (is_lost, sign) = (sign.is_some(), sign.map_or("", <&str>::from));
-    info!(event = "store-call-resent", view, waited_ms, is_lost, sign);
-    if is_lost {
-        Polled::Lost
-    } else {
-        Polled::Forgotten
-    }
-}
-
 /// Result of a call for the configuration and the orders.
 struct WatchStep {
     /// Revision after which to watch for further changes.
@@ -92,14 +48,16 @@
     let mut needs_listing = shared.follows_orders;
     let mut has_missed = false;
     loop {
+        let poll = StorePoll::begin(&shared.store_state, StoreView::Config, after);
+        let (sent, on_response) = (poll.sent, || poll.record_response());
         let result = match after {
-            None => read_config(&shared, &fleet_state, needs_listing).await,
+            None => read_config(&shared, &fleet_state, needs_listing, &on_response).await,
             Some(known) => {
-                let call =
-                    shared
-                        .store
-                        .next_config(known, LONG_POLL_TIMEOUT, shared.follows_orders);
-                let result = match poll(&shared, StoreView::Config, Some(known), call).await {
+                let (wait, with_orders) = (LONG_POLL_TIMEOUT, shared.follows_orders);
+                let call = shared
+                    .store
+                    .next_config(known, wait, with_orders, &on_response);
+                let result = match poll.response(call).await {
                     Polled::Result(result) => result,
                     Polled::Forgotten => continue,
                     Polled::Lost => {
@@ -115,11 +73,12 @@
                 result.and_then(|update| apply_update(&shared, &fleet_state, known, update))
             }
         };
+        let transfer_time = poll.end();
         match result {
             Ok(step) => {
                 match &step.config_error {
                     None => shared.store_state.record_view(StoreView::Config),
-                    Some(error) => shared.store_state.record_failure(error),
+                    Some(error) => shared.store_state.record_failure(error, sent),
                 }
                 if std::mem::take(&mut has_missed) {
                     shared.store_state.news.record_missed(StoreView::Config);
@@ -128,14 +87,16 @@
                 after = Some(step.after);
                 needs_listing = false;
                 if step.needs_pause {
-                    tokio::time::sleep(config_pause(&shared)).await;
+                    // Further changes have gathered while a large response arrived.
+                    let pause = config_pause(&shared).saturating_sub(transfer_time);
+                    tokio::time::sleep(pause).await;
                 }
             }
             Err(error) => {
                 after = None;
                 let is_history_gone = matches!(error, StoreError::HistoryGone { .. });
                 needs_listing |= is_history_gone && shared.follows_orders;
-                shared.store_state.record_failure(&error);
+                shared.store_state.record_failure(&error, sent);
                 backoff.pause().await;
             }
         }
@@ -143,12 +104,15 @@
 }
 
 /// Reads the configuration; a router that has none sends further calls while an unresponsive store keeps it waiting.
-async fn call_config(shared: &Shared) -> Result<ConfigUpdate, StoreError> {
+async fn call_config(
+    shared: &Shared,
+    on_response: OnResponse<'_>,
+) -> Result<ConfigUpdate, StoreError> {
     let is_urgent = shared.config_version().is_none() && shared.store_state.is_unresponsive();
     if is_urgent {
-        return hedged_config(shared.store.as_ref()).await;
+        return hedged_config(shared.store.as_ref(), on_response).await;
     }
-    shared.store.config(UNOBSERVED).await
+    shared.store.config(on_response).await
 }
 
 /// Reads the configuration, and lists the orders if `needs_listing` is set.
@@ -158,9 +122,10 @@
     shared: &Shared,
     fleet_state: &FleetState,
     needs_listing: bool,
+    on_response: OnResponse<'_>,
 ) -> Result<WatchStep, StoreError> {
     let config = async {
-        let result = call_config(shared).await;
+        let result = call_config(shared, on_response).await;
         shared.metrics.record_store_call(StoreCall::Config, &result);
         let update = result?;
         let revision = update.revision;
@@ -249,10 +214,12 @@
     let mut has_missed = false;
     loop {
         let store = shared.store.as_ref();
-        let (call, result) = if has_listing {
-            let after = fleet_state.servers_revision();
-            let call = next_servers(store, &fleet_state, after);
-            let result = match poll(&shared, StoreView::Servers, Some(after), call).await {
+        let after = has_listing.then(|| fleet_state.servers_revision());
+        let poll = StorePoll::begin(&shared.store_state, StoreView::Servers, after);
+        let (sent, on_response) = (poll.sent, || poll.record_response());
+        let (call, result) = if let Some(after) = after {
+            let call = next_servers(store, &fleet_state, after, &on_response);
+            let result = match poll.response(call).await {
                 Polled::Result(result) => result,
                 Polled::Forgotten => continue,
                 Polled::Lost => {
@@ -263,13 +230,14 @@
             };
             (StoreCall::ServerChanges, result)
         } else {
-            let call = list_servers(store, &fleet_state);
-            let Polled::Result(result) = poll(&shared, StoreView::Servers, None, call).await else {
+            let call = list_servers(store, &fleet_state, &on_response);
+            let Polled::Result(result) = poll.response(call).await else {
                 continue;
             };
             (StoreCall::Servers, result)
         };
         shared.metrics.record_store_call(call, &result);
+        poll.end();
         match result {
             Ok(has_changes) => {
                 let revision = fleet_state.servers_revision();
@@ -289,7 +257,7 @@
                 if !matches!(error, StoreError::HistoryGone { .. }) {
                     fleet_state.record_store_failure();
                 }
-                shared.store_state.record_failure(&error);
+                shared.store_state.record_failure(&error, sent);
                 backoff.pause().await;
             }
         }
@@ -304,14 +272,18 @@
 async fn list_servers(
     store: &dyn FleetStore,
     fleet_state: &FleetState,
+    on_response: OnResponse<'_>,
 ) -> Result<bool, StoreError> {
     let known = fleet_state.servers_revision();
-    let listing = store.servers().await?;
+    let listing = store.servers(on_response).await?;
     fleet_state.record_store_success();
     // The listing does not show servers that came and went since the last call that succeeded.
     let missed = match known {
         0 => None,
-        _ => store.next_servers(known, Duration::ZERO).await.ok(),
+        _ => {
+            let missed = store.next_servers(known, Duration::ZERO, UNOBSERVED);
+            missed.await.ok()
+        }
     };
     fleet_state.replace_servers(listing, missed.as_ref());
     Ok(true)
@@ -322,8 +294,10 @@
     store: &dyn FleetStore,
     fleet_state: &FleetState,
     after: StoreRevision,
+    on_response: OnResponse<'_>,
 ) -> Result<bool, StoreError> {
-    let changes = store.next_servers(after, LONG_POLL_TIMEOUT).await?;
+    let changes = store.next_servers(after, LONG_POLL_TIMEOUT, on_response);
+    let changes = changes.await?;
     let has_changes = !changes.changes.is_empty();
     fleet_state.record_store_success();
     fleet_state.apply_server_changes(after, &changes);
--- a/bulrushward_direct/src/version_check.rs
+++ b/bulrushward_direct/src/version_check.rs
@@ -13,7 +13,7 @@
     time::{sleep_until, timeout},
 };
 
-use crate::{model::ServiceName, ports::FleetStore};
+use crate::{call::UNOBSERVED, model::ServiceName, ports::FleetStore};
 
 /// Time limit of a check; its request waits for the result.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -55,7 +55,7 @@
                 sleep_until((previous.begun + CHECK_INTERVAL).into()).await;
             }
             let begun = Instant::now();
-            let changes = store.next_servers(after, Duration::ZERO);
+            let changes = store.next_servers(after, Duration::ZERO, UNOBSERVED);
             let changes = timeout(CHECK_TIMEOUT, changes).await.ok()?.ok()?;
             let records = changes.changes.into_iter().filter_map(|(_, record)| record);
             let versions = records.map(|record| {
--- a/bulrushward_direct/tests/support/platform.rs
+++ b/bulrushward_direct/tests/support/platform.rs
@@ -14,7 +14,8 @@
     ConfigUpdate, DomainOrder, FleetConfig, FleetStore, ForwardingMetadata, HttpConventions,
     LogStats, OrderChange, OrderListing, PromptPart, ReportedLoad, RequestMetadata,
     ResponseMetadata, ServerChanges, ServerId, ServerListing, ServerRecord, StatedNumber,
-    StoreError, call::OnResponse,
+    StoreError,
+    call::{OnResponse, UNOBSERVED},
 };
 use bulrushward_policy::store_revision::{era, position, revision_in_era};
 use bytes::Bytes;
@@ -170,6 +171,27 @@
             revision: self.revision,
         }
     }
+
+    /// Returns the changes of the configuration, and of the orders if asked for, after a revision, if there are any.
+    fn newer_config(
+        &self,
+        after: u64,
+        with_orders: bool,
+    ) -> Option<Result<ConfigUpdate, StoreError>> {
+        // Without orders, a lost history shows only in the calls for the servers.
+        if with_orders && self.discarded_revision > after {
+            return Some(Err(StoreError::HistoryGone { after }));
+        }
+        let config = self.config.as_ref();
+        let config = config.filter(|(_, revision)| *revision > after);
+        let orders = self.order_changes.iter();
+        let orders: Vec<_> = orders
+            .filter(|(revision, _)| with_orders && *revision > after)
+            .map(|(_, change)| change.clone())
+            .collect();
+        let has_changes = config.is_some() || !orders.is_empty();
+        has_changes.then(|| Ok(self.config_update(config, orders)))
+    }
 }
 
 /// Time after which a client of the store stops waiting for a response.
@@ -500,23 +522,14 @@
         after: u64,
         wait: Duration,
         with_orders: bool,
+        on_response: OnResponse<'_>,
     ) -> Result<ConfigUpdate, StoreError> {
-        let newer = self.wait(wait, |contents| {
-            // Without orders, a lost history shows only in the calls for the servers.
-            if with_orders && contents.discarded_revision > after {
-                return Some(Err(StoreError::HistoryGone { after }));
-            }
-            let config = contents.config.as_ref();
-            let config = config.filter(|(_, revision)| *revision > after);
-            let orders = contents.order_changes.iter();
-            let orders: Vec<_> = orders
-                .filter(|(revision, _)| with_orders && *revision > after)
-                .map(|(_, change)| change.clone())
-                .collect();
-            let has_changes = config.is_some() || !orders.is_empty();
-            has_changes.then(|| Ok(contents.config_update(config, orders)))
-        });
-        newer.await?.unwrap_or_else(|| {
+        let newer = self.wait(wait, |contents| contents.newer_config(after, with_orders));
+        let newer = newer.await?;
+        if matches!(&newer, Some(Ok(update)) if update.config.is_some()) {
+            self.transfer(on_response).await;
+        }
+        newer.unwrap_or_else(|| {
             Ok(ConfigUpdate {
                 config: None,
                 config_error: None,
@@ -527,7 +540,13 @@
         })
     }
 
-    async fn servers(&self) -> Result<ServerListing, StoreError> {
+    async fn has_next_config(&self, after: u64, with_orders: bool) -> Result<bool, StoreError> {
+        let find = |contents: &Contents| contents.newer_config(after, with_orders);
+        let newer = self.wait(Duration::ZERO, find).await?;
+        Ok(newer.transpose()?.is_some())
+    }
+
+    async fn servers(&self, _on_response: OnResponse<'_>) -> Result<ServerListing, StoreError> {
         self.enter(CALL_TIMEOUT).await?;
         if self.fails_server_listing.load(Ordering::SeqCst) {
             return Err(StoreError::Refused { status: 429 });
@@ -539,7 +558,17 @@
         })
     }
 
-    async fn next_servers(&self, after: u64, wait: Duration) -> Result<ServerChanges, StoreError> {
+    async fn has_next_servers(&self, after: u64) -> Result<bool, StoreError> {
+        let changes = self.next_servers(after, Duration::ZERO, UNOBSERVED).await?;
+        Ok(!changes.changes.is_empty())
+    }
+
+    async fn next_servers(
+        &self,
+        after: u64,
+        wait: Duration,
+        _on_response: OnResponse<'_>,
+    ) -> Result<ServerChanges, StoreError> {
         let found = self.wait(wait, |contents| {
             if contents.discarded_revision > after {
                 return Some(Err(StoreError::HistoryGone { after }));
--- a/bulrushward_directd/tests/thin_links.rs
+++ b/bulrushward_directd/tests/thin_links.rs
@@ -23,6 +23,9 @@
 /// Time after the loss of all routers in which requests are served again.
 const RECOVERY_LIMIT: Duration = Duration::from_secs(15);
 
+/// Time in which a changed configuration is in force.
+const CONFIG_LIMIT: Duration = Duration::from_secs(3);
+
 struct Fleet {
     store: FakeStore,
     link: ThinLink,
@@ -113,3 +116,25 @@
         "nothing is served within {RECOVERY_LIMIT:?}"
     );
 }
+
+// Guards against waiting calls that are taken for lost, and against repeated transfers, while a large configuration arrives.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_of_a_large_configuration_are_in_force_in_time(
+    #[values(LinkQueue::Fair, LinkQueue::InOrder)] queue: LinkQueue,
+) {
+    let fleet = Fleet::start(queue).await;
+    fleet.set_config(1, "key");
+    let router = Router::start(fleet.link.address(), "");
+    time_until(&router, RECOVERY_LIMIT, is_served).await;
+    for version in 2..8 {
+        let is_key_valid = version % 2 == 1;
+        fleet.set_config(version, if is_key_valid { "key" } else { "other" });
+        let is_in_force = |response: &str| is_served(response) == is_key_valid;
+        let known = time_until(&router, CONFIG_LIMIT, is_in_force).await;
+        assert!(
+            known.is_some(),
+            "version {version} is not in force within {CONFIG_LIMIT:?}"
+        );
+    }
+}
--- a/bulrushward_policy/src/store_wait.rs
+++ b/bulrushward_policy/src/store_wait.rs
@@ -1,10 +1,11 @@
 //! Whether a call that waits at the store for changes has lost its response.
 //!
 //! Such a call returns only once something changes, so that the call itself does not show whether its response is lost.
-//! It is lost if a call that was sent later has returned changes, or if a peer knows newer ones.
+//! It is lost if a call that was sent later has returned changes, or if a peer knows newer ones, unless its response is
+//! arriving.
 //!
 //! Handles: single responses that are lost while all other calls are answered, at one router or at all of them at once;
-//! responses that are late; calls that the store has forgotten.
+//! responses that are late or take long to arrive; calls that the store has forgotten.
 
 use std::time::{Duration, Instant};
 
@@ -39,12 +40,17 @@
         self.behind_since = None;
     }
 
+    /// Records that the response begins to arrive, so that it is not lost however long the rest takes.
+    pub fn record_response(&mut self) {
+        self.end();
+    }
+
     /// Records that the call has ended.
     pub fn end(&mut self) {
         self.pending = None;
     }
 
-    /// Returns the waiting call, which a check may be compared with that is sent now.
+    /// Returns the call that waits for its response, which a check may be compared with that is sent now.
     #[must_use]
     pub fn pending(&self) -> Option<PendingWait> {
         self.pending
--- a/bulrushward_policy/tests/store_wait.rs
+++ b/bulrushward_policy/tests/store_wait.rs
@@ -161,3 +161,24 @@
     log.begin(6, now);
     assert!(!log.is_waiting(checked));
 }
+
+// Guards against giving up a call whose large response is arriving, as checks and peers tell of the change meanwhile.
+#[test]
+fn a_call_whose_response_is_arriving_is_not_lost() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut log = WaitLog::default();
+    log.begin(5, at(0));
+    let checked = log.pending().expect("the call is waiting");
+    assert!(!log.observe_peers(true, at(100)));
+    log.record_response();
+    assert!(!log.is_waiting(checked));
+    assert_eq!(log.pending(), None, "there is nothing to check");
+    assert!(!log.observe_peers(true, at(1_500)));
+    log.begin(6, at(1_500));
+    assert!(!log.observe_peers(true, at(1_500)));
+    assert!(
+        log.observe_peers(true, at(1_800)),
+        "the next call can be lost"
+    );
+}
