Exchange datagrams while the state of a peer is fetched

While a router fetched the state of a peer, for up to 1 s, it neither sent nor read datagrams; since calls are given up by progress this can be several seconds on a thin link, in which peers take it for gone and news wait.

Cause: the fetch was awaited within a round of the gossip.

Change: StateFetch owns one running fetch beside the exchange. A router that has just started and is behind fetches once, from the most advanced peer, instead of twice. The code has moved from gossip.rs to gossip/fetch.rs.

--- a/bulrushward_direct/src/gossip.rs
+++ b/bulrushward_direct/src/gossip.rs
@@ -26,7 +26,7 @@
 use tracing::{debug, info, warn};
 
 pub(crate) use self::fetch::FLEET_STATE_PATH;
-use self::fetch::fetch;
+use self::fetch::StateFetch;
 use self::message::{
     GossipMessage, GossipOrders, GossipTail, Peer, PeerSighting, ServerInProgress,
 };
@@ -42,7 +42,6 @@
     shared::Shared,
     store_news::MissedChanges,
     store_state::StoreView,
-    store_watch::COALESCING_FRACTION,
 };
 
 /// Interval between two gossip rounds.
@@ -63,11 +62,6 @@
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Largest number of servers in one message; the busiest are included.
 const MAX_SERVERS_PER_MESSAGE: usize = 256;
-/// Fraction of the propagation limit for which a router that is behind waits for its own store.
-///
-/// After that it fetches the state from a peer. The wait exceeds the time for which changes are coalesced.
-const STORE_PREFERENCE_FRACTION: f64 = COALESCING_FRACTION + 0.1;
-
 /// Gossip with peers, run by the control thread.
 pub(crate) struct Gossip {
     shared: Arc<Shared>,
@@ -81,8 +75,7 @@
     members: FleetMembers<SocketAddr>,
     config_lag: ViewLag<Option<ConfigVersion>>,
     servers_lag: ViewLag<StoreRevision>,
-    /// Whether this router has fetched a snapshot from a peer since its start.
-    has_initial_state: bool,
+    state_fetch: StateFetch,
 }
 
 impl Gossip {
@@ -110,7 +103,7 @@
             liveness: FleetLiveness::default(),
             config_lag: ViewLag::default(),
             servers_lag: ViewLag::default(),
-            has_initial_state: false,
+            state_fetch: StateFetch::default(),
         })
     }
 
@@ -128,6 +121,7 @@
                     self.send_message(PEERS_AT_ONCE).await;
                     next_news = Instant::now() + NEWS_INTERVAL;
                 }
+                fetched = self.state_fetch.ended() => self.apply_fetched(fetched),
                 received = self.socket.recv_from(&mut buf) => match received {
                     Ok((len, from)) => self.receive(&buf[..len], from),
                     // The system also reports here if nothing listens on a peer's port.
@@ -149,26 +143,7 @@
         cold_servers::log_changes(&self.shared, now);
         server_reports::remove_outdated(&self.shared, now);
         self.send_message(PEERS_PER_ROUND).await;
-        if !self.has_initial_state {
-            self.fetch_initial_state().await;
-        }
-        self.catch_up(now).await;
-    }
-
-    /// Fetches a complete snapshot from a peer once after the start, as datagrams contain only changes.
-    async fn fetch_initial_state(&mut self) {
-        let Some(peer) = self.fresh_peers().next() else {
-            return;
-        };
-        let from = peer.message.fleet_state_address;
-        match fetch(from, None).await {
-            Ok(snapshot) => {
-                self.has_initial_state = true;
-                info!(event = "peer-copied", %from, placements = snapshot.session_locations.len());
-                self.fleet_state.merge(snapshot);
-            }
-            Err(error) => info!(event = "fetch-failed", %from, error),
-        }
+        self.catch_up(now);
     }
 
     /// Records a received datagram, unless it is from an earlier process of the same node.
@@ -426,54 +401,6 @@
             response_times: self.shared.overload.take_report(self.shared.routers()),
         }
     }
-
-    /// Fetches the state from a peer that is ahead, unless this router's store may still deliver it.
-    async fn catch_up(&mut self, now: Instant) {
-        let own = self.fleet_state.version();
-        let peer_versions = || self.fresh_peers().map(|peer| peer.message.state_version);
-        let is_config_behind = peer_versions().any(|peer| peer.config > own.config);
-        let are_servers_behind = peer_versions().any(|peer| peer.has_newer_servers_than(&own));
-        let store_state = &self.shared.store_state;
-        store_state.set_behind(is_config_behind, are_servers_behind);
-        let may_wait_for_store = store_state.is_available() && own.config.is_some();
-        let config_lag = self.config_lag.observe(own.config, is_config_behind, now);
-        // A second copy would share the link with the one that is arriving.
-        let config_lag = config_lag.filter(|_| !store_state.transfers.is_any_arriving());
-        let servers_lag = self
-            .servers_lag
-            .observe(own.revision, are_servers_behind, now);
-        let Some(lag) = config_lag.max(servers_lag) else {
-            return;
-        };
-        if may_wait_for_store && lag < self.store_grace_period() {
-            return;
-        }
-        let Some(from) = self.most_advanced_peer(config_lag >= servers_lag) else {
-            return;
-        };
-        match fetch(from, own.config).await {
-            Ok(snapshot) => self.fleet_state.merge(snapshot),
-            Err(error) => info!(event = "fetch-failed", %from, error),
-        }
-    }
-
-    fn store_grace_period(&self) -> Duration {
-        let settings = self.shared.settings();
-        let limit = settings.leaving_known.min(settings.config_known);
-        limit.mul_f64(STORE_PREFERENCE_FRACTION)
-    }
-
-    /// Returns the fleet state address of the peer with the newest configuration, or else the newest servers.
-    fn most_advanced_peer(&self, by_config: bool) -> Option<SocketAddr> {
-        let rank = |peer: &&Peer| {
-            let StateVersion {
-                config, revision, ..
-            } = peer.message.state_version;
-            (config.filter(|_| by_config), revision, config)
-        };
-        let newest = self.fresh_peers().max_by_key(rank)?;
-        Some(newest.message.fleet_state_address)
-    }
 }
 
 /// Waits until content that crashes servers, or missed changes, should be sent to peers, not before `earliest`.
