Scan the events of a chunk once, and pace streams by their work

Cause: for each event of a chunk, the rest of the chunk was searched for a boundary of the other kind, so that the work grew with the square of the events, on the thread that serves all callers. Besides, the pace of a stream counted chunks, whatever they held, and blank lines and comments earned the allowance for more of them.

Change: EventScan finds the events of a chunk and their ids in one pass. Blank lines and comments earn nothing; a stream that sends 80 KB of them beyond what its events earn breaks, and goes on at another server where it can. The pace counts chunks, bytes and events.

--- a/bulrushward_direct/src/events.rs
+++ b/bulrushward_direct/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits a stream of server-sent events at event boundaries, independent of the chunks in which it arrives.
 
 use bytes::{Bytes, BytesMut};
+use memchr::{memchr_iter, memrchr_iter};
 
 /// Largest event that is buffered until it is complete, in bytes; a larger one breaks the stream.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -69,32 +70,51 @@
     lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
 }
 
-/// Returns the ids of complete events in their order, `None` for an event without one; comments are no events.
-pub(crate) fn event_ids(events: &[u8]) -> Vec<Option<String>> {
-    let mut ids = Vec::new();
-    let mut rest = events;
-    while !rest.is_empty() {
-        let end = end_of_first_event(rest).unwrap_or(rest.len());
-        let (event, after) = rest.split_at(end);
-        if has_event(event) {
-            ids.push(last_id(event));
+/// What complete events hold.
+#[derive(Debug, Default)]
+pub(crate) struct EventScan {
+    /// Ids of the events in their order, `None` for an event without one.
+    pub(crate) ids: Vec<Option<String>>,
+    /// Bytes of blank lines and comments, which are no events.
+    pub(crate) filler: usize,
+}
+
+impl EventScan {
+    /// Scans complete events in one pass.
+    pub(crate) fn new(events: &[u8]) -> Self {
+        let mut scan = Self::default();
+        let mut rest = events;
+        loop {
+            let is_text = |byte: &u8| !matches!(byte, b'\n' | b'\r');
+            let blank = rest.iter().position(is_text).unwrap_or(rest.len());
+            scan.filler += blank;
+            rest = &rest[blank..];
+            if rest.is_empty() {
+                return scan;
+            }
+            let end = end_of_first_event(rest).unwrap_or(rest.len());
+            let (event, after) = rest.split_at(end);
+            if has_event(event) {
+                scan.ids.push(last_id(event));
+            } else {
+                scan.filler += event.len();
+            }
+            rest = after;
         }
-        rest = after;
     }
-    ids
 }
 
 fn end_of_first_event(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).position(|pair| pair == b"\n\n");
-    let crlf = buf.windows(4).position(|four| four == b"\r\n\r\n");
-    let ends = [lf.map(|at| at + 2), crlf.map(|at| at + 4)];
-    ends.into_iter().flatten().min()
+    memchr_iter(b'\n', buf).find_map(|at| match buf[at + 1..] {
+        [b'\n', ..] => Some(at + 2),
+        [b'\r', b'\n', ..] if buf[..at].ends_with(b"\r") => Some(at + 3),
+        _ => None,
+    })
 }
 
 fn end_of_last_event(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).rposition(|pair| pair == b"\n\n");
-    let crlf = buf.windows(4).rposition(|four| four == b"\r\n\r\n");
-    lf.map(|at| at + 2).max(crlf.map(|at| at + 4))
+    let mut ends = memrchr_iter(b'\n', buf).map(|at| at + 1);
+    ends.find(|end| buf[..*end].ends_with(b"\n\n") || buf[..*end].ends_with(b"\r\n\r\n"))
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -19,7 +19,7 @@
     bounded_stream::BoundedStreamHandle,
     buffered_body::Reservation,
     connection::{self, CloseTimer, Connection},
-    events::{EventSplitter, event_ids, has_event},
+    events::{EventScan, EventSplitter, has_event},
     read_timeout,
     response_end::ResponseEnd,
     servers::InProgress,
@@ -284,7 +284,6 @@
 
     /// Returns the events that a chunk completes.
     fn push(&mut self, chunk: &[u8]) -> Result<Bytes, AttemptError> {
-        self.pace.record_chunk(Instant::now());
         self.handle.allowance().record_content(chunk.len());
         let events = self.splitter.push(chunk).map_err(|_too_large| {
             AttemptError::new(AttemptFailure::Broken, &"an event is too large")
@@ -298,11 +297,24 @@
             // Complete events are passed on first, as the stream is resumed after them.
             self.end = Some(Err(error));
         }
-        if events.is_empty() {
+        let EventScan { ids, filler } = EventScan::new(&events);
+        let now = Instant::now();
+        self.pace.record_chunk(chunk.len(), ids.len(), now);
+        let mut allowance = self.handle.allowance();
+        allowance.record_events(ids.len());
+        let is_allowed = allowance.take_back(filler);
+        drop(allowance);
+        if !is_allowed {
+            let detail = "too many bytes without an event";
+            let error = AttemptError::new(AttemptFailure::Broken, &detail);
+            if ids.is_empty() {
+                return Err(error);
+            }
+            self.end = Some(Err(error));
+        }
+        if ids.is_empty() {
             return Ok(events);
         }
-        self.handle.allowance().record_event();
-        let ids = event_ids(&events);
         if let Some(order) = &mut self.order {
             let admitted = order.admit(ids.iter().map(Option::as_deref));
             admitted.map_err(|error| AttemptError::new(AttemptFailure::Broken, &error))?;
--- a/bulrushward_directd/tests/endless.rs
+++ b/bulrushward_directd/tests/endless.rs
@@ -165,6 +165,12 @@
     SUCCESS
 )]
 #[case::comments("/stream/once/x", ResponseStart::Chunked, "4\r\n:x\n\n\r\n", UNKNOWN)]
+#[case::line_feeds_in_a_stream("/stream/once/x", ResponseStart::Stream, "\n", SUCCESS)]
+#[case::carriage_returns_in_a_stream("/stream/once/x", ResponseStart::Stream, "\r", SUCCESS)]
+#[case::both_in_a_stream("/stream/once/x", ResponseStart::Stream, "\r\n", SUCCESS)]
+#[case::comments_in_a_stream("/stream/once/x", ResponseStart::Stream, ":\n\n", SUCCESS)]
+#[case::empty_events_in_a_stream("/stream/once/x", ResponseStart::Stream, "data\n\n", SUCCESS)]
+#[case::events_in_a_stream("/stream/once/x", ResponseStart::Stream, "data: x\n\n", SUCCESS)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn servers_that_send_without_end_cost_neither_memory_nor_other_requests(
     #[case] path: &'static str,
--- a/bulrushward_policy/src/receive_allowance.rs
+++ b/bulrushward_policy/src/receive_allowance.rs
@@ -1,7 +1,7 @@
 //! How many bytes a sender may send for the content that it delivers.
 //!
 //! Handles: servers, stores and peers that endlessly send bytes without content, such as heads, interim
-//! responses, and chunks that are almost empty.
+//! responses, chunks that are almost empty, and blank lines or comments instead of events.
 
 /// Bytes that need no content: the largest head, or chunk headers, and what is read ahead with them.
 const OVERHEAD_BYTES: u64 = 80 << 10;
@@ -46,9 +46,15 @@
         self.earn(bytes + bytes / OVERHEAD_DIVISOR);
     }
 
-    /// Records that a part of the content was a complete event.
-    pub fn record_event(&mut self) {
-        self.earn(EVENT_OVERHEAD_BYTES);
+    /// Takes back what bytes earned as content that hold none; returns whether they were allowed.
+    #[must_use]
+    pub fn take_back(&mut self, bytes: usize) -> bool {
+        self.receive(bytes + bytes / OVERHEAD_DIVISOR as usize)
+    }
+
+    /// Records that parts of the content were complete events.
+    pub fn record_events(&mut self, events: usize) {
+        self.earn(EVENT_OVERHEAD_BYTES * events as u64);
     }
 
     fn earn(&mut self, bytes: u64) {
--- a/bulrushward_policy/src/stream_pace.rs
+++ b/bulrushward_policy/src/stream_pace.rs
@@ -1,21 +1,26 @@
-//! How fast the chunks of one stream are read.
+//! How fast one stream is read, by the work that it causes.
 //!
-//! Handles: servers that endlessly send events faster than these could be generated, so that one stream takes the
-//! processor time of the others.
+//! Handles: servers that endlessly send events faster than these could be generated, in chunks of any size, so that one
+//! stream takes the processor time of the others.
 
 use std::time::{Duration, Instant};
 
-/// Chunks that may be read at once, such as those that have arrived during a pause.
-const BURST_CHUNKS: f64 = 1_024.0;
-/// Chunks that may be read in each second beyond these.
-const CHUNKS_PER_SECOND: f64 = 400.0;
-/// Chunks of a throttled stream that are read and passed on together.
-const BATCH_CHUNKS: f64 = 20.0;
+/// Work that may be done at once, such as for what has arrived during a pause; a small chunk with an event is 1.
+const BURST_WORK: f64 = 1_024.0;
+/// Work that may be done in each second beyond this.
+const WORK_PER_SECOND: f64 = 400.0;
+/// Work for chunks of a throttled stream that are read and passed on together.
+const BATCH_WORK: f64 = 20.0;
+/// Bytes that take as much work as a chunk.
+const BYTES_PER_WORK: f64 = 4_096.0;
+/// Events that take as much work as a chunk.
+const EVENTS_PER_WORK: f64 = 32.0;
 
 /// Pace of one stream.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamPace {
-    chunks: f64,
+    /// Work that may still be done at once.
+    work: f64,
     updated: Instant,
     is_held_back: bool,
 }
@@ -25,17 +30,17 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            chunks: BURST_CHUNKS,
+            work: BURST_WORK,
             updated: now,
             is_held_back: false,
         }
     }
 
-    /// Records a chunk that was read.
-    pub fn record_chunk(&mut self, now: Instant) {
+    /// Records a chunk that was read, with the events that it completed.
+    pub fn record_chunk(&mut self, bytes: usize, events: usize, now: Instant) {
         self.refill(now);
-        self.chunks -= 1.0;
-        self.is_held_back |= self.chunks < 1.0;
+        self.work -= 1.0 + bytes as f64 / BYTES_PER_WORK + events as f64 / EVENTS_PER_WORK;
+        self.is_held_back |= self.work < 1.0;
     }
 
     /// Returns whether the stream is throttled, so that its chunks are passed on in batches.
@@ -47,16 +52,16 @@
     /// Returns the time to wait before the next chunk is read.
     pub fn wait(&mut self, now: Instant) -> Duration {
         self.refill(now);
-        if !self.is_held_back || self.chunks >= 1.0 {
+        if !self.is_held_back || self.work >= 1.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64((BATCH_CHUNKS - self.chunks) / CHUNKS_PER_SECOND)
+        Duration::from_secs_f64((BATCH_WORK - self.work) / WORK_PER_SECOND)
     }
 
     fn refill(&mut self, now: Instant) {
         let time = now.saturating_duration_since(self.updated);
         self.updated = now;
-        self.chunks = (self.chunks + time.as_secs_f64() * CHUNKS_PER_SECOND).min(BURST_CHUNKS);
-        self.is_held_back &= self.chunks < BURST_CHUNKS;
+        self.work = (self.work + time.as_secs_f64() * WORK_PER_SECOND).min(BURST_WORK);
+        self.is_held_back &= self.work < BURST_WORK;
     }
 }
