Record the contents of a crash at once

Cause: each part of each request was recorded by itself; each record rebuilt what is derived from all, searched all for one to drop and wrote a log line, under one lock on the thread that serves callers.

Change: CrashEvidence takes the contents of a crash or of a response together. Each content counts once, what is derived is built once, and surplus records are dropped in one pass. A crash adds 256 new contents at most: whole requests, then those not served before, then those that most requests share. Shared content has one log line.

--- a/bulrushward_direct/src/crash_records.rs
+++ b/bulrushward_direct/src/crash_records.rs
@@ -3,6 +3,7 @@
 //! The log names content by its hash, so that the lines of all routers can be joined.
 
 use std::{
+    collections::HashMap,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -60,18 +61,22 @@
             return;
         }
         let now = Instant::now();
+        let contents = || {
+            suspects.iter().flat_map(|suspect| {
+                suspect
+                    .contents
+                    .iter()
+                    .map(move |content| (*content, suspect))
+            })
+        };
+        let by_organisation = contents().map(|(content, suspect)| (content, suspect.organisation));
         let mut evidence = self.lock();
-        for suspect in suspects {
-            for content in &suspect.contents {
-                let crashes = evidence.record_crash(*content, suspect.organisation, key, now);
-                info!(
-                    event = "crash-suspected",
-                    request = suspect.request_id,
-                    server,
-                    %content,
-                    crashes,
-                );
-            }
+        let remembered = evidence.record_crashes(by_organisation, key, now);
+        let suspects: HashMap<_, _> = contents().collect();
+        for content in remembered {
+            let crashes = evidence.crashes(content);
+            let request = suspects.get(&content).map(|suspect| &suspect.request_id);
+            info!(event = "crash-suspected", request, server, %content, crashes);
         }
         log_changes(&mut evidence, "own", now);
         self.news.notify_one();
@@ -81,15 +86,17 @@
     pub(crate) fn record_served(&self, request: &RoutedRequest) {
         let now = Instant::now();
         let mut evidence = self.lock();
-        let mut is_refuted = false;
-        for content in request.contents() {
-            // Requests with prompts differ as a whole, and would displace what they have in common.
-            let is_unique = content.kind == ContentKind::Request && !request.prompt.is_empty();
-            if !is_unique || evidence.crashes(content) > 0 {
-                is_refuted |= evidence.record_served(content, now);
-            }
-        }
-        if is_refuted {
+        // Requests with prompts differ as a whole, and would displace what they have in common.
+        let is_unique = |content: &Content| {
+            content.kind == ContentKind::Request
+                && !request.prompt.is_empty()
+                && evidence.crashes(*content) == 0
+        };
+        let shared: Vec<_> = request
+            .contents()
+            .filter(|content| !is_unique(content))
+            .collect();
+        if evidence.record_all_served(shared, now) {
             log_changes(&mut evidence, "own", now);
             self.news.notify_one();
         }
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -2,17 +2,19 @@
 //!
 //! Handles: content that arrives at any process and crashes each server that begins to run it; crashes
 //! that different processes see; harmless content that runs beside it; lost, late and repeated messages;
-//! processes that restart; content that returns after minutes; callers that send much of it.
+//! processes that restart; content that returns after minutes; callers that send much of it; servers that crash with
+//! many requests of many parts.
 
 mod record;
 
 use std::{
-    collections::HashMap,
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap, HashSet},
     num::NonZeroUsize,
     time::{Duration, Instant},
 };
 
-use bulrushward_protocol::{Content, CrashReport, OrganisationHash, ServerKey};
+use bulrushward_protocol::{Content, ContentKind, CrashReport, OrganisationHash, ServerKey};
 use lru::LruCache;
 use strum::IntoStaticStr;
 
@@ -23,6 +25,8 @@
 const MAX_SERVED: NonZeroUsize = NonZeroUsize::new(1_024).unwrap();
 /// Time after which a probe without a result is given up.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+/// New contents that one crash adds, which bounds the work for a server that ran many requests with long prompts.
+const MAX_NEW: usize = 256;
 /// Times that a record is sent after its latest change; barred content is always sent.
 const MAX_SENDS: u32 = 10;
 
@@ -141,21 +145,75 @@
         server: ServerKey,
         now: Instant,
     ) -> usize {
-        self.insert(content, organisation, now);
-        let Some(record) = self.records.get_mut(&content) else {
-            return 0;
-        };
-        record.add_crash(Crash { server, at: now });
-        let crashes = record.crashes.len();
+        self.record_crashes([(content, organisation)], server, now);
+        self.crashes(content)
+    }
+
+    /// Records that a server crashed that had begun to run some contents; returns those that are remembered.
+    ///
+    /// Of the contents that are new, up to [`MAX_NEW`] are remembered: whole requests, then those that were not served
+    /// before, then those that most requests had in common.
+    pub fn record_crashes(
+        &mut self,
+        contents: impl IntoIterator<Item = (Content, OrganisationHash)>,
+        server: ServerKey,
+        now: Instant,
+    ) -> Vec<Content> {
+        let mut requests: HashMap<Content, (OrganisationHash, u32)> = HashMap::new();
+        for (content, organisation) in contents {
+            requests.entry(content).or_insert((organisation, 0)).1 += 1;
+        }
+        let is_known = |content: &Content| self.records.contains_key(content);
+        let mut contents: Vec<_> = requests.keys().copied().filter(is_known).collect();
+        let new = requests.iter().filter(|(content, _)| !is_known(content));
+        let mut new: Vec<_> = new
+            .map(|(content, (organisation, count))| {
+                let is_request = content.kind == ContentKind::Request;
+                let is_unserved = !self.served.contains(content);
+                let order = Reverse((is_request, is_unserved, *count, *content));
+                (order, *organisation)
+            })
+            .collect();
+        if new.len() > MAX_NEW {
+            new.select_nth_unstable(MAX_NEW);
+            new.truncate(MAX_NEW);
+        }
+        if self.records.len() + new.len() > self.limits.policy.capacity {
+            self.remove_expired(now);
+        }
+        let mut inserted = Vec::new();
+        for (Reverse((.., content)), organisation) in new {
+            self.insert(content, organisation);
+            inserted.push(content);
+        }
+        self.evict(&inserted, now);
+        contents.extend(inserted);
+        for content in &contents {
+            if let Some(record) = self.records.get_mut(content) {
+                record.add_crash(Crash { server, at: now });
+            }
+        }
         self.update_explained();
-        crashes
+        contents
     }
 
     /// Records a complete response to a request with the content; returns whether it refutes crashes.
     pub fn record_served(&mut self, content: Content, now: Instant) -> bool {
-        self.served.put(content, now);
-        let record = self.records.get_mut(&content);
-        let is_refuted = record.is_some_and(|record| record.record_served(now));
+        self.record_all_served([content], now)
+    }
+
+    /// Records a complete response to a request with the contents; returns whether it refutes crashes.
+    pub fn record_all_served(
+        &mut self,
+        contents: impl IntoIterator<Item = Content>,
+        now: Instant,
+    ) -> bool {
+        let mut is_refuted = false;
+        for content in contents {
+            self.served.put(content, now);
+            let record = self.records.get_mut(&content);
+            is_refuted |= record.is_some_and(|record| record.record_served(now));
+        }
         if is_refuted {
             self.update_explained();
         }
@@ -321,7 +379,11 @@
             if crashes.is_empty() {
                 return false;
             }
-            self.insert(report.content, report.organisation, now);
+            if self.records.len() >= self.limits.policy.capacity {
+                self.remove_expired(now);
+            }
+            self.insert(report.content, report.organisation);
+            self.evict(&[report.content], now);
         }
         let Some(record) = self.records.get_mut(&report.content) else {
             return false;
@@ -351,19 +413,10 @@
         is_new
     }
 
-    fn insert(&mut self, content: Content, organisation: OrganisationHash, now: Instant) {
-        if self.records.contains_key(&content) {
-            return;
-        }
-        if self.records.len() >= self.limits.policy.capacity {
-            self.remove_expired(now);
-        }
+    fn insert(&mut self, content: Content, organisation: OrganisationHash) {
         let served = self.served.peek(&content).copied();
         self.records
             .insert(content, Record::new(organisation, served));
-        if self.records.len() > self.limits.policy.capacity {
-            self.evict(content, now);
-        }
     }
 
     fn update_explained(&mut self) {
@@ -384,31 +437,49 @@
         self.update_explained();
     }
 
-    /// Removes a record other than `newest`: one of content that was served, or else of the organisation with the most
-    /// records, preferably of content that is not barred.
-    fn evict(&mut self, newest: Content, now: Instant) {
-        let mut by_organisation: HashMap<OrganisationHash, usize> = HashMap::new();
-        for record in self.records.values() {
-            *by_organisation.entry(record.organisation).or_default() += 1;
-        }
-        let victim = self
+    /// Removes records beyond the capacity, other than `newest`: those of content that was served, or else of the
+    /// organisation with the most records, preferably of content that is not barred.
+    fn evict(&mut self, newest: &[Content], now: Instant) {
+        let excess = self
             .records
-            .iter()
-            .filter(|(content, _)| **content != newest)
-            .min_by_key(|(content, record)| {
-                let latest = record.crashes.last().map(|crash| crash.at);
-                (
-                    !record.crashes.is_empty(),
-                    std::cmp::Reverse(by_organisation[&record.organisation]),
-                    record.verdict(&self.limits, now).is_quarantined(),
-                    record.crashes.len(),
-                    latest.max(record.served),
-                    **content,
-                )
-            })
-            .map(|(content, _)| *content);
-        if let Some(victim) = victim {
-            self.records.remove(&victim);
+            .len()
+            .saturating_sub(self.limits.policy.capacity);
+        if excess == 0 {
+            return;
+        }
+        let newest: HashSet<_> = newest.iter().collect();
+        let mut counts: HashMap<OrganisationHash, usize> = HashMap::new();
+        let mut groups: HashMap<_, BTreeSet<_>> = HashMap::new();
+        for (content, record) in &self.records {
+            *counts.entry(record.organisation).or_default() += 1;
+            if newest.contains(content) {
+                continue;
+            }
+            let latest = record.crashes.last().map(|crash| crash.at);
+            let order = (
+                record.verdict(&self.limits, now).is_quarantined(),
+                record.crashes.len(),
+                latest.max(record.served),
+                *content,
+            );
+            let group = (!record.crashes.is_empty(), record.organisation);
+            groups.entry(group).or_default().insert(order);
+        }
+        for _ in 0..excess {
+            let first = groups
+                .iter_mut()
+                .filter(|(_, members)| !members.is_empty())
+                .min_by_key(|((has_crashes, organisation), members)| {
+                    let count = Reverse(counts[organisation]);
+                    (*has_crashes, count, members.first().copied())
+                });
+            let Some(((_, organisation), members)) = first else {
+                return;
+            };
+            if let Some((_, _, _, victim)) = members.pop_first() {
+                *counts.entry(*organisation).or_default() -= 1;
+                self.records.remove(&victim);
+            }
         }
     }
 }
--- a/bulrushward_policy/tests/crash_evidence.rs
+++ b/bulrushward_policy/tests/crash_evidence.rs
@@ -4,7 +4,7 @@
 
 use bulrushward_policy::crash_evidence::{BarChange, BarPolicy, CrashEvidence, Verdict};
 use bulrushward_protocol::{Content, ContentKind, CrashReport};
-use proptest::{prelude::*, test_runner::RngSeed};
+use proptest::{collection::vec, prelude::*, test_runner::RngSeed};
 
 const POLICY: BarPolicy = BarPolicy {
     capacity: 8,
@@ -381,3 +381,62 @@
         }
     }
 }
+
+// Guards against a router that stands still at the crash of a server that ran many requests with long prompts.
+#[test]
+fn a_crash_with_many_long_prompts_takes_little_time() {
+    const REQUESTS: u128 = 64;
+    const PARTS: u128 = 1_650;
+    /// Time after which a request that waits for this is late.
+    const LIMIT: Duration = Duration::from_millis(500);
+    let mut evidence = CrashEvidence::new(BarPolicy::DIRECT);
+    let now = Instant::now();
+    // Half of the parts are shared by all requests.
+    let parts = |request: u128| {
+        (0..PARTS).map(move |part| {
+            let owner = if part % 2 == 0 { 0 } else { request };
+            (Content::part(owner * PARTS + part), ORGANISATION)
+        })
+    };
+    let begun = Instant::now();
+    for server in 1..=3 {
+        evidence.record_crashes((0..REQUESTS).flat_map(parts), server, now);
+    }
+    let took = begun.elapsed() / 3;
+    assert!(took < LIMIT, "{took:?}");
+    assert!(evidence.len() <= BarPolicy::DIRECT.capacity);
+    let begun = Instant::now();
+    evidence.record_all_served(parts(0).map(|(content, _)| content), now + seconds(1));
+    let took = begun.elapsed();
+    assert!(took < LIMIT, "{took:?}");
+}
+
+proptest! {
+    /// Guards against another verdict on contents that crash a server together than on each of them.
+    #[test]
+    fn crashes_of_several_contents_count_as_those_of_each(
+        crashes in vec((vec(0_u128..12, 1..8), 1_u32..6, 0_u64..4_000), 1..12),
+        served in vec((0_u128..12, 0_usize..12), 0..8),
+    ) {
+        let start = Instant::now();
+        let mut together = CrashEvidence::new(BarPolicy::DIRECT);
+        let mut single = CrashEvidence::new(BarPolicy::DIRECT);
+        let mut now = start;
+        for (index, (contents, server, gap_ms)) in crashes.into_iter().enumerate() {
+            now += Duration::from_millis(gap_ms);
+            let contents = || contents.iter().map(|content| (Content::part(*content), ORGANISATION));
+            together.record_crashes(contents(), server, now);
+            for (content, organisation) in contents() {
+                single.record_crash(content, organisation, server, now);
+            }
+            for (content, _) in served.iter().filter(|(_, after)| *after == index) {
+                together.record_all_served([Content::part(*content)], now);
+                single.record_served(Content::part(*content), now);
+            }
+            for content in (0..12).map(Content::part) {
+                prop_assert_eq!(together.verdict(content, now), single.verdict(content, now));
+                prop_assert_eq!(together.crashes(content), single.crashes(content));
+            }
+        }
+    }
+}
