Keep the interval between repeated calls after a stall

Callers saw: nothing.

Cause: after a stall, the times of several repeated calls had passed, so they were sent at once, before the first one was polled. A call that had timed out could also end the one whose response was arriving, if both were polled together.

Change: the interval counts from the latest call, and calls are polled first; a call that is overtaken ends before its own result is looked at.

--- a/bulrushward_direct/src/hedged_call.rs
+++ b/bulrushward_direct/src/hedged_call.rs
@@ -41,8 +41,9 @@
             on_response();
         };
         tokio::select! {
-            result = store.config(&claim_first) => Some(result),
+            biased;
             () = overtaken(first.subscribe(), index) => None,
+            result = store.config(&claim_first) => Some(result),
         }
     };
     let mut calls = FuturesUnordered::from_iter([call(0)]);
@@ -50,12 +51,13 @@
     loop {
         let is_waiting = calls.len() < MAX_CALLS && first.borrow().is_none();
         tokio::select! {
+            biased;
             Some(result) = calls.next() => if let Some(result) = result {
                 return result;
             },
             () = sleep_until(next), if is_waiting => {
                 calls.push(call(calls.len()));
-                next += INTERVAL;
+                next = Instant::now() + INTERVAL;
             }
         }
     }
