--- a/bulrushward_ctl/src/commands/explain.rs
+++ b/bulrushward_ctl/src/commands/explain.rs
@@ -19,7 +19,7 @@
 const CONTEXT_BEFORE: Duration = Duration::from_secs(5);
 /// Time after a request's last line within which a restart of its process is shown.
 ///
-/// A process that dies loses its requests without logging it, so a restart may explain the end.
+/// A process that is killed loses its requests without logging it, so a restart may explain the end.
 const RESTART_WINDOW: Duration = Duration::from_secs(30);
 /// Maximum number of state changes shown per process; the latest ones are kept.
 const MAX_CHANGES: usize = 60;
--- a/bulrushward_direct/src/buffered_body.rs
+++ b/bulrushward_direct/src/buffered_body.rs
@@ -71,7 +71,7 @@
 
 /// Reads a body of up to `limit` bytes into one buffer.
 ///
-/// `resize` is asked before the buffer takes more memory, and `record_chunk` is told the length of each chunk.
+/// `resize` is asked before the buffer takes more memory, and `record_chunk` receives the length of each chunk.
 ///
 /// # Errors
 ///
--- a/bulrushward_direct/src/connection.rs
+++ b/bulrushward_direct/src/connection.rs
@@ -40,7 +40,7 @@
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(10);
 /// Fraction of the server's idle timeout after which a connection is not used again.
 ///
-/// Close to the timeout the server may close the connection while the next request is on its way.
+/// Close to the timeout the server may close the connection while the next request is in transit.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.5;
 /// Largest number of idle connections that are kept to one server.
 const MAX_IDLE: usize = 16;
@@ -174,7 +174,7 @@
 
 /// Returns an idle connection, or opens a new one within this router's `share`.
 ///
-/// A late response to an earlier request is told by its id, so a request without an id, or with that of an earlier one,
+/// A late response to an earlier request is recognised by its id, so a request without an id, or with that of an earlier one,
 /// gets a new connection.
 ///
 /// # Errors
--- a/bulrushward_direct/src/delivery.rs
+++ b/bulrushward_direct/src/delivery.rs
@@ -7,7 +7,7 @@
 
 use crate::bounded_stream::BoundedStreamHandle;
 
-/// Interval at which the send queue of a connection is read while a request is on its way.
+/// Interval at which the send queue of a connection is read while a request is in transit.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Waits until a request of more than `len` bytes is stalled; forever once it is delivered.
--- a/bulrushward_direct/src/places.rs
+++ b/bulrushward_direct/src/places.rs
@@ -113,7 +113,7 @@
     }
 }
 
-/// What this router knows of a service whose places may be scarce.
+/// What this router knows about a service whose places may be scarce.
 #[derive(Debug, Default)]
 struct ServiceDemand {
     scarcity: Scarcity,
--- a/bulrushward_direct/src/request_reader.rs
+++ b/bulrushward_direct/src/request_reader.rs
@@ -111,7 +111,7 @@
 
 /// Returns the response to a request that the configuration does not allow.
 ///
-/// While a newer configuration may allow it, the caller is told to come back instead.
+/// While a newer configuration may allow it, the caller is asked to retry instead.
 fn denial(shared: &Shared, status: StatusCode, reason: Reason) -> LocalResponse {
     if shared.store_state.is_config_in_doubt() {
         let retry = retry_after::for_configuration(shared);
--- a/bulrushward_direct/src/store_news.rs
+++ b/bulrushward_direct/src/store_news.rs
@@ -18,7 +18,7 @@
 
 /// Views of which the sender's waiting call has missed changes; a part of a datagram.
 ///
-/// What the sender knows of them is in the part that all datagrams have.
+/// What the sender knows about them is in the part that all datagrams have.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct MissedChanges {
     pub(crate) config: bool,
--- a/bulrushward_direct/src/store_state.rs
+++ b/bulrushward_direct/src/store_state.rs
@@ -1,4 +1,4 @@
-//! What a router knows of the platform's store: whether it responds, and when each view was confirmed.
+//! What a router knows about the platform's store: whether it responds, and when each view was confirmed.
 
 use std::{
     sync::{
@@ -26,7 +26,7 @@
 ///
 /// The delay is random, so that the calls of a large fleet do not arrive at once.
 const RESEND_SPREAD: Duration = Duration::from_millis(400);
-/// Time after the store's return in which a configuration that changed in the outage may still be on its way.
+/// Time after the store's return in which a configuration that changed in the outage may still be in transit.
 const DOUBT_AFTER_RETURN: Duration = Duration::from_millis(1_200);
 
 /// The part of the store that a call refers to.
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -24,7 +24,7 @@
 /// Fraction of the propagation limit for which further changes are awaited after a change.
 ///
 /// A series of changes then takes few calls. The rest of the limit is for the call, one retry of it and
-/// requests already on their way.
+/// requests already in transit.
 pub(crate) const COALESCING_FRACTION: f64 = 0.4;
 /// Fraction of the propagation limit of orders for which an order may wait while further changes are awaited.
 ///
--- a/bulrushward_direct/src/stream_origins.rs
+++ b/bulrushward_direct/src/stream_origins.rs
@@ -231,7 +231,7 @@
         }
     }
 
-    /// Returns what this router knows of the origin of a stream.
+    /// Returns what this router knows about the origin of a stream.
     fn known_origin(
         &self,
         stream: Option<StreamKey>,
--- a/bulrushward_policy/src/cold_server.rs
+++ b/bulrushward_policy/src/cold_server.rs
@@ -96,7 +96,7 @@
     },
 }
 
-/// What one router knows of a cold server, and what it has sent there.
+/// What one router knows about a cold server, and what it has sent there.
 #[derive(Clone, Debug, Default)]
 pub struct ColdServer {
     /// Time until which the server's own statement says that it is cold, with the margin.
--- a/bulrushward_policy/src/crash_evidence/record.rs
+++ b/bulrushward_policy/src/crash_evidence/record.rs
@@ -25,7 +25,7 @@
     pub(super) at: Instant,
 }
 
-/// What the verdict on a content depends on besides its own record.
+/// What the verdict on a content depends on in addition to its own record.
 #[derive(Debug)]
 pub(super) struct Limits {
     pub(super) policy: BarPolicy,
--- a/bulrushward_policy/src/delivery.rs
+++ b/bulrushward_policy/src/delivery.rs
@@ -20,7 +20,7 @@
     }
 }
 
-/// What the operating system knows of the bytes that were written to a connection.
+/// What the operating system knows about the bytes that were written to a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SendQueue {
     /// Bytes of the current request that were written.
--- a/bulrushward_policy/src/place_borrower.rs
+++ b/bulrushward_policy/src/place_borrower.rs
@@ -1,6 +1,6 @@
 //! Asks of one router for lent places, until each is granted, refused or given up.
 //!
-//! Handles: lost and late messages, and a lender that dies, stops or is cut off while requests wait.
+//! Handles: lost and late messages, and a lender that crashes, stops or is cut off while requests wait.
 
 use std::{
     collections::{BTreeMap, HashMap},
--- a/bulrushward_policy/src/place_lender.rs
+++ b/bulrushward_policy/src/place_lender.rs
@@ -78,9 +78,9 @@
 const MAX_EXPIRY: Duration = Duration::from_secs(10);
 /// Range of the retry delay.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
-/// Smallest fraction of the service rate at which refused callers are told to retry.
+/// Smallest fraction of the service rate at which refused callers are asked to retry.
 const MIN_RETURN_FRACTION: f64 = 0.05;
-/// Fraction of the time until the deadline within which a refused caller is told to retry.
+/// Fraction of the time until the deadline within which a refused caller is asked to retry.
 const RETRY_FRACTION: f64 = 0.75;
 
 #[derive(Debug)]
@@ -130,7 +130,7 @@
     asked: RateMeter,
     granted: RateMeter,
     service_time: ServiceTimeEstimator,
-    /// Time up to which refused callers were told to retry.
+    /// Time up to which refused callers were asked to retry.
     returns_until: Instant,
     noticed: Instant,
     expired: u64,
@@ -706,7 +706,7 @@
 
     /// Returns a refusal with a time at which a free place is expected.
     ///
-    /// Callers are told to retry one after the other, at the rate that is left to them.
+    /// Callers are asked to retry one after the other, at the rate that is left to them.
     fn refuse(
         &mut self,
         ask: &Ask<B>,
--- a/bulrushward_policy/src/place_pools.rs
+++ b/bulrushward_policy/src/place_pools.rs
@@ -1,7 +1,7 @@
 //! Which router lends the places of which servers.
 //!
 //! Handles: services of any size in fleets of any size, whose routers have to agree on the lenders without
-//! communicating; a lender that dies, after which the next one in the common order takes over.
+//! communicating; a lender that crashes, after which the next one in the common order takes over.
 
 use crate::{
     placement::{self, Candidate},
--- a/bulrushward_policy/src/replaced_servers.rs
+++ b/bulrushward_policy/src/replaced_servers.rs
@@ -19,7 +19,7 @@
 /// Largest number of servers that are remembered.
 const MAX_KNOWN: usize = 1_024;
 
-/// The replaced servers that one router knows of.
+/// The replaced servers that one router knows about.
 #[derive(Clone, Debug, Default)]
 pub struct ReplacedServers {
     /// Servers with the times at which the router learnt of them.
--- a/bulrushward_policy/src/server_reports.rs
+++ b/bulrushward_policy/src/server_reports.rs
@@ -35,7 +35,7 @@
 
 /// Longest pause that is granted on one report; the server may ask again.
 pub const MAX_PAUSE: Duration = Duration::from_mins(2);
-/// Time after an announcement of leaving in which routers report it to, and believe, each other.
+/// Time after an announcement of leaving in which routers report it to each other and accept such reports.
 ///
 /// Most servers end earlier; later requests to a server that still runs announce it again.
 const NOTICE_TTL: Duration = Duration::from_secs(30);
--- a/bulrushward_policy/src/server_reports/limit.rs
+++ b/bulrushward_policy/src/server_reports/limit.rs
@@ -1,4 +1,4 @@
-//! The latest that a router knows of a server's limit, from responses and from peers.
+//! The latest that a router knows about a server's limit, from responses and from peers.
 
 use std::time::{Duration, Instant};
 
--- a/bulrushward_policy/src/server_reports/successors.rs
+++ b/bulrushward_policy/src/server_reports/successors.rs
@@ -1,7 +1,7 @@
 //! Reports of processes that have replaced a registered one before their own entry is known.
 //!
 //! Handles: servers that restart at their address under their id and report something at once, while the store's word of
-//! the restart is on its way; processes that follow each other without an entry; listeners that a leaving process closes
+//! the restart is in transit; processes that follow each other without an entry; listeners that a leaving process closes
 //! before its connections.
 
 use std::{
--- a/bulrushward_policy/src/store_revision.rs
+++ b/bulrushward_policy/src/store_revision.rs
@@ -13,7 +13,7 @@
 /// Number of an era; 0 for stores that name none.
 pub type StoreEra = u32;
 
-/// Latest era that can be told from earlier ones.
+/// Latest era that can be distinguished from earlier ones.
 pub const MAX_ERA: StoreEra = (1 << (u64::BITS - REVISION_BITS)) - 1;
 
 /// Time after the beginning of an era in which what the copy lacks is written again.
--- a/bulrushward_policy/src/stream_origin.rs
+++ b/bulrushward_policy/src/stream_origin.rs
@@ -56,7 +56,7 @@
     indices
 }
 
-/// What a router knows of the origin of a stream.
+/// What a router knows about the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Origin {
     /// A server of this version began it.
@@ -220,7 +220,7 @@
 }
 
 impl<K: Copy + PartialEq> OriginQuery<K> {
-    /// Creates a query to some routers by one that has no record; `known` is what it knows of the versions.
+    /// Creates a query to some routers by one that has no record; `known` is what it knows about the versions.
     #[must_use]
     pub fn new(known: Origin, routers: Vec<K>) -> Self {
         Self {
--- a/bulrushward_protocol/src/exchange.rs
+++ b/bulrushward_protocol/src/exchange.rs
@@ -105,7 +105,7 @@
     pub own: MemberRecord,
     /// Records of other processes that the sender received recently.
     pub members: Vec<MemberRecord>,
-    /// Members that the sender believes unreachable.
+    /// Members that the sender considers unreachable.
     pub suspects: Vec<Suspicion>,
     /// Crashes of backend servers by the content of requests.
     pub quarantine: Vec<CrashReport>,
--- a/bulrushward_soak/src/faults.rs
+++ b/bulrushward_soak/src/faults.rs
@@ -98,7 +98,7 @@
     ServerLinksHeld,
 }
 
-/// Faults that each series of random faults has besides; all others are drawn at random.
+/// Faults that each series of random faults has in addition; all others are drawn at random.
 const SERIES_FAULTS: [Fault; 4] = [
     Fault::DomainEmptied,
     Fault::DomainReturnsCold,
--- a/bulrushward_soak/src/harness.rs
+++ b/bulrushward_soak/src/harness.rs
@@ -228,7 +228,7 @@
 
     /// Starts a server that was taken down again at its address, unless it was removed or replaced meanwhile.
     ///
-    /// It is cold only for as long as it was to be before: routers that do not know of the new start yet heed no more.
+    /// It is cold only for as long as it was to be before: routers that do not know of the new start yet accept no longer time.
     pub(crate) async fn restart_server(&self, server: &Arc<SoakServer>) -> io::Result<()> {
         let (id, version) = (&server.fake_server.id, server.fake_server.version());
         let fake_server = FakeServer::start_version(id, version, &self.execution_log).await?;
--- a/bulrushward_soak/src/invariants.rs
+++ b/bulrushward_soak/src/invariants.rs
@@ -17,7 +17,7 @@
 
 /// Time in which a server's work must end after its caller has disconnected.
 const CANCEL_TIME: Duration = Duration::from_millis(1_500);
-/// Time after a request was given up in which it may still be received, as it was on its way.
+/// Time after a request was given up in which it may still be received, as it was in transit.
 const DELIVERY_TIME: Duration = Duration::from_millis(500);
 /// Time after which a server marked as leaving must receive no requests.
 const LEAVING_PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
--- a/bulrushward_soak/src/report_checks.rs
+++ b/bulrushward_soak/src/report_checks.rs
@@ -14,7 +14,7 @@
 
 /// Time after an announcement of leaving, read by a router, after which the router sends the server nothing.
 const LEAVING_LIMIT: Duration = Duration::from_secs(2);
-/// Time after a rejection in which requests may still arrive, as they were on their way.
+/// Time after a rejection in which requests may still arrive, as they were in transit.
 const REACTION_TIME: Duration = Duration::from_millis(500);
 /// Requests that may reach a server from one router in the rest of a pause.
 const MAX_REQUESTS_IN_PAUSE: usize = 2;
