--- a/bulrushward_direct/src/attempt.rs
+++ b/bulrushward_direct/src/attempt.rs
@@ -18,9 +18,10 @@
     send_checks,
     server_reports::{self, ResponseHead},
     server_selection::ServerChoice,
-    server_stream::{ResumePoint, ServerStream, StreamHead, StreamItem},
+    server_stream::{ServerStream, StreamHead, StreamItem},
     servers::{InProgress, Server},
     shared::Shared,
+    stream_ids::ResumePoint,
 };
 use bulrushward_net::with_causes;
 use bulrushward_policy::{server_attempt::AttemptFailure, server_health::ServerHealth};
--- a/bulrushward_direct/src/lib.rs
+++ b/bulrushward_direct/src/lib.rs
@@ -68,6 +68,7 @@
 mod store_transfers;
 mod store_waits;
 mod store_watch;
+mod stream_ids;
 mod stream_origins;
 mod stream_record;
 mod supervision;
--- a/bulrushward_direct/src/received_head.rs
+++ b/bulrushward_direct/src/received_head.rs
@@ -11,8 +11,8 @@
     ports::ResponseMetadata,
     response_end::ResponseEnd,
     routed_request::RoutedRequest,
-    server_stream::ResumePoint,
     servers::InProgress,
+    stream_ids::ResumePoint,
 };
 
 /// Beginning of the content type of a stream of events.
--- a/bulrushward_direct/src/relay.rs
+++ b/bulrushward_direct/src/relay.rs
@@ -25,8 +25,9 @@
     routed_request::RoutedRequest,
     server_identity::ServerIdentity,
     server_selection::ServerChoice,
-    server_stream::{ResumePoint, ServerStream, StreamItem},
+    server_stream::{ServerStream, StreamItem},
     shared::Shared,
+    stream_ids::ResumePoint,
     stream_record::{StreamEnd, StreamRecord},
 };
 
--- a/bulrushward_direct/src/routed_request.rs
+++ b/bulrushward_direct/src/routed_request.rs
@@ -13,7 +13,7 @@
     model::{Route, RouteKind, Service},
     ports::PromptPart,
     run_mark::RunMark,
-    server_stream::ResumePoint,
+    stream_ids::ResumePoint,
 };
 
 /// A request that was read completely and may be sent to servers.
--- a/bulrushward_direct/src/server_stream.rs
+++ b/bulrushward_direct/src/server_stream.rs
@@ -3,10 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bulrushward_policy::{
-    body_end::Framing,
-    event_order::{EventOrder, IdSpacing},
-    server_attempt::AttemptFailure,
-    server_health::ServerHealth,
+    body_end::Framing, server_attempt::AttemptFailure, server_health::ServerHealth,
     stream_pace::StreamPace,
 };
 use bytes::{Bytes, BytesMut};
@@ -23,6 +20,7 @@
     read_timeout,
     response_end::ResponseEnd,
     servers::InProgress,
+    stream_ids::{ResumePoint, StreamIds},
 };
 
 /// Time after a request's deadline at which its stream is closed even if the caller does not read it.
@@ -56,12 +54,7 @@
     overdue: Option<Instant>,
     is_complete: bool,
     response_end: ResponseEnd,
-    /// Spacing of the ids so far, those of earlier servers included.
-    spacing: IdSpacing,
-    /// Id of the first event that had one.
-    first_id: Option<String>,
-    /// Order of the events, if the stream was resumed.
-    order: Option<EventOrder>,
+    ids: StreamIds,
     has_had_event: bool,
 }
 
@@ -75,15 +68,6 @@
     pub(crate) end: ResponseEnd,
 }
 
-/// Place in a stream after which it was resumed.
-#[derive(Clone, Debug)]
-pub(crate) struct ResumePoint {
-    /// Id of the last event.
-    pub(crate) after: String,
-    /// Spacing of the ids before.
-    pub(crate) spacing: IdSpacing,
-}
-
 /// Next item of a server's stream.
 #[derive(Debug)]
 pub(crate) enum StreamItem {
@@ -129,12 +113,7 @@
             overdue: None,
             is_complete: false,
             response_end: end,
-            first_id: None,
-            spacing: resumed_at
-                .as_ref()
-                .map(|point| point.spacing)
-                .unwrap_or_default(),
-            order: resumed_at.map(|point| EventOrder::after(&point.after, point.spacing)),
+            ids: StreamIds::new(resumed_at),
             has_had_event: false,
         }
     }
@@ -315,34 +294,24 @@
         if ids.is_empty() {
             return Ok(events);
         }
-        if let Some(order) = &mut self.order {
-            let admitted = order.admit(ids.iter().map(Option::as_deref));
-            admitted.map_err(|error| AttemptError::new(AttemptFailure::Broken, &error))?;
-        }
-        self.spacing.record(ids.iter().map(Option::as_deref));
-        if self.first_id.is_none() {
-            self.first_id = ids.into_iter().flatten().next();
-        }
+        let recorded = self.ids.record(ids);
+        recorded.map_err(|error| AttemptError::new(AttemptFailure::Broken, &error))?;
         Ok(events)
     }
 
     /// Returns the id of the last event that goes on with the stream.
     pub(crate) fn last_id(&self) -> Option<&str> {
-        let admitted = self.order.as_ref().map(EventOrder::last);
-        admitted.or_else(|| self.splitter.last_id())
+        self.ids.last(self.splitter.last_id())
     }
 
     /// Returns the id of the first event that had one.
     pub(crate) fn first_id(&self) -> Option<&str> {
-        self.first_id.as_deref()
+        self.ids.first()
     }
 
     /// Returns the place after which another server may continue the stream, if an event has had an id.
     pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
-        Some(ResumePoint {
-            after: self.last_id()?.to_owned(),
-            spacing: self.spacing,
-        })
+        Some(self.ids.resume_point(self.last_id()?))
     }
 
     /// Returns how the response marks the end of the stream.
--- a/bulrushward_direct/src/store_watch.rs
+++ b/bulrushward_direct/src/store_watch.rs
@@ -278,12 +278,11 @@
     let listing = store.servers(on_response).await?;
     fleet_state.record_store_success();
     // The listing does not show servers that came and went since the last call that succeeded.
-    let missed = match known {
-        0 => None,
-        _ => {
-            let missed = store.next_servers(known, Duration::ZERO, UNOBSERVED);
-            missed.await.ok()
-        }
+    let missed = if known == 0 {
+        None
+    } else {
+        let missed = store.next_servers(known, Duration::ZERO, UNOBSERVED);
+        missed.await.ok()
     };
     fleet_state.replace_servers(listing, missed.as_ref());
     Ok(true)
--- a/bulrushward_policy/src/crash_evidence.rs
+++ b/bulrushward_policy/src/crash_evidence.rs
@@ -5,11 +5,13 @@
 //! processes that restart; content that returns after minutes; callers that send much of it; servers that crash with
 //! many requests of many parts.
 
+mod eviction;
+mod merge;
 mod record;
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::HashMap,
     num::NonZeroUsize,
     time::{Duration, Instant},
 };
@@ -269,17 +271,6 @@
         record.map_or(0, |record| record.crashes.len())
     }
 
-    /// Merges the reports of a peer; returns the contents with new crashes.
-    pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<Content> {
-        let merged = reports
-            .iter()
-            .filter(|report| self.merge_one(report, now))
-            .map(|report| report.content)
-            .collect();
-        self.update_explained();
-        merged
-    }
-
     /// Returns the refusals that have begun or ended, each change once.
     pub fn take_changes(&mut self, now: Instant) -> Vec<BarChange> {
         let mut changes = Vec::new();
@@ -362,57 +353,6 @@
             .count()
     }
 
-    /// Merges a report; returns whether it contains new crashes.
-    fn merge_one(&mut self, report: &CrashReport, now: Instant) -> bool {
-        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
-        let served = report.served_ms.and_then(at);
-        let crashes = report.crashes.iter().filter_map(|(key, age_ms)| {
-            Some(Crash {
-                server: *key,
-                at: at(*age_ms)?,
-            })
-        });
-        let crashes: Vec<_> = crashes
-            .filter(|crash| served.is_none_or(|served| crash.at > served))
-            .collect();
-        if !self.records.contains_key(&report.content) {
-            if crashes.is_empty() {
-                return false;
-            }
-            if self.records.len() >= self.limits.policy.capacity {
-                self.remove_expired(now);
-            }
-            self.insert(report.content, report.organisation);
-            self.evict(&[report.content], now);
-        }
-        let Some(record) = self.records.get_mut(&report.content) else {
-            return false;
-        };
-        if let Some(served) = served
-            && (record.served.is_none() || record.crashes.iter().any(|crash| crash.at <= served))
-        {
-            // A response that refutes nothing is not merged, as each message makes its age less exact.
-            record.record_served(served);
-        }
-        let is_outdated = |crash: &Crash| record.served.is_some_and(|served| crash.at <= served);
-        if crashes.iter().any(is_outdated) {
-            // The peer does not know the response.
-            record.times_sent = 0;
-        }
-        let mut is_new = false;
-        for crash in crashes {
-            is_new |= record.add_crash(crash);
-        }
-        if let Some(probe) = report.probe_ms.and_then(at)
-            && record
-                .probe
-                .is_none_or(|known| known + PROBE_TIMEOUT < probe)
-        {
-            record.probe = Some(probe);
-        }
-        is_new
-    }
-
     fn insert(&mut self, content: Content, organisation: OrganisationHash) {
         let served = self.served.peek(&content).copied();
         self.records
@@ -436,50 +376,4 @@
             .retain(|_, record| record.expires(limits).is_some_and(|expires| now < expires));
         self.update_explained();
     }
-
-    /// Removes records beyond the capacity, other than `newest`: those of content that was served, or else of the
-    /// organisation with the most records, preferably of content that is not barred.
-    fn evict(&mut self, newest: &[Content], now: Instant) {
-        let excess = self
-            .records
-            .len()
-            .saturating_sub(self.limits.policy.capacity);
-        if excess == 0 {
-            return;
-        }
-        let newest: HashSet<_> = newest.iter().collect();
-        let mut counts: HashMap<OrganisationHash, usize> = HashMap::new();
-        let mut groups: HashMap<_, BTreeSet<_>> = HashMap::new();
-        for (content, record) in &self.records {
-            *counts.entry(record.organisation).or_default() += 1;
-            if newest.contains(content) {
-                continue;
-            }
-            let latest = record.crashes.last().map(|crash| crash.at);
-            let order = (
-                record.verdict(&self.limits, now).is_quarantined(),
-                record.crashes.len(),
-                latest.max(record.served),
-                *content,
-            );
-            let group = (!record.crashes.is_empty(), record.organisation);
-            groups.entry(group).or_default().insert(order);
-        }
-        for _ in 0..excess {
-            let first = groups
-                .iter_mut()
-                .filter(|(_, members)| !members.is_empty())
-                .min_by_key(|((has_crashes, organisation), members)| {
-                    let count = Reverse(counts[organisation]);
-                    (*has_crashes, count, members.first().copied())
-                });
-            let Some(((_, organisation), members)) = first else {
-                return;
-            };
-            if let Some((_, _, _, victim)) = members.pop_first() {
-                *counts.entry(*organisation).or_default() -= 1;
-                self.records.remove(&victim);
-            }
-        }
-    }
 }
