Give a waiting call the time that the response to a check takes

Cause: a check that the store answers just before the waiting call keeps the link busy with its response, though the router closes it after the head. 150 ms later the waiting call was taken for lost, and the configuration was read a third time behind both. Checks of the servers behind them counted as lost, too.

Change: a check tells the size of what it found. The waiting call has the time that this takes at 10 Mbit/s in addition, and calls that time out until then do not make the store, or servers' changes, count as lost.

--- a/bulrushward_direct/src/buffered_body.rs
+++ b/bulrushward_direct/src/buffered_body.rs
@@ -9,14 +9,14 @@
 use snafu::{ResultExt, Snafu, ensure};
 
 /// Largest buffer that is allocated before any of the body has arrived, in bytes.
-const MAX_FIRST_CAPACITY: u64 = 16 << 10;
+const MAX_FIRST_CAPACITY: usize = 16 << 10;
 
 /// Reason why a body was not read completely.
 #[derive(Debug, Snafu)]
 pub(crate) enum BodyError {
     /// It is longer than allowed.
-    #[snafu(display("the body is longer than {limit} bytes"))]
-    TooLarge { limit: usize },
+    #[snafu(display("the body of {len} bytes or more is longer than {limit} bytes"))]
+    TooLarge { len: usize, limit: usize },
     /// The buffers take too much memory together.
     #[snafu(display("no memory for incomplete responses"))]
     OutOfMemory,
@@ -82,17 +82,18 @@
     mut resize: impl FnMut(usize) -> bool,
     mut record_chunk: impl FnMut(usize),
 ) -> Result<Bytes, BodyError> {
-    let announced = body.size_hint().lower();
-    ensure!(announced <= limit as u64, TooLargeSnafu { limit });
+    let announced = body.size_hint().lower() as usize;
+    let len = announced;
+    ensure!(len <= limit, TooLargeSnafu { len, limit });
     let exact = body.size_hint().exact().map(|len| len as usize);
-    let mut buf = Vec::with_capacity(announced.min(MAX_FIRST_CAPACITY) as usize);
+    let mut buf = Vec::with_capacity(announced.min(MAX_FIRST_CAPACITY));
     while let Some(frame) = body.frame().await {
         let Ok(chunk) = frame.context(BrokenSnafu)?.into_data() else {
             continue;
         };
         record_chunk(chunk.len());
         let len = buf.len() + chunk.len();
-        ensure!(len <= limit, TooLargeSnafu { limit });
+        ensure!(len <= limit, TooLargeSnafu { len, limit });
         if len > buf.capacity() {
             // A body of known length needs no more than that.
             let capacity = (2 * buf.capacity()).clamp(len, exact.unwrap_or(limit).max(len));
--- a/bulrushward_direct/src/call.rs
+++ b/bulrushward_direct/src/call.rs
@@ -57,10 +57,14 @@
         detail: String,
     },
     /// The response is larger than is read.
-    #[snafu(display("the response from {address} is longer than {limit} bytes"))]
+    #[snafu(display(
+        "the response of {len} bytes or more from {address} is longer than {limit} bytes"
+    ))]
     TooLarge {
         /// Address.
         address: SocketAddr,
+        /// Bytes that it has at least.
+        len: usize,
         /// Limit in bytes.
         limit: usize,
     },
@@ -252,7 +256,11 @@
         };
         let body = buffered_body::collect(body, max_bytes, |_bytes| true, record_chunk);
         let body = body.await.map_err(|error| match error {
-            BodyError::TooLarge { limit } => CallError::TooLarge { address, limit },
+            BodyError::TooLarge { len, limit } => CallError::TooLarge {
+                address,
+                len,
+                limit,
+            },
             error => response_error(&error),
         })?;
         handle.close_in_order();
--- a/bulrushward_direct/src/ports.rs
+++ b/bulrushward_direct/src/ports.rs
@@ -255,16 +255,17 @@
         on_response: OnResponse<'_>,
     ) -> Result<ConfigUpdate, StoreError>;
 
-    /// Returns whether a call that waits for a configuration has something to return, without reading it.
+    /// Returns the size in bytes of what a call that waits for a configuration has to return, without reading it; `None` if
+    /// there is nothing.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] as [`Self::next_config`] does.
-    async fn has_next_config(
+    async fn next_config_size(
         &self,
         after: StoreRevision,
         with_orders: bool,
-    ) -> Result<bool, StoreError>;
+    ) -> Result<Option<usize>, StoreError>;
 
     /// Reads all registered servers; `on_response` is called when the first bytes arrive.
     ///
@@ -287,12 +288,13 @@
         on_response: OnResponse<'_>,
     ) -> Result<ServerChanges, StoreError>;
 
-    /// Returns whether a call that waits for changes to the registered servers has something to return, without reading it.
+    /// Returns the size in bytes of what a call that waits for changes to the registered servers has to return, without
+    /// reading it; `None` if there is nothing.
     ///
     /// # Errors
     ///
     /// Returns [`StoreError`] as [`Self::next_servers`] does.
-    async fn has_next_servers(&self, after: StoreRevision) -> Result<bool, StoreError>;
+    async fn next_servers_size(&self, after: StoreRevision) -> Result<Option<usize>, StoreError>;
 
     /// Checks at the least cost whether the store responds.
     ///
--- a/bulrushward_direct/src/store_probe.rs
+++ b/bulrushward_direct/src/store_probe.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bulrushward_policy::store_wait::PendingWait;
+use bulrushward_policy::{response_progress::thin_link_time, store_wait::PendingWait};
 use tokio::time::timeout;
 
 use crate::{
@@ -55,25 +55,31 @@
     let (store, after) = (&shared.store, pending.after);
     let check = async {
         match view {
-            StoreView::Config => store.has_next_config(after, shared.follows_orders).await,
-            StoreView::Servers => store.has_next_servers(after).await,
+            StoreView::Config => store.next_config_size(after, shared.follows_orders).await,
+            StoreView::Servers => store.next_servers_size(after).await,
         }
     };
     let sent = Instant::now();
-    let may_be_behind = match timeout(CHECK_TIMEOUT, check).await {
+    let transfers = &shared.store_state.transfers;
+    let queued = match timeout(CHECK_TIMEOUT, check).await {
         // The response to the check may be lost as well, so its lack counts as changes unless it may be queued.
-        Err(_elapsed) => !shared.store_state.transfers.may_have_delayed(sent),
+        Err(_elapsed) if transfers.may_have_delayed(sent) => return,
+        Err(_elapsed) => Duration::ZERO,
         Ok(result) => {
-            // The waiting call itself fails if the history is gone.
-            let is_told = matches!(result, Ok(true));
+            let size = result.as_ref().ok().copied().flatten();
             record(shared, StoreCall::Check, sent, result);
-            is_told
+            // The waiting call itself fails if the history is gone.
+            let Some(bytes) = size else {
+                return;
+            };
+            thin_link_time(bytes)
         }
     };
-    if may_be_behind {
-        let waits = &shared.store_state.waits;
-        waits.end_if_lost(view, pending, LossSign::Check).await;
-    }
+    transfers.record_unread(queued);
+    let waits = &shared.store_state.waits;
+    waits
+        .end_if_lost(view, pending, queued, LossSign::Check)
+        .await;
 }
 
 fn record<T>(shared: &Shared, call: StoreCall, sent: Instant, result: Result<T, StoreError>) {
--- a/bulrushward_direct/src/store_transfers.rs
+++ b/bulrushward_direct/src/store_transfers.rs
@@ -17,7 +17,7 @@
 #[derive(Debug, Default)]
 struct TransferLog {
     arriving: usize,
-    /// End of the latest transfer.
+    /// End of the latest transfer, which may still be to come.
     ended: Option<Instant>,
 }
 
@@ -48,6 +48,14 @@
         log.arriving > 0 || log.ended.is_some_and(|ended| ended >= sent)
     }
 
+    /// Records a response that is not read, though it may take the link for up to `time` from now on.
+    pub(crate) fn record_unread(&self, time: Duration) {
+        if time >= MIN_TRANSFER_TIME {
+            let mut log = self.lock();
+            log.ended = log.ended.max(Some(Instant::now() + time));
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, TransferLog> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -80,7 +88,7 @@
         let mut log = self.transfers.lock();
         log.arriving -= 1;
         if begun.elapsed() >= MIN_TRANSFER_TIME {
-            log.ended = Some(Instant::now());
+            log.ended = log.ended.max(Some(Instant::now()));
         }
     }
 }
--- a/bulrushward_direct/src/store_waits.rs
+++ b/bulrushward_direct/src/store_waits.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bulrushward_policy::{
@@ -79,8 +79,16 @@
     }
 
     /// Ends a waiting call that does not return soon though another call has returned changes.
-    pub(crate) async fn end_if_lost(&self, view: StoreView, checked: PendingWait, sign: LossSign) {
-        sleep_until(WaitLog::lost_at(Instant::now()).into()).await;
+    ///
+    /// The response of that one takes the link for up to `queued`.
+    pub(crate) async fn end_if_lost(
+        &self,
+        view: StoreView,
+        checked: PendingWait,
+        queued: Duration,
+        sign: LossSign,
+    ) {
+        sleep_until(WaitLog::lost_at(Instant::now(), queued).into()).await;
         let wait = self.of(view);
         if lock(&wait.log).is_waiting(checked) {
             wait.end(sign);
--- a/bulrushward_policy/src/response_progress.rs
+++ b/bulrushward_policy/src/response_progress.rs
@@ -7,9 +7,16 @@
 
 use std::time::{Duration, Instant};
 
-/// Smallest rate at which a response may arrive, in bytes per second: a tenth of a link of 10 Mbit/s, which other traffic
-/// shares.
-pub const MIN_RATE: f64 = 125_000.0;
+/// Rate of the thinnest links of routers, 10 Mbit/s, in bytes per second.
+const THIN_LINK_RATE: f64 = 1_250_000.0;
+/// Smallest rate at which a response may arrive, in bytes per second: a tenth of a thin link, which other traffic shares.
+pub const MIN_RATE: f64 = THIN_LINK_RATE / 10.0;
+
+/// Returns the time for which so many bytes may hold up others on a thin link.
+#[must_use]
+pub fn thin_link_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / THIN_LINK_RATE)
+}
 
 /// Time limits of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/bulrushward_policy/src/store_wait.rs
+++ b/bulrushward_policy/src/store_wait.rs
@@ -56,10 +56,12 @@
         self.pending
     }
 
-    /// Returns when a call has lost its response if it is still waiting then, given that a check returned changes now.
+    /// Returns when a call has lost its response if it is still waiting then, given that a check showed changes now.
+    ///
+    /// The response may be queued behind that of the check for `queued`.
     #[must_use]
-    pub fn lost_at(now: Instant) -> Instant {
-        now + RESPONSE_GRACE
+    pub fn lost_at(now: Instant, queued: Duration) -> Instant {
+        now + RESPONSE_GRACE + queued
     }
 
     /// Returns whether a call that was `checked` is still waiting.
